--- /dev/null
+++ b/internal/transport/error.go
@@ -0,0 +1,56 @@
+package transport
+
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+)
+
+// Error is a failed call.
+type Error struct {
+	Code    pb.Status_Code
+	Message string
+	// Redirect is the address of the leader or lease holder, when known.
+	Redirect string
+	// Sent is false when the request never left this process.
+	Sent bool
+}
+
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s: %s", e.Code, e.Message)
+}
+
+// Errorf returns an error for a handler to send to its peer.
+func Errorf(code pb.Status_Code, format string, args ...any) *Error {
+	return &Error{Code: code, Message: fmt.Sprintf(format, args...), Sent: true}
+}
+
+// Code returns the status code of err, OK for nil, UNKNOWN for a foreign error.
+func Code(err error) pb.Status_Code {
+	if err == nil {
+		return pb.Status_OK
+	}
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return pb.Status_UNKNOWN
+}
+
+func notSent(err error, action string) *Error {
+	return &Error{Code: pb.Status_UNAVAILABLE, Message: action + ": " + err.Error()}
+}
+
+func statusOf(err error) *pb.Status {
+	var e *Error
+	if errors.As(err, &e) {
+		return &pb.Status{Code: e.Code, Message: e.Message, Redirect: e.Redirect}
+	}
+	return &pb.Status{Code: pb.Status_UNKNOWN, Message: err.Error()}
+}
+
+func errorOf(s *pb.Status) *Error {
+	return &Error{Code: s.Code, Message: s.Message, Redirect: s.Redirect, Sent: true}
+}
--- /dev/null
+++ b/internal/transport/transport_test.go
@@ -0,0 +1,179 @@
+package transport
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+)
+
+func startServer(t *testing.T, opts Options, register func(*Server)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := NewServer(opts)
+	register(s)
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(s.Close)
+	return l.Addr().String()
+}
+
+func testContext(t *testing.T, d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// Guards against a response reaching another call, and a handler's error
+// losing its code or redirect on the way.
+func TestUnaryCallAndError(t *testing.T) {
+	addr := startServer(t, Options{}, func(s *Server) {
+		HandleUnary(s, MethodClaim, func(ctx context.Context, r *pb.ClaimRequest) (*pb.ClaimResponse, error) {
+			if r.Key == "" {
+				return nil, &Error{Code: pb.Status_NOT_LEADER, Message: "follower", Redirect: "10.0.0.1:1"}
+			}
+			return &pb.ClaimResponse{Result: pb.ClaimResponse_CLAIMED}, nil
+		})
+	})
+	c := NewClient(addr, Options{Self: &pb.Hello{DaemonId: "a"}})
+	defer c.Close()
+	ctx := testContext(t, 5*time.Second)
+	resp := &pb.ClaimResponse{}
+	require.NoError(t, c.Call(ctx, MethodClaim, &pb.ClaimRequest{Key: "k"}, resp))
+	require.Equal(t, pb.ClaimResponse_CLAIMED, resp.Result)
+
+	var e *Error
+	require.ErrorAs(t, c.Call(ctx, MethodClaim, &pb.ClaimRequest{}, resp), &e)
+	require.Equal(t, pb.Status_NOT_LEADER, e.Code)
+	require.Equal(t, "10.0.0.1:1", e.Redirect)
+	require.Equal(t, pb.Status_UNIMPLEMENTED, Code(c.Call(ctx, MethodWatch, &pb.Empty{}, resp)))
+}
+
+// Guards against a request that never left being reported as possibly run.
+func TestDialFailureIsNotSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := l.Addr().String()
+	require.NoError(t, l.Close())
+	c := NewClient(addr, Options{})
+	defer c.Close()
+	var e *Error
+	require.ErrorAs(t, c.Call(testContext(t, time.Second), MethodClaim, &pb.Empty{}, &pb.Empty{}), &e)
+	require.False(t, e.Sent)
+}
+
+// Guards against a session whose packets vanish staying in use: the client
+// must notice within a few seconds and reach the peer by a new connection.
+func TestSilentSessionIsReplaced(t *testing.T) {
+	addr := startServer(t, Options{}, func(s *Server) {
+		HandleUnary(s, MethodClaim, func(ctx context.Context, r *pb.ClaimRequest) (*pb.ClaimResponse, error) {
+			return &pb.ClaimResponse{}, nil
+		})
+	})
+	proxy := newSilentProxy(t, addr)
+	c := NewClient(proxy.addr(), Options{})
+	defer c.Close()
+	require.NoError(t, c.Call(testContext(t, time.Second), MethodClaim, &pb.ClaimRequest{}, &pb.ClaimResponse{}))
+	proxy.silenceOpen()
+	deadline := time.Now().Add(heartbeatInterval + heartbeatTimeout + 2*time.Second)
+	for {
+		err := c.Call(testContext(t, 300*time.Millisecond), MethodClaim, &pb.ClaimRequest{}, &pb.ClaimResponse{})
+		if err == nil {
+			return
+		}
+		require.True(t, time.Now().Before(deadline), "still failing: %v", err)
+	}
+}
+
+// Guards against a server leaking handlers and peers after a client vanished.
+func TestSessionEndCancelsHandlers(t *testing.T) {
+	ended := make(chan string, 1)
+	cancelled := make(chan struct{})
+	opts := Options{OnSessionEnd: func(p *pb.Hello) { ended <- p.DaemonId }}
+	addr := startServer(t, opts, func(s *Server) {
+		s.Handle(MethodWatch, func(ctx context.Context, st *Stream) error {
+			if err := st.Recv(&pb.WatchRequest{}); err != nil {
+				return err
+			}
+			<-ctx.Done()
+			close(cancelled)
+			return nil
+		})
+	})
+	c := NewClient(addr, Options{Self: &pb.Hello{DaemonId: "entry-1"}})
+	st, err := c.Open(testContext(t, time.Second), MethodWatch)
+	require.NoError(t, err)
+	require.NoError(t, st.Send(&pb.WatchRequest{}))
+	time.Sleep(50 * time.Millisecond)
+	c.Close()
+	require.Equal(t, "entry-1", <-ended)
+	<-cancelled
+}
+
+// silentProxy forwards connections until told to drop all traffic of the open
+// ones without closing them; connections opened later work.
+type silentProxy struct {
+	l      net.Listener
+	target string
+	gate   chan struct{}
+}
+
+func newSilentProxy(t *testing.T, target string) *silentProxy {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	p := &silentProxy{l: l, target: target, gate: make(chan struct{})}
+	t.Cleanup(func() { _ = l.Close() })
+	go p.run()
+	return p
+}
+
+func (p *silentProxy) addr() string { return p.l.Addr().String() }
+
+func (p *silentProxy) silenceOpen() { close(p.gate) }
+
+func (p *silentProxy) run() {
+	for {
+		in, err := p.l.Accept()
+		if err != nil {
+			return
+		}
+		out, err := net.Dial("tcp", p.target)
+		if err != nil {
+			return
+		}
+		silenced := p.gate
+		select {
+		case <-silenced:
+			silenced = nil
+		default:
+		}
+		go p.copy(out, in, silenced)
+		go p.copy(in, out, silenced)
+	}
+}
+
+func (p *silentProxy) copy(dst, src net.Conn, silenced chan struct{}) {
+	buf := make([]byte, 4096)
+	for {
+		n, err := src.Read(buf)
+		if err == io.EOF {
+			return
+		}
+		if err != nil {
+			return
+		}
+		select {
+		case <-silenced:
+			continue
+		default:
+		}
+		if _, err := dst.Write(buf[:n]); err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/upstream/error.go
@@ -0,0 +1,75 @@
+package upstream
+
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+)
+
+// ErrorKind says what is known about work that failed.
+type ErrorKind int
+
+// Error kinds, from the safest to retry to the least safe.
+const (
+	// KindNotSent: the request provably never left this process.
+	KindNotSent ErrorKind = iota + 1
+	// KindNotRun: the upstream refused the request before running it.
+	KindNotRun
+	// KindRejected: the upstream found the request invalid; a retry is useless.
+	KindRejected
+	// KindFailed: the upstream ran the request and reported a failure.
+	KindFailed
+	// KindLost: the request may have run; the outcome is not known.
+	KindLost
+	// KindStalled: no progress within the deadline; the request may be running.
+	KindStalled
+	// KindGone: the engine no longer knows the request or the KV cache.
+	KindGone
+)
+
+func (k ErrorKind) String() string {
+	switch k {
+	case KindNotSent:
+		return "not sent"
+	case KindNotRun:
+		return "not run"
+	case KindRejected:
+		return "rejected"
+	case KindFailed:
+		return "failed"
+	case KindLost:
+		return "outcome unknown"
+	case KindStalled:
+		return "stalled"
+	case KindGone:
+		return "gone"
+	}
+	return fmt.Sprintf("ErrorKind(%d)", int(k))
+}
+
+// Error is a failed call to an upstream.
+type Error struct {
+	Kind ErrorKind
+	// Status is the HTTP status when the upstream answered, else 0.
+	Status int
+	Err    error
+}
+
+func (e *Error) Error() string {
+	return fmt.Sprintf("%v (%s)", e.Err, e.Kind)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Err
+}
+
+// KindOf returns the kind of err; KindLost for an error of unknown origin,
+// because then the request may have run.
+func KindOf(err error) ErrorKind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return KindLost
+}
