settings, daemon, timeline: flags, health, merged time line

Cause: every daemon needs checked settings, health pages and recorded events. Conclusion: daemons can be built on package daemon.

--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,138 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"expvar"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/timeline"
+	"godwitward.example/godwitward/internal/transport"
+)
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	shutdownTimeout   = 5 * time.Second
+	// maxEvents bounds one answer of recent events.
+	maxEvents = 10_000
+)
+
+// Base is the common part of a daemon.
+type Base struct {
+	Self     *pb.Hello
+	Logger   *log.Logger
+	Recorder *timeline.Recorder
+	// Sessions serves the calls of other daemons.
+	Sessions *transport.Server
+	// ClientTLS secures the sessions that this daemon opens.
+	ClientTLS *tls.Config
+}
+
+// New returns the common part of a daemon. serverTLS and clientTLS may be nil.
+func New(self *pb.Hello, logger *log.Logger, serverTLS, clientTLS *tls.Config, onSessionEnd func(*pb.Hello)) *Base {
+	recorder := timeline.NewRecorder(timeline.NewClock(nil), self.Vm, self.Process, logger, 0)
+	b := &Base{Self: self, Logger: logger, Recorder: recorder, ClientTLS: clientTLS}
+	b.Sessions = transport.NewServer(transport.Options{
+		Self: self, TLS: serverTLS, Clock: recorder.Clock(), Logger: logger, OnSessionEnd: onSessionEnd,
+	})
+	transport.HandleUnary(b.Sessions, transport.MethodEvents, b.events)
+	return b
+}
+
+// ClientOptions are for sessions to other daemons.
+func (b *Base) ClientOptions() transport.Options {
+	return transport.Options{Self: b.Self, TLS: b.ClientTLS, Clock: b.Recorder.Clock(), Logger: b.Logger}
+}
+
+func (b *Base) events(_ context.Context, req *pb.EventsRequest) (*pb.EventsResponse, error) {
+	if req.Limit == 0 || req.Limit > maxEvents {
+		req.Limit = maxEvents
+	}
+	return &pb.EventsResponse{Events: b.Recorder.Events(req)}, nil
+}
+
+// ServeSessions listens on addr and serves sessions in the background until
+// Sessions.Close. It returns the bound address.
+func (b *Base) ServeSessions(addr string) (string, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return "", errors.Wrap(err, "listening for sessions")
+	}
+	go func() {
+		if err := b.Sessions.Serve(l); err != nil {
+			b.Logger.Error().Str("event", "sessions.failed").Err(err).Msg("")
+		}
+	}()
+	return l.Addr().String(), nil
+}
+
+// HTTPServer is a running HTTP listener.
+type HTTPServer struct {
+	// Addr is the bound address.
+	Addr string
+	srv  *http.Server
+}
+
+// ServeHTTP listens on addr and serves h in the background. tlsConfig may be
+// nil.
+func (b *Base) ServeHTTP(addr string, h http.Handler, tlsConfig *tls.Config) (*HTTPServer, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, errors.Wrap(err, "listening for HTTP")
+	}
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
+	// gRPC clients of the operators' service speak HTTP/2 without TLS on loopback.
+	protocols.SetUnencryptedHTTP2(true)
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, TLSConfig: tlsConfig, Protocols: protocols}
+	go func() {
+		var err error
+		if tlsConfig != nil {
+			err = srv.ServeTLS(l, "", "")
+		} else {
+			err = srv.Serve(l)
+		}
+		if err != nil && !errors.Is(err, http.ErrServerClosed) {
+			b.Logger.Error().Str("event", "http.failed").Err(err).Msg("")
+		}
+	}()
+	return &HTTPServer{Addr: l.Addr().String(), srv: srv}, nil
+}
+
+// Shutdown waits for the requests in flight until ctx ends.
+func (s *HTTPServer) Shutdown(ctx context.Context) error {
+	return s.srv.Shutdown(ctx)
+}
+
+// Close waits a few seconds for requests in flight, then closes connections.
+func (s *HTTPServer) Close() {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if err := s.srv.Shutdown(ctx); err != nil {
+		_ = s.srv.Close()
+	}
+}
+
+// DebugHandler serves /livez, /readyz and the metrics at /debug/vars. ready
+// returns nil when the daemon can take work.
+func DebugHandler(ready func() error) http.Handler {
+	r := chi.NewRouter()
+	r.Get("/livez", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	r.Get("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if err := ready(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte("ok\n"))
+	})
+	r.Get("/debug/vars", expvar.Handler().ServeHTTP)
+	return r
+}
--- /dev/null
+++ b/internal/settings/app.go
@@ -0,0 +1,112 @@
+package settings
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"runtime/debug"
+	"strings"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/phuslu/log"
+
+	"godwitward.example/godwitward/internal/finding"
+)
+
+// EnvPrefix starts the name of every environment variable: the flag
+// --control-addrs is also GODWITWARD_CONTROL_ADDRS.
+const EnvPrefix = "GODWITWARD"
+
+// Version is set at link time with -ldflags "-X ...settings.Version=v1.2.3".
+var Version = ""
+
+// Exit codes of every program.
+const (
+	// ExitUsage: the command line could not be parsed.
+	ExitUsage = 1
+	// ExitInvalid: one or more settings are invalid.
+	ExitInvalid = 2
+	// ExitFailed: the program stopped because of a failure.
+	ExitFailed = 3
+)
+
+// NewApp returns a command line whose flags are also environment variables
+// and which knows --version and --help.
+func NewApp(name, help string) *kingpin.Application {
+	app := kingpin.New(name, help)
+	app.Version(name + " " + version())
+	app.HelpFlag.Short('h')
+	app.Flag("log-level", "Lowest level that is logged: debug, info, warn or error.").
+		Default("info").EnumVar(&logLevel, "debug", "info", "warn", "error")
+	return app
+}
+
+var logLevel string
+
+func version() string {
+	if Version != "" {
+		return Version
+	}
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "devel"
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			return "devel " + s.Value
+		}
+	}
+	return "devel"
+}
+
+// Parse parses the command line and the environment, then runs check and
+// exits with every finding when there is one.
+func Parse(app *kingpin.Application, args []string, check func(*finding.List)) string {
+	bindEnvironment(app)
+	command, err := app.Parse(args)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v; try --help\n", app.Name, err)
+		os.Exit(ExitUsage)
+	}
+	findings := &finding.List{}
+	if check != nil {
+		check(findings)
+	}
+	if len(findings.Items()) > 0 {
+		Report(os.Stderr, app.Name, findings)
+		os.Exit(ExitInvalid)
+	}
+	return command
+}
+
+// Report writes one line for each finding.
+func Report(w io.Writer, program string, l *finding.List) {
+	for _, f := range l.Items() {
+		fmt.Fprintf(w, "%s: invalid setting: %s\n", program, f)
+	}
+}
+
+func bindEnvironment(app *kingpin.Application) {
+	for _, f := range app.Model().Flags {
+		if f.Name == "help" || f.Name == "version" || strings.HasPrefix(f.Name, "help-") || strings.HasPrefix(f.Name, "completion-") {
+			continue
+		}
+		name := EnvPrefix + "_" + strings.ToUpper(strings.ReplaceAll(f.Name, "-", "_"))
+		app.GetFlag(f.Name).Envar(name)
+	}
+}
+
+// NewLogger returns a logger that writes one key=value line for each event.
+func NewLogger(w io.Writer) *log.Logger {
+	return &log.Logger{
+		Level:      log.ParseLevel(logLevel),
+		TimeFormat: "2006-01-02T15:04:05.000Z07:00",
+		Writer:     &log.ConsoleWriter{Writer: w, Formatter: (&log.LogfmtFormatter{TimeField: "time"}).Formatter},
+	}
+}
+
+// Fail logs err and ends the program.
+func Fail(logger *log.Logger, action string, err error) {
+	logger.Error().Str("event", "process.failed").Str("action", action).Err(err).Msg("")
+	os.Exit(ExitFailed)
+}
--- /dev/null
+++ b/internal/settings/checks.go
@@ -0,0 +1,59 @@
+package settings
+
+import (
+	"net"
+	"strconv"
+
+	"godwitward.example/godwitward/internal/finding"
+)
+
+// CheckIPAddr adds a finding unless addr is an IP address with a port.
+// Processes address each other by IP address only.
+func CheckIPAddr(l *finding.List, field, addr string) {
+	host, port, err := net.SplitHostPort(addr)
+	if err != nil {
+		l.Addf(field, "%q is not an IP address with a port, for example 10.0.0.4:7000", addr)
+		return
+	}
+	if net.ParseIP(host) == nil {
+		l.Addf(field, "%q is not an IP address", host)
+	}
+	if n, err := strconv.Atoi(port); err != nil || n < 0 || n > 65535 {
+		l.Addf(field, "port %q is not a number from 0 to 65535", port)
+	}
+}
+
+// CheckIPAddrs checks each address of a list that must not be empty.
+func CheckIPAddrs(l *finding.List, field string, addrs []string) {
+	if len(addrs) == 0 {
+		l.Addf(field, "at least one address is needed")
+	}
+	for i, a := range addrs {
+		CheckIPAddr(l, field+"["+strconv.Itoa(i)+"]", a)
+	}
+}
+
+// CheckName adds a finding unless name has 1 to 63 lower-case letters, digits
+// and hyphens.
+func CheckName(l *finding.List, field, name string) {
+	if name == "" || len(name) > 63 {
+		l.Addf(field, "%q must have 1 to 63 characters", name)
+		return
+	}
+	for _, c := range name {
+		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' {
+			l.Addf(field, "%q may hold only lower-case letters, digits and hyphens", name)
+			return
+		}
+	}
+}
+
+// IsLoopback reports whether addr ("host:port") is on the loopback interface.
+func IsLoopback(addr string) bool {
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return false
+	}
+	ip := net.ParseIP(host)
+	return ip != nil && ip.IsLoopback()
+}
--- /dev/null
+++ b/internal/settings/process.go
@@ -0,0 +1,61 @@
+package settings
+
+import (
+	"context"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/finding"
+)
+
+// Process names a daemon to its peers.
+type Process struct {
+	ID     string
+	VM     string
+	Place  string
+	Region string
+	// AllowPlainText accepts listeners without TLS outside loopback.
+	AllowPlainText bool
+}
+
+// AddFlags adds the flags that every daemon has.
+func (p *Process) AddFlags(app *kingpin.Application) {
+	app.Flag("id", "Name of this daemon, unique in the system; default: the program and its VM.").StringVar(&p.ID)
+	app.Flag("vm", "Name of the VM that this process runs on.").Default("local").StringVar(&p.VM)
+	app.Flag("place", "Place (data centre) of this process, for example otaru-b.").Default("local").StringVar(&p.Place)
+	app.Flag("region", "Region of this process, for example dohoku.").Default("local").StringVar(&p.Region)
+	app.Flag("allow-plain-text", "Accept listeners without TLS outside loopback.").BoolVar(&p.AllowPlainText)
+}
+
+// Check adds findings and derives the default of ID.
+func (p *Process) Check(l *finding.List, program string) {
+	CheckName(l, "--vm", p.VM)
+	CheckName(l, "--place", p.Place)
+	CheckName(l, "--region", p.Region)
+	if p.ID == "" {
+		p.ID = program + "-" + p.VM
+	}
+	CheckName(l, "--id", p.ID)
+}
+
+// Hello returns the message that names the process on its sessions.
+func (p *Process) Hello(program string) *pb.Hello {
+	return &pb.Hello{DaemonId: p.ID, Vm: p.VM, Place: p.Place, Process: program + "/" + p.ID}
+}
+
+// SplitList splits a comma-separated flag value and drops empty parts.
+func SplitList(s string) []string {
+	return strings.FieldsFunc(s, func(r rune) bool { return r == ',' || r == ' ' })
+}
+
+// SignalContext returns a context that ends at SIGTERM or SIGINT. A second
+// signal ends the process at once.
+func SignalContext() (context.Context, context.CancelFunc) {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	context.AfterFunc(ctx, stop)
+	return ctx, stop
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,34 @@
+package settings
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitward.example/godwitward/internal/finding"
+)
+
+// Guards against a start that reports only the first of several bad settings.
+func TestAllFindingsAreReported(t *testing.T) {
+	l := &finding.List{}
+	p := &Process{VM: "VM 1", Place: "", Region: "dohoku"}
+	p.Check(l, "gw-entry")
+	CheckIPAddrs(l, "--control-addrs", []string{"localhost:1", "10.0.0.1"})
+	(&TLS{prefix: "caller"}).Check(l, "10.0.0.1:80", false, false)
+	var out bytes.Buffer
+	Report(&out, "gw-entry", l)
+	for _, field := range []string{"--vm", "--place", "--control-addrs[0]", "--control-addrs[1]", "--caller-tls-cert"} {
+		require.Contains(t, out.String(), "gw-entry: invalid setting: "+field+":")
+	}
+}
+
+// Guards against a flag without its environment variable.
+func TestFlagsHaveEnvironmentVariables(t *testing.T) {
+	t.Setenv("GODWITWARD_VM", "vm-7")
+	app := NewApp("gw-test", "")
+	p := &Process{}
+	p.AddFlags(app)
+	Parse(app, nil, nil)
+	require.Equal(t, "vm-7", p.VM)
+}
--- /dev/null
+++ b/internal/settings/tls.go
@@ -0,0 +1,103 @@
+package settings
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
+
+	"godwitward.example/godwitward/internal/finding"
+)
+
+// TLS names the files that secure one kind of connection.
+type TLS struct {
+	// Cert and Key are PEM files of this process's certificate.
+	Cert string
+	Key  string
+	// CA is a PEM file of the authorities that peers' certificates must chain
+	// to. On a listener it makes client certificates mandatory.
+	CA string
+	// prefix of the flags, for findings.
+	prefix string
+}
+
+// AddFlags adds --<prefix>-tls-cert, -key and -ca.
+func (t *TLS) AddFlags(app *kingpin.Application, prefix, what string) {
+	t.prefix = prefix
+	app.Flag(prefix+"-tls-cert", "PEM certificate for "+what+".").StringVar(&t.Cert)
+	app.Flag(prefix+"-tls-key", "PEM private key for "+what+".").StringVar(&t.Key)
+	app.Flag(prefix+"-tls-ca", "PEM authorities that peers must chain to for "+what+".").StringVar(&t.CA)
+}
+
+// Enabled reports whether any file is named.
+func (t *TLS) Enabled() bool {
+	return t.Cert != "" || t.Key != "" || t.CA != ""
+}
+
+// Check adds findings about files that are missing or do not parse. mutual
+// says that peers authenticate each other, so all three files are needed.
+// Plain text is only accepted on loopback, unless allowPlain is set.
+func (t *TLS) Check(l *finding.List, listen string, mutual, allowPlain bool) {
+	flag := "--" + t.prefix + "-tls"
+	if !t.Enabled() {
+		if listen != "" && !IsLoopback(listen) && !allowPlain {
+			l.Addf(flag+"-cert", "needed because %s is not a loopback address; --allow-plain-text turns this check off", listen)
+		}
+		return
+	}
+	if (t.Cert == "") != (t.Key == "") {
+		l.Addf(flag+"-cert", "certificate and key must be given together")
+	}
+	if mutual && (t.Cert == "" || t.CA == "") {
+		l.Addf(flag+"-ca", "certificate, key and authorities are all needed because peers authenticate each other")
+	}
+	if _, err := t.Server(); err != nil {
+		l.Addf(flag, "%v", err)
+	}
+}
+
+// Server returns the configuration of a listener, nil when TLS is off.
+func (t *TLS) Server() (*tls.Config, error) {
+	cfg, err := t.load()
+	if cfg == nil || err != nil {
+		return nil, err
+	}
+	if t.CA != "" {
+		cfg.ClientCAs = cfg.RootCAs
+		cfg.ClientAuth = tls.RequireAndVerifyClientCert
+	}
+	return cfg, nil
+}
+
+// Client returns the configuration for dialing, nil when TLS is off.
+func (t *TLS) Client() (*tls.Config, error) {
+	return t.load()
+}
+
+func (t *TLS) load() (*tls.Config, error) {
+	if !t.Enabled() {
+		return nil, nil
+	}
+	cfg := &tls.Config{MinVersion: tls.VersionTLS13}
+	if t.Cert != "" && t.Key != "" {
+		pair, err := tls.LoadX509KeyPair(t.Cert, t.Key)
+		if err != nil {
+			return nil, errors.Wrap(err, "loading certificate")
+		}
+		cfg.Certificates = []tls.Certificate{pair}
+	}
+	if t.CA == "" {
+		return cfg, nil
+	}
+	pem, err := os.ReadFile(t.CA)
+	if err != nil {
+		return nil, errors.Wrap(err, "reading authorities")
+	}
+	cfg.RootCAs = x509.NewCertPool()
+	if !cfg.RootCAs.AppendCertsFromPEM(pem) {
+		return nil, errors.Errorf("no certificate in %s", t.CA)
+	}
+	return cfg, nil
+}
--- /dev/null
+++ b/internal/timeline/merge.go
@@ -0,0 +1,138 @@
+package timeline
+
+import (
+	"bufio"
+	"io"
+	"sort"
+	"strconv"
+	"strings"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+)
+
+// MaxLineBytes bounds one line of an event log.
+const MaxLineBytes = 1 << 20
+
+// Merge returns the events of all lists in clock order without duplicates.
+// Events of one process that were read from both its log and its ring are
+// equal in time, process and kind, and are kept once.
+func Merge(lists ...[]*pb.Event) []*pb.Event {
+	var all []*pb.Event
+	for _, l := range lists {
+		all = append(all, l...)
+	}
+	sort.SliceStable(all, func(i, j int) bool { return less(all[i], all[j]) })
+	out := all[:0]
+	for _, e := range all {
+		if n := len(out); n > 0 && same(out[n-1], e) {
+			continue
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+func less(a, b *pb.Event) bool {
+	if a.Time.GetWallUs() != b.Time.GetWallUs() || a.Time.GetLogical() != b.Time.GetLogical() {
+		return Before(a.Time, b.Time)
+	}
+	return a.Process < b.Process
+}
+
+func same(a, b *pb.Event) bool {
+	return a.Process == b.Process && a.Kind == b.Kind && !Before(a.Time, b.Time) && !Before(b.Time, a.Time)
+}
+
+// ReadLog reads the events of a key=value log and skips all other lines.
+func ReadLog(r io.Reader) ([]*pb.Event, error) {
+	var events []*pb.Event
+	sc := bufio.NewScanner(r)
+	sc.Buffer(nil, MaxLineBytes)
+	for sc.Scan() {
+		if e, ok := ParseLine(sc.Text()); ok {
+			events = append(events, e)
+		}
+	}
+	return events, sc.Err()
+}
+
+// ParseLine parses one key=value line. It reports false for a line that is not
+// an event of the time line.
+func ParseLine(line string) (*pb.Event, bool) {
+	e := &pb.Event{Time: &pb.Timestamp{}}
+	for line = strings.TrimSpace(line); line != ""; line = strings.TrimLeft(line, " ") {
+		var key, value string
+		var ok bool
+		key, value, line, ok = nextPair(line)
+		if !ok {
+			return nil, false
+		}
+		if !setField(e, key, value) {
+			return nil, false
+		}
+	}
+	return e, e.Kind != "" && e.Time.WallUs != 0
+}
+
+func nextPair(line string) (key, value, rest string, ok bool) {
+	key, rest, ok = strings.Cut(line, "=")
+	if !ok {
+		return "", "", "", false
+	}
+	if !strings.HasPrefix(rest, `"`) {
+		value, rest, _ = strings.Cut(rest, " ")
+		return key, value, rest, true
+	}
+	quoted, err := strconv.QuotedPrefix(rest)
+	if err != nil {
+		return "", "", "", false
+	}
+	value, err = strconv.Unquote(quoted)
+	return key, value, rest[len(quoted):], err == nil
+}
+
+func setField(e *pb.Event, key, value string) bool {
+	var err error
+	switch key {
+	case "time", "level":
+	case "event":
+		e.Kind = value
+	case "hlc_us":
+		e.Time.WallUs, err = strconv.ParseInt(value, 10, 64)
+	case "hlc_seq":
+		var n uint64
+		n, err = strconv.ParseUint(value, 10, 32)
+		e.Time.Logical = uint32(n)
+	case "vm":
+		e.Vm = value
+	case "process":
+		e.Process = value
+	case "request":
+		e.RequestId = value
+	case "attempt":
+		var n uint64
+		n, err = strconv.ParseUint(value, 10, 32)
+		e.Attempt = uint32(n)
+	case "upstream":
+		e.Upstream = value
+	case "lease":
+		e.Lease = value
+	default:
+		e.Attributes = append(e.Attributes, &pb.Attribute{Key: key, Value: value})
+	}
+	return err == nil
+}
+
+// Filter returns the events that match f, the newest f.Limit when it is set.
+func Filter(events []*pb.Event, f *pb.EventsRequest) []*pb.Event {
+	var out []*pb.Event
+	for _, e := range events {
+		if Match(e, f) {
+			out = append(out, e)
+		}
+	}
+	if limit := int(f.GetLimit()); limit > 0 && len(out) > limit {
+		out = out[len(out)-limit:]
+	}
+	return out
+}
--- /dev/null
+++ b/internal/timeline/timeline_test.go
@@ -0,0 +1,63 @@
+package timeline
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/stretchr/testify/require"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+)
+
+// Guards against an effect sorting before its cause when the receiver's
+// physical clock is behind the sender's.
+func TestCauseSortsBeforeEffect(t *testing.T) {
+	now := time.Unix(1000, 0)
+	ahead := NewClock(func() time.Time { return now.Add(time.Hour) })
+	behind := NewClock(func() time.Time { return now })
+	cause := ahead.Now()
+	behind.Observe(cause)
+	require.True(t, Before(cause, behind.Now()))
+}
+
+// Guards against events that are lost or changed between the log of a process
+// and the merged time line, and against duplicates of log and ring.
+func TestLogRoundTripAndMerge(t *testing.T) {
+	var buf bytes.Buffer
+	logger := &log.Logger{Writer: &log.ConsoleWriter{Writer: &buf, Formatter: log.LogfmtFormatter{TimeField: "time"}.Formatter}}
+	a := NewRecorder(NewClock(nil), "vm-1", "gw-entry/a", logger, 16)
+	a.Record(&pb.Event{Kind: "request.accepted", RequestId: "r1", Attempt: 1}, "path", `/a b="c"`)
+	b := NewRecorder(a.Clock(), "vm-2", "gw-scheduler/b", nil, 16)
+	b.Record(&pb.Event{Kind: "request.granted", RequestId: "r1", Upstream: "decode-1"})
+	buf.WriteString("not an event\n")
+
+	fromLog, err := ReadLog(&buf)
+	require.NoError(t, err)
+	f := &pb.EventsRequest{RequestId: "r1"}
+	merged := Merge(b.Events(f), fromLog, a.Events(f))
+	require.Len(t, merged, 2)
+	require.Equal(t, "request.accepted", merged[0].Kind)
+	require.Equal(t, `/a b="c"`, merged[0].Attributes[0].Value)
+	require.Equal(t, "request.granted", merged[1].Kind)
+	require.Empty(t, Filter(merged, &pb.EventsRequest{RequestId: "r2"}))
+
+	var html bytes.Buffer
+	require.NoError(t, WriteHTML(&html, "request r1", merged))
+	require.Contains(t, html.String(), "gw-scheduler/b")
+}
+
+// Guards against a ring that grows or returns events out of order after it
+// has wrapped.
+func TestRingKeepsTheNewest(t *testing.T) {
+	r := NewRecorder(NewClock(nil), "vm", "p", nil, 3)
+	for _, id := range []string{"1", "2", "3", "4", "5"} {
+		r.Record(&pb.Event{Kind: "k", RequestId: id})
+	}
+	var got string
+	for _, e := range r.Events(&pb.EventsRequest{}) {
+		got += e.RequestId
+	}
+	require.Equal(t, "345", got)
+}
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -140,7 +140,7 @@
 		return nil, err
 	}
 	if c.opts.TLS != nil {
-		conn = tls.Client(conn, c.opts.TLS)
+		conn = tls.Client(conn, c.tlsConfig())
 	}
 	sess, err := yamux.Client(conn, yamuxConfig())
 	if err != nil {
@@ -154,6 +154,16 @@
 	return sess, nil
 }
 
+// tlsConfig expects the peer's certificate to name the IP address that was
+// dialed, unless the settings name another one.
+func (c *Client) tlsConfig() *tls.Config {
+	cfg := c.opts.TLS.Clone()
+	if cfg.ServerName == "" {
+		cfg.ServerName, _, _ = net.SplitHostPort(c.addr)
+	}
+	return cfg
+}
+
 func (c *Client) sendHello(ctx context.Context, sess *yamux.Session) error {
 	conn, err := sess.OpenStream()
 	if err != nil {
