raft, wal, replica: add replication cores, shared log and shell

Cause: the control store needs replicated groups that survive the loss of members and disks.

Change: package raft is a pure state machine with pre-vote, check-quorum, ReadIndex, learners, one-at-a-time membership change, transfer and flow control.

Conclusion: one and three members elect, commit and restart from the log (go test -race ./internal/replica).

--- /dev/null
+++ b/internal/replica/node.go
@@ -0,0 +1,291 @@
+package replica
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"godwitward.example/godwitward/raft"
+	"godwitward.example/godwitward/wal"
+)
+
+// Node runs the groups of one process. Its methods are safe for concurrent use.
+type Node struct {
+	options Options
+	who     identity
+	log     *wal.Log
+	groups  map[GroupID]*group
+	// order lists the groups by id, so that a round is deterministic.
+	order []*group
+
+	// mu guards the fields that callers add to and the goroutine takes from.
+	mu       sync.Mutex
+	calls    []*call
+	messages []arrived
+	tasks    []func() error
+	ended    bool
+
+	// wake has one place, so that a wake-up is never lost and never blocks.
+	wake     chan struct{}
+	stopping chan struct{}
+	stopOnce sync.Once
+	done     chan struct{}
+	err      error
+	diskFull atomic.Bool
+
+	ticker *time.Ticker
+	batch  wal.Batch
+	// snapshots counts the snapshot writers, which end before the log closes.
+	snapshots sync.WaitGroup
+}
+
+// arrived is a message from another member.
+type arrived struct {
+	group   *group
+	message raft.Message
+}
+
+// Start restores the groups from the disk and starts the node's goroutine,
+// which Stop ends.
+func Start(options Options) (*Node, error) {
+	options.setDefaults()
+	if err := options.validate(); err != nil {
+		return nil, err
+	}
+	l, err := wal.Open(options.Dir, wal.Options{FS: options.FS, SegmentBytes: options.SegmentBytes})
+	if err != nil {
+		return nil, err
+	}
+	n, err := newNode(options, l)
+	if err != nil {
+		_ = l.Close()
+		return nil, errors.Wrap(err, "starting replica")
+	}
+	go n.run()
+	return n, nil
+}
+
+func newNode(options Options, l *wal.Log) (*Node, error) {
+	who, err := loadIdentity(l, &options)
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{
+		options:  options,
+		who:      who,
+		log:      l,
+		groups:   map[GroupID]*group{},
+		wake:     make(chan struct{}, 1),
+		stopping: make(chan struct{}),
+		done:     make(chan struct{}),
+		ticker:   time.NewTicker(options.Tick),
+	}
+	for _, id := range slices.Sorted(maps.Keys(options.Groups)) {
+		g, err := newGroup(id, l, who, &n.options)
+		if err != nil {
+			return nil, errors.Wrapf(err, "group %d", id)
+		}
+		n.groups[id] = g
+		n.order = append(n.order, g)
+	}
+	n.wakeUp()
+	return n, nil
+}
+
+// ID returns the member's id.
+func (n *Node) ID() MemberID { return n.who.id }
+
+// Done is closed when the node has ended.
+func (n *Node) Done() <-chan struct{} { return n.done }
+
+// Err returns why the node ended, or nil after Stop. It is valid after Done.
+func (n *Node) Err() error {
+	<-n.done
+	return n.err
+}
+
+// Stop ends the node and closes the log. Calls that wait are answered with
+// ErrStopped when they had no effect, else with ErrOutcomeUnknown.
+func (n *Node) Stop() error {
+	n.stopOnce.Do(func() { close(n.stopping) })
+	<-n.done
+	return n.err
+}
+
+// Propose replicates a command and returns the result of its Apply. Every error
+// other than ErrOutcomeUnknown means that the command had no effect and never
+// will.
+func (n *Node) Propose(ctx context.Context, group GroupID, data []byte) (any, error) {
+	if n.diskFull.Load() {
+		return nil, ErrDiskFull
+	}
+	return n.do(ctx, &call{group: group, kind: callPropose, data: data})
+}
+
+// ReadIndex returns nil once the local state machine includes everything that
+// was committed when ReadIndex was called. It succeeds only at the leader.
+func (n *Node) ReadIndex(ctx context.Context, group GroupID) error {
+	_, err := n.do(ctx, &call{group: group, kind: callRead})
+	return err
+}
+
+// ChangeMembers changes the membership of one group and returns when the change
+// is committed. Errors are those of Propose and of raft.Core.ChangeMembership.
+func (n *Node) ChangeMembers(ctx context.Context, group GroupID, change raft.MembershipChange) error {
+	if n.diskFull.Load() {
+		return ErrDiskFull
+	}
+	_, err := n.do(ctx, &call{group: group, kind: callChange, change: change})
+	return err
+}
+
+// do queues a call and waits for its answer.
+func (n *Node) do(ctx context.Context, c *call) (any, error) {
+	if n.groups[c.group] == nil {
+		return nil, errors.Wrapf(ErrUnknownGroup, "group %d", c.group)
+	}
+	c.done = make(chan outcome, 1)
+	if err := n.enqueue(c); err != nil {
+		return nil, err
+	}
+	select {
+	case o := <-c.done:
+		return o.result, o.err
+	case <-ctx.Done():
+		return nil, n.abandon(c, ctx.Err())
+	}
+}
+
+// abandon gives up a call. A call that the goroutine hasn't taken has no effect.
+func (n *Node) abandon(c *call, cause error) error {
+	if c.state.CompareAndSwap(callQueued, callAbandoned) || c.kind == callRead {
+		return cause
+	}
+	return errors.Wrapf(ErrOutcomeUnknown, "group %d: %v", c.group, cause)
+}
+
+func (n *Node) enqueue(c *call) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.ended {
+		return ErrStopped
+	}
+	if len(n.calls) >= n.options.MaxPending {
+		return ErrBusy
+	}
+	n.calls = append(n.calls, c)
+	n.wakeUp()
+	return nil
+}
+
+// Step takes a message from another member. It does not block.
+func (n *Node) Step(group GroupID, message []byte) error {
+	g := n.groups[group]
+	if g == nil {
+		return errors.Wrapf(ErrUnknownGroup, "group %d", group)
+	}
+	m, err := raft.DecodeMessage(message)
+	if err != nil {
+		return errors.Wrapf(err, "group %d", group)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.ended {
+		return ErrStopped
+	}
+	if len(n.messages) >= maxInboxMessages {
+		return ErrBusy
+	}
+	n.messages = append(n.messages, arrived{g, m})
+	n.wakeUp()
+	return nil
+}
+
+func (n *Node) wakeUp() {
+	select {
+	case n.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Leader returns the known leader of a group, or raft.None.
+func (n *Node) Leader(group GroupID) MemberID {
+	g := n.groups[group]
+	if g == nil {
+		return raft.None
+	}
+	return g.published.Load().leader
+}
+
+// Leads reports whether this member leads a group, and in which term. Only
+// ReadIndex proves that it still does.
+func (n *Node) Leads(group GroupID) (term uint64, leads bool) {
+	g := n.groups[group]
+	if g == nil {
+		return 0, false
+	}
+	l := g.published.Load()
+	return l.term, l.role == raft.Leader
+}
+
+// Status returns the state of a group's core.
+func (n *Node) Status(id GroupID) (raft.Status, error) {
+	var status raft.Status
+	err := n.inspect(id, func(g *group) error {
+		status = g.core.Status()
+		return nil
+	})
+	return status, err
+}
+
+// TransferLeadership asks another voter to lead a group. It returns before the
+// transfer is done, which Leader shows.
+func (n *Node) TransferLeadership(id GroupID, to MemberID) error {
+	return n.inspect(id, func(g *group) error {
+		err := g.core.TransferLeadership(to)
+		if errors.Is(err, raft.ErrNotLeader) {
+			return &NotLeaderError{Group: g.id, Leader: g.core.Leader()}
+		}
+		return err
+	})
+}
+
+// inspect runs f on the node's goroutine.
+func (n *Node) inspect(id GroupID, f func(*group) error) error {
+	g := n.groups[id]
+	if g == nil {
+		return errors.Wrapf(ErrUnknownGroup, "group %d", id)
+	}
+	answer := make(chan error, 1)
+	err := n.submit(func() error {
+		answer <- f(g)
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	select {
+	case err := <-answer:
+		return err
+	case <-n.done:
+		return ErrStopped
+	}
+}
+
+// submit queues a task for the node's goroutine. An error of the task ends the
+// node.
+func (n *Node) submit(task func() error) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.ended {
+		return ErrStopped
+	}
+	n.tasks = append(n.tasks, task)
+	n.wakeUp()
+	return nil
+}
--- /dev/null
+++ b/internal/replica/node_test.go
@@ -0,0 +1,166 @@
+package replica
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitward.example/godwitward/raft"
+)
+
+// journal is a state machine that remembers its commands in order.
+type journal struct{ Commands []string }
+
+func (j *journal) Apply(_ uint64, data []byte) any {
+	j.Commands = append(j.Commands, string(data))
+	return len(j.Commands)
+}
+func (j *journal) Snapshot() ([]byte, error) { return json.Marshal(j.Commands) }
+func (j *journal) Restore(data []byte) error {
+	j.Commands = nil
+	return json.Unmarshal(data, &j.Commands)
+}
+
+const testTick = 10 * time.Millisecond
+
+// testCluster runs members that share an in-process network.
+type testCluster struct {
+	t        testing.TB
+	network  *Network
+	dirs     map[MemberID]string
+	nodes    map[MemberID]*Node
+	machines map[MemberID]*journal
+	voters   []MemberID
+	// adjust changes the options of each start.
+	adjust func(*Options)
+}
+
+func newTestCluster(t testing.TB, size int) *testCluster {
+	c := &testCluster{t: t, network: NewNetwork(), dirs: map[MemberID]string{}, nodes: map[MemberID]*Node{},
+		machines: map[MemberID]*journal{}, adjust: func(*Options) {}}
+	for i := 1; i <= size; i++ {
+		c.voters = append(c.voters, MemberID(i))
+	}
+	t.Cleanup(func() {
+		for _, n := range c.nodes {
+			_ = n.Stop()
+		}
+	})
+	return c
+}
+
+func (c *testCluster) start(id MemberID, mode StartMode) *Node {
+	if c.dirs[id] == "" {
+		c.dirs[id] = c.t.TempDir()
+	}
+	c.machines[id] = &journal{}
+	o := Options{ID: id, Start: mode, Voters: c.voters, Groups: map[GroupID]StateMachine{1: c.machines[id]},
+		Sender: c.network.Sender(id), Dir: c.dirs[id], Tick: testTick, Seed: 7}
+	c.adjust(&o)
+	n, err := Start(o)
+	require.NoError(c.t, err)
+	c.nodes[id] = n
+	c.network.Attach(n)
+	return n
+}
+
+func (c *testCluster) found() *testCluster {
+	for _, id := range c.voters {
+		c.start(id, StartFounding)
+	}
+	return c
+}
+
+func (c *testCluster) stop(id MemberID) {
+	c.network.Detach(id)
+	require.NoError(c.t, c.nodes[id].Stop())
+	delete(c.nodes, id)
+}
+
+func (c *testCluster) leader() *Node {
+	var leader *Node
+	require.Eventually(c.t, func() bool {
+		var term uint64
+		for _, n := range c.nodes {
+			if t, leads := n.Leads(1); leads && t > term {
+				leader, term = n, t
+			}
+		}
+		return term > 0
+	}, 10*time.Second, time.Millisecond, "no leader")
+	return leader
+}
+
+// propose retries until a leader accepts the command.
+func (c *testCluster) propose(command string) any {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	for {
+		result, err := c.leader().Propose(ctx, 1, []byte(command))
+		if err == nil {
+			return result
+		}
+		require.ErrorIs(c.t, err, ErrNotLeader)
+		require.NoError(c.t, ctx.Err())
+		time.Sleep(testTick)
+	}
+}
+
+// commands reads a member's state on its own goroutine.
+func (c *testCluster) commands(id MemberID) (commands []string) {
+	_ = c.nodes[id].inspect(1, func(*group) error {
+		commands = append(commands, c.machines[id].Commands...)
+		return nil
+	})
+	return commands
+}
+
+func (c *testCluster) requireCommands(id MemberID, want []string) {
+	require.Eventually(c.t, func() bool {
+		return fmt.Sprint(want) == fmt.Sprint(c.commands(id))
+	}, 10*time.Second, 5*time.Millisecond, "member %d does not hold the commands", id)
+}
+
+func TestOneMemberLeadsAtOnceAndKeepsCommandsAcrossRestart(t *testing.T) {
+	c := newTestCluster(t, 1)
+	c.adjust = func(o *Options) { o.Tick = time.Hour }
+	n := c.start(1, StartFounding)
+	for i := range 5 {
+		result, err := n.Propose(t.Context(), 1, fmt.Appendf(nil, "c%d", i))
+		require.NoError(t, err)
+		require.Equal(t, i+1, result)
+	}
+	require.NoError(t, n.ReadIndex(t.Context(), 1))
+	c.stop(1)
+	n = c.start(1, StartExisting)
+	require.NoError(t, n.ReadIndex(t.Context(), 1))
+	require.Equal(t, []string{"c0", "c1", "c2", "c3", "c4"}, c.commands(1))
+}
+
+func TestThreeMembersKeepCommandsAcrossRestartOfAll(t *testing.T) {
+	c := newTestCluster(t, 3).found()
+	var want []string
+	for i := range 20 {
+		command := fmt.Sprintf("c%d", i)
+		c.propose(command)
+		want = append(want, command)
+	}
+	for _, id := range c.voters {
+		c.requireCommands(id, want)
+	}
+	for _, id := range c.voters {
+		c.stop(id)
+	}
+	for _, id := range c.voters {
+		c.start(id, StartExisting)
+	}
+	c.propose("after")
+	for _, id := range c.voters {
+		c.requireCommands(id, append(want, "after"))
+	}
+	require.Equal(t, raft.Leader, func() raft.Role { s, _ := c.leader().Status(1); return s.Role }())
+}
--- /dev/null
+++ b/wal/fs.go
@@ -0,0 +1,101 @@
+package wal
+
+import (
+	"io"
+	"os"
+
+	"github.com/pkg/errors"
+)
+
+// FS is the part of a file system that the log uses. Tests replace it to lose
+// unsynced writes, to fail syncs and to fill the disk.
+type FS interface {
+	// MkdirAll creates a directory and its parents.
+	MkdirAll(dir string) error
+	// Create creates a file or empties an existing one.
+	Create(name string) (File, error)
+	// OpenAppend opens an existing file for writing at its end.
+	OpenAppend(name string) (File, error)
+	// ReadFile returns the content of a file.
+	ReadFile(name string) ([]byte, error)
+	// ReadDir returns the names in a directory in order.
+	ReadDir(dir string) ([]string, error)
+	Rename(from, to string) error
+	Remove(name string) error
+	// SyncDir makes the entries of a directory durable.
+	SyncDir(dir string) error
+}
+
+// File is an open file.
+type File interface {
+	io.WriteCloser
+	Sync() error
+	// Truncate cuts the file and moves the end of writing there.
+	Truncate(size int64) error
+}
+
+// OS is the file system of the operating system.
+type OS struct{}
+
+// Permissions of what the log creates.
+const (
+	dirMode  = 0o755
+	fileMode = 0o644
+)
+
+// MkdirAll implements FS.
+func (OS) MkdirAll(dir string) error { return os.MkdirAll(dir, dirMode) }
+
+// Create implements FS.
+func (OS) Create(name string) (File, error) {
+	return openFile(name, os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND)
+}
+
+// OpenAppend implements FS.
+func (OS) OpenAppend(name string) (File, error) {
+	return openFile(name, os.O_WRONLY|os.O_APPEND)
+}
+
+func openFile(name string, flags int) (File, error) {
+	f, err := os.OpenFile(name, flags, fileMode)
+	if err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+// ReadFile implements FS.
+func (OS) ReadFile(name string) ([]byte, error) { return os.ReadFile(name) }
+
+// ReadDir implements FS.
+func (OS) ReadDir(dir string) ([]string, error) {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, err
+	}
+	names := make([]string, len(entries))
+	for i, entry := range entries {
+		names[i] = entry.Name()
+	}
+	return names, nil
+}
+
+// Rename implements FS.
+func (OS) Rename(from, to string) error { return os.Rename(from, to) }
+
+// Remove implements FS.
+func (OS) Remove(name string) error { return os.Remove(name) }
+
+// SyncDir implements FS.
+func (OS) SyncDir(dir string) error {
+	f, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	err = f.Sync()
+	closeErr := f.Close()
+	if err != nil {
+		return err
+	}
+	return errors.Wrap(closeErr, "closing directory")
+}
