--- /dev/null
+++ b/internal/control/client/client_test.go
@@ -0,0 +1,151 @@
+package client_test
+
+import (
+	"context"
+	"net"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/require"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/api/godwitward/v1/godwitwardv1connect"
+	"godwitward.example/godwitward/internal/control"
+	"godwitward.example/godwitward/internal/control/client"
+	"godwitward.example/godwitward/internal/transport"
+)
+
+const testTTL = 600 * time.Millisecond
+
+// store is one member without replication, served over TCP.
+type store struct {
+	addr      string
+	operators godwitwardv1connect.OperatorServiceClient
+}
+
+func startStore(t *testing.T, opts control.Options) *store {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	opts.Address = l.Addr().String()
+	opts.ServingTTL = testTTL
+	opts.LeaseTTL = testTTL
+	srv, err := control.New(opts)
+	require.NoError(t, err)
+	t.Cleanup(srv.Close)
+	ts := transport.NewServer(transport.Options{})
+	srv.Register(ts)
+	go func() { _ = ts.Serve(l) }()
+	t.Cleanup(ts.Close)
+	_, h := srv.OperatorHandler()
+	hs := httptest.NewServer(h)
+	t.Cleanup(hs.Close)
+	return &store{addr: opts.Address, operators: godwitwardv1connect.NewOperatorServiceClient(hs.Client(), hs.URL)}
+}
+
+func startClient(t *testing.T, addr, id string) *client.Client {
+	t.Helper()
+	c := client.New(client.Options{
+		Addrs: []string{addr}, Self: &pb.Hello{DaemonId: id}, Address: id + ":1", RenewInterval: 100 * time.Millisecond,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = c.Run(ctx)
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+	return c
+}
+
+func put(id string, base uint64, path string) *connect.Request[pb.ChangeConfigRequest] {
+	return connect.NewRequest(&pb.ChangeConfigRequest{Change: &pb.ConfigChange{
+		RequestId: id, BaseVersion: base,
+		Change: &pb.ConfigChange_PutRoute{PutRoute: &pb.Route{Name: "draft", Path: path, Service: "draftwell"}},
+	}})
+}
+
+func testContext(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// Guards against a change that is answered as in force before a live daemon
+// applied it, and against a resend or an equal version being applied again.
+func TestChangeReachesDaemonBeforeAnswer(t *testing.T) {
+	st := startStore(t, control.Options{})
+	c := startClient(t, st.addr, "entry-1")
+	ctx := testContext(t)
+	require.Eventually(t, c.Serving, 5*time.Second, 5*time.Millisecond)
+
+	resp, err := st.operators.ChangeConfig(ctx, put("r1", 0, "/a"))
+	require.NoError(t, err)
+	require.True(t, resp.Msg.InForce)
+	require.Equal(t, uint64(1), resp.Msg.Outcome.Version)
+	require.Equal(t, uint64(1), c.Config().GetVersion())
+
+	again, err := st.operators.ChangeConfig(ctx, put("r1", 0, "/a"))
+	require.NoError(t, err)
+	require.Equal(t, pb.ChangeOutcome_ACCEPTED, again.Msg.Outcome.Code)
+	require.Equal(t, uint64(1), again.Msg.Outcome.Version)
+
+	lost, err := st.operators.ChangeConfig(ctx, put("r2", 0, "/b"))
+	require.NoError(t, err)
+	require.Equal(t, pb.ChangeOutcome_VERSION_CONFLICT, lost.Msg.Outcome.Code)
+	require.Len(t, lost.Msg.Outcome.Missed, 1)
+	require.Equal(t, "/a", c.Config().Routes[0].Path)
+}
+
+// Guards against two schedulers that hold one pool together, a takeover that
+// never happens, and a token that does not grow.
+func TestHoldLeaseMovesAfterRelease(t *testing.T) {
+	st := startStore(t, control.Options{})
+	a, b := startClient(t, st.addr, "a"), startClient(t, st.addr, "b")
+	acquired := make(chan uint64, 4)
+	lost := make(chan struct{}, 4)
+	hold := func(ctx context.Context, c *client.Client) {
+		_ = c.HoldLease(ctx, "draftwell/dohoku", 1, func(token uint64) { acquired <- token }, func() { lost <- struct{}{} })
+	}
+	ctxA, stopA := context.WithCancel(testContext(t))
+	go hold(ctxA, a)
+	first := <-acquired
+	ctxB, stopB := context.WithCancel(testContext(t))
+	defer stopB()
+	go hold(ctxB, b)
+	select {
+	case <-acquired:
+		t.Fatal("second holder acquired a lease that is renewed")
+	case <-time.After(2 * testTTL):
+	}
+	stopA()
+	<-lost
+	second := <-acquired
+	require.Greater(t, second, first)
+	_, held := a.Holding("draftwell/dohoku")
+	require.False(t, held)
+	require.Eventually(t, func() bool {
+		l, ok := a.Lease("draftwell/dohoku")
+		return ok && l.FencingToken == second && l.Address == "b:1"
+	}, 5*time.Second, 5*time.Millisecond)
+}
+
+// Guards against a second run of a non-repeatable call.
+func TestClaimRunsOnce(t *testing.T) {
+	st := startStore(t, control.Options{})
+	c := startClient(t, st.addr, "entry-1")
+	ctx := testContext(t)
+	claim := func(request string) pb.ClaimResponse_Result {
+		resp, err := c.Claim(ctx, &pb.ClaimRequest{Organisation: "o", Key: "k", Digest: make([]byte, 32), RequestId: request, DeadlineMs: 60000})
+		require.NoError(t, err)
+		return resp.Result
+	}
+	require.Equal(t, pb.ClaimResponse_CLAIMED, claim("r1"))
+	require.Equal(t, pb.ClaimResponse_CLAIMED, claim("r1"))
+	require.Equal(t, pb.ClaimResponse_IN_PROGRESS, claim("r2"))
+	require.Error(t, c.Record(ctx, &pb.RecordRequest{Organisation: "o", Key: "k", RequestId: "r2", NotRun: true}))
+	require.NoError(t, c.Record(ctx, &pb.RecordRequest{Organisation: "o", Key: "k", RequestId: "r1", Answer: &pb.RecordedAnswer{Status: 201}}))
+	require.Equal(t, pb.ClaimResponse_RECORDED, claim("r2"))
+}
