--- /dev/null
+++ b/internal/entry/completion.go
@@ -0,0 +1,292 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"strconv"
+	"sync"
+	"time"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/request"
+	"godwitward.example/godwitward/internal/upstream"
+)
+
+// deadlineSlack keeps contexts alive past the request's deadline, so that the
+// machine's Tick reports the deadline before a call reports its context.
+const deadlineSlack = time.Second
+
+// completion carries out the actions of one request.Completion. Every event is
+// applied under mu; actions never block, calls run in goroutines that end with
+// the attempt's context and report their results as events.
+type completion struct {
+	*call
+	input *input
+	relay *relay
+
+	mu      sync.Mutex
+	machine *request.Completion
+	timer   *time.Timer
+	armed   time.Time
+
+	// ctx bounds the calls of the current attempt.
+	ctx    context.Context
+	cancel context.CancelFunc
+	// running counts the engine calls of the current attempt.
+	running *sync.WaitGroup
+}
+
+func newCompletion(c *call, in *input) *completion {
+	x := &completion{call: c, input: in, relay: newRelay()}
+	x.machine = request.NewCompletion(request.Spec{
+		PromptTokens:    upstream.EstimateTokens(len(in.prompt)),
+		MaxOutputTokens: in.maxTokens,
+		Deadline:        c.deadline(),
+		Limits:          x.stageLimits(),
+		Budget:          c.srv.budget,
+	})
+	return x
+}
+
+// stageLimits lets a submission wait as long as the route allows, plus the
+// time in which a pool gets a new scheduler.
+func (x *completion) stageLimits() request.Limits {
+	limits := x.srv.opts.Stages
+	limits.Queue += time.Duration(x.route.MaxWaitMs) * time.Millisecond
+	return limits
+}
+
+// apply feeds one event to the machine and carries out its actions.
+func (x *completion) apply(ev request.Event) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now := time.Now()
+	for _, a := range x.machine.Step(now, ev) {
+		x.carryOut(a)
+	}
+	x.arm(now)
+}
+
+// arm keeps the timer at or before the machine's deadline. A deadline that
+// moved back is met by the timer that is already set, so that a token does not
+// cost a timer reset.
+func (x *completion) arm(now time.Time) {
+	at := x.machine.Deadline()
+	if at.IsZero() {
+		if x.timer != nil {
+			x.timer.Stop()
+		}
+		return
+	}
+	if !x.armed.IsZero() && !at.Before(x.armed) {
+		return
+	}
+	x.armed = at
+	if x.timer == nil {
+		x.timer = time.AfterFunc(at.Sub(now), x.tick)
+		return
+	}
+	x.timer.Reset(at.Sub(now))
+}
+
+func (x *completion) tick() {
+	x.mu.Lock()
+	x.armed = time.Time{}
+	x.mu.Unlock()
+	x.apply(&request.Tick{})
+}
+
+func (x *completion) carryOut(a request.Action) {
+	switch a := a.(type) {
+	case *request.Emit:
+		x.relay.push(a.Text)
+		x.srv.vars.tokens.Add(1)
+	case *request.Submit:
+		x.submit(a)
+	case *request.Withdraw:
+		x.cancel()
+	case *request.StartPrefill:
+		x.event("request.prefill", a.Attempt, a.Grant.Prefill.GetId())
+		x.run(func(ctx context.Context) { x.prefill(ctx, a) })
+	case *request.StartImport:
+		x.event("request.transfer", a.Attempt, a.Grant.Decode.GetId())
+		x.run(func(ctx context.Context) { x.importCache(ctx, a) })
+	case *request.OpenStream:
+		x.event("request.decode", a.Attempt, a.Grant.Decode.GetId(), "offset", strconv.Itoa(a.Offset), "connection", strconv.Itoa(int(a.Connection)))
+		x.run(func(ctx context.Context) { x.read(ctx, a) })
+	case *request.ReportProgress:
+		x.progress(a)
+	case *request.Release:
+		x.release(a)
+	case *request.Finish:
+		x.finish(a)
+	}
+}
+
+// run starts a call of the current attempt and ends the one before it.
+func (x *completion) run(fn func(ctx context.Context)) {
+	x.cancel()
+	ctx, cancel := context.WithDeadline(context.Background(), x.deadline().Add(deadlineSlack))
+	x.ctx, x.cancel = ctx, cancel
+	running := x.running
+	running.Add(1)
+	go func() {
+		defer running.Done()
+		defer cancel()
+		fn(ctx)
+	}()
+}
+
+func (x *completion) submit(a *request.Submit) {
+	if a.Attempt > 1 {
+		x.srv.vars.retries.Add(1)
+	}
+	x.event("request.queued", a.Attempt, "", "pool", x.route.Pool, "class", x.route.RequestClass.String())
+	ctx, cancel := context.WithDeadline(context.Background(), x.deadline().Add(deadlineSlack))
+	x.ctx, x.cancel = ctx, cancel
+	x.running = &sync.WaitGroup{}
+	req := &pb.SubmitRequest{
+		RequestId: x.id, Attempt: a.Attempt, EntryId: x.srv.opts.ID, Pool: x.route.Pool,
+		Organisation: x.organisation, Model: x.input.model, RequestClass: x.route.RequestClass,
+		PromptTokens: uint32(a.PromptTokens), MaxOutputTokens: uint32(a.MaxOutputTokens),
+		PrefixHashes: x.input.prefixHashes, MaxWaitMs: x.route.MaxWaitMs,
+		DeadlineMs:   millis(time.Until(x.deadline())),
+		TtftTargetMs: x.route.TtftTargetMs, TpotTargetMs: x.route.TpotTargetMs, Weights: x.route.Weights,
+		Exclude: append([]string(nil), a.Exclude...), AgeMs: millis(time.Since(x.accepted)),
+	}
+	go func() {
+		defer cancel()
+		resp, err := x.srv.opts.Schedulers.Submit(ctx, req)
+		if g := resp.GetGrant(); g != nil {
+			x.event("request.granted", a.Attempt, g.Decode.GetId(), "hold", g.HoldId, "prefill", g.Prefill.GetId())
+		}
+		x.apply(submitResult(a.Attempt, resp, err))
+	}()
+}
+
+func submitResult(attempt uint32, resp *pb.SubmitResponse, err error) request.Event {
+	if err != nil {
+		return &request.Refused{Attempt: attempt, Failure: request.FailureNoScheduler, Message: err.Error(), RetryAfter: time.Second}
+	}
+	if g := resp.GetGrant(); g != nil {
+		return &request.Granted{Attempt: attempt, Grant: g}
+	}
+	r := resp.GetRefusal()
+	failure := request.FailureOverloaded
+	switch r.GetCode() {
+	case pb.Refusal_NO_UPSTREAM:
+		failure = request.FailureNoUpstream
+	case pb.Refusal_TOO_LARGE:
+		failure = request.FailureTooLarge
+	case pb.Refusal_NOT_HOLDER, pb.Refusal_SHUTTING_DOWN:
+		failure = request.FailureNoScheduler
+	}
+	retryAfter := time.Duration(r.GetRetryAfterMs()) * time.Millisecond
+	if retryAfter == 0 && failure != request.FailureTooLarge {
+		retryAfter = time.Second
+	}
+	return &request.Refused{Attempt: attempt, Failure: failure, Message: r.GetMessage(), RetryAfter: retryAfter}
+}
+
+func (x *completion) prefill(ctx context.Context, a *request.StartPrefill) {
+	result, err := x.srv.opts.Engine(a.Grant.Prefill.GetUrl()).Prefill(ctx, &upstream.PrefillRequest{
+		RequestID: x.id, Attempt: a.Attempt, Model: x.input.model, Prompt: x.input.prompt + a.Answer, Priority: a.Grant.Priority,
+	})
+	if err != nil {
+		x.apply(&request.PrefillFailed{Attempt: a.Attempt, Kind: upstream.KindOf(err), Message: err.Error()})
+		return
+	}
+	x.apply(&request.Prefilled{Attempt: a.Attempt, Result: result})
+}
+
+func (x *completion) importCache(ctx context.Context, a *request.StartImport) {
+	err := x.srv.opts.Engine(a.Grant.Decode.GetUrl()).Import(ctx, &upstream.ImportRequest{
+		RequestID: x.id, Attempt: a.Attempt, Model: x.input.model, SourceURL: a.Grant.Prefill.GetUrl(),
+		Handle: a.Handle, Priority: a.Grant.Priority, MaxOutputTokens: a.MaxOutputTokens,
+	})
+	if err != nil {
+		x.apply(&request.ImportFailed{Attempt: a.Attempt, Kind: upstream.KindOf(err), Message: err.Error()})
+		return
+	}
+	x.apply(&request.Imported{Attempt: a.Attempt})
+}
+
+// read passes the tokens of one connection to the machine.
+func (x *completion) read(ctx context.Context, a *request.OpenStream) {
+	lost := &request.StreamLost{Attempt: a.Attempt, Connection: a.Connection}
+	stream, err := x.srv.opts.Engine(a.Grant.Decode.GetUrl()).Decode(ctx, &upstream.DecodeRequest{
+		RequestID: x.id, Attempt: a.Attempt, Offset: a.Offset, MaxOutputTokens: a.MaxOutputTokens, Priority: a.Grant.Priority,
+	})
+	if err != nil {
+		lost.Kind, lost.Message = upstream.KindOf(err), err.Error()
+		x.apply(lost)
+		return
+	}
+	defer stream.Close()
+	// A stream that ignores its context must not outlive the attempt.
+	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
+	defer stop()
+	ev := &request.TokenReceived{Connection: a.Connection}
+	for {
+		ev.Token, err = stream.Next()
+		if err != nil {
+			break
+		}
+		x.apply(ev)
+		if ctx.Err() != nil {
+			return
+		}
+	}
+	lost.Kind, lost.Message = upstream.KindOf(err), err.Error()
+	if err == io.EOF {
+		lost.Kind, lost.Message = upstream.KindLost, "the stream ended before the last token"
+	}
+	x.apply(lost)
+}
+
+func (x *completion) progress(a *request.ReportProgress) {
+	x.srv.opts.Schedulers.Progress(x.route.Pool, &pb.ProgressRequest{
+		HoldId: a.HoldID, Stage: a.Stage, DurationUs: micros(a.Duration), Tokens: uint32(max(a.Tokens, 0)), KvBytes: uint64(max(a.KVBytes, 0)),
+	})
+}
+
+// release stops the attempt's calls at once and frees the engines and the hold
+// in the background.
+func (x *completion) release(a *request.Release) {
+	req := &pb.ReleaseRequest{
+		HoldId: a.HoldID, Outcome: a.Outcome, OutputTokens: uint32(a.OutputTokens),
+		TpotUs: micros(a.TokenTime), PrefillWasted: a.PrefillWasted,
+	}
+	x.event("request.released", a.Attempt, "", "hold", a.HoldID, "outcome", a.Outcome.String())
+	if len(a.CancelAt) == 0 {
+		x.srv.opts.Schedulers.Release(x.route.Pool, req)
+		return
+	}
+	x.cancel()
+	running := x.running
+	x.srv.background(func() {
+		// The engine must see the cancel after the call that it cancels.
+		running.Wait()
+		x.srv.cancelAt(x.call, a)
+		x.srv.opts.Schedulers.Release(x.route.Pool, req)
+	})
+}
+
+func (x *completion) finish(a *request.Finish) {
+	x.cancel()
+	o := a.Outcome
+	kind := "request.done"
+	if o.Failure != request.FailureNone {
+		kind = "request.failed"
+	}
+	x.event(kind, x.machine.Attempt(), "", "tokens", strconv.Itoa(o.OutputTokens), "ran", o.Ran.String(), "reason", o.Message)
+	x.relay.finish(o)
+}
+
+func millis(d time.Duration) uint32 {
+	return uint32(max(d.Milliseconds(), 0))
+}
+
+func micros(d time.Duration) uint32 {
+	return uint32(min(max(d.Microseconds(), 0), 1<<32-1))
+}
--- /dev/null
+++ b/internal/entry/engine.go
@@ -0,0 +1,251 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/request"
+	"godwitward.example/godwitward/internal/upstream"
+)
+
+// cancelRetry is the pause between attempts to cancel at an engine.
+const cancelRetry = 100 * time.Millisecond
+
+// Paths below an engine route.
+const (
+	pathCompletions = "/v1/completions"
+	pathChat        = "/v1/chat/completions"
+)
+
+func (s *Server) serveEngine(w http.ResponseWriter, r *http.Request, c *call) {
+	if c.rest != pathCompletions && c.rest != pathChat {
+		s.fail(w, c.id, refuse(http.StatusNotFound, CodeUnknownRoute, "no route serves %s", r.URL.Path))
+		return
+	}
+	if r.Method != http.MethodPost {
+		w.Header().Set("Allow", http.MethodPost)
+		s.fail(w, c.id, refuse(http.StatusMethodNotAllowed, CodeMethodNotAllowed, "the method must be POST"))
+		return
+	}
+	body, free, f := s.readBody(w, r, c)
+	if f != nil {
+		s.fail(w, c.id, f)
+		return
+	}
+	// The prompt stays in memory for as long as the request runs.
+	defer free()
+	in, f := parseInput(c.route, c.rest == pathChat, body)
+	if f != nil {
+		s.fail(w, c.id, f)
+		return
+	}
+	answerBytes := int64(in.maxTokens) * upstream.TokenBytes
+	if !s.answers.acquire(answerBytes) {
+		s.fail(w, c.id, unavailable(CodeEntryFull, "the buffered answers reached %d bytes", s.answers.limit))
+		return
+	}
+	defer s.answers.release(answerBytes)
+	s.complete(w, r, c, in)
+}
+
+// complete runs one completion and passes its answer on.
+func (s *Server) complete(w http.ResponseWriter, r *http.Request, c *call, in *input) {
+	c.event("request.accepted", 0, "", "route", c.route.Name, "organisation", c.organisation)
+	x := newCompletion(c, in)
+	stop := context.AfterFunc(r.Context(), func() { x.apply(&request.CallerGone{}) })
+	defer stop()
+	x.apply(&request.Start{})
+	out := &answerWriter{srv: s, call: c, input: in, w: w, rc: http.NewResponseController(w)}
+	if err := out.copy(x.relay); err != nil {
+		// The caller cannot be reached; its engine memory must be freed.
+		x.apply(&request.CallerGone{})
+	}
+}
+
+// readBody reads a body within the limits of the route and the process. free
+// returns the memory to the process's limit.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, c *call) (body []byte, free func(), f *Failure) {
+	limit := int64(c.route.MaxBodyBytes)
+	if r.ContentLength > limit {
+		return nil, nil, refuse(http.StatusRequestEntityTooLarge, CodeBodyTooLarge, "the body is larger than %d bytes", limit)
+	}
+	size := r.ContentLength
+	if size < 0 {
+		size = limit
+	}
+	if !s.bodies.acquire(size) {
+		return nil, nil, unavailable(CodeEntryFull, "the request bodies reached %d bytes", s.bodies.limit)
+	}
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(time.Now().Add(s.opts.Timeouts.CallerRead))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	_ = rc.SetReadDeadline(time.Time{})
+	if err != nil {
+		s.bodies.release(size)
+		var tooLarge *http.MaxBytesError
+		if errors.As(err, &tooLarge) {
+			return nil, nil, refuse(http.StatusRequestEntityTooLarge, CodeBodyTooLarge, "the body is larger than %d bytes", limit)
+		}
+		return nil, nil, refuse(http.StatusBadRequest, CodeBodyIncomplete, "reading the body: %v", err)
+	}
+	n := int64(len(body))
+	s.bodies.release(size - n)
+	return body, func() { s.bodies.release(n) }, nil
+}
+
+// background runs fn and keeps Drain waiting until it returned.
+func (s *Server) background(fn func()) {
+	s.cleanup.add(workKey{})
+	go func() {
+		defer s.cleanup.remove(workKey{})
+		fn()
+	}()
+}
+
+// cancelAt cancels an attempt at its engines, again until an engine accepted it
+// or the time is over. An engine that cannot be reached for that long is left
+// to its scheduler, which compares what engines run with what entries hold.
+func (s *Server) cancelAt(c *call, a *request.Release) {
+	var wg sync.WaitGroup
+	for _, engine := range a.CancelAt {
+		wg.Go(func() { s.cancelOne(c, a.Attempt, engine) })
+	}
+	wg.Wait()
+}
+
+func (s *Server) cancelOne(c *call, attempt uint32, engine *pb.UpstreamAddress) {
+	ctx, cancel := context.WithTimeout(context.Background(), s.opts.Timeouts.Cancel)
+	defer cancel()
+	req := &upstream.CancelRequest{RequestID: c.id, Attempt: attempt}
+	for {
+		err := s.opts.Engine(engine.GetUrl()).Cancel(ctx, req)
+		if err == nil {
+			c.event("request.cancelled", attempt, engine.GetId())
+			return
+		}
+		select {
+		case <-ctx.Done():
+			c.event("request.cancel_failed", attempt, engine.GetId(), "reason", err.Error())
+			return
+		case <-time.After(cancelRetry):
+		}
+	}
+}
+
+// answerWriter passes the answer of one completion to the caller.
+type answerWriter struct {
+	srv   *Server
+	call  *call
+	input *input
+	w     http.ResponseWriter
+	rc    *http.ResponseController
+	buf   []byte
+}
+
+// copy writes the answer until its end. An error means that the caller cannot
+// be reached.
+func (a *answerWriter) copy(r *relay) error {
+	if a.input.stream {
+		return a.copyStream(r)
+	}
+	var text strings.Builder
+	var free []string
+	for {
+		texts, done := r.take(free)
+		for _, t := range texts {
+			text.WriteString(t)
+		}
+		free = texts
+		if done {
+			return a.whole(text.String(), r.outcome)
+		}
+	}
+}
+
+func (a *answerWriter) whole(text string, o request.Outcome) error {
+	a.extendDeadline()
+	if o.Failure != request.FailureNone {
+		a.srv.fail(a.w, a.call.id, failureOf(o))
+		return nil
+	}
+	body, err := wholeAnswer(a.call, a.input, text, o)
+	if err != nil {
+		return err
+	}
+	a.w.Header().Set("Content-Type", "application/json")
+	_, err = a.w.Write(body)
+	return err
+}
+
+func (a *answerWriter) copyStream(r *relay) error {
+	enc := newChunkEncoder(a.call, a.input)
+	started := false
+	var free []string
+	for {
+		texts, done := r.take(free)
+		if !started && len(texts) == 0 && r.outcome.Failure != request.FailureNone {
+			a.extendDeadline()
+			a.srv.fail(a.w, a.call.id, failureOf(r.outcome))
+			return nil
+		}
+		a.buf = a.buf[:0]
+		if !started {
+			started = true
+			a.startStream()
+			a.buf = enc.first(a.buf)
+		}
+		for _, t := range texts {
+			a.buf = enc.token(a.buf, t)
+		}
+		if done {
+			a.buf = a.end(enc, r.outcome)
+		}
+		if err := a.flush(); err != nil {
+			return err
+		}
+		if done {
+			return nil
+		}
+		clear(texts)
+		free = texts
+	}
+}
+
+func (a *answerWriter) startStream() {
+	h := a.w.Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set("Cache-Control", "no-cache")
+	h.Set("X-Accel-Buffering", "no")
+}
+
+func (a *answerWriter) end(enc *chunkEncoder, o request.Outcome) []byte {
+	if o.Failure == request.FailureNone {
+		return enc.last(a.buf, o, a.input.includeUsage)
+	}
+	f := failureOf(o)
+	a.srv.vars.failures.Add(string(f.Code), 1)
+	buf := append(a.buf, "event: error\ndata: "...)
+	buf = append(buf, f.body(a.call.id)...)
+	return append(buf, "\n\n"...)
+}
+
+func (a *answerWriter) flush() error {
+	a.extendDeadline()
+	if _, err := a.w.Write(a.buf); err != nil {
+		return err
+	}
+	return a.rc.Flush()
+}
+
+// extendDeadline bounds the time for which a caller that stopped reading keeps
+// its buffered answer in memory.
+func (a *answerWriter) extendDeadline() {
+	_ = a.rc.SetWriteDeadline(time.Now().Add(a.srv.opts.Timeouts.CallerStall))
+}
--- /dev/null
+++ b/internal/entry/schedulers.go
@@ -0,0 +1,304 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/transport"
+)
+
+const (
+	// leasePoll is the time between looks at a pool's lease while a submission
+	// or a watch waits for a holder.
+	leasePoll = 20 * time.Millisecond
+	// rpcTimeout bounds one short call to a scheduler.
+	rpcTimeout = 2 * time.Second
+	// lateGrantWait bounds the wait for the answer to a withdrawn submission,
+	// in which a grant that was already made must be released.
+	lateGrantWait = 5 * time.Second
+)
+
+// PoolOptions configure Pools.
+type PoolOptions struct {
+	// EntryID names this entry to the schedulers.
+	EntryID string
+	// Holder returns the current lease of a pool, when one is known.
+	Holder func(pool string) (*pb.PoolLease, bool)
+	// Transport configures the sessions to the schedulers.
+	Transport transport.Options
+}
+
+// Pools implements Schedulers over sessions to the lease holders. It keeps a
+// list of the holds that were granted to this entry, and restates them when a
+// pool's lease has a new fencing token or the session to its holder was lost.
+type Pools struct {
+	opts PoolOptions
+	ctx  context.Context
+	stop context.CancelFunc
+	wg   sync.WaitGroup
+
+	pending atomic.Int64
+	dropped atomic.Int64
+
+	mu      sync.Mutex
+	pools   map[string]*pool
+	clients map[string]*transport.Client
+	closed  bool
+}
+
+var _ Schedulers = (*Pools)(nil)
+
+// NewPools returns Schedulers without pools. Close ends its goroutines.
+func NewPools(opts PoolOptions) *Pools {
+	ctx, stop := context.WithCancel(context.Background())
+	return &Pools{opts: opts, ctx: ctx, stop: stop, pools: map[string]*pool{}, clients: map[string]*transport.Client{}}
+}
+
+// Close ends every session. Releases that are not acknowledged are dropped;
+// their holds expire with the session.
+func (p *Pools) Close() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.stop()
+	p.mu.Lock()
+	for _, c := range p.clients {
+		c.Close()
+	}
+	p.mu.Unlock()
+	p.wg.Wait()
+}
+
+// SetPools watches the named pools from now on. Pools that are not named stay
+// watched, because requests in flight may still hold reservations there.
+func (p *Pools) SetPools(names []string) {
+	for _, name := range names {
+		p.pool(name)
+	}
+}
+
+// Submit implements Schedulers.
+func (p *Pools) Submit(ctx context.Context, req *pb.SubmitRequest) (*pb.SubmitResponse, error) {
+	return p.pool(req.Pool).submit(ctx, req)
+}
+
+// Progress implements Schedulers.
+func (p *Pools) Progress(name string, req *pb.ProgressRequest) {
+	p.pool(name).progress(req)
+}
+
+// Release implements Schedulers.
+func (p *Pools) Release(name string, req *pb.ReleaseRequest) {
+	p.pool(name).release(req)
+}
+
+// Announce implements Schedulers.
+func (p *Pools) Announce(ctx context.Context, name string, req *pb.AnnounceRequest) error {
+	lease, ok := p.opts.Holder(name)
+	if !ok {
+		return &transport.Error{Code: pb.Status_UNAVAILABLE, Message: "no scheduler holds pool " + name}
+	}
+	ctx, cancel := context.WithTimeout(ctx, rpcTimeout)
+	defer cancel()
+	return p.client(lease.Address).Call(ctx, transport.MethodAnnounce, req, &pb.Empty{})
+}
+
+// Upstreams implements Schedulers.
+func (p *Pools) Upstreams(name string) []*pb.UpstreamStatus {
+	list := p.pool(name).upstreams.Load()
+	if list == nil {
+		return nil
+	}
+	return *list
+}
+
+// Pending implements Schedulers.
+func (p *Pools) Pending() int {
+	return int(p.pending.Load())
+}
+
+// Dropped returns the number of progress reports that were not delivered.
+func (p *Pools) Dropped() int64 {
+	return p.dropped.Load()
+}
+
+func (p *Pools) pool(name string) *pool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if q, ok := p.pools[name]; ok {
+		return q
+	}
+	q := newPool(p, name)
+	p.pools[name] = q
+	if !p.closed {
+		q.start()
+	}
+	return q
+}
+
+func (p *Pools) client(addr string) *transport.Client {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c, ok := p.clients[addr]
+	if !ok {
+		c = transport.NewClient(addr, p.opts.Transport)
+		if p.closed {
+			c.Close()
+		}
+		p.clients[addr] = c
+	}
+	return c
+}
+
+// pool is the state of one pool. Its goroutines belong to Pools and end with
+// Pools.Close: one watches, senders deliver progress and releases.
+type pool struct {
+	owner     *Pools
+	name      string
+	upstreams atomic.Pointer[[]*pb.UpstreamStatus]
+	senders   [sendersPerPool]*sender
+
+	mu sync.Mutex
+	// session changes when another scheduler holds the pool or when the
+	// session to the scheduler was lost; holds of an earlier one are restated.
+	session *session
+	holds   map[string]*pb.Hold
+}
+
+// session is one scheduler for as long as it holds the pool and is reachable.
+type session struct {
+	lease  *pb.PoolLease
+	client *transport.Client
+	ended  chan struct{}
+}
+
+func newPool(owner *Pools, name string) *pool {
+	q := &pool{owner: owner, name: name, holds: map[string]*pb.Hold{}}
+	for i := range q.senders {
+		q.senders[i] = newSender(q)
+	}
+	return q
+}
+
+func (q *pool) start() {
+	q.owner.wg.Go(q.watch)
+	for _, s := range q.senders {
+		q.owner.wg.Go(s.run)
+	}
+}
+
+// current returns the session in use; nil while there is none.
+func (q *pool) current() *session {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.session
+}
+
+// watch keeps a session to the holder of the pool's lease: it restates the
+// holds, then receives upstream lists until the session or the lease ends.
+func (q *pool) watch() {
+	ctx := q.owner.ctx
+	for ctx.Err() == nil {
+		if lease, ok := q.owner.opts.Holder(q.name); ok {
+			_ = q.follow(lease)
+		}
+		sleep(ctx, leasePoll)
+	}
+}
+
+func (q *pool) follow(lease *pb.PoolLease) error {
+	ctx := q.owner.ctx
+	client := q.owner.client(lease.Address)
+	stream, err := client.Open(ctx, transport.MethodWatchUpstreams)
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	s := &session{lease: lease, client: client, ended: make(chan struct{})}
+	if err := q.restate(s); err != nil {
+		return err
+	}
+	defer q.end(s)
+	watchCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go q.watchLease(watchCtx, s, stream)
+	if err := stream.Send(&pb.WatchUpstreamsRequest{Pool: q.name, EntryId: q.owner.opts.EntryID}); err != nil {
+		return err
+	}
+	for {
+		update := &pb.WatchUpstreamsUpdate{}
+		if err := stream.Recv(update); err != nil {
+			return err
+		}
+		q.upstreams.Store(&update.Upstreams)
+	}
+}
+
+// watchLease closes the stream when the lease passes to another holder.
+func (q *pool) watchLease(ctx context.Context, s *session, stream io.Closer) {
+	for ctx.Err() == nil {
+		if lease, ok := q.owner.opts.Holder(q.name); ok && !sameLease(lease, s.lease) {
+			break
+		}
+		sleep(ctx, leasePoll)
+	}
+	_ = stream.Close()
+}
+
+func sameLease(a, b *pb.PoolLease) bool {
+	return a.FencingToken == b.FencingToken && a.Address == b.Address
+}
+
+// restate tells the scheduler every hold of this entry and makes s the session
+// in use. No grant can be added between the list and the change of session,
+// because accept refuses grants of a session that is not in use.
+func (q *pool) restate(s *session) error {
+	q.mu.Lock()
+	q.session = nil
+	req := &pb.RestateRequest{EntryId: q.owner.opts.EntryID, Pool: q.name, FencingToken: s.lease.FencingToken}
+	for _, h := range q.holds {
+		req.Holds = append(req.Holds, h)
+	}
+	q.mu.Unlock()
+	ctx, cancel := context.WithTimeout(q.owner.ctx, rpcTimeout)
+	defer cancel()
+	if err := s.client.Call(ctx, transport.MethodRestate, req, &pb.Empty{}); err != nil {
+		return err
+	}
+	q.mu.Lock()
+	q.session = s
+	var released []string
+	for _, h := range req.Holds {
+		if _, ok := q.holds[h.HoldId]; !ok {
+			released = append(released, h.HoldId)
+		}
+	}
+	q.mu.Unlock()
+	// These were released while the list was on its way.
+	for _, id := range released {
+		q.release(&pb.ReleaseRequest{HoldId: id, Outcome: pb.ReleaseRequest_CANCELLED})
+	}
+	return nil
+}
+
+func (q *pool) end(s *session) {
+	close(s.ended)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.session == s {
+		q.session = nil
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/entry/sender.go
@@ -0,0 +1,143 @@
+package entry
+
+import (
+	"context"
+	"hash/maphash"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/transport"
+)
+
+const (
+	// sendersPerPool bounds the calls with progress and releases under way.
+	// With a round trip of 1 ms each sender delivers 1,000 messages a second.
+	sendersPerPool = 8
+	// maxQueuedProgress bounds the reports that wait for one sender.
+	maxQueuedProgress = 256
+	minReleaseRetry   = 50 * time.Millisecond
+	maxReleaseRetry   = time.Second
+)
+
+var senderSeed = maphash.MakeSeed()
+
+// message is a progress report or a release, for the session that was in use
+// when it was queued.
+type message struct {
+	method  transport.Method
+	body    proto.Message
+	session *session
+	release bool
+}
+
+// sender delivers the messages of its share of the holds in order.
+type sender struct {
+	pool *pool
+	wake chan struct{}
+
+	mu    sync.Mutex
+	queue []message
+}
+
+func newSender(q *pool) *sender {
+	return &sender{pool: q, wake: make(chan struct{}, 1)}
+}
+
+func (q *pool) senderOf(holdID string) *sender {
+	return q.senders[maphash.String(senderSeed, holdID)%sendersPerPool]
+}
+
+func (q *pool) progress(req *pb.ProgressRequest) {
+	q.mu.Lock()
+	if h, ok := q.holds[req.HoldId]; ok {
+		// A restatement may be encoding the old value.
+		h = proto.Clone(h).(*pb.Hold)
+		h.Stage = req.Stage
+		q.holds[req.HoldId] = h
+	}
+	s := q.session
+	q.mu.Unlock()
+	if s == nil || !q.senderOf(req.HoldId).add(message{method: transport.MethodProgress, body: req, session: s}) {
+		q.owner.dropped.Add(1)
+	}
+}
+
+// release forgets the hold and queues the message. Without a session nothing
+// is sent: the next scheduler is told the holds that are left.
+func (q *pool) release(req *pb.ReleaseRequest) {
+	q.mu.Lock()
+	delete(q.holds, req.HoldId)
+	s := q.session
+	q.mu.Unlock()
+	if s == nil {
+		return
+	}
+	q.owner.pending.Add(1)
+	q.senderOf(req.HoldId).add(message{method: transport.MethodRelease, body: req, session: s, release: true})
+}
+
+// add reports whether the message was queued; releases always are.
+func (s *sender) add(m message) bool {
+	s.mu.Lock()
+	if !m.release && len(s.queue) >= maxQueuedProgress {
+		s.mu.Unlock()
+		return false
+	}
+	s.queue = append(s.queue, m)
+	s.mu.Unlock()
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+func (s *sender) run() {
+	ctx := s.pool.owner.ctx
+	for {
+		s.mu.Lock()
+		batch := s.queue
+		s.queue = nil
+		s.mu.Unlock()
+		for _, m := range batch {
+			s.deliver(ctx, m)
+		}
+		if len(batch) > 0 {
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.wake:
+		}
+	}
+}
+
+// deliver sends a message. A release is repeated until the scheduler answers
+// or its session ends; a new session starts with the holds that are left.
+func (s *sender) deliver(ctx context.Context, m message) {
+	if m.release {
+		defer s.pool.owner.pending.Add(-1)
+	}
+	for delay := minReleaseRetry; ctx.Err() == nil; delay = min(2*delay, maxReleaseRetry) {
+		select {
+		case <-m.session.ended:
+			return
+		default:
+		}
+		callCtx, cancel := context.WithTimeout(ctx, rpcTimeout)
+		err := m.session.client.Call(callCtx, m.method, m.body, &pb.Empty{})
+		cancel()
+		if err == nil || transport.Code(err) == pb.Status_NOT_FOUND {
+			return
+		}
+		if !m.release {
+			s.pool.owner.dropped.Add(1)
+			return
+		}
+		sleep(ctx, delay)
+	}
+}
--- /dev/null
+++ b/internal/entry/server.go
@@ -0,0 +1,273 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/request"
+	"godwitward.example/godwitward/internal/route"
+)
+
+// configPoll is the time between looks at the configuration, which tell the
+// Schedulers about new pools. Requests always use the configuration in force.
+// releasePoll is the time between looks at the pending releases in a drain.
+const releasePoll = 10 * time.Millisecond
+
+const configPoll = 50 * time.Millisecond
+
+// Server serves callers on one VM.
+type Server struct {
+	opts   Options
+	budget *request.RetryBudget
+	plain  *forwarder
+
+	requests gauge
+	bodies   gauge
+	answers  gauge
+	inFlight *inFlight
+	cleanup  *inFlight // cancels, releases and records that are under way
+	vars     *vars
+
+	draining  atomic.Bool
+	refusing  atomic.Bool
+	compileMu sync.Mutex
+	compiled  atomic.Pointer[compiledConfig]
+}
+
+type compiledConfig struct {
+	config *pb.Config
+	table  *route.Table
+}
+
+// New returns a server that serves once its Handler is given to an HTTP server
+// and Run was called.
+func New(opts Options) (*Server, error) {
+	if err := opts.complete(); err != nil {
+		return nil, err
+	}
+	s := &Server{
+		opts:     opts,
+		budget:   request.NewRetryBudget(opts.RetryRatio, request.DefaultRetryFloor),
+		requests: gauge{limit: opts.Limits.Requests},
+		bodies:   gauge{limit: opts.Limits.BodyBytes},
+		answers:  gauge{limit: opts.Limits.AnswerBytes},
+		inFlight: newInFlight(),
+		cleanup:  newInFlight(),
+	}
+	s.plain = newForwarder(&s.opts)
+	s.vars = newVars(s)
+	s.compiled.Store(&compiledConfig{table: route.NewTable(nil)})
+	return s, nil
+}
+
+// Handler serves callers and announcements.
+func (s *Server) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/livez", s.livez)
+	r.Get("/readyz", s.readyz)
+	r.Post("/upstreams/announce", s.announce)
+	r.NotFound(s.serve)
+	// chi sends methods that it does not know here; plain routes forward them.
+	r.MethodNotAllowed(s.serve)
+	return r
+}
+
+// Run watches the pools of the configuration until ctx ends.
+func (s *Server) Run(ctx context.Context) error {
+	ticker := time.NewTicker(configPoll)
+	defer ticker.Stop()
+	var last *route.Table
+	for {
+		if t := s.table(); t != last {
+			last = t
+			s.opts.Schedulers.SetPools(pools(t))
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// Drain reports the entry as not ready, goes on accepting requests for
+// Options.DrainDelay, then refuses new ones and waits until every request in
+// flight and every cancel, release and record is finished.
+func (s *Server) Drain(ctx context.Context) error {
+	s.draining.Store(true)
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(s.opts.DrainDelay):
+	}
+	s.refusing.Store(true)
+	for _, work := range []*inFlight{s.inFlight, s.cleanup} {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-work.idleChan():
+		}
+	}
+	return s.awaitReleases(ctx)
+}
+
+func (s *Server) awaitReleases(ctx context.Context) error {
+	ticker := time.NewTicker(releasePoll)
+	defer ticker.Stop()
+	for s.opts.Schedulers.Pending() > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+// InFlight returns the number of requests in flight by route and service.
+func (s *Server) InFlight() []*pb.InFlight {
+	return s.inFlight.list()
+}
+
+// table returns the compiled form of the configuration in force.
+func (s *Server) table() *route.Table {
+	config := s.opts.Control.Config()
+	if c := s.compiled.Load(); c.config == config {
+		return c.table
+	}
+	s.compileMu.Lock()
+	defer s.compileMu.Unlock()
+	current := s.compiled.Load()
+	if current.config == config || config.GetVersion() < current.table.Version() {
+		return current.table
+	}
+	next := &compiledConfig{config: config, table: route.NewTable(config)}
+	s.compiled.Store(next)
+	return next.table
+}
+
+func pools(t *route.Table) []string {
+	seen := map[string]bool{}
+	var out []string
+	for _, r := range t.Routes() {
+		if !seen[r.Pool] {
+			seen[r.Pool] = true
+			out = append(out, r.Pool)
+		}
+	}
+	return out
+}
+
+func (s *Server) livez(w http.ResponseWriter, _ *http.Request) {
+	_, _ = w.Write([]byte("ok\n"))
+}
+
+func (s *Server) readyz(w http.ResponseWriter, _ *http.Request) {
+	switch {
+	case s.draining.Load():
+		http.Error(w, "draining", http.StatusServiceUnavailable)
+	case !s.opts.Control.Serving():
+		http.Error(w, "no serving lease", http.StatusServiceUnavailable)
+	default:
+		_, _ = w.Write([]byte("ok\n"))
+	}
+}
+
+// serve handles every path that is not the entry's own.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	id := newRequestID()
+	w.Header().Set("X-Request-Id", id)
+	// An earlier request on the connection may have left its deadline behind.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
+	if s.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	rt, rest, ok := s.table().Match(r.URL.Path)
+	if !ok {
+		s.fail(w, id, s.noRoute(r))
+		return
+	}
+	// Counted before the check of refusing, so that Drain either sees this
+	// request or this request sees Drain.
+	key := workKey{route: rt.Name, service: rt.Service}
+	s.inFlight.add(key)
+	defer s.inFlight.remove(key)
+	if f := s.admit(rt); f != nil {
+		s.fail(w, id, f)
+		return
+	}
+	defer s.requests.release(1)
+	org, ok := rt.Organisation(r.Header)
+	if !ok {
+		s.fail(w, id, refuse(http.StatusUnauthorized, CodeUnauthorized, "the route needs a known bearer token"))
+		return
+	}
+	s.budget.Deposit(time.Now())
+	c := &call{srv: s, id: id, route: rt, rest: rest, organisation: org, accepted: time.Now()}
+	s.vars.accepted.Add(1)
+	if rt.Kind == pb.RouteKind_ROUTE_KIND_PLAIN {
+		s.servePlain(w, r, c)
+		return
+	}
+	s.serveEngine(w, r, c)
+}
+
+// call is what the handlers of both kinds of route know about a request.
+type call struct {
+	srv          *Server
+	id           string
+	route        *route.Route
+	rest         string
+	organisation string
+	accepted     time.Time
+}
+
+func (c *call) deadline() time.Time {
+	return c.accepted.Add(c.route.Deadline())
+}
+
+func (c *call) event(kind string, attempt uint32, upstreamID string, kv ...string) {
+	c.srv.opts.Recorder.Record(&pb.Event{Kind: kind, RequestId: c.id, Attempt: attempt, Upstream: upstreamID}, kv...)
+}
+
+func (s *Server) noRoute(r *http.Request) *Failure {
+	if !s.opts.Control.Serving() {
+		return unavailable(CodeNotServing, "this entry holds no serving lease and knows no such route")
+	}
+	return refuse(http.StatusNotFound, CodeUnknownRoute, "no route serves %s", r.URL.Path)
+}
+
+// admit counts the request against the limit, or says why it is refused.
+func (s *Server) admit(rt *route.Route) *Failure {
+	if s.refusing.Load() {
+		return unavailable(CodeShuttingDown, "this entry is shutting down")
+	}
+	if !s.opts.Control.Serving() && rt.Isolation != pb.IsolationMode_ISOLATION_MODE_CONTINUE_WITH_LAST {
+		return unavailable(CodeNotServing, "this entry holds no serving lease")
+	}
+	if !s.requests.acquire(1) {
+		return unavailable(CodeEntryFull, "this entry has %d requests in flight", s.requests.limit)
+	}
+	return nil
+}
+
+// fail answers with an error that the entry made.
+func (s *Server) fail(w http.ResponseWriter, id string, f *Failure) {
+	s.vars.failures.Add(string(f.Code), 1)
+	f.write(w, id)
+}
+
+func newRequestID() string {
+	var b [16]byte
+	// crypto/rand.Read never fails.
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
--- /dev/null
+++ b/internal/entry/submit.go
@@ -0,0 +1,117 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/transport"
+)
+
+var errSessionEnded = errors.New("the session to the scheduler ended")
+
+// submit asks the pool's scheduler, and the next one when it changes.
+func (q *pool) submit(ctx context.Context, req *pb.SubmitRequest) (*pb.SubmitResponse, error) {
+	err := errors.New("no scheduler holds pool " + q.name)
+	for ctx.Err() == nil {
+		s := q.current()
+		if s == nil {
+			sleep(ctx, leasePoll)
+			continue
+		}
+		var resp *pb.SubmitResponse
+		resp, err = q.submitTo(ctx, s, req)
+		if err == nil && resp.GetRefusal().GetCode() != pb.Refusal_NOT_HOLDER {
+			return resp, nil
+		}
+		sleep(ctx, leasePoll)
+	}
+	return nil, errors.Wrap(err, "submitting")
+}
+
+type submitAnswer struct {
+	resp *pb.SubmitResponse
+	err  error
+}
+
+// submitTo submits once. When ctx ends first, it closes the sending side of
+// the stream, which tells the scheduler that the submission is withdrawn, and
+// releases a grant that was made before the scheduler saw that.
+func (q *pool) submitTo(ctx context.Context, s *session, req *pb.SubmitRequest) (*pb.SubmitResponse, error) {
+	stream, err := s.client.Open(ctx, transport.MethodSubmit)
+	if err != nil {
+		return nil, err
+	}
+	if err := stream.Send(req); err != nil {
+		_ = stream.Close()
+		return nil, err
+	}
+	answer := make(chan submitAnswer, 1)
+	go func() {
+		resp := &pb.SubmitResponse{}
+		err := stream.Recv(resp)
+		answer <- submitAnswer{resp, err}
+	}()
+	select {
+	case a := <-answer:
+		_ = stream.Close()
+		if a.err != nil {
+			return nil, a.err
+		}
+		if !q.accept(s, req, a.resp.GetGrant()) {
+			q.releaseLate(a)
+			return nil, errSessionEnded
+		}
+		return a.resp, nil
+	case <-s.ended:
+		err = errSessionEnded
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	_ = stream.Close()
+	q.withdraw(answer)
+	return nil, err
+}
+
+// accept adds a granted hold to the list. It reports false when the session
+// has ended: then the next scheduler was told all holds without this one.
+func (q *pool) accept(s *session, req *pb.SubmitRequest, g *pb.Grant) bool {
+	if g == nil {
+		return true
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.session != s {
+		return false
+	}
+	q.holds[g.HoldId] = &pb.Hold{
+		HoldId: g.HoldId, RequestId: req.RequestId, Attempt: req.Attempt,
+		PrefillId: g.Prefill.GetId(), DecodeId: g.Decode.GetId(), Pieces: g.Pieces,
+		RequestClass: req.RequestClass, PromptTokens: req.PromptTokens, MaxOutputTokens: req.MaxOutputTokens, Model: req.Model,
+	}
+	return true
+}
+
+// withdraw waits in the background for the answer to a submission that was
+// given up. Pending counts it, so that a drain waits for the release.
+func (q *pool) withdraw(answer <-chan submitAnswer) {
+	q.owner.pending.Add(1)
+	go func() {
+		defer q.owner.pending.Add(-1)
+		ctx, cancel := context.WithTimeout(q.owner.ctx, lateGrantWait)
+		defer cancel()
+		select {
+		case a := <-answer:
+			q.releaseLate(a)
+		case <-ctx.Done():
+		}
+	}()
+}
+
+// releaseLate releases the grant of a submission that was given up.
+func (q *pool) releaseLate(a submitAnswer) {
+	if g := a.resp.GetGrant(); a.err == nil && g != nil {
+		q.release(&pb.ReleaseRequest{HoldId: g.HoldId, Outcome: pb.ReleaseRequest_NOT_STARTED})
+	}
+}
--- /dev/null
+++ b/internal/entry/vars.go
@@ -0,0 +1,52 @@
+package entry
+
+import (
+	"expvar"
+	"net/http"
+)
+
+// vars are the metrics of one server. They are not published in the global
+// expvar registry, which allows a name only once in a process.
+type vars struct {
+	all      *expvar.Map
+	accepted *expvar.Int
+	failures *expvar.Map
+	tokens   *expvar.Int
+	retries  *expvar.Int
+}
+
+func newVars(s *Server) *vars {
+	v := &vars{
+		all: new(expvar.Map).Init(), accepted: new(expvar.Int), failures: new(expvar.Map).Init(),
+		tokens: new(expvar.Int), retries: new(expvar.Int),
+	}
+	v.all.Set("accepted", v.accepted)
+	v.all.Set("failures", v.failures)
+	v.all.Set("tokens", v.tokens)
+	v.all.Set("attempts_after_first", v.retries)
+	v.all.Set("requests_in_flight", expvar.Func(func() any { return s.requests.used.Load() }))
+	v.all.Set("body_bytes", expvar.Func(func() any { return s.bodies.used.Load() }))
+	v.all.Set("answer_bytes", expvar.Func(func() any { return s.answers.used.Load() }))
+	v.all.Set("releases_pending", expvar.Func(func() any { return s.opts.Schedulers.Pending() }))
+	return v
+}
+
+// Vars returns the server's metrics.
+func (s *Server) Vars() expvar.Var {
+	return s.vars.all
+}
+
+// DebugHandler serves /debug/vars: the process's expvar variables and this
+// server's metrics under "entry".
+func (s *Server) DebugHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/debug/vars", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json; charset=utf-8")
+		_, _ = w.Write([]byte("{\n\"entry\": " + s.vars.all.String()))
+		expvar.Do(func(kv expvar.KeyValue) {
+			_, _ = w.Write([]byte(",\n\"" + kv.Key + "\": " + kv.Value.String()))
+		})
+		_, _ = w.Write([]byte("\n}\n"))
+	})
+	return mux
+}
--- /dev/null
+++ b/internal/request/completion.go
@@ -0,0 +1,436 @@
+package request
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/upstream"
+)
+
+// Limits bound the time of each stage and the number of attempts.
+type Limits struct {
+	// Queue is the longest time from a submission to the scheduler's answer.
+	Queue time.Duration
+	// Prefill bounds a prefill, plus PrefillPerToken for each prompt token.
+	Prefill         time.Duration
+	PrefillPerToken time.Duration
+	// Transfer bounds a KV cache transfer for which the grant sets no limit.
+	Transfer time.Duration
+	// Silence is the longest time without a token on a decode stream.
+	Silence time.Duration
+	// Reconnects is the number of new connections to the same decode engine
+	// without a token in between.
+	Reconnects int
+	// Attempts is the number of reservations that one request may use.
+	Attempts int
+}
+
+// DefaultLimits returns the limits of a production entry.
+func DefaultLimits() Limits {
+	return Limits{
+		Queue: 5 * time.Second,
+		// A prefill engine at a tenth of the usual speed computes 1,000 tokens
+		// a second.
+		Prefill: 2 * time.Second, PrefillPerToken: time.Millisecond,
+		Transfer: 2 * time.Second,
+		// 80 times the usual TPOT target of 25 ms.
+		Silence:    2 * time.Second,
+		Reconnects: 2,
+		Attempts:   4,
+	}
+}
+
+// Budget limits retries over all requests of a process.
+type Budget interface {
+	// Withdraw takes one retry and reports whether there was one.
+	Withdraw(now time.Time) bool
+}
+
+// Spec describes one completion.
+type Spec struct {
+	// PromptTokens is an estimate until an engine has counted them.
+	PromptTokens    int
+	MaxOutputTokens int
+	Deadline        time.Time
+	Limits          Limits
+	Budget          Budget
+}
+
+// Completion is the state machine of one request on an engine route. Step
+// never blocks and is not safe for concurrent use.
+type Completion struct {
+	spec  Spec
+	state State
+
+	attempt  uint32
+	grant    *pb.Grant
+	started  time.Time // start of the current stage
+	stageEnd time.Time // progress deadline of the current stage
+	exclude  []string
+	holds    []string // every hold that was granted to this request
+
+	prefillSent bool // the attempt's prefill may occupy its engine
+	importSent  bool // the attempt may occupy the decode engine
+	connection  uint32
+	reconnects  int
+	base        int // output tokens before this attempt
+	firstToken  time.Time
+
+	answer       []byte
+	emitted      int
+	promptTokens int
+	ran          Ran
+	outcome      Outcome
+
+	actions []Action
+	emit    Emit
+}
+
+// NewCompletion returns the machine of one request; the first event is Start.
+func NewCompletion(spec Spec) *Completion {
+	return &Completion{spec: spec, promptTokens: spec.PromptTokens}
+}
+
+// State returns the current state.
+func (c *Completion) State() State { return c.state }
+
+// Attempt returns the number of the current attempt, counted from 1.
+func (c *Completion) Attempt() uint32 { return c.attempt }
+
+// Emitted returns the number of output tokens passed on so far.
+func (c *Completion) Emitted() int { return c.emitted }
+
+// Outcome returns the result; it is valid in state Done.
+func (c *Completion) Outcome() Outcome { return c.outcome }
+
+// Deadline returns the time at which a Tick is due; zero when none is.
+func (c *Completion) Deadline() time.Time {
+	if c.state == Done || c.state == Accepted {
+		return time.Time{}
+	}
+	if c.stageEnd.Before(c.spec.Deadline) {
+		return c.stageEnd
+	}
+	return c.spec.Deadline
+}
+
+// Step applies one event. The returned slice and the values behind it are
+// valid until the next Step.
+func (c *Completion) Step(now time.Time, ev Event) []Action {
+	c.actions = c.actions[:0]
+	if c.state == Done {
+		c.late(ev)
+		return c.actions
+	}
+	switch ev := ev.(type) {
+	case *Start:
+		if c.state == Accepted {
+			c.submit(now)
+		}
+	case *Tick:
+		c.tick(now)
+	case *CallerGone:
+		c.finish(now, Outcome{Failure: FailureCallerGone, Message: "the caller disconnected", Ran: c.ran}, pb.ReleaseRequest_CANCELLED)
+	case *Granted:
+		c.granted(now, ev)
+	case *Refused:
+		c.refused(now, ev)
+	case *Prefilled:
+		c.prefilled(now, ev)
+	case *PrefillFailed:
+		c.prefillFailed(now, ev)
+	case *Imported:
+		c.imported(now, ev)
+	case *ImportFailed:
+		c.importFailed(now, ev)
+	case *TokenReceived:
+		c.token(now, ev)
+	case *StreamLost:
+		c.streamLost(now, ev)
+	}
+	return c.actions
+}
+
+func (c *Completion) do(a Action) {
+	c.actions = append(c.actions, a)
+}
+
+// late releases a grant that arrives when no attempt waits for it.
+func (c *Completion) late(ev Event) {
+	if g, ok := ev.(*Granted); ok && !c.known(g.Grant) {
+		c.do(&Release{Attempt: g.Attempt, HoldID: g.Grant.HoldId, Outcome: pb.ReleaseRequest_NOT_STARTED})
+	}
+}
+
+// known reports whether the grant was received before, and notes it.
+func (c *Completion) known(g *pb.Grant) bool {
+	if slices.Contains(c.holds, g.HoldId) {
+		return true
+	}
+	c.holds = append(c.holds, g.HoldId)
+	return false
+}
+
+func (c *Completion) submit(now time.Time) {
+	c.attempt++
+	c.state = Queued
+	c.started = now
+	c.stageEnd = now.Add(c.spec.Limits.Queue)
+	c.grant = nil
+	c.prefillSent = false
+	c.importSent = false
+	c.reconnects = 0
+	c.base = c.emitted
+	c.firstToken = time.Time{}
+	c.do(&Submit{
+		Attempt:         c.attempt,
+		PromptTokens:    c.spec.PromptTokens + c.emitted,
+		MaxOutputTokens: c.spec.MaxOutputTokens - c.emitted,
+		Exclude:         c.exclude,
+	})
+}
+
+func (c *Completion) tick(now time.Time) {
+	if c.state == Accepted {
+		return
+	}
+	if !now.Before(c.spec.Deadline) {
+		c.finish(now, Outcome{
+			Failure: FailureDeadline, Message: fmt.Sprintf("the deadline passed in state %s", c.state), Ran: c.ran,
+		}, pb.ReleaseRequest_CANCELLED)
+		return
+	}
+	if now.Before(c.stageEnd) {
+		return
+	}
+	switch c.state {
+	case Queued:
+		c.finish(now, Outcome{
+			Failure: FailureNoScheduler, Message: "the scheduler did not answer in time", Ran: c.ran, RetryAfter: time.Second,
+		}, pb.ReleaseRequest_NOT_STARTED)
+	case Reserved:
+		c.startPrefill(now)
+	case Prefill:
+		c.prefillFailed(now, &PrefillFailed{Attempt: c.attempt, Kind: upstream.KindStalled, Message: "no result within the time limit"})
+	case Transfer:
+		c.importFailed(now, &ImportFailed{Attempt: c.attempt, Kind: upstream.KindStalled, Message: "no result within the time limit"})
+	case Decode:
+		c.streamLost(now, &StreamLost{Attempt: c.attempt, Connection: c.connection, Kind: upstream.KindStalled, Message: "no token within the time limit"})
+	}
+}
+
+func (c *Completion) granted(now time.Time, ev *Granted) {
+	if c.state != Queued || ev.Attempt != c.attempt {
+		c.late(ev)
+		return
+	}
+	if c.known(ev.Grant) {
+		return
+	}
+	c.grant = ev.Grant
+	c.state = Reserved
+	c.stageEnd = now.Add(time.Duration(ev.Grant.PrefillDelayMs) * time.Millisecond)
+	if ev.Grant.PrefillDelayMs == 0 {
+		c.startPrefill(now)
+	}
+}
+
+func (c *Completion) refused(now time.Time, ev *Refused) {
+	if c.state != Queued || ev.Attempt != c.attempt {
+		return
+	}
+	c.finish(now, Outcome{Failure: ev.Failure, Message: ev.Message, Ran: c.ran, RetryAfter: ev.RetryAfter}, pb.ReleaseRequest_NOT_STARTED)
+}
+
+func (c *Completion) startPrefill(now time.Time) {
+	c.state = Prefill
+	c.started = now
+	c.stageEnd = now.Add(c.spec.Limits.Prefill + time.Duration(c.promptTokens+c.emitted)*c.spec.Limits.PrefillPerToken)
+	c.prefillSent = true
+	c.progress(pb.ProgressRequest_PREFILL_STARTED, 0, 0, 0)
+	c.do(&StartPrefill{Attempt: c.attempt, Grant: c.grant, Answer: string(c.answer)})
+}
+
+func (c *Completion) prefilled(now time.Time, ev *Prefilled) {
+	if c.state != Prefill || ev.Attempt != c.attempt {
+		return
+	}
+	c.ran = RanYes
+	if c.base == 0 && ev.Result.PromptTokens > 0 {
+		c.promptTokens = ev.Result.PromptTokens
+	}
+	c.progress(pb.ProgressRequest_PREFILL_DONE, now.Sub(c.started), ev.Result.PromptTokens-ev.Result.CachedTokens, ev.Result.KVBytes)
+	c.state = Transfer
+	c.started = now
+	limit := time.Duration(c.grant.TransferLimitMs) * time.Millisecond
+	if limit == 0 {
+		limit = c.spec.Limits.Transfer
+	}
+	c.stageEnd = now.Add(limit)
+	c.importSent = true
+	c.do(&StartImport{
+		Attempt: c.attempt, Grant: c.grant, Handle: ev.Result.Handle, MaxOutputTokens: c.spec.MaxOutputTokens - c.base,
+	})
+}
+
+func (c *Completion) prefillFailed(now time.Time, ev *PrefillFailed) {
+	if c.state != Prefill || ev.Attempt != c.attempt {
+		return
+	}
+	c.noteFailure(ev.Kind)
+	if ev.Kind == upstream.KindNotSent || ev.Kind == upstream.KindNotRun || ev.Kind == upstream.KindRejected {
+		c.prefillSent = false
+	}
+	if ev.Kind == upstream.KindRejected {
+		c.finish(now, Outcome{Failure: FailureRejected, Message: ev.Message, Ran: c.ran}, pb.ReleaseRequest_PREFILL_FAILED)
+		return
+	}
+	c.retry(now, c.grant.GetPrefill().GetId(), pb.ReleaseRequest_PREFILL_FAILED, "prefill: "+ev.Message)
+}
+
+func (c *Completion) imported(now time.Time, ev *Imported) {
+	if c.state != Transfer || ev.Attempt != c.attempt {
+		return
+	}
+	c.progress(pb.ProgressRequest_TRANSFER_DONE, now.Sub(c.started), 0, 0)
+	c.state = Decode
+	c.started = now
+	c.open(now)
+}
+
+func (c *Completion) importFailed(now time.Time, ev *ImportFailed) {
+	if c.state != Transfer || ev.Attempt != c.attempt {
+		return
+	}
+	failed := c.grant.GetDecode().GetId()
+	if ev.Kind == upstream.KindGone {
+		// The KV cache expired at the prefill engine; neither engine failed.
+		failed = ""
+	}
+	c.retry(now, failed, pb.ReleaseRequest_TRANSFER_FAILED, "transfer: "+ev.Message)
+}
+
+func (c *Completion) open(now time.Time) {
+	c.connection++
+	c.stageEnd = now.Add(c.spec.Limits.Silence)
+	c.do(&OpenStream{
+		Attempt: c.attempt, Connection: c.connection, Grant: c.grant,
+		Offset: c.emitted - c.base, MaxOutputTokens: c.spec.MaxOutputTokens - c.base,
+	})
+}
+
+func (c *Completion) token(now time.Time, ev *TokenReceived) {
+	if c.state != Decode || ev.Token.Attempt != c.attempt || ev.Connection != c.connection {
+		return
+	}
+	next := c.emitted - c.base
+	if ev.Token.Offset < next {
+		return
+	}
+	if ev.Token.Offset > next {
+		c.streamLost(now, &StreamLost{
+			Attempt: c.attempt, Connection: c.connection, Kind: upstream.KindLost,
+			Message: fmt.Sprintf("token %d arrived in place of token %d", ev.Token.Offset, next),
+		})
+		return
+	}
+	if next == 0 {
+		c.firstToken = now
+		c.progress(pb.ProgressRequest_FIRST_TOKEN, now.Sub(c.started), 1, 0)
+	}
+	c.reconnects = 0
+	c.stageEnd = now.Add(c.spec.Limits.Silence)
+	c.answer = append(c.answer, ev.Token.Text...)
+	c.emit = Emit{Offset: c.emitted, Text: ev.Token.Text}
+	c.emitted++
+	c.do(&c.emit)
+	finish := ev.Token.Finish
+	if finish == "" && c.emitted >= c.spec.MaxOutputTokens {
+		finish = "length"
+	}
+	if finish != "" {
+		c.finish(now, Outcome{Finish: finish, Ran: RanYes}, pb.ReleaseRequest_COMPLETED)
+	}
+}
+
+func (c *Completion) streamLost(now time.Time, ev *StreamLost) {
+	if c.state != Decode || ev.Attempt != c.attempt || ev.Connection != c.connection {
+		return
+	}
+	sameEngine := ev.Kind == upstream.KindLost || ev.Kind == upstream.KindStalled
+	if sameEngine && c.reconnects < c.spec.Limits.Reconnects {
+		c.reconnects++
+		c.open(now)
+		return
+	}
+	c.retry(now, c.grant.GetDecode().GetId(), pb.ReleaseRequest_DECODE_FAILED, "decode: "+ev.Message)
+}
+
+// retry ends the attempt and starts the next one, when one is allowed. failed
+// is the upstream that later attempts avoid.
+func (c *Completion) retry(now time.Time, failed string, outcome pb.ReleaseRequest_Outcome, message string) {
+	if failed != "" {
+		c.exclude = append(c.exclude, failed)
+	}
+	allowed := int(c.attempt) < c.spec.Limits.Attempts && now.Before(c.spec.Deadline)
+	if !allowed || !c.spec.Budget.Withdraw(now) {
+		c.finish(now, Outcome{Failure: FailureUpstream, Message: message, Ran: c.ran, RetryAfter: time.Second}, outcome)
+		return
+	}
+	c.release(now, outcome)
+	c.submit(now)
+}
+
+func (c *Completion) finish(now time.Time, o Outcome, release pb.ReleaseRequest_Outcome) {
+	if c.state == Queued {
+		c.do(&Withdraw{Attempt: c.attempt})
+	}
+	c.release(now, release)
+	c.state = Done
+	o.PromptTokens = c.promptTokens
+	o.OutputTokens = c.emitted
+	c.outcome = o
+	c.do(&Finish{Outcome: o})
+}
+
+func (c *Completion) release(now time.Time, outcome pb.ReleaseRequest_Outcome) {
+	if c.grant == nil || c.state == Queued {
+		return
+	}
+	if c.state == Reserved {
+		outcome = pb.ReleaseRequest_NOT_STARTED
+	}
+	r := &Release{
+		Attempt: c.attempt, HoldID: c.grant.HoldId, Outcome: outcome, OutputTokens: c.emitted - c.base,
+		PrefillWasted: c.prefillSent && c.emitted == c.base,
+	}
+	if r.OutputTokens > 1 {
+		r.TokenTime = now.Sub(c.firstToken) / time.Duration(r.OutputTokens-1)
+	}
+	if outcome != pb.ReleaseRequest_COMPLETED {
+		if c.prefillSent {
+			r.CancelAt = append(r.CancelAt, c.grant.Prefill)
+		}
+		if c.importSent {
+			r.CancelAt = append(r.CancelAt, c.grant.Decode)
+		}
+	}
+	c.do(r)
+}
+
+func (c *Completion) progress(stage pb.ProgressRequest_Stage, d time.Duration, tokens int, kvBytes int64) {
+	c.do(&ReportProgress{Attempt: c.attempt, HoldID: c.grant.HoldId, Stage: stage, Duration: d, Tokens: tokens, KVBytes: kvBytes})
+}
+
+// noteFailure records what a failed call tells about whether work ran.
+func (c *Completion) noteFailure(kind upstream.ErrorKind) {
+	switch kind {
+	case upstream.KindNotSent, upstream.KindNotRun, upstream.KindRejected:
+	case upstream.KindFailed:
+		c.ran = RanYes
+	default:
+		c.ran = max(c.ran, RanUnknown)
+	}
+}
--- /dev/null
+++ b/internal/request/event.go
@@ -0,0 +1,158 @@
+package request
+
+import (
+	"time"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/upstream"
+)
+
+// Event is an input of a machine.
+type Event interface{ event() }
+
+// Action is an output of a machine, to be carried out in order.
+type Action interface{ action() }
+
+// Events of both machines.
+type (
+	// Start begins the request.
+	Start struct{}
+	// Tick tells that time passed; due after Deadline.
+	Tick struct{}
+	// CallerGone tells that the caller disconnected.
+	CallerGone struct{}
+)
+
+// Events of a Completion.
+type (
+	// Granted is the scheduler's reservation for an attempt.
+	Granted struct {
+		Attempt uint32
+		Grant   *pb.Grant
+	}
+	// Refused is the scheduler's refusal, or its absence (FailureNoScheduler).
+	Refused struct {
+		Attempt    uint32
+		Failure    Failure
+		Message    string
+		RetryAfter time.Duration
+	}
+	// Prefilled tells that a prefill engine holds the KV cache.
+	Prefilled struct {
+		Attempt uint32
+		Result  *upstream.PrefillResult
+	}
+	// PrefillFailed ends the prefill of an attempt.
+	PrefillFailed struct {
+		Attempt uint32
+		Kind    upstream.ErrorKind
+		Message string
+	}
+	// Imported tells that the decode engine holds the KV cache.
+	Imported struct{ Attempt uint32 }
+	// ImportFailed ends the transfer of an attempt.
+	ImportFailed struct {
+		Attempt uint32
+		Kind    upstream.ErrorKind
+		Message string
+	}
+	// TokenReceived is one token from one connection to the decode engine.
+	TokenReceived struct {
+		Connection uint32
+		Token      upstream.Token
+	}
+	// StreamLost tells that a connection ended before the last token.
+	StreamLost struct {
+		Attempt    uint32
+		Connection uint32
+		Kind       upstream.ErrorKind
+		Message    string
+	}
+)
+
+// Actions of a Completion.
+type (
+	// Submit asks the scheduler for a reservation.
+	Submit struct {
+		Attempt         uint32
+		PromptTokens    int
+		MaxOutputTokens int
+		Exclude         []string
+	}
+	// Withdraw gives up a submission without an answer. A grant that arrives
+	// later is released.
+	Withdraw struct{ Attempt uint32 }
+	// StartPrefill starts the prefill of the prompt and the answer so far.
+	StartPrefill struct {
+		Attempt uint32
+		Grant   *pb.Grant
+		// Answer is the output so far that continues the prompt.
+		Answer string
+	}
+	// StartImport makes the decode engine fetch the KV cache.
+	StartImport struct {
+		Attempt         uint32
+		Grant           *pb.Grant
+		Handle          string
+		MaxOutputTokens int
+	}
+	// OpenStream opens a connection to the decode engine at an offset of the
+	// attempt's own output. It replaces the attempt's earlier connection.
+	OpenStream struct {
+		Attempt         uint32
+		Connection      uint32
+		Grant           *pb.Grant
+		Offset          int
+		MaxOutputTokens int
+	}
+	// Emit passes output to the caller.
+	Emit struct {
+		// Offset counts the output tokens of the whole answer from 0.
+		Offset int
+		Text   string
+	}
+	// ReportProgress reports a stage of the hold to the scheduler.
+	ReportProgress struct {
+		Attempt  uint32
+		HoldID   string
+		Stage    pb.ProgressRequest_Stage
+		Duration time.Duration
+		Tokens   int
+		KVBytes  int64
+	}
+	// Release ends an attempt: it stops the attempt's calls, cancels the
+	// attempt at the engines in CancelAt, then releases the hold.
+	Release struct {
+		Attempt       uint32
+		HoldID        string
+		CancelAt      []*pb.UpstreamAddress
+		Outcome       pb.ReleaseRequest_Outcome
+		OutputTokens  int
+		TokenTime     time.Duration
+		PrefillWasted bool
+	}
+	// Finish ends the request. It is the last action but for the release of
+	// grants that arrive late.
+	Finish struct{ Outcome Outcome }
+)
+
+func (*Start) event()           {}
+func (*Tick) event()            {}
+func (*CallerGone) event()      {}
+func (*Granted) event()         {}
+func (*Refused) event()         {}
+func (*Prefilled) event()       {}
+func (*PrefillFailed) event()   {}
+func (*Imported) event()        {}
+func (*ImportFailed) event()    {}
+func (*TokenReceived) event()   {}
+func (*StreamLost) event()      {}
+func (*Submit) action()         {}
+func (*Withdraw) action()       {}
+func (*StartPrefill) action()   {}
+func (*StartImport) action()    {}
+func (*OpenStream) action()     {}
+func (*Emit) action()           {}
+func (*ReportProgress) action() {}
+func (*Release) action()        {}
+func (*Finish) action()         {}
