--- /dev/null
+++ b/internal/scheduler/engines.go
@@ -0,0 +1,144 @@
+package scheduler
+
+import (
+	"context"
+	"time"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+)
+
+// engineCall is one action that calls an engine.
+type engineCall struct {
+	pool   *activePool
+	action Action
+}
+
+// knownEngine is the client of one start of an engine.
+type knownEngine struct {
+	generation uint64
+	url        string
+	engine     Engine
+}
+
+// enqueueCall hands an action to the engine callers. When they are far behind,
+// the call is dropped: the core asks for cancellations and lists again.
+func (s *Scheduler) enqueueCall(a *activePool, act Action) {
+	select {
+	case s.calls <- engineCall{pool: a, action: act}:
+	default:
+		if x, ok := act.(SendOrder); ok {
+			s.perform(a, a.core.OrderDone(x.ID, "too many calls to engines are waiting", s.now()))
+		}
+	}
+}
+
+// callEngines carries out calls to engines.
+func (s *Scheduler) callEngines(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case c := <-s.calls:
+			s.callEngine(ctx, c)
+		}
+	}
+}
+
+func (s *Scheduler) callEngine(ctx context.Context, c engineCall) {
+	select {
+	case <-c.pool.done:
+		// Only the lease holder may act on engines.
+		return
+	default:
+	}
+	switch x := c.action.(type) {
+	case CancelWork:
+		if s.cancel(ctx, x.Engine, x) {
+			c.pool.core.CancelDone(x.HoldID, x.Side, s.now())
+			s.signal(c.pool, Placement)
+		}
+	case CancelOrphan:
+		s.cancelOrphan(ctx, x)
+	case ListRunning:
+		s.list(ctx, c.pool, x)
+	case SendOrder:
+		s.sendOrder(ctx, c.pool, x)
+	}
+}
+
+func (s *Scheduler) cancel(ctx context.Context, state *pb.UpstreamState, x CancelWork) bool {
+	engine := s.engine(state)
+	if engine == nil {
+		return true
+	}
+	ctx, stop := context.WithTimeout(ctx, cancelCallLimit)
+	defer stop()
+	err := engine.Cancel(ctx, &x.Work)
+	if err != nil {
+		s.opts.Logger.Warn().Str("event", "engine.cancel").Str("upstream", state.Id).Str("request", x.Work.RequestID).Err(err).Msg("")
+	}
+	return err == nil
+}
+
+func (s *Scheduler) cancelOrphan(ctx context.Context, x CancelOrphan) {
+	engine := s.engine(x.Engine)
+	if engine == nil {
+		return
+	}
+	ctx, stop := context.WithTimeout(ctx, cancelCallLimit)
+	defer stop()
+	if err := engine.Cancel(ctx, &x.Work); err != nil {
+		s.opts.Logger.Warn().Str("event", "engine.cancel_orphan").Str("upstream", x.Engine.Id).Str("request", x.Work.RequestID).Err(err).Msg("")
+	}
+}
+
+func (s *Scheduler) list(ctx context.Context, a *activePool, x ListRunning) {
+	engine := s.engine(x.Engine)
+	if engine == nil {
+		return
+	}
+	asked := s.now()
+	ctx, stop := context.WithTimeout(ctx, runningCallLimit)
+	defer stop()
+	running, err := engine.Running(ctx)
+	if err != nil {
+		s.opts.Logger.Warn().Str("event", "engine.running").Str("upstream", x.Engine.Id).Err(err).Msg("")
+		a.core.ListFailed(x.Engine)
+		return
+	}
+	s.perform(a, a.core.Listed(x.Engine, running, asked, s.now()))
+}
+
+func (s *Scheduler) sendOrder(ctx context.Context, a *activePool, x SendOrder) {
+	failure := ""
+	if engine := s.engine(x.Engine); engine != nil {
+		ctx, stop := context.WithTimeout(ctx, time.Duration(x.LimitMillis)*time.Millisecond)
+		defer stop()
+		if err := engine.Order(ctx, &x.Order); err != nil {
+			failure = err.Error()
+		}
+	}
+	s.perform(a, a.core.OrderDone(x.ID, failure, s.now()))
+}
+
+// maxKnownEngines bounds the clients that are kept.
+const maxKnownEngines = 4096
+
+// engine returns the client of an engine, nil when calls are disabled.
+func (s *Scheduler) engine(state *pb.UpstreamState) Engine {
+	if s.opts.NewEngine == nil {
+		return nil
+	}
+	s.engineMu.Lock()
+	defer s.engineMu.Unlock()
+	k, ok := s.engines[state.Id]
+	if ok && k.generation == state.Generation && k.url == state.Url {
+		return k.engine
+	}
+	if len(s.engines) >= maxKnownEngines {
+		clear(s.engines)
+	}
+	k = knownEngine{generation: state.Generation, url: state.Url, engine: s.opts.NewEngine(state)}
+	s.engines[state.Id] = k
+	return k.engine
+}
--- /dev/null
+++ b/internal/scheduler/forecast.go
@@ -0,0 +1,158 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"godwitward.example/godwitward/policy"
+)
+
+const (
+	// maxPrefillDelay bounds how far ahead a prefill is granted against memory
+	// that is not free yet; beyond it a forecast is too uncertain.
+	maxPrefillDelay = 300 * time.Millisecond
+	// forecastMargin is added to the time at which memory is forecast to be
+	// free, scaled by the weight of wasted prefill. A prefill result lives
+	// under a second, so a slot that frees late wastes the prefill.
+	forecastMargin = 60 * time.Millisecond
+	minMarginScale = 0.25
+	maxMarginScale = 4
+)
+
+// ending is when one hold is forecast to end.
+type ending struct {
+	at     time.Duration
+	pieces int
+}
+
+// forecast is the just-in-time controller: when decode is full it grants a
+// request whose prefill and transfer take about as long as it takes until
+// enough running requests have ended. Ends are forecast from the longest
+// output, so that memory is rarely free later than forecast.
+func (p *Pool) forecast(now time.Duration) []Action {
+	if p.params.DisableJIT {
+		return nil
+	}
+	defer p.lock(placementTables)()
+	if p.restating(now) {
+		return nil
+	}
+	var out []Action
+	ends := map[*member][]ending{}
+	for class, q := range p.queue.classes {
+		if q.Len() == 0 {
+			continue
+		}
+		aside := 0
+		q.Serve(func(string) int { return unknownPieces }, func(w *waiting) policy.Verdict {
+			if w == p.queue.earmark {
+				return policy.SkipFlow
+			}
+			if pl, delay, ok := p.placeAhead(w, ends, now); ok {
+				out = append(out, p.grantHold(w, &pl, delay, true, now))
+				return policy.Taken
+			}
+			if aside++; aside >= maxAside {
+				return policy.Stop
+			}
+			if len(w.req.Exclude) > 0 {
+				return policy.SkipFlow
+			}
+			return policy.SkipBucket
+		})
+		// Requests that fit nowhere now must not be overtaken by a lower class.
+		if class == int(policy.Urgent) && q.Len() > 0 {
+			break
+		}
+	}
+	return out
+}
+
+// placeAhead looks for an engine on which memory becomes free when the
+// prefill's result arrives.
+func (p *Pool) placeAhead(w *waiting, ends map[*member][]ending, now time.Duration) (policy.Placement, time.Duration, bool) {
+	q := p.query(w)
+	var best policy.Placement
+	var bestDelay time.Duration
+	found := false
+	for _, e := range q.Decode {
+		m := p.upstreams.byID[e.ID]
+		if !e.Usable || policy.Fits(&q, e) || slices.Contains(w.req.Exclude, e.ID) {
+			continue
+		}
+		free, ok := p.freeAt(m, w, ends, now)
+		if !ok {
+			continue
+		}
+		pl, delay, ok := p.timePrefill(&q, e, w, free, now)
+		if ok && (!found || delay+pl.TTFT() < bestDelay+best.TTFT()) {
+			best, bestDelay, found = pl, delay, true
+		}
+	}
+	return best, bestDelay, found
+}
+
+// timePrefill places the prefill for a decode engine with room from a time on.
+func (p *Pool) timePrefill(q *policy.Query, e *policy.Engine, w *waiting, free, now time.Duration) (policy.Placement, time.Duration, bool) {
+	// The copy has room, so that the policy judges prefill and links.
+	roomy := *e
+	roomy.HeldPieces, roomy.PromisedPieces, roomy.ForeignPieces, roomy.EarmarkedPieces = 0, 0, 0, 0
+	roomy.Batch, roomy.PromisedBatch, roomy.ForeignBatch = e.MaxBatch/2, 0, 0
+	roomy.TotalPieces = max(e.TotalPieces, 2*w.spec.Pieces)
+	one := *q
+	one.Decode = []*policy.Engine{&roomy}
+	pl, ok := p.policy.Place(&one)
+	if !ok {
+		return pl, 0, false
+	}
+	pl.Decode = e
+	scale := min(max(w.spec.Weights.Ratio(), minMarginScale), maxMarginScale)
+	start := free + time.Duration(scale*float64(forecastMargin))
+	delay := max(0, start-now-policy.Seconds(pl.Wait+pl.Compute))
+	if delay > maxPrefillDelay || now+delay > w.giveUp {
+		return pl, 0, false
+	}
+	return pl, delay, true
+}
+
+// freeAt forecasts when a decode engine has room for the request.
+func (p *Pool) freeAt(m *member, w *waiting, ends map[*member][]ending, now time.Duration) (time.Duration, bool) {
+	v := &m.view
+	needPieces := w.spec.Pieces - v.FreePieces(w.spec.Class, p.reserve())
+	needSlots := 1 - v.FreeSlots(w.spec.Class, p.reserve())
+	list, ok := ends[m]
+	if !ok {
+		list = p.endings(m, now)
+		ends[m] = list
+	}
+	for _, e := range list {
+		needPieces -= e.pieces
+		needSlots--
+		if needPieces <= 0 && needSlots <= 0 {
+			return max(e.at, now), true
+		}
+	}
+	return 0, false
+}
+
+// endings lists the forecast ends of the holds that decode on an engine.
+func (p *Pool) endings(m *member, now time.Duration) []ending {
+	var out []ending
+	token := m.view.TokenSeconds(m.view.MaxBatch)
+	for _, h := range p.holds.byDecode[m] {
+		if h.promised || h.ending || h.firstAt == 0 {
+			continue
+		}
+		end := h.firstAt + policy.Seconds(token*float64(h.maxOutput))
+		// A hold past its forecast end says that the forecast is wrong for it.
+		if end < now-forecastMargin || end > now+maxForecast {
+			continue
+		}
+		out = append(out, ending{at: end, pieces: int(h.pieces)})
+	}
+	slices.SortFunc(out, func(a, b ending) int { return int(a.at - b.at) })
+	return out
+}
+
+// maxForecast is the longest prefill, transfer and delay that is planned for.
+const maxForecast = 5 * time.Second
--- /dev/null
+++ b/internal/scheduler/placement.go
@@ -0,0 +1,244 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/policy"
+)
+
+const (
+	// urgentPriority and the draft priorities order work at the engines: lower
+	// runs first. A draft's priority improves with its age but stays behind
+	// every urgent request.
+	urgentPriority   = 0
+	draftPriority    = 100
+	oldDraftPriority = 50
+	// transferSlack and minTransferLimit size the time limit of a transfer
+	// from its forecast.
+	transferSlack    = 4
+	minTransferLimit = 250 * time.Millisecond
+	maxTransferLimit = 10 * time.Second
+	// maxAside bounds the heads that one run passes over because they fit
+	// nowhere for a reason of their own, such as excluded engines.
+	maxAside = 64
+)
+
+// place is the placement controller: it grants queued requests that fit now,
+// urgent ones first, then drafts in fair order.
+func (p *Pool) place(now time.Duration) []Action {
+	defer p.lock(placementTables)()
+	if p.restating(now) {
+		return nil
+	}
+	p.upstreams.refreshAll(&p.params, now, false)
+	var out []Action
+	out = p.placeEarmarked(out, now)
+	for class, q := range p.queue.classes {
+		if q.Len() == 0 || p.queue.blocked[class] {
+			continue
+		}
+		out = p.placeClass(policy.Class(class), out, now)
+		p.queue.blocked[class] = true
+	}
+	return out
+}
+
+func (p *Pool) placeClass(class policy.Class, out []Action, now time.Duration) []Action {
+	aside := 0
+	rooms := map[string]int{}
+	room := func(model string) int {
+		n, ok := rooms[model]
+		if !ok {
+			n = p.upstreams.group(model).room(class, p.reserve())
+			rooms[model] = n
+		}
+		return n
+	}
+	p.queue.classes[class].Serve(room, func(w *waiting) policy.Verdict {
+		q := p.query(w)
+		pl, ok := p.policy.Place(&q)
+		if ok {
+			out = append(out, p.grant(w, &pl, 0, now))
+			clear(rooms)
+			return policy.Taken
+		}
+		aside++
+		return p.verdict(&q, aside)
+	})
+	return out
+}
+
+// verdict says what else cannot fit, given that a request did not.
+func (p *Pool) verdict(q *policy.Query, aside int) policy.Verdict {
+	if aside >= maxAside {
+		return policy.Stop
+	}
+	if len(q.Exclude) > 0 {
+		return policy.SkipFlow
+	}
+	for _, e := range q.Decode {
+		if policy.Fits(q, e) {
+			// Decode has room, so prefill or a link is the limit, which
+			// depends on the request's own prompt.
+			return policy.SkipFlow
+		}
+	}
+	return policy.SkipBucket
+}
+
+func (p *Pool) reserve() float64 {
+	return p.params.UrgentReserve
+}
+
+// query describes a request to the policy.
+func (p *Pool) query(w *waiting) policy.Query {
+	c := p.upstreams.group(w.req.Model)
+	q := policy.Query{
+		Request: &w.spec, Prefill: c.prefill, Decode: c.decode, Exclude: w.req.Exclude, Reserve: p.reserve(),
+		Random: [2]float64{p.random.Float64(), p.random.Float64()},
+	}
+	w.cached = p.prefix.lookup(w.req.PrefixHashes, w.cached)
+	if len(w.cached) > 0 {
+		size := max(1, c.pieceTokens)
+		q.Cached = func(e *policy.Engine) int { return cachedTokens(w.cached, e, size) }
+	}
+	return q
+}
+
+// cachedTokens returns the prompt tokens that an engine probably has cached.
+// An index that lost events counts for a part.
+func cachedTokens(list []cachedPrefix, e *policy.Engine, pieceTokens int) int {
+	for i := range list {
+		if &list[i].m.view != e {
+			continue
+		}
+		tokens := list[i].pieces * pieceTokens
+		if list[i].m.prefix.hint {
+			return int(hintPart * float64(tokens))
+		}
+		return tokens
+	}
+	return 0
+}
+
+// grant turns a queued request into a hold. delay is set when the memory is
+// forecast to become free.
+func (p *Pool) grant(w *waiting, pl *policy.Placement, delay time.Duration, now time.Duration) Answer {
+	return p.grantHold(w, pl, delay, false, now)
+}
+
+func (p *Pool) grantHold(w *waiting, pl *policy.Placement, delay time.Duration, promised bool, now time.Duration) Answer {
+	pre := p.upstreams.byID[pl.Prefill.ID]
+	dec := p.upstreams.byID[pl.Decode.ID]
+	req := w.req
+	h := &hold{
+		id: p.newHoldID(), requestID: req.RequestId, model: req.Model, entry: p.entry(req.EntryId),
+		prefill: pre, decode: dec, hashes: slices.Clone(req.PrefixHashes), granted: now,
+		expires: w.expires + p.params.DeadlineMargin, attempt: req.Attempt,
+		pieces: int32(w.spec.Pieces), promptPieces: int32(w.spec.PromptPieces),
+		promptTokens: int32(req.PromptTokens), maxOutput: int32(req.MaxOutputTokens),
+		uncached: int32(w.spec.PromptTokens - pl.CachedTokens), class: w.spec.Class,
+		promised: promised, prefilling: true, linked: true,
+		linkBytes: policy.KVBytes(&pre.view, &dec.view, w.spec.PromptTokens),
+	}
+	p.leftQueue(w)
+	p.addHold(h, now)
+	limit := min(max(policy.Seconds(transferSlack*pl.Transfer), minTransferLimit), maxTransferLimit)
+	g := &pb.Grant{
+		HoldId:          h.id,
+		Prefill:         addressOf(pre),
+		Decode:          addressOf(dec),
+		Pieces:          uint32(h.pieces),
+		Priority:        p.priority(w, now),
+		PrefillDelayMs:  millis(delay),
+		TransferLimitMs: millis(limit),
+	}
+	return Answer{Ticket: w.ticket, Response: &pb.SubmitResponse{Result: &pb.SubmitResponse_Grant{Grant: g}}}
+}
+
+func addressOf(m *member) *pb.UpstreamAddress {
+	return &pb.UpstreamAddress{Id: m.state.Id, Url: m.state.Url, Generation: m.state.Generation}
+}
+
+// priority returns the request's priority at the engines.
+func (p *Pool) priority(w *waiting, now time.Duration) int32 {
+	if w.spec.Class == policy.Urgent {
+		return urgentPriority
+	}
+	age := min(1, float64(now-w.since)/float64(p.params.DraftAge))
+	return draftPriority - int32(age*(draftPriority-oldDraftPriority))
+}
+
+// placeEarmarked grants the earmarked draft when its engine has room for it.
+func (p *Pool) placeEarmarked(out []Action, now time.Duration) []Action {
+	w, m := p.queue.earmark, p.queue.earmarked
+	if w == nil {
+		return out
+	}
+	if !m.view.Usable || p.upstreams.byID[m.view.ID] != m {
+		p.clearEarmark()
+		return out
+	}
+	kept := m.view.EarmarkedPieces
+	m.view.EarmarkedPieces = 0
+	q := p.query(w)
+	q.Decode = []*policy.Engine{&m.view}
+	q.Reserve = 0
+	pl, ok := p.policy.Place(&q)
+	if !ok {
+		m.view.EarmarkedPieces = kept
+		return out
+	}
+	p.queue.classes[policy.Draft].Remove(w.req.Organisation, func(o *waiting) bool { return o == w })
+	return append(out, p.grant(w, &pl, 0, now))
+}
+
+// age is the aging controller. A draft that has waited for DraftAge gets
+// memory kept free on one engine, so that neither urgent requests nor smaller
+// drafts starve it. One draft at a time, so that urgent requests lose at most
+// one request's memory in the pool.
+func (p *Pool) age(now time.Duration) []Action {
+	defer p.lock(placementTables)()
+	q := &p.queue
+	if q.earmark != nil || p.restating(now) {
+		return nil
+	}
+	var oldest *waiting
+	q.classes[policy.Draft].Each(func(w *waiting) bool {
+		if oldest == nil || w.since < oldest.since || (w.since == oldest.since && w.ticket < oldest.ticket) {
+			oldest = w
+		}
+		return true
+	})
+	if oldest == nil || now-oldest.since < p.params.DraftAge {
+		return nil
+	}
+	m := p.earmarkEngine(oldest)
+	if m == nil {
+		return nil
+	}
+	q.earmark = oldest
+	q.earmarked = m
+	m.view.EarmarkedPieces = oldest.spec.Pieces
+	return nil
+}
+
+// earmarkEngine returns the engine that is closest to having room.
+func (p *Pool) earmarkEngine(w *waiting) *member {
+	var out *policy.Engine
+	for _, e := range p.upstreams.group(w.req.Model).decode {
+		fits := e.TotalPieces-e.ForeignPieces >= w.spec.Pieces && !slices.Contains(w.req.Exclude, e.ID)
+		if !e.Usable || !fits {
+			continue
+		}
+		if out == nil || e.FreePieces(policy.Urgent, 0) > out.FreePieces(policy.Urgent, 0) {
+			out = e
+		}
+	}
+	if out == nil {
+		return nil
+	}
+	return p.upstreams.byID[out.ID]
+}
--- /dev/null
+++ b/internal/scheduler/scheduler_test.go
@@ -0,0 +1,182 @@
+package scheduler
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/transport"
+	"godwitward.example/godwitward/internal/upstream"
+)
+
+const testPool = "draftwell/dohoku"
+
+// fakeEngine records what the scheduler asks of an engine.
+type fakeEngine struct {
+	mu        sync.Mutex
+	cancelled []upstream.CancelRequest
+	running   []upstream.Running
+	orders    []upstream.Order
+}
+
+func (f *fakeEngine) Cancel(_ context.Context, r *upstream.CancelRequest) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cancelled = append(f.cancelled, *r)
+	return nil
+}
+
+func (f *fakeEngine) Running(context.Context) ([]upstream.Running, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.running, nil
+}
+
+func (f *fakeEngine) Order(_ context.Context, r *upstream.Order) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.orders = append(f.orders, *r)
+	return nil
+}
+
+func (f *fakeEngine) cancels(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range f.cancelled {
+		if c.RequestID == id {
+			return true
+		}
+	}
+	return false
+}
+
+func prefillState(id string) *pb.UpstreamState {
+	return &pb.UpstreamState{
+		Id: id, Generation: 1, Url: "http://" + id, Place: "sapporo-a", Region: "dohoku", Service: "draftwell",
+		Role: pb.EngineRole_ENGINE_ROLE_PREFILL, Models: []string{"m"}, MaxBatch: 4, PieceTokens: 1000,
+		LinkBytesPerS: 10e9, KvBytesPerToken: 100e3, PrefillTokensPerS: 10000, ChecksFencing: true,
+	}
+}
+
+func decodeState(id string, pieces uint32) *pb.UpstreamState {
+	s := prefillState(id)
+	s.Role = pb.EngineRole_ENGINE_ROLE_DECODE
+	s.TotalPieces = pieces
+	s.MaxBatch = 20
+	s.DecodeUsPerToken = 20000
+	return s
+}
+
+func submitRequest(id string, class pb.RequestClass, prompt, output uint32) *pb.SubmitRequest {
+	return &pb.SubmitRequest{
+		RequestId: id, Attempt: 1, EntryId: "entry-1", Pool: testPool, Organisation: "o", Model: "m", RequestClass: class,
+		PromptTokens: prompt, MaxOutputTokens: output, MaxWaitMs: 5000, DeadlineMs: 60000,
+	}
+}
+
+// testServer is a scheduler behind a transport server with a connected entry.
+type testServer struct {
+	*Scheduler
+	client *transport.Client
+	addr   string
+	engine *fakeEngine
+}
+
+func newTestServer(t *testing.T, params Params) *testServer {
+	t.Helper()
+	out := &testServer{engine: &fakeEngine{}}
+	out.Scheduler = New(Options{Params: params, NewEngine: func(*pb.UpstreamState) Engine { return out.engine }})
+	srv := transport.NewServer(transport.Options{OnSessionEnd: func(p *pb.Hello) { out.EntrySessionEnded(p.DaemonId) }})
+	out.Register(srv)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { _ = srv.Serve(l) }()
+	go func() { out.Run(ctx); close(done) }()
+	out.addr = l.Addr().String()
+	out.client = out.connect("entry-1")
+	t.Cleanup(func() {
+		out.client.Close()
+		srv.Close()
+		cancel()
+		<-done
+	})
+	out.Activate(testPool, 1, time.Now().Add(-time.Minute))
+	out.call(t, transport.MethodAnnounce, &pb.AnnounceRequest{Upstreams: []*pb.UpstreamState{prefillState("p1"), decodeState("d1", 10)}}, &pb.Empty{})
+	return out
+}
+
+func (s *testServer) connect(id string) *transport.Client {
+	return transport.NewClient(s.addr, transport.Options{Self: &pb.Hello{DaemonId: id}})
+}
+
+func (s *testServer) call(t *testing.T, m transport.Method, req, resp proto.Message) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	require.NoError(t, s.client.Call(ctx, m, req, resp))
+}
+
+// Guards against a grant that does not reach the entry, and memory that stays
+// reserved after Release.
+func TestSubmitGrantReleaseOverTransport(t *testing.T) {
+	s := newTestServer(t, Params{})
+	for range 3 {
+		resp := &pb.SubmitResponse{}
+		s.call(t, transport.MethodSubmit, submitRequest("r", pb.RequestClass_REQUEST_CLASS_DRAFT, 6000, 500), resp)
+		g := resp.GetGrant()
+		require.NotNil(t, g, "%v", resp)
+		require.Equal(t, "d1", g.Decode.Id)
+		require.Equal(t, uint32(7), g.Pieces)
+		s.call(t, transport.MethodProgress, &pb.ProgressRequest{HoldId: g.HoldId, Stage: pb.ProgressRequest_PREFILL_STARTED}, &pb.Empty{})
+		s.call(t, transport.MethodRelease, &pb.ReleaseRequest{HoldId: g.HoldId, Outcome: pb.ReleaseRequest_COMPLETED}, &pb.Empty{})
+	}
+	state := &pb.SchedulerState{}
+	s.call(t, transport.MethodSchedulerState, &pb.SchedulerStateRequest{Pool: testPool}, state)
+	require.Empty(t, state.Holds)
+	require.Zero(t, state.Upstreams[0].HeldPieces)
+}
+
+// Guards against engine memory that stays occupied after an entry died (P1).
+func TestHoldsOfVanishedEntryAreCancelled(t *testing.T) {
+	s := newTestServer(t, Params{HoldGrace: 200 * time.Millisecond})
+	resp := &pb.SubmitResponse{}
+	s.call(t, transport.MethodSubmit, submitRequest("r", pb.RequestClass_REQUEST_CLASS_URGENT, 1000, 500), resp)
+	require.NotNil(t, resp.GetGrant())
+	s.client.Close()
+	require.Eventually(t, func() bool { return s.engine.cancels("r") }, 5*time.Second, 10*time.Millisecond)
+	require.Eventually(t, func() bool { return len(s.pool(testPool).core.Holds()) == 0 }, 5*time.Second, 10*time.Millisecond)
+}
+
+// Guards against a queued request that is granted after its entry withdrew it.
+func TestWithdrawnSubmitLeavesNoHold(t *testing.T) {
+	s := newTestServer(t, Params{})
+	first := &pb.SubmitResponse{}
+	s.call(t, transport.MethodSubmit, submitRequest("a", pb.RequestClass_REQUEST_CLASS_DRAFT, 8000, 500), first)
+	require.NotNil(t, first.GetGrant())
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	require.Error(t, s.client.Call(ctx, transport.MethodSubmit, submitRequest("b", pb.RequestClass_REQUEST_CLASS_DRAFT, 8000, 500), &pb.SubmitResponse{}))
+	core := s.pool(testPool).core
+	require.Eventually(t, func() bool { return core.Queued() == 0 }, 2*time.Second, 5*time.Millisecond)
+	s.call(t, transport.MethodRelease, &pb.ReleaseRequest{HoldId: first.GetGrant().HoldId}, &pb.Empty{})
+	require.Never(t, func() bool { return len(core.Holds()) > 0 }, 200*time.Millisecond, 10*time.Millisecond)
+}
+
+// Guards against queued requests that hang when the lease is lost.
+func TestDeactivateAnswersQueuedRequests(t *testing.T) {
+	s := newTestServer(t, Params{})
+	first := &pb.SubmitResponse{}
+	s.call(t, transport.MethodSubmit, submitRequest("a", pb.RequestClass_REQUEST_CLASS_DRAFT, 8000, 500), first)
+	time.AfterFunc(100*time.Millisecond, func() { s.Deactivate(testPool) })
+	second := &pb.SubmitResponse{}
+	s.call(t, transport.MethodSubmit, submitRequest("b", pb.RequestClass_REQUEST_CLASS_DRAFT, 8000, 500), second)
+	require.Equal(t, pb.Refusal_NOT_HOLDER, second.GetRefusal().GetCode())
+}
--- /dev/null
+++ b/internal/scheduler/tables.go
@@ -0,0 +1,155 @@
+package scheduler
+
+import (
+	"sync"
+	"time"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/policy"
+)
+
+// tables is the blackboard of one pool. Each table has its own lock. A
+// goroutine that needs several locks takes them in the order of the fields:
+// upstreams, holds, queue, links, prefix, orders. Only tables.lock takes locks,
+// so the order is kept in one place.
+type tables struct {
+	upstreams upstreamTable
+	holds     holdTable
+	queue     queueTable
+	links     linkTable
+	prefix    prefixTable
+	orders    orderTable
+}
+
+// tableSet names tables to lock.
+type tableSet uint8
+
+const (
+	upstreamsTable tableSet = 1 << iota
+	holdsTable
+	queueTableBit
+	linksTable
+	prefixTableBit
+	ordersTable
+
+	// placementTables are what a placement decision reads and writes.
+	placementTables = upstreamsTable | holdsTable | queueTableBit | linksTable | prefixTableBit
+)
+
+// lock locks the tables of the set in the lock order and returns the function
+// that unlocks them.
+func (t *tables) lock(set tableSet) func() {
+	locks := [...]*sync.Mutex{&t.upstreams.mu, &t.holds.mu, &t.queue.mu, &t.links.mu, &t.prefix.mu, &t.orders.mu}
+	for i, mu := range locks {
+		if set&(1<<i) != 0 {
+			mu.Lock()
+		}
+	}
+	return func() {
+		for i, mu := range locks {
+			if set&(1<<i) != 0 {
+				mu.Unlock()
+			}
+		}
+	}
+}
+
+// upstreamTable lists the upstreams of the pool.
+type upstreamTable struct {
+	mu   sync.Mutex
+	byID map[string]*member
+	// models groups the engines that may be candidates, by model.
+	models map[string]*candidates
+	drains DrainSet
+	// nextChange is when the next upstream becomes silent.
+	nextChange time.Duration
+	// revision grows with each change that entries should hear of.
+	revision uint64
+}
+
+// candidates are the engines that serve one model.
+type candidates struct {
+	prefill []*policy.Engine
+	decode  []*policy.Engine
+	// largest is the memory of the largest decode engine, pieces.
+	largest int
+	// pieceTokens is the smallest piece size among the decode engines.
+	pieceTokens int
+}
+
+// member is one start of one upstream. Holds refer to the member on which they
+// were granted, so a restarted upstream starts without them.
+type member struct {
+	// view is what policies see. Its Link fields belong to linkTable.
+	view   policy.Engine
+	state  *pb.UpstreamState
+	seen   time.Duration
+	health pb.UpstreamStatus_Health
+	speed  policy.Speed
+	eject  policy.Ejector
+	// changing is set while a role change waits for the engine to drain.
+	changing bool
+	held     heldLog
+	// prefilledAt is when the last prefill here finished.
+	prefilledAt time.Duration
+	prefix      prefixState
+	// listedAt is when the list of running requests was last asked for.
+	listedAt time.Duration
+	listed   bool
+}
+
+// holdTable lists the reservations.
+type holdTable struct {
+	mu   sync.Mutex
+	byID map[string]*hold
+	// byDecode lists the holds on each decode engine for forecasts.
+	byDecode map[*member][]*hold
+	entries  map[string]*entryRecord
+	sequence uint64
+	// freed is the learned rate at which memory becomes free.
+	freed policy.Rate
+}
+
+// entryRecord is what is known about one entry.
+type entryRecord struct {
+	id string
+	// goneAt is when the entry's session ended.
+	goneAt time.Duration
+	gone   bool
+	holds  map[string]*hold
+}
+
+// queueTable lists the requests that wait for capacity.
+type queueTable struct {
+	mu       sync.Mutex
+	classes  [policy.Classes]*policy.FairQueue[*waiting]
+	byTicket map[uint64]*waiting
+	// pieces is the memory that the queued requests of each class ask for.
+	pieces [policy.Classes]int
+	// earmark is the draft that memory is kept free for.
+	earmark   *waiting
+	earmarked *member
+	// blocked is set for a class when no queued request fitted and nothing has
+	// become free since, so that arrivals need not try the whole queue again.
+	blocked [policy.Classes]bool
+}
+
+// waiting is one queued request.
+type waiting struct {
+	ticket  uint64
+	req     *pb.SubmitRequest
+	spec    policy.Request
+	since   time.Duration
+	giveUp  time.Duration
+	expires time.Duration
+	// late is the refusal sent when the wait ends.
+	late pb.Refusal_Code
+	// cached is the result of the prefix lookup for the decision in progress.
+	cached []cachedPrefix
+}
+
+// linkTable owns the Link fields of the upstreams' views: what is reserved for
+// transfers that have not finished.
+type linkTable struct {
+	mu sync.Mutex
+}
--- /dev/null
+++ b/internal/scheduler/upstreams.go
@@ -0,0 +1,350 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/policy"
+)
+
+const (
+	// defaultBatch and defaultPieceTokens stand in for figures that an engine
+	// does not announce.
+	defaultBatch       = 20
+	defaultPieceTokens = 1000
+	// unknownPieces stands in for a memory size that is not announced.
+	unknownPieces = 1 << 30
+	// reportLag is the longest time by which an engine's accounting follows a
+	// release, so that memory released just before a report is not taken for
+	// memory of unknown work.
+	reportLag = 500 * time.Millisecond
+	// heldLogTime is how long changes of held memory are kept to be compared
+	// with late load reports.
+	heldLogTime = 4 * time.Second
+	// heldLogStep is the resolution of that log.
+	heldLogStep = 10 * time.Millisecond
+	// maxEjectedPart is the largest part of a role's engines that may be out
+	// of service for slowness: beyond it the load, not the engines, is at fault.
+	maxEjectedPart = 3
+)
+
+// DrainSet lists upstreams and places that receive no new work.
+type DrainSet struct {
+	Upstreams map[string]bool
+	Places    map[string]bool
+}
+
+// NewDrainSet converts the drains of a configuration.
+func NewDrainSet(drains []*pb.Drain) DrainSet {
+	s := DrainSet{Upstreams: map[string]bool{}, Places: map[string]bool{}}
+	for _, d := range drains {
+		if d.UpstreamId != "" {
+			s.Upstreams[d.UpstreamId] = true
+		}
+		if d.Place != "" {
+			s.Places[d.Place] = true
+		}
+	}
+	return s
+}
+
+func (s DrainSet) has(u *pb.UpstreamState) bool {
+	return s.Upstreams[u.Id] || s.Places[u.Place]
+}
+
+// heldSample is the memory held on an engine from a time on.
+type heldSample struct {
+	at     time.Duration
+	pieces int
+	batch  int
+}
+
+// heldLog records changes of held memory. It is guarded by the holds lock.
+type heldLog []heldSample
+
+// add records a change. Changes within one step are merged to their maximum.
+func (l *heldLog) add(at time.Duration, pieces, batch int) {
+	if n := len(*l); n > 0 && at-(*l)[n-1].at < heldLogStep {
+		last := &(*l)[n-1]
+		last.pieces = max(last.pieces, pieces)
+		last.batch = max(last.batch, batch)
+		return
+	}
+	*l = append(*l, heldSample{at: at, pieces: pieces, batch: batch})
+}
+
+// most returns the largest figures in force between two times.
+func (l heldLog) most(from, to time.Duration) (pieces, batch int) {
+	for i, s := range l {
+		ended := i+1 < len(l) && l[i+1].at <= from
+		if s.at > to || ended {
+			continue
+		}
+		pieces = max(pieces, s.pieces)
+		batch = max(batch, s.batch)
+	}
+	return pieces, batch
+}
+
+// prune forgets samples that ended before a time.
+func (l *heldLog) prune(before time.Duration) {
+	n := 0
+	for n+1 < len(*l) && (*l)[n+1].at <= before {
+		n++
+	}
+	*l = slices.Delete(*l, 0, n)
+}
+
+// raise adds work that had been running before it was restated.
+func (l heldLog) raise(pieces, batch int) {
+	for i := range l {
+		l[i].pieces += pieces
+		l[i].batch += batch
+	}
+}
+
+// isEngine reports whether the member has an engine role.
+func (m *member) isEngine() bool {
+	return m.state.Role == pb.EngineRole_ENGINE_ROLE_PREFILL || m.state.Role == pb.EngineRole_ENGINE_ROLE_DECODE
+}
+
+// announced takes over an announcement of the same start of the upstream.
+func (m *member) announced(s *pb.UpstreamState, now time.Duration) {
+	m.state = s
+	m.seen = now
+	v := &m.view
+	v.ID = s.Id
+	v.MaxBatch = int(s.MaxBatch)
+	if v.MaxBatch == 0 {
+		v.MaxBatch = defaultBatch
+	}
+	v.TotalPieces = int(s.TotalPieces)
+	if v.TotalPieces == 0 && s.Role == pb.EngineRole_ENGINE_ROLE_DECODE {
+		v.TotalPieces = unknownPieces
+	}
+	v.KVPerToken = float64(s.KvBytesPerToken)
+	v.Reported = policy.Report{UsedPieces: int(s.UsedPieces), Running: int(s.Running), Queued: int(s.Queued)}
+	m.correctReport(now)
+	m.publishSpeed()
+}
+
+// correctReport finds the memory in use that no hold accounts for. The report
+// is late, so it is compared with what was held when it was made.
+func (m *member) correctReport(now time.Duration) {
+	m.held.prune(now - heldLogTime)
+	if m.state.Role != pb.EngineRole_ENGINE_ROLE_DECODE {
+		m.view.ForeignPieces = 0
+		m.view.ForeignBatch = 0
+		return
+	}
+	at := now - time.Duration(m.state.LoadAgeMs)*time.Millisecond
+	pieces, batch := m.held.most(at-reportLag, at)
+	m.view.ForeignPieces = max(0, m.view.Reported.UsedPieces-pieces)
+	m.view.ForeignBatch = max(0, m.view.Reported.Running-batch)
+}
+
+func (m *member) publishSpeed() {
+	m.view.PrefillRate = m.speed.PrefillRate
+	m.view.DecodeSeconds = m.speed.DecodeSeconds
+}
+
+// healthAt returns the health of a member.
+func (t *upstreamTable) healthAt(m *member, p *Params, now time.Duration) pb.UpstreamStatus_Health {
+	switch {
+	case m.state.Leaving:
+		return pb.UpstreamStatus_LEAVING
+	case now-m.seen >= p.SilentAfter:
+		return pb.UpstreamStatus_SILENT
+	case t.drains.has(m.state):
+		return pb.UpstreamStatus_DRAINED
+	case m.eject.Ejected(now):
+		return pb.UpstreamStatus_EJECTED
+	}
+	return pb.UpstreamStatus_LIVE
+}
+
+// refresh recomputes one member's health and whether it may receive new work.
+// It reports whether the health changed.
+func (t *upstreamTable) refresh(m *member, p *Params, now time.Duration) bool {
+	health := t.healthAt(m, p, now)
+	m.view.Usable = health == pb.UpstreamStatus_LIVE && !m.changing
+	m.view.Share = m.eject.Share(now)
+	t.nextChange = min(t.nextChange, m.seen+p.SilentAfter)
+	if health == m.health {
+		return false
+	}
+	m.health = health
+	t.revision++
+	return true
+}
+
+// refreshAll recomputes every member when one may have become silent.
+func (t *upstreamTable) refreshAll(p *Params, now time.Duration, force bool) {
+	if !force && now < t.nextChange {
+		return
+	}
+	t.nextChange = now + p.SilentAfter
+	for _, m := range t.byID {
+		if now-m.seen < p.SilentAfter {
+			t.refresh(m, p, now)
+			continue
+		}
+		next := t.nextChange
+		t.refresh(m, p, now)
+		// A member that is silent already changes only by announcing itself.
+		t.nextChange = next
+	}
+}
+
+// regroup rebuilds the candidate lists after a member came, left or changed.
+func (t *upstreamTable) regroup() {
+	t.models = map[string]*candidates{}
+	ids := make([]string, 0, len(t.byID))
+	for id := range t.byID {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		m := t.byID[id]
+		if !m.isEngine() {
+			continue
+		}
+		for _, model := range m.state.Models {
+			t.group(model).add(m)
+		}
+	}
+	t.revision++
+}
+
+func (t *upstreamTable) group(model string) *candidates {
+	c := t.models[model]
+	if c == nil {
+		c = &candidates{}
+		t.models[model] = c
+	}
+	return c
+}
+
+func (c *candidates) add(m *member) {
+	if m.state.Role == pb.EngineRole_ENGINE_ROLE_PREFILL {
+		c.prefill = append(c.prefill, &m.view)
+		return
+	}
+	c.decode = append(c.decode, &m.view)
+	c.largest = max(c.largest, m.view.TotalPieces)
+	size := int(m.state.PieceTokens)
+	if size == 0 {
+		size = defaultPieceTokens
+	}
+	if c.pieceTokens == 0 || size < c.pieceTokens {
+		c.pieceTokens = size
+	}
+}
+
+// live reports whether the group has a usable engine of each role.
+func (c *candidates) live() bool {
+	usable := func(e *policy.Engine) bool { return e.Usable }
+	return slices.ContainsFunc(c.prefill, usable) && slices.ContainsFunc(c.decode, usable)
+}
+
+// room returns the largest free memory of the group's decode engines.
+func (c *candidates) room(class policy.Class, reserve float64) int {
+	most := 0
+	for _, e := range c.decode {
+		if e.Usable && e.FreeSlots(class, reserve) > 0 {
+			most = max(most, e.FreePieces(class, reserve))
+		}
+	}
+	return most
+}
+
+// sameShape reports whether two announcements put a member into the same
+// candidate lists.
+func sameShape(a, b *pb.UpstreamState) bool {
+	return a.Role == b.Role && a.TotalPieces == b.TotalPieces && a.PieceTokens == b.PieceTokens &&
+		slices.Equal(a.Models, b.Models)
+}
+
+// Announce takes over announcements of upstreams. The pool keeps the messages.
+func (p *Pool) Announce(states []*pb.UpstreamState, now time.Duration) []Action {
+	var out []Action
+	defer p.lock(placementTables)()
+	regroup := false
+	for _, s := range states {
+		m, changed := p.upstreams.announce(s, &p.params, now)
+		if m == nil {
+			continue
+		}
+		regroup = regroup || changed
+		p.prefix.apply(m, s.CacheEvents)
+		s.CacheEvents = nil
+		m.view.LinkRate = float64(s.LinkBytesPerS)
+		p.activatePromises(m, now)
+		if changed && p.listsOnArrival(m, now) {
+			out = append(out, ListRunning{Engine: proto.CloneOf(s)})
+		}
+	}
+	if regroup {
+		p.upstreams.regroup()
+	}
+	p.unblock()
+	return out
+}
+
+// announce applies one announcement. It returns nil for an outdated one, and
+// whether the candidate lists must be rebuilt.
+func (t *upstreamTable) announce(s *pb.UpstreamState, p *Params, now time.Duration) (*member, bool) {
+	m := t.byID[s.Id]
+	if m != nil && s.Generation < m.state.Generation {
+		return nil, false
+	}
+	changed := m == nil || s.Generation > m.state.Generation || !sameShape(m.state, s)
+	if m == nil || s.Generation > m.state.Generation {
+		m = &member{speed: policy.NewSpeed(float64(s.PrefillTokensPerS), float64(s.DecodeUsPerToken)/1e6)}
+		m.view.Share = 1
+		t.byID[s.Id] = m
+	}
+	m.announced(s, now)
+	t.refresh(m, p, now)
+	return m, changed
+}
+
+// SetDrains replaces the drained upstreams and places.
+func (p *Pool) SetDrains(s DrainSet, now time.Duration) {
+	defer p.lock(upstreamsTable | queueTableBit)()
+	p.upstreams.drains = s
+	p.upstreams.refreshAll(&p.params, now, true)
+	p.unblock()
+}
+
+// speedLearned publishes a learned speed and ejects an engine that became slow.
+func (p *Pool) speedLearned(m *member, now time.Duration) {
+	m.publishSpeed()
+	if m.eject.TooSlow(&m.speed) {
+		p.eject(m, now)
+	}
+}
+
+// eject takes a member out of service unless too many of its role are.
+func (p *Pool) eject(m *member, now time.Duration) {
+	total, out := 0, 1
+	for _, o := range p.upstreams.byID {
+		if o.state.Role != m.state.Role {
+			continue
+		}
+		total++
+		if o != m && o.eject.Ejected(now) {
+			out++
+		}
+	}
+	if out*maxEjectedPart > total {
+		return
+	}
+	m.eject.Eject(now)
+	m.speed.Reset()
+	m.publishSpeed()
+	p.upstreams.refresh(m, &p.params, now)
+}
