raft: add a simulated cluster and fix what it found

Cause: the invariants of the cores were untested.

It found two faults, fixed here: - A member whose own removal wasn't committed could hold the longest log and never campaign, so no leader was elected. It may now campaign until it knows that its removal is committed. - A sole voter counted its own vote before it was durable and could vote for another candidate of the same term after a crash. The own vote now counts after Advance.

--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -30,6 +30,16 @@
 }
 
 func (n *Node) loop() error {
+	// The only voter of a group is elected before calls are taken.
+	for {
+		worked, err := n.flush()
+		if err != nil {
+			return err
+		}
+		if !worked {
+			break
+		}
+	}
 	for {
 		ticked := false
 		select {
--- /dev/null
+++ b/raft/cluster_test.go
@@ -0,0 +1,179 @@
+package raft
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"pgregory.net/rapid"
+)
+
+// porcupineLimit bounds the search over one history.
+const porcupineLimit = 5 * time.Second
+
+// defaultSeed makes the default run repeatable. A longer run with other seeds:
+//
+//	go test ./raft -run TestClusterInvariants -rapid.checks=5000 -rapid.steps=60 -rapid.seed=<n>
+const defaultSeed = "20261204"
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	setDefault("rapid.seed", defaultSeed)
+	setDefault("rapid.checks", "1000")
+	setDefault("rapid.steps", "60")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+func setDefault(name, value string) {
+	if f := flag.Lookup(name); f.Value.String() == f.DefValue {
+		_ = f.Value.Set(value)
+	}
+}
+
+// Guards against a violation of election safety, log matching, leader
+// completeness, state machine safety or read linearizability under message
+// loss, duplication, reordering, one-direction partitions, crashes, membership
+// changes and disk replacement, and against a cluster that doesn't recover.
+func TestClusterInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.SampledFrom([]int{1, 2, 3, 3, 3, 4, 5}).Draw(t, "size")
+		c := newSimCluster(rapid.Uint64().Draw(t, "seed"), size)
+		c.lossPercent = rapid.IntRange(0, 20).Draw(t, "loss")
+		c.duplicatePercent = rapid.IntRange(0, 20).Draw(t, "duplicates")
+		rate := func(name string, rates ...int) int { return rapid.SampledFrom(rates).Draw(t, name) }
+		c.rates = simRates{
+			write:   rate("write", 5, 20, 50),
+			read:    rate("read", 0, 5, 20),
+			force:   rate("force", 0, 1, 5, 20),
+			isolate: rate("isolate", 0, 1, 5),
+			heal:    rate("heal", 1, 5),
+			crash:   rate("crash", 0, 2, 10, 50),
+			restart: rate("restart", 5, 20),
+			compact: rate("compact", 0, 2, 10),
+			churn:   rate("churn", 0, 2, 20),
+			replace: rate("replace", 0, 1),
+		}
+		c.tickPercent = rapid.IntRange(5, 30).Draw(t, "ticks")
+		c.deliverPercent = rapid.IntRange(10, 50).Draw(t, "deliveries")
+		live := func(t *rapid.T) *simMember {
+			m := c.members[rapid.SampledFrom(c.ids).Draw(t, "member")]
+			if !m.up {
+				t.Skip("member is down")
+			}
+			return m
+		}
+		run := func(t *rapid.T) { c.run(rapid.IntRange(50, 1000).Draw(t, "actions")) }
+		t.Repeat(map[string]func(*rapid.T){
+			"run":       run,
+			"run again": run,
+			"crash":     func(t *rapid.T) { c.crash(live(t)) },
+			"restart":   func(*rapid.T) { c.restartAll() },
+			"isolate":   func(t *rapid.T) { c.isolate(live(t).id, true, rapid.Bool().Draw(t, "both ways")) },
+			"heal":      func(*rapid.T) { clear(c.cut) },
+			"campaign":  func(t *rapid.T) { m := live(t); m.core.Campaign(); c.observe(m) },
+			"transfer":  func(t *rapid.T) { _ = live(t).core.TransferLeadership(live(t).id) },
+			"repair":    func(*rapid.T) { c.repair(size) },
+			"": func(t *rapid.T) {
+				if c.violation != "" {
+					t.Fatal(c.violation)
+				}
+			},
+		})
+		c.requireRecovery(t, size)
+		if c.linearizable() == porcupine.Illegal {
+			t.Fatal("the history of reads and writes is not linearizable")
+		}
+	})
+}
+
+func (c *simCluster) restartAll() {
+	for _, id := range c.ids {
+		if m := c.members[id]; !m.up && !m.lost {
+			c.start(m)
+		}
+	}
+}
+
+// canLose reports whether every membership that any member may act on keeps a
+// majority of disks without m.
+func (c *simCluster) canLose(m *simMember) bool {
+	if m.lost {
+		return false
+	}
+	for _, id := range c.ids {
+		other := c.members[id]
+		if !other.up {
+			return false
+		}
+		for _, at := range other.core.log.memberships {
+			if 2*(c.lostAmong(at.membership.Voters)+1) >= len(at.membership.Voters) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// requireRecovery ends all faults and requires that the cluster elects a
+// leader, commits and replicates to all of its members.
+func (c *simCluster) requireRecovery(t *rapid.T, size int) {
+	c.lossPercent, c.duplicatePercent, c.rates = 0, 0, simRates{}
+	c.tickPercent, c.deliverPercent = defaultTickPercent, defaultDeliverPercent
+	clear(c.cut)
+	c.restartAll()
+	value := uint64(0)
+	for range 400 {
+		c.run(200)
+		if c.violation != "" {
+			t.Fatal(c.violation)
+		}
+		leader := c.leader()
+		if leader == nil {
+			continue
+		}
+		if value == 0 {
+			c.write(leader)
+			value = c.nextValue
+			continue
+		}
+		c.repair(size)
+		if c.converged(leader, value) {
+			return
+		}
+		if leader.value != value && len(leader.writes) == 0 {
+			value = 0
+		}
+	}
+	t.Fatalf("the cluster did not recover: %s", c.describe())
+}
+
+func (c *simCluster) converged(leader *simMember, value uint64) bool {
+	membership := leader.core.log.membership()
+	for _, id := range c.ids {
+		m := c.members[id]
+		if m.lost && membership.Contains(id) {
+			return false
+		}
+		if m.lost || slices.Contains(membership.Removed, id) {
+			continue
+		}
+		if m.value != value || !membership.Contains(id) {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *simCluster) describe() (text string) {
+	for _, id := range c.ids {
+		if m := c.members[id]; m.up {
+			text += fmt.Sprintf("\n%+v", m.core.Status())
+		}
+	}
+	return text
+}
--- a/raft/core.go
+++ b/raft/core.go
@@ -176,7 +176,21 @@
 	return HardState{Term: c.term, Vote: c.vote, Commit: c.log.committed}
 }
 
-func (c *Core) isVoter() bool { return c.log.membership().IsVoter(c.config.ID) }
+// canCampaign reports whether the member may start an election. A member whose
+// own removal isn't known to be committed still may, because its log may be
+// longer than that of all remaining voters, which then can't win one.
+func (c *Core) canCampaign() bool {
+	for i := len(c.log.memberships) - 1; i >= 0; i-- {
+		at := c.log.memberships[i]
+		if at.membership.IsVoter(c.config.ID) {
+			return true
+		}
+		if at.index <= c.log.committed {
+			return false
+		}
+	}
+	return false
+}
 
 func (c *Core) send(m Message) {
 	m.From = c.config.ID
--- a/raft/election.go
+++ b/raft/election.go
@@ -1,7 +1,7 @@
 package raft
 
 // Campaign starts an election at once, without waiting for the timeout. The
-// only voter of a group becomes leader before Campaign returns.
+// only voter of a group becomes leader as soon as its vote is durable.
 func (c *Core) Campaign() {
 	if c.role != Leader {
 		c.campaign(true, false)
@@ -11,7 +11,7 @@
 // campaign starts a pre-vote or a vote. transfer marks a campaign that the
 // leader asked for.
 func (c *Core) campaign(preVote, transfer bool) {
-	if !c.isVoter() {
+	if !c.canCampaign() {
 		return
 	}
 	term := c.term + 1
@@ -27,7 +27,10 @@
 		c.vote = c.config.ID
 		messageType = MsgVote
 	}
-	c.votes = map[MemberID]bool{c.config.ID: true}
+	c.votes = map[MemberID]bool{}
+	if preVote {
+		c.votes[c.config.ID] = true
+	}
 	for _, id := range c.log.membership().Voters {
 		if id == c.config.ID {
 			continue
@@ -44,6 +47,16 @@
 	c.countVotes()
 }
 
+// countOwnVote counts a candidate's vote for itself after the caller made it
+// durable. A vote counted earlier could be given again, to another candidate,
+// after a crash.
+func (c *Core) countOwnVote(saved HardState) {
+	if c.role == Candidate && saved.Term == c.term && saved.Vote == c.config.ID {
+		c.votes[c.config.ID] = true
+		c.countVotes()
+	}
+}
+
 // countVotes moves the campaign on once a majority granted or refused.
 func (c *Core) countVotes() {
 	voters := c.log.membership().Voters
--- a/raft/ready.go
+++ b/raft/ready.go
@@ -68,6 +68,7 @@
 	if c.log.matches(p.lastIndex, p.lastTerm) {
 		c.log.stable = max(c.log.stable, p.lastIndex)
 	}
+	c.countOwnVote(p.hardState)
 	c.countOwnCopy()
 }
 
--- /dev/null
+++ b/raft/sim_test.go
@@ -0,0 +1,560 @@
+package raft
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/anishathalye/porcupine"
+)
+
+// simDisk is what survives a crash of a simulated member.
+type simDisk struct {
+	hardState HardState
+	snapshot  *Snapshot
+	founding  Membership
+	// entries follow the snapshot.
+	entries []Entry
+}
+
+type simMember struct {
+	id   MemberID
+	core *Core
+	disk simDisk
+	// value and applied are the state machine: a register.
+	value   uint64
+	applied uint64
+	up      bool
+	// lost marks a member whose disk is gone; it never starts again.
+	lost     bool
+	writes   map[uint64]*simOp
+	reads    map[uint64]*simOp
+	waiting  []ReadState
+	wasLead  bool
+	lastTerm uint64
+}
+
+// simOp is one client operation of the history.
+type simOp struct {
+	id     int
+	write  bool
+	value  uint64
+	index  uint64
+	term   uint64
+	called int64
+	// returned is 0 while the outcome is unknown.
+	returned int64
+}
+
+// simCluster runs cores over a network that loses, repeats and reorders
+// messages, and checks the invariants after each action.
+type simCluster struct {
+	rng       *rand.Rand
+	members   map[MemberID]*simMember
+	ids       []MemberID
+	nextID    MemberID
+	network   [][]byte
+	cut       map[[2]MemberID]bool
+	now       int64
+	history   []*simOp
+	nextValue uint64
+	context   uint64
+
+	leaders   map[uint64]MemberID
+	entries   map[[2]uint64]entryRecord
+	committed map[uint64]committedEntry
+	// violation is the first broken invariant.
+	violation string
+
+	// Shares of the actions, and of the messages that are lost or repeated.
+	tickPercent, deliverPercent   int
+	lossPercent, duplicatePercent int
+	rates                         simRates
+}
+
+// committedEntry is an entry with a term in which it was known as committed.
+type committedEntry struct {
+	Entry
+	knownIn uint64
+}
+
+// entryRecord is what every log that holds an (index, term) must agree on.
+type entryRecord struct {
+	kind         EntryType
+	data         string
+	previousTerm uint64
+}
+
+// Shares of ticks and deliveries under which a cluster makes steady progress.
+const (
+	defaultTickPercent    = 12
+	defaultDeliverPercent = 43
+)
+
+// maxHistory bounds the search for a linearization.
+const maxHistory = 300
+
+func newSimCluster(seed uint64, size int) *simCluster {
+	c := &simCluster{
+		rng:            rand.New(rand.NewPCG(seed, 1)),
+		tickPercent:    defaultTickPercent,
+		deliverPercent: defaultDeliverPercent,
+		members:        map[MemberID]*simMember{},
+		cut:            map[[2]MemberID]bool{},
+		leaders:        map[uint64]MemberID{},
+		entries:        map[[2]uint64]entryRecord{},
+		committed:      map[uint64]committedEntry{},
+	}
+	var founding Membership
+	for i := 1; i <= size; i++ {
+		founding.Voters = append(founding.Voters, MemberID(i))
+	}
+	for _, id := range founding.Voters {
+		c.add(id, founding)
+	}
+	return c
+}
+
+func (c *simCluster) add(id MemberID, founding Membership) {
+	c.members[id] = &simMember{id: id, disk: simDisk{founding: founding}}
+	c.ids = append(c.ids, id)
+	c.nextID = max(c.nextID, id)
+	c.start(c.members[id])
+}
+
+func (c *simCluster) violate(format string, args ...any) {
+	if c.violation == "" {
+		c.violation = fmt.Sprintf(format, args...)
+	}
+}
+
+func (c *simCluster) start(m *simMember) {
+	restored := Restored{HardState: m.disk.hardState, Snapshot: SnapshotMeta{Membership: m.disk.founding}, Entries: slices.Clone(m.disk.entries)}
+	m.value, m.applied = 0, 0
+	if s := m.disk.snapshot; s != nil {
+		restored.Snapshot = s.Meta
+		m.value, m.applied = binary.BigEndian.Uint64(s.Data), s.Meta.Index
+	}
+	core, err := New(Config{ID: m.id, Seed: c.rng.Uint64(), MaxInflight: 4, MaxAppendBytes: 32, PromoteLag: 2}, restored)
+	if err != nil {
+		c.violate("member %d doesn't start: %v", m.id, err)
+		return
+	}
+	m.core, m.up = core, true
+	m.writes, m.reads, m.waiting = map[uint64]*simOp{}, map[uint64]*simOp{}, nil
+}
+
+func (c *simCluster) crash(m *simMember) {
+	m.up, m.core, m.wasLead = false, nil, false
+}
+
+// simRates are the chances of each fault and client call, per thousand actions.
+// Each run draws its own, so that some runs concentrate on a few faults.
+type simRates struct {
+	write, read, force, isolate, heal, crash, restart, compact, churn, replace int
+}
+
+// run performs n random actions.
+func (c *simCluster) run(n int) {
+	for range n {
+		if c.violation != "" {
+			return
+		}
+		c.now++
+		c.disturb()
+		switch p := c.rng.IntN(100); {
+		case p < c.tickPercent:
+			c.tick()
+		case p < c.tickPercent+c.deliverPercent:
+			c.deliver()
+		default:
+			if m := c.randomUp(); m != nil {
+				c.process(m, c.chance(c.rates.crash))
+			}
+		}
+	}
+}
+
+func (c *simCluster) chance(permille int) bool { return c.rng.IntN(1000) < permille }
+
+// disturb makes client calls and faults at the drawn rates.
+func (c *simCluster) disturb() {
+	m := c.members[c.ids[c.rng.IntN(len(c.ids))]]
+	if c.chance(c.rates.restart) && !m.up && !m.lost {
+		c.start(m)
+	}
+	if c.chance(c.rates.heal) {
+		clear(c.cut)
+	}
+	if c.chance(c.rates.isolate) {
+		c.isolate(m.id, c.rng.IntN(3) > 0, c.rng.IntN(3) > 0)
+	}
+	if c.chance(c.rates.replace) && c.canLose(m) {
+		c.replaceDisk(m)
+	}
+	if !m.up {
+		return
+	}
+	room := len(c.history) < maxHistory
+	if room && c.chance(c.rates.write) {
+		c.write(m)
+	}
+	if room && c.chance(c.rates.read) {
+		c.read(m)
+	}
+	if c.chance(c.rates.force) {
+		// Skipping the pre-vote and stickiness is safe at any time.
+		m.core.campaign(false, true)
+		c.observe(m)
+	}
+	if c.chance(c.rates.compact) {
+		c.compact(m)
+	}
+	if c.chance(c.rates.churn) {
+		c.churn(m)
+	}
+}
+
+func (c *simCluster) isolate(id MemberID, inward, outward bool) {
+	for _, other := range c.ids {
+		c.cut[[2]MemberID{other, id}] = inward
+		c.cut[[2]MemberID{id, other}] = outward
+	}
+}
+
+// churn makes a member that believes to lead change the membership at random.
+func (c *simCluster) churn(m *simMember) {
+	if m.core.Role() != Leader {
+		return
+	}
+	membership := m.core.log.membership()
+	id := c.ids[c.rng.IntN(len(c.ids))]
+	kind := RemoveMember
+	switch {
+	case !membership.Contains(id):
+		kind = AddLearner
+	case membership.IsLearner(id):
+		kind = PromoteLearner
+	case len(membership.Voters) <= 2 && c.rng.IntN(4) > 0:
+		return
+	}
+	// An operator doesn't leave a majority of lost disks.
+	remaining := slices.DeleteFunc(slices.Clone(membership.Voters), func(v MemberID) bool { return v == id })
+	if c.members[id].lost && kind == PromoteLearner || 2*c.lostAmong(remaining) >= len(remaining) {
+		return
+	}
+	if _, _, err := m.core.ChangeMembership(MembershipChange{kind, id}); err == nil && kind == RemoveMember {
+		c.add(c.nextID+1, Membership{})
+	}
+	c.observe(m)
+}
+
+func (c *simCluster) randomUp() *simMember {
+	m := c.members[c.ids[c.rng.IntN(len(c.ids))]]
+	if !m.up {
+		return nil
+	}
+	return m
+}
+
+func (c *simCluster) tick() {
+	if m := c.randomUp(); m != nil {
+		m.core.Tick()
+		c.observe(m)
+	}
+}
+
+// deliver takes a random message, so that order means nothing.
+func (c *simCluster) deliver() {
+	if len(c.network) == 0 {
+		return
+	}
+	i := c.rng.IntN(len(c.network))
+	encoded := c.network[i]
+	if c.rng.IntN(100) >= c.duplicatePercent {
+		c.network[i] = c.network[len(c.network)-1]
+		c.network = c.network[:len(c.network)-1]
+	}
+	m, err := DecodeMessage(encoded)
+	if err != nil {
+		c.violate("decoding a sent message: %v", err)
+		return
+	}
+	to := c.members[m.To]
+	if to == nil || !to.up || c.cut[[2]MemberID{m.From, m.To}] || c.rng.IntN(100) < c.lossPercent {
+		return
+	}
+	if err := to.core.Step(m); err != nil {
+		c.violate("step: %v", err)
+	}
+	c.observe(to)
+}
+
+func (c *simCluster) send(m *simMember, message Message) {
+	if message.Snapshot != nil {
+		message.Snapshot = m.disk.snapshot
+	}
+	c.network = append(c.network, AppendMessage(nil, &message))
+}
+
+// process handles one Ready; a crash happens at a random place of the contract.
+func (c *simCluster) process(m *simMember, crash bool) {
+	if !m.core.HasReady() {
+		return
+	}
+	r := m.core.Ready()
+	early := c.rng.IntN(2) == 0 && !r.VoteChanged
+	for i := range r.Messages {
+		if early && r.Messages[i].SendableBeforeSync() {
+			c.send(m, r.Messages[i])
+		}
+	}
+	if crash && c.rng.IntN(2) == 0 {
+		c.crash(m)
+		return
+	}
+	c.persist(m, &r)
+	for i := range r.Messages {
+		if !early || !r.Messages[i].SendableBeforeSync() {
+			c.send(m, r.Messages[i])
+		}
+		if crash && c.rng.IntN(2) == 0 {
+			break
+		}
+	}
+	if crash {
+		c.crash(m)
+		return
+	}
+	c.apply(m, &r)
+	m.core.Advance()
+	c.observe(m)
+}
+
+func (c *simCluster) persist(m *simMember, r *Ready) {
+	if !r.MustSync {
+		return
+	}
+	if r.Snapshot != nil {
+		m.disk.snapshot, m.disk.entries = r.Snapshot, nil
+	}
+	for _, e := range r.Entries {
+		first := m.disk.first()
+		m.disk.entries = append(slices.Clone(m.disk.entries[:e.Index-first]), e)
+		c.checkLogMatching(m, e)
+	}
+	if r.HardState != nil {
+		m.disk.hardState = *r.HardState
+	}
+}
+
+func (d *simDisk) first() uint64 {
+	if d.snapshot == nil {
+		return 1
+	}
+	return d.snapshot.Meta.Index + 1
+}
+
+// checkLogMatching: logs that hold the same (index, term) agree on that entry
+// and on the term before it, hence on all before it.
+func (c *simCluster) checkLogMatching(m *simMember, e Entry) {
+	previous, _ := m.core.log.term(e.Index - 1)
+	record := entryRecord{e.Type, string(e.Data), previous}
+	key := [2]uint64{e.Index, e.Term}
+	known, ok := c.entries[key]
+	if ok && known != record {
+		c.violate("log matching: entry %d of term %d is %v at %d, was %v", e.Index, e.Term, record, m.id, known)
+	}
+	c.entries[key] = record
+}
+
+func (c *simCluster) apply(m *simMember, r *Ready) {
+	if r.Snapshot != nil {
+		m.value, m.applied = binary.BigEndian.Uint64(r.Snapshot.Data), r.Snapshot.Meta.Index
+	}
+	for _, e := range r.CommittedEntries {
+		c.checkStateMachineSafety(m, e)
+		m.applied = e.Index
+		if e.Type == EntryNormal {
+			m.value = binary.BigEndian.Uint64(e.Data)
+		}
+		if op := m.writes[e.Index]; op != nil && op.term == e.Term {
+			op.returned = c.now
+		}
+		delete(m.writes, e.Index)
+	}
+	m.waiting = append(m.waiting, r.ReadStates...)
+	m.waiting = slices.DeleteFunc(m.waiting, func(s ReadState) bool {
+		op := m.reads[s.Context]
+		if s.Index > m.applied || op == nil {
+			return op == nil
+		}
+		op.value, op.returned = m.value, c.now
+		return true
+	})
+}
+
+// checkStateMachineSafety: no two members apply different entries at an index.
+func (c *simCluster) checkStateMachineSafety(m *simMember, e Entry) {
+	if e.Index != m.applied+1 {
+		c.violate("state machine safety: member %d applies %d after %d", m.id, e.Index, m.applied)
+	}
+	known, ok := c.committed[e.Index]
+	if ok && (known.Term != e.Term || !bytes.Equal(known.Data, e.Data)) {
+		c.violate("state machine safety: member %d applies %v at %d, another applied %v", m.id, e, e.Index, known)
+	}
+	if !ok {
+		c.committed[e.Index] = committedEntry{e, m.core.Term()}
+	}
+}
+
+// observe checks what holds of leaders.
+func (c *simCluster) observe(m *simMember) {
+	leads, term := m.core.Role() == Leader, m.core.Term()
+	if leads && (!m.wasLead || m.lastTerm != term) {
+		if other, ok := c.leaders[term]; ok && other != m.id {
+			c.violate("election safety: %d and %d lead term %d", other, m.id, term)
+		}
+		c.leaders[term] = m.id
+		c.checkLeaderCompleteness(m)
+	}
+	if !leads {
+		clear(m.reads)
+	}
+	m.wasLead, m.lastTerm = leads, term
+}
+
+// checkLeaderCompleteness: a new leader holds every entry committed before.
+func (c *simCluster) checkLeaderCompleteness(m *simMember) {
+	for index, e := range c.committed {
+		if index <= m.core.log.baseIndex || e.knownIn >= m.core.Term() {
+			continue
+		}
+		if !m.core.log.matches(index, e.Term) {
+			c.violate("leader completeness: leader %d of term %d lacks entry %d of term %d", m.id, m.core.Term(), index, e.Term)
+		}
+	}
+}
+
+func (c *simCluster) write(m *simMember) {
+	c.now++
+	c.nextValue++
+	index, term, err := m.core.Propose(binary.BigEndian.AppendUint64(nil, c.nextValue))
+	if err != nil {
+		return
+	}
+	op := &simOp{id: len(c.history), write: true, value: c.nextValue, index: index, term: term, called: c.now}
+	c.history = append(c.history, op)
+	m.writes[index] = op
+}
+
+func (c *simCluster) read(m *simMember) {
+	c.now++
+	c.context++
+	if m.core.ReadIndex(c.context) != nil {
+		return
+	}
+	op := &simOp{id: len(c.history), called: c.now}
+	c.history = append(c.history, op)
+	m.reads[c.context] = op
+}
+
+// compact takes a snapshot and keeps a few entries before it.
+func (c *simCluster) compact(m *simMember) {
+	if m.core.HasReady() || m.applied < m.disk.first() {
+		return
+	}
+	meta, err := m.core.SnapshotMeta(m.applied)
+	if err != nil {
+		c.violate("snapshot: %v", err)
+		return
+	}
+	kept := slices.Clone(m.disk.entries[m.applied-m.disk.first()+1:])
+	m.disk.snapshot = &Snapshot{Meta: meta, Data: binary.BigEndian.AppendUint64(nil, m.value)}
+	m.disk.entries = kept
+	if err := m.core.Compact(meta, uint64(c.rng.IntN(4))); err != nil {
+		c.violate("compact: %v", err)
+	}
+}
+
+// leader returns the live leader of the highest term.
+func (c *simCluster) leader() *simMember {
+	var leader *simMember
+	for _, id := range c.ids {
+		m := c.members[id]
+		if m.up && m.core.Role() == Leader && (leader == nil || m.core.Term() > leader.core.Term()) {
+			leader = m
+		}
+	}
+	return leader
+}
+
+// replaceDisk loses a member for good and starts a new one under a new id.
+func (c *simCluster) replaceDisk(m *simMember) {
+	m.lost = true
+	c.crash(m)
+	c.add(c.nextID+1, Membership{})
+}
+
+// repair moves the membership one step towards the members that are not lost.
+func (c *simCluster) repair(target int) {
+	leader := c.leader()
+	if leader == nil {
+		return
+	}
+	membership := leader.core.log.membership()
+	for _, id := range c.ids {
+		m := c.members[id]
+		switch {
+		case m.lost && membership.Contains(id) && len(membership.Voters) > 1:
+			_, _, _ = leader.core.ChangeMembership(MembershipChange{RemoveMember, id})
+		case !m.lost && membership.IsLearner(id) && len(membership.Voters) < target:
+			_, _, _ = leader.core.ChangeMembership(MembershipChange{PromoteLearner, id})
+		case !m.lost && !membership.Contains(id) && !slices.Contains(membership.Removed, id):
+			_, _, _ = leader.core.ChangeMembership(MembershipChange{AddLearner, id})
+		default:
+			continue
+		}
+		c.observe(leader)
+	}
+}
+
+func (c *simCluster) lostAmong(ids []MemberID) int {
+	lost := 0
+	for _, id := range ids {
+		if c.members[id].lost {
+			lost++
+		}
+	}
+	return lost
+}
+
+// linearizable checks the history of the register. A committed write without an
+// answer may have taken effect at any time after its call.
+func (c *simCluster) linearizable() porcupine.CheckResult {
+	model := porcupine.Model{
+		Init: func() any { return uint64(0) },
+		Step: func(state, input, output any) (bool, any) {
+			op := input.(*simOp)
+			if op.write {
+				return true, op.value
+			}
+			return op.value == state.(uint64), state
+		},
+	}
+	var operations []porcupine.Operation
+	for _, op := range c.history {
+		returned := op.returned
+		if returned == 0 && (!op.write || c.committed[op.index].Term != op.term) {
+			// Without effect: a read nobody saw or a write never committed.
+			continue
+		}
+		if returned == 0 {
+			returned = c.now + 1
+		}
+		operations = append(operations, porcupine.Operation{ClientId: op.id, Input: op, Call: op.called, Return: returned})
+	}
+	return porcupine.CheckOperationsTimeout(model, operations, porcupineLimit)
+}
