replica: test isolated leaders, failed syncs, full disks, lost disks and histories

Cause: the shell's error types and its handling of disks were untested.

Change: tests on real files and an in-process network; a history of four clients under isolation and restarts is checked with porcupine.

--- /dev/null
+++ b/internal/replica/failure_test.go
@@ -0,0 +1,340 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/stretchr/testify/require"
+
+	"godwitward.example/godwitward/raft"
+	"godwitward.example/godwitward/wal"
+)
+
+// faultFS adds failures to the file system of the operating system.
+type faultFS struct {
+	wal.OS
+	failSync, full atomic.Bool
+	syncs          atomic.Int64
+}
+
+type faultFile struct {
+	wal.File
+	fs *faultFS
+}
+
+func (f *faultFS) Create(name string) (wal.File, error) {
+	file, err := f.OS.Create(name)
+	return &faultFile{file, f}, err
+}
+
+func (f *faultFS) OpenAppend(name string) (wal.File, error) {
+	file, err := f.OS.OpenAppend(name)
+	return &faultFile{file, f}, err
+}
+
+func (f *faultFile) Write(p []byte) (int, error) {
+	if f.fs.full.Load() {
+		n, _ := f.File.Write(p[:len(p)/2])
+		return n, syscall.ENOSPC
+	}
+	return f.File.Write(p)
+}
+
+func (f *faultFile) Sync() error {
+	f.fs.syncs.Add(1)
+	if f.fs.failSync.Load() {
+		return syscall.EIO
+	}
+	return f.File.Sync()
+}
+
+func within(t testing.TB, d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// Guards against an answer of "failed" or "done" for a command whose fate an
+// isolated leader can't know, and against reads at such a leader.
+func TestIsolatedLeaderReportsUnknownOutcomeAndRefusesReads(t *testing.T) {
+	c := newTestCluster(t, 3).found()
+	c.propose("before")
+	old := c.leader()
+	c.network.Isolate(old.ID(), true)
+	read := make(chan error, 1)
+	go func() { read <- old.ReadIndex(within(t, 10*time.Second), 1) }()
+	_, err := old.Propose(within(t, 10*time.Second), 1, []byte("lost"))
+	require.ErrorIs(t, err, ErrOutcomeUnknown)
+	require.ErrorIs(t, <-read, ErrNotLeader)
+	require.Eventually(t, func() bool { return c.leader().ID() != old.ID() }, 5*time.Second, testTick)
+	_, err = old.Propose(t.Context(), 1, []byte("refused"))
+	require.ErrorIs(t, err, ErrNotLeader)
+	c.network.Isolate(old.ID(), false)
+	c.propose("after")
+	for _, id := range c.voters {
+		c.requireCommands(id, []string{"before", "after"})
+	}
+	_, err = old.Propose(t.Context(), 1, []byte("refused"))
+	var notLeader *NotLeaderError
+	require.ErrorAs(t, err, &notLeader)
+	require.Equal(t, c.leader().ID(), notLeader.Leader)
+}
+
+// Guards against work after a failed sync, and against an acknowledgement of
+// what it covered.
+func TestFailedSyncEndsTheNode(t *testing.T) {
+	c := newTestCluster(t, 1)
+	files := &faultFS{}
+	fatal := make(chan error, 1)
+	c.adjust = func(o *Options) { o.FS = files; o.OnFatal = func(err error) { fatal <- err } }
+	n := c.start(1, StartFounding)
+	c.propose("kept")
+	files.failSync.Store(true)
+	_, err := n.Propose(t.Context(), 1, []byte("unsynced"))
+	require.ErrorIs(t, err, ErrOutcomeUnknown)
+	require.ErrorIs(t, <-fatal, wal.ErrFailed)
+	require.ErrorIs(t, n.Err(), wal.ErrFailed)
+	_, err = n.Propose(t.Context(), 1, []byte("late"))
+	require.ErrorIs(t, err, ErrStopped)
+	require.Zero(t, n.Leader(1))
+}
+
+// Guards against a full disk that acknowledges commands, that ends the node,
+// or that it doesn't recover from.
+func TestFullDiskRefusesCommandsUntilThereIsRoom(t *testing.T) {
+	c := newTestCluster(t, 1)
+	files := &faultFS{}
+	c.adjust = func(o *Options) { o.FS = files }
+	n := c.start(1, StartFounding)
+	c.propose("kept")
+	files.full.Store(true)
+	first := make(chan error, 1)
+	go func() {
+		_, err := n.Propose(t.Context(), 1, []byte("waits"))
+		first <- err
+	}()
+	require.Eventually(t, func() bool { return n.diskFull.Load() }, 5*time.Second, time.Millisecond)
+	_, err := n.Propose(t.Context(), 1, []byte("refused"))
+	require.ErrorIs(t, err, ErrDiskFull)
+	require.ErrorIs(t, n.ReadIndex(t.Context(), 1), ErrDiskFull)
+	require.Empty(t, first)
+	files.full.Store(false)
+	require.NoError(t, <-first)
+	c.propose("after")
+	c.stop(1)
+	c.start(1, StartExisting)
+	c.requireCommands(1, []string{"kept", "waits", "after"})
+}
+
+// Guards against a member that votes under its old id after it lost its disk.
+func TestLostDiskNeedsANewIdentity(t *testing.T) {
+	c := newTestCluster(t, 1)
+	c.start(1, StartFounding)
+	c.stop(1)
+	options := Options{ID: 1, Voters: c.voters, Groups: map[GroupID]StateMachine{1: &journal{}}, Sender: c.network.Sender(1), Dir: t.TempDir()}
+	for _, test := range []struct {
+		name   string
+		change func(*Options)
+		want   error
+	}{
+		{"empty disk without a request to create", func(*Options) {}, ErrNoState},
+		{"used disk with a request to found", func(o *Options) { o.Dir, o.Start = c.dirs[1], StartFounding }, ErrStateExists},
+		{"used disk with a request to join", func(o *Options) { o.Dir, o.Start = c.dirs[1], StartJoining }, ErrStateExists},
+		{"disk of another member", func(o *Options) { o.Dir, o.ID = c.dirs[1], 2 }, ErrIdentity},
+		{"other groups", func(o *Options) { o.Dir = c.dirs[1]; o.Groups = map[GroupID]StateMachine{2: &journal{}} }, ErrIdentity},
+		{"founder outside the voters", func(o *Options) { o.ID, o.Start = 5, StartFounding }, ErrIdentity},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			o := options
+			test.change(&o)
+			_, err := Start(o)
+			require.ErrorIs(t, err, test.want)
+		})
+	}
+}
+
+// Guards against loss by a second failure right after a disk was replaced.
+func TestReplacedDiskJoinsAsLearnerAndCoversASecondFailure(t *testing.T) {
+	c := newTestCluster(t, 3)
+	c.adjust = func(o *Options) { o.SnapshotBytes, o.KeepEntries, o.SegmentBytes = 400, 4, 4096 }
+	c.found()
+	var want []string
+	write := func(count int) {
+		for range count {
+			want = append(want, fmt.Sprintf("command %d", len(want)))
+			c.propose(want[len(want)-1])
+		}
+	}
+	write(100)
+	lost := c.leader().ID()
+	c.stop(lost)
+	fresh := c.start(0, StartJoining)
+	c.nodes[fresh.ID()], c.machines[fresh.ID()], c.dirs[fresh.ID()] = fresh, c.machines[0], c.dirs[0]
+	delete(c.nodes, 0)
+	change := func(kind raft.ChangeKind, id MemberID) {
+		require.Eventually(t, func() bool {
+			return c.leader().ChangeMembers(within(t, 5*time.Second), 1, raft.MembershipChange{Kind: kind, Member: id}) == nil
+		}, 10*time.Second, testTick)
+	}
+	change(raft.AddLearner, fresh.ID())
+	change(raft.PromoteLearner, fresh.ID())
+	change(raft.RemoveMember, lost)
+	write(1)
+	second := c.leader().ID()
+	c.stop(second)
+	write(10)
+	for id := range c.nodes {
+		c.requireCommands(id, want)
+	}
+	err := c.leader().ChangeMembers(t.Context(), 1, raft.MembershipChange{Kind: raft.AddLearner, Member: lost})
+	require.ErrorIs(t, err, raft.ErrInvalidChange)
+	c.start(second, StartExisting)
+	c.requireCommands(second, want)
+	segments, err := filepath.Glob(filepath.Join(c.dirs[second], "*.wal"))
+	require.NoError(t, err)
+	require.LessOrEqual(t, len(segments), maxSegments+1)
+}
+
+// Guards against a transfer that loses commands or doesn't happen.
+func TestTransferLeadership(t *testing.T) {
+	c := newTestCluster(t, 3).found()
+	c.propose("before")
+	from := c.leader()
+	to := from.ID()%3 + 1
+	require.NoError(t, from.TransferLeadership(1, to))
+	require.Eventually(t, func() bool { return c.leader().ID() == to }, 5*time.Second, time.Millisecond)
+	require.ErrorIs(t, from.TransferLeadership(1, to), ErrNotLeader)
+	c.propose("after")
+	c.requireCommands(from.ID(), []string{"before", "after"})
+}
+
+// Guards against one sync for each group or command.
+func TestGroupsAndCommandsShareSyncs(t *testing.T) {
+	files := &faultFS{}
+	groups := map[GroupID]StateMachine{}
+	for id := range GroupID(16) {
+		groups[id] = &journal{}
+	}
+	n, err := Start(Options{ID: 1, Start: StartFounding, Voters: []MemberID{1}, Groups: groups, Sender: NewNetwork().Sender(1), Dir: t.TempDir(), FS: files})
+	require.NoError(t, err)
+	defer func() { require.NoError(t, n.Stop()) }()
+	require.NoError(t, n.ReadIndex(t.Context(), 0))
+	before := files.syncs.Load()
+	var wait sync.WaitGroup
+	for id := range groups {
+		for range 20 {
+			wait.Go(func() {
+				_, err := n.Propose(t.Context(), id, []byte("x"))
+				require.NoError(t, err)
+			})
+		}
+	}
+	wait.Wait()
+	require.Less(t, files.syncs.Load()-before, int64(16*20/4))
+}
+
+// Guards against a command that runs although its caller was told that it was
+// not taken.
+func TestAbandonedCallsAreTypedByWhetherTheyWereTaken(t *testing.T) {
+	c := newTestCluster(t, 3).found()
+	leader := c.leader()
+	c.propose("before")
+	c.network.Isolate(leader.ID(), true)
+	_, err := leader.Propose(within(t, testTick), 1, []byte("taken"))
+	require.ErrorIs(t, err, ErrOutcomeUnknown)
+	cancelled := &call{group: 1, done: make(chan outcome, 1)}
+	require.ErrorIs(t, leader.abandon(cancelled, context.Canceled), context.Canceled)
+	leader.takeCalls([]*call{cancelled})
+	require.Empty(t, cancelled.done)
+	_, err = leader.Propose(t.Context(), 9, nil)
+	require.ErrorIs(t, err, ErrUnknownGroup)
+}
+
+// Guards against stale reads and lost or repeated commands while leaders are
+// isolated and members restart.
+func TestHistoryOfClientsIsLinearizable(t *testing.T) {
+	c := newTestCluster(t, 3)
+	c.adjust = func(o *Options) { o.SnapshotBytes, o.KeepEntries = 200, 2 }
+	c.found()
+	c.propose("0")
+	var mu sync.Mutex
+	var history []porcupine.Operation
+	nodes := func() []*Node {
+		mu.Lock()
+		defer mu.Unlock()
+		return []*Node{c.nodes[1], c.nodes[2], c.nodes[3]}
+	}
+	began := time.Now()
+	var wait sync.WaitGroup
+	for client := range 4 {
+		wait.Go(func() {
+			for i := 0; time.Since(began) < 1500*time.Millisecond; i++ {
+				n := nodes()[(client+i)%3]
+				time.Sleep(2 * time.Millisecond)
+				if n == nil {
+					continue
+				}
+				operation := porcupine.Operation{ClientId: client, Call: time.Since(began).Nanoseconds()}
+				ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+				var err error
+				if i%2 == 0 {
+					operation.Input = fmt.Sprint(client, "/", i)
+					_, err = n.Propose(ctx, 1, []byte(operation.Input.(string)))
+				} else if err = n.ReadIndex(ctx, 1); err == nil {
+					err = n.inspect(1, func(g *group) error {
+						commands := g.machine.(*journal).Commands
+						operation.Output = commands[len(commands)-1]
+						return nil
+					})
+				}
+				cancel()
+				operation.Return = time.Since(began).Nanoseconds()
+				unknown := operation.Input != nil && errors.Is(err, ErrOutcomeUnknown)
+				if err != nil && !unknown {
+					continue
+				}
+				if unknown {
+					operation.Return = time.Hour.Nanoseconds()
+				}
+				mu.Lock()
+				history = append(history, operation)
+				mu.Unlock()
+			}
+		})
+	}
+	for round := range 6 {
+		time.Sleep(200 * time.Millisecond)
+		id := MemberID(round%3 + 1)
+		if round%2 == 0 {
+			id = c.leader().ID()
+			c.network.Isolate(id, true)
+			time.Sleep(50 * time.Millisecond)
+			c.network.Isolate(id, false)
+			continue
+		}
+		mu.Lock()
+		c.stop(id)
+		c.start(id, StartExisting)
+		mu.Unlock()
+	}
+	wait.Wait()
+	require.Greater(t, len(history), 100)
+	result := porcupine.CheckOperationsTimeout(porcupine.Model{
+		Init: func() any { return "0" },
+		Step: func(state, input, output any) (bool, any) {
+			if input != nil {
+				return true, input
+			}
+			return output == state, state
+		},
+	}, history, 20*time.Second)
+	require.NotEqual(t, porcupine.Illegal, result)
+}
