gwctl: add the operators' command line

Cause: operators control the system through typed calls only and need a command for each of them.

Change: internal/operator holds the commands (routes, configuration, drains, orders, leases, requests, members, time line) with tables or JSON, a diff before each change, dry run, TLS flags, an environment variable for each flag, and exit codes for usage, invalid, conflict, unavailable and not confirmed. Commands that are safe to repeat move on to other members. The recorded digest of a change leaves out its base version, because a repeated command reads a newer one. control.Options gains ValidateChange.

Conclusion: exit codes, findings, conflicts and resends behave as documented (go test -race ./internal/operator).

--- /dev/null
+++ b/cmd/gwctl/main.go
@@ -0,0 +1,13 @@
+// Command gwctl is the operators' command line. Its exit codes are documented
+// in package operator.
+package main
+
+import (
+	"os"
+
+	"godwitward.example/godwitward/internal/operator"
+)
+
+func main() {
+	os.Exit(operator.Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
+}
--- a/internal/control/changeset/changeset.go
+++ b/internal/control/changeset/changeset.go
@@ -61,11 +61,11 @@
 
 func putRoute(next *pb.Config, r *pb.Route) Result {
 	if r.GetName() == "" {
-		return invalid("route.name", "is empty")
+		return invalid("put_route.name", "is empty")
 	}
 	for _, other := range next.Routes {
 		if other.Name != r.Name && other.Path == r.Path {
-			return invalid("route.path", "is already used by route "+other.Name)
+			return invalid("put_route.path", "is already used by route "+other.Name)
 		}
 	}
 	i, ok := search(next.Routes, r.Name)
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -174,9 +174,9 @@
 		return o.store.conflict(change.BaseVersion)
 	}
 	res := changeset.Apply(cfg, change)
-	findings := res.Findings
-	if r := change.GetPutRoute(); r != nil && o.opts.Validate != nil {
-		findings = append(o.opts.Validate(r), findings...)
+	findings := o.validate(cfg, change)
+	if len(findings) == 0 {
+		findings = res.Findings
 	}
 	switch {
 	case res.Code == pb.ChangeOutcome_NOT_FOUND && !dryRun:
@@ -191,6 +191,18 @@
 	return nil
 }
 
+// validate returns the findings of the configured checks.
+func (o *operators) validate(cfg *pb.Config, change *pb.ConfigChange) []*pb.Finding {
+	var out []*pb.Finding
+	if r := change.GetPutRoute(); r != nil && o.opts.Validate != nil {
+		out = o.opts.Validate(r)
+	}
+	if o.opts.ValidateChange != nil {
+		out = append(out, o.opts.ValidateChange(cfg, change)...)
+	}
+	return out
+}
+
 func reusedOutcome(version uint64) *pb.ChangeOutcome {
 	return &pb.ChangeOutcome{
 		Code:     pb.ChangeOutcome_INVALID,
--- a/internal/control/operator_read.go
+++ b/internal/control/operator_read.go
@@ -160,7 +160,7 @@
 	}
 	req.Msg.Order.FencingToken = leases[0].FencingToken
 	resp := &pb.OrderEngineResponse{}
-	if err := o.forward(ctx, leases[0], transport.MethodOrder, req.Msg, resp); err != nil {
+	if err := o.forward(ctx, leases[0], transport.MethodOrder, req.Msg.Order, resp); err != nil {
 		return nil, err
 	}
 	o.event("engine.ordered", "", "operator", operatorFrom(ctx), "upstream", req.Msg.Order.UpstreamId, "result", resp.Result)
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -49,6 +49,9 @@
 	Start func(machines []StateMachine) (Replication, error)
 	// Validate returns what is wrong with a route. Nil accepts every route.
 	Validate func(*pb.Route) []*pb.Finding
+	// ValidateChange returns what is wrong with a change to the given
+	// configuration. It may replace or complement Validate.
+	ValidateChange func(current *pb.Config, change *pb.ConfigChange) []*pb.Finding
 	// Authorize decides on an operator's action; nil allows all. change is
 	// false for reads.
 	Authorize func(operator string, change bool) error
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -195,12 +195,14 @@
 	}
 }
 
-// changeDigest covers what the operator sent, without the fields that the
-// server sets.
+// changeDigest covers what the operator wants, without the fields that the
+// server sets. The base version is left out: whoever repeats a command after a
+// lost answer may have read a newer version in between.
 func changeDigest(change *pb.ConfigChange) [sha256.Size]byte {
 	c := proto.Clone(change).(*pb.ConfigChange)
 	c.Operator = ""
 	c.TimeMs = 0
+	c.BaseVersion = 0
 	raw, err := proto.MarshalOptions{Deterministic: true}.Marshal(c)
 	if err != nil {
 		// Marshalling a message that was decoded before fails only on invalid
--- /dev/null
+++ b/internal/operator/app.go
@@ -0,0 +1,144 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os/user"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
+)
+
+// Exit codes of Main; see the package documentation.
+const (
+	ExitOK          = 0
+	ExitUsage       = 1
+	ExitInvalid     = 2
+	ExitConflict    = 3
+	ExitUnavailable = 4
+	ExitUnconfirmed = 5
+)
+
+const (
+	defaultAddress = "127.0.0.1:7301"
+	// defaultTimeout covers the 7 s in which a change comes into force and one
+	// change of leader.
+	defaultTimeout = 15 * time.Second
+)
+
+const (
+	formatTable = "table"
+	formatJSON  = "json"
+)
+
+// cli holds the flags and the streams of one run.
+type cli struct {
+	stdin  io.Reader
+	stdout io.Writer
+	stderr io.Writer
+
+	addresses []string
+	output    string
+	timeout   time.Duration
+	requestID string
+	operator  string
+	tls       tlsFlags
+
+	ring *ring
+}
+
+// action runs one command and returns its exit code.
+type action func(ctx context.Context) (code int, err error)
+
+// Main runs gwctl with the given arguments (without the program name) and
+// returns the exit code.
+func Main(args []string, stdin io.Reader, stdout, stderr io.Writer) int {
+	c := &cli{stdin: stdin, stdout: stdout, stderr: stderr}
+	app := kingpin.New("gwctl", "Operate a godwitward installation. Exit codes: 0 ok, 1 usage, 2 invalid, 3 version conflict, 4 unavailable, 5 accepted but not confirmed.")
+	app.DefaultEnvars()
+	app.UsageWriter(stderr)
+	app.ErrorWriter(stderr)
+	helped := false
+	app.Terminate(func(int) { helped = true })
+	c.addFlags(app)
+	actions := map[string]action{}
+	c.addRouteCommands(app, actions)
+	c.addConfigCommands(app, actions)
+	c.addDrainCommands(app, actions)
+	c.addRuntimeCommands(app, actions)
+	c.addMemberCommands(app, actions)
+	command, err := app.Parse(args)
+	if helped {
+		return ExitOK
+	}
+	if err != nil {
+		fmt.Fprintf(stderr, "gwctl: %v; see gwctl --help\n", err)
+		return ExitUsage
+	}
+	return c.run(actions[command])
+}
+
+func (c *cli) addFlags(app *kingpin.Application) {
+	app.Flag("address", "Operator address of a control member (host:port); repeat for several.").
+		Short('a').Default(defaultAddress).StringsVar(&c.addresses)
+	app.Flag("output", "Format of the output.").Short('o').Default(formatTable).EnumVar(&c.output, formatTable, formatJSON)
+	app.Flag("timeout", "Longest time for the whole command.").Default(defaultTimeout.String()).DurationVar(&c.timeout)
+	app.Flag("request-id", "Request id of a change; reuse it to repeat a command whose answer was lost.").StringVar(&c.requestID)
+	app.Flag("operator", "Name recorded with changes when no client certificate is used.").Default(userName()).StringVar(&c.operator)
+	c.tls.add(app)
+}
+
+func userName() string {
+	u, err := user.Current()
+	if err != nil {
+		return ""
+	}
+	return u.Username
+}
+
+func (c *cli) run(a action) int {
+	if err := c.connect(); err != nil {
+		c.fail(err)
+		return ExitUsage
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), c.timeout)
+	defer cancel()
+	code, err := a(ctx)
+	if err != nil {
+		c.fail(err)
+		if code == ExitOK {
+			code = codeOf(err)
+		}
+	}
+	return code
+}
+
+func (c *cli) fail(err error) {
+	fmt.Fprintf(c.stderr, "gwctl: %v\n", err)
+}
+
+// connect prepares the connection; nothing is dialed yet.
+func (c *cli) connect() error {
+	cfg, err := c.tls.config()
+	if err != nil {
+		return err
+	}
+	var addresses []string
+	for _, a := range c.addresses {
+		// One environment variable names several addresses.
+		for _, part := range strings.FieldsFunc(a, func(r rune) bool { return r == ',' || r == '\n' || r == ' ' }) {
+			if cfg == nil && !c.tls.plaintext && !isLoopback(part) {
+				return errors.Errorf("address %s: plaintext is accepted on loopback only; set the TLS flags or --allow-plaintext", part)
+			}
+			addresses = append(addresses, part)
+		}
+	}
+	if len(addresses) == 0 {
+		return errors.New("no --address is given")
+	}
+	c.ring = newRing(addresses, cfg, c.operator)
+	return nil
+}
--- /dev/null
+++ b/internal/operator/change.go
@@ -0,0 +1,241 @@
+package operator
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"os"
+
+	"connectrpc.com/connect"
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/api/godwitward/v1/godwitwardv1connect"
+	"godwitward.example/godwitward/internal/control/changeset"
+)
+
+// requestIDBytes is the length of a generated request id.
+const requestIDBytes = 16
+
+// changeFlags are common to all commands that change the configuration.
+type changeFlags struct {
+	dryRun bool
+	base   uint64
+}
+
+func (f *changeFlags) add(cmd *kingpin.CmdClause) {
+	cmd.Flag("dry-run", "Validate only; nothing is changed.").BoolVar(&f.dryRun)
+	cmd.Flag("base-version", "Version that the change replaces; the current one by default.").Uint64Var(&f.base)
+}
+
+func (c *cli) addRouteCommands(app *kingpin.Application, actions map[string]action) {
+	routes := app.Command("route", "Manage routes.")
+	c.addPut(routes.Command("put", "Create or replace a route."), actions)
+	c.addCutover(routes, actions)
+
+	var deleteFlags changeFlags
+	del := routes.Command("delete", "Delete a route.")
+	delName := del.Arg("name", "Route name.").Required().String()
+	deleteFlags.add(del)
+	actions[del.FullCommand()] = func(ctx context.Context) (int, error) {
+		return c.change(ctx, &pb.ConfigChange{Change: &pb.ConfigChange_DeleteRoute{DeleteRoute: *delName}}, deleteFlags)
+	}
+
+	get := routes.Command("get", "Print one route.")
+	getName := get.Arg("name", "Route name.").Required().String()
+	actions[get.FullCommand()] = func(ctx context.Context) (int, error) { return c.routeGet(ctx, *getName) }
+
+	list := routes.Command("list", "List the routes.")
+	actions[list.FullCommand()] = c.routeList
+
+	diff := routes.Command("diff", "Show what a route file would change.")
+	diffFile := diff.Flag("file", "Route as protobuf JSON; - reads standard input.").Short('f').Required().String()
+	actions[diff.FullCommand()] = func(ctx context.Context) (int, error) { return c.routeDiff(ctx, *diffFile) }
+}
+
+func (c *cli) addPut(cmd *kingpin.CmdClause, actions map[string]action) {
+	var flags changeFlags
+	file := cmd.Flag("file", "Route as protobuf JSON; - reads standard input.").Short('f').Required().String()
+	flags.add(cmd)
+	actions[cmd.FullCommand()] = func(ctx context.Context) (int, error) {
+		r, err := c.readRoute(*file)
+		if err != nil {
+			return ExitInvalid, err
+		}
+		return c.change(ctx, &pb.ConfigChange{Change: &pb.ConfigChange_PutRoute{PutRoute: r}}, flags)
+	}
+}
+
+func (c *cli) addCutover(routes *kingpin.CmdClause, actions map[string]action) {
+	var flags changeFlags
+	cmd := routes.Command("cutover", "Move a route to another service, or show how far a cutover is.")
+	name := cmd.Arg("name", "Route name.").Required().String()
+	to := cmd.Flag("to", "Service that receives new work; without it the progress is shown.").String()
+	flags.add(cmd)
+	actions[cmd.FullCommand()] = func(ctx context.Context) (int, error) {
+		if *to == "" {
+			return c.cutoverStatus(ctx, *name)
+		}
+		return c.change(ctx, &pb.ConfigChange{Change: &pb.ConfigChange_Cutover{
+			Cutover: &pb.RouteCutover{Route: *name, ToService: *to},
+		}}, flags)
+	}
+}
+
+func (c *cli) addDrainCommands(app *kingpin.Application, actions map[string]action) {
+	upstreams := app.Command("upstream", "Manage upstreams.")
+	c.addUpstreamList(upstreams, actions)
+	c.addDrain(upstreams, "upstream id", func(id string) *pb.Drain { return &pb.Drain{UpstreamId: id} }, actions)
+	places := app.Command("place", "Manage places.")
+	c.addDrain(places, "place", func(name string) *pb.Drain { return &pb.Drain{Place: name} }, actions)
+}
+
+func (c *cli) addDrain(parent *kingpin.CmdClause, arg string, drain func(string) *pb.Drain, actions map[string]action) {
+	var drainFlags, returnFlags changeFlags
+	out := parent.Command("drain", "Keep new work away.")
+	outName := out.Arg("name", "The "+arg+".").Required().String()
+	drainFlags.add(out)
+	actions[out.FullCommand()] = func(ctx context.Context) (int, error) {
+		return c.change(ctx, &pb.ConfigChange{Change: &pb.ConfigChange_AddDrain{AddDrain: drain(*outName)}}, drainFlags)
+	}
+	back := parent.Command("return", "Allow new work again.")
+	backName := back.Arg("name", "The "+arg+".").Required().String()
+	returnFlags.add(back)
+	actions[back.FullCommand()] = func(ctx context.Context) (int, error) {
+		return c.change(ctx, &pb.ConfigChange{Change: &pb.ConfigChange_RemoveDrain{RemoveDrain: drain(*backName)}}, returnFlags)
+	}
+}
+
+func (c *cli) readRoute(file string) (*pb.Route, error) {
+	raw, err := c.readFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "reading route")
+	}
+	r := &pb.Route{}
+	return r, errors.Wrapf(protojson.Unmarshal(raw, r), "reading route %s", file)
+}
+
+func (c *cli) readFile(file string) ([]byte, error) {
+	// kingpin passes a lone "-" as an empty value.
+	if file == "-" || file == "" {
+		return io.ReadAll(c.stdin)
+	}
+	return os.ReadFile(file)
+}
+
+func (c *cli) config(ctx context.Context) (*pb.Config, error) {
+	resp, err := retry(ctx, c.ring, func(ctx context.Context, s godwitwardv1connect.OperatorServiceClient) (*connect.Response[pb.GetConfigResponse], error) {
+		return s.GetConfig(ctx, connect.NewRequest(&pb.GetConfigRequest{}))
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "reading configuration")
+	}
+	return resp.Msg.Config, nil
+}
+
+// change shows what a change does and sends it. A repetition after a lost
+// answer carries the same request id, so the store executes it once.
+func (c *cli) change(ctx context.Context, change *pb.ConfigChange, flags changeFlags) (int, error) {
+	cfg, err := c.config(ctx)
+	if err != nil {
+		return ExitUnavailable, err
+	}
+	change.RequestId = c.requestID
+	if change.RequestId == "" {
+		change.RequestId = newRequestID()
+	}
+	change.BaseVersion = flags.base
+	if change.BaseVersion == 0 {
+		change.BaseVersion = cfg.Version
+	}
+	if c.output == formatTable {
+		c.printDiff(cfg, change)
+	}
+	resp, err := retry(ctx, c.ring, func(ctx context.Context, s godwitwardv1connect.OperatorServiceClient) (*connect.Response[pb.ChangeConfigResponse], error) {
+		return s.ChangeConfig(ctx, connect.NewRequest(&pb.ChangeConfigRequest{Change: change, DryRun: flags.dryRun}))
+	})
+	if err != nil {
+		return c.changeFailed(change, err)
+	}
+	return c.changeAnswered(change, resp.Msg, flags.dryRun)
+}
+
+// changeFailed ends a change without an answer. Only a refusal proves that
+// nothing was committed.
+func (c *cli) changeFailed(change *pb.ConfigChange, err error) (int, error) {
+	switch connect.CodeOf(err) {
+	case connect.CodeInvalidArgument:
+		return ExitInvalid, err
+	case connect.CodePermissionDenied, connect.CodeUnauthenticated, connect.CodeFailedPrecondition:
+		return ExitUnavailable, err
+	}
+	return ExitUnconfirmed, errors.Wrapf(err, "the outcome is not known; repeat the command with --request-id %s", change.RequestId)
+}
+
+func (c *cli) changeAnswered(change *pb.ConfigChange, resp *pb.ChangeConfigResponse, dryRun bool) (int, error) {
+	if c.output == formatJSON {
+		if err := c.printJSON(resp); err != nil {
+			return ExitOK, err
+		}
+	}
+	out := resp.Outcome
+	switch out.GetCode() {
+	case pb.ChangeOutcome_ACCEPTED:
+		return c.changeAccepted(change, resp, dryRun)
+	case pb.ChangeOutcome_VERSION_CONFLICT:
+		c.printMissed(out)
+		return ExitConflict, errors.Errorf("version %d was replaced; the current version is %d", change.BaseVersion, out.Version)
+	}
+	c.printFindings(out.GetFindings())
+	return ExitInvalid, errors.Errorf("the change was refused: %s", out.GetCode())
+}
+
+func (c *cli) changeAccepted(change *pb.ConfigChange, resp *pb.ChangeConfigResponse, dryRun bool) (int, error) {
+	switch {
+	case dryRun:
+		c.say("valid; nothing was changed")
+	case resp.InForce:
+		c.say("version %d is in force (request id %s)", resp.Outcome.Version, change.RequestId)
+	default:
+		return ExitUnconfirmed, errors.Errorf("version %d is accepted and not yet confirmed in force; repeat the command with --request-id %s", resp.Outcome.Version, change.RequestId)
+	}
+	return ExitOK, nil
+}
+
+// say prints a line for people.
+func (c *cli) say(format string, args ...any) {
+	if c.output == formatTable {
+		fmt.Fprintf(c.stdout, format+"\n", args...)
+	}
+}
+
+func (c *cli) printFindings(findings []*pb.Finding) {
+	for _, f := range findings {
+		fmt.Fprintf(c.stderr, "%s: %s\n", f.Field, f.Message)
+	}
+}
+
+func (c *cli) printMissed(out *pb.ChangeOutcome) {
+	for _, m := range out.Missed {
+		fmt.Fprintf(c.stderr, "missed change by %s at %s: %s\n", m.Operator, formatTime(m.TimeMs), describe(m))
+	}
+}
+
+// printDiff shows the effect of a change on the configuration.
+func (c *cli) printDiff(cfg *pb.Config, change *pb.ConfigChange) {
+	res := changeset.Apply(cfg, change)
+	if res.Code != pb.ChangeOutcome_ACCEPTED {
+		return
+	}
+	fmt.Fprint(c.stdout, diffConfigs(cfg, res.Config))
+}
+
+func newRequestID() string {
+	raw := make([]byte, requestIDBytes)
+	_, _ = rand.Read(raw)
+	return hex.EncodeToString(raw)
+}
