control: replicate over several members with package replica

Cause: the store ran on one member in memory.

Change: Options.Cluster starts package replica under the state machines. The leadership of the ledger's groups follows group 0. Members are added and removed in all groups; addresses of added members are replicated, so members that restart know them.

--- a/internal/control/client/client_test.go
+++ b/internal/control/client/client_test.go
@@ -34,7 +34,7 @@
 	opts.LeaseTTL = testTTL
 	srv, err := control.New(opts)
 	require.NoError(t, err)
-	t.Cleanup(srv.Close)
+	t.Cleanup(func() { require.NoError(t, srv.Close()) })
 	ts := transport.NewServer(transport.Options{})
 	srv.Register(ts)
 	go func() { _ = ts.Serve(l) }()
--- /dev/null
+++ b/internal/control/cluster.go
@@ -0,0 +1,210 @@
+package control
+
+import (
+	"context"
+	"crypto/tls"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/replica"
+	"godwitward.example/godwitward/internal/timeline"
+	"godwitward.example/godwitward/internal/transport"
+)
+
+// ClusterOptions configure a Cluster.
+type ClusterOptions struct {
+	// ID is this member's id.
+	ID uint64
+	// Dir is the directory of the log and the snapshots.
+	Dir string
+	// Start tells what is expected on the disk.
+	Start replica.StartMode
+	// Members maps the founding members to their internal addresses. A member
+	// that joins lists the existing ones.
+	Members map[uint64]string
+
+	Self     *pb.Hello
+	TLS      *tls.Config
+	Clock    *timeline.Clock
+	Logger   *log.Logger
+	Recorder *timeline.Recorder
+	// OnFatal is called once when the log fails; the process must end.
+	OnFatal func(error)
+
+	// Tick, Seed and SnapshotBytes are passed to package replica.
+	Tick          time.Duration
+	Seed          uint64
+	SnapshotBytes int
+}
+
+// Cluster replicates over several members with package replica. It implements
+// Replication and MemberChanger.
+type Cluster struct {
+	opts   ClusterOptions
+	node   *replica.Node
+	groups int
+	stop   chan struct{}
+	done   chan struct{}
+
+	mu        sync.Mutex
+	addresses map[uint64]string
+	links     map[uint64]*link
+	closed    bool
+}
+
+// colocateInterval is the time between two looks at where the groups are led.
+const colocateInterval = 250 * time.Millisecond
+
+// startCluster starts replication of the given state machines.
+func startCluster(opts ClusterOptions, machines []StateMachine, st *store) (*Cluster, error) {
+	c := &Cluster{
+		opts: opts, groups: len(machines), stop: make(chan struct{}), done: make(chan struct{}),
+		addresses: map[uint64]string{}, links: map[uint64]*link{},
+	}
+	var voters []replica.MemberID
+	for id, address := range opts.Members {
+		c.addresses[id] = address
+		voters = append(voters, replica.MemberID(id))
+	}
+	st.onMember = c.setAddress
+	groups := map[replica.GroupID]replica.StateMachine{}
+	for i, m := range machines {
+		groups[replica.GroupID(i)] = m
+	}
+	node, err := replica.Start(replica.Options{
+		ID: replica.MemberID(opts.ID), Start: opts.Start, Voters: voters, Groups: groups, Sender: c,
+		Dir: opts.Dir, Tick: opts.Tick, Seed: opts.Seed, SnapshotBytes: opts.SnapshotBytes,
+		OnFatal: opts.OnFatal, Logger: opts.Logger,
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "starting replica")
+	}
+	c.node = node
+	go c.colocate()
+	return c, nil
+}
+
+// Stop ends the node, its log and its links.
+func (c *Cluster) Stop() error {
+	close(c.stop)
+	<-c.done
+	err := c.node.Stop()
+	c.mu.Lock()
+	c.closed = true
+	links := c.links
+	c.links = map[uint64]*link{}
+	c.mu.Unlock()
+	for _, l := range links {
+		l.close()
+	}
+	return err
+}
+
+// Propose implements Replication.
+func (c *Cluster) Propose(ctx context.Context, group uint32, data []byte) (any, error) {
+	res, err := c.node.Propose(ctx, replica.GroupID(group), data)
+	return res, clusterError(err)
+}
+
+// ReadIndex implements Replication.
+func (c *Cluster) ReadIndex(ctx context.Context, group uint32) error {
+	return clusterError(c.node.ReadIndex(ctx, replica.GroupID(group)))
+}
+
+// Leader implements Replication.
+func (c *Cluster) Leader(group uint32) (id uint64, isSelf bool, term uint64) {
+	term, isSelf = c.node.Leads(replica.GroupID(group))
+	return uint64(c.node.Leader(replica.GroupID(group))), isSelf, term
+}
+
+func clusterError(err error) error {
+	if errors.Is(err, replica.ErrNotLeader) {
+		return ErrNotLeader
+	}
+	return err
+}
+
+// Send implements replica.Sender.
+func (c *Cluster) Send(to replica.MemberID, messages []replica.GroupMessage) {
+	if l := c.link(uint64(to)); l != nil {
+		l.send(messages)
+	}
+}
+
+// link returns the link to a member, nil when its address is not known.
+func (c *Cluster) link(id uint64) *link {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return nil
+	}
+	if l := c.links[id]; l != nil {
+		return l
+	}
+	address := c.addresses[id]
+	if address == "" {
+		return nil
+	}
+	l := newLink(address, transport.Options{Self: c.opts.Self, TLS: c.opts.TLS, Clock: c.opts.Clock, Logger: c.opts.Logger})
+	c.links[id] = l
+	return l
+}
+
+// setAddress notes where a member is reached.
+func (c *Cluster) setAddress(id uint64, address string) {
+	if address == "" {
+		return
+	}
+	c.mu.Lock()
+	old := c.links[id]
+	same := c.addresses[id] == address
+	c.addresses[id] = address
+	if !same {
+		delete(c.links, id)
+	}
+	c.mu.Unlock()
+	if !same && old != nil {
+		// The caller may be the node's goroutine, which must not wait.
+		go old.close()
+	}
+}
+
+// register adds the members' call to a transport server.
+func (c *Cluster) register(t *transport.Server) {
+	t.Handle(transport.MethodRaft, func(ctx context.Context, st *transport.Stream) error {
+		return receiveRaft(st, func(group uint32, message []byte) {
+			// A refused message counts as lost.
+			_ = c.node.Step(replica.GroupID(group), message)
+		})
+	})
+}
+
+// colocate moves the leadership of the ledger's groups to the leader of group
+// 0, so that daemons find one member for all calls and membership can be
+// changed in all groups from there. It ends with Stop.
+func (c *Cluster) colocate() {
+	defer close(c.done)
+	ticker := time.NewTicker(colocateInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-c.stop:
+			return
+		case <-ticker.C:
+		}
+		to := c.node.Leader(replica.GroupID(storeGroup))
+		if to == 0 || uint64(to) == c.opts.ID {
+			continue
+		}
+		for g := 1; g < c.groups; g++ {
+			if _, leads := c.node.Leads(replica.GroupID(g)); leads {
+				// A refusal is repeated at the next tick.
+				_ = c.node.TransferLeadership(replica.GroupID(g), to)
+			}
+		}
+	}
+}
--- a/internal/control/command.go
+++ b/internal/control/command.go
@@ -22,6 +22,9 @@
 	// (daemon_id: member id, vm: internal address, place: operator address),
 	// after its term.
 	commandLeader
+	// commandMember carries the internal address of a member that is being
+	// added, in the same fields.
+	commandMember
 	// commandClaim carries a ClaimRequest after the leader's time.
 	commandClaim
 	// commandRecord carries a RecordRequest after the leader's time.
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -32,14 +32,6 @@
 	maxHistoryPage = 1000
 )
 
-// MemberChanger lists and changes the members of the control store.
-type MemberChanger interface {
-	Members(ctx context.Context) ([]*pb.Member, error)
-	// Change adds a member when add is set, then removes one when remove is
-	// not 0.
-	Change(ctx context.Context, add *pb.Member, remove uint64) error
-}
-
 // operators implements godwitwardv1connect.OperatorServiceHandler.
 type operators struct {
 	*Server
@@ -104,6 +96,9 @@
 	if err == nil {
 		return nil
 	}
+	if errors.Is(err, ErrNotLeader) {
+		err = o.notLeader(storeGroup)
+	}
 	if errors.Is(err, context.DeadlineExceeded) {
 		return connect.NewError(connect.CodeDeadlineExceeded, err)
 	}
--- a/internal/control/operator_read.go
+++ b/internal/control/operator_read.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"time"
 
 	"connectrpc.com/connect"
@@ -204,11 +205,11 @@
 }
 
 func (o *operators) members(ctx context.Context) ([]*pb.Member, error) {
-	if o.opts.Members == nil {
+	if o.cluster == nil {
 		id, _, _ := o.repl.Leader(storeGroup)
 		return []*pb.Member{{Id: id, Address: o.opts.Address, Leader: true}}, nil
 	}
-	members, err := o.opts.Members.Members(ctx)
+	members, err := o.cluster.Members(ctx)
 	return members, o.connectError(err)
 }
 
@@ -220,13 +221,16 @@
 	if err := o.confirm(ctx); err != nil {
 		return nil, o.connectError(err)
 	}
-	if o.opts.Members == nil {
+	if o.cluster == nil {
 		return nil, connect.NewError(connect.CodeUnimplemented, errors.New("this store has a single member without replication"))
 	}
 	if req.Msg.Add == nil && req.Msg.Remove == 0 {
 		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("one of add and remove is required"))
 	}
-	if err := o.opts.Members.Change(ctx, req.Msg.Add, req.Msg.Remove); err != nil {
+	if err := o.announceMember(ctx, req.Msg.Add); err != nil {
+		return nil, o.connectError(err)
+	}
+	if err := o.cluster.Change(ctx, req.Msg.Add, req.Msg.Remove); err != nil {
 		return nil, o.connectError(err)
 	}
 	members, err := o.members(ctx)
@@ -236,6 +240,22 @@
 	return connect.NewResponse(&pb.ChangeMembersResponse{Members: members}), nil
 }
 
+// announceMember tells all members the address of one that is being added.
+func (o *operators) announceMember(ctx context.Context, add *pb.Member) error {
+	if add == nil {
+		return nil
+	}
+	if add.Id == 0 || add.Address == "" {
+		return transport.Errorf(pb.Status_INVALID, "the added member needs an id and an address")
+	}
+	data, err := encodeCommand(commandMember, &pb.Hello{DaemonId: strconv.FormatUint(add.Id, 10), Vm: add.Address})
+	if err != nil {
+		return err
+	}
+	_, err = o.propose(ctx, storeGroup, data)
+	return err
+}
+
 // GetEvents returns recent events of this process. Every member answers.
 func (o *operators) GetEvents(ctx context.Context, req *connect.Request[pb.EventsRequest]) (*connect.Response[pb.EventsResponse], error) {
 	if err := o.authorize(ctx, false); err != nil {
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -44,9 +44,9 @@
 	// Shards is the number of ledger groups, at most bucket.Count. It must never
 	// change for an existing store.
 	Shards int
-	// Start begins the replication of the state machines, one for each group.
-	// Nil means a Memory of one member.
-	Start func(machines []StateMachine) (Replication, error)
+	// Cluster replicates over several members or, with one member, to its
+	// disk. Nil means a Memory of one member without persistence.
+	Cluster *ClusterOptions
 	// Validate returns what is wrong with a route. Nil accepts every route.
 	Validate func(*pb.Route) []*pb.Finding
 	// ValidateChange returns what is wrong with a change to the given
@@ -55,8 +55,6 @@
 	// Authorize decides on an operator's action; nil allows all. change is
 	// false for reads.
 	Authorize func(operator string, change bool) error
-	// Members changes the membership; nil answers Unimplemented.
-	Members MemberChanger
 
 	ServingTTL        time.Duration
 	LeaseTTL          time.Duration
@@ -98,6 +96,7 @@
 type Server struct {
 	opts    Options
 	repl    Replication
+	cluster *Cluster
 	store   *store
 	shards  []*shard
 	reader  *reader
@@ -112,8 +111,7 @@
 	lead leading
 }
 
-// New returns a member and starts its replication. Close stops it; the
-// replication itself is stopped by whoever made it.
+// New returns a member and starts its replication, which Close stops.
 func New(opts Options) (*Server, error) {
 	opts.setDefaults()
 	if opts.Shards < 1 || opts.Shards > bucket.Count {
@@ -128,14 +126,8 @@
 		s.shards = append(s.shards, sh)
 		machines = append(machines, sh)
 	}
-	if opts.Start == nil {
-		s.repl = NewMemory(opts.ID, machines)
-	} else {
-		repl, err := opts.Start(machines)
-		if err != nil {
-			return nil, errors.Wrap(err, "starting replication")
-		}
-		s.repl = repl
+	if err := s.replicate(machines); err != nil {
+		return nil, err
 	}
 	s.reader = &reader{repl: s.repl, group: storeGroup}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -144,11 +136,31 @@
 	return s, nil
 }
 
-// Close stops the member's own goroutine and its connections to schedulers.
-func (s *Server) Close() {
+func (s *Server) replicate(machines []StateMachine) error {
+	if s.opts.Cluster == nil {
+		s.repl = NewMemory(s.opts.ID, machines)
+		return nil
+	}
+	opts := *s.opts.Cluster
+	opts.ID = s.opts.ID
+	c, err := startCluster(opts, machines, s.store)
+	if err != nil {
+		return err
+	}
+	s.cluster = c
+	s.repl = c
+	return nil
+}
+
+// Close stops the member, its replication and its connections to schedulers.
+func (s *Server) Close() error {
 	s.stop()
 	<-s.stopped
 	s.peers.close()
+	if s.cluster == nil {
+		return nil
+	}
+	return s.cluster.Stop()
 }
 
 // Register adds the daemons' calls to a transport server.
@@ -160,6 +172,9 @@
 	transport.HandleUnary(t, transport.MethodReleaseLease, s.releaseLease)
 	transport.HandleUnary(t, transport.MethodClaim, s.claim)
 	transport.HandleUnary(t, transport.MethodRecord, s.record)
+	if s.cluster != nil {
+		s.cluster.register(t)
+	}
 }
 
 // watchLeadership starts terms without waiting for a call, so that the waiting
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -40,6 +40,10 @@
 	leases       *lease.Grantor
 	addresses    map[uint64]*pb.Hello
 	leader       leaderRecord
+	// joined holds the internal addresses of members that were added.
+	joined map[uint64]string
+	// onMember is told each of them; it must not block.
+	onMember func(id uint64, address string)
 
 	// leaseGen counts changes of lease records.
 	leaseGen uint64
@@ -87,6 +91,8 @@
 		leases:    lease.NewGrantor(leaseTTL),
 		addresses: map[uint64]*pb.Hello{},
 		changed:   make(chan struct{}),
+		joined:    map[uint64]string{},
+		onMember:  func(uint64, string) {},
 	}
 }
 
@@ -106,6 +112,8 @@
 		return s.applyRelease(body)
 	case commandLeader:
 		return s.applyLeader(body)
+	case commandMember:
+		return s.applyMember(body)
 	}
 	return errors.Errorf("unknown command kind %d", data[0])
 }
@@ -268,6 +276,20 @@
 	return s.leader
 }
 
+func (s *store) applyMember(body []byte) any {
+	h := &pb.Hello{}
+	if err := proto.Unmarshal(body, h); err != nil {
+		return errors.Wrap(err, "decoding member")
+	}
+	id, err := strconv.ParseUint(h.DaemonId, 10, 64)
+	if err != nil {
+		return errors.Wrap(err, "decoding member id")
+	}
+	s.joined[id] = h.Vm
+	s.onMember(id, h.Vm)
+	return nil
+}
+
 // address returns the advertised addresses of a member, empty when unknown.
 func (s *store) address(id uint64) *pb.Hello {
 	s.mu.Lock()
--- a/internal/control/store_snapshot.go
+++ b/internal/control/store_snapshot.go
@@ -16,7 +16,7 @@
 const storeFormat = 1
 
 // Snapshot implements StateMachine. The order of the parts is: configuration,
-// history, outcomes, leases, addresses, leader; each list after its length.
+// history, outcomes, leases, addresses, leader, joined members; each list after its length.
 func (s *store) Snapshot() ([]byte, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -44,7 +44,15 @@
 		}
 	}
 	buf = binary.AppendUvarint(buf, s.leader.term)
-	return binary.AppendUvarint(buf, s.leader.id), nil
+	buf = binary.AppendUvarint(buf, s.leader.id)
+	buf = binary.AppendUvarint(buf, uint64(len(s.joined)))
+	for _, id := range slices.Sorted(maps.Keys(s.joined)) {
+		buf = binary.AppendUvarint(buf, id)
+		if buf, err = appendRecord(buf, &pb.Hello{Vm: s.joined[id]}); err != nil {
+			return nil, errors.Wrap(err, "encoding members")
+		}
+	}
+	return buf, nil
 }
 
 func (s *store) appendOutcomes(buf []byte) (_ []byte, err error) {
@@ -102,6 +110,12 @@
 		next.addresses[id] = h
 	}
 	next.leader = leaderRecord{term: r.uint(), id: r.uint()}
+	for n := r.uint(); n > 0 && r.err == nil; n-- {
+		id := r.uint()
+		h := &pb.Hello{}
+		r.message(h)
+		next.joined[id] = h.Vm
+	}
 	if r.err != nil {
 		return r.err
 	}
@@ -137,6 +151,10 @@
 	s.history, s.historyBytes = next.history, next.historyBytes
 	s.outcomes, s.outcomeOrder = next.outcomes, next.outcomeOrder
 	s.addresses, s.leader = next.addresses, next.leader
+	s.joined = next.joined
+	for id, address := range s.joined {
+		s.onMember(id, address)
+	}
 	s.leases.Restore(records, lastToken)
 	s.leaseGen++
 	s.notify()
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -25,7 +25,7 @@
 		return []*pb.Finding{{Field: "put_route.path", Message: "must begin with a slash"}, {Field: "put_route.region", Message: "is empty"}}
 	}})
 	require.NoError(t, err)
-	t.Cleanup(srv.Close)
+	t.Cleanup(func() { require.NoError(t, srv.Close()) })
 	_, h := srv.OperatorHandler()
 	hs := httptest.NewServer(h)
 	t.Cleanup(hs.Close)
