gw-control: add the member's program

Cause: the store has to run as processes.

Change: cmd/gw-control parses settings and starts one member. A member that stops hands its leadership over first. Start modes other than "existing" are for the first start only, so a lost disk is never founded again by a setting.

--- /dev/null
+++ b/cmd/gw-control/options.go
@@ -0,0 +1,153 @@
+package main
+
+import (
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/go-chi/chi/v5"
+	"github.com/pkg/errors"
+
+	"godwitward.example/godwitward/internal/control"
+	"godwitward.example/godwitward/internal/daemon"
+	"godwitward.example/godwitward/internal/finding"
+	"godwitward.example/godwitward/internal/replica"
+	"godwitward.example/godwitward/internal/settings"
+	"godwitward.example/godwitward/ledger"
+)
+
+var startModes = map[string]replica.StartMode{
+	"existing": replica.StartExisting,
+	"found":    replica.StartFounding,
+	"join":     replica.StartJoining,
+}
+
+type options struct {
+	process  settings.Process
+	internal settings.TLS
+	operator settings.TLS
+
+	memberID       uint64
+	listen         string
+	operatorListen string
+	dataDir        string
+	memberList     string
+	start          string
+	shards         int
+	ledgerMiB      int64
+	readers        string
+	changers       string
+
+	members map[uint64]string
+}
+
+func (o *options) addFlags(app *kingpin.Application) {
+	o.process.AddFlags(app)
+	app.Flag("member-id", "Number of this member, at least 1 and never used before.").Required().Uint64Var(&o.memberID)
+	app.Flag("listen", "Address for sessions from daemons and other members.").Default("127.0.0.1:7300").StringVar(&o.listen)
+	app.Flag("operator-listen", "Address for operators.").Default("127.0.0.1:7301").StringVar(&o.operatorListen)
+	app.Flag("data-dir", "Directory of the log and the snapshots.").Required().StringVar(&o.dataDir)
+	app.Flag("members", "Session addresses of all members: 1=10.0.0.1:7300,2=10.0.0.2:7300.").Required().StringVar(&o.memberList)
+	app.Flag("start", "existing: continue from the data directory. found: first start of a new store. join: first start of an added member. "+
+		"found and join are given once and never kept as settings: a member that lost its disk must join under a new number.").
+		Default("existing").EnumVar(&o.start, "existing", "found", "join")
+	app.Flag("ledger-shards", "Number of ledger groups; the same for all members and for ever.").
+		Default(strconv.Itoa(control.DefaultLedgerShards)).IntVar(&o.shards)
+	app.Flag("ledger-mib", "Memory bound of each ledger group, MiB; the same for all members.").Default("256").Int64Var(&o.ledgerMiB)
+	app.Flag("operator-readers", "Operators that may read, separated by commas; empty: all.").StringVar(&o.readers)
+	app.Flag("operator-changers", "Operators that may change and read, separated by commas; empty: all that may read.").StringVar(&o.changers)
+	o.internal.AddFlags(app, "internal", "sessions between daemons")
+	o.operator.AddFlags(app, "operator", "operators")
+}
+
+func (o *options) check(l *finding.List) {
+	o.process.Check(l, program)
+	settings.CheckIPAddr(l, "--listen", o.listen)
+	settings.CheckIPAddr(l, "--operator-listen", o.operatorListen)
+	o.internal.Check(l, o.listen, true, o.process.AllowPlainText)
+	o.operator.Check(l, o.operatorListen, true, o.process.AllowPlainText)
+	o.members = parseMembers(l, o.memberList)
+	if o.memberID == 0 {
+		l.Addf("--member-id", "must be at least 1")
+	}
+	if _, ok := o.members[o.memberID]; !ok && o.start == "found" {
+		l.Addf("--members", "does not list member %d, which founds the store", o.memberID)
+	}
+	if o.shards < 1 {
+		l.Addf("--ledger-shards", "must be at least 1")
+	}
+	if o.ledgerMiB < 1 {
+		l.Addf("--ledger-mib", "must be at least 1")
+	}
+}
+
+func parseMembers(l *finding.List, list string) map[uint64]string {
+	out := map[uint64]string{}
+	for i, part := range settings.SplitList(list) {
+		field := "--members[" + strconv.Itoa(i) + "]"
+		number, address, _ := strings.Cut(part, "=")
+		id, err := strconv.ParseUint(number, 10, 64)
+		if err != nil || id == 0 {
+			l.Addf(field, "%q is not of the form 1=10.0.0.1:7300", part)
+			continue
+		}
+		settings.CheckIPAddr(l, field, address)
+		if _, ok := out[id]; ok {
+			l.Addf(field, "member %d is listed twice", id)
+		}
+		out[id] = address
+	}
+	return out
+}
+
+func (o *options) control(base *daemon.Base) control.Options {
+	address := o.members[o.memberID]
+	if address == "" {
+		address = o.listen
+	}
+	return control.Options{
+		ID:              o.memberID,
+		Address:         address,
+		OperatorAddress: o.operatorListen,
+		Shards:          o.shards,
+		Ledger:          ledger.Limits{MaxBytes: o.ledgerMiB << 20},
+		Authorize:       o.authorize,
+		Self:            base.Self,
+		TLS:             base.ClientTLS,
+		Recorder:        base.Recorder,
+		Logger:          base.Logger,
+		Cluster: &control.ClusterOptions{
+			Dir:     o.dataDir,
+			Start:   startModes[o.start],
+			Members: o.members,
+			Self:    base.Self,
+			TLS:     base.ClientTLS,
+			Clock:   base.Recorder.Clock(),
+			Logger:  base.Logger,
+			Seed:    o.memberID,
+			OnFatal: func(err error) { settings.Fail(base.Logger, "replicating", err) },
+		},
+	}
+}
+
+// authorize decides by the lists of operators.
+func (o *options) authorize(operator string, change bool) error {
+	readers, changers := settings.SplitList(o.readers), settings.SplitList(o.changers)
+	mayChange := len(changers) == 0 || slices.Contains(changers, operator)
+	mayRead := len(readers) == 0 || slices.Contains(readers, operator) || len(changers) > 0 && mayChange
+	if !mayRead || change && !mayChange {
+		return errors.Errorf("operator %q has no permission for this", operator)
+	}
+	return nil
+}
+
+// handler serves the operators' service, health and metrics.
+func handler(srv *control.Server) http.Handler {
+	r := chi.NewRouter()
+	path, operators := srv.OperatorHandler()
+	r.Mount(path, operators)
+	r.Mount("/", daemon.DebugHandler(srv.Ready))
+	return r
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -152,8 +152,23 @@
 	return nil
 }
 
-// Close stops the member, its replication and its connections to schedulers.
+// handOverTimeout bounds the wait for another member to lead before a member
+// stops. Without another voter there is nothing to wait for.
+const handOverTimeout = time.Second
+
+// Close hands over the leadership and stops the member, its replication and its
+// connections to schedulers.
 func (s *Server) Close() error {
+	if s.cluster != nil {
+		ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+		_ = s.cluster.handOver(ctx)
+		cancel()
+	}
+	return s.halt()
+}
+
+// halt stops without handing over.
+func (s *Server) halt() error {
 	s.stop()
 	<-s.stopped
 	s.peers.close()
@@ -163,6 +178,14 @@
 	return s.cluster.Stop()
 }
 
+// Ready returns nil when a leader is known.
+func (s *Server) Ready() error {
+	if id, _, _ := s.repl.Leader(storeGroup); id == 0 {
+		return errors.New("no leader of the control store is known")
+	}
+	return nil
+}
+
 // Register adds the daemons' calls to a transport server.
 func (s *Server) Register(t *transport.Server) {
 	t.Handle(transport.MethodWatch, s.watch)
