control: test histories and failures with several members

Cause: the promises of the store hold only if they hold while members fail.

Change: porcupine checks histories of configuration, pool leases and claims while leaders are killed, isolated and restarted over links that go silent. Further tests cover a leader that dies between commit and answer, equal versions, redirects, a cut-off entry, 400 missed changes, replacement of a member and lagging daemons. The resend of a withdrawn claim now succeeds instead of failing as not found.

--- /dev/null
+++ b/internal/control/faults_test.go
@@ -0,0 +1,285 @@
+package control
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/replica"
+)
+
+// lossy commits a command and then fails, as when the leader dies between the
+// commit and the answer.
+type lossy struct {
+	Replication
+	lose atomic.Bool
+	lost chan struct{}
+}
+
+func (l *lossy) Propose(ctx context.Context, group uint32, data []byte) (any, error) {
+	res, err := l.Replication.Propose(ctx, group, data)
+	if err == nil && l.lose.CompareAndSwap(true, false) {
+		close(l.lost)
+		return nil, errors.New("connection lost")
+	}
+	return res, err
+}
+
+// dieAfterCommit makes the leader commit the next command and die before it
+// answers. The returned channel is closed when it has restarted.
+func (s *testStore) dieAfterCommit() <-chan struct{} {
+	var m *member
+	require.Eventually(s.t, func() bool {
+		m = s.leader()
+		for g := uint32(0); g < 3; g++ {
+			if _, self, _ := m.srv.repl.Leader(g); !self {
+				return false
+			}
+		}
+		return m.srv.begin(context.Background()) == nil
+	}, 10*time.Second, 10*time.Millisecond)
+	m.lossy.lose.Store(true)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		<-m.lossy.lost
+		s.kill(m)
+		s.start(m, replica.StartExisting)
+	}()
+	return done
+}
+
+func change(id string, base uint64, path string) *connect.Request[pb.ChangeConfigRequest] {
+	return connect.NewRequest(&pb.ChangeConfigRequest{Change: &pb.ConfigChange{
+		RequestId: id, BaseVersion: base,
+		Change: &pb.ConfigChange_PutRoute{PutRoute: &pb.Route{Name: "r", Path: path}},
+	}})
+}
+
+// Guards against a second effect of a command that was committed, lost its
+// answer with the leader, and is sent again.
+func TestLeaderDiesBetweenCommitAndAnswer(t *testing.T) {
+	st := startTestStore(t, 3, nil)
+	c, _ := daemon(t, st.addrs(), "entry")
+	ctx := timeout(t, 40*time.Second)
+
+	died := st.dieAfterCommit()
+	op := configOp{value: "/a"}
+	resp := changeAnywhere(ctx, st, op)
+	require.Equal(t, pb.ChangeOutcome_ACCEPTED, resp.GetOutcome().GetCode())
+	require.Equal(t, uint64(1), resp.Outcome.Version)
+	<-died
+	again := changeAnywhere(ctx, st, op)
+	require.Equal(t, uint64(1), again.GetOutcome().GetVersion())
+	require.Equal(t, uint64(1), readAnywhere(ctx, st).GetVersion())
+
+	digest := sha256.Sum256(nil)
+	claim := func(run string) pb.ClaimResponse_Result {
+		resp, err := c.Claim(ctx, &pb.ClaimRequest{Organisation: "o", Key: "k", RequestId: run, Digest: digest[:], DeadlineMs: 600_000})
+		require.NoError(t, err)
+		return resp.Result
+	}
+	died = st.dieAfterCommit()
+	require.Equal(t, pb.ClaimResponse_CLAIMED, claim("r1"))
+	<-died
+	require.Equal(t, pb.ClaimResponse_IN_PROGRESS, claim("r2"))
+
+	died = st.dieAfterCommit()
+	l, err := c.AcquireLease(ctx, "p/r", 1)
+	require.NoError(t, err)
+	require.True(t, l.Granted)
+	<-died
+	require.Equal(t, uint64(1), l.Lease.FencingToken, "the resend must not take a second token")
+}
+
+// Guards against several winners among changes that name one version, and
+// losers that do not learn what they missed.
+func TestEqualVersionsRace(t *testing.T) {
+	st := startTestStore(t, 3, nil)
+	ctx := timeout(t, 20*time.Second)
+	readAnywhere(ctx, st)
+	var wg sync.WaitGroup
+	var winners, losers atomic.Int32
+	for i := range 16 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			resp := changeAnywhere(ctx, st, configOp{value: fmt.Sprint("/", i)})
+			if resp.GetOutcome().GetCode() == pb.ChangeOutcome_ACCEPTED {
+				winners.Add(1)
+				return
+			}
+			if len(resp.GetOutcome().GetMissed()) == 1 && resp.Outcome.Version == 1 {
+				losers.Add(1)
+			}
+		}()
+	}
+	wg.Wait()
+	require.Equal(t, int32(1), winners.Load())
+	require.Equal(t, int32(15), losers.Load())
+}
+
+// Guards against an operator who asks a follower and does not learn where the
+// leader is.
+func TestFollowerNamesLeader(t *testing.T) {
+	st := startTestStore(t, 3, nil)
+	ctx := timeout(t, 20*time.Second)
+	readAnywhere(ctx, st)
+	leader := st.leader()
+	for _, m := range st.members {
+		if m == leader {
+			continue
+		}
+		require.Eventually(t, func() bool {
+			_, err := st.operators(m).GetConfig(ctx, connect.NewRequest(&pb.GetConfigRequest{}))
+			var e *connect.Error
+			return errors.As(err, &e) && e.Code() == connect.CodeFailedPrecondition &&
+				e.Meta().Get(LeaderAddressHeader) == leader.operator
+		}, 5*time.Second, 10*time.Millisecond)
+	}
+}
+
+// Guards against a daemon that serves without contact, a change that is
+// confirmed while it still may, and one that serves an old version on return.
+func TestCutOffEntryStopsServing(t *testing.T) {
+	st := startTestStore(t, 1, nil)
+	m := st.leader()
+	p := newProxy(t, m.addr)
+	cutOff, _ := daemon(t, []string{p.addr()}, "entry-cut-off")
+	ctx := timeout(t, 20*time.Second)
+	require.Eventually(t, cutOff.Serving, 10*time.Second, time.Millisecond)
+	_, err := st.operators(m).ChangeConfig(ctx, change("r0", 0, "/0"))
+	require.NoError(t, err)
+
+	p.setCut(true)
+	resp, err := st.operators(m).ChangeConfig(ctx, change("r1", 1, "/1"))
+	require.NoError(t, err)
+	require.True(t, resp.Msg.InForce)
+	require.False(t, cutOff.Serving())
+	require.Equal(t, uint64(1), cutOff.Config().Version)
+	p.setCut(false)
+	require.Eventually(t, func() bool {
+		serving := cutOff.Serving()
+		require.False(t, serving && cutOff.Config().Version < 2, "serves a replaced version")
+		return serving
+	}, 15*time.Second, time.Millisecond)
+}
+
+// Guards against daemons and members that do not catch up after hundreds of
+// changes, by difference, by the whole configuration, and by snapshot.
+func TestCatchUpAfterHundredsOfChanges(t *testing.T) {
+	const changes = 400
+	st := startTestStore(t, 3, func(o *Options) { o.Cluster.SnapshotBytes = 4 << 10 })
+	ctx := timeout(t, 60*time.Second)
+	readAnywhere(ctx, st)
+	var behind *member
+	for _, m := range st.members {
+		if m != st.leader() {
+			behind = m
+		}
+	}
+	st.kill(behind)
+	srv := st.leader().srv
+	for v := uint64(0); v < changes; v++ {
+		c := change(fmt.Sprint(v), v, fmt.Sprint("/", v)).Msg.Change
+		c.GetPutRoute().Name = fmt.Sprint("r", v%20)
+		data, err := encodeCommand(commandChange, c)
+		require.NoError(t, err)
+		_, err = srv.propose(ctx, storeGroup, data)
+		require.NoError(t, err)
+	}
+	st.start(behind, replica.StartExisting)
+	require.Eventually(t, func() bool { return behind.srv.store.version() == changes }, 20*time.Second, 5*time.Millisecond)
+	want, _ := srv.store.current()
+	got, _ := behind.srv.store.current()
+	require.True(t, proto.Equal(want, got))
+	require.True(t, proto.Equal(&pb.GetHistoryResponse{Entries: srv.store.newest(10, "")},
+		&pb.GetHistoryResponse{Entries: behind.srv.store.newest(10, "")}))
+
+	c, _ := daemon(t, st.addrs(), "restarted")
+	require.Eventually(t, func() bool { return c.Config().GetVersion() == changes && c.Serving() }, 20*time.Second, 5*time.Millisecond)
+	require.True(t, proto.Equal(want, c.Config()))
+
+	u, _, _ := srv.store.update(0, 0)
+	require.NotNil(t, u.Config, "400 changes are larger than 20 routes")
+	u, _, _ = srv.store.update(changes-1, 0)
+	require.Nil(t, u.Config)
+	require.Len(t, u.Changes, 1)
+}
+
+// Guards against a replaced member that never votes, one that keeps its vote,
+// and members that cannot reach the new one after a restart.
+func TestReplaceMember(t *testing.T) {
+	st := startTestStore(t, 3, nil)
+	ctx := timeout(t, 60*time.Second)
+	readAnywhere(ctx, st)
+	leader := st.leader()
+	joined := &member{id: 4, addr: reserve(t), dir: t.TempDir(), operator: reserve(t), out: map[uint64]*proxy{}}
+	var removed *member
+	for id, m := range st.members {
+		joined.out[id] = newProxy(t, m.addr)
+		if m != leader {
+			removed = m
+		}
+	}
+	st.start(joined, replica.StartJoining)
+	st.mu.Lock()
+	st.members[4] = joined
+	st.mu.Unlock()
+	resp, err := st.operators(leader).ChangeMembers(ctx, connect.NewRequest(&pb.ChangeMembersRequest{
+		Add: &pb.Member{Id: 4, Address: joined.addr}, Remove: removed.id,
+	}))
+	require.NoError(t, err)
+	require.Len(t, resp.Msg.Members, 3)
+	st.kill(removed)
+	st.mu.Lock()
+	delete(st.members, removed.id)
+	st.mu.Unlock()
+	// With one of the old members down, the new one is needed for a majority.
+	st.kill(leader)
+	require.NotNil(t, changeAnywhere(ctx, st, configOp{value: "/a"}))
+	for _, m := range st.members {
+		st.kill(m)
+	}
+	for _, m := range st.members {
+		if m != leader {
+			st.start(m, replica.StartExisting)
+		}
+	}
+	require.Equal(t, "/a", pathOf(readAnywhere(ctx, st)))
+}
+
+// Guards against a lagging daemon that keeps its lease for ever, and one that
+// gets a lease for a version that is no longer in force.
+func TestLaggingDaemonLosesItsLease(t *testing.T) {
+	srv, err := New(Options{ServingTTL: testTTL})
+	require.NoError(t, err)
+	defer func() { require.NoError(t, srv.Close()) }()
+	ctx := timeout(t, 20*time.Second)
+	renew := func(id string, applied uint64) uint32 {
+		resp, err := srv.renewServing(ctx, &pb.RenewServingRequest{DaemonId: id, AppliedVersion: applied})
+		require.NoError(t, err)
+		return resp.TtlMs
+	}
+	require.NotZero(t, renew("a", 0))
+	data, err := encodeCommand(commandChange, change("r", 0, "/a").Msg.Change)
+	require.NoError(t, err)
+	_, err = srv.propose(ctx, storeGroup, data)
+	require.NoError(t, err)
+	time.Sleep(testTTL / 2)
+	require.LessOrEqual(t, renew("a", 0), uint32((testTTL/2 + time.Millisecond).Milliseconds()))
+	require.NoError(t, srv.awaitInForce(ctx, 1))
+	require.Zero(t, renew("a", 0))
+	require.Zero(t, renew("new", 0))
+	require.NotZero(t, renew("new", 1))
+}
--- /dev/null
+++ b/internal/control/history_test.go
@@ -0,0 +1,389 @@
+package control
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/anishathalye/porcupine"
+	"github.com/stretchr/testify/require"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/control/client"
+)
+
+const (
+	historyTime = 8 * time.Second
+	historyWait = 30 * time.Second
+	// never is the return time of an operation whose effect may come later.
+	never = int64(1) << 62
+)
+
+// history collects operations of concurrent clients.
+type history struct {
+	mu    sync.Mutex
+	start time.Time
+	ops   []porcupine.Operation
+}
+
+func newHistory() *history { return &history{start: time.Now()} }
+
+func (h *history) now() int64 { return time.Since(h.start).Nanoseconds() }
+
+func (h *history) add(id int, call, ret int64, in, out any) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ops = append(h.ops, porcupine.Operation{ClientId: id, Input: in, Output: out, Call: call, Return: ret})
+}
+
+func (h *history) check(t *testing.T, m porcupine.Model) {
+	t.Helper()
+	result := porcupine.CheckOperationsTimeout(m, h.ops, historyWait)
+	require.Equal(t, porcupine.Ok, result, "%d operations", len(h.ops))
+}
+
+// run runs workers beside the faults for historyTime.
+func run(st *testStore, workers int, work func(worker int, ctx context.Context)) {
+	ctx, cancel := context.WithTimeout(context.Background(), historyTime)
+	defer cancel()
+	stop := make(chan struct{})
+	faults := make(chan struct{})
+	go func() {
+		defer close(faults)
+		st.disturb(stop)
+	}()
+	var wg sync.WaitGroup
+	for w := range workers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for ctx.Err() == nil {
+				work(w, ctx)
+			}
+		}()
+	}
+	wg.Wait()
+	close(stop)
+	<-faults
+}
+
+// configOp is a read, or a change that replaces base.
+type configOp struct {
+	base  uint64
+	value string
+}
+
+type configState struct {
+	version uint64
+	value   string
+}
+
+// configModel is a register with compare-and-set on its version. A nil output
+// means that the outcome is not known.
+func configModel() porcupine.Model {
+	m := porcupine.NondeterministicModel{
+		Init: func() []any { return []any{configState{}} },
+		Step: func(state, input, output any) []any {
+			s, in := state.(configState), input.(configOp)
+			next := configState{version: s.version + 1, value: in.value}
+			out, known := output.(configState)
+			switch {
+			case in.value == "":
+				if s == out {
+					return []any{s}
+				}
+				return nil
+			case !known && in.base == s.version:
+				return []any{s, next}
+			case !known:
+				return []any{s}
+			case out.value == in.value:
+				if in.base == s.version && out.version == next.version {
+					return []any{next}
+				}
+				return nil
+			}
+			// A conflict names the winning version.
+			if in.base != s.version && out.version == s.version {
+				return []any{s}
+			}
+			return nil
+		},
+	}
+	return m.ToModel()
+}
+
+// Guards against two accepted changes of one version, a change that is lost or
+// applied twice when its answer was lost and it is sent again, a stale read, and
+// "in force" while a serving daemon has an older version or goes back to one.
+func TestConfigurationHistory(t *testing.T) {
+	st := startTestStore(t, 3, nil)
+	var daemons []*client.Client
+	for i := range 3 {
+		c, _ := daemon(t, st.addrs(), fmt.Sprint("entry-", i))
+		var last uint64
+		c.OnConfig(func(cfg *pb.Config) {
+			if cfg.Version <= last && last > 0 {
+				t.Errorf("version went from %d to %d", last, cfg.Version)
+			}
+			last = cfg.Version
+		})
+		daemons = append(daemons, c)
+	}
+	h := newHistory()
+	var accepted, confirmed atomic.Int64
+	run(st, 3, func(w int, ctx context.Context) {
+		call := h.now()
+		cfg := readAnywhere(ctx, st)
+		if cfg == nil {
+			return
+		}
+		h.add(w, call, h.now(), configOp{}, configState{cfg.Version, pathOf(cfg)})
+		op := configOp{base: cfg.Version, value: fmt.Sprintf("/%d-%d", w, h.now())}
+		call = h.now()
+		resp := changeAnywhere(ctx, st, op)
+		if resp == nil {
+			h.add(w, call, never, op, nil)
+			return
+		}
+		out := configState{version: resp.Outcome.Version}
+		if resp.Outcome.Code == pb.ChangeOutcome_ACCEPTED {
+			out.value = op.value
+			accepted.Add(1)
+		}
+		h.add(w, call, h.now(), op, out)
+		if !resp.InForce {
+			return
+		}
+		confirmed.Add(1)
+		for i, c := range daemons {
+			if serving := c.Serving(); serving && c.Config().GetVersion() < resp.Outcome.Version {
+				t.Errorf("version %d is answered as in force, daemon %d serves with %d", resp.Outcome.Version, i, c.Config().GetVersion())
+			}
+		}
+	})
+	h.check(t, configModel())
+	require.Greater(t, confirmed.Load(), int64(2))
+	t.Logf("%d operations, %d changes accepted, %d confirmed", len(h.ops), accepted.Load(), confirmed.Load())
+}
+
+func pathOf(cfg *pb.Config) string {
+	if len(cfg.Routes) == 0 {
+		return ""
+	}
+	return cfg.Routes[0].Path
+}
+
+// anyMember returns a running member.
+func (s *testStore) anyMember() *member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var up []*member
+	for _, m := range s.members {
+		if m.srv != nil {
+			up = append(up, m)
+		}
+	}
+	if len(up) == 0 {
+		return nil
+	}
+	return up[rand.IntN(len(up))]
+}
+
+func readAnywhere(ctx context.Context, st *testStore) *pb.Config {
+	for ctx.Err() == nil {
+		if m := st.anyMember(); m != nil {
+			attempt, cancel := context.WithTimeout(ctx, time.Second)
+			resp, err := st.operators(m).GetConfig(attempt, connect.NewRequest(&pb.GetConfigRequest{}))
+			cancel()
+			if err == nil {
+				return resp.Msg.Config
+			}
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return nil
+}
+
+// changeAnywhere sends one change to members in turn, always under the same
+// request id, until it is answered.
+func changeAnywhere(ctx context.Context, st *testStore, op configOp) *pb.ChangeConfigResponse {
+	for ctx.Err() == nil {
+		if m := st.anyMember(); m != nil {
+			attempt, cancel := context.WithTimeout(ctx, 2*time.Second)
+			resp, err := st.operators(m).ChangeConfig(attempt, connect.NewRequest(&pb.ChangeConfigRequest{Change: &pb.ConfigChange{
+				RequestId: op.value, BaseVersion: op.base,
+				Change: &pb.ConfigChange_PutRoute{PutRoute: &pb.Route{Name: "r", Path: op.value}},
+			}}))
+			cancel()
+			if err == nil {
+				return resp.Msg
+			}
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return nil
+}
+
+type leaseOp struct {
+	holder int
+	token  uint64
+	lose   bool
+}
+
+// leaseModel is a mutex whose token grows.
+func leaseModel() porcupine.Model {
+	return porcupine.Model{
+		Init: func() any { return leaseOp{holder: -1} },
+		Step: func(state, input, _ any) (bool, any) {
+			s, in := state.(leaseOp), input.(leaseOp)
+			if in.lose {
+				return s.holder == in.holder && s.token == in.token, leaseOp{holder: -1, token: s.token}
+			}
+			return s.holder == -1 && in.token > s.token, in
+		},
+	}
+}
+
+// Guards against two holders of one pool lease at any moment, and against a
+// fencing token that falls or is issued twice, while leaders are killed,
+// isolated and restarted.
+func TestLeaseHistory(t *testing.T) {
+	st := startTestStore(t, 3, nil)
+	h := newHistory()
+	var holders atomic.Int32
+	var acquired atomic.Int64
+	clients := make([]*client.Client, 3)
+	for i := range clients {
+		clients[i], _ = daemon(t, st.addrs(), fmt.Sprint("scheduler-", i))
+	}
+	run(st, len(clients), func(w int, ctx context.Context) {
+		// A short hold ends by release, a long one by faults.
+		hold, cancel := context.WithTimeout(ctx, time.Duration(rand.IntN(2500))*time.Millisecond)
+		defer cancel()
+		var token uint64
+		began := h.now()
+		_ = clients[w].HoldLease(hold, "draftwell/dohoku", uint32(w), func(tok uint64) {
+			if n := holders.Add(1); n != 1 {
+				t.Errorf("%d holders", n)
+			}
+			acquired.Add(1)
+			token = tok
+			h.add(w, began, h.now(), leaseOp{holder: w, token: tok}, nil)
+		}, func() {
+			call := h.now()
+			holders.Add(-1)
+			h.add(w, call, h.now(), leaseOp{holder: w, token: token, lose: true}, nil)
+			began = h.now()
+		})
+	})
+	h.check(t, leaseModel())
+	require.Greater(t, acquired.Load(), int64(2))
+	t.Logf("%d acquisitions", acquired.Load())
+}
+
+// claimOp is a claim, or with a record kind the report of its outcome.
+type claimOp struct {
+	key    string
+	run    string
+	record string
+}
+
+type claimState struct {
+	owner    string
+	recorded bool
+}
+
+// claimModel is one key of the ledger. A nil output is not known.
+func claimModel() porcupine.Model {
+	m := porcupine.NondeterministicModel{
+		Partition: func(ops []porcupine.Operation) [][]porcupine.Operation {
+			byKey := map[string][]porcupine.Operation{}
+			for _, op := range ops {
+				k := op.Input.(claimOp).key
+				byKey[k] = append(byKey[k], op)
+			}
+			var out [][]porcupine.Operation
+			for _, part := range byKey {
+				out = append(out, part)
+			}
+			return out
+		},
+		Init: func() []any { return []any{claimState{}} },
+		Step: func(state, input, output any) []any {
+			s, in := state.(claimState), input.(claimOp)
+			next, result := s, pb.ClaimResponse_IN_PROGRESS
+			switch {
+			case in.record != "" && s.owner == in.run && !s.recorded:
+				next = claimState{}
+				if in.record == "answer" {
+					next = claimState{owner: s.owner, recorded: true}
+				}
+			case in.record != "":
+			case s.recorded:
+				result = pb.ClaimResponse_RECORDED
+			case s.owner == "" || s.owner == in.run:
+				next.owner, result = in.run, pb.ClaimResponse_CLAIMED
+			}
+			if output == nil {
+				return []any{s, next}
+			}
+			if in.record == "" && output.(pb.ClaimResponse_Result) != result {
+				return nil
+			}
+			return []any{next}
+		},
+	}
+	return m.ToModel()
+}
+
+// Guards against a call that runs twice, a recorded outcome that is lost, and a
+// claim without an owner, while leaders are killed, isolated and restarted and
+// claims are sent again after lost answers.
+func TestLedgerHistory(t *testing.T) {
+	st := startTestStore(t, 3, nil)
+	c, _ := daemon(t, st.addrs(), "entry")
+	h := newHistory()
+	digest := sha256.Sum256(nil)
+	var claimed atomic.Int64
+	run(st, 6, func(w int, ctx context.Context) {
+		key := fmt.Sprint("k", time.Since(h.start)/(200*time.Millisecond))
+		op := claimOp{key: key, run: fmt.Sprintf("%d-%d", w, h.now())}
+		call := h.now()
+		attempt, cancel := context.WithTimeout(ctx, 1500*time.Millisecond)
+		defer cancel()
+		resp, err := c.Claim(attempt, &pb.ClaimRequest{Organisation: "o", Key: key, RequestId: op.run, Digest: digest[:], DeadlineMs: 600_000})
+		if err != nil {
+			h.add(w, call, never, op, nil)
+			return
+		}
+		h.add(w, call, h.now(), op, resp.Result)
+		time.Sleep(time.Duration(rand.IntN(20)) * time.Millisecond)
+		if resp.Result != pb.ClaimResponse_CLAIMED {
+			return
+		}
+		claimed.Add(1)
+		op.record = []string{"answer", "not run"}[rand.IntN(2)]
+		req := &pb.RecordRequest{Organisation: "o", Key: key, RequestId: op.run, NotRun: op.record == "not run"}
+		if !req.NotRun {
+			req.Answer = &pb.RecordedAnswer{Status: 201}
+		}
+		call = h.now()
+		attempt, cancel = context.WithTimeout(ctx, 1500*time.Millisecond)
+		defer cancel()
+		if c.Record(attempt, req) != nil {
+			h.add(w, call, never, op, nil)
+			return
+		}
+		h.add(w, call, h.now(), op, op.record)
+	})
+	h.check(t, claimModel())
+	require.Greater(t, claimed.Load(), int64(10))
+	t.Logf("%d operations, %d claimed", len(h.ops), claimed.Load())
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -66,6 +66,9 @@
 	TLS      *tls.Config
 	Recorder *timeline.Recorder
 	Logger   *log.Logger
+
+	// wrap replaces the replication in tests of lost answers.
+	wrap func(Replication) Replication
 }
 
 func (o *Options) setDefaults() {
@@ -129,6 +132,9 @@
 	if err := s.replicate(machines); err != nil {
 		return nil, err
 	}
+	if opts.wrap != nil {
+		s.repl = opts.wrap(s.repl)
+	}
 	s.reader = &reader{repl: s.repl, group: storeGroup}
 	ctx, cancel := context.WithCancel(context.Background())
 	s.stop = cancel
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -227,7 +227,8 @@
 	key := hashKey(o.Organisation, o.Key)
 	pos, ok := l.index[key]
 	if !ok {
-		return false
+		// The resend of a withdrawal finds nothing to withdraw.
+		return o.NotRun
 	}
 	e := l.entries.at(pos)
 	if e.run != hashRun(o.RequestID) {
