--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -32,14 +32,6 @@
 	maxHistoryPage = 1000
 )
 
-// MemberChanger lists and changes the members of the control store.
-type MemberChanger interface {
-	Members(ctx context.Context) ([]*pb.Member, error)
-	// Change adds a member when add is set, then removes one when remove is
-	// not 0.
-	Change(ctx context.Context, add *pb.Member, remove uint64) error
-}
-
 // operators implements godwitwardv1connect.OperatorServiceHandler.
 type operators struct {
 	*Server
@@ -104,6 +96,9 @@
 	if err == nil {
 		return nil
 	}
+	if errors.Is(err, ErrNotLeader) {
+		err = o.notLeader(storeGroup)
+	}
 	if errors.Is(err, context.DeadlineExceeded) {
 		return connect.NewError(connect.CodeDeadlineExceeded, err)
 	}
@@ -174,9 +169,9 @@
 		return o.store.conflict(change.BaseVersion)
 	}
 	res := changeset.Apply(cfg, change)
-	findings := res.Findings
-	if r := change.GetPutRoute(); r != nil && o.opts.Validate != nil {
-		findings = append(o.opts.Validate(r), findings...)
+	findings := o.validate(cfg, change)
+	if len(findings) == 0 {
+		findings = res.Findings
 	}
 	switch {
 	case res.Code == pb.ChangeOutcome_NOT_FOUND && !dryRun:
@@ -191,6 +186,18 @@
 	return nil
 }
 
+// validate returns the findings of the configured checks.
+func (o *operators) validate(cfg *pb.Config, change *pb.ConfigChange) []*pb.Finding {
+	var out []*pb.Finding
+	if r := change.GetPutRoute(); r != nil && o.opts.Validate != nil {
+		out = o.opts.Validate(r)
+	}
+	if o.opts.ValidateChange != nil {
+		out = append(out, o.opts.ValidateChange(cfg, change)...)
+	}
+	return out
+}
+
 func reusedOutcome(version uint64) *pb.ChangeOutcome {
 	return &pb.ChangeOutcome{
 		Code:     pb.ChangeOutcome_INVALID,
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -44,16 +44,17 @@
 	// Shards is the number of ledger groups, at most bucket.Count. It must never
 	// change for an existing store.
 	Shards int
-	// Start begins the replication of the state machines, one for each group.
-	// Nil means a Memory of one member.
-	Start func(machines []StateMachine) (Replication, error)
+	// Cluster replicates over several members or, with one member, to its
+	// disk. Nil means a Memory of one member without persistence.
+	Cluster *ClusterOptions
 	// Validate returns what is wrong with a route. Nil accepts every route.
 	Validate func(*pb.Route) []*pb.Finding
+	// ValidateChange returns what is wrong with a change to the given
+	// configuration. It may replace or complement Validate.
+	ValidateChange func(current *pb.Config, change *pb.ConfigChange) []*pb.Finding
 	// Authorize decides on an operator's action; nil allows all. change is
 	// false for reads.
 	Authorize func(operator string, change bool) error
-	// Members changes the membership; nil answers Unimplemented.
-	Members MemberChanger
 
 	ServingTTL        time.Duration
 	LeaseTTL          time.Duration
@@ -65,6 +66,9 @@
 	TLS      *tls.Config
 	Recorder *timeline.Recorder
 	Logger   *log.Logger
+
+	// wrap replaces the replication in tests of lost answers.
+	wrap func(Replication) Replication
 }
 
 func (o *Options) setDefaults() {
@@ -95,6 +99,7 @@
 type Server struct {
 	opts    Options
 	repl    Replication
+	cluster *Cluster
 	store   *store
 	shards  []*shard
 	reader  *reader
@@ -109,8 +114,7 @@
 	lead leading
 }
 
-// New returns a member and starts its replication. Close stops it; the
-// replication itself is stopped by whoever made it.
+// New returns a member and starts its replication, which Close stops.
 func New(opts Options) (*Server, error) {
 	opts.setDefaults()
 	if opts.Shards < 1 || opts.Shards > bucket.Count {
@@ -125,14 +129,11 @@
 		s.shards = append(s.shards, sh)
 		machines = append(machines, sh)
 	}
-	if opts.Start == nil {
-		s.repl = NewMemory(opts.ID, machines)
-	} else {
-		repl, err := opts.Start(machines)
-		if err != nil {
-			return nil, errors.Wrap(err, "starting replication")
-		}
-		s.repl = repl
+	if err := s.replicate(machines); err != nil {
+		return nil, err
+	}
+	if opts.wrap != nil {
+		s.repl = opts.wrap(s.repl)
 	}
 	s.reader = &reader{repl: s.repl, group: storeGroup}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -141,11 +142,54 @@
 	return s, nil
 }
 
-// Close stops the member's own goroutine and its connections to schedulers.
-func (s *Server) Close() {
+func (s *Server) replicate(machines []StateMachine) error {
+	if s.opts.Cluster == nil {
+		s.repl = NewMemory(s.opts.ID, machines)
+		return nil
+	}
+	opts := *s.opts.Cluster
+	opts.ID = s.opts.ID
+	c, err := startCluster(opts, machines, s.store)
+	if err != nil {
+		return err
+	}
+	s.cluster = c
+	s.repl = c
+	return nil
+}
+
+// handOverTimeout bounds the wait for another member to lead before a member
+// stops. Without another voter there is nothing to wait for.
+const handOverTimeout = time.Second
+
+// Close hands over the leadership and stops the member, its replication and its
+// connections to schedulers.
+func (s *Server) Close() error {
+	if s.cluster != nil {
+		ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+		_ = s.cluster.handOver(ctx)
+		cancel()
+	}
+	return s.halt()
+}
+
+// halt stops without handing over.
+func (s *Server) halt() error {
 	s.stop()
 	<-s.stopped
 	s.peers.close()
+	if s.cluster == nil {
+		return nil
+	}
+	return s.cluster.Stop()
+}
+
+// Ready returns nil when a leader is known.
+func (s *Server) Ready() error {
+	if id, _, _ := s.repl.Leader(storeGroup); id == 0 {
+		return errors.New("no leader of the control store is known")
+	}
+	return nil
 }
 
 // Register adds the daemons' calls to a transport server.
@@ -157,6 +201,9 @@
 	transport.HandleUnary(t, transport.MethodReleaseLease, s.releaseLease)
 	transport.HandleUnary(t, transport.MethodClaim, s.claim)
 	transport.HandleUnary(t, transport.MethodRecord, s.record)
+	if s.cluster != nil {
+		s.cluster.register(t)
+	}
 }
 
 // watchLeadership starts terms without waiting for a call, so that the waiting
