--- /dev/null
+++ b/internal/entry/forward.go
@@ -0,0 +1,172 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"godwitward.example/godwitward/internal/upstream"
+)
+
+const (
+	idlePerUpstream     = 256
+	idleTimeout         = 90 * time.Second
+	maxUpstreamHeaders  = 1 << 20
+	headerIdempotency   = "Idempotency-Key"
+	headerReplayed      = "Idempotency-Replayed"
+	headerRequestID     = "X-Request-Id"
+	headerForwardedFor  = "X-Forwarded-For"
+	forwardedBufferSize = 32 << 10
+)
+
+// hopByHop are the headers that concern one connection only, and Expect, which
+// the entry's HTTP server has answered.
+var hopByHop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+}
+
+// forwarder sends calls to plain upstreams.
+type forwarder struct {
+	picker *picker
+	// shared keeps connections open between calls.
+	shared http.RoundTripper
+	// single opens a connection for each call. net/http repeats a request with
+	// an Idempotency-Key when a reused connection breaks, although the
+	// upstream may have run it; it never does so on a new connection.
+	single http.RoundTripper
+}
+
+func newForwarder(o *Options) *forwarder {
+	f := &forwarder{picker: newPicker(), shared: o.Transport, single: o.Transport}
+	if o.Transport == nil {
+		f.shared = newTransport(o, false)
+		f.single = newTransport(o, true)
+	}
+	return f
+}
+
+func newTransport(o *Options, single bool) *http.Transport {
+	return &http.Transport{
+		DialContext:            (&net.Dialer{Timeout: o.Timeouts.Dial}).DialContext,
+		TLSHandshakeTimeout:    o.Timeouts.Dial,
+		DisableCompression:     true,
+		DisableKeepAlives:      single,
+		MaxIdleConnsPerHost:    idlePerUpstream,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxUpstreamHeaders,
+	}
+}
+
+// send sends a call to the upstream at baseURL and returns its answer when the
+// header arrived. Errors are of type *upstream.Error.
+func (f *forwarder) send(ctx context.Context, baseURL string, r *http.Request, body []byte, requestID string, once bool) (*http.Response, error) {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
+	out, err := outgoing(ctx, baseURL, r, body, requestID)
+	if err != nil {
+		return nil, &upstream.Error{Kind: upstream.KindNotSent, Err: err}
+	}
+	transport := f.shared
+	if once {
+		transport = f.single
+	}
+	resp, err := transport.RoundTrip(out)
+	if err == nil {
+		return resp, nil
+	}
+	if !connected.Load() {
+		return nil, &upstream.Error{Kind: upstream.KindNotSent, Err: errors.Wrap(err, "connecting to the upstream")}
+	}
+	return nil, &upstream.Error{Kind: upstream.KindLost, Err: errors.Wrap(err, "waiting for the upstream's answer")}
+}
+
+func outgoing(ctx context.Context, baseURL string, r *http.Request, body []byte, requestID string) (*http.Request, error) {
+	target := strings.TrimSuffix(baseURL, "/") + r.URL.EscapedPath()
+	if r.URL.RawQuery != "" {
+		target += "?" + r.URL.RawQuery
+	}
+	var rd io.Reader
+	if len(body) > 0 {
+		rd = bytes.NewReader(body)
+	}
+	out, err := http.NewRequestWithContext(ctx, r.Method, target, rd)
+	if err != nil {
+		return nil, err
+	}
+	out.Header = r.Header.Clone()
+	removeHopByHop(out.Header)
+	out.Host = r.Host
+	out.Header.Set(headerRequestID, requestID)
+	if host, _, err := net.SplitHostPort(r.RemoteAddr); err == nil {
+		forwarded := append(out.Header.Values(headerForwardedFor), host)
+		out.Header.Set(headerForwardedFor, strings.Join(forwarded, ", "))
+	}
+	if _, ok := out.Header["User-Agent"]; !ok {
+		// Keeps net/http from adding its own.
+		out.Header.Set("User-Agent", "")
+	}
+	return out, nil
+}
+
+func removeHopByHop(h http.Header) {
+	for _, list := range h["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			if name = textproto.TrimString(name); name != "" {
+				h.Del(name)
+			}
+		}
+	}
+	for _, name := range hopByHop {
+		h.Del(name)
+	}
+}
+
+// copyHeader copies an upstream's headers to the caller's answer, but for the
+// request id, which is the entry's own.
+func copyHeader(dst, src http.Header) {
+	src = src.Clone()
+	removeHopByHop(src)
+	src.Del(headerRequestID)
+	for name, values := range src {
+		dst[name] = values
+	}
+}
+
+// copyBody streams a body to the caller and flushes each piece, so that an
+// upstream's own stream is not held back. silence ends a body that pauses.
+func (s *Server) copyBody(w http.ResponseWriter, body io.Reader, cancel func()) (callerErr, upstreamErr error) {
+	rc := http.NewResponseController(w)
+	silence := time.AfterFunc(s.opts.Timeouts.BodySilence, cancel)
+	defer silence.Stop()
+	buf := make([]byte, forwardedBufferSize)
+	for {
+		n, err := body.Read(buf)
+		if n > 0 {
+			silence.Stop()
+			_ = rc.SetWriteDeadline(time.Now().Add(s.opts.Timeouts.CallerStall))
+			if _, werr := w.Write(buf[:n]); werr != nil {
+				return werr, nil
+			}
+			if werr := rc.Flush(); werr != nil {
+				return werr, nil
+			}
+			silence.Reset(s.opts.Timeouts.BodySilence)
+		}
+		if err == io.EOF {
+			return nil, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/pick.go
@@ -0,0 +1,91 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+)
+
+// avoidTime keeps new calls from an upstream that refused a connection, which
+// a scheduler notices only after 3 s without an announcement.
+const avoidTime = time.Second
+
+// picker chooses the upstream of a plain call by power of two choices on this
+// entry's own outstanding calls, weighted by the speed that the scheduler
+// learned. It is safe for concurrent use.
+type picker struct {
+	mu          sync.Mutex
+	outstanding map[string]int
+	avoid       map[string]time.Time
+}
+
+func newPicker() *picker {
+	return &picker{outstanding: map[string]int{}, avoid: map[string]time.Time{}}
+}
+
+// pick returns an upstream that is live and not excluded, and counts the call
+// until done is called with it; nil when there is none.
+func (p *picker) pick(now time.Time, list []*pb.UpstreamStatus, exclude []string) *pb.UpstreamStatus {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	candidates := p.candidates(now, list, exclude)
+	if len(candidates) == 0 {
+		return nil
+	}
+	i := rand.IntN(len(candidates))
+	best := candidates[i]
+	if n := len(candidates); n > 1 {
+		other := candidates[(i+1+rand.IntN(n-1))%n]
+		if p.cost(other) < p.cost(best) {
+			best = other
+		}
+	}
+	p.outstanding[best.State.Id]++
+	return best
+}
+
+func (p *picker) candidates(now time.Time, list []*pb.UpstreamStatus, exclude []string) []*pb.UpstreamStatus {
+	var good, avoided []*pb.UpstreamStatus
+	for _, u := range list {
+		id := u.GetState().GetId()
+		if u.Health != pb.UpstreamStatus_LIVE || slices.Contains(exclude, id) {
+			continue
+		}
+		if now.Before(p.avoid[id]) {
+			avoided = append(avoided, u)
+			continue
+		}
+		good = append(good, u)
+	}
+	if len(good) == 0 {
+		return avoided
+	}
+	return good
+}
+
+// cost is the relative time that one more call takes.
+func (p *picker) cost(u *pb.UpstreamStatus) float64 {
+	weight := u.Weight
+	if weight <= 0 {
+		weight = 1
+	}
+	return float64(p.outstanding[u.State.Id]+1) / weight
+}
+
+// done ends a call; refused tells that no connection was made.
+func (p *picker) done(now time.Time, id string, refused bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.outstanding[id]--
+	if p.outstanding[id] <= 0 {
+		delete(p.outstanding, id)
+	}
+	if refused {
+		p.avoid[id] = now.Add(avoidTime)
+		return
+	}
+	delete(p.avoid, id)
+}
--- /dev/null
+++ b/internal/route/route_test.go
@@ -0,0 +1,139 @@
+package route
+
+import (
+	"crypto/sha256"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+)
+
+func validRoute() *pb.Route {
+	return &pb.Route{
+		Name: "orders", Path: "/kiritani/orders", Kind: pb.RouteKind_ROUTE_KIND_PLAIN, Service: "orderdesk", Region: "dohoku",
+		RequestClass:  pb.RequestClass_REQUEST_CLASS_URGENT,
+		NonRepeatable: []*pb.CallRule{{Method: "POST", PathPrefix: "/reservations"}},
+	}
+}
+
+// Guards against an operator seeing only the first of several mistakes, and
+// against a finding that names the wrong field.
+func TestValidationReportsEveryField(t *testing.T) {
+	require.NoError(t, ValidateRoute(validRoute()).Err())
+	r := validRoute()
+	r.Name, r.Path, r.Region = "Orders", "/a//b", ""
+	r.NonRepeatable = append(r.NonRepeatable, &pb.CallRule{Method: "post"}, &pb.CallRule{PathPrefix: "x"})
+	r.Callers = []*pb.CallerIdentity{{Organisation: "o", TokenSha256: make([]byte, 32)}, {TokenSha256: make([]byte, 32)}, {Organisation: "o", TokenSha256: []byte("x")}}
+	r.Models = []string{"m"}
+	r.MaxWaitMs = 120_000
+	r.Weights = &pb.PolicyWeights{Goodput: -1}
+	r.Cutover = &pb.Cutover{ToService: "other", FromService: "orderdesk"}
+	var fields []string
+	for _, f := range ValidateRoute(r).Items() {
+		fields = append(fields, f.Field)
+	}
+	require.ElementsMatch(t, []string{
+		"name", "path", "region", "max_wait_ms", "models", "non_repeatable[1].method", "non_repeatable[2].path_prefix",
+		"callers[1].organisation", "callers[1].token_sha256", "callers[2].token_sha256", "weights.goodput", "cutover.to_service",
+	}, fields)
+}
+
+// Guards against two routes with one path or name, and changes that pass the
+// control store's check although the configuration after them is invalid.
+func TestChangesAgainstTheConfiguration(t *testing.T) {
+	other := validRoute()
+	other.Name = "other"
+	err := ValidateConfig(&pb.Config{Routes: []*pb.Route{validRoute(), other, validRoute()}}).Err()
+	require.ErrorContains(t, err, `routes[1].path: "/kiritani/orders" is the path of routes[0]`)
+	require.ErrorContains(t, err, `routes[2].name: "orders" is the name of routes[0]`)
+
+	current := &pb.Config{Routes: []*pb.Route{validRoute()}}
+	change := &pb.ConfigChange{RequestId: "r", Change: &pb.ConfigChange_PutRoute{PutRoute: other}}
+	require.ErrorContains(t, ValidateChange(current, change).Err(), "put_route.path")
+	change.Change = &pb.ConfigChange_PutRoute{PutRoute: validRoute()}
+	require.NoError(t, ValidateChange(current, change).Err())
+	change.Change = &pb.ConfigChange_Cutover{Cutover: &pb.RouteCutover{Route: "orders", ToService: "orderdesk"}}
+	require.ErrorContains(t, ValidateChange(current, change).Err(), "cutover.to_service")
+	change.Change = &pb.ConfigChange_AddDrain{AddDrain: &pb.Drain{UpstreamId: "u", Place: "p"}}
+	require.ErrorContains(t, ValidateChange(current, change).Err(), "add_drain.upstream_id")
+	require.ErrorContains(t, ValidateChange(current, &pb.ConfigChange{RequestId: "r"}).Err(), "change: must be set")
+}
+
+// Guards against a request reaching a route with a shorter or merely similar
+// path: the table must agree with a search over all routes.
+func TestMatchTakesTheLongestPrefixAtASegment(t *testing.T) {
+	segment := rapid.SampledFrom([]string{"a", "ab", "b", "c"})
+	pathOf := rapid.Custom(func(t *rapid.T) string {
+		return "/" + strings.Join(rapid.SliceOfN(segment, 0, 4).Draw(t, "segments"), "/")
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		c := &pb.Config{}
+		for _, p := range rapid.SliceOfNDistinct(pathOf, 0, 6, rapid.ID[string]).Draw(t, "routes") {
+			c.Routes = append(c.Routes, &pb.Route{Path: p})
+		}
+		p := pathOf.Draw(t, "path")
+		want := ""
+		for _, r := range c.Routes {
+			prefix := strings.TrimSuffix(r.Path, "/")
+			if (p == prefix || strings.HasPrefix(p, prefix+"/")) && len(r.Path) > len(want) {
+				want = r.Path
+			}
+		}
+		got, rest, ok := NewTable(c).Match(p)
+		require.Equal(t, want != "", ok)
+		if ok {
+			require.Equal(t, want, got.Path)
+			require.Equal(t, p, strings.TrimSuffix(want, "/")+rest)
+		}
+	})
+}
+
+// Guards against a caller taking another organisation's name on a route that
+// knows its callers, and against new work reaching the old service of a cutover.
+func TestOrganisationDefaultsAndCutover(t *testing.T) {
+	r := validRoute()
+	r.Cutover = &pb.Cutover{ToService: "orderdesk2", FromService: "orderdesk"}
+	open := proto.Clone(r).(*pb.Route)
+	open.Path = "/open"
+	token := sha256.Sum256([]byte("secret"))
+	r.Callers = []*pb.CallerIdentity{{Organisation: "brno", TokenSha256: token[:]}}
+	table := NewTable(&pb.Config{Routes: []*pb.Route{r, open}})
+	known, _, _ := table.Match("/kiritani/orders/1")
+	require.Equal(t, "orderdesk2/dohoku", known.Pool)
+	require.Equal(t, uint32(DefaultMaxBodyBytes), known.MaxBodyBytes)
+	require.Equal(t, DefaultDeadline, known.Deadline())
+
+	org, ok := known.Organisation(http.Header{"Authorization": {"bearer secret"}})
+	require.True(t, ok)
+	require.Equal(t, "brno", org)
+	for _, v := range []string{"", "Bearer", "Bearer ", "Bearer other", "Basic secret"} {
+		_, ok = known.Organisation(http.Header{"Authorization": {v}, "X-Organisation": {"brno"}})
+		require.False(t, ok, v)
+	}
+	anyone, _, _ := table.Match("/open")
+	org, _ = anyone.Organisation(http.Header{"X-Organisation": {"o1"}})
+	require.Equal(t, "o1", org)
+	org, _ = anyone.Organisation(nil)
+	require.Equal(t, DefaultOrganisation, org)
+}
+
+// Guards against a call that evades a rule by the spelling of its method or
+// path, and would then be repeated.
+func TestNonRepeatableRules(t *testing.T) {
+	r, _, _ := NewTable(&pb.Config{Routes: []*pb.Route{validRoute()}}).Match("/kiritani/orders")
+	require.True(t, r.NonRepeatable("POST", "/reservations"))
+	require.True(t, r.NonRepeatable("post", "/reservations/7"))
+	require.False(t, r.NonRepeatable("GET", "/reservations"))
+	require.False(t, r.NonRepeatable("POST", "/stock"))
+	for _, p := range []string{"/a/../reservations", "//reservations", "/./reservations", "/a\\..\\b", "a", "", "/a//"} {
+		require.False(t, CleanPath(p), p)
+	}
+	for _, p := range []string{"/", "/a", "/a/", "/a/b.c"} {
+		require.True(t, CleanPath(p), p)
+	}
+}
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -111,6 +111,9 @@
 	if len(out.Callers) > 0 {
 		compiled.callers = make(map[[sha256.Size]byte]string, len(out.Callers))
 		for _, c := range out.Callers {
+			if len(c.TokenSha256) != sha256.Size {
+				continue
+			}
 			compiled.callers[[sha256.Size]byte(c.TokenSha256)] = c.Organisation
 		}
 	}
