--- a/internal/request/completion.go
+++ b/internal/request/completion.go
@@ -132,7 +132,7 @@
 	case *Tick:
 		c.tick(now)
 	case *CallerGone:
-		c.finish(now, Outcome{Failure: FailureCallerGone, Message: "the caller disconnected", Ran: c.ran}, pb.ReleaseRequest_CANCELLED)
+		c.finish(now, Outcome{Failure: FailureCallerGone, Message: "the caller disconnected"}, pb.ReleaseRequest_CANCELLED)
 	case *Granted:
 		c.granted(now, ev)
 	case *Refused:
@@ -198,7 +198,7 @@
 	}
 	if !now.Before(c.spec.Deadline) {
 		c.finish(now, Outcome{
-			Failure: FailureDeadline, Message: fmt.Sprintf("the deadline passed in state %s", c.state), Ran: c.ran,
+			Failure: FailureDeadline, Message: fmt.Sprintf("the deadline passed in state %s", c.state),
 		}, pb.ReleaseRequest_CANCELLED)
 		return
 	}
@@ -208,7 +208,7 @@
 	switch c.state {
 	case Queued:
 		c.finish(now, Outcome{
-			Failure: FailureNoScheduler, Message: "the scheduler did not answer in time", Ran: c.ran, RetryAfter: time.Second,
+			Failure: FailureNoScheduler, Message: "the scheduler did not answer in time", RetryAfter: time.Second,
 		}, pb.ReleaseRequest_NOT_STARTED)
 	case Reserved:
 		c.startPrefill(now)
@@ -241,7 +241,7 @@
 	if c.state != Queued || ev.Attempt != c.attempt {
 		return
 	}
-	c.finish(now, Outcome{Failure: ev.Failure, Message: ev.Message, Ran: c.ran, RetryAfter: ev.RetryAfter}, pb.ReleaseRequest_NOT_STARTED)
+	c.finish(now, Outcome{Failure: ev.Failure, Message: ev.Message, RetryAfter: ev.RetryAfter}, pb.ReleaseRequest_NOT_STARTED)
 }
 
 func (c *Completion) startPrefill(now time.Time) {
@@ -284,7 +284,7 @@
 		c.prefillSent = false
 	}
 	if ev.Kind == upstream.KindRejected {
-		c.finish(now, Outcome{Failure: FailureRejected, Message: ev.Message, Ran: c.ran}, pb.ReleaseRequest_PREFILL_FAILED)
+		c.finish(now, Outcome{Failure: FailureRejected, Message: ev.Message}, pb.ReleaseRequest_PREFILL_FAILED)
 		return
 	}
 	c.retry(now, c.grant.GetPrefill().GetId(), pb.ReleaseRequest_PREFILL_FAILED, "prefill: "+ev.Message)
@@ -351,7 +351,7 @@
 		finish = "length"
 	}
 	if finish != "" {
-		c.finish(now, Outcome{Finish: finish, Ran: RanYes}, pb.ReleaseRequest_COMPLETED)
+		c.finish(now, Outcome{Finish: finish}, pb.ReleaseRequest_COMPLETED)
 	}
 }
 
@@ -376,7 +376,7 @@
 	}
 	allowed := int(c.attempt) < c.spec.Limits.Attempts && now.Before(c.spec.Deadline)
 	if !allowed || !c.spec.Budget.Withdraw(now) {
-		c.finish(now, Outcome{Failure: FailureUpstream, Message: message, Ran: c.ran, RetryAfter: time.Second}, outcome)
+		c.finish(now, Outcome{Failure: FailureUpstream, Message: message, RetryAfter: time.Second}, outcome)
 		return
 	}
 	c.release(now, outcome)
@@ -384,6 +384,11 @@
 }
 
 func (c *Completion) finish(now time.Time, o Outcome, release pb.ReleaseRequest_Outcome) {
+	if c.state == Prefill && c.prefillSent {
+		// The engine has the prompt and has not said whether it runs.
+		c.ran = max(c.ran, RanUnknown)
+	}
+	o.Ran = c.ran
 	if c.state == Queued {
 		c.do(&Withdraw{Attempt: c.attempt})
 	}
