--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -180,7 +180,7 @@
 		own := (drafts.FlowLen(w.req.Organisation) + 1) * w.spec.Pieces * max(1, drafts.Flows())
 		ahead += min(q.pieces[policy.Draft], own)
 	}
-	rate := p.holds.freed.PerSecond(now)
+	rate := p.holds.freeRate(now)
 	if ahead == 0 || rate <= 0 {
 		return wait
 	}
--- a/internal/scheduler/expiry.go
+++ b/internal/scheduler/expiry.go
@@ -66,6 +66,9 @@
 	switch {
 	case now >= h.expires:
 		return "deadline"
+	case h.stage == pb.ProgressRequest_STAGE_UNSPECIFIED && now >= h.startBy:
+		// The grant was lost on its way, or the entry gave up on it.
+		return "not started"
 	case h.entry.gone && now >= h.entry.goneAt+p.params.HoldGrace:
 		return "entry gone"
 	}
@@ -77,11 +80,15 @@
 func (p *Pool) forgetUpstreams(now time.Duration) {
 	changed := false
 	for id, m := range p.upstreams.byID {
+		if m.changing && m.changeBy > 0 && now >= m.changeBy {
+			m.changing = false
+			p.upstreams.refresh(m, &p.params, now)
+		}
 		if now-m.seen < p.params.ForgetAfter {
 			continue
 		}
 		delete(p.upstreams.byID, id)
-		p.prefix.forget(m)
+		p.replaced(m)
 		changed = true
 	}
 	if changed {
--- a/internal/scheduler/forecast.go
+++ b/internal/scheduler/forecast.go
@@ -15,8 +15,12 @@
 	// free, scaled by the weight of wasted prefill. A prefill result lives
 	// under a second, so a slot that frees late wastes the prefill.
 	forecastMargin = 60 * time.Millisecond
-	minMarginScale = 0.25
-	maxMarginScale = 4
+	// forecastEngines is the number of decode engines examined for one request,
+	// and maxForecastAside the number of requests that one run passes over.
+	forecastEngines  = 3
+	maxForecastAside = 16
+	minMarginScale   = 0.25
+	maxMarginScale   = 4
 )
 
 // ending is when one hold is forecast to end.
@@ -30,7 +34,7 @@
 // enough running requests have ended. Ends are forecast from the longest
 // output, so that memory is rarely free later than forecast.
 func (p *Pool) forecast(now time.Duration) []Action {
-	if p.params.DisableJIT {
+	if p.params.DisableJIT || !p.policy.Reserves() {
 		return nil
 	}
 	defer p.lock(placementTables)()
@@ -39,12 +43,18 @@
 	}
 	var out []Action
 	ends := map[*member][]ending{}
+	// Models with urgent requests that still wait: what becomes free there is
+	// theirs.
+	urgent := map[string]bool{}
 	for class, q := range p.queue.classes {
 		if q.Len() == 0 {
 			continue
 		}
 		aside := 0
-		q.Serve(func(string) int { return unknownPieces }, func(w *waiting) policy.Verdict {
+		q.Serve(anySize, func(w *waiting) policy.Verdict {
+			if class == int(policy.Draft) && urgent[w.req.Model] {
+				return policy.SkipGroup
+			}
 			if w == p.queue.earmark {
 				return policy.SkipFlow
 			}
@@ -52,44 +62,44 @@
 				out = append(out, p.grantHold(w, &pl, delay, true, now))
 				return policy.Taken
 			}
-			if aside++; aside >= maxAside {
+			urgent[w.req.Model] = urgent[w.req.Model] || class == int(policy.Urgent)
+			if aside++; aside >= maxForecastAside {
 				return policy.Stop
 			}
-			if len(w.req.Exclude) > 0 {
-				return policy.SkipFlow
-			}
-			return policy.SkipBucket
+			return policy.SkipFlow
 		})
-		// Requests that fit nowhere now must not be overtaken by a lower class.
-		if class == int(policy.Urgent) && q.Len() > 0 {
-			break
-		}
 	}
 	return out
 }
 
+func anySize(string) int { return unknownPieces }
+
+// early is an engine with the time at which it has room.
+type early struct {
+	engine *policy.Engine
+	free   time.Duration
+}
+
 // placeAhead looks for an engine on which memory becomes free when the
-// prefill's result arrives.
+// prefill's result arrives. Only the engines that are free first are examined.
 func (p *Pool) placeAhead(w *waiting, ends map[*member][]ending, now time.Duration) (policy.Placement, time.Duration, bool) {
 	q := p.query(w)
-	var best policy.Placement
-	var bestDelay time.Duration
-	found := false
+	var list []early
 	for _, e := range q.Decode {
-		m := p.upstreams.byID[e.ID]
 		if !e.Usable || policy.Fits(&q, e) || slices.Contains(w.req.Exclude, e.ID) {
 			continue
 		}
-		free, ok := p.freeAt(m, w, ends, now)
-		if !ok {
-			continue
+		if free, ok := p.freeAt(p.upstreams.byID[e.ID], w, ends, now); ok {
+			list = append(list, early{engine: e, free: free})
 		}
-		pl, delay, ok := p.timePrefill(&q, e, w, free, now)
-		if ok && (!found || delay+pl.TTFT() < bestDelay+best.TTFT()) {
-			best, bestDelay, found = pl, delay, true
+	}
+	slices.SortStableFunc(list, func(a, b early) int { return int(a.free - b.free) })
+	for _, c := range list[:min(len(list), forecastEngines)] {
+		if pl, delay, ok := p.timePrefill(&q, c.engine, w, c.free, now); ok {
+			return pl, delay, true
 		}
 	}
-	return best, bestDelay, found
+	return policy.Placement{}, 0, false
 }
 
 // timePrefill places the prefill for a decode engine with room from a time on.
--- a/internal/scheduler/holds.go
+++ b/internal/scheduler/holds.go
@@ -19,9 +19,11 @@
 	prefill   *member
 	decode    *member
 	// hashes of the prompt's prefix until the prefill has finished.
-	hashes    []uint64
-	granted   time.Duration
-	expires   time.Duration
+	hashes  []uint64
+	granted time.Duration
+	expires time.Duration
+	// startBy is when the entry must have reported the start of the prefill.
+	startBy   time.Duration
 	firstAt   time.Duration
 	linkBytes float64
 	attempt   uint32
@@ -66,6 +68,7 @@
 		dec.PromisedPieces += int(h.pieces)
 		dec.PromisedBatch++
 	} else {
+		p.holds.pieces += int(h.pieces)
 		dec.HeldPieces += int(h.pieces)
 		dec.Batch++
 		h.decode.held.add(now, dec.HeldPieces, dec.Batch)
@@ -134,6 +137,7 @@
 		dec.PromisedPieces -= int(h.pieces)
 		dec.PromisedBatch--
 	} else {
+		p.holds.pieces -= int(h.pieces)
 		dec.HeldPieces -= int(h.pieces)
 		dec.Batch--
 		h.decode.held.add(now, dec.HeldPieces, dec.Batch)
@@ -160,6 +164,7 @@
 		h.promised = false
 		v.PromisedPieces -= int(h.pieces)
 		v.PromisedBatch--
+		p.holds.pieces += int(h.pieces)
 		v.HeldPieces += int(h.pieces)
 		v.Batch++
 		m.held.add(now, v.HeldPieces, v.Batch)
@@ -293,6 +298,29 @@
 	return true
 }
 
+// holdTimeGain follows a change of the mean hold time within some tens of
+// completions.
+const holdTimeGain = 0.05
+
+func (t *holdTable) learnTime(d time.Duration) {
+	if t.holdTime == 0 {
+		t.holdTime = d
+		return
+	}
+	t.holdTime += time.Duration(holdTimeGain * float64(d-t.holdTime))
+}
+
+// freeRate returns the memory that becomes free a second, in pieces: what was
+// freed lately, or by Little's law what is held over the mean time that it is
+// held, whichever is more. The first is low after a quiet time.
+func (t *holdTable) freeRate(now time.Duration) float64 {
+	rate := t.freed.PerSecond(now)
+	if t.holdTime > 0 {
+		rate = max(rate, float64(t.pieces)/t.holdTime.Seconds())
+	}
+	return rate
+}
+
 // learnPrefill learns a prefill engine's speed. The reported duration includes
 // the wait behind earlier prefills; the time since the last one finished
 // bounds the time spent on this one.
@@ -323,6 +351,7 @@
 func (p *Pool) learnRelease(h *hold, r *pb.ReleaseRequest, now time.Duration) {
 	switch r.Outcome {
 	case pb.ReleaseRequest_COMPLETED:
+		p.holds.learnTime(now - h.granted)
 		h.decode.eject.Succeeded()
 		perToken := time.Duration(r.TpotUs) * time.Microsecond
 		h.decode.speed.Decoded(int(r.OutputTokens), perToken, h.decode.view.Batch, h.decode.view.MaxBatch)
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -13,6 +13,12 @@
 	// defaultOrderLimit bounds an order that states no deadline; loading a
 	// model takes tens of seconds.
 	defaultOrderLimit = 60 * time.Second
+	// maxOrderWait bounds the time until an order is sent: the drain of an
+	// engine, the queue of model loads and the wait for an old lease.
+	maxOrderWait = 5 * time.Minute
+	// announceLimit is the time in which an engine that changed its role must
+	// announce it.
+	announceLimit = 5 * time.Second
 )
 
 // orderTable lists the orders to engines.
@@ -136,6 +142,12 @@
 		delete(p.orders.byID, o.id)
 		return append(out, OrderResult{ID: o.id, Failure: "upstream " + o.order.UpstreamId + " is gone"})
 	}
+	if now >= o.since+maxOrderWait {
+		delete(p.orders.byID, o.id)
+		m.changing = false
+		p.upstreams.refresh(m, &p.params, now)
+		return append(out, OrderResult{ID: o.id, Failure: "the order could not be sent in time"})
+	}
 	if o.isLoad() && !p.mayLoad(now) {
 		return out
 	}
@@ -183,9 +195,12 @@
 		p.orders.loading--
 	}
 	if m := p.upstreams.byID[o.order.UpstreamId]; m != nil && m.changing {
-		m.changing = false
-		p.upstreams.refresh(m, &p.params, now)
-		p.unblock()
+		m.changeBy = now + announceLimit
+		if failure != "" {
+			m.changing = false
+			p.upstreams.refresh(m, &p.params, now)
+			p.unblock()
+		}
 	}
 	out := []Action{Note{Kind: "order.done", RequestID: o.order.RequestId, Upstream: o.order.UpstreamId, Detail: failure}}
 	if o.internal {
--- a/internal/scheduler/orphans.go
+++ b/internal/scheduler/orphans.go
@@ -54,7 +54,7 @@
 		id: s.HoldId, requestID: s.RequestId, model: s.Model, entry: e, prefill: pre, decode: dec,
 		granted: now, expires: now + defaultDeadline + p.params.DeadlineMargin, attempt: s.Attempt,
 		pieces: int32(s.Pieces), promptTokens: int32(s.PromptTokens), maxOutput: int32(s.MaxOutputTokens),
-		uncached: int32(s.PromptTokens), stage: s.Stage, class: classOf(s.RequestClass),
+		uncached: int32(s.PromptTokens), startBy: now + p.params.HoldGrace, stage: s.Stage, class: classOf(s.RequestClass),
 	}
 	h.prefilling = s.Stage < pb.ProgressRequest_PREFILL_DONE
 	if s.Stage < pb.ProgressRequest_TRANSFER_DONE {
@@ -65,10 +65,10 @@
 	if s.Stage >= pb.ProgressRequest_FIRST_TOKEN {
 		h.firstAt = now
 	}
-	p.addHold(h, now)
 	// The report that showed this work as unknown is corrected, so that its
 	// memory is not counted twice until the next report.
-	dec.held.raise(int(h.pieces), 1)
+	dec.held.raise(now, int(h.pieces), 1)
+	p.addHold(h, now)
 	dec.view.ForeignPieces = max(0, dec.view.ForeignPieces-int(h.pieces))
 	dec.view.ForeignBatch = max(0, dec.view.ForeignBatch-1)
 }
@@ -79,9 +79,12 @@
 	if m := p.upstreams.byID[id]; m != nil {
 		return m
 	}
-	m := &member{state: &pb.UpstreamState{Id: id}, seen: now - p.params.SilentAfter, speed: policy.NewSpeed(0, 0)}
+	s := &pb.UpstreamState{Id: id}
+	m := newMember(s)
+	m.standIn = true
+	m.state = s
+	m.seen = now - p.params.SilentAfter
 	m.view.ID = id
-	m.view.Share = 1
 	m.publishSpeed()
 	p.upstreams.byID[id] = m
 	p.upstreams.refresh(m, &p.params, now)
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -39,16 +39,26 @@
 		if q.Len() == 0 || p.queue.blocked[class] {
 			continue
 		}
-		out = p.placeClass(policy.Class(class), out, now)
+		var complete bool
+		out, complete = p.placeClass(policy.Class(class), out, now)
+		if !complete {
+			// Urgent requests that were not tried go ahead of drafts.
+			break
+		}
 		p.queue.blocked[class] = true
 	}
 	return out
 }
 
-func (p *Pool) placeClass(class policy.Class, out []Action, now time.Duration) []Action {
+// placeClass grants what fits of one class. It reports whether every request
+// that could fit was tried.
+func (p *Pool) placeClass(class policy.Class, out []Action, now time.Duration) ([]Action, bool) {
 	aside := 0
 	rooms := map[string]int{}
 	room := func(model string) int {
+		if !p.policy.Reserves() {
+			return unknownPieces
+		}
 		n, ok := rooms[model]
 		if !ok {
 			n = p.upstreams.group(model).room(class, p.reserve())
@@ -67,7 +77,7 @@
 		aside++
 		return p.verdict(&q, aside)
 	})
-	return out
+	return out, aside < maxAside
 }
 
 // verdict says what else cannot fit, given that a request did not.
@@ -136,7 +146,7 @@
 	h := &hold{
 		id: p.newHoldID(), requestID: req.RequestId, model: req.Model, entry: p.entry(req.EntryId),
 		prefill: pre, decode: dec, hashes: slices.Clone(req.PrefixHashes), granted: now,
-		expires: w.expires + p.params.DeadlineMargin, attempt: req.Attempt,
+		expires: w.expires + p.params.DeadlineMargin, startBy: now + delay + p.params.HoldGrace, attempt: req.Attempt,
 		pieces: int32(w.spec.Pieces), promptPieces: int32(w.spec.PromptPieces),
 		promptTokens: int32(req.PromptTokens), maxOutput: int32(req.MaxOutputTokens),
 		uncached: int32(w.spec.PromptTokens - pl.CachedTokens), class: w.spec.Class,
--- a/internal/scheduler/tables.go
+++ b/internal/scheduler/tables.go
@@ -87,8 +87,13 @@
 	health pb.UpstreamStatus_Health
 	speed  policy.Speed
 	eject  policy.Ejector
-	// changing is set while a role change waits for the engine to drain.
+	// standIn marks a record of an engine that entries named after a takeover
+	// and that has not announced itself to this holder.
+	standIn bool
+	// changing is set while the engine drains for a role change and until it
+	// announces the new role, at the latest at changeBy.
 	changing bool
+	changeBy time.Duration
 	held     heldLog
 	// prefilledAt is when the last prefill here finished.
 	prefilledAt time.Duration
@@ -106,8 +111,11 @@
 	byDecode map[*member][]*hold
 	entries  map[string]*entryRecord
 	sequence uint64
-	// freed is the learned rate at which memory becomes free.
-	freed policy.Rate
+	// pieces is the memory held on all decode engines; freed and holdTime give
+	// the learned rate at which it becomes free.
+	pieces   int
+	freed    policy.Rate
+	holdTime time.Duration
 }
 
 // entryRecord is what is known about one entry.
--- a/internal/scheduler/upstreams.go
+++ b/internal/scheduler/upstreams.go
@@ -99,10 +99,13 @@
 }
 
 // raise adds work that had been running before it was restated.
-func (l heldLog) raise(pieces, batch int) {
-	for i := range l {
-		l[i].pieces += pieces
-		l[i].batch += batch
+func (l *heldLog) raise(now time.Duration, pieces, batch int) {
+	if len(*l) == 0 {
+		*l = append(*l, heldSample{at: now - heldLogTime})
+	}
+	for i := range *l {
+		(*l)[i].pieces += pieces
+		(*l)[i].batch += batch
 	}
 }
 
@@ -274,10 +277,14 @@
 	defer p.lock(placementTables)()
 	regroup := false
 	for _, s := range states {
+		before := p.upstreams.byID[s.Id]
 		m, changed := p.upstreams.announce(s, &p.params, now)
 		if m == nil {
 			continue
 		}
+		if before != nil && before != m {
+			p.replaced(before)
+		}
 		regroup = regroup || changed
 		p.prefix.apply(m, s.CacheEvents)
 		s.CacheEvents = nil
@@ -294,6 +301,14 @@
 	return out
 }
 
+// replaced forgets what is known of an earlier start of an upstream.
+func (p *Pool) replaced(m *member) {
+	p.prefix.forget(m)
+	if p.queue.earmarked == m {
+		p.clearEarmark()
+	}
+}
+
 // announce applies one announcement. It returns nil for an outdated one, and
 // whether the candidate lists must be rebuilt.
 func (t *upstreamTable) announce(s *pb.UpstreamState, p *Params, now time.Duration) (*member, bool) {
@@ -301,17 +316,38 @@
 	if m != nil && s.Generation < m.state.Generation {
 		return nil, false
 	}
-	changed := m == nil || s.Generation > m.state.Generation || !sameShape(m.state, s)
-	if m == nil || s.Generation > m.state.Generation {
-		m = &member{speed: policy.NewSpeed(float64(s.PrefillTokensPerS), float64(s.DecodeUsPerToken)/1e6)}
-		m.view.Share = 1
+	fresh := m == nil || (s.Generation > m.state.Generation && !m.standIn)
+	changed := fresh || m.standIn || !sameShape(m.state, s)
+	switch {
+	case fresh:
+		m = newMember(s)
 		t.byID[s.Id] = m
+	case m.standIn:
+		m.standIn = false
+		m.speed = announcedSpeed(s)
+	case m.state.Leaving:
+		// Announcements come through several entries and may be overtaken. An
+		// upstream that was leaving stays so until it starts again.
+		s.Leaving = true
+	}
+	if m.changing && m.state != nil && m.state.Role != s.Role {
+		m.changing = false
 	}
 	m.announced(s, now)
 	t.refresh(m, p, now)
 	return m, changed
 }
 
+func newMember(s *pb.UpstreamState) *member {
+	m := &member{speed: announcedSpeed(s)}
+	m.view.Share = 1
+	return m
+}
+
+func announcedSpeed(s *pb.UpstreamState) policy.Speed {
+	return policy.NewSpeed(float64(s.PrefillTokensPerS), float64(s.DecodeUsPerToken)/1e6)
+}
+
 // SetDrains replaces the drained upstreams and places.
 func (p *Pool) SetDrains(s DrainSet, now time.Duration) {
 	defer p.lock(upstreamsTable | queueTableBit)()
--- a/policy/place.go
+++ b/policy/place.go
@@ -50,6 +50,9 @@
 // Policy selects engines. Place reports false when nothing fits at present.
 type Policy interface {
 	Name() string
+	// Reserves reports whether the policy respects reserved memory. A baseline
+	// that does not may place more on an engine than it holds.
+	Reserves() bool
 	Place(q *Query) (Placement, bool)
 }
 
@@ -80,6 +83,9 @@
 // Name implements Policy.
 func (Default) Name() string { return "default" }
 
+// Reserves implements Policy.
+func (Default) Reserves() bool { return true }
+
 // scored is one engine on a shortlist.
 type scored struct {
 	engine  *Engine
