scheduler: property test of the core; fix restated holds

Cause: the state machine test found two faults. A hold that this holder had cancelled came back when its entry restated it, and promised memory that was restated after a takeover counted as held beyond the engine's memory. Change: holds with the present token that are not known are not restored; holds whose transfer has not finished are restored as promised. Conclusion: invariants on memory, answers, order and liveness are checked on any interleaving.

--- a/internal/scheduler/holds.go
+++ b/internal/scheduler/holds.go
@@ -52,7 +52,12 @@
 // Release find it.
 func (p *Pool) newHoldID() string {
 	p.holds.sequence++
-	return p.name + holdSeparator + strconv.FormatUint(p.token, 10) + "-" + strconv.FormatUint(p.holds.sequence, 10)
+	return p.holdPrefix() + strconv.FormatUint(p.holds.sequence, 10)
+}
+
+// holdPrefix begins the ids of the holds granted under the present lease.
+func (p *Pool) holdPrefix() string {
+	return p.name + holdSeparator + strconv.FormatUint(p.token, 10) + "-"
 }
 
 // holdSeparator ends the pool's name in a hold id.
@@ -151,7 +156,7 @@
 // grants, as far as memory has become free.
 func (p *Pool) activatePromises(m *member, now time.Duration) {
 	v := &m.view
-	if v.PromisedBatch == 0 {
+	if v.PromisedBatch == 0 || p.restating(now) {
 		return
 	}
 	for _, h := range p.holds.byDecode[m] {
--- a/internal/scheduler/orphans.go
+++ b/internal/scheduler/orphans.go
@@ -28,7 +28,9 @@
 	stated := map[string]bool{}
 	for _, h := range r.Holds {
 		stated[h.HoldId] = true
-		if p.holds.byID[h.HoldId] == nil {
+		// A hold that this holder granted and does not know has been cancelled;
+		// its memory may have been granted again.
+		if p.holds.byID[h.HoldId] == nil && !strings.HasPrefix(h.HoldId, p.holdPrefix()) {
 			p.restore(e, h, now)
 		}
 	}
@@ -65,6 +67,14 @@
 	if s.Stage >= pb.ProgressRequest_FIRST_TOKEN {
 		h.firstAt = now
 	}
+	if h.linked {
+		// Its memory may have been promised. It counts as promised until the
+		// work that occupies the engine has been restated as well.
+		h.promised = true
+		p.addHold(h, now)
+		p.activatePromises(dec, now)
+		return
+	}
 	// The report that showed this work as unknown is corrected, so that its
 	// memory is not counted twice until the next report.
 	dec.held.raise(now, int(h.pieces), 1)
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -33,6 +33,7 @@
 		return nil
 	}
 	p.upstreams.refreshAll(&p.params, now, false)
+	p.settle(now)
 	var out []Action
 	out = p.placeEarmarked(out, now)
 	for class, q := range p.queue.classes {
@@ -50,6 +51,17 @@
 	return out
 }
 
+// settle gives restated holds their memory once the restate window is over.
+func (p *Pool) settle(now time.Duration) {
+	if p.holds.settled {
+		return
+	}
+	p.holds.settled = true
+	for m := range p.holds.byDecode {
+		p.activatePromises(m, now)
+	}
+}
+
 // placeClass grants what fits of one class. It reports whether every request
 // that could fit was tried.
 func (p *Pool) placeClass(class policy.Class, out []Action, now time.Duration) ([]Action, bool) {
--- /dev/null
+++ b/internal/scheduler/property_test.go
@@ -0,0 +1,586 @@
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/upstream"
+	"godwitward.example/godwitward/policy"
+)
+
+// simEngine is what really happens at one engine.
+type simEngine struct {
+	state   *pb.UpstreamState
+	work    map[workID]uint32
+	reports []simReport
+	// delivered is the last announcement that reached the scheduler.
+	delivered   *pb.UpstreamState
+	deliveredAt time.Duration
+	left        bool
+}
+
+type simReport struct {
+	at   time.Duration
+	used uint32
+	n    uint32
+}
+
+func (e *simEngine) used() (sum uint32) {
+	for _, pieces := range e.work {
+		sum += pieces
+	}
+	return sum
+}
+
+func (e *simEngine) note(now time.Duration) {
+	e.reports = append(e.reports, simReport{at: now, used: e.used(), n: uint32(len(e.work))})
+}
+
+// simHold is an entry's view of a grant.
+type simHold struct {
+	grant    *pb.Grant
+	req      *pb.SubmitRequest
+	stage    pb.ProgressRequest_Stage
+	promised bool
+}
+
+type simTicket struct {
+	id      uint64
+	req     *pb.SubmitRequest
+	answers int
+	// open: queued in the present core and not withdrawn.
+	open bool
+}
+
+// machine drives a core with any interleaving of events and checks the
+// invariants after each.
+type machine struct {
+	core    *Pool
+	now     time.Duration
+	token   uint64
+	engines []*simEngine
+	holds   map[string]*simHold
+	gone    map[string]bool
+	tickets []*simTicket
+	cancels []CancelWork
+	old     []*pb.UpstreamState
+	drained string
+	nextID  int
+}
+
+var simEntries = []string{"e1", "e2", "e3"}
+
+func newMachine() *machine {
+	m := &machine{holds: map[string]*simHold{}, gone: map[string]bool{}, token: 1}
+	for _, s := range []*pb.UpstreamState{prefillState("p1"), prefillState("p2"), decodeState("d1", 10), decodeState("d2", 6)} {
+		m.engines = append(m.engines, &simEngine{state: s, work: map[workID]uint32{}})
+	}
+	m.engines[2].state.MaxBatch = 4
+	m.core = NewPool(testPool, Params{UrgentReserve: 0.2}, policy.Default{}, m.token, 0, 1)
+	m.announceAll()
+	m.now = time.Second
+	return m
+}
+
+func (m *machine) engine(id string) *simEngine {
+	for _, e := range m.engines {
+		if e.state.Id == id {
+			return e
+		}
+	}
+	return nil
+}
+
+func (m *machine) announceAll() {
+	for _, e := range m.engines {
+		m.announce(nil, e, 0)
+	}
+}
+
+// announce reports a load from the past, as a lagging engine does.
+func (m *machine) announce(t *rapid.T, e *simEngine, lag int) {
+	s := proto.CloneOf(e.state)
+	e.note(m.now)
+	r := e.reports[max(0, len(e.reports)-1-lag)]
+	if m.now-r.at > reportLag {
+		r = e.reports[len(e.reports)-1]
+	}
+	s.UsedPieces, s.Running, s.LoadAgeMs = r.used, r.n, millis(m.now-r.at)
+	m.old = append(m.old, proto.CloneOf(s))
+	m.deliver(t, e, s)
+}
+
+func (m *machine) deliver(t *rapid.T, e *simEngine, s *pb.UpstreamState) {
+	if e.delivered == nil || s.Generation > e.delivered.Generation {
+		e.left = false
+	}
+	if e.delivered == nil || s.Generation >= e.delivered.Generation {
+		e.delivered = proto.CloneOf(s)
+		e.deliveredAt = m.now
+		e.left = e.left || s.Leaving
+	}
+	m.perform(t, m.core.Announce([]*pb.UpstreamState{s}, m.now))
+}
+
+// perform plays the shell: answers, prompt lists, cancellations kept pending.
+func (m *machine) perform(t *rapid.T, actions []Action) {
+	for _, a := range actions {
+		switch x := a.(type) {
+		case Answer:
+			m.answered(t, x)
+		case CancelWork:
+			m.cancels = append(m.cancels, x)
+		case CancelOrphan:
+			m.cancelAt(x.Engine.Id, x.Work)
+		case ListRunning:
+			var list []upstream.Running
+			for id, pieces := range m.engine(x.Engine.Id).work {
+				list = append(list, upstream.Running{RequestID: id.request, Attempt: id.attempt, Pieces: int(pieces), AgeMillis: 5000})
+			}
+			m.perform(t, m.core.Listed(x.Engine, list, m.now, m.now))
+		}
+	}
+}
+
+func (m *machine) cancelAt(id string, w upstream.CancelRequest) {
+	delete(m.engine(id).work, workID{w.RequestID, w.Attempt})
+}
+
+func (m *machine) answered(t *rapid.T, a Answer) {
+	i := slices.IndexFunc(m.tickets, func(k *simTicket) bool { return k.id == a.Ticket })
+	k := m.tickets[i]
+	k.answers++
+	if k.answers > 1 || !k.open {
+		t.Fatalf("ticket %d answered %d times, open %v", k.id, k.answers, k.open)
+	}
+	k.open = false
+	g := a.Response.GetGrant()
+	if g == nil {
+		return
+	}
+	for _, u := range []*pb.UpstreamAddress{g.Prefill, g.Decode} {
+		e := m.engine(u.Id)
+		if why := m.unusable(e); why != "" || u.Generation != e.delivered.Generation {
+			t.Fatalf("granted on %s generation %d, which is %s", u.Id, u.Generation, why)
+		}
+	}
+	h := m.core.holds.byID[g.HoldId]
+	v := &h.decode.view
+	if !h.promised && v.HeldPieces+v.ForeignPieces > v.TotalPieces {
+		t.Fatalf("granted %d pieces on %s: held %d, unclaimed %d, total %d", g.Pieces, g.Decode.Id, v.HeldPieces, v.ForeignPieces, v.TotalPieces)
+	}
+	m.holds[g.HoldId] = &simHold{grant: g, req: k.req, promised: h.promised}
+}
+
+// unusable says why an upstream must not receive new work, from what was
+// delivered to the scheduler.
+func (m *machine) unusable(e *simEngine) string {
+	switch {
+	case e.left:
+		return "leaving"
+	case m.now-e.deliveredAt >= 3*time.Second:
+		return "silent"
+	case m.drained == e.state.Id:
+		return "drained"
+	}
+	return ""
+}
+
+func (m *machine) run(t *rapid.T, c Controller) {
+	before := m.openHeads(policy.Urgent)
+	earmark := m.core.queue.earmark
+	actions := m.core.Run(c, m.now)
+	m.perform(t, actions)
+	if c != Placement || m.core.restating(m.now) {
+		return
+	}
+	for _, a := range actions {
+		if x, ok := a.(Answer); ok && x.Response.GetGrant() != nil && (earmark == nil || earmark.ticket != x.Ticket) {
+			m.checkOvertaken(t, x, before)
+		}
+	}
+	// Nothing that fits may be left waiting.
+	for _, k := range m.openHeads(policy.Urgent) {
+		if m.fits(k, nil) {
+			t.Fatalf("urgent ticket %d fits and still waits", k.id)
+		}
+	}
+}
+
+// checkOvertaken fails when a draft took memory that an urgent request waits for.
+func (m *machine) checkOvertaken(t *rapid.T, x Answer, before []*simTicket) {
+	h := m.core.holds.byID[x.Response.GetGrant().HoldId]
+	if h.class != policy.Draft {
+		return
+	}
+	for _, k := range before {
+		if k.open && m.fits(k, h) {
+			t.Fatalf("draft %s granted before urgent ticket %d, both fitted", h.requestID, k.id)
+		}
+	}
+}
+
+func (m *machine) openHeads(c policy.Class) []*simTicket {
+	var out []*simTicket
+	seen := map[string]bool{}
+	for _, k := range m.tickets {
+		if !k.open || classOf(k.req.RequestClass) != c || seen[k.req.Organisation] {
+			continue
+		}
+		seen[k.req.Organisation] = true
+		out = append(out, k)
+	}
+	return out
+}
+
+// fits reports whether a request fits now, counting the memory of one hold as
+// free. It asks for an idle prefill engine, which takes any request.
+func (m *machine) fits(k *simTicket, without *hold) bool {
+	pieces := piecesFor(int(k.req.PromptTokens+k.req.MaxOutputTokens), 1000)
+	idle, room := false, false
+	for _, e := range m.engines {
+		o := m.core.upstreams.byID[e.state.Id]
+		if o == nil || m.unusable(e) != "" {
+			continue
+		}
+		v := o.view
+		if o.state.Role == pb.EngineRole_ENGINE_ROLE_PREFILL {
+			idle = idle || v.Batch == 0 || (without != nil && without.prefill == o && v.Batch == 1)
+			continue
+		}
+		if without != nil && without.decode == o {
+			v.HeldPieces -= int(without.pieces)
+			v.Batch--
+		}
+		slots := v.MaxBatch - v.Batch - v.PromisedBatch - v.ForeignBatch
+		if v.EarmarkedPieces > 0 {
+			slots--
+		}
+		room = room || (slots > 0 && v.TotalPieces-v.HeldPieces-v.PromisedPieces-v.ForeignPieces-v.EarmarkedPieces >= pieces)
+	}
+	return idle && room && m.now < m.core.queue.byTicket[k.id].giveUp
+}
+
+func (m *machine) submit(t *rapid.T) {
+	class := pb.RequestClass_REQUEST_CLASS_DRAFT
+	if rapid.Bool().Draw(t, "urgent") {
+		class = pb.RequestClass_REQUEST_CLASS_URGENT
+	}
+	m.nextID++
+	req := submitRequest(fmt.Sprintf("r%d", m.nextID), class, rapid.Uint32Range(1, 7000).Draw(t, "prompt"), rapid.OneOf(rapid.Uint32Range(1, 60), rapid.Uint32Range(1, 2500)).Draw(t, "output"))
+	req.EntryId = rapid.SampledFrom(simEntries).Draw(t, "entry")
+	req.Organisation = rapid.SampledFrom([]string{"a", "b"}).Draw(t, "organisation")
+	req.MaxWaitMs = rapid.SampledFrom([]uint32{0, 500, 60000}).Draw(t, "wait")
+	req.DeadlineMs = rapid.SampledFrom([]uint32{5000, 60000}).Draw(t, "deadline")
+	m.queue(t, req)
+}
+
+func (m *machine) queue(t *rapid.T, req *pb.SubmitRequest) {
+	k := &simTicket{id: uint64(len(m.tickets) + 1), req: req, open: true}
+	m.tickets = append(m.tickets, k)
+	m.perform(t, m.core.Submit(k.id, req, m.now))
+}
+
+// anyHold draws a hold of a connected entry.
+func (m *machine) anyHold(t *rapid.T) (string, *simHold) {
+	var ids []string
+	for id, h := range m.holds {
+		if !m.gone[h.req.EntryId] {
+			ids = append(ids, id)
+		}
+	}
+	if len(ids) == 0 {
+		t.Skip("no hold")
+	}
+	slices.Sort(ids)
+	id := rapid.SampledFrom(ids).Draw(t, "hold")
+	return id, m.holds[id]
+}
+
+func (m *machine) progress(t *rapid.T) {
+	id, h := m.anyHold(t)
+	for n := rapid.IntRange(1, 4).Draw(t, "stages"); n > 0 && m.holds[id] == h; n-- {
+		m.advance(t, id, h)
+	}
+}
+
+func (m *machine) advance(t *rapid.T, id string, h *simHold) {
+	if h.stage == pb.ProgressRequest_DECODING {
+		return
+	}
+	h.stage++
+	e := m.engine(h.grant.Decode.Id)
+	if h.stage == pb.ProgressRequest_TRANSFER_DONE {
+		if e.state.Generation != h.grant.Decode.Generation || !m.imported(t, e, h) {
+			m.release(id, h, pb.ReleaseRequest_TRANSFER_FAILED)
+			return
+		}
+	}
+	r := &pb.ProgressRequest{HoldId: id, Stage: h.stage, DurationUs: rapid.Uint32Range(0, 3e6).Draw(t, "duration"), Tokens: h.req.PromptTokens}
+	if !m.core.Progress(r, m.now) {
+		m.cancelAt(h.grant.Decode.Id, upstream.CancelRequest{RequestID: h.req.RequestId, Attempt: h.req.Attempt})
+		delete(m.holds, id)
+	}
+}
+
+// imported starts a request at the decode engine, which refuses it when its
+// memory is full. Only memory that was promised ahead may turn out to be full.
+func (m *machine) imported(t *rapid.T, e *simEngine, h *simHold) bool {
+	if known := m.core.holds.byID[h.grant.HoldId]; known == nil || known.ending {
+		return false
+	}
+	if e.used()+h.grant.Pieces > e.state.TotalPieces {
+		if !h.promised {
+			t.Fatalf("%s refused an import of %d pieces with %d of %d in use", e.state.Id, h.grant.Pieces, e.used(), e.state.TotalPieces)
+		}
+		return false
+	}
+	e.work[workID{h.req.RequestId, h.req.Attempt}] = h.grant.Pieces
+	return true
+}
+
+func (m *machine) release(id string, h *simHold, outcome pb.ReleaseRequest_Outcome) {
+	m.cancelAt(h.grant.Decode.Id, upstream.CancelRequest{RequestID: h.req.RequestId, Attempt: h.req.Attempt})
+	m.core.Release(&pb.ReleaseRequest{HoldId: id, Outcome: outcome, OutputTokens: 100, TpotUs: 20000}, m.now)
+	delete(m.holds, id)
+}
+
+// takeOver replaces the scheduler. Connected entries restate their holds and
+// resubmit what was queued; some entries vanish at the same time.
+func (m *machine) takeOver(t *rapid.T) {
+	m.token++
+	m.core = NewPool(testPool, Params{UrgentReserve: 0.2}, policy.Default{}, m.token, m.now, 1)
+	m.cancels = nil
+	m.old = nil
+	m.core.SetDrains(NewDrainSet(m.drains()), m.now)
+	if rapid.Bool().Draw(t, "announced first") {
+		m.reannounce(t)
+	}
+	var again []*pb.SubmitRequest
+	for _, k := range m.tickets {
+		if k.open {
+			k.open = false
+			k.answers++
+			again = append(again, k.req)
+		}
+	}
+	lost := rapid.SampledFrom(append(slices.Clone(simEntries), "")).Draw(t, "lost entry")
+	for _, id := range simEntries {
+		if id == lost || m.gone[id] {
+			m.forget(id)
+			continue
+		}
+		m.restate(t, id)
+	}
+	m.reannounce(t)
+	for _, req := range again {
+		m.queue(t, req)
+	}
+}
+
+func (m *machine) drains() []*pb.Drain {
+	if m.drained == "" {
+		return nil
+	}
+	return []*pb.Drain{{UpstreamId: m.drained}}
+}
+
+func (m *machine) reannounce(t *rapid.T) {
+	for _, e := range m.engines {
+		e.delivered = nil
+		m.announce(t, e, 0)
+	}
+}
+
+// forget drops an entry's holds without telling anyone; the work goes on.
+func (m *machine) forget(id string) {
+	for holdID, h := range m.holds {
+		if h.req.EntryId == id {
+			delete(m.holds, holdID)
+		}
+	}
+}
+
+func (m *machine) restate(t *rapid.T, entry string) {
+	r := &pb.RestateRequest{EntryId: entry, Pool: testPool, FencingToken: m.token}
+	for id, h := range m.holds {
+		if h.req.EntryId != entry {
+			continue
+		}
+		// The entry has seen the connections to an engine that restarted fail.
+		if h.grant.Decode.Generation != m.engine(h.grant.Decode.Id).state.Generation {
+			m.release(id, h, pb.ReleaseRequest_DECODE_FAILED)
+			continue
+		}
+		r.Holds = append(r.Holds, &pb.Hold{
+			HoldId: id, RequestId: h.req.RequestId, Attempt: h.req.Attempt, PrefillId: h.grant.Prefill.Id, DecodeId: h.grant.Decode.Id,
+			Pieces: h.grant.Pieces, RequestClass: h.req.RequestClass, Stage: h.stage, PromptTokens: h.req.PromptTokens, MaxOutputTokens: h.req.MaxOutputTokens, Model: "m",
+		})
+	}
+	m.perform(t, m.core.Restate(r, m.now))
+}
+
+// check compares the counters with the holds.
+func (m *machine) check(t *rapid.T) {
+	type sums struct{ held, promised, batch, backlog, prefills int }
+	want := map[*member]*sums{}
+	of := func(x *member) *sums {
+		if want[x] == nil {
+			want[x] = &sums{}
+		}
+		return want[x]
+	}
+	for _, o := range m.core.upstreams.byID {
+		of(o)
+	}
+	for _, h := range m.core.holds.byID {
+		d, p := of(h.decode), of(h.prefill)
+		if h.promised {
+			d.promised += int(h.pieces)
+		} else {
+			d.held += int(h.pieces)
+			d.batch++
+		}
+		if h.prefilling {
+			p.backlog += int(h.uncached)
+			p.prefills++
+		}
+	}
+	for o, s := range want {
+		v := &o.view
+		if o.state.Role == pb.EngineRole_ENGINE_ROLE_PREFILL {
+			if v.BacklogTokens != s.backlog || v.Batch != s.prefills {
+				t.Fatalf("%s: backlog %d, batch %d, holds say %+v", v.ID, v.BacklogTokens, v.Batch, *s)
+			}
+			continue
+		}
+		if v.HeldPieces != s.held || v.PromisedPieces != s.promised || v.Batch != s.batch {
+			t.Fatalf("%s: held %d, promised %d, batch %d, holds say %+v", v.ID, v.HeldPieces, v.PromisedPieces, v.Batch, *s)
+		}
+		if v.HeldPieces > v.TotalPieces && !o.standIn {
+			t.Fatalf("%s: held %d of %d pieces", v.ID, v.HeldPieces, v.TotalPieces)
+		}
+	}
+	for _, k := range m.tickets {
+		if k.open == (k.answers > 0) || k.open != (m.core.queue.byTicket[k.id] != nil) {
+			t.Fatalf("ticket %d: open %v, answers %d", k.id, k.open, k.answers)
+		}
+	}
+}
+
+// drain lets time pass with every entry gone and engines answering; nothing
+// may remain.
+func (m *machine) drain(t *rapid.T) {
+	for _, id := range simEntries {
+		m.core.EntryGone(id, m.now)
+	}
+	for range 150 {
+		m.now += time.Second
+		for _, e := range m.engines {
+			m.announce(t, e, 0)
+		}
+		m.run(t, Expiry)
+		m.run(t, Orphans)
+		m.confirmAll()
+	}
+	m.check(t)
+	if n := len(m.core.holds.byID) + len(m.core.queue.byTicket) + len(m.core.holds.entries); n != 0 {
+		t.Fatalf("%d holds, requests or entries are left", n)
+	}
+	for _, e := range m.engines {
+		v := m.core.upstreams.byID[e.state.Id].view
+		if v.LinkBytes > 1 || v.EarmarkedPieces != 0 || e.used() != 0 {
+			t.Fatalf("%s: link bytes %f, earmarked %d, used %d are left", v.ID, v.LinkBytes, v.EarmarkedPieces, e.used())
+		}
+	}
+}
+
+func (m *machine) confirmAll() {
+	for _, c := range m.cancels {
+		m.cancelAt(c.Engine.Id, c.Work)
+		m.core.CancelDone(c.HoldID, c.Side, m.now)
+	}
+	m.cancels = nil
+}
+
+// Guards against over-granted memory, leaked holds and counters, lost or double
+// answers, urgent requests overtaken by drafts, work for upstreams that must
+// get none, and memory in use that a new scheduler grants again.
+func TestAnyInterleavingKeepsInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine()
+		pick := func() *simEngine { return rapid.SampledFrom(m.engines).Draw(t, "engine") }
+		t.Repeat(map[string]func(*rapid.T){
+			"submit":   m.submit,
+			"submit 2": m.submit,
+			"progress": m.progress, "progress 2": m.progress,
+			"place":   func(t *rapid.T) { m.run(t, Placement) },
+			"place 2": func(t *rapid.T) { m.run(t, Placement) },
+			"controller": func(t *rapid.T) {
+				m.run(t, rapid.SampledFrom([]Controller{Expiry, Orphans, Aging}).Draw(t, "controller"))
+			},
+			"forecast": func(t *rapid.T) { m.run(t, Forecast) },
+			"release": func(t *rapid.T) {
+				id, h := m.anyHold(t)
+				m.release(id, h, pb.ReleaseRequest_Outcome(rapid.IntRange(1, 6).Draw(t, "outcome")))
+			},
+			"withdraw": func(t *rapid.T) {
+				k := &simTicket{}
+				if len(m.tickets) > 0 {
+					k = rapid.SampledFrom(m.tickets).Draw(t, "ticket")
+				}
+				if m.core.Withdraw(k.id) {
+					k.open = false
+					k.answers++
+				}
+			},
+			"session end": func(t *rapid.T) {
+				id := rapid.SampledFrom(simEntries).Draw(t, "entry")
+				m.gone[id] = true
+				m.core.EntryGone(id, m.now)
+			},
+			"session back": func(t *rapid.T) {
+				id := rapid.SampledFrom(simEntries).Draw(t, "entry")
+				m.gone[id] = false
+				m.restate(t, id)
+			},
+			"announce": func(t *rapid.T) { m.announce(t, pick(), rapid.IntRange(0, 3).Draw(t, "lag")) },
+			"announce all": func(t *rapid.T) {
+				for _, e := range m.engines {
+					m.announce(t, e, 0)
+				}
+			},
+			"late announcement": func(t *rapid.T) {
+				if len(m.old) > 0 {
+					s := proto.CloneOf(rapid.SampledFrom(m.old).Draw(t, "old"))
+					m.deliver(t, m.engine(s.Id), s)
+				}
+			},
+			"leave": func(t *rapid.T) { pick().state.Leaving = true },
+			"restart": func(t *rapid.T) {
+				e := pick()
+				e.state.Generation++
+				e.state.Leaving = false
+				clear(e.work)
+			},
+			"drain": func(t *rapid.T) {
+				m.drained = rapid.SampledFrom([]string{"", "", "d1", "d2", "p1"}).Draw(t, "drained")
+				m.core.SetDrains(NewDrainSet(m.drains()), m.now)
+			},
+			"cancel answered": func(t *rapid.T) { m.confirmAll() },
+			"cancel failed":   func(t *rapid.T) { m.cancels = nil },
+			"take over":       m.takeOver,
+			"wait": func(t *rapid.T) {
+				m.now += time.Duration(rapid.SampledFrom([]int{1, 20, 100, 300, 600, 2100, 11000}).Draw(t, "ms")) * time.Millisecond
+			},
+			"": m.check,
+		})
+		m.drain(t)
+	})
+}
--- a/internal/scheduler/tables.go
+++ b/internal/scheduler/tables.go
@@ -111,6 +111,8 @@
 	byDecode map[*member][]*hold
 	entries  map[string]*entryRecord
 	sequence uint64
+	// settled is set after the first placement that follows the restate window.
+	settled bool
 	// pieces is the memory held on all decode engines; freed and holdTime give
 	// the learned rate at which it becomes free.
 	pieces   int
