daemon, dev: run entry, scheduler and control as processes and in one

Cause: the packages were not joined; no call went from a caller to an answer. A prefill engine needs no decode memory to announce itself.

--- a/cmd/gw-control/main.go
+++ b/cmd/gw-control/main.go
@@ -4,7 +4,6 @@
 import (
 	"os"
 
-	"godwitward.example/godwitward/internal/control"
 	"godwitward.example/godwitward/internal/daemon"
 	"godwitward.example/godwitward/internal/settings"
 )
@@ -17,34 +16,24 @@
 	o.addFlags(app)
 	settings.Parse(app, os.Args[1:], o.check)
 	logger := settings.NewLogger(os.Stderr)
-
-	// The files were loaded once by check.
-	serverTLS, _ := o.internal.Server()
-	clientTLS, _ := o.internal.Client()
-	operatorTLS, _ := o.operator.Server()
-	base := daemon.New(o.process.Hello(program), logger, serverTLS, clientTLS, nil)
-	srv, err := control.New(o.control(base))
-	if err != nil {
-		settings.Fail(logger, "starting the control store", err)
+	cfg := o.config()
+	cfg.Logger = logger
+	cfg.Cluster.OnFatal = func(err error) { settings.Fail(logger, "replicating", err) }
+	if err := settings.LoadTLS(&o.internal, &cfg.ServerTLS, &cfg.ClientTLS); err != nil {
+		settings.Fail(logger, "loading internal TLS", err)
 	}
-	srv.Register(base.Sessions)
-	if _, err := base.ServeSessions(o.listen); err != nil {
-		settings.Fail(logger, "starting", err)
-	}
-	operators, err := base.ServeHTTP(o.operatorListen, handler(srv), operatorTLS)
-	if err != nil {
-		settings.Fail(logger, "starting", err)
+	if err := settings.LoadTLS(&o.operator, &cfg.OperatorTLS, nil); err != nil {
+		settings.Fail(logger, "loading operators' TLS", err)
 	}
-	logger.Info().Str("event", "process.started").Str("listen", o.listen).Str("operators", operators.Addr).Msg("")
 
 	ctx, stop := settings.SignalContext()
 	defer stop()
-	<-ctx.Done()
-	err = srv.Close()
-	operators.Close()
-	base.Sessions.Close()
+	c, err := daemon.StartControl(cfg)
 	if err != nil {
+		settings.Fail(logger, "starting", err)
+	}
+	<-ctx.Done()
+	if err := c.Close(); err != nil {
 		settings.Fail(logger, "stopping the control store", err)
 	}
-	logger.Info().Str("event", "process.stopped").Msg("")
 }
--- a/cmd/gw-control/options.go
+++ b/cmd/gw-control/options.go
@@ -1,13 +1,11 @@
 package main
 
 import (
-	"net/http"
 	"slices"
 	"strconv"
 	"strings"
 
 	"github.com/alecthomas/kingpin/v2"
-	"github.com/go-chi/chi/v5"
 	"github.com/pkg/errors"
 
 	"godwitward.example/godwitward/internal/control"
@@ -102,32 +100,24 @@
 	return out
 }
 
-func (o *options) control(base *daemon.Base) control.Options {
-	address := o.members[o.memberID]
-	if address == "" {
-		address = o.listen
-	}
-	return control.Options{
-		ID:              o.memberID,
-		Address:         address,
-		OperatorAddress: o.operatorListen,
-		Shards:          o.shards,
-		Ledger:          ledger.Limits{MaxBytes: o.ledgerMiB << 20},
-		Authorize:       o.authorize,
-		Self:            base.Self,
-		TLS:             base.ClientTLS,
-		Recorder:        base.Recorder,
-		Logger:          base.Logger,
-		Cluster: &control.ClusterOptions{
+// config returns the settings of the process; TLS is filled in by main.
+func (o *options) config() daemon.ControlConfig {
+	return daemon.ControlConfig{
+		Self:      o.process.Hello(program),
+		Sessions:  o.listen,
+		Operators: o.operatorListen,
+		Store: control.Options{
+			ID:        o.memberID,
+			Address:   o.members[o.memberID],
+			Shards:    o.shards,
+			Ledger:    ledger.Limits{MaxBytes: o.ledgerMiB << 20},
+			Authorize: o.authorize,
+		},
+		Cluster: control.ClusterOptions{
 			Dir:     o.dataDir,
 			Start:   startModes[o.start],
 			Members: o.members,
-			Self:    base.Self,
-			TLS:     base.ClientTLS,
-			Clock:   base.Recorder.Clock(),
-			Logger:  base.Logger,
 			Seed:    o.memberID,
-			OnFatal: func(err error) { settings.Fail(base.Logger, "replicating", err) },
 		},
 	}
 }
@@ -142,12 +132,3 @@
 	}
 	return nil
 }
-
-// handler serves the operators' service, health and metrics.
-func handler(srv *control.Server) http.Handler {
-	r := chi.NewRouter()
-	path, operators := srv.OperatorHandler()
-	r.Mount(path, operators)
-	r.Mount("/", daemon.DebugHandler(srv.Ready))
-	return r
-}
--- /dev/null
+++ b/cmd/gw-entry/main.go
@@ -0,0 +1,105 @@
+// Command gw-entry accepts callers' requests on one VM.
+package main
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"godwitward.example/godwitward/internal/daemon"
+	"godwitward.example/godwitward/internal/entry"
+	"godwitward.example/godwitward/internal/finding"
+	"godwitward.example/godwitward/internal/settings"
+)
+
+const program = "gw-entry"
+
+type options struct {
+	process      settings.Process
+	callers      settings.TLS
+	internal     settings.TLS
+	cfg          daemon.EntryConfig
+	control      string
+	limits       entry.Limits
+	memory       int64
+	drainTimeout time.Duration
+}
+
+func (o *options) addFlags(app *kingpin.Application) {
+	o.process.AddFlags(app)
+	app.Flag("listen", "Address for callers and for announcements of upstreams.").Default("127.0.0.1:8080").StringVar(&o.cfg.Listen)
+	app.Flag("sessions", "Address for sessions from other daemons.").Default("127.0.0.1:7100").StringVar(&o.cfg.Sessions)
+	app.Flag("debug", "Address of health and metrics; empty: not served.").Default("127.0.0.1:8180").StringVar(&o.cfg.Debug)
+	app.Flag("control-addrs", "Session addresses of the control members, separated by commas.").Required().StringVar(&o.control)
+	app.Flag("memory-bytes", "Memory of this process that limits are derived from.").Default("1073741824").Int64Var(&o.memory)
+	app.Flag("max-requests", "Requests in flight; 0: derived from cores and memory.").Int64Var(&o.limits.Requests)
+	app.Flag("max-body-bytes", "Request bodies in memory, bytes; 0: derived.").Int64Var(&o.limits.BodyBytes)
+	app.Flag("max-answer-bytes", "Buffered answers, bytes; 0: derived.").Int64Var(&o.limits.AnswerBytes)
+	app.Flag("drain-delay", "Time to go on accepting requests while the balancer notices a drain.").Default("5s").DurationVar(&o.cfg.DrainDelay)
+	app.Flag("drain-timeout", "Longest wait for requests in flight at a stop.").Default("150s").DurationVar(&o.drainTimeout)
+	o.callers.AddFlags(app, "caller", "callers")
+	o.internal.AddFlags(app, "internal", "sessions between daemons")
+}
+
+func (o *options) check(l *finding.List) {
+	o.process.Check(l, program)
+	settings.CheckIPAddr(l, "--listen", o.cfg.Listen)
+	settings.CheckIPAddr(l, "--sessions", o.cfg.Sessions)
+	if o.cfg.Debug != "" {
+		settings.CheckIPAddr(l, "--debug", o.cfg.Debug)
+	}
+	o.cfg.ControlAddrs = settings.SplitList(o.control)
+	settings.CheckIPAddrs(l, "--control-addrs", o.cfg.ControlAddrs)
+	if o.memory < 1<<26 {
+		l.Addf("--memory-bytes", "%d is less than 64 MiB", o.memory)
+	}
+	o.callers.Check(l, o.cfg.Listen, false, o.process.AllowPlainText)
+	o.internal.Check(l, o.cfg.Sessions, true, o.process.AllowPlainText)
+}
+
+// withDefaults fills the limits that were not set.
+func (o *options) withDefaults() entry.Limits {
+	limits := entry.DefaultLimits(0, o.memory)
+	if o.limits.Requests > 0 {
+		limits.Requests = o.limits.Requests
+	}
+	if o.limits.BodyBytes > 0 {
+		limits.BodyBytes = o.limits.BodyBytes
+	}
+	if o.limits.AnswerBytes > 0 {
+		limits.AnswerBytes = o.limits.AnswerBytes
+	}
+	return limits
+}
+
+func main() {
+	app := settings.NewApp(program, "Accepts callers' requests and carries each to one outcome.")
+	o := &options{}
+	o.addFlags(app)
+	settings.Parse(app, os.Args[1:], o.check)
+	logger := settings.NewLogger(os.Stderr)
+	o.cfg.Self = o.process.Hello(program)
+	o.cfg.Logger = logger
+	o.cfg.Limits = o.withDefaults()
+	if err := settings.LoadTLS(&o.callers, &o.cfg.CallerTLS, nil); err != nil {
+		settings.Fail(logger, "loading callers' TLS", err)
+	}
+	if err := settings.LoadTLS(&o.internal, &o.cfg.ServerTLS, &o.cfg.ClientTLS); err != nil {
+		settings.Fail(logger, "loading internal TLS", err)
+	}
+
+	ctx, stop := settings.SignalContext()
+	defer stop()
+	e, err := daemon.StartEntry(o.cfg)
+	if err != nil {
+		settings.Fail(logger, "starting", err)
+	}
+	<-ctx.Done()
+	drainCtx, cancel := context.WithTimeout(context.Background(), o.drainTimeout)
+	defer cancel()
+	if err := e.Shutdown(drainCtx); err != nil {
+		settings.Fail(logger, "draining", err)
+	}
+}
--- /dev/null
+++ b/internal/daemon/control.go
@@ -0,0 +1,112 @@
+package daemon
+
+import (
+	"crypto/tls"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/control"
+	"godwitward.example/godwitward/internal/route"
+)
+
+// ControlConfig holds the settings of a control process.
+type ControlConfig struct {
+	Self *pb.Hello
+	// Sessions is the address for other daemons, Operators that of the
+	// operators' service and of health and metrics.
+	Sessions    string
+	Operators   string
+	ServerTLS   *tls.Config
+	ClientTLS   *tls.Config
+	OperatorTLS *tls.Config
+	Logger      *log.Logger
+	// Store and Cluster hold the member's own settings. What this package
+	// knows (peers, TLS, recorder, validation) is filled in.
+	Store   control.Options
+	Cluster control.ClusterOptions
+}
+
+// Control is a running control process.
+type Control struct {
+	// Addr is the bound address for daemons, OperatorAddr that for operators.
+	Addr         string
+	OperatorAddr string
+
+	base      *Base
+	server    *control.Server
+	operators *HTTPServer
+}
+
+// StartControl starts a control member. It runs until Close.
+func StartControl(cfg ControlConfig) (*Control, error) {
+	c := &Control{base: New(cfg.Self, cfg.Logger, cfg.ServerTLS, cfg.ClientTLS, nil)}
+	server, err := control.New(c.options(cfg))
+	if err != nil {
+		return nil, errors.Wrap(err, "starting the control store")
+	}
+	c.server = server
+	server.Register(c.base.Sessions)
+	if err := c.listen(cfg); err != nil {
+		_ = c.Close()
+		return nil, err
+	}
+	c.base.Recorder.Record(&pb.Event{Kind: "process.started"}, "sessions", c.Addr, "operators", c.OperatorAddr)
+	return c, nil
+}
+
+func (c *Control) options(cfg ControlConfig) control.Options {
+	cluster := cfg.Cluster
+	cluster.Self = cfg.Self
+	cluster.TLS = cfg.ClientTLS
+	cluster.Clock = c.base.Recorder.Clock()
+	cluster.Logger = cfg.Logger
+	opts := cfg.Store
+	opts.OperatorAddress = cfg.Operators
+	if opts.Address == "" {
+		opts.Address = cfg.Sessions
+	}
+	opts.Cluster = &cluster
+	opts.ValidateChange = validateChange
+	opts.Self = cfg.Self
+	opts.TLS = cfg.ClientTLS
+	opts.Recorder = c.base.Recorder
+	opts.Logger = cfg.Logger
+	return opts
+}
+
+func validateChange(current *pb.Config, change *pb.ConfigChange) []*pb.Finding {
+	var out []*pb.Finding
+	for _, f := range route.ValidateChange(current, change).Items() {
+		out = append(out, &pb.Finding{Field: f.Field, Message: f.Message})
+	}
+	return out
+}
+
+func (c *Control) listen(cfg ControlConfig) (err error) {
+	if c.Addr, err = c.base.ServeSessions(cfg.Sessions); err != nil {
+		return err
+	}
+	router := chi.NewRouter()
+	path, handler := c.server.OperatorHandler()
+	router.Mount(path, handler)
+	router.Mount("/", DebugHandler(c.server.Ready))
+	if c.operators, err = c.base.ServeHTTP(cfg.Operators, router, cfg.OperatorTLS); err != nil {
+		return err
+	}
+	c.OperatorAddr = c.operators.Addr
+	return nil
+}
+
+// Close stops the member.
+func (c *Control) Close() error {
+	err := c.server.Close()
+	if c.operators != nil {
+		c.operators.Close()
+	}
+	c.base.Sessions.Close()
+	c.base.Recorder.Record(&pb.Event{Kind: "process.stopped"})
+	return err
+}
--- /dev/null
+++ b/internal/daemon/scheduler.go
@@ -0,0 +1,163 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/control/client"
+	"godwitward.example/godwitward/internal/scheduler"
+	"godwitward.example/godwitward/internal/upstream"
+)
+
+// SchedulerConfig holds the settings of a scheduler process.
+type SchedulerConfig struct {
+	Self *pb.Hello
+	// Region of this process; it competes for the leases of this region's pools.
+	Region string
+	// Sessions is the address for other daemons, Debug that of health and
+	// metrics. An empty Debug is not served.
+	Sessions     string
+	Debug        string
+	ControlAddrs []string
+	ServerTLS    *tls.Config
+	ClientTLS    *tls.Config
+	// Preference ranks this process among the candidates for a lease: a larger
+	// VM has a higher one.
+	Preference uint32
+	// Policy names the placement policy; empty means the default.
+	Policy string
+	Params scheduler.Params
+	Logger *log.Logger
+}
+
+// Scheduler is a running scheduler process.
+type Scheduler struct {
+	// Addr is the bound address for daemons.
+	Addr string
+
+	cfg     SchedulerConfig
+	base    *Base
+	server  *scheduler.Scheduler
+	control *client.Client
+	debug   *HTTPServer
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	// stopLeases ends the holding of leases, which releases them.
+	leaseCtx   context.Context
+	stopLeases context.CancelFunc
+	wg         sync.WaitGroup
+	leases     sync.WaitGroup
+
+	mu   sync.Mutex
+	held map[string]bool
+}
+
+// StartScheduler starts a scheduler. It runs until Shutdown or Kill.
+func StartScheduler(cfg SchedulerConfig) (*Scheduler, error) {
+	s := &Scheduler{cfg: cfg, held: map[string]bool{}}
+	s.base = New(cfg.Self, cfg.Logger, cfg.ServerTLS, cfg.ClientTLS, func(peer *pb.Hello) {
+		s.server.EntrySessionEnded(peer.DaemonId)
+	})
+	client := newEngineClient()
+	s.server = scheduler.New(scheduler.Options{
+		Policy: cfg.Policy, Params: cfg.Params, Recorder: s.base.Recorder, Logger: cfg.Logger,
+		NewEngine: func(state *pb.UpstreamState) scheduler.Engine {
+			return upstream.NewHTTPEngine(state.Url, client)
+		},
+	})
+	s.server.Register(s.base.Sessions)
+	if err := s.listen(); err != nil {
+		return nil, err
+	}
+	s.start()
+	s.base.Recorder.Record(&pb.Event{Kind: "process.started"}, "sessions", s.Addr)
+	return s, nil
+}
+
+func (s *Scheduler) listen() (err error) {
+	if s.Addr, err = s.base.ServeSessions(s.cfg.Sessions); err != nil {
+		return err
+	}
+	if s.cfg.Debug == "" {
+		return nil
+	}
+	ready := func() error { return nil }
+	s.debug, err = s.base.ServeHTTP(s.cfg.Debug, DebugHandler(ready), nil)
+	return err
+}
+
+func (s *Scheduler) start() {
+	s.control = client.New(client.Options{
+		Addrs: s.cfg.ControlAddrs, Self: s.cfg.Self, Address: s.Addr, TLS: s.cfg.ClientTLS,
+		Recorder: s.base.Recorder, Logger: s.cfg.Logger,
+	})
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.leaseCtx, s.stopLeases = context.WithCancel(s.ctx)
+	s.wg.Add(2)
+	go func() { defer s.wg.Done(); _ = s.control.Run(s.ctx) }()
+	go func() { defer s.wg.Done(); s.server.Run(s.ctx) }()
+	s.control.OnConfig(s.configChanged)
+}
+
+// configChanged competes for the pools that the configuration names. The pool
+// of a service that a cutover leaves stays held, because work still runs there.
+func (s *Scheduler) configChanged(cfg *pb.Config) {
+	s.server.Drains(scheduler.NewDrainSet(cfg.Drains))
+	for _, r := range cfg.Routes {
+		if r.Region != s.cfg.Region {
+			continue
+		}
+		s.compete(r.Service + "/" + r.Region)
+		if from := r.Cutover.GetFromService(); from != "" {
+			s.compete(from + "/" + r.Region)
+		}
+	}
+}
+
+func (s *Scheduler) compete(pool string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.held[pool] || s.leaseCtx.Err() != nil {
+		return
+	}
+	s.held[pool] = true
+	s.leases.Add(1)
+	go func() {
+		defer s.leases.Done()
+		_ = s.control.HoldLease(s.leaseCtx, pool, s.cfg.Preference,
+			func(token uint64) { s.server.Activate(pool, token, time.Now()) },
+			func() { s.server.Deactivate(pool) })
+	}()
+}
+
+// Shutdown hands the leases over and stops.
+func (s *Scheduler) Shutdown(ctx context.Context) error {
+	s.stopLeases()
+	done := make(chan struct{})
+	go func() { s.leases.Wait(); close(done) }()
+	var err error
+	select {
+	case <-done:
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	s.base.Recorder.Record(&pb.Event{Kind: "process.drained"})
+	s.Kill()
+	return err
+}
+
+// Kill stops the scheduler at once; its leases expire.
+func (s *Scheduler) Kill() {
+	s.cancel()
+	if s.debug != nil {
+		_ = s.debug.srv.Close()
+	}
+	s.base.Sessions.Close()
+	s.wg.Wait()
+}
--- /dev/null
+++ b/internal/dev/system.go
@@ -0,0 +1,242 @@
+package dev
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/api/godwitward/v1/godwitwardv1connect"
+	"godwitward.example/godwitward/internal/control"
+	"godwitward.example/godwitward/internal/daemon"
+	"godwitward.example/godwitward/internal/replica"
+	"godwitward.example/godwitward/internal/scheduler"
+	"godwitward.example/godwitward/internal/standin"
+)
+
+// Region of the embedded system's pools.
+const Region = "local"
+
+const memberID = 1
+
+const readyPoll = 20 * time.Millisecond
+
+// Config sizes an embedded system. Zero fields take the stated defaults.
+type Config struct {
+	// Listen is the callers' address. Default "127.0.0.1:0", a free port.
+	Listen string
+	// Operators is the operators' address. Default "127.0.0.1:0".
+	Operators string
+	// Debug is the address of health and metrics. Empty: not served.
+	Debug string
+	// DataDir holds the control member's state. Required.
+	DataDir string
+	// Upstreams are the stand-ins to start; region and entries are filled in.
+	Upstreams []standin.Settings
+	// Routes are created through the operators' service when they are missing.
+	Routes []*pb.Route
+	// Policy names the scheduler's policy. Empty: the default policy.
+	Policy string
+	Params scheduler.Params
+	Logger *log.Logger
+}
+
+// System is a running embedded system.
+type System struct {
+	Control   *daemon.Control
+	Scheduler *daemon.Scheduler
+	Entry     *daemon.Entry
+	Upstreams []standin.Peer
+	// Operator calls the operators' service.
+	Operator godwitwardv1connect.OperatorServiceClient
+
+	cfg    Config
+	cancel context.CancelFunc
+}
+
+// Start starts a system and waits until its routes are in force and every
+// stand-in is known to its scheduler.
+func Start(ctx context.Context, cfg Config) (*System, error) {
+	s := &System{cfg: cfg}
+	if err := s.start(ctx); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func orLoopback(addr string) string {
+	if addr == "" {
+		return "127.0.0.1:0"
+	}
+	return addr
+}
+
+func (s *System) start(ctx context.Context) (err error) {
+	if err := s.startControl(); err != nil {
+		return err
+	}
+	s.Operator = godwitwardv1connect.NewOperatorServiceClient(http.DefaultClient, "http://"+s.Control.OperatorAddr)
+	if err := s.StartScheduler(); err != nil {
+		return err
+	}
+	s.Entry, err = daemon.StartEntry(daemon.EntryConfig{
+		Self: s.hello("gw-entry"), Listen: orLoopback(s.cfg.Listen), Sessions: "127.0.0.1:0", Debug: s.cfg.Debug,
+		ControlAddrs: []string{s.Control.Addr}, Logger: s.cfg.Logger,
+	})
+	if err != nil {
+		return err
+	}
+	if err := s.putRoutes(ctx); err != nil {
+		return err
+	}
+	return s.startUpstreams(ctx)
+}
+
+func (s *System) startControl() error {
+	mode := replica.StartFounding
+	used, err := replica.HasState(nil, s.cfg.DataDir)
+	if err != nil {
+		return errors.Wrap(err, "looking at the data directory")
+	}
+	if used {
+		mode = replica.StartExisting
+	}
+	s.Control, err = daemon.StartControl(daemon.ControlConfig{
+		Self:     s.hello("gw-control"),
+		Sessions: "127.0.0.1:0", Operators: orLoopback(s.cfg.Operators), Logger: s.cfg.Logger,
+		Store: control.Options{ID: memberID},
+		Cluster: control.ClusterOptions{
+			Dir: s.cfg.DataDir, Start: mode, Seed: memberID,
+			// One member sends to nobody, so the address is only a name.
+			Members: map[uint64]string{memberID: "127.0.0.1:0"},
+		},
+	})
+	return err
+}
+
+// StartScheduler starts the scheduler, also again after it was killed.
+func (s *System) StartScheduler() (err error) {
+	s.Scheduler, err = daemon.StartScheduler(daemon.SchedulerConfig{
+		Self: s.hello("gw-scheduler"), Region: Region, Sessions: "127.0.0.1:0",
+		ControlAddrs: []string{s.Control.Addr}, Policy: s.cfg.Policy, Params: s.cfg.Params, Logger: s.cfg.Logger,
+	})
+	return err
+}
+
+func (s *System) hello(program string) *pb.Hello {
+	return &pb.Hello{DaemonId: program, Vm: "local", Place: "local", Process: program}
+}
+
+func (s *System) putRoutes(ctx context.Context) error {
+	resp, err := s.Operator.GetConfig(ctx, connect.NewRequest(&pb.GetConfigRequest{}))
+	if err != nil {
+		return errors.Wrap(err, "reading the configuration")
+	}
+	version := resp.Msg.Config.GetVersion()
+	have := map[string]bool{}
+	for _, r := range resp.Msg.Config.GetRoutes() {
+		have[r.Name] = true
+	}
+	for _, r := range s.cfg.Routes {
+		if have[r.Name] {
+			continue
+		}
+		change := &pb.ConfigChange{
+			RequestId:   fmt.Sprintf("dev-%s-%d", r.Name, version),
+			BaseVersion: version,
+			Change:      &pb.ConfigChange_PutRoute{PutRoute: r},
+		}
+		resp, err := s.Operator.ChangeConfig(ctx, connect.NewRequest(&pb.ChangeConfigRequest{Change: change}))
+		if err != nil {
+			return errors.Wrapf(err, "creating route %s", r.Name)
+		}
+		if code := resp.Msg.Outcome.Code; code != pb.ChangeOutcome_ACCEPTED {
+			return errors.Errorf("creating route %s: %s %v", r.Name, code, resp.Msg.Outcome.Findings)
+		}
+		version = resp.Msg.Outcome.Version
+	}
+	return nil
+}
+
+func (s *System) startUpstreams(ctx context.Context) error {
+	run, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	for _, settings := range s.cfg.Upstreams {
+		settings.Region = Region
+		settings.Entries = []string{"http://" + s.Entry.Addr}
+		peer, err := standin.Start(run, settings)
+		if err != nil {
+			return errors.Wrapf(err, "starting stand-in %s", settings.ID)
+		}
+		s.Upstreams = append(s.Upstreams, peer)
+	}
+	return s.awaitUpstreams(ctx)
+}
+
+// awaitUpstreams waits until a scheduler knows as many live upstreams as were
+// started, so that the first request is not refused.
+func (s *System) awaitUpstreams(ctx context.Context) error {
+	for {
+		resp, err := s.Operator.ListUpstreams(ctx, connect.NewRequest(&pb.ListUpstreamsRequest{}))
+		if err == nil && countLive(resp.Msg.Pools) >= len(s.cfg.Upstreams) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "waiting for upstreams to be announced")
+		case <-time.After(readyPoll):
+		}
+	}
+}
+
+func countLive(pools []*pb.SchedulerState) int {
+	live := 0
+	for _, p := range pools {
+		for _, u := range p.Upstreams {
+			if u.Health == pb.UpstreamStatus_LIVE {
+				live++
+			}
+		}
+	}
+	return live
+}
+
+// Shutdown drains the entry, hands leases over and stops everything.
+func (s *System) Shutdown(ctx context.Context) error {
+	err := s.Entry.Shutdown(ctx)
+	s.Entry = nil
+	if schedulerErr := s.Scheduler.Shutdown(ctx); err == nil {
+		err = schedulerErr
+	}
+	s.Scheduler = nil
+	s.Close()
+	return err
+}
+
+// Close stops everything at once. It may be called again.
+func (s *System) Close() {
+	if s.Entry != nil {
+		s.Entry.Kill()
+		s.Entry = nil
+	}
+	if s.Scheduler != nil {
+		s.Scheduler.Kill()
+		s.Scheduler = nil
+	}
+	for _, p := range s.Upstreams {
+		p.Kill()
+	}
+	if s.cancel != nil {
+		s.cancel()
+	}
+	if s.Control != nil {
+		_ = s.Control.Close()
+		s.Control = nil
+	}
+}
--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -67,8 +67,9 @@
 		if len(a.Models) == 0 {
 			l.Addf("models", "must name at least one model")
 		}
-		if a.TotalPieces == 0 {
-			l.Addf("total_pieces", "must be over 0")
+		// A prefill engine reserves no decode memory.
+		if a.TotalPieces == 0 && role == pb.EngineRole_ENGINE_ROLE_DECODE {
+			l.Addf("total_pieces", "must be over 0 for a decode engine")
 		}
 		if a.PieceTokens == 0 {
 			l.Addf("piece_tokens", "must be over 0")
--- a/internal/settings/app.go
+++ b/internal/settings/app.go
@@ -5,6 +5,7 @@
 	"io"
 	"os"
 	"runtime/debug"
+	"strconv"
 	"strings"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -41,7 +42,8 @@
 	return app
 }
 
-var logLevel string
+// logLevel is the value of --log-level; programs without the flag log at info.
+var logLevel = "info"
 
 func version() string {
 	if Version != "" {
@@ -101,10 +103,38 @@
 	return &log.Logger{
 		Level:      log.ParseLevel(logLevel),
 		TimeFormat: "2006-01-02T15:04:05.000Z07:00",
-		Writer:     &log.ConsoleWriter{Writer: w, Formatter: (&log.LogfmtFormatter{TimeField: "time"}).Formatter},
+		Writer:     &log.ConsoleWriter{Writer: w, Formatter: formatLine},
 	}
 }
 
+// formatLine writes an entry as key=value pairs. The library's own formatter
+// appends a bare message, which would not be a pair.
+func formatLine(w io.Writer, args *log.FormatterArgs) (int, error) {
+	line := make([]byte, 0, 256)
+	line = append(line, "time="...)
+	line = append(line, args.Time...)
+	line = append(line, " level="...)
+	line = append(line, args.Level...)
+	for _, kv := range args.KeyValues {
+		line = append(line, ' ')
+		line = append(line, kv.Key...)
+		line = append(line, '=')
+		line = appendValue(line, kv.Value)
+	}
+	if args.Message != "" {
+		line = append(line, " message="...)
+		line = appendValue(line, args.Message)
+	}
+	return w.Write(append(line, '\n'))
+}
+
+func appendValue(line []byte, value string) []byte {
+	if value == "" || strings.ContainsAny(value, " \"=\n\r\t") {
+		return strconv.AppendQuote(line, value)
+	}
+	return append(line, value...)
+}
+
 // Fail logs err and ends the program.
 func Fail(logger *log.Logger, action string, err error) {
 	logger.Error().Str("event", "process.failed").Str("action", action).Err(err).Msg("")
--- a/internal/settings/tls.go
+++ b/internal/settings/tls.go
@@ -101,3 +101,21 @@
 	}
 	return cfg, nil
 }
+
+// LoadTLS stores the listener's and the client's configuration of t; either
+// target may be nil.
+func LoadTLS(t *TLS, server, client **tls.Config) error {
+	if server != nil {
+		cfg, err := t.Server()
+		if err != nil {
+			return err
+		}
+		*server = cfg
+	}
+	if client == nil {
+		return nil
+	}
+	cfg, err := t.Client()
+	*client = cfg
+	return err
+}
