upstream, standin: add the HTTP engine adapter and the stand-in upstreams

Cause: entry, scheduler and load tests need engines to talk to, and a precise statement of what is known about failed work. Change: NewHTTPEngine maps each failure to an ErrorKind; Error gains FencingToken (the higher token of a 409); PrefixHashes names prompt pieces as cache events do. internal/standin holds a fake engine (prefill queue, prefix cache, KV transfer, batched decode, orders, faults) and a fake plain service; gw-standin runs one as a process.

--- /dev/null
+++ b/internal/standin/announce.go
@@ -0,0 +1,94 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"godwitward.example/godwitward/internal/upstream"
+)
+
+// announceTimeout bounds one announcement.
+const announceTimeout = 500 * time.Millisecond
+
+// announce sends an announcement each interval until ctx ends. The load
+// figures are sampled on their own clock, so that they lag.
+func (h *host) announce(ctx context.Context, current incarnation, generation uint64) {
+	if len(h.settings.Entries) == 0 {
+		return
+	}
+	client := &http.Client{Timeout: announceTimeout}
+	defer client.CloseIdleConnections()
+	ticker := time.NewTicker(h.settings.AnnounceInterval)
+	defer ticker.Stop()
+	sampler := time.NewTicker(h.settings.LoadLag)
+	defer sampler.Stop()
+	sampled, load := time.Now(), h.sample(current)
+	entry := 0
+	for {
+		a := h.announcement(current, generation)
+		a.Load = load
+		a.Load.AgeMillis = uint32(time.Since(sampled).Milliseconds())
+		for range h.settings.Entries {
+			if postAnnouncement(ctx, client, h.settings.Entries[entry], a) {
+				break
+			}
+			entry = (entry + 1) % len(h.settings.Entries)
+		}
+		for announced := false; !announced; {
+			select {
+			case <-ctx.Done():
+				return
+			case <-sampler.C:
+				sampled, load = time.Now(), h.sample(current)
+			case <-ticker.C:
+				announced = true
+			}
+		}
+	}
+}
+
+func (h *host) sample(current incarnation) upstream.Load {
+	var a upstream.Announcement
+	current.announcement(&a)
+	return a.Load
+}
+
+func (h *host) announcement(current incarnation, generation uint64) *upstream.Announcement {
+	s := &h.settings
+	a := &upstream.Announcement{
+		ID:         s.ID,
+		Generation: generation,
+		URL:        h.URL(),
+		Place:      s.Place,
+		Region:     s.Region,
+		Service:    s.Service,
+		Role:       s.Role,
+		Leaving:    h.leaving.Load(),
+	}
+	current.announcement(a)
+	a.CacheEvents = current.cacheEvents()
+	return a
+}
+
+func postAnnouncement(ctx context.Context, client *http.Client, entry string, a *upstream.Announcement) bool {
+	body, err := json.Marshal(a)
+	if err != nil {
+		return false
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, entry+upstream.PathAnnounce, bytes.NewReader(body))
+	if err != nil {
+		return false
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := client.Do(req)
+	if err != nil {
+		return false
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	return resp.StatusCode < 300
+}
--- /dev/null
+++ b/internal/standin/cache.go
@@ -0,0 +1,93 @@
+package standin
+
+import (
+	"container/list"
+	"math/rand/v2"
+	"time"
+
+	"godwitward.example/godwitward/internal/upstream"
+)
+
+const (
+	// maxCacheEvents bounds the events of one announcement.
+	maxCacheEvents = 256
+	// maxPendingEvents bounds the unpublished events; the oldest are lost.
+	maxPendingEvents = 2_048
+)
+
+// prefixCache holds the hashes of cached prompt pieces, least recently used
+// last, and the events about them that are still to be published. The engine's
+// lock guards it.
+type prefixCache struct {
+	settings *Settings
+	random   *rand.Rand
+	order    *list.List
+	pieces   map[uint64]*list.Element
+	sequence uint64
+	events   []pendingEvent
+}
+
+type pendingEvent struct {
+	event upstream.CacheEvent
+	at    time.Time
+}
+
+func newPrefixCache(s *Settings) *prefixCache {
+	return &prefixCache{
+		settings: s,
+		random:   rand.New(rand.NewPCG(s.Seed, 0)),
+		order:    list.New(),
+		pieces:   map[uint64]*list.Element{},
+	}
+}
+
+// match returns the number of leading pieces that are cached.
+func (c *prefixCache) match(hashes []uint64) int {
+	for i, h := range hashes {
+		element, ok := c.pieces[h]
+		if !ok {
+			return i
+		}
+		c.order.MoveToFront(element)
+	}
+	return len(hashes)
+}
+
+func (c *prefixCache) insert(hashes []uint64, now time.Time) {
+	for _, h := range hashes {
+		if element, ok := c.pieces[h]; ok {
+			c.order.MoveToFront(element)
+			continue
+		}
+		c.pieces[h] = c.order.PushFront(h)
+		c.publish(upstream.CacheEvent{PrefixHash: h}, now)
+	}
+	for c.order.Len() > c.settings.CachePieces {
+		h := c.order.Remove(c.order.Back()).(uint64)
+		delete(c.pieces, h)
+		c.publish(upstream.CacheEvent{PrefixHash: h, Removed: true}, now)
+	}
+}
+
+// publish queues an event, or loses it, which leaves a gap in the sequence.
+func (c *prefixCache) publish(e upstream.CacheEvent, now time.Time) {
+	c.sequence++
+	e.Sequence = c.sequence
+	if c.random.Float64() < c.settings.CacheEventLoss {
+		return
+	}
+	c.events = append(c.events, pendingEvent{event: e, at: now.Add(c.settings.CacheEventDelay)})
+	if extra := len(c.events) - maxPendingEvents; extra > 0 {
+		c.events = c.events[extra:]
+	}
+}
+
+// due removes and returns the events whose delay is over.
+func (c *prefixCache) due(now time.Time) []upstream.CacheEvent {
+	var due []upstream.CacheEvent
+	for len(c.events) > 0 && len(due) < maxCacheEvents && !c.events[0].at.After(now) {
+		due = append(due, c.events[0].event)
+		c.events = c.events[1:]
+	}
+	return due
+}
--- /dev/null
+++ b/internal/standin/host.go
@@ -0,0 +1,299 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/pkg/errors"
+
+	"godwitward.example/godwitward/internal/upstream"
+)
+
+// Peer is a running stand-in.
+type Peer interface {
+	// Addr is the host:port on which it listens, also after a crash.
+	Addr() string
+	// URL is the base URL for callers.
+	URL() string
+	// Close stops it and waits for its goroutines.
+	Close()
+	// Kill is a crash without a restart: connections are reset and memory is
+	// lost.
+	Kill()
+	// Done is closed after Close, Kill or a crash without a restart.
+	Done() <-chan struct{}
+}
+
+// Start starts an engine or a service, depending on the role. It runs until
+// ctx ends or it is closed.
+func Start(ctx context.Context, s Settings) (Peer, error) {
+	if s.Role == RolePlain {
+		return StartService(ctx, s)
+	}
+	return StartEngine(ctx, s)
+}
+
+// incarnation is what a crash loses: the state between start and crash.
+type incarnation interface {
+	// register adds the routes.
+	register(r chi.Router)
+	// run works until ctx ends and then accounts for lost work.
+	run(ctx context.Context)
+	// announcement adds role, sizes and load.
+	announcement(a *upstream.Announcement)
+	// cacheEvents removes and returns the events to publish now.
+	cacheEvents() []upstream.CacheEvent
+}
+
+// host owns the listener, the connections, the announcer and the restarts of a
+// stand-in. All of its goroutines end when the context of start ends.
+type host struct {
+	settings Settings
+	faults   *faults
+	build    func() incarnation
+	leaving  atomic.Bool
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	mu         sync.Mutex
+	addr       string
+	generation uint64
+	current    incarnation
+	stop       context.CancelFunc
+	server     *http.Server
+	conns      map[*conn]struct{}
+	restart    *time.Timer
+}
+
+func newHost(ctx context.Context, s Settings, build func(*host) incarnation) (*host, error) {
+	if err := s.complete(); err != nil {
+		return nil, err
+	}
+	h := &host{settings: s, faults: newFaults(), addr: s.Listen, generation: s.Generation}
+	h.build = func() incarnation { return build(h) }
+	h.ctx, h.cancel = context.WithCancel(ctx)
+	if err := h.up(); err != nil {
+		h.cancel()
+		return nil, err
+	}
+	context.AfterFunc(h.ctx, h.down)
+	return h, nil
+}
+
+// up starts one incarnation.
+func (h *host) up() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.ctx.Err() != nil {
+		return h.ctx.Err()
+	}
+	listener, err := net.Listen("tcp", h.addr)
+	if err != nil {
+		return errors.Wrap(err, "listening")
+	}
+	h.addr = listener.Addr().String()
+	h.conns = map[*conn]struct{}{}
+	h.current = h.build()
+	ctx, stop := context.WithCancel(h.ctx)
+	h.stop = stop
+	h.server = &http.Server{Handler: h.router(h.current)}
+	server, current, generation := h.server, h.current, h.generation
+	h.wg.Add(3)
+	go func() { defer h.wg.Done(); _ = server.Serve(&listenerWrapper{Listener: listener, host: h}) }()
+	go func() { defer h.wg.Done(); current.run(ctx) }()
+	go func() { defer h.wg.Done(); h.announce(ctx, current, generation) }()
+	return nil
+}
+
+// down ends the current incarnation and resets its connections.
+func (h *host) down() {
+	h.mu.Lock()
+	if h.restart != nil {
+		h.restart.Stop()
+	}
+	server := h.server
+	if server == nil {
+		h.mu.Unlock()
+		return
+	}
+	h.server = nil
+	h.generation++
+	h.stop()
+	for c := range h.conns {
+		if tcp, ok := c.Conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+	}
+	h.mu.Unlock()
+	// Closing a connection takes the lock.
+	_ = server.Close()
+}
+
+// crash ends the incarnation and starts the next one after the given time.
+func (h *host) crash(after time.Duration) {
+	h.down()
+	if after <= 0 {
+		h.cancel()
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.restart = time.AfterFunc(after, func() {
+		if h.up() != nil {
+			h.cancel()
+		}
+	})
+}
+
+// silence cuts off the connections that are open now.
+func (h *host) silence() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for c := range h.conns {
+		c.silent.Store(true)
+	}
+}
+
+// Addr implements Peer.
+func (h *host) Addr() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.addr
+}
+
+// URL implements Peer.
+func (h *host) URL() string { return "http://" + h.Addr() }
+
+// Done implements Peer.
+func (h *host) Done() <-chan struct{} { return h.ctx.Done() }
+
+// Kill implements Peer.
+func (h *host) Kill() { h.crash(0) }
+
+// Close implements Peer.
+func (h *host) Close() {
+	h.cancel()
+	h.down()
+	h.wg.Wait()
+}
+
+func (h *host) router(current incarnation) http.Handler {
+	r := chi.NewRouter()
+	r.Post("/fault", h.serveFault)
+	current.register(r)
+	return r
+}
+
+func (h *host) serveFault(w http.ResponseWriter, r *http.Request) {
+	var f Fault
+	if !readJSON(w, r, &f) {
+		return
+	}
+	if !h.Inject(f) {
+		writeError(w, http.StatusBadRequest, "unknown fault kind")
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// Inject applies a fault as POST /fault does; false for an unknown kind.
+func (h *host) Inject(f Fault) bool {
+	switch f.Kind {
+	case FaultStallPrefill, FaultStallTransfer, FaultDuplicate, FaultLate, FaultRefuse:
+		h.faults.add(f.Kind, f.Count)
+	case FaultSlow:
+		h.faults.slow(f.Factor, f.Seconds)
+	case FaultSilence:
+		h.silence()
+	case FaultLeave:
+		h.leaving.Store(true)
+	case FaultCrash:
+		// Runs beside the handler, because it closes the handler's connection.
+		go h.crash(time.Duration(f.Seconds * float64(time.Second)))
+	default:
+		return false
+	}
+	return true
+}
+
+// listenerWrapper registers each accepted connection with the host.
+type listenerWrapper struct {
+	net.Listener
+	host *host
+}
+
+func (l *listenerWrapper) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: accepted, host: l.host}
+	l.host.mu.Lock()
+	defer l.host.mu.Unlock()
+	l.host.conns[c] = struct{}{}
+	return c, nil
+}
+
+// conn is a connection that can go silent without being closed.
+type conn struct {
+	net.Conn
+	host   *host
+	silent atomic.Bool
+}
+
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err == nil && c.silent.Load() {
+		_, _ = io.Copy(io.Discard, c.Conn)
+		return 0, io.EOF
+	}
+	return n, err
+}
+
+func (c *conn) Write(p []byte) (int, error) {
+	if c.silent.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *conn) Close() error {
+	c.host.mu.Lock()
+	delete(c.host.conns, c)
+	c.host.mu.Unlock()
+	return c.Conn.Close()
+}
+
+const maxBodyBytes = 8 << 20
+
+func readJSON(w http.ResponseWriter, r *http.Request, value any) bool {
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(value)
+	if err != nil {
+		writeError(w, http.StatusBadRequest, "invalid JSON body: "+err.Error())
+	}
+	return err == nil
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+func writeError(w http.ResponseWriter, status int, message string) {
+	writeJSON(w, status, upstream.ErrorBody{Message: message})
+}
+
+func writeNotRun(w http.ResponseWriter, message string) {
+	w.Header().Set(upstream.HeaderRunState, upstream.RunStateNotRun)
+	writeError(w, http.StatusServiceUnavailable, message)
+}
--- /dev/null
+++ b/internal/standin/import.go
@@ -0,0 +1,184 @@
+package standin
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"godwitward.example/godwitward/internal/upstream"
+)
+
+// releaseTimeout bounds the release of a transferred result.
+const releaseTimeout = time.Second
+
+func (e *engineState) serveImport(w http.ResponseWriter, r *http.Request) {
+	var req upstream.ImportRequest
+	if !readJSON(w, r, &req) {
+		return
+	}
+	if req.RequestID == "" || req.Handle == "" || req.MaxOutputTokens <= 0 {
+		writeError(w, http.StatusBadRequest, "request_id, handle and max_output_tokens are required")
+		return
+	}
+	j, refused := e.startImport(&req)
+	if refused == nil {
+		refused = e.wait(r.Context(), j)
+	}
+	if refused != nil {
+		refused.write(w)
+		return
+	}
+	writeJSON(w, http.StatusOK, struct{}{})
+}
+
+// startImport starts the transfer, or finds it when it was started before. The
+// transfer goes on when the caller of import leaves.
+func (e *engineState) startImport(req *upstream.ImportRequest) (*job, *refusal) {
+	key := jobKey{id: req.RequestID, attempt: req.Attempt}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if j, ok := e.decodes[key]; ok {
+		return j, nil
+	}
+	if refused := e.admit(RoleDecode, req.Model, key); refused != nil {
+		return nil, refused
+	}
+	j := e.newJob(key, req.Priority, stageImport)
+	j.maxOutput = req.MaxOutputTokens
+	j.output = newReplay(e.settings.ReplayTokens)
+	e.decodes[key] = j
+	e.counters.imports.Add(1)
+	e.wg.Add(1)
+	go func() {
+		defer e.wg.Done()
+		refused := e.transfer(j, req)
+		e.endImport(j, refused)
+	}()
+	return j, nil
+}
+
+// endImport publishes the result of a transfer.
+func (e *engineState) endImport(j *job, refused *refusal) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.decodes[j.key] != j {
+		return
+	}
+	if refused != nil {
+		e.dropDecode(j, refused)
+		return
+	}
+	j.enter(stageImported)
+	close(j.ready)
+}
+
+// transfer fetches the KV cache at the rate of this engine's link.
+func (e *engineState) transfer(j *job, req *upstream.ImportRequest) *refusal {
+	source := req.SourceURL + upstream.PathExport + url.PathEscape(req.Handle)
+	get, err := http.NewRequestWithContext(j.ctx, http.MethodGet,
+		source+"?priority="+strconv.Itoa(int(req.Priority)), nil)
+	if err != nil {
+		return &refusal{status: http.StatusBadRequest, message: err.Error()}
+	}
+	resp, err := e.client.Do(get)
+	if err != nil {
+		return &refusal{status: http.StatusInternalServerError, message: "fetching KV cache: " + err.Error()}
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return &refusal{status: http.StatusGone, message: "source engine no longer holds the KV cache"}
+	}
+	computed, err := e.readHeader(j, resp.Header)
+	if err != nil {
+		return &refusal{status: http.StatusInternalServerError, message: err.Error()}
+	}
+	if refused := e.reserve(j); refused != nil {
+		return refused
+	}
+	if e.faults.take(FaultStallTransfer) {
+		<-j.ctx.Done()
+		return errCancelled
+	}
+	if refused := e.receive(j, resp, req.Priority); refused != nil {
+		return refused
+	}
+	e.mu.Lock()
+	j.computed = computed
+	if j.ctx.Err() != nil {
+		e.discard(j)
+	}
+	e.mu.Unlock()
+	e.release(source)
+	return nil
+}
+
+// receive reads the body; a turn on the link precedes each read, so that a
+// busy link slows the source down.
+func (e *engineState) receive(j *job, resp *http.Response, priority int32) *refusal {
+	buffer := make([]byte, e.link.sliceBytes())
+	for left := resp.ContentLength; left > 0; {
+		n := min(left, int64(len(buffer)))
+		if e.link.move(j.ctx, priority, int(n)) != nil {
+			return errCancelled
+		}
+		if _, err := io.ReadFull(resp.Body, buffer[:n]); err != nil {
+			return &refusal{status: http.StatusInternalServerError, message: "reading KV cache: " + err.Error()}
+		}
+		left -= n
+	}
+	return nil
+}
+
+func (e *engineState) readHeader(j *job, header http.Header) (int, error) {
+	prompt, err := strconv.Atoi(header.Get(headerPromptTokens))
+	if err != nil {
+		return 0, errors.Wrap(err, headerPromptTokens)
+	}
+	computed, err := strconv.Atoi(header.Get(headerComputedTokens))
+	if err != nil {
+		return 0, errors.Wrap(err, headerComputedTokens)
+	}
+	text, err := strconv.ParseUint(header.Get(headerTextState), 16, 64)
+	if err != nil {
+		return 0, errors.Wrap(err, headerTextState)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	j.promptTokens, j.text = prompt, upstream.PrefixHash(text)
+	return computed, nil
+}
+
+// reserve takes the memory for prompt and output.
+func (e *engineState) reserve(j *job) *refusal {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if j.ctx.Err() != nil {
+		return errCancelled
+	}
+	size := e.settings.PieceTokens
+	pieces := (j.promptTokens + j.maxOutput + size - 1) / size
+	if e.used+pieces > e.settings.TotalPieces {
+		return notRun("decode memory is full")
+	}
+	e.used += pieces
+	j.pieces = pieces
+	return nil
+}
+
+// release tells the source that the transfer is complete.
+func (e *engineState) release(source string) {
+	ctx, cancel := context.WithTimeout(e.ctx, releaseTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, source, nil)
+	if err != nil {
+		return
+	}
+	if resp, err := e.client.Do(req); err == nil {
+		_ = resp.Body.Close()
+	}
+}
--- /dev/null
+++ b/internal/standin/link.go
@@ -0,0 +1,137 @@
+package standin
+
+import (
+	"container/heap"
+	"context"
+	"sync"
+	"time"
+)
+
+// linkSlice is the time for which one transfer uses the link before the next
+// one in order gets its turn. Transfers of equal priority share the link.
+const linkSlice = 2 * time.Millisecond
+
+// link paces transfers: one slice at a time, lower priority number first and
+// then in order of arrival.
+type link struct {
+	bytesPerSecond int64
+	faults         *faults
+
+	mu      sync.Mutex
+	busy    bool
+	free    time.Time
+	waiting priorityQueue[chan struct{}]
+}
+
+func newLink(bytesPerSecond int64, f *faults) *link {
+	return &link{bytesPerSecond: bytesPerSecond, faults: f}
+}
+
+// sliceBytes is the number of bytes that one turn may move.
+func (l *link) sliceBytes() int {
+	return max(1, int(float64(l.bytesPerSecond)*linkSlice.Seconds()))
+}
+
+// move takes a turn of n bytes and returns when they have passed.
+func (l *link) move(ctx context.Context, priority int32, n int) error {
+	turn := make(chan struct{})
+	l.mu.Lock()
+	if l.busy {
+		heap.Push(&l.waiting, l.waiting.item(priority, turn))
+		l.mu.Unlock()
+		select {
+		case <-turn:
+		case <-ctx.Done():
+			l.abandon(turn)
+			return ctx.Err()
+		}
+		l.mu.Lock()
+	}
+	l.busy = true
+	// The end of a turn is computed from the end of the last one, so that late
+	// timers don't lower the rate.
+	now := time.Now()
+	if now.Sub(l.free) > linkSlice {
+		l.free = now
+	}
+	took := time.Duration(float64(n) / float64(l.bytesPerSecond) * float64(time.Second))
+	l.free = l.free.Add(l.faults.scale(took))
+	wait := l.free.Sub(now)
+	l.mu.Unlock()
+	err := sleep(ctx, wait)
+	l.next()
+	return err
+}
+
+// next gives the turn to the first in order.
+func (l *link) next() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.busy = len(l.waiting.items) > 0
+	if l.busy {
+		close(heap.Pop(&l.waiting).(*queued[chan struct{}]).value)
+	}
+}
+
+// abandon removes a waiting turn, or passes it on when it was just given.
+func (l *link) abandon(turn chan struct{}) {
+	l.mu.Lock()
+	for i, item := range l.waiting.items {
+		if item.value == turn {
+			heap.Remove(&l.waiting, i)
+			l.mu.Unlock()
+			return
+		}
+	}
+	l.mu.Unlock()
+	l.next()
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// priorityQueue orders by priority, then by arrival. It implements
+// heap.Interface.
+type priorityQueue[T any] struct {
+	items    []*queued[T]
+	arrivals uint64
+}
+
+type queued[T any] struct {
+	priority int32
+	arrival  uint64
+	value    T
+}
+
+func (q *priorityQueue[T]) item(priority int32, value T) *queued[T] {
+	q.arrivals++
+	return &queued[T]{priority: priority, arrival: q.arrivals, value: value}
+}
+
+func (q *priorityQueue[T]) Len() int { return len(q.items) }
+func (q *priorityQueue[T]) Less(i, j int) bool {
+	a, b := q.items[i], q.items[j]
+	if a.priority != b.priority {
+		return a.priority < b.priority
+	}
+	return a.arrival < b.arrival
+}
+func (q *priorityQueue[T]) Swap(i, j int) { q.items[i], q.items[j] = q.items[j], q.items[i] }
+func (q *priorityQueue[T]) Push(x any)    { q.items = append(q.items, x.(*queued[T])) }
+func (q *priorityQueue[T]) Pop() any {
+	last := q.items[len(q.items)-1]
+	q.items = q.items[:len(q.items)-1]
+	return last
+}
--- /dev/null
+++ b/internal/standin/order.go
@@ -0,0 +1,70 @@
+package standin
+
+import (
+	"net/http"
+
+	"godwitward.example/godwitward/internal/upstream"
+)
+
+// Kinds of orders.
+const (
+	orderSetRole     = "set_role"
+	orderLoadModel   = "load_model"
+	orderUnloadModel = "unload_model"
+	orderLoadAdapter = "load_adapter"
+)
+
+// serveOrder answers when the order has been carried out.
+func (e *engineState) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var order upstream.Order
+	if !readJSON(w, r, &order) {
+		return
+	}
+	if order.Kind == orderSetRole && order.Value != RolePrefill && order.Value != RoleDecode {
+		writeError(w, http.StatusBadRequest, "unknown role")
+		return
+	}
+	if highest, ok := e.fence(order.FencingToken); !ok {
+		writeJSON(w, http.StatusConflict, upstream.ErrorBody{
+			Message: "a newer fencing token was seen", FencingToken: highest})
+		return
+	}
+	switch order.Kind {
+	case orderSetRole:
+		e.mu.Lock()
+		e.role = order.Value
+		e.mu.Unlock()
+	case orderUnloadModel:
+		e.mu.Lock()
+		delete(e.models, order.Value)
+		e.mu.Unlock()
+	case orderLoadModel, orderLoadAdapter:
+		// The load goes on when the caller leaves, as it would in an engine.
+		if sleep(e.ctx, e.faults.scale(e.settings.ModelLoadTime)) != nil {
+			errLostState.write(w)
+			return
+		}
+		e.mu.Lock()
+		e.models[order.Value] = true
+		e.mu.Unlock()
+	default:
+		writeError(w, http.StatusBadRequest, "unknown order")
+		return
+	}
+	writeJSON(w, http.StatusOK, struct{}{})
+}
+
+// fence records a fencing token, or returns the higher one that was seen.
+// Engines that don't check tokens accept every order.
+func (e *engineState) fence(token uint64) (uint64, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.settings.ChecksFencing {
+		return 0, true
+	}
+	if token < e.fencing {
+		return e.fencing, false
+	}
+	e.fencing = token
+	return token, true
+}
--- /dev/null
+++ b/internal/standin/prefill.go
@@ -0,0 +1,247 @@
+package standin
+
+import (
+	"container/heap"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"godwitward.example/godwitward/internal/upstream"
+)
+
+// Headers of GET /engine/export/{handle}.
+const (
+	headerPromptTokens   = "Kv-Prompt-Tokens"
+	headerComputedTokens = "Kv-Computed-Tokens"
+	headerTextState      = "Kv-Text-State"
+)
+
+// releaseGrace is how long an expired result waits after an export for the
+// receiver's release, so that a used result is not counted as discarded.
+const releaseGrace = 200 * time.Millisecond
+
+func (e *engineState) servePrefill(w http.ResponseWriter, r *http.Request) {
+	var req upstream.PrefillRequest
+	if !readJSON(w, r, &req) {
+		return
+	}
+	if req.RequestID == "" || req.Prompt == "" {
+		writeError(w, http.StatusBadRequest, "request_id and prompt are required")
+		return
+	}
+	j, refused := e.startPrefill(&req)
+	if refused == nil {
+		refused = e.wait(r.Context(), j)
+	}
+	if refused != nil {
+		refused.write(w)
+		return
+	}
+	writeJSON(w, http.StatusOK, upstream.PrefillResult{
+		Handle:       j.handle,
+		PromptTokens: j.promptTokens,
+		CachedTokens: j.cachedTokens,
+		KVBytes:      int64(j.promptTokens) * e.settings.KVBytesPerToken,
+		TTLMillis:    int(e.settings.ResultTTL.Milliseconds()),
+	})
+}
+
+// startPrefill queues the prefill, or finds it when it was queued before.
+func (e *engineState) startPrefill(req *upstream.PrefillRequest) (*job, *refusal) {
+	key := jobKey{id: req.RequestID, attempt: req.Attempt}
+	hashes := upstream.PrefixHashes(req.Prompt, e.settings.PieceTokens)
+	text := upstream.NewPrefixHash().Add(req.Prompt)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if j, ok := e.prefills[key]; ok {
+		return j, nil
+	}
+	if refused := e.admit(RolePrefill, req.Model, key); refused != nil {
+		return nil, refused
+	}
+	j := e.newJob(key, req.Priority, stagePrefill)
+	j.hashes, j.text = hashes, text
+	j.promptTokens = upstream.EstimateTokens(len(req.Prompt))
+	e.prefills[key] = j
+	e.counters.prefills.Add(1)
+	if !e.faults.take(FaultStallPrefill) {
+		heap.Push(&e.queue, e.queue.item(j.priority, j))
+		wake(e.prefillWork)
+	}
+	return j, nil
+}
+
+func wake(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// prefillLoop runs one chunk of one prefill at a time.
+func (e *engineState) prefillLoop() {
+	free := time.Now()
+	for {
+		item, chunk := e.nextChunk()
+		if item == nil {
+			select {
+			case <-e.prefillWork:
+				free = time.Now()
+				continue
+			case <-e.ctx.Done():
+				return
+			}
+		}
+		j := item.value
+		took := time.Duration(float64(chunk) / float64(e.settings.PrefillTokensPerSecond) * float64(time.Second))
+		// Counting from the nominal end of the last chunk keeps late timers
+		// from lowering the speed.
+		free = free.Add(e.faults.scale(took))
+		stopped := sleep(j.ctx, time.Until(free)) != nil
+		if stopped || time.Since(free) > 20*time.Millisecond {
+			free = time.Now()
+		}
+		e.endChunk(item)
+	}
+}
+
+// nextChunk takes the most urgent prefill from the queue and counts its next
+// chunk as run.
+func (e *engineState) nextChunk() (*queued[*job], int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for len(e.queue.items) > 0 {
+		item := heap.Pop(&e.queue).(*queued[*job])
+		j := item.value
+		if j.ctx.Err() != nil {
+			continue
+		}
+		if j.computed == 0 {
+			j.cachedTokens = e.cache.match(j.hashes) * e.settings.PieceTokens
+			// The last token is always computed: it yields the first output.
+			j.cachedTokens = min(j.cachedTokens, j.promptTokens-1)
+		}
+		chunk := j.promptTokens - j.cachedTokens - j.computed
+		if e.settings.PrefillChunkTokens > 0 {
+			chunk = min(chunk, e.settings.PrefillChunkTokens)
+		}
+		j.computed += chunk
+		e.counters.prefillRun.Add(int64(chunk))
+		return item, chunk
+	}
+	return nil, 0
+}
+
+// endChunk puts an unfinished prefill back in its place or publishes the
+// result for the time that it is kept.
+func (e *engineState) endChunk(item *queued[*job]) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	j := item.value
+	if j.ctx.Err() != nil {
+		// Cancelled while the chunk ran: it was counted at the cancel.
+		return
+	}
+	if j.cachedTokens+j.computed < j.promptTokens {
+		heap.Push(&e.queue, item)
+		return
+	}
+	e.cache.insert(j.hashes, time.Now())
+	j.enter(stagePrefilled)
+	j.handle = fmt.Sprintf("%x-%d-%d", uint64(j.text), j.key.attempt, e.counters.prefills.Load())
+	j.expires = j.since.Add(e.settings.ResultTTL)
+	e.handles[j.handle] = j
+	time.AfterFunc(e.settings.ResultTTL, func() { e.expire(j) })
+	close(j.ready)
+}
+
+// expire drops a result that nobody is reading.
+func (e *engineState) expire(j *job) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if j.exporting == 0 && e.prefills[j.key] == j && !time.Now().Before(j.expires) {
+		e.dropPrefill(j, &refusal{status: http.StatusGone, message: "result expired"})
+	}
+}
+
+// dropPrefill frees a prefill. The caller holds the lock.
+func (e *engineState) dropPrefill(j *job, why *refusal) {
+	delete(e.prefills, j.key)
+	delete(e.handles, j.handle)
+	e.discard(j)
+	j.fail(why)
+}
+
+// serveExport sends a KV cache at the rate of this engine's link.
+func (e *engineState) serveExport(w http.ResponseWriter, r *http.Request) {
+	priority, _ := strconv.ParseInt(r.URL.Query().Get("priority"), 10, 32)
+	e.mu.Lock()
+	j, ok := e.handles[chi.URLParam(r, "handle")]
+	if !ok {
+		e.mu.Unlock()
+		errUnknown.write(w)
+		return
+	}
+	j.exporting++
+	computed := j.computed
+	e.mu.Unlock()
+	defer e.endExport(j)
+	size := int(int64(j.promptTokens) * e.settings.KVBytesPerToken)
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", strconv.Itoa(size))
+	w.Header().Set(headerPromptTokens, strconv.Itoa(j.promptTokens))
+	w.Header().Set(headerComputedTokens, strconv.Itoa(computed))
+	w.Header().Set(headerTextState, strconv.FormatUint(uint64(j.text), 16))
+	flusher := http.NewResponseController(w)
+	_ = flusher.Flush()
+	if e.faults.take(FaultStallTransfer) {
+		select {
+		case <-j.ctx.Done():
+		case <-r.Context().Done():
+		}
+		panic(http.ErrAbortHandler)
+	}
+	buffer := make([]byte, e.link.sliceBytes())
+	for size > 0 {
+		n := min(size, len(buffer))
+		if r.Context().Err() != nil || e.link.move(j.ctx, int32(priority), n) != nil {
+			panic(http.ErrAbortHandler)
+		}
+		if _, err := w.Write(buffer[:n]); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		_ = flusher.Flush()
+		size -= n
+	}
+}
+
+func (e *engineState) endExport(j *job) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	j.exporting--
+	if j.exporting == 0 {
+		j.expires = maxTime(j.expires, time.Now().Add(releaseGrace))
+		time.AfterFunc(time.Until(j.expires), func() { e.expire(j) })
+	}
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// serveRelease is called by the receiver after a complete transfer; from then
+// on it answers for the computed tokens.
+func (e *engineState) serveRelease(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if j, ok := e.handles[chi.URLParam(r, "handle")]; ok {
+		j.computed = 0
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/standin/service.go
@@ -0,0 +1,162 @@
+package standin
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"godwitward.example/godwitward/internal/upstream"
+)
+
+// headerIdempotencyKey names a call that may run at most once.
+const headerIdempotencyKey = "Idempotency-Key"
+
+// Service is a stand-in for a plain service. Its record of runs outlives a
+// crash, as the database of a real service would.
+type Service struct {
+	*host
+	runs *runLog
+}
+
+// Answer is the JSON echo of a plain call.
+type Answer struct {
+	Method     string `json:"method"`
+	Path       string `json:"path"`
+	BodySHA256 string `json:"body_sha256"`
+	Key        string `json:"key"`
+	// Run counts the runs under this key, from 1; 0 without a key.
+	Run int `json:"run"`
+}
+
+// ServiceStats is the answer of GET /stats of a service.
+type ServiceStats struct {
+	// Total counts all runs, also of calls without a key.
+	Total   int `json:"total"`
+	Running int `json:"running"`
+	// Runs counts the runs per idempotency key.
+	Runs map[string]int `json:"runs"`
+}
+
+// runLog counts runs.
+type runLog struct {
+	mu     sync.Mutex
+	total  int
+	counts map[string]int
+}
+
+func (l *runLog) add(key string) (total, run int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.total++
+	if key == "" {
+		return l.total, 0
+	}
+	l.counts[key]++
+	return l.total, l.counts[key]
+}
+
+// StartService starts a stand-in service.
+func StartService(ctx context.Context, s Settings) (*Service, error) {
+	runs := &runLog{counts: map[string]int{}}
+	h, err := newHost(ctx, s, func(h *host) incarnation {
+		return &serviceState{
+			host:   h,
+			runs:   runs,
+			random: rand.New(rand.NewPCG(h.settings.Seed, h.generation)),
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &Service{host: h, runs: runs}, nil
+}
+
+// serviceState is what a crash loses.
+type serviceState struct {
+	host *host
+	runs *runLog
+
+	mu      sync.Mutex
+	running int
+	random  *rand.Rand
+}
+
+func (s *serviceState) register(r chi.Router) {
+	r.Get("/stats", s.serveStats)
+	r.HandleFunc("/*", s.serveCall)
+}
+
+func (s *serviceState) run(ctx context.Context) { <-ctx.Done() }
+
+func (s *serviceState) cacheEvents() []upstream.CacheEvent { return nil }
+
+func (s *serviceState) announcement(a *upstream.Announcement) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a.MaxBatch = uint32(s.host.settings.Concurrency)
+	a.Load = upstream.Load{Running: uint32(s.running)}
+}
+
+func (s *serviceState) serveStats(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	running := s.running
+	s.mu.Unlock()
+	s.runs.mu.Lock()
+	defer s.runs.mu.Unlock()
+	writeJSON(w, http.StatusOK, ServiceStats{Total: s.runs.total, Running: running, Runs: s.runs.counts})
+}
+
+// begin takes a place; false when all are taken.
+func (s *serviceState) begin() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.running >= s.host.settings.Concurrency {
+		return false
+	}
+	s.running++
+	return true
+}
+
+// end frees the place and draws whether the call fails.
+func (s *serviceState) end() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+	return s.random.Float64() < s.host.settings.FailureRate
+}
+
+// serveCall runs one call. The work is done even when the caller leaves.
+func (s *serviceState) serveCall(w http.ResponseWriter, r *http.Request) {
+	if s.host.faults.take(FaultRefuse) || !s.begin() {
+		writeNotRun(w, "service takes no call now")
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		s.end()
+		writeError(w, http.StatusBadRequest, "reading body: "+err.Error())
+		return
+	}
+	time.Sleep(s.host.faults.scale(s.host.settings.ServiceDelay))
+	key := r.Header.Get(headerIdempotencyKey)
+	total, run := s.runs.add(key)
+	failed := s.end()
+	if total == s.host.settings.CrashAfterRun {
+		go s.host.Kill()
+		panic(http.ErrAbortHandler)
+	}
+	if failed {
+		writeError(w, http.StatusInternalServerError, "call failed after it ran")
+		return
+	}
+	sum := sha256.Sum256(body)
+	writeJSON(w, http.StatusOK, Answer{Method: r.Method, Path: r.URL.Path,
+		BodySHA256: hex.EncodeToString(sum[:]), Key: key, Run: run})
+}
--- a/internal/upstream/error.go
+++ b/internal/upstream/error.go
@@ -52,7 +52,10 @@
 	Kind ErrorKind
 	// Status is the HTTP status when the upstream answered, else 0.
 	Status int
-	Err    error
+	// FencingToken is the highest token that the engine has seen when it
+	// refused an order with status 409, else 0.
+	FencingToken uint64
+	Err          error
 }
 
 func (e *Error) Error() string {
--- /dev/null
+++ b/internal/upstream/http_test.go
@@ -0,0 +1,174 @@
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func testEngine(t *testing.T, handler http.HandlerFunc, opts ...HTTPOption) Engine {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	// Silent handlers end with the client's connection.
+	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
+	client := &http.Client{Transport: &http.Transport{}}
+	t.Cleanup(client.CloseIdleConnections)
+	return NewHTTPEngine(server.URL, client, opts...)
+}
+
+func hijackAndClose(w http.ResponseWriter) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err == nil {
+		_ = conn.Close()
+	}
+}
+
+// Guards against a retry of work that may have run, and against giving up on
+// work that provably did not: each kind is what a retry rule is built on.
+func TestErrorKindOfAnswer(t *testing.T) {
+	cases := []struct {
+		status int
+		notRun bool
+		kind   ErrorKind
+	}{
+		{http.StatusTooManyRequests, true, KindNotRun},
+		{http.StatusServiceUnavailable, true, KindNotRun},
+		// Without the header nothing proves that the work did not run.
+		{http.StatusServiceUnavailable, false, KindFailed},
+		{http.StatusInternalServerError, true, KindFailed},
+		{http.StatusBadRequest, false, KindRejected},
+		{http.StatusConflict, false, KindRejected},
+		{http.StatusNotFound, false, KindGone},
+		{http.StatusGone, false, KindGone},
+		{http.StatusInternalServerError, false, KindFailed},
+		{http.StatusBadGateway, false, KindFailed},
+	}
+	for _, c := range cases {
+		t.Run(fmt.Sprintf("%d %v", c.status, c.notRun), func(t *testing.T) {
+			e := testEngine(t, func(w http.ResponseWriter, r *http.Request) {
+				if c.notRun {
+					w.Header().Set(HeaderRunState, RunStateNotRun)
+				}
+				w.WriteHeader(c.status)
+				_, _ = w.Write([]byte(`{"message":"why","fencing_token":7}`))
+			})
+			err := e.Order(context.Background(), &Order{})
+			require.Equal(t, c.kind, KindOf(err))
+			var sent *Error
+			require.ErrorAs(t, err, &sent)
+			require.Equal(t, c.status, sent.Status)
+			require.EqualValues(t, 7, sent.FencingToken)
+			require.ErrorContains(t, err, "why")
+		})
+	}
+}
+
+// Guards against a request that never left being treated as possibly run.
+func TestNotSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+	e := NewHTTPEngine("http://"+l.Addr().String(), &http.Client{Transport: &http.Transport{}})
+	_, err = e.Prefill(context.Background(), &PrefillRequest{})
+	require.Equal(t, KindNotSent, KindOf(err))
+	_, err = e.Decode(context.Background(), &DecodeRequest{})
+	require.Equal(t, KindNotSent, KindOf(err))
+	expired, cancel := context.WithCancel(context.Background())
+	cancel()
+	require.Equal(t, KindNotSent, KindOf(e.Cancel(expired, &CancelRequest{})))
+}
+
+// Guards against a broken connection being reported as "not run" although the
+// request had been written.
+func TestBrokenConnectionIsLost(t *testing.T) {
+	var calls atomic.Int32
+	e := testEngine(t, func(w http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+		hijackAndClose(w)
+	})
+	_, err := e.Prefill(context.Background(), &PrefillRequest{})
+	require.Equal(t, KindLost, KindOf(err))
+	require.EqualValues(t, 1, calls.Load(), "the HTTP client repeated a request on its own")
+	_, err = e.Decode(context.Background(), &DecodeRequest{})
+	require.Equal(t, KindLost, KindOf(err))
+}
+
+// Guards against a half-received answer being taken for a result.
+func TestTruncatedAnswerIsLost(t *testing.T) {
+	e := testEngine(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", "100")
+		_, _ = w.Write([]byte(`{"handle":`))
+	})
+	_, err := e.Prefill(context.Background(), &PrefillRequest{})
+	require.Equal(t, KindLost, KindOf(err))
+	require.Equal(t, KindLost, KindOf(e.Import(context.Background(), &ImportRequest{})))
+}
+
+// Guards against waiting without bound for an engine that went silent.
+func TestSilenceIsStalled(t *testing.T) {
+	silent := func(w http.ResponseWriter, r *http.Request) {
+		// The server notices a closed connection only after the body was read.
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	}
+	e := testEngine(t, silent, SilenceLimit(50*time.Millisecond))
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := e.Prefill(ctx, &PrefillRequest{})
+	require.Equal(t, KindStalled, KindOf(err))
+	_, err = e.Decode(context.Background(), &DecodeRequest{})
+	require.Equal(t, KindStalled, KindOf(err))
+
+	e = testEngine(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = w.Write([]byte("data: {\"offset\":0,\"text\":\" abc\"}\n\n"))
+		_ = http.NewResponseController(w).Flush()
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	}, SilenceLimit(50*time.Millisecond))
+	s, err := e.Decode(context.Background(), &DecodeRequest{})
+	require.NoError(t, err)
+	defer s.Close()
+	token, err := s.Next()
+	require.NoError(t, err)
+	require.Equal(t, Token{Text: " abc"}, token)
+	// Time that the reader takes is no silence of the engine.
+	time.Sleep(100 * time.Millisecond)
+	start := time.Now()
+	_, err = s.Next()
+	require.Equal(t, KindStalled, KindOf(err))
+	require.GreaterOrEqual(t, time.Since(start), 40*time.Millisecond)
+}
+
+// Guards against a stream that ends early being taken for a complete answer,
+// and against an engine's own end of a stream being taken for a lost one.
+func TestStreamEnd(t *testing.T) {
+	const token = "data: {\"offset\":0,\"text\":\" abc\"}\n\n"
+	cases := []struct {
+		name, body string
+		kind       ErrorKind
+	}{
+		{"ends before the finish", token, KindLost},
+		{"is cancelled at the engine", token + "event: error\ndata: {\"status\":410,\"message\":\"cancelled\"}\n\n", KindGone},
+		{"is damaged", token + "data: {\n\n", KindFailed},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			e := testEngine(t, func(w http.ResponseWriter, r *http.Request) { _, _ = w.Write([]byte(c.body)) })
+			s, err := e.Decode(context.Background(), &DecodeRequest{})
+			require.NoError(t, err)
+			defer s.Close()
+			_, err = s.Next()
+			require.NoError(t, err)
+			_, err = s.Next()
+			require.Equal(t, c.kind, KindOf(err))
+		})
+	}
+}
