--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -160,3 +161,10 @@
 	writeJSON(w, http.StatusOK, Answer{Method: r.Method, Path: r.URL.Path,
 		BodySHA256: hex.EncodeToString(sum[:]), Key: key, Run: run})
 }
+
+// Runs returns the runs per idempotency key, also after a crash.
+func (s *Service) Runs() map[string]int {
+	s.runs.mu.Lock()
+	defer s.runs.mu.Unlock()
+	return maps.Clone(s.runs.counts)
+}
