--- /dev/null
+++ b/internal/processes/cluster_test.go
@@ -0,0 +1,297 @@
+package processes
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/api/godwitward/v1/godwitwardv1connect"
+	"godwitward.example/godwitward/internal/dev"
+)
+
+const (
+	members    = 3
+	startLimit = 30 * time.Second
+)
+
+var binaries string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "godwitward-bin")
+	if err == nil {
+		binaries = dir
+		out, buildErr := exec.Command("go", "build", "-o", dir,
+			"godwitward.example/godwitward/cmd/gw-control", "godwitward.example/godwitward/cmd/gw-scheduler",
+			"godwitward.example/godwitward/cmd/gw-entry", "godwitward.example/godwitward/cmd/gw-standin",
+			"godwitward.example/godwitward/cmd/gwctl", "godwitward.example/godwitward/cmd/gw-timeline").CombinedOutput()
+		if buildErr != nil {
+			err = errors.Wrap(buildErr, string(out))
+		}
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "building the programs:", err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// process is one running program.
+type process struct {
+	cmd  *exec.Cmd
+	done chan struct{}
+	log  string
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// cluster is a system of separate processes.
+type cluster struct {
+	t         *testing.T
+	dir       string
+	sessions  []string
+	operators []string
+	controls  []*process
+	entries   []string
+	running   []*process
+}
+
+func freeAddr(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (c *cluster) start(name, program string, args ...string) *process {
+	c.t.Helper()
+	p := &process{cmd: exec.Command(filepath.Join(binaries, program), args...), done: make(chan struct{}), log: filepath.Join(c.dir, name+".log")}
+	f, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	require.NoError(c.t, err)
+	p.cmd.Stdout, p.cmd.Stderr = f, f
+	require.NoError(c.t, p.cmd.Start())
+	go func() {
+		_ = p.cmd.Wait()
+		_ = f.Close()
+		close(p.done)
+	}()
+	c.running = append(c.running, p)
+	return p
+}
+
+func newCluster(t *testing.T) *cluster {
+	c := &cluster{t: t, dir: t.TempDir()}
+	t.Cleanup(c.close)
+	for range members {
+		c.sessions = append(c.sessions, freeAddr(t))
+		c.operators = append(c.operators, freeAddr(t))
+		c.controls = append(c.controls, nil)
+	}
+	for i := range members {
+		c.startControl(i, "found")
+	}
+	return c
+}
+
+func (c *cluster) close() {
+	for _, p := range c.running {
+		p.signal(syscall.SIGCONT)
+		p.kill()
+	}
+	if !c.t.Failed() {
+		return
+	}
+	for _, p := range c.running {
+		data, _ := os.ReadFile(p.log)
+		lines := strings.Split(string(data), "\n")
+		c.t.Logf("%s, last lines:\n%s", filepath.Base(p.log), strings.Join(lines[max(0, len(lines)-15):], "\n"))
+	}
+}
+
+func (c *cluster) startControl(i int, mode string) {
+	var list []string
+	for j, addr := range c.sessions {
+		list = append(list, fmt.Sprintf("%d=%s", j+1, addr))
+	}
+	c.controls[i] = c.start(fmt.Sprintf("control-%d", i+1), "gw-control", "--id", fmt.Sprintf("control-%d", i+1),
+		"--member-id", fmt.Sprint(i+1), "--listen", c.sessions[i], "--operator-listen", c.operators[i],
+		"--data-dir", filepath.Join(c.dir, fmt.Sprintf("data-%d", i+1)), "--members", strings.Join(list, ","), "--start", mode)
+}
+
+func (c *cluster) startScheduler(name string) *process {
+	return c.start(name, "gw-scheduler", "--id", name, "--region", dev.Region, "--sessions", freeAddr(c.t), "--debug", "",
+		"--control-addrs", strings.Join(c.sessions, ","))
+}
+
+func (c *cluster) startEntry(name string) *process {
+	addr := freeAddr(c.t)
+	c.entries = append(c.entries, addr)
+	return c.start(name, "gw-entry", "--id", name, "--listen", addr, "--sessions", freeAddr(c.t), "--debug", "",
+		"--control-addrs", strings.Join(c.sessions, ","), "--drain-delay", "200ms")
+}
+
+func (c *cluster) startUpstream(role, service string, n int, args ...string) (addr string, p *process) {
+	addr = freeAddr(c.t)
+	id := fmt.Sprintf("%s-%s-%d", service, role, n)
+	all := []string{"--id", id, "--service", service, "--role", role, "--region", dev.Region, "--listen", addr}
+	for _, e := range c.entries {
+		all = append(all, "--entry", "http://"+e)
+	}
+	return addr, c.start(id, "gw-standin", append(all, args...)...)
+}
+
+// operator calls f with a client of each member until one leads.
+func (c *cluster) operator(limit time.Duration, f func(ctx context.Context, s godwitwardv1connect.OperatorServiceClient) error) error {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	var err error
+	for {
+		for _, addr := range c.operators {
+			callCtx, callCancel := context.WithTimeout(ctx, 10*time.Second)
+			err = f(callCtx, godwitwardv1connect.NewOperatorServiceClient(http.DefaultClient, "http://"+addr))
+			callCancel()
+			if err == nil {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(err, "no member led within the limit")
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
+
+// change applies a change on top of the current version and repeats it under
+// the same request id until it has an outcome.
+func (c *cluster) change(id string, set func(*pb.ConfigChange)) (version uint64, err error) {
+	change := &pb.ConfigChange{RequestId: id}
+	set(change)
+	err = c.operator(startLimit, func(ctx context.Context, s godwitwardv1connect.OperatorServiceClient) error {
+		current, err := s.GetConfig(ctx, connect.NewRequest(&pb.GetConfigRequest{}))
+		if err != nil {
+			return err
+		}
+		if change.BaseVersion == 0 {
+			change.BaseVersion = current.Msg.Config.GetVersion()
+		}
+		resp, err := s.ChangeConfig(ctx, connect.NewRequest(&pb.ChangeConfigRequest{Change: change}))
+		if err != nil {
+			return err
+		}
+		if resp.Msg.Outcome.Code != pb.ChangeOutcome_ACCEPTED {
+			return errors.Errorf("outcome %v", resp.Msg.Outcome)
+		}
+		version = resp.Msg.Outcome.Version
+		return nil
+	})
+	return version, err
+}
+
+func (c *cluster) putRoute(id string, r *pb.Route) uint64 {
+	c.t.Helper()
+	v, err := c.change(id, func(ch *pb.ConfigChange) { ch.Change = &pb.ConfigChange_PutRoute{PutRoute: r} })
+	require.NoError(c.t, err)
+	return v
+}
+
+func (c *cluster) putDefaultRoutes() {
+	c.t.Helper()
+	for i, r := range dev.DefaultRoutes() {
+		c.putRoute(fmt.Sprintf("default-%d", i), r)
+	}
+}
+
+// awaitLive waits until the schedulers know n live upstreams.
+func (c *cluster) awaitLive(n int) {
+	c.t.Helper()
+	require.Eventually(c.t, func() bool {
+		live := 0
+		err := c.operator(time.Second, func(ctx context.Context, s godwitwardv1connect.OperatorServiceClient) error {
+			resp, err := s.ListUpstreams(ctx, connect.NewRequest(&pb.ListUpstreamsRequest{}))
+			if err != nil {
+				return err
+			}
+			live = 0
+			for _, p := range resp.Msg.Pools {
+				for _, u := range p.Upstreams {
+					if u.Health == pb.UpstreamStatus_LIVE {
+						live++
+					}
+				}
+			}
+			return nil
+		})
+		return err == nil && live == n
+	}, startLimit, 100*time.Millisecond, "upstreams are not known")
+}
+
+// leader returns the index of the leading member of the configuration group.
+func (c *cluster) leader() int {
+	c.t.Helper()
+	found := -1
+	require.NoError(c.t, c.operator(startLimit, func(ctx context.Context, s godwitwardv1connect.OperatorServiceClient) error {
+		resp, err := s.ListMembers(ctx, connect.NewRequest(&pb.ListMembersRequest{}))
+		if err != nil {
+			return err
+		}
+		for _, m := range resp.Msg.Members {
+			if m.Leader {
+				found = int(m.Id) - 1
+				return nil
+			}
+		}
+		return errors.New("no leader")
+	}))
+	return found
+}
+
+// answer is one HTTP answer of an entry.
+type answer struct {
+	status int
+	body   []byte
+}
+
+func post(url, key string, body any) (answer, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return answer{}, err
+	}
+	req, err := http.NewRequest(http.MethodPost, url, bytes.NewReader(data))
+	if err != nil {
+		return answer{}, err
+	}
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	client := &http.Client{Timeout: time.Minute}
+	resp, err := client.Do(req)
+	if err != nil {
+		return answer{}, err
+	}
+	defer resp.Body.Close()
+	out, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, body: out}, err
+}
