entry: tests of the shell, the plain routes and the scheduler sessions

The takeover test found that a watch went on reading from the old holder: closing a yamux stream ends its sending side only, so a blocked receive returns when the peer ends the stream or after 30 s. The watch now looks at the lease beside the receive, and a list from a session that was given up is dropped.

--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -37,7 +37,7 @@
 }
 
 func newCompletion(c *call, in *input) *completion {
-	x := &completion{call: c, input: in, relay: newRelay()}
+	x := &completion{call: c, input: in, relay: newRelay(), cancel: func() {}}
 	x.machine = request.NewCompletion(request.Spec{
 		PromptTokens:    upstream.EstimateTokens(len(in.prompt)),
 		MaxOutputTokens: in.maxTokens,
--- /dev/null
+++ b/internal/entry/engine_test.go
@@ -0,0 +1,343 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/upstream"
+)
+
+const completions = "/kiritani/draft/v1/completions"
+
+func engineError(kind upstream.ErrorKind) error {
+	return &upstream.Error{Kind: kind, Err: errors.New("injected")}
+}
+
+// block waits until the call is cancelled and then reports a lost call.
+func block(ctx context.Context, reached chan<- struct{}) error {
+	reached <- struct{}{}
+	<-ctx.Done()
+	return engineError(upstream.KindLost)
+}
+
+// Guards against a hold or engine memory that stays occupied after the caller
+// left, whatever stage the request was in.
+func TestCallerLeavesAtEachStage(t *testing.T) {
+	for _, stage := range []string{"queued", "prefill", "transfer", "decode start", "decode middle"} {
+		for _, body := range []string{`{"prompt":"hello"}`, `{"prompt":"hello","stream":true}`} {
+			f := newFixture(t, nil)
+			reached := make(chan struct{}, 10)
+			switch stage {
+			case "queued":
+				f.schedulers.submit = func(ctx context.Context, r *pb.SubmitRequest) (*pb.SubmitResponse, error) {
+					// The grant arrives although the submission was withdrawn.
+					_ = block(ctx, reached)
+					return f.schedulers.grant(r), nil
+				}
+			case "prefill":
+				f.engine.prefill = func(ctx context.Context, _ *upstream.PrefillRequest) error { return block(ctx, reached) }
+			case "transfer":
+				f.engine.transfer = func(ctx context.Context, _ *upstream.ImportRequest) error { return block(ctx, reached) }
+			default:
+				f.engine.next = func(ctx context.Context, _ *upstream.DecodeRequest, offset int) error {
+					if stage == "decode middle" && offset < 2 {
+						return nil
+					}
+					return block(ctx, reached)
+				}
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			req, err := http.NewRequestWithContext(ctx, "POST", f.url+completions, strings.NewReader(body))
+			require.NoError(t, err)
+			go func() {
+				if resp, err := http.DefaultClient.Do(req); err == nil {
+					_, _ = io.Copy(io.Discard, resp.Body)
+					resp.Body.Close()
+				}
+			}()
+			<-reached
+			cancel()
+			f.requireFreed(t)
+			require.Len(t, f.schedulers.released, 1, stage)
+		}
+	}
+}
+
+// Guards against a stream that goes silent for good holding up the answer: the
+// entry opens a new connection and goes on at the next token.
+func TestSilentStreamResumesOnTheSameEngine(t *testing.T) {
+	f := newFixture(t, nil)
+	var silent atomic.Bool
+	f.engine.next = func(ctx context.Context, _ *upstream.DecodeRequest, offset int) error {
+		if offset == 2 && !silent.Swap(true) {
+			<-ctx.Done()
+			return engineError(upstream.KindLost)
+		}
+		return nil
+	}
+	_, body := f.post(t, completions, `{"prompt":"hello"}`)
+	require.Contains(t, body, `"text":"t0 t1 t2 t3 "`)
+	require.Equal(t, []int{0, 2}, f.engine.offsets)
+	require.Len(t, f.engine.prompts, 1, "the prompt was computed again")
+	f.requireFreed(t)
+}
+
+// Guards against an answer that is cut off or starts again when the decode
+// engine is lost in the middle of it.
+func TestEngineLostInMidAnswer(t *testing.T) {
+	f := newFixture(t, nil)
+	f.engine.next = func(_ context.Context, r *upstream.DecodeRequest, offset int) error {
+		if r.Attempt == 1 && offset == 2 {
+			return engineError(upstream.KindGone)
+		}
+		return nil
+	}
+	_, body := f.post(t, completions, `{"prompt":"hello","max_tokens":9}`)
+	require.Contains(t, body, `"text":"t0 t1 t0 t1 t2 t3 "`)
+	require.Contains(t, body, `"completion_tokens":6`)
+	require.Equal(t, []string{"hello", "hellot0 t1 "}, f.engine.prompts)
+	second := f.schedulers.submits[1]
+	require.Equal(t, []string{"d1"}, second.Exclude)
+	require.Equal(t, uint32(7), second.MaxOutputTokens)
+	f.requireFreed(t)
+}
+
+// Guards against a token that reaches the caller twice, or from an attempt that
+// was given up.
+func TestLateDuplicateTokens(t *testing.T) {
+	f := newFixture(t, nil)
+	f.engine.noise = func(tok upstream.Token) []upstream.Token {
+		old := upstream.Token{Attempt: tok.Attempt - 1, Offset: tok.Offset + 1, Text: "old"}
+		return []upstream.Token{tok, old, {Attempt: tok.Attempt, Text: "t0 "}}
+	}
+	_, body := f.post(t, completions, `{"prompt":"hello"}`)
+	require.Contains(t, body, `"text":"t0 t1 t2 t3 "`)
+	f.requireFreed(t)
+}
+
+// Guards against an error in mid-answer that looks like a complete answer.
+func TestErrorInMidStreamIsAnEvent(t *testing.T) {
+	f := newFixture(t, func(o *Options) { o.Stages.Attempts = 1 })
+	f.engine.next = func(_ context.Context, _ *upstream.DecodeRequest, offset int) error {
+		if offset == 2 {
+			return engineError(upstream.KindGone)
+		}
+		return nil
+	}
+	resp, body := f.post(t, completions, `{"prompt":"hello","stream":true}`)
+	require.Equal(t, 200, resp.StatusCode)
+	require.Contains(t, body, "event: error\ndata: {\"error\":{\"code\":\"upstream_failed\"")
+	require.Contains(t, body, `"request_id":"`+resp.Header.Get("X-Request-Id")+`","ran":"yes"`)
+	require.NotContains(t, body, "[DONE]")
+	f.requireFreed(t)
+}
+
+// Guards against invalid input reaching a scheduler or engine, and against an
+// answer without a stable code.
+func TestInvalidInputIsRefusedBeforeAnyUpstream(t *testing.T) {
+	f := newFixture(t, nil, &pb.Route{Name: "small", Path: "/small", Kind: pb.RouteKind_ROUTE_KIND_ENGINE, Models: []string{"m"}, MaxBodyBytes: 30})
+	for _, c := range []struct {
+		path, body string
+		status     int
+		code       Code
+	}{
+		{"/nowhere/v1/completions", `{}`, 404, CodeUnknownRoute},
+		{"/kiritani/draft/v1/embeddings", `{}`, 404, CodeUnknownRoute},
+		{completions, `{"prompt":`, 400, CodeInvalidJSON},
+		{completions, `[]`, 400, CodeInvalidJSON},
+		{completions, `{"prompt":1}`, 400, CodeInvalidRequest},
+		{completions, `{"prompt":["a","b"]}`, 400, CodeInvalidRequest},
+		{completions, `{"prompt":"a","max_tokens":"x"}`, 400, CodeInvalidRequest},
+		{completions, `{"prompt":"a","max_tokens":0}`, 400, CodeInvalidRequest},
+		{completions, `{"prompt":"a","max_tokens":5000}`, 400, CodeInvalidRequest},
+		{completions, `{"prompt":"a","model":"other"}`, 404, CodeUnknownModel},
+		{completions, `{"prompt":"a","n":2}`, 400, CodeUnsupportedParameter},
+		{completions, `{"prompt":"a","stop":["x"]}`, 400, CodeUnsupportedParameter},
+		{"/kiritani/draft/v1/chat/completions", `{"messages":[]}`, 400, CodeInvalidRequest},
+		{"/kiritani/draft/v1/chat/completions", `{"messages":[{"role":"user","content":[{"type":"image_url"}]}]}`, 400, CodeInvalidRequest},
+		{"/kiritani/draft/v1/chat/completions", `{"messages":[{"role":"user","content":"a"}],"tools":[{}]}`, 400, CodeUnsupportedParameter},
+		{"/small/v1/completions", `{"prompt":"` + strings.Repeat("a", 40) + `"}`, 413, CodeBodyTooLarge},
+	} {
+		resp, body := f.post(t, c.path, c.body)
+		require.Equal(t, c.status, resp.StatusCode, "%s %s: %s", c.path, c.body, body)
+		require.Contains(t, body, `{"error":{"code":"`+string(c.code)+`"`, c.body)
+		require.Contains(t, body, `"ran":"no"`)
+	}
+	resp, err := http.Get(f.url + completions)
+	require.NoError(t, err)
+	resp.Body.Close()
+	require.Equal(t, 405, resp.StatusCode)
+	require.Empty(t, f.schedulers.submits)
+	f.requireFreed(t)
+}
+
+// Guards against a refusal that a caller cannot act on: status, code,
+// Retry-After and a true "ran".
+func TestSchedulerRefusals(t *testing.T) {
+	f := newFixture(t, nil)
+	for code, want := range map[pb.Refusal_Code]struct {
+		status int
+		code   Code
+		retry  string
+	}{
+		pb.Refusal_OVERLOADED:  {429, CodeOverloaded, "3"},
+		pb.Refusal_TOO_LATE:    {429, CodeOverloaded, "3"},
+		pb.Refusal_NO_UPSTREAM: {503, CodeNoUpstream, "3"},
+		pb.Refusal_TOO_LARGE:   {413, CodePromptTooLarge, ""},
+	} {
+		refusal := &pb.Refusal{Code: code}
+		if want.retry != "" {
+			refusal.RetryAfterMs = 2500
+		}
+		f.schedulers.submit = func(context.Context, *pb.SubmitRequest) (*pb.SubmitResponse, error) {
+			return &pb.SubmitResponse{Result: &pb.SubmitResponse_Refusal{Refusal: refusal}}, nil
+		}
+		resp, body := f.post(t, completions, `{"prompt":"a"}`)
+		require.Equal(t, want.status, resp.StatusCode)
+		require.Equal(t, want.retry, resp.Header.Get("Retry-After"))
+		require.Contains(t, body, string(want.code))
+		require.Contains(t, body, `"ran":"no"`)
+	}
+	require.Empty(t, f.engine.prompts)
+}
+
+// Guards against an isolated entry taking work, and against it refusing the
+// routes that an operator marked to continue.
+func TestEntryWithoutServingLease(t *testing.T) {
+	f := newFixture(t, nil, &pb.Route{
+		Name: "last", Path: "/last", Kind: pb.RouteKind_ROUTE_KIND_ENGINE, Models: []string{"m"},
+		Isolation: pb.IsolationMode_ISOLATION_MODE_CONTINUE_WITH_LAST,
+	})
+	f.control.notServing.Store(true)
+	resp, body := f.post(t, completions, `{"prompt":"a"}`)
+	require.Equal(t, 503, resp.StatusCode)
+	require.Contains(t, body, `"code":"not_serving"`)
+	require.Equal(t, "1", resp.Header.Get("Retry-After"))
+	resp, _ = f.post(t, "/last/v1/completions", `{"prompt":"a"}`)
+	require.Equal(t, 200, resp.StatusCode)
+	resp, err := http.Get(f.url + "/readyz")
+	require.NoError(t, err)
+	resp.Body.Close()
+	require.Equal(t, 503, resp.StatusCode)
+}
+
+// Guards against a drain that cuts off an answer, or that ends before a hold is
+// released, or that lets new work in.
+func TestDrainCutsOffNothing(t *testing.T) {
+	f := newFixture(t, nil)
+	reached, resume := make(chan struct{}, 1), make(chan struct{})
+	f.engine.next = func(_ context.Context, _ *upstream.DecodeRequest, offset int) error {
+		if offset == 2 {
+			reached <- struct{}{}
+			<-resume
+		}
+		return nil
+	}
+	answer := make(chan string, 1)
+	go func() {
+		resp, err := http.Post(f.url+completions, "", strings.NewReader(`{"prompt":"a","stream":true}`))
+		if err != nil {
+			answer <- err.Error()
+			return
+		}
+		defer resp.Body.Close()
+		b, _ := io.ReadAll(resp.Body)
+		answer <- string(b)
+	}()
+	<-reached
+	drained := make(chan error, 1)
+	go func() { drained <- f.Drain(context.Background()) }()
+	require.Eventually(t, f.refusing.Load, time.Second, time.Millisecond)
+	resp, body := f.post(t, completions, `{"prompt":"a"}`)
+	require.Equal(t, 503, resp.StatusCode)
+	require.Contains(t, body, `"code":"shutting_down"`)
+	require.Equal(t, uint32(1), f.InFlight()[0].Count)
+	select {
+	case <-drained:
+		t.Fatal("the drain ended before the request")
+	case <-time.After(20 * time.Millisecond):
+	}
+	close(resume)
+	require.Contains(t, <-answer, "t3 ")
+	require.NoError(t, <-drained)
+	require.Zero(t, f.schedulers.openHolds())
+}
+
+// Guards against a caller that stops reading and so keeps engine memory
+// occupied.
+func TestSlowReaderDoesNotHoldTheEngine(t *testing.T) {
+	const tokens = 100_000 // about 14 MB of events, over what the sockets hold
+	f := newFixture(t, nil, &pb.Route{Name: "long", Path: "/long", Kind: pb.RouteKind_ROUTE_KIND_ENGINE, Models: []string{"m"}, MaxOutputTokens: tokens})
+	f.engine.tokens = tokens
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	require.NoError(t, err)
+	defer conn.Close()
+	body := `{"prompt":"a","stream":true,"max_tokens":100000}`
+	_, err = conn.Write([]byte("POST /long/v1/completions HTTP/1.1\r\nHost: h\r\nContent-Length: 48\r\n\r\n" + body))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		return len(f.engine.offsetsSeen()) > 0 && f.engine.inUse() == 0 && f.schedulers.openHolds() == 0
+	}, 10*time.Second, time.Millisecond)
+	require.Len(t, f.InFlight(), 1, "the answer was not kept for the caller")
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	all, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, tokens+2, strings.Count(string(all), "data: "))
+}
+
+// Guards against memory use beyond the limits of the VM.
+func TestLimitsRefuseAsNotRun(t *testing.T) {
+	for name, limit := range map[string]func(*Limits){
+		"requests": func(l *Limits) { l.Requests = 1 },
+		"bodies":   func(l *Limits) { l.BodyBytes = 20 },
+		"answers":  func(l *Limits) { l.AnswerBytes = 100 },
+	} {
+		f := newFixture(t, func(o *Options) { limit(&o.Limits) })
+		reached := make(chan struct{}, 10)
+		f.engine.prefill = func(ctx context.Context, _ *upstream.PrefillRequest) error { return block(ctx, reached) }
+		ctx, cancel := context.WithCancel(context.Background())
+		r := httptest.NewRequestWithContext(ctx, "POST", completions, strings.NewReader(`{"prompt":"a"}`))
+		go f.Handler().ServeHTTP(httptest.NewRecorder(), r)
+		<-reached
+		resp, body := f.post(t, completions, `{"prompt":"a"}`)
+		require.Equal(t, 503, resp.StatusCode, name)
+		require.Contains(t, body, `"code":"entry_full"`)
+		require.Contains(t, body, `"ran":"no"`)
+		cancel()
+		f.requireFreed(t)
+	}
+}
+
+// Guards against an invalid announcement reaching a scheduler, and against an
+// upstream that has to correct its announcement one field at a time.
+func TestAnnouncements(t *testing.T) {
+	f := newFixture(t, nil)
+	resp, body := f.post(t, "/upstreams/announce", `{"id":"u","url":"ftp://x","role":"prefill","region":"r","service":"s"}`)
+	require.Equal(t, 400, resp.StatusCode)
+	for _, field := range []string{"place", "url", "models", "total_pieces", "piece_tokens"} {
+		require.Contains(t, body, field+": ")
+	}
+	require.Empty(t, f.schedulers.announce)
+	resp, body = f.post(t, "/upstreams/announce", `{"id":"u","url":"http://127.0.0.1:1","role":"plain","place":"p","region":"r","service":"s","load":{"running":3}}`)
+	require.Equal(t, 204, resp.StatusCode, body)
+	require.Equal(t, uint32(3), f.schedulers.announce[0].Upstreams[0].Running)
+}
+
+func (e *fakeEngine) offsetsSeen() []int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]int(nil), e.offsets...)
+}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -134,6 +134,8 @@
 	transfer func(ctx context.Context, r *upstream.ImportRequest) error
 	// next runs before each token; an error ends the stream.
 	next func(ctx context.Context, r *upstream.DecodeRequest, offset int) error
+	// noise returns what the engine sends after a token.
+	noise func(upstream.Token) []upstream.Token
 
 	mu       sync.Mutex
 	occupied map[string]bool
@@ -196,11 +198,17 @@
 	ctx    context.Context
 	req    *upstream.DecodeRequest
 	offset int
+	queue  []upstream.Token
 }
 
 var fakeTexts = [...]string{"t0 ", "t1 ", "t2 ", "t3 ", "t4 ", "t5 ", "t6 ", "t7 ", "t8 ", "t9 "}
 
 func (s *fakeStream) Next() (upstream.Token, error) {
+	if len(s.queue) > 0 {
+		t := s.queue[0]
+		s.queue = s.queue[1:]
+		return t, nil
+	}
 	if s.engine.next != nil {
 		if err := s.engine.next(s.ctx, s.req, s.offset); err != nil {
 			return upstream.Token{}, err
@@ -218,6 +226,9 @@
 		t.Finish = "stop"
 		s.engine.free(s.req.RequestID)
 	}
+	if s.engine.noise != nil {
+		s.queue = s.engine.noise(t)
+	}
 	return t, nil
 }
 
--- /dev/null
+++ b/internal/entry/pools_test.go
@@ -0,0 +1,243 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/transport"
+)
+
+// fakeScheduler serves the scheduler's calls of one pool over a real session.
+type fakeScheduler struct {
+	server *transport.Server
+	lease  *pb.PoolLease
+	// submit answers submissions; nil grants.
+	submit func() (*pb.SubmitResponse, error)
+
+	mu          sync.Mutex
+	submissions int
+	open        map[string]bool
+	restated    [][]string
+	progress    []pb.ProgressRequest_Stage
+	refuse      int // releases to fail before one is accepted
+}
+
+func startScheduler(t *testing.T, token uint64) *fakeScheduler {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &fakeScheduler{
+		server: transport.NewServer(transport.Options{}), open: map[string]bool{},
+		lease: &pb.PoolLease{Name: "s/r", Address: l.Addr().String(), FencingToken: token},
+	}
+	transport.HandleUnary(s.server, transport.MethodSubmit, s.onSubmit)
+	transport.HandleUnary(s.server, transport.MethodRestate, s.onRestate)
+	transport.HandleUnary(s.server, transport.MethodRelease, s.onRelease)
+	transport.HandleUnary(s.server, transport.MethodProgress, func(_ context.Context, r *pb.ProgressRequest) (*pb.Empty, error) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.progress = append(s.progress, r.Stage)
+		return &pb.Empty{}, nil
+	})
+	s.server.Handle(transport.MethodWatchUpstreams, func(ctx context.Context, st *transport.Stream) error {
+		if err := st.Recv(&pb.WatchUpstreamsRequest{}); err != nil {
+			return err
+		}
+		up := &pb.UpstreamStatus{State: &pb.UpstreamState{Id: fmt.Sprint("u", token)}, Health: pb.UpstreamStatus_LIVE}
+		if err := st.Send(&pb.WatchUpstreamsUpdate{Upstreams: []*pb.UpstreamStatus{up}}); err != nil {
+			return err
+		}
+		<-ctx.Done()
+		return nil
+	})
+	go func() { _ = s.server.Serve(l) }()
+	t.Cleanup(s.server.Close)
+	return s
+}
+
+func (s *fakeScheduler) onSubmit(_ context.Context, r *pb.SubmitRequest) (*pb.SubmitResponse, error) {
+	s.mu.Lock()
+	s.submissions++
+	submit := s.submit
+	s.mu.Unlock()
+	if submit != nil {
+		if resp, err := submit(); resp != nil || err != nil {
+			return resp, err
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := fmt.Sprintf("%d-%d", s.lease.FencingToken, s.submissions)
+	s.open[id] = true
+	return &pb.SubmitResponse{Result: &pb.SubmitResponse_Grant{Grant: &pb.Grant{HoldId: id}}}, nil
+}
+
+func (s *fakeScheduler) onRestate(_ context.Context, r *pb.RestateRequest) (*pb.Empty, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var ids []string
+	for _, h := range r.Holds {
+		ids = append(ids, h.HoldId)
+		s.open[h.HoldId] = true
+	}
+	s.restated = append(s.restated, ids)
+	return &pb.Empty{}, nil
+}
+
+func (s *fakeScheduler) onRelease(_ context.Context, r *pb.ReleaseRequest) (*pb.Empty, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refuse > 0 {
+		s.refuse--
+		return nil, transport.Errorf(pb.Status_UNAVAILABLE, "busy")
+	}
+	delete(s.open, r.HoldId)
+	return &pb.Empty{}, nil
+}
+
+func (s *fakeScheduler) read(fn func() bool) func() bool {
+	return func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return fn()
+	}
+}
+
+func startPools(t *testing.T, first *fakeScheduler) (*Pools, *atomic.Pointer[pb.PoolLease]) {
+	holder := &atomic.Pointer[pb.PoolLease]{}
+	holder.Store(first.lease)
+	p := NewPools(PoolOptions{EntryID: "e1", Holder: func(string) (*pb.PoolLease, bool) {
+		l := holder.Load()
+		return l, l != nil
+	}})
+	t.Cleanup(p.Close)
+	p.SetPools([]string{"s/r"})
+	return p, holder
+}
+
+func submission() *pb.SubmitRequest {
+	return &pb.SubmitRequest{RequestId: "r1", Attempt: 1, Pool: "s/r"}
+}
+
+// Guards against queued requests and holds that are lost when a pool gets a
+// new scheduler: submissions go to it, holds are restated, lists stay usable.
+func TestTakeoverBringsRequestsToTheNewScheduler(t *testing.T) {
+	a, b := startScheduler(t, 1), startScheduler(t, 2)
+	p, holder := startPools(t, a)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	first, err := p.Submit(ctx, submission())
+	require.NoError(t, err)
+	require.Equal(t, "1-1", first.GetGrant().HoldId)
+
+	hang := make(chan struct{})
+	release := sync.OnceFunc(func() { close(hang) })
+	t.Cleanup(release)
+	a.mu.Lock()
+	a.submit = func() (*pb.SubmitResponse, error) { <-hang; return nil, nil }
+	a.mu.Unlock()
+	type result struct {
+		resp *pb.SubmitResponse
+		err  error
+	}
+	second := make(chan result, 1)
+	go func() {
+		resp, err := p.Submit(ctx, submission())
+		second <- result{resp, err}
+	}()
+	require.Eventually(t, a.read(func() bool { return a.submissions == 2 }), 2*time.Second, time.Millisecond)
+	holder.Store(nil)
+	require.Equal(t, "u1", p.Upstreams("s/r")[0].State.Id)
+	holder.Store(b.lease)
+	r := <-second
+	require.NoError(t, r.err)
+	require.Equal(t, "2-1", r.resp.GetGrant().HoldId)
+	require.Equal(t, [][]string{{"1-1"}}, b.restated)
+	release()
+	p.Release("s/r", &pb.ReleaseRequest{HoldId: "1-1"})
+	p.Release("s/r", &pb.ReleaseRequest{HoldId: "2-1"})
+	require.Eventually(t, b.read(func() bool { return len(b.open) == 0 }), 2*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return p.Upstreams("s/r")[0].State.Id == "u2" && p.Pending() == 0 }, 10*time.Second, time.Millisecond)
+}
+
+// Guards against holds that a restarted session leaves unknown to the same
+// scheduler, and submissions that wait on a dead session.
+func TestLostSessionIsReplaced(t *testing.T) {
+	a := startScheduler(t, 1)
+	p, _ := startPools(t, a)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	_, err := p.Submit(ctx, submission())
+	require.NoError(t, err)
+	a.server.Close()
+	l, err := net.Listen("tcp", a.lease.Address)
+	require.NoError(t, err)
+	again := startSchedulerOn(t, a, l)
+	_, err = p.Submit(ctx, submission())
+	require.NoError(t, err)
+	require.Eventually(t, again.read(func() bool {
+		return len(again.restated) == 1 && len(again.restated[0]) == 1 && again.restated[0][0] == "1-1"
+	}), 2*time.Second, time.Millisecond)
+}
+
+// startSchedulerOn restarts a scheduler at its address without its memory.
+func startSchedulerOn(t *testing.T, old *fakeScheduler, l net.Listener) *fakeScheduler {
+	s := startScheduler(t, 1)
+	s.lease.Address = old.lease.Address
+	go func() { _ = s.server.Serve(l) }()
+	t.Cleanup(func() { _ = l.Close() })
+	return s
+}
+
+// Guards against a hold that leaks because its grant crossed the withdrawal of
+// the submission, or because the first release was not acknowledged.
+func TestLateGrantIsReleasedAndReleasesAreRepeated(t *testing.T) {
+	a := startScheduler(t, 1)
+	p, _ := startPools(t, a)
+	a.refuse = 2
+	resume := make(chan struct{})
+	a.submit = func() (*pb.SubmitResponse, error) { <-resume; return nil, nil }
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() {
+		_, err := p.Submit(ctx, submission())
+		done <- err
+	}()
+	require.Eventually(t, a.read(func() bool { return a.submissions == 1 }), 2*time.Second, time.Millisecond)
+	cancel()
+	require.ErrorIs(t, <-done, context.Canceled)
+	require.Equal(t, 1, p.Pending())
+	close(resume)
+	require.Eventually(t, func() bool { return p.Pending() == 0 }, 5*time.Second, time.Millisecond)
+	require.True(t, a.read(func() bool { return len(a.open) == 0 && a.refuse == 0 })())
+}
+
+// Guards against progress that blocks the data path or arrives out of order.
+func TestProgressDoesNotBlockAndKeepsItsOrder(t *testing.T) {
+	a := startScheduler(t, 1)
+	p, holder := startPools(t, a)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	_, err := p.Submit(ctx, submission())
+	require.NoError(t, err)
+	for stage := range 5 {
+		p.Progress("s/r", &pb.ProgressRequest{HoldId: "1-1", Stage: pb.ProgressRequest_Stage(stage + 1)})
+	}
+	require.Eventually(t, a.read(func() bool { return len(a.progress) == 5 }), 2*time.Second, time.Millisecond)
+	require.IsIncreasing(t, a.progress)
+	a.server.Close()
+	holder.Store(nil)
+	started := time.Now()
+	for range 10_000 {
+		p.Progress("s/r", &pb.ProgressRequest{HoldId: "1-1"})
+	}
+	require.Less(t, time.Since(started), time.Second)
+	require.Positive(t, p.Dropped())
+}
--- a/internal/entry/schedulers.go
+++ b/internal/entry/schedulers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -223,30 +222,39 @@
 		return err
 	}
 	defer q.end(s)
-	watchCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go q.watchLease(watchCtx, s, stream)
 	if err := stream.Send(&pb.WatchUpstreamsRequest{Pool: q.name, EntryId: q.owner.opts.EntryID}); err != nil {
 		return err
 	}
+	received := make(chan error, 1)
+	go func() { received <- q.receive(s, stream) }()
 	for {
-		update := &pb.WatchUpstreamsUpdate{}
-		if err := stream.Recv(update); err != nil {
+		select {
+		case err := <-received:
 			return err
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(leasePoll):
+		}
+		if lease, ok := q.owner.opts.Holder(q.name); ok && !sameLease(lease, s.lease) {
+			return errSessionEnded
 		}
-		q.upstreams.Store(&update.Upstreams)
 	}
 }
 
-// watchLease closes the stream when the lease passes to another holder.
-func (q *pool) watchLease(ctx context.Context, s *session, stream io.Closer) {
-	for ctx.Err() == nil {
-		if lease, ok := q.owner.opts.Holder(q.name); ok && !sameLease(lease, s.lease) {
-			break
+// receive stores upstream lists until the stream ends. Closing a stream ends
+// only its sending side at once, so a list may still arrive after the session
+// was given up; it is dropped.
+func (q *pool) receive(s *session, stream *transport.Stream) error {
+	for {
+		update := &pb.WatchUpstreamsUpdate{}
+		if err := stream.Recv(update); err != nil {
+			return err
 		}
-		sleep(ctx, leasePoll)
+		if q.current() != s {
+			return errSessionEnded
+		}
+		q.upstreams.Store(&update.Upstreams)
 	}
-	_ = stream.Close()
 }
 
 func sameLease(a, b *pb.PoolLease) bool {
