load, gw-load: drive an entry and check every answer

Cause: the targets and promises need one tool that measures them and fails when a promise is broken. Conclusion: usable; figures at high load need the real router.

--- /dev/null
+++ b/cmd/gw-load/main.go
@@ -0,0 +1,115 @@
+// Command gw-load drives the entries with generated load and checks every
+// answer. It exits with status 1 when a call was lost, duplicated, executed
+// again or cut off, or when engine memory stayed held.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+
+	"godwitward.example/godwitward/internal/load"
+)
+
+// system starts the router inside this process for compare; nil until the
+// embedded system is linked in.
+var system load.System
+
+// exitBroken is the exit status when a promise was broken.
+const exitBroken = 1
+
+type command struct {
+	options  load.Options
+	workload string
+	plot     string
+	policies string
+	rounds   int
+	fault    time.Duration
+}
+
+func main() {
+	var c command
+	app := kingpin.New("gw-load", "Drive entries with load and check every answer.")
+	app.Flag("workload", "kiritani or vodnarka.").Default("kiritani").EnumVar(&c.workload, "kiritani", "vodnarka")
+	app.Flag("load", "Offered load, percent of the stand-ins' capacity.").Default("90").Float64Var(&c.options.Load)
+	app.Flag("urgent-load", "Load of urgent calls, percent; same as --load by default.").Float64Var(&c.options.UrgentLoad)
+	app.Flag("duration", "Duration of the arrivals.").Default("15s").DurationVar(&c.options.Duration)
+	app.Flag("seed", "Seed of arrivals and faults.").Default("1").Uint64Var(&c.options.Seed)
+	app.Flag("entry", "Base URL of an entry; repeatable.").StringsVar(&c.options.Entries)
+	app.Flag("upstream", "Base URL of a stand-in started separately; repeatable, in the order of the fleet. "+
+		"Without it the fleet is started in this process.").StringsVar(&c.options.Upstreams)
+	app.Flag("plot", "Write a chart to this SVG file.").StringVar(&c.plot)
+	run := app.Command("run", "Run a workload.")
+	faults := app.Command("faults", "Run a workload with a seeded schedule of faults.")
+	faults.Flag("fault-interval", "Mean time between faults.").Default("1s").DurationVar(&c.fault)
+	compare := app.Command("compare", "Compare two policies, alternating in one run.")
+	compare.Arg("policies", "Two policy names, separated by a comma.").Required().StringVar(&c.policies)
+	compare.Flag("rounds", "Runs of each policy.").Default("2").IntVar(&c.rounds)
+	verb := kingpin.MustParse(app.Parse(os.Args[1:]))
+
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	c.options.Workload = load.Workloads()[c.workload]
+	var report *load.Report
+	var err error
+	switch verb {
+	case run.FullCommand():
+		report, err = load.Run(ctx, c.options)
+	case faults.FullCommand():
+		c.options.FaultInterval = c.fault
+		report, err = load.Run(ctx, c.options)
+	case compare.FullCommand():
+		report, err = c.compare(ctx)
+	}
+	if err != nil {
+		log.Fatal().Err(err).Str("verb", verb).Msg("load run failed")
+	}
+	if err := c.finish(report); err != nil {
+		log.Fatal().Err(err).Msg("writing the plot failed")
+	}
+	if report.Failed() {
+		os.Exit(exitBroken)
+	}
+}
+
+// compare prints a summary per policy and returns all runs merged, whose
+// counts of broken promises decide the exit status.
+func (c *command) compare(ctx context.Context) (*load.Report, error) {
+	if system == nil {
+		return nil, errors.New("compare needs the embedded system, which is not linked in")
+	}
+	policies := strings.Split(c.policies, ",")
+	compared, err := load.Compare(ctx, system, c.options, policies, c.rounds)
+	if err != nil {
+		return nil, err
+	}
+	for _, one := range compared {
+		fmt.Printf("policy=%s %s\n", one.Policy, one.Report.Summary())
+	}
+	return load.Merge(compared), nil
+}
+
+func (c *command) finish(report *load.Report) error {
+	if c.plot != "" {
+		f, err := os.Create(c.plot)
+		if err != nil {
+			return err
+		}
+		if err := report.Plot(f); err != nil {
+			return err
+		}
+		if err := f.Close(); err != nil {
+			return err
+		}
+	}
+	report.Print(os.Stdout)
+	return nil
+}
