gw-load, gw-dev: compare policies on the embedded system

Cause: gw-load could not start the system under comparison. Change: compare starts the embedded system with a policy for each run; gw-dev also creates the routes of gw-load's workloads; a scheduler without a region competes for all pools.

--- a/cmd/gw-dev/main.go
+++ b/cmd/gw-dev/main.go
@@ -8,8 +8,10 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	pb "godwitward.example/godwitward/api/godwitward/v1"
 	"godwitward.example/godwitward/internal/dev"
 	"godwitward.example/godwitward/internal/finding"
+	"godwitward.example/godwitward/internal/load"
 	"godwitward.example/godwitward/internal/settings"
 )
 
@@ -52,6 +54,15 @@
 	}
 }
 
+// routes are those of the README and those of gw-load's workloads.
+func routes() []*pb.Route {
+	all := dev.DefaultRoutes()
+	for _, name := range []string{"kiritani", "vodnarka"} {
+		all = append(all, load.Workloads()[name].Routes()...)
+	}
+	return all
+}
+
 func main() {
 	app := settings.NewApp("gw-dev", "Runs a whole system with stand-in upstreams in one process.")
 	o := &options{}
@@ -59,7 +70,7 @@
 	settings.Parse(app, os.Args[1:], o.check)
 	logger := settings.NewLogger(os.Stderr)
 	o.cfg.Logger = logger
-	o.cfg.Routes = dev.DefaultRoutes()
+	o.cfg.Routes = routes()
 	o.cfg.Upstreams = dev.DefaultUpstreams(o.prefill, o.decode, o.plain)
 
 	ctx, stop := settings.SignalContext()
--- a/cmd/gw-load/main.go
+++ b/cmd/gw-load/main.go
@@ -14,15 +14,10 @@
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/phuslu/log"
-	"github.com/pkg/errors"
 
 	"godwitward.example/godwitward/internal/load"
 )
 
-// system starts the router inside this process for compare; nil until the
-// embedded system is linked in.
-var system load.System
-
 // exitBroken is the exit status when a promise was broken.
 const exitBroken = 1
 
@@ -83,11 +78,8 @@
 // compare prints a summary per policy and returns all runs merged, whose
 // counts of broken promises decide the exit status.
 func (c *command) compare(ctx context.Context) (*load.Report, error) {
-	if system == nil {
-		return nil, errors.New("compare needs the embedded system, which is not linked in")
-	}
 	policies := strings.Split(c.policies, ",")
-	compared, err := load.Compare(ctx, system, c.options, policies, c.rounds)
+	compared, err := load.Compare(ctx, embedded{}, c.options, policies, c.rounds)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/daemon/scheduler.go
+++ b/internal/daemon/scheduler.go
@@ -17,7 +17,8 @@
 // SchedulerConfig holds the settings of a scheduler process.
 type SchedulerConfig struct {
 	Self *pb.Hello
-	// Region of this process; it competes for the leases of this region's pools.
+	// Region of this process; it competes for the leases of this region's
+	// pools. Empty: of all pools.
 	Region string
 	// Sessions is the address for other daemons, Debug that of health and
 	// metrics. An empty Debug is not served.
@@ -110,7 +111,7 @@
 func (s *Scheduler) configChanged(cfg *pb.Config) {
 	s.server.Drains(scheduler.NewDrainSet(cfg.Drains))
 	for _, r := range cfg.Routes {
-		if r.Region != s.cfg.Region {
+		if s.cfg.Region != "" && r.Region != s.cfg.Region {
 			continue
 		}
 		s.compete(r.Service + "/" + r.Region)
--- a/internal/dev/system.go
+++ b/internal/dev/system.go
@@ -19,7 +19,7 @@
 	"godwitward.example/godwitward/internal/standin"
 )
 
-// Region of the embedded system's pools.
+// Region of the default pools.
 const Region = "local"
 
 const memberID = 1
@@ -36,7 +36,8 @@
 	Debug string
 	// DataDir holds the control member's state. Required.
 	DataDir string
-	// Upstreams are the stand-ins to start; region and entries are filled in.
+	// Upstreams are the stand-ins to start; entries and a missing region are
+	// filled in.
 	Upstreams []standin.Settings
 	// Routes are created through the operators' service when they are missing.
 	Routes []*pb.Route
@@ -123,7 +124,7 @@
 // StartScheduler starts the scheduler, also again after it was killed.
 func (s *System) StartScheduler() (err error) {
 	s.Scheduler, err = daemon.StartScheduler(daemon.SchedulerConfig{
-		Self: s.hello("gw-scheduler"), Region: Region, Sessions: "127.0.0.1:0",
+		Self: s.hello("gw-scheduler"), Sessions: "127.0.0.1:0",
 		ControlAddrs: []string{s.Control.Addr}, Policy: s.cfg.Policy, Params: s.cfg.Params, Logger: s.cfg.Logger,
 	})
 	return err
@@ -196,7 +197,9 @@
 	run, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
 	for _, settings := range s.cfg.Upstreams {
-		settings.Region = Region
+		if settings.Region == "" {
+			settings.Region = Region
+		}
 		settings.Entries = []string{"http://" + s.Entry.Addr}
 		peer, err := standin.Start(run, settings)
 		if err != nil {
