scheduler: serve drafts that can meet their target before overdue ones

Change: queued drafts whose TTFT target is out of reach move to a lane that gets what urgent requests and drafts in time leave; the oldest still gets memory earmarked after DraftAge. Resumed answers are never overdue.

--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -98,6 +98,9 @@
 		TPOTTarget:   fromMillis(req.TpotTargetMs),
 		Weights:      policy.Weights{Goodput: req.Weights.GetGoodput(), WastedPrefill: req.Weights.GetWastedPrefill()},
 	}
+	if w.spec.Class == policy.Draft {
+		w.lane = draftLane
+	}
 	if w.spec.TTFTTarget == 0 {
 		w.spec.TTFTTarget = defaultTTFT
 	}
@@ -131,6 +134,14 @@
 		w.late = pb.Refusal_TOO_LATE
 	}
 	w.giveUp = now + allowed
+	w.overdue = now + w.spec.TTFTTarget - fromMillis(w.req.AgeMs) - service
+	if w.req.Attempt > 1 {
+		// The caller may already have part of the answer; it must not stall.
+		w.overdue = 0
+	}
+	if w.spec.Class == policy.Draft && w.overdue != 0 && w.overdue <= now {
+		w.lane = overdueLane
+	}
 	wait := p.queueWait(w, now)
 	if time.Duration(float64(wait)*waitSafety) <= allowed {
 		return nil
@@ -174,11 +185,11 @@
 		wait = p.activeAt + p.params.RestateWindow - now
 	}
 	q := &p.queue
-	ahead := q.pieces[policy.Urgent]
+	ahead := q.pieces[urgentLane]
 	if w.spec.Class == policy.Draft {
-		drafts := q.classes[policy.Draft]
+		drafts := q.lanes[draftLane]
 		own := (drafts.FlowLen(w.req.Organisation) + 1) * w.spec.Pieces * max(1, drafts.Flows())
-		ahead += min(q.pieces[policy.Draft], own)
+		ahead += min(q.pieces[draftLane], own)
 	}
 	rate := p.holds.freeRate(now)
 	if ahead == 0 || rate <= 0 {
@@ -189,20 +200,19 @@
 
 func (p *Pool) enqueue(w *waiting) {
 	q := &p.queue
-	class := w.spec.Class
 	q.byTicket[w.ticket] = w
-	q.pieces[class] += w.spec.Pieces
+	q.pieces[w.lane] += w.spec.Pieces
 	cost := float64(w.spec.PromptTokens + w.spec.MaxOutput)
-	head := q.classes[class].Push(w.req.Organisation, cost, policy.Bucket{Group: w.req.Model, Size: w.spec.Pieces}, w)
+	head := q.lanes[w.lane].Push(w.req.Organisation, cost, policy.Bucket{Group: w.req.Model, Size: w.spec.Pieces}, w)
 	if head {
-		q.blocked[class] = false
+		q.blocked[w.lane] = false
 	}
 }
 
 // unqueue removes a request that is not granted.
 func (p *Pool) unqueue(w *waiting) {
 	q := &p.queue
-	q.classes[w.spec.Class].Remove(w.req.Organisation, func(o *waiting) bool { return o == w })
+	q.lanes[w.lane].Remove(w.req.Organisation, func(o *waiting) bool { return o == w })
 	p.leftQueue(w)
 }
 
@@ -210,7 +220,7 @@
 func (p *Pool) leftQueue(w *waiting) {
 	q := &p.queue
 	delete(q.byTicket, w.ticket)
-	q.pieces[w.spec.Class] -= w.spec.Pieces
+	q.pieces[w.lane] -= w.spec.Pieces
 	if q.earmark == w {
 		p.clearEarmark()
 	}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -40,8 +40,8 @@
 	p.holds.byID = map[string]*hold{}
 	p.holds.byDecode = map[*member][]*hold{}
 	p.holds.entries = map[string]*entryRecord{}
-	for c := range p.queue.classes {
-		p.queue.classes[c] = policy.NewFairQueue[*waiting]()
+	for i := range p.queue.lanes {
+		p.queue.lanes[i] = policy.NewFairQueue[*waiting]()
 	}
 	p.queue.byTicket = map[uint64]*waiting{}
 	p.prefix.byHash = map[uint64][]*member{}
@@ -100,7 +100,7 @@
 
 // unblock makes the next placement try every queued request.
 func (p *Pool) unblock() {
-	p.queue.blocked = [policy.Classes]bool{}
+	p.queue.blocked = [lanes]bool{}
 }
 
 // Queued returns the number of queued requests.
--- a/internal/scheduler/expiry.go
+++ b/internal/scheduler/expiry.go
@@ -16,6 +16,7 @@
 	p.upstreams.refreshAll(&p.params, now, true)
 	p.forgetUpstreams(now)
 	out := p.expireQueue(now)
+	p.demoteOverdue(now)
 	out = p.expireHolds(out, now)
 	// Shares and speeds change with time, so every request is tried again.
 	p.unblock()
@@ -40,6 +41,24 @@
 	return out
 }
 
+// demoteOverdue moves drafts whose TTFT target is out of reach to the lane
+// that gets what the others leave.
+func (p *Pool) demoteOverdue(now time.Duration) {
+	var due []*waiting
+	p.queue.lanes[draftLane].Each(func(w *waiting) bool {
+		if w.overdue != 0 && now >= w.overdue && w != p.queue.earmark {
+			due = append(due, w)
+		}
+		return true
+	})
+	slices.SortFunc(due, func(a, b *waiting) int { return int(a.ticket) - int(b.ticket) })
+	for _, w := range due {
+		p.unqueue(w)
+		w.lane = overdueLane
+		p.enqueue(w)
+	}
+}
+
 func (p *Pool) expireHolds(out []Action, now time.Duration) []Action {
 	var due []*hold
 	for _, h := range p.holds.byID {
--- a/internal/scheduler/forecast.go
+++ b/internal/scheduler/forecast.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -43,16 +44,17 @@
 	}
 	var out []Action
 	ends := map[*member][]ending{}
-	// Models with urgent requests that still wait: what becomes free there is
-	// theirs.
-	urgent := map[string]bool{}
-	for class, q := range p.queue.classes {
+	// Models with requests of an earlier lane that still wait: what becomes
+	// free there is theirs.
+	ahead := map[string]bool{}
+	for _, q := range p.queue.lanes {
 		if q.Len() == 0 {
 			continue
 		}
 		aside := 0
+		left := map[string]bool{}
 		q.Serve(anySize, func(w *waiting) policy.Verdict {
-			if class == int(policy.Draft) && urgent[w.req.Model] {
+			if ahead[w.req.Model] {
 				return policy.SkipGroup
 			}
 			if w == p.queue.earmark {
@@ -62,12 +64,13 @@
 				out = append(out, p.grantHold(w, &pl, delay, true, now))
 				return policy.Taken
 			}
-			urgent[w.req.Model] = urgent[w.req.Model] || class == int(policy.Urgent)
+			left[w.req.Model] = true
 			if aside++; aside >= maxForecastAside {
 				return policy.Stop
 			}
 			return policy.SkipFlow
 		})
+		maps.Copy(ahead, left)
 	}
 	return out
 }
--- /dev/null
+++ b/internal/scheduler/lane_test.go
@@ -0,0 +1,60 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/policy"
+)
+
+// grantedTickets returns the tickets that actions grant, in order.
+func grantedTickets(actions []Action) []uint64 {
+	var out []uint64
+	for _, a := range actions {
+		if x, ok := a.(Answer); ok && x.Response.GetGrant() != nil {
+			out = append(out, x.Ticket)
+		}
+	}
+	return out
+}
+
+// Guards against an overload in which every draft misses its target, because
+// drafts that have already missed it are served first; and against a resumed
+// answer that is treated as overdue.
+func TestOverdueDraftsYieldToThoseInTime(t *testing.T) {
+	pol, err := policy.ByName("default")
+	require.NoError(t, err)
+	p := NewPool(testPool, Params{DisableJIT: true}, pol, 1, 0, 1)
+	now := time.Minute
+	p.Announce([]*pb.UpstreamState{prefillState("p1"), decodeState("d1", 10)}, now)
+	submit := func(ticket uint64, attempt uint32, at time.Duration) []Action {
+		req := submitRequest("r", pb.RequestClass_REQUEST_CLASS_DRAFT, 6000, 1500)
+		req.Attempt = attempt
+		req.TtftTargetMs = 2000
+		req.MaxWaitMs = 30_000
+		req.Organisation = string(rune('a' + ticket))
+		out := p.Submit(ticket, req, at)
+		return append(out, p.Run(Placement, at)...)
+	}
+	require.Equal(t, []uint64{1}, grantedTickets(submit(1, 1, now)))
+	first := p.Holds()[0].HoldId
+	require.Empty(t, grantedTickets(submit(2, 2, now)))
+	require.Empty(t, grantedTickets(submit(3, 1, now)))
+	late := now + 2500*time.Millisecond
+	p.Announce([]*pb.UpstreamState{prefillState("p1"), decodeState("d1", 10)}, late)
+	require.Empty(t, grantedTickets(submit(4, 1, late)))
+	p.Run(Expiry, late)
+
+	var order []uint64
+	for range 3 {
+		p.Release(&pb.ReleaseRequest{HoldId: first, Outcome: pb.ReleaseRequest_COMPLETED}, late)
+		got := grantedTickets(p.Run(Placement, late))
+		require.Len(t, got, 1)
+		order = append(order, got[0])
+		first = p.Holds()[0].HoldId
+	}
+	require.Equal(t, []uint64{2, 4, 3}, order)
+}
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -25,8 +25,17 @@
 	maxAside = 64
 )
 
+// class returns the request class of a lane's requests.
+func (l lane) class() policy.Class {
+	if l == urgentLane {
+		return policy.Urgent
+	}
+	return policy.Draft
+}
+
 // place is the placement controller: it grants queued requests that fit now,
-// urgent ones first, then drafts in fair order.
+// urgent ones first, then drafts that can meet their target, then the others,
+// each lane in fair order.
 func (p *Pool) place(now time.Duration) []Action {
 	defer p.lock(placementTables)()
 	if p.restating(now) {
@@ -36,17 +45,17 @@
 	p.settle(now)
 	var out []Action
 	out = p.placeEarmarked(out, now)
-	for class, q := range p.queue.classes {
-		if q.Len() == 0 || p.queue.blocked[class] {
+	for i, q := range p.queue.lanes {
+		if q.Len() == 0 || p.queue.blocked[i] {
 			continue
 		}
 		var complete bool
-		out, complete = p.placeClass(policy.Class(class), out, now)
+		out, complete = p.placeLane(lane(i), out, now)
 		if !complete {
-			// Urgent requests that were not tried go ahead of drafts.
+			// Requests that were not tried go ahead of the later lanes.
 			break
 		}
-		p.queue.blocked[class] = true
+		p.queue.blocked[i] = true
 	}
 	return out
 }
@@ -62,9 +71,10 @@
 	}
 }
 
-// placeClass grants what fits of one class. It reports whether every request
+// placeLane grants what fits of one lane. It reports whether every request
 // that could fit was tried.
-func (p *Pool) placeClass(class policy.Class, out []Action, now time.Duration) ([]Action, bool) {
+func (p *Pool) placeLane(l lane, out []Action, now time.Duration) ([]Action, bool) {
+	class := l.class()
 	aside := 0
 	rooms := map[string]int{}
 	room := func(model string) int {
@@ -78,7 +88,7 @@
 		}
 		return n
 	}
-	p.queue.classes[class].Serve(room, func(w *waiting) policy.Verdict {
+	p.queue.lanes[l].Serve(room, func(w *waiting) policy.Verdict {
 		q := p.query(w)
 		pl, ok := p.policy.Place(&q)
 		if ok {
@@ -213,7 +223,7 @@
 		m.view.EarmarkedPieces = kept
 		return out
 	}
-	p.queue.classes[policy.Draft].Remove(w.req.Organisation, func(o *waiting) bool { return o == w })
+	p.queue.lanes[w.lane].Remove(w.req.Organisation, func(o *waiting) bool { return o == w })
 	return append(out, p.grant(w, &pl, 0, now))
 }
 
@@ -228,12 +238,14 @@
 		return nil
 	}
 	var oldest *waiting
-	q.classes[policy.Draft].Each(func(w *waiting) bool {
-		if oldest == nil || w.since < oldest.since || (w.since == oldest.since && w.ticket < oldest.ticket) {
-			oldest = w
-		}
-		return true
-	})
+	for _, l := range []lane{draftLane, overdueLane} {
+		q.lanes[l].Each(func(w *waiting) bool {
+			if oldest == nil || w.since < oldest.since || (w.since == oldest.since && w.ticket < oldest.ticket) {
+				oldest = w
+			}
+			return true
+		})
+	}
 	if oldest == nil || now-oldest.since < p.params.DraftAge {
 		return nil
 	}
--- a/internal/scheduler/tables.go
+++ b/internal/scheduler/tables.go
@@ -132,25 +132,42 @@
 // queueTable lists the requests that wait for capacity.
 type queueTable struct {
 	mu       sync.Mutex
-	classes  [policy.Classes]*policy.FairQueue[*waiting]
+	lanes    [lanes]*policy.FairQueue[*waiting]
 	byTicket map[uint64]*waiting
-	// pieces is the memory that the queued requests of each class ask for.
-	pieces [policy.Classes]int
+	// pieces is the memory that the queued requests of each lane ask for.
+	pieces [lanes]int
 	// earmark is the draft that memory is kept free for.
 	earmark   *waiting
 	earmarked *member
-	// blocked is set for a class when no queued request fitted and nothing has
+	// blocked is set for a lane when no queued request fitted and nothing has
 	// become free since, so that arrivals need not try the whole queue again.
-	blocked [policy.Classes]bool
+	blocked [lanes]bool
 }
 
+// lane orders queued requests: a later lane gets what the earlier ones leave.
+type lane uint8
+
+const (
+	urgentLane lane = iota
+	// draftLane holds drafts that can still meet their TTFT target.
+	draftLane
+	// overdueLane holds drafts that no longer can. Under overload, serving them
+	// in order of arrival would make every later draft miss its target too.
+	overdueLane
+
+	lanes
+)
+
 // waiting is one queued request.
 type waiting struct {
-	ticket  uint64
-	req     *pb.SubmitRequest
-	spec    policy.Request
-	since   time.Duration
-	giveUp  time.Duration
+	ticket uint64
+	lane   lane
+	req    *pb.SubmitRequest
+	spec   policy.Request
+	since  time.Duration
+	giveUp time.Duration
+	// overdue is when the TTFT target gets out of reach.
+	overdue time.Duration
 	expires time.Duration
 	// late is the refusal sent when the wait ends.
 	late pb.Refusal_Code
