replica: let callers queue before a round takes the inbox

Cause: on one processor the scheduler ran the node's goroutine right after the first caller queued, and a short sync doesn't release the processor, so each command got a sync of its own: 317 syncs for 320 commands in TestGroupsAndCommandsShareSyncs with GOMAXPROCS=1.

Change: a round yields once before it takes the inbox.

--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"runtime"
 	"time"
 
 	"github.com/pkg/errors"
@@ -58,6 +59,9 @@
 // round handles all that arrived until no group has work left.
 func (n *Node) round(ticked bool) error {
 	for {
+		// Lets the callers that can run queue their calls first. On one
+		// processor each of them would otherwise get a sync of its own.
+		runtime.Gosched()
 		if err := n.takeInbox(); err != nil {
 			return err
 		}
@@ -183,6 +187,11 @@
 		return err
 	}
 	g.core.Advance()
+	if w.ready.Snapshot != nil {
+		if err := n.log.Compact(); err != nil {
+			return err
+		}
+	}
 	if g.leadershipChanged() {
 		leads := g.last.role == raft.Leader
 		n.options.Logger.Info().Uint32("group", uint32(g.id)).Uint64("term", g.last.term).Bool("leads", leads).Msg("leadership changed")
--- a/raft/core_test.go
+++ b/raft/core_test.go
@@ -69,6 +69,25 @@
 	require.Equal(t, uint64(2), core.Status().Committed)
 }
 
+// Guards against a vote or a copy of the member itself that counts before it is
+// durable and that a crash could take back.
+func TestOwnVoteAndCopyCountOnlyWhenDurable(t *testing.T) {
+	c := newSimCluster(1, 1)
+	core := c.members[1].core
+	core.Campaign()
+	core.Ready()
+	require.Equal(t, Candidate, core.Role())
+	core.Advance()
+	require.Equal(t, Leader, core.Role())
+	core.Ready()
+	require.Zero(t, core.Status().Committed)
+	core.Advance()
+	require.Equal(t, uint64(1), core.Status().Committed)
+	_, _, err := core.Propose(nil)
+	require.NoError(t, err)
+	require.Equal(t, uint64(1), core.Status().Committed)
+}
+
 // Guards against a returning member that interrupts a healthy leader.
 func TestReturningMemberDoesNotDisturbTheLeader(t *testing.T) {
 	c := elected(t, 3)
--- a/raft/doc.go
+++ b/raft/doc.go
@@ -21,6 +21,8 @@
 //  4. Answer ReadStates once the state machine has applied their Index.
 //  5. Call Advance.
 //
+// It calls no other method of the Core between Ready and Advance.
+//
 // Sending before the entries are durable breaks the protocol, with one
 // exception: messages for which Message.SendableBeforeSync reports true may
 // be sent while the sync runs, provided that the Ready carries no change of
