raft, wal, replica: test what deliberate faults got past

Change: one test for each. The simulated file system also keeps or loses each unsynced change of a directory by itself.

--- a/internal/replica/failure_test.go
+++ b/internal/replica/failure_test.go
@@ -258,6 +258,17 @@
 	require.ErrorIs(t, err, ErrUnknownGroup)
 }
 
+// Guards against a confirmed read that is answered before what it must see is
+// applied.
+func TestConfirmedReadWaitsUntilApplied(t *testing.T) {
+	read := &call{kind: callRead, done: make(chan outcome, 1)}
+	g := &group{applied: 4, machine: &journal{}, reads: map[uint64][]*call{7: {read}}}
+	require.NoError(t, g.apply(&raft.Ready{ReadStates: []raft.ReadState{{Context: 7, Index: 5}}}))
+	require.Empty(t, read.done)
+	require.NoError(t, g.apply(&raft.Ready{CommittedEntries: []raft.Entry{{Index: 5, Term: 1}}}))
+	require.Equal(t, outcome{}, <-read.done)
+}
+
 // Guards against stale reads and lost or repeated commands while leaders are
 // isolated and members restart.
 func TestHistoryOfClientsIsLinearizable(t *testing.T) {
--- a/raft/core_test.go
+++ b/raft/core_test.go
@@ -233,9 +233,13 @@
 	require.ErrorIs(t, c.members[2].core.TransferLeadership(1), ErrNotLeader)
 	require.ErrorIs(t, core.TransferLeadership(3), ErrUnknownMember)
 	// A new leader may not change the membership before it has committed.
-	fresh := elected(t, 3).members[1].core
-	fresh.log.committed = fresh.termStart - 1
-	_, _, err := fresh.ChangeMembership(MembershipChange{RemoveMember, 3})
+	fresh := elected(t, 3)
+	fresh.ticks(DefaultHeartbeatTicks)
+	fresh.drop = func(m *Message) bool { return m.Type == MsgAppend }
+	fresh.members[2].core.campaign(false, true)
+	fresh.settle()
+	require.Equal(t, MemberID(2), fresh.leader().id)
+	_, _, err := fresh.members[2].core.ChangeMembership(MembershipChange{RemoveMember, 3})
 	require.ErrorIs(t, err, ErrChangePending)
 }
 
@@ -261,6 +265,42 @@
 	}
 }
 
+// Guards against an acknowledgement of entries that the leader didn't send and
+// that differ from its own.
+func TestOnlyEntriesKnownToMatchAreAcknowledged(t *testing.T) {
+	core, err := New(Config{ID: 2}, Restored{
+		HardState: HardState{Term: 2},
+		Snapshot:  SnapshotMeta{Membership: Membership{Voters: []MemberID{1, 2, 3}}},
+		Entries:   []Entry{{Index: 1, Term: 1}, {Index: 2, Term: 1}, {Index: 3, Term: 2}},
+	})
+	require.NoError(t, err)
+	require.NoError(t, core.Step(Message{Type: MsgAppend, From: 1, To: 2, Term: 3, Index: 1, LogTerm: 1, Commit: 5}))
+	response := core.Ready().Messages[0]
+	require.Equal(t, uint64(1), response.Index)
+	require.False(t, response.Reject)
+	require.Equal(t, uint64(1), core.Status().Committed)
+}
+
+// Guards against a delayed snapshot that takes back what was applied.
+func TestDelayedSnapshotIsIgnored(t *testing.T) {
+	c := elected(t, 3)
+	for range 5 {
+		c.write(c.members[1])
+		c.settle()
+	}
+	c.ticks(DefaultHeartbeatTicks)
+	follower := c.members[2]
+	meta, err := follower.core.SnapshotMeta(follower.applied)
+	require.NoError(t, err)
+	require.NoError(t, follower.core.Compact(meta, 0))
+	old := Snapshot{Meta: SnapshotMeta{Index: 2, Term: 1, Membership: meta.Membership}}
+	require.NoError(t, follower.core.Step(Message{Type: MsgInstallSnapshot, From: 1, To: 2, Term: 1, Snapshot: &old}))
+	r := follower.core.Ready()
+	require.Nil(t, r.Snapshot)
+	require.Equal(t, meta.Index, r.Messages[0].Index)
+	require.Equal(t, meta.Index, follower.core.Status().Applied)
+}
+
 // Guards against messages that would damage the log if they were handled.
 func TestMessagesThatBreakTheProtocolAreRefused(t *testing.T) {
 	c := elected(t, 3)
--- a/wal/faultfs_test.go
+++ b/wal/faultfs_test.go
@@ -38,13 +38,26 @@
 	return &faultFS{names: map[string]*faultFile{}, durable: map[string]*faultFile{}, capacity: 1 << 30}
 }
 
-// crash returns the file system after a power failure. Of the unsynced end of
-// a file a random part is kept, with random damage.
+// crash returns the file system after a power failure. Of the unsynced changes
+// of a directory each survives or not; of the unsynced end of a file a random
+// part is kept, with random damage.
 func (f *faultFS) crash(rng *rand.Rand) *faultFS {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	after := newFaultFS()
-	for name, file := range f.durable {
+	left := maps.Clone(f.durable)
+	for _, name := range slices.Sorted(maps.Keys(f.durable)) {
+		if f.names[name] == nil && rng.IntN(2) == 0 {
+			delete(left, name)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(f.names)) {
+		if f.durable[name] == nil && rng.IntN(2) == 0 {
+			left[name] = f.names[name]
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(left)) {
+		file := left[name]
 		data := slices.Clone(file.synced)
 		if len(file.data) > len(data) && slices.Equal(file.data[:len(data)], data) {
 			tail := slices.Clone(file.data[len(data) : len(data)+rng.IntN(len(file.data)-len(data)+1)])
--- a/wal/log_test.go
+++ b/wal/log_test.go
@@ -203,10 +203,15 @@
 		}
 		files.change(names[0], func([]byte) []byte { return slices.Clone(original) })
 	}
+	// A whole frame that is missing at the end of an earlier segment.
+	files.change(names[0], func(b []byte) []byte { return b[:offsets[frame]] })
+	_, err := Open("d", Options{FS: files})
+	require.ErrorContains(t, err, "frame")
+	files.change(names[0], func([]byte) []byte { return slices.Clone(original) })
 	last := names[len(names)-1]
 	writeEntry(t, l, 1, 13)
 	files.change(last, func(b []byte) []byte { b[frameHeaderBytes] ^= 1; return b })
-	_, err := Open("d", Options{FS: files})
+	_, err = Open("d", Options{FS: files})
 	require.ErrorContains(t, err, last)
 }
 
