--- /dev/null
+++ b/cmd/gw-control/sessions_test.go
@@ -0,0 +1,165 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/require"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/api/godwitward/v1/godwitwardv1connect"
+	"godwitward.example/godwitward/internal/control/client"
+)
+
+const (
+	sessions     = 370
+	idleTime     = 10 * time.Second
+	clockTicksHz = 100
+)
+
+// counter forwards TCP and counts the bytes of both directions.
+func counter(b *testing.B, target string, bytes *atomic.Int64) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	b.Cleanup(func() { _ = l.Close() })
+	pipe := func(to, from net.Conn) {
+		defer to.Close()
+		_, _ = io.Copy(writer(func(p []byte) (int, error) {
+			bytes.Add(int64(len(p)))
+			return to.Write(p)
+		}), from)
+	}
+	go func() {
+		for {
+			in, err := l.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", target)
+			if err != nil {
+				_ = in.Close()
+				continue
+			}
+			go pipe(in, out)
+			go pipe(out, in)
+		}
+	}()
+	return l.Addr().String()
+}
+
+type writer func([]byte) (int, error)
+
+func (w writer) Write(p []byte) (int, error) { return w(p) }
+
+func freeAddr(b *testing.B) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// startMember runs the program as a process and returns its id.
+func startMember(b *testing.B, listen, operators string) int {
+	dir := b.TempDir()
+	bin := filepath.Join(dir, program)
+	out, err := exec.Command("go", "build", "-o", bin, ".").CombinedOutput()
+	require.NoError(b, err, string(out))
+	cmd := exec.Command(bin, "--member-id", "1", "--members", "1="+listen, "--listen", listen,
+		"--operator-listen", operators, "--data-dir", filepath.Join(dir, "data"), "--start", "found")
+	cmd.Stderr = os.Stderr
+	require.NoError(b, cmd.Start())
+	b.Cleanup(func() {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+	})
+	return cmd.Process.Pid
+}
+
+// cpu returns the processor time of a process and its resident memory, MiB.
+func cpu(b *testing.B, pid int) (used time.Duration, residentMiB float64) {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	require.NoError(b, err)
+	fields := strings.Fields(string(raw[strings.LastIndexByte(string(raw), ')')+2:]))
+	user, _ := strconv.Atoi(fields[11])
+	system, _ := strconv.Atoi(fields[12])
+	pages, _ := strconv.Atoi(fields[21])
+	return time.Duration(user+system) * time.Second / clockTicksHz, float64(pages*os.Getpagesize()) / (1 << 20)
+}
+
+// BenchmarkSessions measures what 370 idle daemons cost one member, and how
+// long a change takes to reach the last of them.
+func BenchmarkSessions(b *testing.B) {
+	listen, operators := freeAddr(b), freeAddr(b)
+	pid := startMember(b, listen, operators)
+	var bytes atomic.Int64
+	addr := counter(b, listen, &bytes)
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer cancel()
+	var applied atomic.Int64
+	var clients []*client.Client
+	for i := range sessions {
+		c := client.New(client.Options{Addrs: []string{addr}, Self: &pb.Hello{DaemonId: fmt.Sprint("daemon-", i)}})
+		c.OnConfig(func(*pb.Config) { applied.Add(1) })
+		clients = append(clients, c)
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			_ = c.Run(ctx)
+		}()
+	}
+	for _, c := range clients {
+		require.Eventually(b, c.Serving, 30*time.Second, 10*time.Millisecond)
+	}
+	time.Sleep(2 * time.Second)
+	idle, _ := cpu(b, pid)
+	sent := bytes.Load()
+	time.Sleep(idleTime)
+	after, resident := cpu(b, pid)
+	idleBytes := bytes.Load() - sent
+
+	op := godwitwardv1connect.NewOperatorServiceClient(http.DefaultClient, "http://"+operators)
+	var last, answered time.Duration
+	b.ResetTimer()
+	for v := range uint64(b.N) {
+		applied.Store(0)
+		began := time.Now()
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			resp, err := op.ChangeConfig(ctx, connect.NewRequest(&pb.ChangeConfigRequest{Change: &pb.ConfigChange{
+				RequestId: fmt.Sprint(v), BaseVersion: v,
+				Change: &pb.ConfigChange_PutRoute{PutRoute: &pb.Route{Name: "draft", Path: fmt.Sprint("/", v), Service: "s", Region: "r"}},
+			}}))
+			if err != nil || !resp.Msg.InForce {
+				b.Errorf("change %d: %v, %v", v, resp, err)
+			}
+		}()
+		for applied.Load() < sessions && time.Since(began) < 10*time.Second {
+			time.Sleep(100 * time.Microsecond)
+		}
+		last += time.Since(began)
+		<-done
+		answered += time.Since(began)
+	}
+	perSecond := func(n float64) float64 { return n / idleTime.Seconds() }
+	b.ReportMetric(100*perSecond((after-idle).Seconds()), "idle-cpu-%")
+	b.ReportMetric(perSecond(float64(idleBytes))/sessions, "idle-B/s/daemon")
+	b.ReportMetric(resident, "member-MiB")
+	b.ReportMetric(float64(last.Microseconds())/1000/float64(b.N), "ms-to-last-daemon")
+	b.ReportMetric(float64(answered.Microseconds())/1000/float64(b.N), "ms-to-in-force")
+}
--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,15 +27,16 @@
 // proxy forwards TCP and can go silent: while cut, bytes vanish and the
 // connections stay open, as when a network drops packets.
 type proxy struct {
-	l      net.Listener
-	target string
+	l net.Listener
+	// target returns where to forward, empty while nothing listens there.
+	target func() string
 
 	mu    sync.Mutex
 	cut   bool
 	conns map[net.Conn]bool
 }
 
-func newProxy(t testing.TB, target string) *proxy {
+func newProxy(t testing.TB, target func() string) *proxy {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	p := &proxy{l: l, target: target, conns: map[net.Conn]bool{}}
@@ -54,7 +56,7 @@
 		if err != nil {
 			return
 		}
-		out, err := net.Dial("tcp", p.target)
+		out, err := net.Dial("tcp", p.target())
 		if err != nil {
 			_ = in.Close()
 			continue
@@ -105,14 +107,19 @@
 
 // member is one control member, in process, with its log on the disk.
 type member struct {
-	id       uint64
+	id  uint64
+	dir string
+	srv *Server
+	ts  *transport.Server
+	hs  *httptest.Server
+	// addr and operator stay the same over restarts: they are proxies, since
+	// a closed listener's port may be taken by another process.
 	addr     string
-	dir      string
-	srv      *Server
-	ts       *transport.Server
-	hs       *httptest.Server
 	operator string
-	lossy    *lossy
+	// sessions and operations are where the member listens now.
+	sessions   atomic.Value
+	operations atomic.Value
+	lossy      *lossy
 	// out holds the proxies of the links to the others.
 	out map[uint64]*proxy
 }
@@ -125,21 +132,26 @@
 	adjust  func(*Options)
 }
 
-func reserve(t testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+func newMember(t testing.TB, id uint64) *member {
+	m := &member{id: id, dir: t.TempDir(), out: map[uint64]*proxy{}}
+	m.addr = newProxy(t, m.sessionAddr).addr()
+	m.operator = newProxy(t, func() string { a, _ := m.operations.Load().(string); return a }).addr()
+	return m
+}
+
+func (m *member) sessionAddr() string {
+	a, _ := m.sessions.Load().(string)
+	return a
 }
 
 func startTestStore(t testing.TB, size int, adjust func(*Options)) *testStore {
 	s := &testStore{t: t, members: map[uint64]*member{}, adjust: adjust}
 	for id := uint64(1); id <= uint64(size); id++ {
-		s.members[id] = &member{id: id, addr: reserve(t), dir: t.TempDir(), operator: reserve(t), out: map[uint64]*proxy{}}
+		s.members[id] = newMember(t, id)
 	}
 	for _, m := range s.members {
 		for _, o := range s.members {
-			m.out[o.id] = newProxy(t, o.addr)
+			m.out[o.id] = newProxy(t, o.sessionAddr)
 		}
 	}
 	for _, m := range s.members {
@@ -176,15 +188,13 @@
 	m.srv = srv
 	m.ts = transport.NewServer(transport.Options{})
 	srv.Register(m.ts)
-	l, err := net.Listen("tcp", m.addr)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(s.t, err)
 	go func() { _ = m.ts.Serve(l) }()
 	_, h := srv.OperatorHandler()
-	m.hs = httptest.NewUnstartedServer(h)
-	_ = m.hs.Listener.Close()
-	m.hs.Listener, err = net.Listen("tcp", m.operator)
-	require.NoError(s.t, err)
-	m.hs.Start()
+	m.hs = httptest.NewServer(h)
+	m.sessions.Store(l.Addr().String())
+	m.operations.Store(m.hs.Listener.Addr().String())
 }
 
 // kill ends a member without warning.
@@ -194,6 +204,8 @@
 	if m.srv == nil {
 		return
 	}
+	m.sessions.Store("")
+	m.operations.Store("")
 	m.ts.Close()
 	m.hs.CloseClientConnections()
 	_ = m.srv.halt()
--- a/internal/control/faults_test.go
+++ b/internal/control/faults_test.go
@@ -154,7 +154,7 @@
 func TestCutOffEntryStopsServing(t *testing.T) {
 	st := startTestStore(t, 1, nil)
 	m := st.leader()
-	p := newProxy(t, m.addr)
+	p := newProxy(t, m.sessionAddr)
 	cutOff, _ := daemon(t, []string{p.addr()}, "entry-cut-off")
 	ctx := timeout(t, 20*time.Second)
 	require.Eventually(t, cutOff.Serving, 10*time.Second, time.Millisecond)
@@ -224,10 +224,10 @@
 	ctx := timeout(t, 60*time.Second)
 	readAnywhere(ctx, st)
 	leader := st.leader()
-	joined := &member{id: 4, addr: reserve(t), dir: t.TempDir(), operator: reserve(t), out: map[uint64]*proxy{}}
+	joined := newMember(t, 4)
 	var removed *member
 	for id, m := range st.members {
-		joined.out[id] = newProxy(t, m.addr)
+		joined.out[id] = newProxy(t, m.sessionAddr)
 		if m != leader {
 			removed = m
 		}
