--- /dev/null
+++ b/internal/scheduler/core_test.go
@@ -0,0 +1,367 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/upstream"
+	"godwitward.example/godwitward/policy"
+)
+
+const (
+	urgent = pb.RequestClass_REQUEST_CLASS_URGENT
+	draft  = pb.RequestClass_REQUEST_CLASS_DRAFT
+)
+
+// coreTest drives a core by hand.
+type coreTest struct {
+	*Pool
+	t       *testing.T
+	now     time.Duration
+	states  []*pb.UpstreamState
+	answers map[uint64]*pb.SubmitResponse
+	actions []Action
+	ticket  uint64
+}
+
+func newCoreTest(t *testing.T, params Params, states ...*pb.UpstreamState) *coreTest {
+	c := &coreTest{
+		Pool: NewPool(testPool, params, policy.Default{}, 7, 0, 1), t: t, now: 10 * time.Second,
+		states: states, answers: map[uint64]*pb.SubmitResponse{},
+	}
+	c.announce()
+	return c
+}
+
+func (c *coreTest) announce() {
+	for _, s := range c.states {
+		c.do(c.Announce([]*pb.UpstreamState{proto.CloneOf(s)}, c.now))
+	}
+}
+
+func (c *coreTest) do(actions []Action) {
+	for _, a := range actions {
+		if x, ok := a.(Answer); ok {
+			c.answers[x.Ticket] = x.Response
+			continue
+		}
+		c.actions = append(c.actions, a)
+	}
+}
+
+func (c *coreTest) submit(r *pb.SubmitRequest) uint64 {
+	c.ticket++
+	c.do(c.Submit(c.ticket, r, c.now))
+	c.do(c.Run(Placement, c.now))
+	return c.ticket
+}
+
+func (c *coreTest) grant(r *pb.SubmitRequest) *pb.Grant {
+	c.t.Helper()
+	id := c.submit(r)
+	require.NotNil(c.t, c.answers[id].GetGrant(), "%v", c.answers[id])
+	return c.answers[id].GetGrant()
+}
+
+func (c *coreTest) first(g *pb.Grant) {
+	c.Progress(&pb.ProgressRequest{HoldId: g.HoldId, Stage: pb.ProgressRequest_FIRST_TOKEN}, c.now)
+}
+
+func (c *coreTest) finish(g *pb.Grant) {
+	c.Release(&pb.ReleaseRequest{HoldId: g.HoldId, Outcome: pb.ReleaseRequest_COMPLETED, OutputTokens: 50, TpotUs: 20000}, c.now)
+	c.do(c.Run(Placement, c.now))
+}
+
+// pass lets time pass with announcements and every controller at its interval.
+func (c *coreTest) pass(d time.Duration) {
+	for end := c.now + d; c.now < end; {
+		c.now += 20 * time.Millisecond
+		if c.now%time.Second == 0 {
+			c.announce()
+		}
+		for ctl := range controllers {
+			c.do(c.Run(ctl, c.now))
+		}
+	}
+}
+
+func count[T Action](c *coreTest) (out []T) {
+	for _, a := range c.actions {
+		if x, ok := a.(T); ok {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+// Guards against a large draft that never runs because urgent requests and
+// smaller drafts take every piece that becomes free.
+func TestLargeDraftIsNotStarved(t *testing.T) {
+	c := newCoreTest(t, Params{}, prefillState("p1"), decodeState("d1", 10), decodeState("d2", 10))
+	var running []*pb.Grant
+	for range 10 {
+		g := c.grant(submitRequest("fill", urgent, 1500, 500))
+		c.first(g)
+		running = append(running, g)
+	}
+	large := submitRequest("large", draft, 7000, 1000)
+	large.MaxWaitMs = 60000
+	id := c.submit(large)
+	for i := 0; c.answers[id] == nil; i++ {
+		require.Less(t, i, 300, "the draft waits for over 30 s")
+		// Two urgent requests are always queued for what becomes free.
+		for c.Queued() < 3 {
+			c.submit(submitRequest(fmt.Sprintf("u%d", i), urgent, 1500, 500))
+		}
+		c.pass(100 * time.Millisecond)
+		c.finish(running[0])
+		running = running[1:]
+		for ticket, a := range c.answers {
+			if g := a.GetGrant(); g != nil && ticket > 10 && ticket != id {
+				c.first(g)
+				running = append(running, g)
+				delete(c.answers, ticket)
+			}
+		}
+	}
+	require.NotNil(t, c.answers[id].GetGrant(), "%v", c.answers[id])
+}
+
+// Guards against one organisation with a long queue delaying 949 others, and
+// against counting requests instead of tokens.
+func TestOrganisationsShareByTokens(t *testing.T) {
+	const organisations = 950
+	one := decodeState("d1", 4)
+	one.MaxBatch = 1
+	c := newCoreTest(t, Params{}, prefillState("p1"), one)
+	g := c.grant(submitRequest("fill", draft, 2500, 500))
+	c.first(g)
+	ask := func(org string, prompt, output uint32) {
+		r := submitRequest(org, draft, prompt, output)
+		r.Organisation, r.MaxWaitMs, r.DeadlineMs = org, 3600000, 3600000
+		c.submit(r)
+	}
+	for range 200 {
+		ask("greedy", 2500, 500)
+	}
+	for i := range organisations - 1 {
+		for range 2 {
+			ask(fmt.Sprintf("org-%d", i), 1500, 500)
+		}
+	}
+	served := map[string]int{}
+	for range organisations + 200 {
+		c.now += time.Millisecond
+		if c.now%time.Second == 0 {
+			c.announce()
+		}
+		c.finish(g)
+		h := c.Holds()
+		require.Len(t, h, 1)
+		served[h[0].RequestId]++
+		g = &pb.Grant{HoldId: h[0].HoldId}
+		c.first(g)
+	}
+	require.LessOrEqual(t, served["greedy"], 2)
+	require.Len(t, served, organisations)
+}
+
+// Guards against a prefill that is granted while decode is full and whose
+// result expires before there is room, and against decode slots that idle
+// during each prefill although their end is known.
+func TestPrefillAheadOfAFreeSlot(t *testing.T) {
+	c := newCoreTest(t, Params{}, prefillState("p1"), decodeState("d1", 4))
+	g := c.grant(submitRequest("a", draft, 2000, 100))
+	c.first(g)
+	id := c.submit(submitRequest("b", draft, 2000, 100))
+	tokens := c.upstreams.byID["d1"].view.TokenSeconds(20) * 100
+	c.pass(policy.Seconds(tokens) - 500*time.Millisecond)
+	require.Nil(t, c.answers[id], "granted too early: %v", c.answers[id])
+	c.pass(450 * time.Millisecond)
+	ahead := c.answers[id].GetGrant()
+	require.NotNil(t, ahead, "not granted ahead of the free slot")
+	require.Equal(t, 3, c.upstreams.byID["d1"].view.PromisedPieces)
+	c.finish(g)
+	v := c.upstreams.byID["d1"].view
+	require.Equal(t, 0, v.PromisedPieces)
+	require.Equal(t, 3, v.HeldPieces)
+}
+
+// Guards against requests that are queued although they cannot be served in
+// time, and refusals that do not say when to come back.
+func TestRefusals(t *testing.T) {
+	c := newCoreTest(t, Params{}, prefillState("p1"), decodeState("d1", 10))
+	refused := func(r *pb.SubmitRequest) *pb.Refusal {
+		id := c.submit(r)
+		require.NotNil(t, c.answers[id].GetRefusal(), "%v", c.answers[id])
+		return c.answers[id].GetRefusal()
+	}
+	require.Equal(t, pb.Refusal_TOO_LARGE, refused(submitRequest("large", draft, 10000, 1000)).Code)
+	other := submitRequest("other", draft, 100, 100)
+	other.Model = "unknown"
+	require.Equal(t, pb.Refusal_NO_UPSTREAM, refused(other).Code)
+	late := submitRequest("late", urgent, 8000, 100)
+	late.MaxWaitMs = 0
+	require.Equal(t, pb.Refusal_TOO_LATE, refused(late).Code, "its prefill takes 0.8 s of a 0.76 s target")
+
+	for range 5 {
+		c.now += 4 * time.Second
+		c.announce()
+		c.finish(c.grantHeld(submitRequest("warm", draft, 4000, 500), 4*time.Second))
+	}
+	c.first(c.grant(submitRequest("fill", draft, 8000, 500)))
+	for i := range 2 {
+		c.submit(submitRequest(fmt.Sprintf("queued%d", i), draft, 8000, 500))
+	}
+	over := refused(submitRequest("over", draft, 8000, 500))
+	require.Equal(t, pb.Refusal_OVERLOADED, over.Code)
+	require.NotZero(t, over.RetryAfterMs)
+}
+
+// grantHeld grants a request and lets it run for a time.
+func (c *coreTest) grantHeld(r *pb.SubmitRequest, d time.Duration) *pb.Grant {
+	g := c.grant(r)
+	c.first(g)
+	c.now += d
+	c.announce()
+	return g
+}
+
+// Guards against two faults after a takeover: work of vanished entries that
+// runs on, and memory that it occupies being granted.
+func TestTakeoverCancelsUnclaimedWork(t *testing.T) {
+	c := newCoreTest(t, Params{}, prefillState("p1"), decodeState("d1", 10))
+	c.Pool = NewPool(testPool, Params{}, policy.Default{}, 8, c.now, 1)
+	c.states[1].UsedPieces, c.states[1].Running = 9, 2
+	c.do(c.Restate(&pb.RestateRequest{EntryId: "entry-1", Holds: []*pb.Hold{{
+		HoldId: testPool + "#7-1", RequestId: "claimed", Attempt: 1, PrefillId: "p1", DecodeId: "d1", Pieces: 4,
+		Stage: pb.ProgressRequest_DECODING, PromptTokens: 3000, MaxOutputTokens: 1000, Model: "m",
+	}}}, c.now))
+	c.announce()
+	id := c.submit(submitRequest("r", draft, 1500, 400))
+	c.pass(time.Second)
+	require.Nil(t, c.answers[id], "memory of unclaimed work was granted")
+	c.pass(1200 * time.Millisecond)
+	lists := count[ListRunning](c)
+	require.NotEmpty(t, lists)
+	work := []upstream.Running{{RequestID: "claimed", Attempt: 1, Pieces: 4, AgeMillis: 9000}, {RequestID: "lost", Attempt: 2, Pieces: 5, AgeMillis: 9000}}
+	c.do(c.Listed(lists[len(lists)-1].Engine, work, c.now, c.now))
+	require.Equal(t, []CancelOrphan{{Engine: count[CancelOrphan](c)[0].Engine, Work: upstream.CancelRequest{RequestID: "lost", Attempt: 2}}}, count[CancelOrphan](c))
+	c.states[1].UsedPieces, c.states[1].Running = 4, 1
+	c.pass(2 * time.Second)
+	require.NotNil(t, c.answers[id].GetGrant())
+}
+
+// Guards against an order that an old holder and a new one both give to an
+// engine that ignores fencing tokens, and against parallel model loads.
+func TestOrdersAreFencedAndLoadsAreSerial(t *testing.T) {
+	checks, ignores := decodeState("d1", 10), decodeState("d2", 10)
+	ignores.ChecksFencing = false
+	c := newCoreTest(t, Params{}, prefillState("p1"), checks, ignores)
+	c.Pool = NewPool(testPool, Params{}, policy.Default{}, 8, c.now, 1)
+	c.announce()
+	load := func(id, model string) {
+		_, ok := c.Order(&pb.EngineOrder{UpstreamId: id, Order: &pb.EngineOrder_LoadModel{LoadModel: model}, DeadlineMs: 1000}, c.now)
+		require.True(t, ok)
+	}
+	load("d1", "x")
+	load("d1", "y")
+	load("d2", "z")
+	c.pass(4 * time.Second)
+	sent := count[SendOrder](c)
+	require.Len(t, sent, 1)
+	require.Equal(t, uint64(8), sent[0].Order.FencingToken)
+	c.pass(20 * time.Second)
+	require.Len(t, count[SendOrder](c), 1, "a second load started before the first had ended")
+	c.do(c.OrderDone(sent[0].ID, "", c.now))
+	c.pass(time.Second)
+	require.Len(t, count[SendOrder](c), 2)
+
+	d := newCoreTest(t, Params{}, prefillState("p1"), checks, ignores)
+	d.Pool = NewPool(testPool, Params{}, policy.Default{}, 8, d.now, 1)
+	d.announce()
+	_, _ = d.Order(&pb.EngineOrder{UpstreamId: "d2", Order: &pb.EngineOrder_UnloadModel{UnloadModel: "m"}, DeadlineMs: 1000}, d.now)
+	d.pass(4 * time.Second)
+	require.Empty(t, count[SendOrder](d), "sent while the old holder's order could still run")
+	d.pass(100 * time.Millisecond)
+	require.Len(t, count[SendOrder](d), 1)
+}
+
+// Guards against a role change that interrupts running work or flaps.
+func TestRoleChangeDrainsFirst(t *testing.T) {
+	c := newCoreTest(t, Params{RoleHold: 2 * time.Second, DisableJIT: true}, prefillState("p1"), prefillState("p2"), decodeState("d1", 4))
+	g := c.grant(submitRequest("a", draft, 3000, 900))
+	c.first(g)
+	waiting := submitRequest("b", draft, 3000, 900)
+	waiting.MaxWaitMs = 60000
+	c.submit(waiting)
+	c.pass(time.Second)
+	require.Empty(t, count[SendOrder](c), "changed without hysteresis")
+	c.pass(3 * time.Second)
+	sent := count[SendOrder](c)
+	require.Len(t, sent, 1)
+	require.Equal(t, upstream.Order{FencingToken: 7, Kind: "set_role", Value: "decode"}, sent[0].Order)
+	require.False(t, c.upstreams.byID[sent[0].Engine.Id].view.Usable)
+	c.pass(3 * time.Second)
+	require.Len(t, count[SendOrder](c), 1, "the role that is short gave up its last engine")
+}
+
+// Guards against an engine that became slow or fails keeping its share of the
+// work, and against its return at full share.
+func TestSlowEngineIsEjectedAndReturnsGradually(t *testing.T) {
+	c := newCoreTest(t, Params{}, prefillState("p1"), decodeState("d1", 40), decodeState("d2", 40), decodeState("d3", 40))
+	c.pass(time.Second)
+	m := c.upstreams.byID["d1"]
+	for i := 0; m.health == pb.UpstreamStatus_LIVE; i++ {
+		require.Less(t, i, 100, "not ejected")
+		r := submitRequest("a", draft, 500, 100)
+		r.Exclude = []string{"d2", "d3"}
+		g := c.grant(r)
+		c.first(g)
+		c.Release(&pb.ReleaseRequest{HoldId: g.HoldId, Outcome: pb.ReleaseRequest_COMPLETED, OutputTokens: 50, TpotUs: 150000}, c.now)
+	}
+	require.Equal(t, pb.UpstreamStatus_EJECTED, m.health)
+	require.False(t, m.view.Usable)
+	c.pass(6 * time.Second)
+	require.True(t, m.view.Usable)
+	require.Less(t, m.view.Share, 0.5)
+	c.pass(10 * time.Second)
+	require.Equal(t, 1.0, m.view.Share)
+}
+
+// Guards against cache events that are lost making every later placement
+// believe a wrong index, and against affinity that overrides load.
+func TestPrefixAffinity(t *testing.T) {
+	c := newCoreTest(t, Params{}, prefillState("p1"), prefillState("p2"), decodeState("d1", 200))
+	send := func(first, last uint64) {
+		s := proto.CloneOf(c.states[1])
+		for seq := first; seq <= last; seq++ {
+			s.CacheEvents = append(s.CacheEvents, &pb.CacheEvent{Sequence: seq, PrefixHash: seq})
+		}
+		c.Announce([]*pb.UpstreamState{s}, c.now)
+	}
+	send(1, 4)
+	ask := func() *pb.SubmitRequest {
+		r := submitRequest("r", draft, 4000, 100)
+		r.PrefixHashes = []uint64{1, 2, 3, 4}
+		return r
+	}
+	g := c.grant(ask())
+	require.Equal(t, "p2", g.Prefill.Id)
+	require.Equal(t, int32(0), c.holds.byID[g.HoldId].uncached)
+	send(9, 9)
+	g = c.grant(ask())
+	require.Equal(t, int32(2000), c.holds.byID[g.HoldId].uncached, "after a gap the index is only a hint")
+	send(10, 24)
+	require.False(t, c.upstreams.byID["p2"].prefix.hint)
+
+	busy := submitRequest("busy", draft, 9000, 100)
+	busy.Exclude = []string{"p1"}
+	c.grant(busy)
+	require.Equal(t, "p1", c.grant(ask()).Prefill.Id, "affinity overrides a long queue")
+}
--- a/internal/scheduler/upstreams.go
+++ b/internal/scheduler/upstreams.go
@@ -253,8 +253,13 @@
 	return slices.ContainsFunc(c.prefill, usable) && slices.ContainsFunc(c.decode, usable)
 }
 
-// room returns the largest free memory of the group's decode engines.
+// room returns the largest free memory of the group's decode engines, or 0
+// when no prefill engine takes more work.
 func (c *candidates) room(class policy.Class, reserve float64) int {
+	open := func(e *policy.Engine) bool { return policy.PrefillOpen(e, class, reserve) }
+	if !slices.ContainsFunc(c.prefill, open) {
+		return 0
+	}
 	most := 0
 	for _, e := range c.decode {
 		if e.Usable && e.FreeSlots(class, reserve) > 0 {
--- a/policy/place.go
+++ b/policy/place.go
@@ -183,7 +183,7 @@
 	if e.TotalPieces > 0 && e.FreePieces(r.Class, 0) < r.PromptPieces {
 		return scored{}, false
 	}
-	if !prefillOpen(e, r.Class, q.Reserve) || !linkOpen(e, r.Class) {
+	if !PrefillOpen(e, r.Class, q.Reserve) {
 		return scored{}, false
 	}
 	s := scored{engine: e, wait: PrefillWait(e, r.Class)}
@@ -195,9 +195,12 @@
 	return s, true
 }
 
-// prefillOpen reports whether a prefill engine may be given more work. An idle
-// engine takes a request of any length.
-func prefillOpen(e *Engine, c Class, reserve float64) bool {
+// PrefillOpen reports whether a prefill engine may be given more work of a
+// class. An idle engine takes a request of any length.
+func PrefillOpen(e *Engine, c Class, reserve float64) bool {
+	if !e.Usable || !linkOpen(e, c) {
+		return false
+	}
 	if e.Batch == 0 {
 		return true
 	}
