--- a/cmd/gw-load/main.go
+++ b/cmd/gw-load/main.go
@@ -23,6 +23,13 @@
 // embedded system is linked in.
 var system load.System
 
+const (
+	// A single run ends in under a minute with the time for draining.
+	runDuration = 15 * time.Second
+	// Two rounds of two policies together end in about a minute.
+	compareDuration = 6 * time.Second
+)
+
 // exitBroken is the exit status when a promise was broken.
 const exitBroken = 1
 
@@ -36,12 +43,13 @@
 }
 
 func main() {
+	log.DefaultLogger.Writer = &log.ConsoleWriter{Formatter: log.LogfmtFormatter{TimeField: "ts"}.Formatter}
 	var c command
 	app := kingpin.New("gw-load", "Drive entries with load and check every answer.")
 	app.Flag("workload", "kiritani or vodnarka.").Default("kiritani").EnumVar(&c.workload, "kiritani", "vodnarka")
 	app.Flag("load", "Offered load, percent of the stand-ins' capacity.").Default("90").Float64Var(&c.options.Load)
 	app.Flag("urgent-load", "Load of urgent calls, percent; same as --load by default.").Float64Var(&c.options.UrgentLoad)
-	app.Flag("duration", "Duration of the arrivals.").Default("15s").DurationVar(&c.options.Duration)
+	app.Flag("duration", "Duration of the arrivals of each run; 15s, or 6s for compare.").DurationVar(&c.options.Duration)
 	app.Flag("seed", "Seed of arrivals and faults.").Default("1").Uint64Var(&c.options.Seed)
 	app.Flag("entry", "Base URL of an entry; repeatable.").StringsVar(&c.options.Entries)
 	app.Flag("upstream", "Base URL of a stand-in started separately; repeatable, in the order of the fleet. "+
@@ -58,6 +66,12 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	c.options.Workload = load.Workloads()[c.workload]
+	if c.options.Duration == 0 {
+		c.options.Duration = runDuration
+		if verb == compare.FullCommand() {
+			c.options.Duration = compareDuration
+		}
+	}
 	var report *load.Report
 	var err error
 	switch verb {
--- a/cmd/gw-standin/main.go
+++ b/cmd/gw-standin/main.go
@@ -15,6 +15,7 @@
 )
 
 func main() {
+	log.DefaultLogger.Writer = &log.ConsoleWriter{Formatter: log.LogfmtFormatter{TimeField: "ts"}.Formatter}
 	var s standin.Settings
 	app := kingpin.New("gw-standin", "Run a stand-in upstream for tests.")
 	app.Flag("id", "Upstream id.").Required().StringVar(&s.ID)
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -27,8 +27,10 @@
 
 // Guards against checks that find faults in a router that has none.
 func TestCorrectRouterPasses(t *testing.T) {
+	t.Parallel()
 	for _, name := range []string{"kiritani", "vodnarka"} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			report := runWith(t, "", testOptions(name))
 			var out bytes.Buffer
 			report.Print(&out)
@@ -43,6 +45,7 @@
 // Guards against checks that overlook a broken promise: each router here
 // breaks one and must be found out by the count for it.
 func TestBrokenRouterIsFound(t *testing.T) {
+	t.Parallel()
 	cases := map[string]func(*Report) int{
 		"cut-off":       func(r *Report) int { return r.CutOff },
 		"lossy":         func(r *Report) int { return r.Lost },
@@ -65,6 +68,33 @@
 	}
 }
 
+// Guards against a comparison that mixes up the figures of its policies, or
+// gives them different arrivals.
+func TestCompare(t *testing.T) {
+	t.Parallel()
+	o := testOptions("kiritani")
+	o.Duration = time.Second
+	compared, err := Compare(context.Background(), naiveSystem{}, o, []string{"", "lossy"}, 1)
+	require.NoError(t, err)
+	require.Len(t, compared, 2)
+	correct, lossy := compared[0].Report, compared[1].Report
+	require.False(t, correct.Failed(), correct.problems)
+	require.Positive(t, lossy.Lost)
+	require.Equal(t, correct.Bound, lossy.Bound)
+	require.Equal(t, lossy.Lost, Merge(compared).Lost)
+}
+
+// Guards against a fault schedule whose faults don't reach the stand-ins, and
+// against checks that overlook what a router without retries then breaks.
+func TestFaultsReachStandIns(t *testing.T) {
+	t.Parallel()
+	o := testOptions("vodnarka")
+	o.FaultInterval = 50 * time.Millisecond
+	report := runWith(t, "", o)
+	require.True(t, report.Failed(), report.Summary())
+	require.Positive(t, report.CutOff+report.Lost)
+}
+
 // Guards against a comparison in which the policies see different arrivals.
 func TestSameSeedSameCalls(t *testing.T) {
 	w := Workloads()["kiritani"]
--- a/internal/load/workload.go
+++ b/internal/load/workload.go
@@ -80,12 +80,12 @@
 				TTFT: plainTarget, ResendShare: 0.05},
 		},
 	}
-	kiritani.Fleet = fleet(kiritani, []string{"sapporo-a", "otaru-b", "asahikawa-c", "obihiro-d"}, 3, 5, 4)
+	kiritani.Fleet = fleet(kiritani, []string{"sapporo-a", "otaru-b", "asahikawa-c", "obihiro-d"}, 4, 5, 4, 130)
 	vodnarka := &Workload{
 		Name: "vodnarka", Region: "brno", Engines: "chem-llm", Service: "orders", Model: "tank-13b",
 		Kinds: []Kind{
 			{Name: "vodnarka-report", Path: "/vodnarka/report", Share: 0.5,
-				PromptTokens: [2]int{2_000, 30_000}, OutputTokens: [2]int{40, 300}, Prefixes: 10, PrefixTokens: 4_000,
+				PromptTokens: [2]int{1_000, 30_000}, OutputTokens: [2]int{60, 400}, Prefixes: 10, PrefixTokens: 4_000,
 				TTFT: draftTarget, TPOT: tpotTarget, LeaveShare: 0.05},
 			{Name: "vodnarka-stock", Path: "/vodnarka/stock", Urgent: true, Share: 0.15,
 				PromptTokens: [2]int{20, 300}, OutputTokens: [2]int{8, 30},
@@ -94,13 +94,15 @@
 				TTFT: plainTarget, ResendShare: 0.1},
 		},
 	}
-	vodnarka.Fleet = fleet(vodnarka, []string{"brno-lab", "brno-depot", "brno-colo"}, 4, 4, 3)
+	vodnarka.Fleet = fleet(vodnarka, []string{"brno-lab", "brno-depot", "brno-colo"}, 4, 4, 3, 230)
 	return map[string]*Workload{kiritani.Name: kiritani, vodnarka.Name: vodnarka}
 }
 
 // fleet lists the stand-ins of a workload. Speeds differ between engines by up
-// to 30% around the nominal value, as those of real ones do.
-func fleet(w *Workload, places []string, prefills, decodes, services int) []standin.Settings {
+// to 30% around the nominal value, as those of real ones do. Memory is sized so
+// that decode slots are the scarcest resource of both workloads, with prefill
+// and memory used to between 60% and 90% when the slots are full.
+func fleet(w *Workload, places []string, prefills, decodes, services, pieces int) []standin.Settings {
 	var list []standin.Settings
 	add := func(role, service string, n int) {
 		for i := range n {
@@ -110,6 +112,7 @@
 				Region: w.Region, Place: places[len(list)%len(places)],
 				PrefillTokensPerSecond: int(60_000 * speed),
 				DecodePerToken:         time.Duration(float64(14*time.Millisecond) / speed),
+				TotalPieces:            pieces,
 				ChecksFencing:          i%2 == 0,
 			})
 			last := &list[len(list)-1]
