standin, load: restart on a busy port, count uncancelled prefills as leaked

Cause: a crashed stand-in's port lies in the range of outgoing connections and may be taken while it is down; a crash could answer 410 or 500 instead of breaking the connection; a prefill that nobody cancelled wasn't seen as leaked.

--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -190,7 +191,8 @@
 	return float64(h.ValueAtQuantile(quantile)) / 1000
 }
 
-// Print writes one line per kind of call, the problems, and the summary line.
+// Print writes one line per kind of call, the seconds, the problems, and the
+// summary line.
 func (r *Report) Print(w io.Writer) {
 	names := make([]string, 0, len(r.kinds))
 	for name := range r.kinds {
@@ -205,12 +207,23 @@
 			millis(k.first, 50), millis(k.first, 99), millis(k.perToken, 50), millis(k.perToken, 99),
 			millis(k.total, 50), millis(k.total, 99))
 	}
+	fmt.Fprintf(w, "good_of_offered_per_second=%s\n", r.perSecond())
 	for _, p := range r.problems {
 		fmt.Fprintf(w, "problem=%q\n", p)
 	}
 	fmt.Fprintln(w, r.Summary())
 }
 
+// perSecond lists "good/offered" for each second of arrival, in which the time
+// to recover from a fault can be read.
+func (r *Report) perSecond() string {
+	list := make([]string, len(r.seconds))
+	for i, s := range r.seconds {
+		list[i] = fmt.Sprintf("%d/%d", s.good, s.offered)
+	}
+	return strings.Join(list, ",")
+}
+
 // Summary is the last line of the output.
 func (r *Report) Summary() string {
 	return fmt.Sprintf("goodput=%.4f wasted_prefill=%.4f urgent_p99_ms=%.1f lost=%d duplicated=%d reran=%d leaked_pieces=%d cut_off=%d",
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -185,7 +185,10 @@
 // stats are the counters of the whole fleet.
 type stats struct {
 	engines standin.EngineStats
-	runs    map[string]int
+	// held counts pieces, and 1 for each request that occupies an engine
+	// without pieces, such as a prefill that nobody cancelled.
+	held int
+	runs map[string]int
 }
 
 func (r *runner) fleetStats(ctx context.Context) (*stats, error) {
@@ -200,7 +203,9 @@
 		}
 		sum.engines.PrefillTokensRun += one.PrefillTokensRun
 		sum.engines.PrefillTokensDiscarded += one.PrefillTokensDiscarded
-		sum.engines.HeldPieces += one.HeldPieces
+		if one.Runs == nil {
+			sum.held += max(one.HeldPieces, one.Running)
+		}
 		for key, n := range one.Runs {
 			sum.runs[key] += n
 		}
@@ -239,7 +244,7 @@
 // check compares the answers with the upstreams' own counters.
 func (r *runner) check(ctx context.Context, report *Report, results []*result, before *stats) error {
 	after, err := r.fleetStats(ctx)
-	for deadline := time.Now().Add(leakLimit); err == nil && after.engines.HeldPieces > 0; {
+	for deadline := time.Now().Add(leakLimit); err == nil && after.held > 0; {
 		if time.Now().After(deadline) || sleep(ctx, pollEvery) != nil {
 			break
 		}
@@ -248,7 +253,7 @@
 	if err != nil {
 		return err
 	}
-	report.LeakedPieces = after.engines.HeldPieces
+	report.LeakedPieces = after.held
 	report.PrefillRun = after.engines.PrefillTokensRun - before.engines.PrefillTokensRun
 	report.PrefillDiscarded = after.engines.PrefillTokensDiscarded - before.engines.PrefillTokensDiscarded
 	for _, res := range results {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -303,14 +303,14 @@
 }
 
 // wait returns when the prefill or import ended or the caller left, which
-// does not stop the work.
+// does not stop the work. In a crash the caller gets no answer.
 func (e *engineState) wait(ctx context.Context, j *job) *refusal {
 	select {
 	case <-j.ready:
 	case <-ctx.Done():
 		return errLostState
 	case <-e.ctx.Done():
-		return errLostState
+		panic(http.ErrAbortHandler)
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -40,6 +40,11 @@
 	return StartEngine(ctx, s)
 }
 
+const (
+	restartAttempts = 40
+	restartRetry    = 100 * time.Millisecond
+)
+
 // incarnation is what a crash loses: the state between start and crash.
 type incarnation interface {
 	// register adds the routes.
@@ -145,12 +150,23 @@
 		h.cancel()
 		return
 	}
+	h.restartAfter(after, restartAttempts)
+}
+
+// restartAfter starts the next incarnation. Its port may have been taken by an
+// outgoing connection in the meantime, so it tries for a while.
+func (h *host) restartAfter(d time.Duration, attempts int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.restart = time.AfterFunc(after, func() {
-		if h.up() != nil {
+	h.restart = time.AfterFunc(d, func() {
+		if h.up() == nil {
+			return
+		}
+		if attempts <= 1 || h.ctx.Err() != nil {
 			h.cancel()
+			return
 		}
+		h.restartAfter(restartRetry, attempts-1)
 	})
 }
 
--- a/internal/standin/import.go
+++ b/internal/standin/import.go
@@ -66,7 +66,7 @@
 func (e *engineState) endImport(j *job, refused *refusal) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.decodes[j.key] != j {
+	if e.decodes[j.key] != j || e.ctx.Err() != nil {
 		return
 	}
 	if refused != nil {
--- /dev/null
+++ b/internal/standin/property_test.go
@@ -0,0 +1,90 @@
+package standin
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"net/http"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"godwitward.example/godwitward/internal/upstream"
+)
+
+// Guards against a predicted text that changes when a request is continued on
+// another engine after any number of tokens, for prompts of any bytes.
+func TestContinuationProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		prompt := rapid.String().Draw(t, "prompt")
+		n := rapid.IntRange(1, 50).Draw(t, "tokens")
+		done := rapid.IntRange(0, n).Draw(t, "done")
+		text := ExpectedText(prompt, n)
+		split := done * upstream.TokenBytes
+		require.Equal(t, text[split:], ExpectedText(prompt+text[:split], n-done))
+	})
+}
+
+// Guards against a combination of duplicate and late tokens from which a
+// reader that keeps the next expected offset can't restore the text.
+func TestTokenFaultsKeepEveryToken(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 30).Draw(t, "tokens")
+		f := newFaults()
+		f.counts[FaultDuplicate] = rapid.IntRange(0, 30).Draw(t, "duplicate")
+		f.counts[FaultLate] = rapid.IntRange(0, 30).Draw(t, "late")
+		recorder := httptest.NewRecorder()
+		out := &tokenWriter{w: recorder, flusher: http.NewResponseController(recorder), faults: f}
+		text := ExpectedText("p", n)
+		for i := range n {
+			out.token(i, text[i*upstream.TokenBytes:(i+1)*upstream.TokenBytes], i == n-1)
+		}
+		require.NoError(t, out.err)
+		var got strings.Builder
+		next := 0
+		for _, line := range bytes.Split(recorder.Body.Bytes(), []byte("\n\n")) {
+			data, ok := bytes.CutPrefix(line, []byte("data: "))
+			if !ok {
+				continue
+			}
+			var token upstream.Token
+			require.NoError(t, json.Unmarshal(data, &token))
+			require.LessOrEqual(t, token.Offset, next, "a token was left out")
+			require.Equal(t, token.Finish != "", token.Offset == n-1)
+			if token.Offset == next {
+				got.WriteString(token.Text)
+				next++
+			}
+		}
+		require.Equal(t, text, got.String())
+	})
+}
+
+// Guards against a cache that exceeds its limit, and against cache events from
+// which, when none is lost, another content results than the engine has.
+func TestPrefixCacheProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &Settings{CachePieces: 4, CacheEventLoss: -1}
+		c := newPrefixCache(s)
+		published := map[uint64]bool{}
+		for range rapid.IntRange(1, 20).Draw(t, "inserts") {
+			hashes := rapid.SliceOfN(rapid.Uint64Range(1, 10), 0, 3).Draw(t, "hashes")
+			c.insert(hashes, testStart)
+			require.LessOrEqual(t, len(c.pieces), s.CachePieces)
+			for _, e := range c.due(testStart) {
+				if e.Removed {
+					delete(published, e.PrefixHash)
+				} else {
+					published[e.PrefixHash] = true
+				}
+			}
+			require.Len(t, published, len(c.pieces))
+			for h := range c.pieces {
+				require.True(t, published[h])
+			}
+		}
+	})
+}
