--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -155,7 +155,7 @@
 				}
 				b.StartTimer()
 			}
-			b.ReportMetric(float64(p.queue.classes[policy.Draft].Flows()), "organisations")
+			b.ReportMetric(float64(p.queue.lanes[draftLane].Flows()), "organisations")
 		})
 	}
 }
