scheduler: forecast when a draft misses its target from recent delays

Change: the excess of recent drafts over the idle figure, as mean plus two deviations, moves the limit forward; an overdue draft's forecast wait counts the drafts in time ahead of it.

--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -134,12 +134,9 @@
 		w.late = pb.Refusal_TOO_LATE
 	}
 	w.giveUp = now + allowed
-	w.overdue = now + w.spec.TTFTTarget - fromMillis(w.req.AgeMs) - service
-	if w.req.Attempt > 1 {
-		// The caller may already have part of the answer; it must not stall.
-		w.overdue = 0
-	}
-	if w.spec.Class == policy.Draft && w.overdue != 0 && w.overdue <= now {
+	w.service = service
+	w.firstBy = now + w.spec.TTFTTarget - fromMillis(w.req.AgeMs)
+	if p.overdue(w, now) {
 		w.lane = overdueLane
 	}
 	wait := p.queueWait(w, now)
@@ -149,6 +146,16 @@
 	return refusal(pb.Refusal_OVERLOADED, wait-allowed, "forecast wait %v is over the allowed %v", wait.Round(time.Millisecond), allowed.Round(time.Millisecond))
 }
 
+// overdue reports whether a draft can no longer meet its TTFT target, going by
+// its time on idle engines and by how much longer recent requests took. A
+// resumed answer is never overdue: its caller waits in the middle of it.
+func (p *Pool) overdue(w *waiting, now time.Duration) bool {
+	if w.spec.Class != policy.Draft || w.req.Attempt > 1 || w.firstBy == 0 {
+		return false
+	}
+	return now+w.service+p.holds.excess.Bound() >= w.firstBy
+}
+
 // fastest returns the time to the first token on the fastest idle engines,
 // without any cached prefix.
 func (c *candidates) fastest(r *policy.Request) time.Duration {
@@ -186,10 +193,13 @@
 	}
 	q := &p.queue
 	ahead := q.pieces[urgentLane]
-	if w.spec.Class == policy.Draft {
-		drafts := q.lanes[draftLane]
-		own := (drafts.FlowLen(w.req.Organisation) + 1) * w.spec.Pieces * max(1, drafts.Flows())
-		ahead += min(q.pieces[draftLane], own)
+	if w.lane == overdueLane {
+		ahead += q.pieces[draftLane]
+	}
+	if w.lane != urgentLane {
+		same := q.lanes[w.lane]
+		own := (same.FlowLen(w.req.Organisation) + 1) * w.spec.Pieces * max(1, same.Flows())
+		ahead += min(q.pieces[w.lane], own)
 	}
 	rate := p.holds.freeRate(now)
 	if ahead == 0 || rate <= 0 {
--- a/internal/scheduler/expiry.go
+++ b/internal/scheduler/expiry.go
@@ -46,7 +46,7 @@
 func (p *Pool) demoteOverdue(now time.Duration) {
 	var due []*waiting
 	p.queue.lanes[draftLane].Each(func(w *waiting) bool {
-		if w.overdue != 0 && now >= w.overdue && w != p.queue.earmark {
+		if w != p.queue.earmark && p.overdue(w, now) {
 			due = append(due, w)
 		}
 		return true
--- a/internal/scheduler/holds.go
+++ b/internal/scheduler/holds.go
@@ -23,8 +23,11 @@
 	granted time.Duration
 	expires time.Duration
 	// startBy is when the entry must have reported the start of the prefill.
-	startBy   time.Duration
-	firstAt   time.Duration
+	startBy time.Duration
+	firstAt time.Duration
+	// service is the forecast time to the first token on idle engines; 0 for
+	// a restated hold.
+	service   time.Duration
 	linkBytes float64
 	attempt   uint32
 	pieces    int32
@@ -299,6 +302,9 @@
 	}
 	if r.Stage >= pb.ProgressRequest_FIRST_TOKEN && h.firstAt == 0 {
 		h.firstAt = now
+		if h.class == policy.Draft && h.service > 0 {
+			p.holds.excess.Add(now - h.granted - h.service)
+		}
 	}
 	return true
 }
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -167,7 +167,7 @@
 	req := w.req
 	h := &hold{
 		id: p.newHoldID(), requestID: req.RequestId, model: req.Model, entry: p.entry(req.EntryId),
-		prefill: pre, decode: dec, hashes: slices.Clone(req.PrefixHashes), granted: now,
+		prefill: pre, decode: dec, hashes: slices.Clone(req.PrefixHashes), granted: now, service: w.service,
 		expires: w.expires + p.params.DeadlineMargin, startBy: now + delay + p.params.HoldGrace, attempt: req.Attempt,
 		pieces: int32(w.spec.Pieces), promptPieces: int32(w.spec.PromptPieces),
 		promptTokens: int32(req.PromptTokens), maxOutput: int32(req.MaxOutputTokens),
--- a/internal/scheduler/tables.go
+++ b/internal/scheduler/tables.go
@@ -118,6 +118,9 @@
 	pieces   int
 	freed    policy.Rate
 	holdTime time.Duration
+	// excess is how much longer than on idle engines drafts take from the
+	// grant to the first token.
+	excess policy.Delay
 }
 
 // entryRecord is what is known about one entry.
@@ -166,8 +169,10 @@
 	spec   policy.Request
 	since  time.Duration
 	giveUp time.Duration
-	// overdue is when the TTFT target gets out of reach.
-	overdue time.Duration
+	// firstBy is when the first token is due, service the time that it takes
+	// on idle engines.
+	firstBy time.Duration
+	service time.Duration
 	expires time.Duration
 	// late is the refusal sent when the wait ends.
 	late pb.Refusal_Code
