--- a/cmd/gw-control/sessions_test.go
+++ b/cmd/gw-control/sessions_test.go
@@ -143,7 +143,7 @@
 			defer close(done)
 			resp, err := op.ChangeConfig(ctx, connect.NewRequest(&pb.ChangeConfigRequest{Change: &pb.ConfigChange{
 				RequestId: fmt.Sprint(v), BaseVersion: v,
-				Change: &pb.ConfigChange_PutRoute{PutRoute: &pb.Route{Name: "draft", Path: fmt.Sprint("/", v), Service: "s", Region: "r"}},
+				Change: &pb.ConfigChange_PutRoute{PutRoute: benchmarkRoute(v)},
 			}}))
 			if err != nil || !resp.Msg.InForce {
 				b.Errorf("change %d: %v, %v", v, resp, err)
@@ -163,3 +163,10 @@
 	b.ReportMetric(float64(last.Microseconds())/1000/float64(b.N), "ms-to-last-daemon")
 	b.ReportMetric(float64(answered.Microseconds())/1000/float64(b.N), "ms-to-in-force")
 }
+
+func benchmarkRoute(v uint64) *pb.Route {
+	return &pb.Route{
+		Name: "draft", Path: fmt.Sprint("/draft/", v), Kind: pb.RouteKind_ROUTE_KIND_ENGINE, Service: "draftwell", Region: "dohoku",
+		Models: []string{"m"}, RequestClass: pb.RequestClass_REQUEST_CLASS_DRAFT, MaxWaitMs: 1000,
+	}
+}
--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"fmt"
+	"runtime"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -15,8 +16,8 @@
 // BenchmarkClaims measures claims through the client, with logs on the disk.
 func BenchmarkClaims(b *testing.B) {
 	for _, members := range []int{1, 3, 5} {
-		for _, callers := range []int{1, 16, 256} {
-			b.Run(fmt.Sprintf("members=%d/callers=%d", members, callers), func(b *testing.B) {
+		for _, perCore := range []int{1, 4, 26} {
+			b.Run(fmt.Sprintf("members=%d/callers=%d", members, perCore*runtime.GOMAXPROCS(0)), func(b *testing.B) {
 				st := startTestStore(b, members, func(o *Options) {
 					o.Cluster.Tick, o.Shards, o.Cluster.SnapshotBytes = 0, DefaultLedgerShards, 64<<20
 				})
@@ -25,7 +26,7 @@
 				time.Sleep(time.Second)
 				digest := sha256.Sum256(nil)
 				var n atomic.Int64
-				b.SetParallelism((callers + 9) / 10)
+				b.SetParallelism(perCore)
 				b.ResetTimer()
 				b.RunParallel(func(p *testing.PB) {
 					for p.Next() {
--- a/internal/control/faults_test.go
+++ b/internal/control/faults_test.go
@@ -350,3 +350,70 @@
 	require.True(t, acquire(6, 1, "b"))
 	require.Equal(t, uint64(2), s.leases.LastToken())
 }
+
+// Guards against a leader that removes itself and takes the groups that it
+// leads down with it, instead of handing over first.
+func TestRemoveLeader(t *testing.T) {
+	st := startTestStore(t, 3, nil)
+	ctx := timeout(t, 30*time.Second)
+	readAnywhere(ctx, st)
+	leader := st.leader()
+	req := &pb.ChangeMembersRequest{Remove: leader.id}
+	_, err := st.operators(leader).ChangeMembers(ctx, connect.NewRequest(req))
+	require.Equal(t, connect.CodeFailedPrecondition, connect.CodeOf(err))
+	require.Eventually(t, func() bool {
+		resp, err := st.operators(st.leader()).ChangeMembers(ctx, connect.NewRequest(req))
+		return err == nil && len(resp.Msg.Members) == 2
+	}, 20*time.Second, 20*time.Millisecond)
+	st.kill(leader)
+	require.NotNil(t, changeAnywhere(ctx, st, configOp{value: "/a"}))
+}
+
+// Guards against a cutover that is reported complete while a daemon still works
+// on the old service, or before every daemon knows of it.
+func TestCutoverCompletesAfterLastRequest(t *testing.T) {
+	srv, err := New(Options{ServingTTL: testTTL})
+	require.NoError(t, err)
+	defer func() { require.NoError(t, srv.Close()) }()
+	ctx := timeout(t, 20*time.Second)
+	ops := &operators{srv}
+	renew := func(id string, applied uint64, old uint32) {
+		_, err := srv.renewServing(ctx, &pb.RenewServingRequest{DaemonId: id, AppliedVersion: applied, InFlight: []*pb.InFlight{
+			{Route: "r", Service: "new", Count: 7}, {Route: "r", Service: "old", Count: old},
+		}})
+		require.NoError(t, err)
+	}
+	put := change("r1", 0, "/a")
+	put.Msg.Change.GetPutRoute().Service = "old"
+	_, err = ops.ChangeConfig(ctx, put)
+	require.NoError(t, err)
+	renew("a", 1, 2)
+	renew("b", 1, 1)
+	data, err := encodeCommand(commandChange, &pb.ConfigChange{RequestId: "r2", BaseVersion: 1, Change: &pb.ConfigChange_Cutover{
+		Cutover: &pb.RouteCutover{Route: "r", ToService: "new"},
+	}})
+	require.NoError(t, err)
+	_, err = srv.propose(ctx, storeGroup, data)
+	require.NoError(t, err)
+	status := func() (uint32, bool) {
+		resp, err := ops.CutoverStatus(ctx, connect.NewRequest(&pb.CutoverStatusRequest{Route: "r"}))
+		require.NoError(t, err)
+		return resp.Msg.Remaining, resp.Msg.Complete
+	}
+	expect := func(wantRemaining uint32, wantComplete bool) {
+		t.Helper()
+		remaining, complete := status()
+		require.Equal(t, wantRemaining, remaining)
+		require.Equal(t, wantComplete, complete)
+	}
+	expect(3, false)
+	renew("a", 2, 1)
+	expect(2, false)
+	renew("a", 2, 0)
+	renew("b", 1, 0)
+	expect(0, false)
+	renew("b", 2, 1)
+	expect(1, false)
+	renew("b", 2, 0)
+	expect(0, true)
+}
--- a/internal/control/history_test.go
+++ b/internal/control/history_test.go
@@ -347,7 +347,7 @@
 // claim without an owner, while leaders are killed, isolated and restarted and
 // claims are sent again after lost answers.
 func TestLedgerHistory(t *testing.T) {
-	st := startTestStore(t, 3, nil)
+	st := startTestStore(t, 5, nil)
 	c, _ := daemon(t, st.addrs(), "entry")
 	h := newHistory()
 	digest := sha256.Sum256(nil)
--- a/ledger/doc.go
+++ b/ledger/doc.go
@@ -12,7 +12,10 @@
 //
 // Time. Commands carry the wall clock of the leader that proposed them. The
 // ledger uses the largest value seen so far, so a leader with a slow clock
-// stops time but cannot turn it back.
+// stops time but cannot turn it back. A leader whose clock is far ahead expires
+// outcomes early, which refuses calls; only one that is more than Tombstone
+// ahead would let an opaque key run again, so the members' clocks must be right
+// to within days.
 //
 // Bounds. An outcome is kept for Retention (24 h). Afterwards the key is
 // refused as Expired:
