--- a/internal/request/completion_test.go
+++ b/internal/request/completion_test.go
@@ -59,6 +59,9 @@
 	for _, a := range w.m.Step(w.now, ev) {
 		w.act(a)
 	}
+	if _, ok := ev.(*Tick); ok && !w.now.Before(w.m.spec.Deadline) && w.m.State() != Done {
+		w.t.Fatalf("state %s after the deadline", w.m.State())
+	}
 }
 
 func (w *world) act(a Action) {
@@ -256,8 +259,8 @@
 
 // Guards against a caller that gets no outcome, two outcomes, a token twice, a
 // hole in the answer or a false "not run", and against holds and engine memory
-// that stay occupied, under any order of messages, losses, repeats, faults,
-// timeouts and disconnects.
+// that stay occupied or run past the deadline, under any order of messages,
+// losses, repeats, faults, timeouts and disconnects.
 func TestCompletionUnderAnyInterleaving(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t)
