entry: honour Run-State on plain answers; use the engines' prefix hashes

A plain upstream that refuses a call with Run-State: not-run was passed on as the answer; the call is now sent to another upstream, within the budget, or ends as ran=no. Prefixes are hashed by upstream.PrefixHashes with the piece size of the pool's engines. The silence limit of the machine rises from 2 s to 5 s, because the engine client already ends a silent connection after 3 s and an engine under load sends comments for longer than 2 s.

--- a/internal/entry/engine.go
+++ b/internal/entry/engine.go
@@ -19,6 +19,13 @@
 // a backlog of tokens does not grow a large buffer.
 const maxChunkBytes = 8 << 10
 
+const (
+	// defaultPieceTokens applies until an upstream list tells the piece size.
+	defaultPieceTokens = 1000
+	// maxPrefixHashes bounds the size of a submission.
+	maxPrefixHashes = 64
+)
+
 // cancelRetry is the pause between attempts to cancel at an engine.
 const cancelRetry = 100 * time.Millisecond
 
@@ -50,6 +57,7 @@
 		s.fail(w, c.id, f)
 		return
 	}
+	in.prefixHashes = s.prefixHashes(c.route.Pool, in.prompt)
 	answerBytes := int64(in.maxTokens) * upstream.TokenBytes
 	if !s.answers.acquire(answerBytes) {
 		s.fail(w, c.id, unavailable(CodeEntryFull, "the buffered answers reached %d bytes", s.answers.limit))
@@ -59,6 +67,19 @@
 	s.complete(w, r, c, in)
 }
 
+// prefixHashes names the prefixes of a prompt as the pool's engines do.
+func (s *Server) prefixHashes(pool, prompt string) []uint64 {
+	pieceTokens := defaultPieceTokens
+	for _, u := range s.opts.Schedulers.Upstreams(pool) {
+		if n := u.GetState().GetPieceTokens(); n > 0 {
+			pieceTokens = int(n)
+			break
+		}
+	}
+	prompt = prompt[:min(len(prompt), maxPrefixHashes*pieceTokens*upstream.TokenBytes)]
+	return upstream.PrefixHashes(prompt, pieceTokens)
+}
+
 // complete runs one completion and passes its answer on.
 func (s *Server) complete(w http.ResponseWriter, r *http.Request, c *call, in *input) {
 	c.event("request.accepted", 0, "", "route", c.route.Name, "organisation", c.organisation)
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -81,6 +81,10 @@
 		transport = f.single
 	}
 	resp, err := transport.RoundTrip(out)
+	if err == nil && refused(resp) {
+		_ = resp.Body.Close()
+		return nil, &upstream.Error{Kind: upstream.KindNotRun, Status: resp.StatusCode, Err: errors.New("the upstream refused the call: " + resp.Status)}
+	}
 	if err == nil {
 		return resp, nil
 	}
@@ -90,6 +94,12 @@
 	return nil, &upstream.Error{Kind: upstream.KindLost, Err: errors.Wrap(err, "waiting for the upstream's answer")}
 }
 
+// refused reports whether the upstream states that it did not run the call.
+func refused(resp *http.Response) bool {
+	status := resp.StatusCode == http.StatusTooManyRequests || resp.StatusCode == http.StatusServiceUnavailable
+	return status && resp.Header.Get(upstream.HeaderRunState) == upstream.RunStateNotRun
+}
+
 func outgoing(ctx context.Context, baseURL string, r *http.Request, body []byte, requestID string) (*http.Request, error) {
 	target := strings.TrimSuffix(baseURL, "/") + r.URL.EscapedPath()
 	if r.URL.RawQuery != "" {
--- a/internal/entry/input.go
+++ b/internal/entry/input.go
@@ -98,7 +98,6 @@
 	if in.model, ok = rt.ModelFor(b.Model); !ok {
 		return nil, refuse(http.StatusNotFound, CodeUnknownModel, "the route does not serve model %q", b.Model)
 	}
-	in.prefixHashes = PrefixHashes(in.prompt)
 	return in, nil
 }
 
--- a/internal/request/completion.go
+++ b/internal/request/completion.go
@@ -35,8 +35,9 @@
 		// a second.
 		Prefill: 2 * time.Second, PrefillPerToken: time.Millisecond,
 		Transfer: 2 * time.Second,
-		// 80 times the usual TPOT target of 25 ms.
-		Silence:    2 * time.Second,
+		// The engine client itself ends a stream that carries neither tokens nor
+		// comments for 3 s. This bounds an engine that sends comments only.
+		Silence:    5 * time.Second,
 		Reconnects: 2,
 		Attempts:   4,
 	}
