entry: free a hold without waiting for an engine that is lost

A release waited up to 5 s for the cancel at an engine that cannot be reached, which kept the memory of the other engine reserved. It now waits at most 500 ms; the cancel goes on in the background. A scheduler that no longer holds the pool answers a release with NOT_HOLDER, which repeated the release for as long as the session lasted; it now ends it.

--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -16,6 +16,10 @@
 // machine's Tick reports the deadline before a call reports its context.
 const deadlineSlack = time.Second
 
+// releaseWait is how long a hold waits for the cancels at its engines. A longer
+// wait for an engine that is lost would block the memory of the other one.
+const releaseWait = 500 * time.Millisecond
+
 // completion carries out the actions of one request.Completion. Every event is
 // applied under mu; actions never block, calls run in goroutines that end with
 // the attempt's context and report their results as events.
@@ -267,8 +271,17 @@
 	x.srv.background(func() {
 		// The engine must see the cancel after the call that it cancels.
 		running.Wait()
-		x.srv.cancelAt(x.call, a)
+		cancelled := make(chan struct{})
+		go func() {
+			defer close(cancelled)
+			x.srv.cancelAt(x.call, a)
+		}()
+		select {
+		case <-cancelled:
+		case <-time.After(releaseWait):
+		}
 		x.srv.opts.Schedulers.Release(x.route.Pool, req)
+		<-cancelled
 	})
 }
 
--- a/internal/entry/engine_test.go
+++ b/internal/entry/engine_test.go
@@ -77,6 +77,20 @@
 	}
 }
 
+// Guards against a hold that is kept for an engine that cannot be reached, and
+// against a cancel that is given up after its first failure.
+func TestCancelIsRepeatedWithoutKeepingTheHold(t *testing.T) {
+	f := newFixture(t, func(o *Options) { o.Stages.Attempts = 1 })
+	f.engine.unreachable.Store(true)
+	f.engine.transfer = func(context.Context, *upstream.ImportRequest) error { return engineError(upstream.KindStalled) }
+	resp, _ := f.post(t, completions, `{"prompt":"hello"}`)
+	require.Equal(t, 502, resp.StatusCode)
+	require.Eventually(t, func() bool { return f.schedulers.openHolds() == 0 }, 3*time.Second, time.Millisecond)
+	require.Equal(t, 1, f.engine.inUse())
+	f.engine.unreachable.Store(false)
+	f.requireFreed(t)
+}
+
 // Guards against a stream that goes silent for good holding up the answer: the
 // entry opens a new connection and goes on at the next token.
 func TestSilentStreamResumesOnTheSameEngine(t *testing.T) {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -136,6 +136,8 @@
 	next func(ctx context.Context, r *upstream.DecodeRequest, offset int) error
 	// noise returns what the engine sends after a token.
 	noise func(upstream.Token) []upstream.Token
+	// unreachable makes cancels fail.
+	unreachable atomic.Bool
 
 	mu       sync.Mutex
 	occupied map[string]bool
@@ -177,6 +179,9 @@
 }
 
 func (e *fakeEngine) Cancel(_ context.Context, r *upstream.CancelRequest) error {
+	if e.unreachable.Load() {
+		return &upstream.Error{Kind: upstream.KindNotSent, Err: io.ErrUnexpectedEOF}
+	}
 	e.free(r.RequestID)
 	return nil
 }
--- a/internal/entry/sender.go
+++ b/internal/entry/sender.go
@@ -116,6 +116,16 @@
 	}
 }
 
+// delivered reports whether a call needs no repeat: the scheduler took it, or
+// knows nothing of the hold, or holds the pool no longer.
+func delivered(err error) bool {
+	switch transport.Code(err) {
+	case pb.Status_OK, pb.Status_NOT_FOUND, pb.Status_NOT_HOLDER, pb.Status_INVALID:
+		return true
+	}
+	return false
+}
+
 // deliver sends a message. A release is repeated until the scheduler answers
 // or its session ends; a new session starts with the holds that are left.
 func (s *sender) deliver(ctx context.Context, m message) {
@@ -131,7 +141,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, rpcTimeout)
 		err := m.session.client.Call(callCtx, m.method, m.body, &pb.Empty{})
 		cancel()
-		if err == nil || transport.Code(err) == pb.Status_NOT_FOUND {
+		if delivered(err) {
 			return
 		}
 		if !m.release {
