--- a/internal/scheduler/property_test.go
+++ b/internal/scheduler/property_test.go
@@ -480,7 +480,10 @@
 	for _, id := range simEntries {
 		m.core.EntryGone(id, m.now)
 	}
-	for range 150 {
+	for i := range 150 {
+		if n := len(m.core.holds.byID); i == 10 && n != 0 {
+			t.Fatalf("%d holds of vanished entries are left after 10 s", n)
+		}
 		m.now += time.Second
 		for _, e := range m.engines {
 			m.announce(t, e, 0)
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -150,6 +150,9 @@
 	resp := &pb.SubmitResponse{}
 	s.call(t, transport.MethodSubmit, submitRequest("r", pb.RequestClass_REQUEST_CLASS_URGENT, 1000, 500), resp)
 	require.NotNil(t, resp.GetGrant())
+	s.call(t, transport.MethodProgress, &pb.ProgressRequest{HoldId: resp.GetGrant().HoldId, Stage: pb.ProgressRequest_DECODING}, &pb.Empty{})
+	time.Sleep(400 * time.Millisecond)
+	require.False(t, s.engine.cancels("r"), "cancelled while the entry was connected")
 	s.client.Close()
 	require.Eventually(t, func() bool { return s.engine.cancels("r") }, 5*time.Second, 10*time.Millisecond)
 	require.Eventually(t, func() bool { return len(s.pool(testPool).core.Holds()) == 0 }, 5*time.Second, 10*time.Millisecond)
