scheduler: tests for the restate window and unconfirmed cancellations

Cause: scratch copies without the restate window, and with memory freed before the engine confirmed a cancellation, passed every test. Change: the takeover of the state machine places before entries restate; a table test withholds the confirmation.

--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -257,6 +257,30 @@
 	require.NotNil(t, c.answers[id].GetGrant())
 }
 
+// Guards against memory that is granted again while the engine has not
+// confirmed that the work of a vanished entry was cancelled.
+func TestMemoryIsKeptUntilCancellationIsConfirmed(t *testing.T) {
+	c := newCoreTest(t, Params{}, prefillState("p1"), decodeState("d1", 4))
+	g := c.grant(submitRequest("a", draft, 2000, 1000))
+	c.first(g)
+	c.EntryGone("entry-1", c.now)
+	second := submitRequest("b", draft, 2000, 1000)
+	second.EntryId, second.MaxWaitMs = "entry-2", 60000
+	id := c.submit(second)
+	c.pass(2500 * time.Millisecond)
+	require.Len(t, count[CancelWork](c), 2)
+	c.pass(1500 * time.Millisecond)
+	require.Nil(t, c.answers[id])
+	require.Greater(t, len(count[CancelWork](c)), 2, "the cancellation is not repeated")
+	c.CancelDone(g.HoldId, prefillSide, c.now)
+	c.CancelDone(g.HoldId, prefillSide, c.now)
+	c.pass(100 * time.Millisecond)
+	require.Nil(t, c.answers[id])
+	c.CancelDone(g.HoldId, decodeSide, c.now)
+	c.pass(100 * time.Millisecond)
+	require.NotNil(t, c.answers[id].GetGrant())
+}
+
 // Guards against an order that an old holder and a new one both give to an
 // engine that ignores fencing tokens, and against parallel model loads.
 func TestOrdersAreFencedAndLoadsAreSerial(t *testing.T) {
--- a/internal/scheduler/property_test.go
+++ b/internal/scheduler/property_test.go
@@ -370,6 +370,11 @@
 			again = append(again, k.req)
 		}
 	}
+	for _, req := range again {
+		m.queue(t, req)
+	}
+	// Entries restate after the first placement.
+	m.run(t, Placement)
 	lost := rapid.SampledFrom(append(slices.Clone(simEntries), "")).Draw(t, "lost entry")
 	for _, id := range simEntries {
 		if id == lost || m.gone[id] {
@@ -379,9 +384,6 @@
 		m.restate(t, id)
 	}
 	m.reannounce(t)
-	for _, req := range again {
-		m.queue(t, req)
-	}
 }
 
 func (m *machine) drains() []*pb.Drain {
