scheduler: grant against future memory at most two ticks ahead

Cause: with drafts at 150% and urgent calls at 60% load, urgent calls waited 300 ms (median) for a decode slot: the next slots to become free had been promised to drafts up to 300 ms before their prefill was due. Change: a prefill is granted at most 40 ms before it starts; the controller runs each 20 ms, so a longer delay gains nothing.

--- a/internal/scheduler/forecast.go
+++ b/internal/scheduler/forecast.go
@@ -11,7 +11,7 @@
 const (
 	// maxPrefillDelay bounds how far ahead a prefill is granted against memory
 	// that is not free yet; beyond it a forecast is too uncertain.
-	maxPrefillDelay = 300 * time.Millisecond
+	maxPrefillDelay = 40 * time.Millisecond
 	// forecastMargin is added to the time at which memory is forecast to be
 	// free, scaled by the weight of wasted prefill. A prefill result lives
 	// under a second, so a slot that frees late wastes the prefill.
