--- a/internal/replica/failure_test.go
+++ b/internal/replica/failure_test.go
@@ -285,6 +285,17 @@
 	require.Equal(t, outcome{}, <-read.done)
 }
 
+// Guards against a large state that is written again for each small part of the
+// log.
+func TestLargeStateTakesFewerSnapshots(t *testing.T) {
+	g := &group{unsnapshotted: 100}
+	require.True(t, g.snapshotDue(100))
+	g.snapshotBytes = 1000
+	require.False(t, g.snapshotDue(100))
+	g.unsnapshotted = 500
+	require.True(t, g.snapshotDue(100))
+}
+
 // Guards against stale reads and lost or repeated commands while leaders are
 // isolated and members restart.
 func TestHistoryOfClientsIsLinearizable(t *testing.T) {
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -77,6 +77,8 @@
 	// unsnapshotted is the size of the entries applied since the snapshot.
 	unsnapshotted int
 	snapshotIndex uint64
+	// snapshotBytes is the size of the newest snapshot.
+	snapshotBytes int
 	snapshotting  bool
 
 	last      leadership
@@ -139,6 +141,7 @@
 	}
 	g.applied = meta.Index
 	g.snapshotIndex = meta.Index
+	g.snapshotBytes = len(data)
 	return meta, nil
 }
 
@@ -162,6 +165,12 @@
 	batch.SetHardState(g.id, wal.HardState{Term: g.hardState.Term, Vote: uint64(g.hardState.Vote), Commit: g.hardState.Commit})
 }
 
+// snapshotDue reports whether enough was applied for a snapshot. A large state
+// waits for more, so that snapshots write at most twice as much as the log.
+func (g *group) snapshotDue(minBytes int) bool {
+	return g.unsnapshotted >= max(minBytes, g.snapshotBytes/2)
+}
+
 func walSnapshot(meta *raft.SnapshotMeta) wal.Snapshot {
 	return wal.Snapshot{Index: meta.Index, Term: meta.Term, Meta: raft.AppendSnapshotMeta(nil, meta)}
 }
@@ -174,6 +183,7 @@
 		}
 		g.applied = r.Snapshot.Meta.Index
 		g.snapshotIndex = r.Snapshot.Meta.Index
+		g.snapshotBytes = len(r.Snapshot.Data)
 		g.unsnapshotted = 0
 	}
 	for i := range r.CommittedEntries {
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -197,7 +197,7 @@
 		n.options.Logger.Info().Uint32("group", uint32(g.id)).Uint64("term", g.last.term).Bool("leads", leads).Msg("leadership changed")
 		n.options.OnLeadership(g.id, g.last.term, leads)
 	}
-	if g.unsnapshotted >= n.options.SnapshotBytes {
+	if g.snapshotDue(n.options.SnapshotBytes) {
 		return n.takeSnapshot(g)
 	}
 	return nil
@@ -307,6 +307,7 @@
 		return errors.Wrapf(err, "group %d: encoding the state machine", g.id)
 	}
 	g.snapshotting = true
+	g.snapshotBytes = len(data)
 	covered := g.unsnapshotted
 	n.snapshots.Add(1)
 	go func() {
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -59,7 +59,8 @@
 const (
 	DefaultTick = 50 * time.Millisecond
 	// DefaultSnapshotBytes is the applied data after which a group takes a
-	// snapshot. It bounds the entries held in memory.
+	// snapshot, or half the size of its state if that is more. It bounds the
+	// entries held in memory.
 	DefaultSnapshotBytes = 4 << 20
 	// DefaultKeepEntries is how many entries before a snapshot remain in
 	// memory for members slightly behind.
