replica: crash members with loss of unsynced writes in the history test

Cause: members of the history test were only stopped, so nothing tested raft, the log and the shell together against a crash.

Change: the test's file system freezes a crashed member and cuts each file to half of its unsynced end before the restart.

--- a/internal/replica/failure_test.go
+++ b/internal/replica/failure_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"os"
 	"path/filepath"
 	"sync"
 	"sync/atomic"
@@ -21,38 +22,94 @@
 // faultFS adds failures to the file system of the operating system.
 type faultFS struct {
 	wal.OS
-	failSync, full atomic.Bool
-	syncs          atomic.Int64
+	failSync, full, crashed atomic.Bool
+	syncs                   atomic.Int64
+
+	mu    sync.Mutex
+	files map[string]*faultFile
 }
 
 type faultFile struct {
 	wal.File
-	fs *faultFS
+	fs              *faultFS
+	written, synced int64
+}
+
+func (f *faultFS) wrap(name string, file wal.File, size int64) wal.File {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.files == nil {
+		f.files = map[string]*faultFile{}
+	}
+	wrapped := &faultFile{File: file, fs: f, written: size, synced: size}
+	f.files[name] = wrapped
+	return wrapped
 }
 
 func (f *faultFS) Create(name string) (wal.File, error) {
 	file, err := f.OS.Create(name)
-	return &faultFile{file, f}, err
+	return f.wrap(name, file, 0), err
 }
 
 func (f *faultFS) OpenAppend(name string) (wal.File, error) {
+	content, _ := f.ReadFile(name)
 	file, err := f.OS.OpenAppend(name)
-	return &faultFile{file, f}, err
+	return f.wrap(name, file, int64(len(content))), err
+}
+
+func (f *faultFS) Rename(from, to string) error {
+	if f.crashed.Load() {
+		return syscall.EIO
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.files[to] = f.files[from]
+	delete(f.files, from)
+	return f.OS.Rename(from, to)
+}
+
+func (f *faultFS) Remove(name string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.files, name)
+	return f.OS.Remove(name)
+}
+
+// lose ends a crash: of the unsynced end of each file it keeps a part.
+func (f *faultFS) lose(t *testing.T) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for name, file := range f.files {
+		require.NoError(t, os.Truncate(name, file.synced+(file.written-file.synced)/2))
+	}
+	f.files = nil
+	f.crashed.Store(false)
 }
 
 func (f *faultFile) Write(p []byte) (int, error) {
+	if f.fs.crashed.Load() {
+		return 0, syscall.EIO
+	}
 	if f.fs.full.Load() {
 		n, _ := f.File.Write(p[:len(p)/2])
 		return n, syscall.ENOSPC
 	}
-	return f.File.Write(p)
+	n, err := f.File.Write(p)
+	f.written += int64(n)
+	return n, err
+}
+
+func (f *faultFile) Truncate(size int64) error {
+	f.written, f.synced = size, min(f.synced, size)
+	return f.File.Truncate(size)
 }
 
 func (f *faultFile) Sync() error {
 	f.fs.syncs.Add(1)
-	if f.fs.failSync.Load() {
+	if f.fs.failSync.Load() || f.fs.crashed.Load() {
 		return syscall.EIO
 	}
+	f.synced = f.written
 	return f.File.Sync()
 }
 
@@ -297,10 +354,11 @@
 }
 
 // Guards against stale reads and lost or repeated commands while leaders are
-// isolated and members restart.
+// isolated and members crash with the loss of unsynced writes.
 func TestHistoryOfClientsIsLinearizable(t *testing.T) {
 	c := newTestCluster(t, 3)
-	c.adjust = func(o *Options) { o.SnapshotBytes, o.KeepEntries = 200, 2 }
+	files := map[MemberID]*faultFS{1: {}, 2: {}, 3: {}}
+	c.adjust = func(o *Options) { o.SnapshotBytes, o.KeepEntries, o.FS = 200, 2, files[o.ID] }
 	c.found()
 	c.propose("0")
 	var mu sync.Mutex
@@ -359,7 +417,10 @@
 			continue
 		}
 		mu.Lock()
-		c.stop(id)
+		files[id].crashed.Store(true)
+		c.network.Detach(id)
+		_ = c.nodes[id].Stop()
+		files[id].lose(t)
 		c.start(id, StartExisting)
 		mu.Unlock()
 	}
