control, gwctl: answer an accepted change before the caller gives up

Cause: when the wait for "in force" outlasted the caller's deadline, the caller got a timeout and could not tell an accepted change from a lost one.

Change: the server stops waiting shortly before the deadline and answers "accepted, not confirmed". gwctl asks again under the same request id while time is left. The test requires the distinct message.

--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -28,6 +28,12 @@
 	// maxOperatorRequest bounds one request of an operator, bytes.
 	maxOperatorRequest = 8 << 20
 
+	// maxInForceWait bounds the wait of a change. It is longer than the 7 s in
+	// which a change comes into force after any single failure.
+	maxInForceWait = 10 * time.Second
+	// answerMargin is the time left for the answer to reach the caller.
+	answerMargin = 500 * time.Millisecond
+
 	defaultHistory = 100
 	maxHistoryPage = 1000
 )
@@ -244,11 +250,24 @@
 	return r.outcome, nil
 }
 
+// inForceWait returns how long to wait for a version to be in force: less than
+// the caller does, so that it learns that its change is accepted.
+func inForceWait(ctx context.Context) time.Duration {
+	until, ok := ctx.Deadline()
+	if !ok {
+		return maxInForceWait
+	}
+	left := time.Until(until)
+	return min(left-min(left/4, answerMargin), maxInForceWait)
+}
+
 // answerChange waits until an accepted change is in force. When the wait ends
 // early the change stays accepted, and the answer says that it is not confirmed.
 func (o *operators) answerChange(ctx context.Context, out *pb.ChangeOutcome, dryRun bool) (*connect.Response[pb.ChangeConfigResponse], error) {
 	resp := &pb.ChangeConfigResponse{Outcome: proto.Clone(out).(*pb.ChangeOutcome)}
 	if out.Code == pb.ChangeOutcome_ACCEPTED && !dryRun {
+		ctx, cancel := context.WithTimeout(ctx, inForceWait(ctx))
+		defer cancel()
 		resp.InForce = o.awaitInForce(ctx, out.Version) == nil
 	}
 	return connect.NewResponse(resp), nil
--- a/internal/operator/change.go
+++ b/internal/operator/change.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"os"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/alecthomas/kingpin/v2"
@@ -155,13 +156,32 @@
 	if c.output == formatTable {
 		c.printDiff(cfg, change)
 	}
-	resp, err := retry(ctx, c.ring, func(ctx context.Context, s godwitwardv1connect.OperatorServiceClient) (*connect.Response[pb.ChangeConfigResponse], error) {
-		return s.ChangeConfig(ctx, connect.NewRequest(&pb.ChangeConfigRequest{Change: change, DryRun: flags.dryRun}))
-	})
+	resp, err := c.send(ctx, change, flags.dryRun)
 	if err != nil {
 		return c.changeFailed(change, err)
 	}
-	return c.changeAnswered(change, resp.Msg, flags.dryRun)
+	return c.changeAnswered(change, resp, flags.dryRun)
+}
+
+// minResend is the time that must be left to ask again whether an accepted
+// change is in force.
+const minResend = time.Second
+
+// send repeats a change until it is in force, refused, or time runs out.
+func (c *cli) send(ctx context.Context, change *pb.ConfigChange, dryRun bool) (*pb.ChangeConfigResponse, error) {
+	for {
+		resp, err := retry(ctx, c.ring, func(ctx context.Context, s godwitwardv1connect.OperatorServiceClient) (*connect.Response[pb.ChangeConfigResponse], error) {
+			return s.ChangeConfig(ctx, connect.NewRequest(&pb.ChangeConfigRequest{Change: change, DryRun: dryRun}))
+		})
+		if err != nil {
+			return nil, err
+		}
+		waiting := !dryRun && resp.Msg.Outcome.GetCode() == pb.ChangeOutcome_ACCEPTED && !resp.Msg.InForce
+		until, _ := ctx.Deadline()
+		if !waiting || time.Until(until) < minResend {
+			return resp.Msg, nil
+		}
+	}
 }
 
 // changeFailed ends a change without an answer. Only a refusal proves that
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -108,6 +108,7 @@
 	args := []string{"-a", closed + "," + addr, "--request-id", "r-1", "route", "put", "-f", "-"}
 	code, _, errs := run(routeFile, append([]string{"--timeout", "700ms"}, args...)...)
 	require.Equal(t, ExitUnconfirmed, code)
+	require.Contains(t, errs, "version 1 is accepted and not yet confirmed")
 	require.Contains(t, errs, "--request-id r-1")
 	code, out, errs := run(routeFile, args...)
 	require.Equal(t, ExitOK, code, errs)
