entry: take the prompt out of a body without decoding it twice

The body was decoded into a map and into a struct, and the prompt once more. Errors now name the parameter.

--- a/internal/entry/input.go
+++ b/internal/entry/input.go
@@ -24,15 +24,25 @@
 // completionBody lists the parameters that have a meaning here. The others are
 // in ignoredParameters or are refused.
 type completionBody struct {
-	Model               string          `json:"model"`
-	Prompt              json.RawMessage `json:"prompt"`
-	Messages            []chatMessage   `json:"messages"`
-	MaxTokens           *int            `json:"max_tokens"`
-	MaxCompletionTokens *int            `json:"max_completion_tokens"`
-	Stream              bool            `json:"stream"`
-	StreamOptions       *streamOptions  `json:"stream_options"`
-	N                   *int            `json:"n"`
-	BestOf              *int            `json:"best_of"`
+	model               string
+	prompt              json.RawMessage
+	messages            []chatMessage
+	maxTokens           *int
+	maxCompletionTokens *int
+	stream              bool
+	streamOptions       *streamOptions
+	n                   *int
+	bestOf              *int
+}
+
+// parameters maps each parameter but the prompt to its field. The prompt is
+// taken as it is, because each decoding of a long one costs two passes over it.
+func (b *completionBody) parameters() map[string]any {
+	return map[string]any{
+		"model": &b.model, "messages": &b.messages, "max_tokens": &b.maxTokens,
+		"max_completion_tokens": &b.maxCompletionTokens, "stream": &b.stream, "stream_options": &b.streamOptions,
+		"n": &b.n, "best_of": &b.bestOf,
+	}
 }
 
 type streamOptions struct {
@@ -58,11 +68,6 @@
 	defaultChatMaxTokens = 1024
 )
 
-// knownParameters are the fields of completionBody.
-var knownParameters = []string{
-	"model", "prompt", "messages", "max_tokens", "max_completion_tokens", "stream", "stream_options", "n", "best_of",
-}
-
 // ignoredParameters tune the sampling or label the request. The engine protocol
 // does not carry them, and an answer without them is still a valid answer.
 var ignoredParameters = []string{
@@ -76,17 +81,14 @@
 	if err := json.Unmarshal(body, &fields); err != nil {
 		return nil, refuse(http.StatusBadRequest, CodeInvalidJSON, "the body is not a JSON object: %v", err)
 	}
-	if f := checkParameters(fields); f != nil {
-		return nil, f
-	}
 	b := &completionBody{}
-	if err := json.Unmarshal(body, b); err != nil {
-		return nil, refuse(http.StatusBadRequest, CodeInvalidRequest, "%v", err)
+	if f := b.decode(fields); f != nil {
+		return nil, f
 	}
-	if b.N != nil && *b.N != 1 || b.BestOf != nil && *b.BestOf != 1 {
+	if b.n != nil && *b.n != 1 || b.bestOf != nil && *b.bestOf != 1 {
 		return nil, refuse(http.StatusBadRequest, CodeUnsupportedParameter, "n and best_of must be 1")
 	}
-	in := &input{chat: chat, stream: b.Stream, includeUsage: b.StreamOptions != nil && b.StreamOptions.IncludeUsage}
+	in := &input{chat: chat, stream: b.stream, includeUsage: b.streamOptions != nil && b.streamOptions.IncludeUsage}
 	var f *Failure
 	if in.prompt, f = promptOf(b, chat); f != nil {
 		return nil, f
@@ -95,32 +97,47 @@
 		return nil, f
 	}
 	var ok bool
-	if in.model, ok = rt.ModelFor(b.Model); !ok {
-		return nil, refuse(http.StatusNotFound, CodeUnknownModel, "the route does not serve model %q", b.Model)
+	if in.model, ok = rt.ModelFor(b.model); !ok {
+		return nil, refuse(http.StatusNotFound, CodeUnknownModel, "the route does not serve model %q", b.model)
 	}
 	return in, nil
 }
 
-// checkParameters refuses parameters that would change the meaning of the
-// answer and that the engines cannot honour. Null and empty values ask for
-// nothing.
-func checkParameters(fields map[string]json.RawMessage) *Failure {
+// decode reads the parameters. It refuses those that would change the meaning
+// of the answer and that the engines cannot honour.
+func (b *completionBody) decode(fields map[string]json.RawMessage) *Failure {
+	known := b.parameters()
 	for name, value := range fields {
-		if slices.Contains(knownParameters, name) || slices.Contains(ignoredParameters, name) {
+		if name == "prompt" {
+			b.prompt = value
 			continue
 		}
-		switch string(bytes.TrimSpace(value)) {
-		case "null", "[]", "{}", "false", `""`, "0":
+		if dst, ok := known[name]; ok {
+			if err := json.Unmarshal(value, dst); err != nil {
+				return refuse(http.StatusBadRequest, CodeInvalidRequest, "parameter %q: %v", name, err)
+			}
 			continue
 		}
-		if name == "response_format" && isTextFormat(value) {
-			continue
+		if !ignorable(name, value) {
+			return refuse(http.StatusBadRequest, CodeUnsupportedParameter, "parameter %q is not supported", name)
 		}
-		return refuse(http.StatusBadRequest, CodeUnsupportedParameter, "parameter %q is not supported", name)
 	}
 	return nil
 }
 
+// ignorable reports whether an answer that disregards a parameter is still
+// right. Null and empty values ask for nothing.
+func ignorable(name string, value json.RawMessage) bool {
+	if slices.Contains(ignoredParameters, name) {
+		return true
+	}
+	switch string(bytes.TrimSpace(value)) {
+	case "null", "[]", "{}", "false", `""`, "0":
+		return true
+	}
+	return name == "response_format" && isTextFormat(value)
+}
+
 func isTextFormat(value json.RawMessage) bool {
 	var f struct {
 		Type string `json:"type"`
@@ -130,14 +147,14 @@
 
 func promptOf(b *completionBody, chat bool) (string, *Failure) {
 	if chat {
-		return chatPrompt(b.Messages)
+		return chatPrompt(b.messages)
 	}
 	var text string
-	if err := json.Unmarshal(b.Prompt, &text); err == nil && text != "" {
+	if err := json.Unmarshal(b.prompt, &text); err == nil && text != "" {
 		return text, nil
 	}
 	var list []string
-	if err := json.Unmarshal(b.Prompt, &list); err == nil && len(list) == 1 && list[0] != "" {
+	if err := json.Unmarshal(b.prompt, &list); err == nil && len(list) == 1 && list[0] != "" {
 		return list[0], nil
 	}
 	return "", refuse(http.StatusBadRequest, CodeInvalidRequest, "prompt must be one string that is not empty")
@@ -190,11 +207,11 @@
 		n = defaultChatMaxTokens
 	}
 	n = min(n, limit)
-	if b.MaxTokens != nil {
-		n = *b.MaxTokens
+	if b.maxTokens != nil {
+		n = *b.maxTokens
 	}
-	if b.MaxCompletionTokens != nil {
-		n = *b.MaxCompletionTokens
+	if b.maxCompletionTokens != nil {
+		n = *b.maxCompletionTokens
 	}
 	if n < 1 || n > limit {
 		return 0, refuse(http.StatusBadRequest, CodeInvalidRequest, "max_tokens must be from 1 to %d", limit)
