entry: let a drain wait for the answers of submissions and claims

A drain could end between a caller's disconnect and the return of its withdrawn submission, so a late grant was left to the scheduler's grace period.

--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -158,14 +158,15 @@
 		TtftTargetMs: x.route.TtftTargetMs, TpotTargetMs: x.route.TpotTargetMs, Weights: x.route.Weights,
 		Exclude: append([]string(nil), a.Exclude...), AgeMs: millis(time.Since(x.accepted)),
 	}
-	go func() {
+	// A drain waits for the answer, because a late grant must be released.
+	x.srv.background(func() {
 		defer cancel()
 		resp, err := x.srv.opts.Schedulers.Submit(ctx, req)
 		if g := resp.GetGrant(); g != nil {
 			x.event("request.granted", a.Attempt, g.Decode.GetId(), "hold", g.HoldId, "prefill", g.Prefill.GetId())
 		}
 		x.apply(submitResult(a.Attempt, resp, err))
-	}()
+	})
 }
 
 func submitResult(attempt uint32, resp *pb.SubmitResponse, err error) request.Event {
--- a/internal/entry/engine_test.go
+++ b/internal/entry/engine_test.go
@@ -71,6 +71,9 @@
 			}()
 			<-reached
 			cancel()
+			require.Eventually(t, func() bool { return len(f.InFlight()) == 0 }, 5*time.Second, time.Millisecond)
+			require.NoError(t, f.Drain(context.Background()))
+			require.Zero(t, f.schedulers.openHolds(), "the drain ended before the hold was released")
 			f.requireFreed(t)
 			require.Len(t, f.schedulers.released, 1, stage)
 		}
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -143,7 +143,8 @@
 	switch a := a.(type) {
 	case *request.ClaimKey:
 		x.event("request.claiming", 0, "")
-		go x.claim()
+		// A drain waits for the answer, because a late claim must be withdrawn.
+		x.srv.background(x.claim)
 	case *request.Send:
 		x.send(a)
 	case *request.StopSend:
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -33,7 +33,7 @@
 	bodies   gauge
 	answers  gauge
 	inFlight *inFlight
-	cleanup  *inFlight // cancels, releases and records that are under way
+	cleanup  *inFlight // submissions, claims, cancels, releases and records under way
 	vars     *vars
 
 	draining  atomic.Bool
