--- a/internal/entry/engine_test.go
+++ b/internal/entry/engine_test.go
@@ -44,8 +44,9 @@
 			switch stage {
 			case "queued":
 				f.schedulers.submit = func(ctx context.Context, r *pb.SubmitRequest) (*pb.SubmitResponse, error) {
-					// The grant arrives although the submission was withdrawn.
+					// The grant arrives late although the submission was withdrawn.
 					_ = block(ctx, reached)
+					time.Sleep(20 * time.Millisecond)
 					return f.schedulers.grant(r), nil
 				}
 			case "prefill":
@@ -71,6 +72,9 @@
 			}()
 			<-reached
 			cancel()
+			require.Eventually(t, func() bool { return len(f.InFlight()) == 0 }, 5*time.Second, time.Millisecond)
+			require.NoError(t, f.Drain(context.Background()))
+			require.Zero(t, f.schedulers.openHolds(), "the drain ended before the hold was released")
 			f.requireFreed(t)
 			require.Len(t, f.schedulers.released, 1, stage)
 		}
