load: make the offered load of a short run exact; run the embedded router

Cause: lengths of calls differ a thousandfold, so a 12 s run asked for 90% could offer 95%; one early leaver with a 20,000-token prompt was 1% wasted prefill; of two concurrent calls under one key the one told "in progress" was listed as a problem. Change: arrivals of each kind add up to the asked share of the scarcest resource; early leavers have short prompts; of a resent call the answer that came counts. run and faults start the embedded router when no entry is given.

--- a/cmd/gw-load/main.go
+++ b/cmd/gw-load/main.go
@@ -32,6 +32,7 @@
 	options  load.Options
 	workload string
 	plot     string
+	policy   string
 	policies string
 	rounds   int
 	fault    time.Duration
@@ -46,7 +47,9 @@
 	app.Flag("urgent-load", "Load of urgent calls, percent; same as --load by default.").Float64Var(&c.options.UrgentLoad)
 	app.Flag("duration", "Duration of the arrivals of each run; 15s, or 6s for compare.").DurationVar(&c.options.Duration)
 	app.Flag("seed", "Seed of arrivals and faults.").Default("1").Uint64Var(&c.options.Seed)
-	app.Flag("entry", "Base URL of an entry; repeatable.").StringsVar(&c.options.Entries)
+	app.Flag("entry", "Base URL of an entry; repeatable. Without it the whole router is started in this process.").
+		StringsVar(&c.options.Entries)
+	app.Flag("policy", "Policy of the router in this process; its default by default.").StringVar(&c.policy)
 	app.Flag("upstream", "Base URL of a stand-in started separately; repeatable, in the order of the fleet. "+
 		"Without it the fleet is started in this process.").StringsVar(&c.options.Upstreams)
 	app.Flag("plot", "Write a chart to this SVG file.").StringVar(&c.plot)
@@ -71,10 +74,10 @@
 	var err error
 	switch verb {
 	case run.FullCommand():
-		report, err = load.Run(ctx, c.options)
+		report, err = c.run(ctx)
 	case faults.FullCommand():
 		c.options.FaultInterval = c.fault
-		report, err = load.Run(ctx, c.options)
+		report, err = c.run(ctx)
 	case compare.FullCommand():
 		report, err = c.compare(ctx)
 	}
@@ -89,6 +92,13 @@
 	}
 }
 
+func (c *command) run(ctx context.Context) (*load.Report, error) {
+	if len(c.options.Entries) > 0 {
+		return load.Run(ctx, c.options)
+	}
+	return load.RunSystem(ctx, embedded{}, c.options, c.policy)
+}
+
 // compare prints a summary per policy and returns all runs merged, whose
 // counts of broken promises decide the exit status.
 func (c *command) compare(ctx context.Context) (*load.Report, error) {
--- a/internal/load/capacity.go
+++ b/internal/load/capacity.go
@@ -85,22 +85,38 @@
 // of the mix is taken.
 const capacitySamples = 2_000
 
-// mixRate returns the number of calls per second of the whole mix at which the
-// scarcest resource is used fully.
-func (w *Workload) mixRate(c *capacity) float64 {
+// mix describes the whole mix of a workload at 100% load.
+type mix struct {
+	// rate is the number of calls per second at which the scarcest resource
+	// is used fully.
+	rate float64
+	// scarcest is the index of that resource in a demand.
+	scarcest int
+	// work is the mean demand for it of one call, by kind.
+	work []float64
+}
+
+func (w *Workload) mix(c *capacity) mix {
 	r := rand.New(rand.NewPCG(1, 1))
 	var mean demand
+	kinds := make([]demand, len(w.Kinds))
 	for i := range w.Kinds {
-		k := &w.Kinds[i]
 		for range capacitySamples {
-			mean = mean.plus(c.demandOf(newCall(r, k, "sample")), k.Share/capacitySamples)
+			kinds[i] = kinds[i].plus(c.demandOf(newCall(r, &w.Kinds[i], "sample")), 1.0/capacitySamples)
+		}
+		mean = mean.plus(kinds[i], w.Kinds[i].Share)
+	}
+	m := mix{work: make([]float64, len(w.Kinds))}
+	for i, d := range mean {
+		if d > mean[m.scarcest] {
+			m.scarcest = i
 		}
 	}
-	scarcest := 0.0
-	for _, d := range mean {
-		scarcest = max(scarcest, d)
+	m.rate = 1 / mean[m.scarcest]
+	for i, d := range kinds {
+		m.work[i] = d[m.scarcest]
 	}
-	return 1 / scarcest
+	return m
 }
 
 // bound is the number of completions that the fleet could answer within the
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -138,7 +138,7 @@
 // calls returns all arrivals in order of time. Each kind has its own random
 // sequence, so that its arrivals don't depend on the rates of the others.
 func (r *runner) calls(size *capacity) []*Call {
-	rate := r.Workload.mixRate(size)
+	m := r.Workload.mix(size)
 	var calls []*Call
 	for i := range r.Workload.Kinds {
 		k := &r.Workload.Kinds[i]
@@ -146,8 +146,13 @@
 		if k.Urgent && r.UrgentLoad > 0 {
 			percent = r.UrgentLoad
 		}
+		count := m.rate * k.Share * percent / 100 * r.Duration.Seconds()
+		amount, work := count*m.work[i], func(c *Call) float64 { return size.demandOf(c)[m.scarcest] }
+		if k.Plain {
+			amount, work = count, func(*Call) float64 { return 1 }
+		}
 		random := rand.New(rand.NewPCG(r.Seed, uint64(i+1)))
-		calls = append(calls, generate(random, k, rate*k.Share*percent/100, r.Duration, r.id)...)
+		calls = append(calls, generate(random, k, amount, work, r.Duration, r.id)...)
 	}
 	sort.SliceStable(calls, func(i, j int) bool { return calls[i].At < calls[j].At })
 	return calls
@@ -171,17 +176,30 @@
 			results[i] = &result{call: call, outcome: outcomeLeft}
 			continue
 		}
-		wg.Go(func() { results[i] = r.caller.make(ctx, call, i) })
-		if call.Resend {
-			// Only the number of runs of a second call under one key counts.
-			wg.Go(func() { r.caller.make(ctx, call, i+1) })
-		}
+		wg.Go(func() { results[i] = r.answer(ctx, call, i) })
 	}
 	wg.Wait()
 	<-faultsDone
 	return results
 }
 
+// answer makes a call, twice at the same time when it is to be resent. The two
+// may overtake each other: one of them is then told that the call is running,
+// and the other one's answer counts.
+func (r *runner) answer(ctx context.Context, call *Call, n int) *result {
+	if !call.Resend {
+		return r.caller.make(ctx, call, n)
+	}
+	second := make(chan *result, 1)
+	go func() { second <- r.caller.make(ctx, call, n+1) }()
+	first := r.caller.make(ctx, call, n)
+	other := <-second
+	if first.outcome == outcomeUnknown || first.outcome == outcomeRejected {
+		return other
+	}
+	return first
+}
+
 // stats are the counters of the whole fleet.
 type stats struct {
 	engines standin.EngineStats
--- a/internal/load/workload.go
+++ b/internal/load/workload.go
@@ -181,32 +181,36 @@
 	// burstSpread is the time over which a burst arrives.
 	burstSpread = 100 * time.Millisecond
 	// earlyLeave is the share of the leaving callers who leave within
-	// earlyLeaveLimit. Work that they waste before its first token can't be
-	// avoided and has to stay well below the target for wasted prefill; the
-	// others leave while they read.
+	// earlyLeaveLimit, often before the first token; the others leave while
+	// they read. No router can avoid the prefill that early ones waste. One
+	// prompt of 20,000 tokens would be 1% of a run of 10 s, twice the target
+	// for wasted prefill, so early leavers have the shortest prompts.
 	earlyLeave      = 0.1
 	earlyLeaveLimit = 400 * time.Millisecond
 )
 
-// generate returns the arrivals of one kind: bursts of 1 to maxBurst calls at
-// exponential distances, with the given mean rate in calls per second.
-func generate(r *rand.Rand, k *Kind, rate float64, d time.Duration, runID string) []*Call {
+// generate returns the arrivals of one kind within d: bursts of 1 to maxBurst
+// calls at exponential distances. It stops when the calls add up to the given
+// amount of work and then fits the times into d, so that the offered load of a
+// short run is exact although the lengths of calls differ a thousandfold.
+func generate(r *rand.Rand, k *Kind, amount float64, work func(*Call) float64, d time.Duration, runID string) []*Call {
 	var calls []*Call
-	if rate <= 0 {
-		return nil
-	}
-	const meanBurst = (1 + maxBurst) / 2.0
-	for at := time.Duration(0); ; {
-		at += time.Duration(r.ExpFloat64() * meanBurst / rate * float64(time.Second))
-		if at >= d {
-			return calls
-		}
+	at, done := 0.0, 0.0
+	for done < amount {
+		at += r.ExpFloat64()
 		for range 1 + r.IntN(maxBurst) {
 			c := newCall(r, k, fmt.Sprintf("%s-%s-%d", runID, k.Name, len(calls)))
-			c.At = at + time.Duration(r.Float64()*float64(burstSpread))
+			c.At = time.Duration(at * float64(time.Second))
 			calls = append(calls, c)
+			done += work(c)
 		}
 	}
+	// The distance after the last burst belongs to the run.
+	at += r.ExpFloat64()
+	for _, c := range calls {
+		c.At = time.Duration(float64(c.At)/at*d.Seconds()) + time.Duration(r.Float64()*float64(burstSpread))
+	}
+	return calls
 }
 
 func newCall(r *rand.Rand, k *Kind, id string) *Call {
@@ -216,14 +220,15 @@
 		return c
 	}
 	c.OutputTokens = logUniform(r, k.OutputTokens)
+	tokens := logUniform(r, k.PromptTokens)
 	if r.Float64() < k.LeaveShare {
 		if r.Float64() < earlyLeave {
 			c.LeaveAfter = time.Duration(1 + r.Int64N(int64(earlyLeaveLimit)))
+			tokens = k.PromptTokens[0]
 		} else {
 			c.LeaveTokens = 1 + r.IntN(c.OutputTokens)
 		}
 	}
-	tokens := logUniform(r, k.PromptTokens)
 	var prompt strings.Builder
 	if k.Prefixes > 0 && tokens > k.PrefixTokens {
 		fill(&prompt, fmt.Sprintf("%s prefix %d", k.Name, r.IntN(k.Prefixes)), k.PrefixTokens)
