transport: end a call at its deadline while the peer's handler hangs

Cause: closing a yamux stream ends only its sending side, so Recv went on until the peer closed or the 30 s close timeout ran out. Change: the stream's deadline is set before it is closed. Conclusion: every call is bounded by its context again.

--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
@@ -141,8 +142,13 @@
 	return chunk, err
 }
 
-// closeOnDone closes the stream when ctx ends, which unblocks Send and Recv.
-// The returned function stops the watch.
+// closeOnDone unblocks Send and Recv and closes the stream when ctx ends. The
+// returned function stops the watch.
 func (s *Stream) closeOnDone(ctx context.Context) func() bool {
-	return context.AfterFunc(ctx, func() { _ = s.conn.Close() })
+	return context.AfterFunc(ctx, func() {
+		// Closing a yamux stream ends only the sending side: a Recv would go on
+		// until the peer closes as well.
+		_ = s.conn.SetDeadline(time.Unix(1, 0))
+		_ = s.conn.Close()
+	})
 }
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -67,6 +67,28 @@
 	require.False(t, e.Sent)
 }
 
+// Guards against a call that outlives its deadline while the peer's handler
+// hangs.
+func TestCallEndsAtItsDeadline(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	addr := startServer(t, Options{}, func(s *Server) {
+		s.Handle(MethodClaim, func(ctx context.Context, st *Stream) error {
+			select {
+			case <-release:
+			case <-ctx.Done():
+			}
+			return nil
+		})
+	})
+	c := NewClient(addr, Options{})
+	defer c.Close()
+	start := time.Now()
+	err := c.Call(testContext(t, 100*time.Millisecond), MethodClaim, &pb.ClaimRequest{}, &pb.ClaimResponse{})
+	require.Equal(t, pb.Status_DEADLINE, Code(err), "%v", err)
+	require.Less(t, time.Since(start), time.Second)
+}
+
 // Guards against a session whose packets vanish staying in use: the client
 // must notice within a few seconds and reach the peer by a new connection.
 func TestSilentSessionIsReplaced(t *testing.T) {
