replica: report a lost leadership without waiting for other work

Cause: a leader that steps down because a majority is silent has nothing to store or send, and the node looked for changes of leadership only after such work. Until its next campaign Leads stayed true and pending calls stayed open.

Change: every round compares the leadership of all groups.

Conclusion: TestStepDownIsReportedAtOnce fails without the change (5 of 5) and passes with it (30 of 30, race detector).

--- a/internal/replica/failure_test.go
+++ b/internal/replica/failure_test.go
@@ -145,6 +145,26 @@
 	require.Equal(t, c.leader().ID(), notLeader.Leader)
 }
 
+// Guards against a leader that steps down without a message to send and goes on
+// to report that it leads.
+func TestStepDownIsReportedAtOnce(t *testing.T) {
+	c := newTestCluster(t, 3).found()
+	c.propose("before")
+	old := c.leader()
+	c.network.Isolate(old.ID(), true)
+	// Each tick gets a round of its own, so the last one has nothing to send.
+	for role := raft.Leader; role == raft.Leader; {
+		require.NoError(t, old.inspect(1, func(g *group) error {
+			g.core.Tick()
+			role = g.core.Role()
+			return nil
+		}))
+	}
+	require.NoError(t, old.inspect(1, func(*group) error { return nil }))
+	_, leads := old.Leads(1)
+	require.False(t, leads)
+}
+
 // Guards against work after a failed sync, and against an acknowledgement of
 // what it covered.
 func TestFailedSyncEndsTheNode(t *testing.T) {
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -152,6 +152,7 @@
 		}
 	}
 	if len(work) == 0 {
+		n.noteLeadership()
 		return false, nil
 	}
 	n.batch.Reset()
@@ -177,9 +178,23 @@
 			return false, err
 		}
 	}
+	n.noteLeadership()
 	return true, nil
 }
 
+// noteLeadership publishes the leaders of all groups. It doesn't depend on
+// ready work: a leader that steps down without a majority has none.
+func (n *Node) noteLeadership() {
+	for _, g := range n.order {
+		if !g.leadershipChanged() {
+			continue
+		}
+		leads := g.last.role == raft.Leader
+		n.options.Logger.Info().Uint32("group", uint32(g.id)).Uint64("term", g.last.term).Bool("leads", leads).Msg("leadership changed")
+		n.options.OnLeadership(g.id, g.last.term, leads)
+	}
+}
+
 // complete applies the work of one group after it is durable.
 func (n *Node) complete(w *readyGroup) error {
 	g := w.group
@@ -192,11 +207,6 @@
 			return err
 		}
 	}
-	if g.leadershipChanged() {
-		leads := g.last.role == raft.Leader
-		n.options.Logger.Info().Uint32("group", uint32(g.id)).Uint64("term", g.last.term).Bool("leads", leads).Msg("leadership changed")
-		n.options.OnLeadership(g.id, g.last.term, leads)
-	}
 	if g.snapshotDue(n.options.SnapshotBytes) {
 		return n.takeSnapshot(g)
 	}
