--- a/internal/replica/failure_test.go
+++ b/internal/replica/failure_test.go
@@ -296,6 +296,28 @@
 	c.requireCommands(from.ID(), []string{"before", "after"})
 }
 
+// Guards against a planned stop that costs an election timeout or waits for a
+// member that doesn't answer.
+func TestHandOverMovesTheLeadershipWithoutATimeout(t *testing.T) {
+	c := newTestCluster(t, 3)
+	c.adjust = func(o *Options) { o.Tick = 100 * time.Millisecond }
+	c.found()
+	c.propose("before")
+	from := c.leader()
+	silent := from.ID()%3 + 1
+	c.stop(silent)
+	require.Eventually(t, func() bool {
+		s, err := from.Status(1)
+		return err == nil && successor(&s) != silent
+	}, 10*time.Second, testTick)
+	began := time.Now()
+	require.NoError(t, from.HandOver(within(t, 5*time.Second)))
+	c.propose("after")
+	require.Less(t, time.Since(began), raft.DefaultElectionTicks*100*time.Millisecond)
+	require.NotEqual(t, from.ID(), c.leader().ID())
+	require.NoError(t, from.HandOver(within(t, time.Second)), "a member that doesn't lead")
+}
+
 // Guards against one sync for each group or command.
 func TestGroupsAndCommandsShareSyncs(t *testing.T) {
 	files := &faultFS{}
