--- a/internal/replica/failure_test.go
+++ b/internal/replica/failure_test.go
@@ -145,6 +145,26 @@
 	require.Equal(t, c.leader().ID(), notLeader.Leader)
 }
 
+// Guards against a leader that steps down without a message to send and goes on
+// to report that it leads.
+func TestStepDownIsReportedAtOnce(t *testing.T) {
+	c := newTestCluster(t, 3).found()
+	c.propose("before")
+	old := c.leader()
+	c.network.Isolate(old.ID(), true)
+	// Each tick gets a round of its own, so the last one has nothing to send.
+	for role := raft.Leader; role == raft.Leader; {
+		require.NoError(t, old.inspect(1, func(g *group) error {
+			g.core.Tick()
+			role = g.core.Role()
+			return nil
+		}))
+	}
+	require.NoError(t, old.inspect(1, func(*group) error { return nil }))
+	_, leads := old.Leads(1)
+	require.False(t, leads)
+}
+
 // Guards against work after a failed sync, and against an acknowledgement of
 // what it covered.
 func TestFailedSyncEndsTheNode(t *testing.T) {
@@ -276,6 +296,28 @@
 	c.requireCommands(from.ID(), []string{"before", "after"})
 }
 
+// Guards against a planned stop that costs an election timeout or waits for a
+// member that doesn't answer.
+func TestHandOverMovesTheLeadershipWithoutATimeout(t *testing.T) {
+	c := newTestCluster(t, 3)
+	c.adjust = func(o *Options) { o.Tick = 100 * time.Millisecond }
+	c.found()
+	c.propose("before")
+	from := c.leader()
+	silent := from.ID()%3 + 1
+	c.stop(silent)
+	require.Eventually(t, func() bool {
+		s, err := from.Status(1)
+		return err == nil && successor(&s) != silent
+	}, 10*time.Second, testTick)
+	began := time.Now()
+	require.NoError(t, from.HandOver(within(t, 5*time.Second)))
+	c.propose("after")
+	require.Less(t, time.Since(began), raft.DefaultElectionTicks*100*time.Millisecond)
+	require.NotEqual(t, from.ID(), c.leader().ID())
+	require.NoError(t, from.HandOver(within(t, time.Second)), "a member that doesn't lead")
+}
+
 // Guards against one sync for each group or command.
 func TestGroupsAndCommandsShareSyncs(t *testing.T) {
 	files := &faultFS{}
