control: report the member's state for metrics

Cause: operators need to see that the ledger fills up or daemons lag before calls are refused.

Change: Server.Stats returns leadership, version, leases and ledger sizes for the daemon to publish. BenchmarkSessions reads bytes from the process's own counters instead of through a proxy.

--- a/cmd/gw-control/sessions_test.go
+++ b/cmd/gw-control/sessions_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -30,40 +29,6 @@
 	clockTicksHz = 100
 )
 
-// counter forwards TCP and counts the bytes of both directions.
-func counter(b *testing.B, target string, bytes *atomic.Int64) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(b, err)
-	b.Cleanup(func() { _ = l.Close() })
-	pipe := func(to, from net.Conn) {
-		defer to.Close()
-		_, _ = io.Copy(writer(func(p []byte) (int, error) {
-			bytes.Add(int64(len(p)))
-			return to.Write(p)
-		}), from)
-	}
-	go func() {
-		for {
-			in, err := l.Accept()
-			if err != nil {
-				return
-			}
-			out, err := net.Dial("tcp", target)
-			if err != nil {
-				_ = in.Close()
-				continue
-			}
-			go pipe(in, out)
-			go pipe(out, in)
-		}
-	}()
-	return l.Addr().String()
-}
-
-type writer func([]byte) (int, error)
-
-func (w writer) Write(p []byte) (int, error) { return w(p) }
-
 func freeAddr(b *testing.B) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(b, err)
@@ -88,15 +53,21 @@
 	return cmd.Process.Pid
 }
 
-// cpu returns the processor time of a process and its resident memory, MiB.
-func cpu(b *testing.B, pid int) (used time.Duration, residentMiB float64) {
+// usage returns the processor time of a process, the bytes that it read and
+// wrote (an idle member uses only sockets), and its resident memory, MiB.
+func usage(b *testing.B, pid int) (used time.Duration, transferred int, residentMiB float64) {
 	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
 	require.NoError(b, err)
 	fields := strings.Fields(string(raw[strings.LastIndexByte(string(raw), ')')+2:]))
 	user, _ := strconv.Atoi(fields[11])
 	system, _ := strconv.Atoi(fields[12])
 	pages, _ := strconv.Atoi(fields[21])
-	return time.Duration(user+system) * time.Second / clockTicksHz, float64(pages*os.Getpagesize()) / (1 << 20)
+	raw, err = os.ReadFile(fmt.Sprintf("/proc/%d/io", pid))
+	require.NoError(b, err)
+	var read, written int
+	_, err = fmt.Sscanf(string(raw), "rchar: %d\nwchar: %d", &read, &written)
+	require.NoError(b, err)
+	return time.Duration(user+system) * time.Second / clockTicksHz, read + written, float64(pages*os.Getpagesize()) / (1 << 20)
 }
 
 // BenchmarkSessions measures what 370 idle daemons cost one member, and how
@@ -104,8 +75,6 @@
 func BenchmarkSessions(b *testing.B) {
 	listen, operators := freeAddr(b), freeAddr(b)
 	pid := startMember(b, listen, operators)
-	var bytes atomic.Int64
-	addr := counter(b, listen, &bytes)
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	defer running.Wait()
@@ -113,7 +82,7 @@
 	var applied atomic.Int64
 	var clients []*client.Client
 	for i := range sessions {
-		c := client.New(client.Options{Addrs: []string{addr}, Self: &pb.Hello{DaemonId: fmt.Sprint("daemon-", i)}})
+		c := client.New(client.Options{Addrs: []string{listen}, Self: &pb.Hello{DaemonId: fmt.Sprint("daemon-", i)}})
 		c.OnConfig(func(*pb.Config) { applied.Add(1) })
 		clients = append(clients, c)
 		running.Add(1)
@@ -126,11 +95,9 @@
 		require.Eventually(b, c.Serving, 30*time.Second, 10*time.Millisecond)
 	}
 	time.Sleep(2 * time.Second)
-	idle, _ := cpu(b, pid)
-	sent := bytes.Load()
+	idle, sent, _ := usage(b, pid)
 	time.Sleep(idleTime)
-	after, resident := cpu(b, pid)
-	idleBytes := bytes.Load() - sent
+	after, total, resident := usage(b, pid)
 
 	op := godwitwardv1connect.NewOperatorServiceClient(http.DefaultClient, "http://"+operators)
 	var last, answered time.Duration
@@ -158,7 +125,7 @@
 	}
 	perSecond := func(n float64) float64 { return n / idleTime.Seconds() }
 	b.ReportMetric(100*perSecond((after-idle).Seconds()), "idle-cpu-%")
-	b.ReportMetric(perSecond(float64(idleBytes))/sessions, "idle-B/s/daemon")
+	b.ReportMetric(perSecond(float64(total-sent))/sessions, "idle-B/s/daemon")
 	b.ReportMetric(resident, "member-MiB")
 	b.ReportMetric(float64(last.Microseconds())/1000/float64(b.N), "ms-to-last-daemon")
 	b.ReportMetric(float64(answered.Microseconds())/1000/float64(b.N), "ms-to-in-force")
--- a/internal/control/faults_test.go
+++ b/internal/control/faults_test.go
@@ -296,6 +296,8 @@
 	require.NotZero(t, renew("new", 2))
 	require.NoError(t, srv.awaitInForce(ctx, 2))
 	require.Zero(t, renew("late", 1), "the change is in force, although it is younger than a lifetime")
+	st := srv.Stats()
+	require.Equal(t, []any{uint64(2), 1, 0, true}, []any{st.Version, st.Serving, st.Lagging, st.Leads})
 }
 
 // deposed is a Replication that has lost its leadership without noticing.
--- a/internal/control/shard.go
+++ b/internal/control/shard.go
@@ -14,12 +14,14 @@
 
 // shard is the state machine of one ledger group.
 type shard struct {
+	maxBytes int64
+
 	mu     sync.Mutex
 	ledger *ledger.Ledger
 }
 
 func newShard(limits ledger.Limits) *shard {
-	return &shard{ledger: ledger.New(limits)}
+	return &shard{maxBytes: ledgerBound(limits), ledger: ledger.New(limits)}
 }
 
 // Apply implements StateMachine. It returns *pb.ClaimResponse, a bool for a
--- /dev/null
+++ b/internal/control/stats.go
@@ -0,0 +1,80 @@
+package control
+
+import (
+	"time"
+
+	"godwitward.example/godwitward/ledger"
+)
+
+// Stats describe a member at one moment. The daemon publishes them as a metric.
+type Stats struct {
+	// Leader is the id of the leader of group 0, 0 when unknown; Leads tells
+	// whether it is this member.
+	Leader uint64 `json:"leader"`
+	Leads  bool   `json:"leads"`
+	Term   uint64 `json:"term"`
+	// Version is the configuration version that this member applied.
+	Version uint64 `json:"version"`
+	// History is the number of changes kept, Outcomes that of request ids.
+	History  int `json:"history"`
+	Outcomes int `json:"outcomes"`
+	// PoolLeases counts the leases that have a holder.
+	PoolLeases int `json:"pool_leases"`
+	// Serving counts the live serving leases, Lagging those of daemons that
+	// have not acknowledged Version. Both are 0 at a follower.
+	Serving int `json:"serving"`
+	Lagging int `json:"lagging"`
+	// Ledger has one element for each shard.
+	Ledger []LedgerStats `json:"ledger"`
+}
+
+// LedgerStats describe one shard. New keys are refused as full when Bytes
+// reaches MaxBytes.
+type LedgerStats struct {
+	Entries    int   `json:"entries"`
+	Tombstones int   `json:"tombstones"`
+	Bytes      int64 `json:"bytes"`
+	MaxBytes   int64 `json:"max_bytes"`
+}
+
+// Stats returns the member's present state.
+func (s *Server) Stats() Stats {
+	out := s.store.stats()
+	out.Leader, out.Leads, out.Term = s.repl.Leader(storeGroup)
+	for _, l := range s.servingLeases(time.Now()) {
+		out.Serving++
+		if l.AppliedVersion < out.Version {
+			out.Lagging++
+		}
+	}
+	for _, sh := range s.shards {
+		out.Ledger = append(out.Ledger, sh.stats())
+	}
+	return out
+}
+
+func (s *store) stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Stats{
+		Version:    s.config.Version,
+		History:    len(s.history),
+		Outcomes:   len(s.outcomes),
+		PoolLeases: len(s.leases.Held()),
+	}
+}
+
+func (s *shard) stats() LedgerStats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.ledger.Stats()
+	return LedgerStats{Entries: st.Entries, Tombstones: st.Tombstones, Bytes: st.Bytes, MaxBytes: s.maxBytes}
+}
+
+// ledgerBound returns the bound that a ledger with these limits uses.
+func ledgerBound(limits ledger.Limits) int64 {
+	if limits.MaxBytes <= 0 {
+		return ledger.DefaultMaxBytes
+	}
+	return limits.MaxBytes
+}
