scheduler, policy: tests of the shell after a takeover and of client-side selection

Cause: the shell's listing, orders and table push were not run by any test. Change: transport tests for them, a concurrency test, policy tests; the fastest engines of a model are looked up once in 100 ms instead of at every submit.

--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -117,7 +117,7 @@
 // wait still may until its TTFT target is out of reach; when it is already, or
 // when the forecast wait is longer than allowed, the request is refused.
 func (p *Pool) limitWait(w *waiting, c *candidates, now time.Duration) *pb.Refusal {
-	service := c.fastest(&w.spec)
+	service := c.fastest(&w.spec, now)
 	allowed := fromMillis(w.req.MaxWaitMs)
 	if allowed == 0 {
 		allowed = w.spec.TTFTTarget - fromMillis(w.req.AgeMs) - service
@@ -138,30 +138,42 @@
 	return refusal(pb.Refusal_OVERLOADED, wait-allowed, "forecast wait %v is over the allowed %v", wait.Round(time.Millisecond), allowed.Round(time.Millisecond))
 }
 
+// idealAge is how long the figures of the fastest engines are used; they change
+// with learned speeds and health.
+const idealAge = 100 * time.Millisecond
+
 // fastest returns the time to the first token on the fastest idle engines,
 // without any cached prefix.
-func (c *candidates) fastest(r *policy.Request) time.Duration {
-	var rate, link float64
-	token := 0.0
+func (c *candidates) fastest(r *policy.Request, now time.Duration) time.Duration {
+	if c.idealAt == 0 || now-c.idealAt >= idealAge {
+		c.findIdeal()
+		c.idealAt = now
+	}
+	best := &c.ideal
+	if best.prefillRate == 0 {
+		return 0
+	}
+	seconds := float64(r.PromptTokens)/best.prefillRate + best.token
+	if best.linkRate > 0 {
+		seconds += best.kvPerToken * float64(r.PromptTokens) / best.linkRate
+	}
+	return policy.Seconds(seconds)
+}
+
+func (c *candidates) findIdeal() {
+	c.ideal = idealEngine{}
 	for _, e := range c.prefill {
 		if e.Usable {
-			rate = max(rate, e.PrefillRate)
-			link = max(link, e.LinkRate)
+			c.ideal.prefillRate = max(c.ideal.prefillRate, e.PrefillRate)
+			c.ideal.linkRate = max(c.ideal.linkRate, e.LinkRate)
 		}
 	}
 	for _, e := range c.decode {
-		if t := e.TokenSeconds(1); e.Usable && (token == 0 || t < token) {
-			token = t
+		if t := e.TokenSeconds(1); e.Usable && (c.ideal.token == 0 || t < c.ideal.token) {
+			c.ideal.token = t
+			c.ideal.kvPerToken = e.KVPerToken
 		}
 	}
-	if rate == 0 {
-		return 0
-	}
-	seconds := float64(r.PromptTokens)/rate + token
-	if link > 0 && len(c.decode) > 0 {
-		seconds += c.decode[0].KVPerToken * float64(r.PromptTokens) / link
-	}
-	return policy.Seconds(seconds)
 }
 
 // queueWait forecasts the time until a new request would be granted, from the
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -183,3 +183,58 @@
 	s.call(t, transport.MethodSubmit, submitRequest("b", pb.RequestClass_REQUEST_CLASS_DRAFT, 8000, 500), second)
 	require.Equal(t, pb.Refusal_NOT_HOLDER, second.GetRefusal().GetCode())
 }
+
+// Guards against a shell that does not list engines after a takeover, orders
+// that get no answer, and a table that is not pushed.
+func TestTakeoverOrdersAndTableOverTransport(t *testing.T) {
+	s := newTestServer(t, Params{HoldGrace: 300 * time.Millisecond})
+	s.engine.mu.Lock()
+	s.engine.running = []upstream.Running{{RequestID: "lost", Attempt: 3, Pieces: 2, AgeMillis: 5000}}
+	s.engine.mu.Unlock()
+	s.Activate(testPool, 2, time.Now())
+	st, err := s.client.Open(context.Background(), transport.MethodWatchUpstreams)
+	require.NoError(t, err)
+	defer st.Close()
+	require.NoError(t, st.Send(&pb.WatchUpstreamsRequest{Pool: testPool, EntryId: "entry-1"}))
+	update := &pb.WatchUpstreamsUpdate{}
+	require.NoError(t, st.Recv(update))
+	require.Empty(t, update.Upstreams)
+	s.call(t, transport.MethodAnnounce, &pb.AnnounceRequest{Upstreams: []*pb.UpstreamState{prefillState("p1"), decodeState("d1", 10)}}, &pb.Empty{})
+	require.NoError(t, st.Recv(update))
+	require.Len(t, update.Upstreams, 2)
+	require.Eventually(t, func() bool { return s.engine.cancels("lost") }, 3*time.Second, 10*time.Millisecond)
+
+	resp := &pb.OrderEngineResponse{}
+	s.call(t, transport.MethodOrder, &pb.EngineOrder{UpstreamId: "d1", Order: &pb.EngineOrder_LoadModel{LoadModel: "n"}}, resp)
+	require.Equal(t, "done", resp.Result)
+	s.engine.mu.Lock()
+	defer s.engine.mu.Unlock()
+	require.Equal(t, []upstream.Order{{FencingToken: 2, Kind: "load_model", Value: "n"}}, s.engine.orders)
+}
+
+// Guards against deadlocks and data races between handlers and controllers.
+func TestConcurrentCallsLeaveNothing(t *testing.T) {
+	s := newTestServer(t, Params{})
+	var wg sync.WaitGroup
+	for i := range 16 {
+		wg.Go(func() {
+			for range 20 {
+				ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+				req := submitRequest("r", pb.RequestClass(1+i%2), 1500, 100)
+				resp, err := s.Submit(ctx, req)
+				if g := resp.GetGrant(); err == nil && g != nil {
+					_, _ = s.handleProgress(ctx, &pb.ProgressRequest{HoldId: g.HoldId, Stage: pb.ProgressRequest_FIRST_TOKEN})
+					_, _ = s.handleState(ctx, &pb.SchedulerStateRequest{Pool: testPool})
+					_, _ = s.handleAnnounce(ctx, &pb.AnnounceRequest{Upstreams: []*pb.UpstreamState{decodeState("d1", 10)}})
+					_, _ = s.handleRelease(ctx, &pb.ReleaseRequest{HoldId: g.HoldId, Outcome: pb.ReleaseRequest_COMPLETED})
+				}
+				cancel()
+			}
+		})
+	}
+	wg.Wait()
+	core := s.pool(testPool).core
+	require.Empty(t, core.Holds())
+	require.Zero(t, core.Queued())
+	require.Zero(t, core.holds.pieces)
+}
--- a/internal/scheduler/tables.go
+++ b/internal/scheduler/tables.go
@@ -75,6 +75,17 @@
 	largest int
 	// pieceTokens is the smallest piece size among the decode engines.
 	pieceTokens int
+	// ideal is the fastest of the usable engines, looked up at idealAt.
+	ideal   idealEngine
+	idealAt time.Duration
+}
+
+// idealEngine has the best figures among the engines of a model.
+type idealEngine struct {
+	prefillRate float64
+	linkRate    float64
+	kvPerToken  float64
+	token       float64
 }
 
 // member is one start of one upstream. Holds refer to the member on which they
--- /dev/null
+++ b/policy/policy_test.go
@@ -0,0 +1,79 @@
+package policy
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against calls going to an instance without weight or to a skipped
+// one, and against a slow instance getting the share of a fast one.
+func TestPickService(t *testing.T) {
+	list := []Service{{ID: "a", Weight: 1, Seconds: 0.1}, {ID: "b", Weight: 1, Seconds: 0.4}, {ID: "c", Weight: 0}, {ID: "d", Weight: 1}}
+	skip := func(s *Service) bool { return s.ID == "d" }
+	rng := rand.New(rand.NewPCG(1, 1))
+	calls := map[string]int{}
+	for range 4000 {
+		i := PickService(list, skip, [2]float64{rng.Float64(), rng.Float64()})
+		calls[list[i].ID]++
+		list[i].Outstanding++
+		// Each instance ends calls at its own speed.
+		list[0].Outstanding = max(0, list[0].Outstanding-1)
+		if rng.IntN(4) == 0 {
+			list[1].Outstanding = max(0, list[1].Outstanding-1)
+		}
+	}
+	require.Len(t, calls, 2)
+	require.Greater(t, calls["a"], 2*calls["b"])
+	require.Equal(t, -1, PickService(list[2:3], nil, [2]float64{0.5, 0.5}))
+}
+
+// Guards against an organisation that regains its share by leaving the queue
+// empty for a moment, and against withdrawn requests being served.
+func TestFairQueueRemembersServedFlows(t *testing.T) {
+	q := NewFairQueue[string]()
+	all := func(string) int { return 10 }
+	serve := func() (out string) {
+		q.Serve(all, func(s string) Verdict {
+			if out != "" {
+				return Stop
+			}
+			out = s
+			return Taken
+		})
+		return out
+	}
+	b := Bucket{Group: "m", Size: 1}
+	q.Push("steady", 10, b, "s1")
+	q.Push("steady", 10, b, "s2")
+	q.Push("gone", 10, b, "g1")
+	q.Push("burst", 100, b, "b1")
+	require.True(t, q.Remove("gone", func(s string) bool { return s == "g1" }))
+	require.Equal(t, "b1", serve())
+	q.Push("burst", 100, b, "b2")
+	require.Equal(t, []string{"s1", "s2", "b2", ""}, []string{serve(), serve(), serve(), serve()})
+	require.Zero(t, q.Len())
+}
+
+// Guards against a baseline that cannot be selected or that leaves its limits.
+func TestPoliciesPlaceOnUsableEngines(t *testing.T) {
+	for _, name := range []string{"default", "round-robin", "least-outstanding", "two-choices", "prefill-first"} {
+		p, err := ByName(name)
+		require.NoError(t, err)
+		require.Equal(t, name, p.Name())
+		engine := func(id string, usable bool) *Engine {
+			return &Engine{ID: id, Usable: usable, Share: 1, TotalPieces: 10, MaxBatch: 4, PrefillRate: 1000, DecodeSeconds: 0.02, LinkRate: 1e9}
+		}
+		q := &Query{
+			Request: &Request{PromptTokens: 100, MaxOutput: 10, Pieces: 1, PromptPieces: 1}, Exclude: []string{"d3"}, Random: [2]float64{0.9, 0.1},
+			Prefill: []*Engine{engine("p1", false), engine("p2", true)}, Decode: []*Engine{engine("d1", false), engine("d2", true), engine("d3", true)},
+		}
+		pl, ok := p.Place(q)
+		require.True(t, ok, name)
+		require.Equal(t, "p2 d2", pl.Prefill.ID+" "+pl.Decode.ID, name)
+		q.Decode[1].Usable = false
+		_, ok = p.Place(q)
+		require.False(t, ok, name)
+	}
+}
