scheduler: tests for token shares, drains before role changes, crossed grants

Cause: scratch copies that count requests instead of tokens, change roles without a drain, or keep a grant that nobody receives passed every test. Change: one test or step for each.

--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -171,6 +171,32 @@
 	require.Len(t, served, organisations)
 }
 
+// Guards against an organisation of long requests getting as many requests,
+// and so more tokens, than one of short requests.
+func TestSharesAreCountedInTokens(t *testing.T) {
+	one := decodeState("d1", 4)
+	one.MaxBatch = 1
+	c := newCoreTest(t, Params{}, prefillState("p1"), one)
+	g := c.grant(submitRequest("fill", draft, 500, 500))
+	for i := range 120 {
+		r := submitRequest("short", draft, 500, 500)
+		if i%2 == 0 {
+			r = submitRequest("long", draft, 2500, 500)
+		}
+		r.Organisation, r.MaxWaitMs, r.DeadlineMs = r.RequestId, 3600000, 3600000
+		c.submit(r)
+	}
+	served := map[string]int{}
+	for range 40 {
+		c.first(g)
+		c.finish(g)
+		h := c.Holds()[0]
+		served[h.RequestId]++
+		g = &pb.Grant{HoldId: h.HoldId}
+	}
+	require.InDelta(t, 30, served["short"], 1)
+}
+
 // Guards against a prefill that is granted while decode is full and whose
 // result expires before there is room, and against decode slots that idle
 // during each prefill although their end is known.
@@ -333,6 +359,14 @@
 	require.False(t, c.upstreams.byID[sent[0].Engine.Id].view.Usable)
 	c.pass(3 * time.Second)
 	require.Len(t, count[SendOrder](c), 1, "the role that is short gave up its last engine")
+
+	_, ok := c.Order(&pb.EngineOrder{UpstreamId: "d1", Order: &pb.EngineOrder_SetRole{SetRole: pb.EngineRole_ENGINE_ROLE_PREFILL}}, c.now)
+	require.True(t, ok)
+	c.pass(time.Second)
+	require.Len(t, count[SendOrder](c), 1, "changed while a request ran")
+	c.finish(g)
+	c.pass(200 * time.Millisecond)
+	require.Len(t, count[SendOrder](c), 2)
 }
 
 // Guards against an engine that became slow or fails keeping its share of the
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -173,6 +173,15 @@
 	require.Never(t, func() bool { return len(core.Holds()) > 0 }, 200*time.Millisecond, 10*time.Millisecond)
 }
 
+// Guards against a grant that crosses a withdrawal and is held by nobody.
+func TestGrantWithoutWaiterIsGivenBack(t *testing.T) {
+	s := newTestServer(t, Params{})
+	a := s.pool(testPool)
+	s.perform(a, a.core.Submit(1<<40, submitRequest("r", pb.RequestClass_REQUEST_CLASS_DRAFT, 1000, 500), s.now()))
+	s.signal(a, Placement)
+	require.Eventually(t, func() bool { return a.core.Queued() == 0 && len(a.core.Holds()) == 0 }, time.Second, time.Millisecond)
+}
+
 // Guards against queued requests that hang when the lease is lost.
 func TestDeactivateAnswersQueuedRequests(t *testing.T) {
 	s := newTestServer(t, Params{})
--- a/policy/fair.go
+++ b/policy/fair.go
@@ -22,8 +22,8 @@
 	virtual float64
 	// latest is the highest finish time given out.
 	latest float64
-	length  int
-	idle    int
+	length int
+	idle   int
 }
 
 type flow[T any] struct {
