scheduler: engines that do not answer no longer delay calls to others

Cause: each call to a silent engine kept one of the engine callers for its whole limit, so a few dead engines delayed every cancellation. Change: after two failures in a row an engine gets one call at a time; the core asks again for what was not called.

--- a/internal/scheduler/engines.go
+++ b/internal/scheduler/engines.go
@@ -4,7 +4,10 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/upstream"
 )
 
 // engineCall is one action that calls an engine.
@@ -18,8 +21,16 @@
 	generation uint64
 	url        string
 	engine     Engine
+	// failures counts consecutive failed calls, busy the calls in progress.
+	failures int
+	busy     int
 }
 
+// maxFailures is the number of consecutive failed calls from which an engine
+// gets one call at a time: calls that each wait for their limit must not keep
+// every caller from the engines that answer.
+const maxFailures = 2
+
 // enqueueCall hands an action to the engine callers. When they are far behind,
 // the call is dropped: the core asks for cancellations and lists again.
 func (s *Scheduler) enqueueCall(a *activePool, act Action) {
@@ -67,40 +78,43 @@
 }
 
 func (s *Scheduler) cancel(ctx context.Context, state *pb.UpstreamState, x CancelWork) bool {
-	engine := s.engine(state)
-	if engine == nil {
+	known := s.engine(state)
+	if known == nil {
 		return true
 	}
-	ctx, stop := context.WithTimeout(ctx, cancelCallLimit)
-	defer stop()
-	err := engine.Cancel(ctx, &x.Work)
-	if err != nil {
+	err := s.limited(ctx, known, cancelCallLimit, func(ctx context.Context) error {
+		return known.engine.Cancel(ctx, &x.Work)
+	})
+	if err != nil && err != errUnresponsive {
 		s.opts.Logger.Warn().Str("event", "engine.cancel").Str("upstream", state.Id).Str("request", x.Work.RequestID).Err(err).Msg("")
 	}
 	return err == nil
 }
 
 func (s *Scheduler) cancelOrphan(ctx context.Context, x CancelOrphan) {
-	engine := s.engine(x.Engine)
-	if engine == nil {
+	known := s.engine(x.Engine)
+	if known == nil {
 		return
 	}
-	ctx, stop := context.WithTimeout(ctx, cancelCallLimit)
-	defer stop()
-	if err := engine.Cancel(ctx, &x.Work); err != nil {
+	err := s.limited(ctx, known, cancelCallLimit, func(ctx context.Context) error {
+		return known.engine.Cancel(ctx, &x.Work)
+	})
+	if err != nil && err != errUnresponsive {
 		s.opts.Logger.Warn().Str("event", "engine.cancel_orphan").Str("upstream", x.Engine.Id).Str("request", x.Work.RequestID).Err(err).Msg("")
 	}
 }
 
 func (s *Scheduler) list(ctx context.Context, a *activePool, x ListRunning) {
-	engine := s.engine(x.Engine)
-	if engine == nil {
+	known := s.engine(x.Engine)
+	if known == nil {
 		return
 	}
 	asked := s.now()
-	ctx, stop := context.WithTimeout(ctx, runningCallLimit)
-	defer stop()
-	running, err := engine.Running(ctx)
+	var running []upstream.Running
+	err := s.limited(ctx, known, runningCallLimit, func(ctx context.Context) (err error) {
+		running, err = known.engine.Running(ctx)
+		return err
+	})
 	if err != nil {
 		s.opts.Logger.Warn().Str("event", "engine.running").Str("upstream", x.Engine.Id).Err(err).Msg("")
 		a.core.ListFailed(x.Engine)
@@ -111,34 +125,61 @@
 
 func (s *Scheduler) sendOrder(ctx context.Context, a *activePool, x SendOrder) {
 	failure := ""
-	if engine := s.engine(x.Engine); engine != nil {
+	if known := s.engine(x.Engine); known != nil {
 		ctx, stop := context.WithTimeout(ctx, time.Duration(x.LimitMillis)*time.Millisecond)
 		defer stop()
-		if err := engine.Order(ctx, &x.Order); err != nil {
+		if err := known.engine.Order(ctx, &x.Order); err != nil {
 			failure = err.Error()
 		}
 	}
 	s.perform(a, a.core.OrderDone(x.ID, failure, s.now()))
 }
 
+// errUnresponsive is the outcome of a call that was not made.
+var errUnresponsive = errors.New("earlier calls to the engine failed and one is in progress")
+
+// limited makes one call within a time limit.
+func (s *Scheduler) limited(ctx context.Context, k *knownEngine, limit time.Duration, call func(context.Context) error) error {
+	s.engineMu.Lock()
+	if k.failures >= maxFailures && k.busy > 0 {
+		s.engineMu.Unlock()
+		return errUnresponsive
+	}
+	k.busy++
+	s.engineMu.Unlock()
+
+	ctx, stop := context.WithTimeout(ctx, limit)
+	defer stop()
+	err := call(ctx)
+
+	s.engineMu.Lock()
+	defer s.engineMu.Unlock()
+	k.busy--
+	k.failures++
+	if err == nil {
+		k.failures = 0
+	}
+	return err
+}
+
 // maxKnownEngines bounds the clients that are kept.
 const maxKnownEngines = 4096
 
 // engine returns the client of an engine, nil when calls are disabled.
-func (s *Scheduler) engine(state *pb.UpstreamState) Engine {
+func (s *Scheduler) engine(state *pb.UpstreamState) *knownEngine {
 	if s.opts.NewEngine == nil {
 		return nil
 	}
 	s.engineMu.Lock()
 	defer s.engineMu.Unlock()
-	k, ok := s.engines[state.Id]
-	if ok && k.generation == state.Generation && k.url == state.Url {
-		return k.engine
+	k := s.engines[state.Id]
+	if k != nil && k.generation == state.Generation && k.url == state.Url {
+		return k
 	}
 	if len(s.engines) >= maxKnownEngines {
 		clear(s.engines)
 	}
-	k = knownEngine{generation: state.Generation, url: state.Url, engine: s.opts.NewEngine(state)}
+	k = &knownEngine{generation: state.Generation, url: state.Url, engine: s.opts.NewEngine(state)}
 	s.engines[state.Id] = k
-	return k.engine
+	return k
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -46,7 +46,7 @@
 	calls   chan engineCall
 
 	engineMu sync.Mutex
-	engines  map[string]knownEngine
+	engines  map[string]*knownEngine
 }
 
 // activePool is one pool that is served.
@@ -84,7 +84,7 @@
 		opts: opts, policy: pol, origin: opts.Now(),
 		pools: map[string]*activePool{}, drains: NewDrainSet(nil), sessions: map[string]int{},
 		tasks: make(chan task, taskQueueSize), calls: make(chan engineCall, engineQueueSize),
-		engines: map[string]knownEngine{},
+		engines: map[string]*knownEngine{},
 	}
 }
 
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -247,3 +247,36 @@
 	require.Zero(t, core.Queued())
 	require.Zero(t, core.holds.pieces)
 }
+
+// silentEngine never answers.
+type silentEngine struct{ fakeEngine }
+
+func (*silentEngine) Cancel(ctx context.Context, _ *upstream.CancelRequest) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// Guards against engines that do not answer keeping every caller busy, so that
+// cancellations at other engines come late.
+func TestSilentEnginesDoNotDelayOthers(t *testing.T) {
+	good, silent := &fakeEngine{}, &silentEngine{}
+	s := New(Options{EngineCalls: 4, NewEngine: func(u *pb.UpstreamState) Engine {
+		if u.Id == "silent" {
+			return silent
+		}
+		return good
+	}})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { s.Run(ctx); close(done) }()
+	defer func() { cancel(); <-done }()
+	s.Activate(testPool, 1, time.Now())
+	a := s.pool(testPool)
+	for range 40 {
+		s.enqueueCall(a, CancelOrphan{Engine: decodeState("silent", 1)})
+	}
+	start := time.Now()
+	s.enqueueCall(a, CancelOrphan{Engine: decodeState("good", 1), Work: upstream.CancelRequest{RequestID: "r"}})
+	require.Eventually(t, func() bool { return good.cancels("r") }, 10*time.Second, 10*time.Millisecond)
+	require.Less(t, time.Since(start), 3*time.Second)
+}
