--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -15,6 +15,7 @@
 // Intervals at which the shell runs the controllers that time alone triggers.
 const (
 	tick             = 20 * time.Millisecond
+	forecastInterval = 2 * tick
 	expiryInterval   = 60 * time.Millisecond
 	ordersInterval   = 100 * time.Millisecond
 	agingInterval    = 500 * time.Millisecond
@@ -45,7 +46,7 @@
 	calls   chan engineCall
 
 	engineMu sync.Mutex
-	engines  map[string]knownEngine
+	engines  map[string]*knownEngine
 }
 
 // activePool is one pool that is served.
@@ -83,7 +84,7 @@
 		opts: opts, policy: pol, origin: opts.Now(),
 		pools: map[string]*activePool{}, drains: NewDrainSet(nil), sessions: map[string]int{},
 		tasks: make(chan task, taskQueueSize), calls: make(chan engineCall, engineQueueSize),
-		engines: map[string]knownEngine{},
+		engines: map[string]*knownEngine{},
 	}
 }
 
@@ -265,7 +266,7 @@
 		every time.Duration
 		next  time.Duration
 	}{
-		Placement: {every: tick}, Forecast: {every: tick}, Expiry: {every: expiryInterval}, Orphans: {every: orphansInterval},
+		Placement: {every: tick}, Forecast: {every: forecastInterval}, Expiry: {every: expiryInterval}, Orphans: {every: orphansInterval},
 		Aging: {every: agingInterval}, Roles: {every: rolesInterval}, Loads: {every: ordersInterval},
 	}
 	for {
