--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -277,9 +277,10 @@
 	return ctx
 }
 
-// disturb kills, isolates and restarts leaders until stop is closed.
+// disturb kills, isolates and restarts leaders until stop is closed. It leaves
+// all members running and connected.
 func (s *testStore) disturb(stop <-chan struct{}) {
-	pause := func(d time.Duration) bool {
+	pause := func(d time.Duration) (more bool) {
 		select {
 		case <-stop:
 			return false
@@ -287,26 +288,17 @@
 			return true
 		}
 	}
-	for round := 0; ; round++ {
-		if !pause(time.Second) {
-			return
-		}
+	for round := 0; pause(time.Second); round++ {
 		m := s.leader()
 		switch round % 3 {
 		case 0:
 			s.kill(m)
-			more := pause(700 * time.Millisecond)
+			pause(700 * time.Millisecond)
 			s.start(m, replica.StartExisting)
-			if !more {
-				return
-			}
 		case 1:
 			s.isolate(m, true)
-			more := pause(1500 * time.Millisecond)
+			pause(1500 * time.Millisecond)
 			s.isolate(m, false)
-			if !more {
-				return
-			}
 		case 2:
 			for _, m := range s.members {
 				s.kill(m)
--- a/internal/control/faults_test.go
+++ b/internal/control/faults_test.go
@@ -66,6 +66,14 @@
 	}})
 }
 
+// commit applies a change without waiting until it is in force.
+func commit(t *testing.T, srv *Server, c *pb.ConfigChange) {
+	data, err := encodeCommand(commandChange, c)
+	require.NoError(t, err)
+	_, err = srv.propose(timeout(t, 10*time.Second), storeGroup, data)
+	require.NoError(t, err)
+}
+
 // Guards against a second effect of a command that was committed, lost its
 // answer with the leader, and is sent again.
 func TestLeaderDiesBetweenCommitAndAnswer(t *testing.T) {
@@ -278,10 +286,7 @@
 		return resp.TtlMs
 	}
 	require.NotZero(t, renew("a", 0))
-	data, err := encodeCommand(commandChange, change("r", 0, "/a").Msg.Change)
-	require.NoError(t, err)
-	_, err = srv.propose(ctx, storeGroup, data)
-	require.NoError(t, err)
+	commit(t, srv, change("r", 0, "/a").Msg.Change)
 	time.Sleep(testTTL / 2)
 	require.LessOrEqual(t, renew("a", 0), uint32((testTTL/2 + time.Millisecond).Milliseconds()))
 	require.NoError(t, srv.awaitInForce(ctx, 1))
@@ -289,10 +294,7 @@
 	require.Zero(t, renew("new", 0))
 	require.NotZero(t, renew("new", 1))
 
-	data, err = encodeCommand(commandChange, change("r2", 1, "/b").Msg.Change)
-	require.NoError(t, err)
-	_, err = srv.propose(ctx, storeGroup, data)
-	require.NoError(t, err)
+	commit(t, srv, change("r2", 1, "/b").Msg.Change)
 	require.NotZero(t, renew("new", 2))
 	require.NoError(t, srv.awaitInForce(ctx, 2))
 	require.Zero(t, renew("late", 1), "the change is in force, although it is younger than a lifetime")
@@ -391,12 +393,9 @@
 	require.NoError(t, err)
 	renew("a", 1, 2)
 	renew("b", 1, 1)
-	data, err := encodeCommand(commandChange, &pb.ConfigChange{RequestId: "r2", BaseVersion: 1, Change: &pb.ConfigChange_Cutover{
+	commit(t, srv, &pb.ConfigChange{RequestId: "r2", BaseVersion: 1, Change: &pb.ConfigChange_Cutover{
 		Cutover: &pb.RouteCutover{Route: "r", ToService: "new"},
 	}})
-	require.NoError(t, err)
-	_, err = srv.propose(ctx, storeGroup, data)
-	require.NoError(t, err)
 	status := func() (uint32, bool) {
 		resp, err := ops.CutoverStatus(ctx, connect.NewRequest(&pb.CutoverStatusRequest{Route: "r"}))
 		require.NoError(t, err)
--- a/internal/control/history_test.go
+++ b/internal/control/history_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/api/godwitward/v1/godwitwardv1connect"
 	"godwitward.example/godwitward/internal/control/client"
 )
 
@@ -196,14 +197,16 @@
 	return up[rand.IntN(len(up))]
 }
 
-func readAnywhere(ctx context.Context, st *testStore) *pb.Config {
+// anywhere repeats a call at members in turn until one answers; nil when ctx
+// ended first.
+func anywhere[T any](ctx context.Context, st *testStore, call func(context.Context, godwitwardv1connect.OperatorServiceClient) (*connect.Response[T], error)) *T {
 	for ctx.Err() == nil {
 		if m := st.anyMember(); m != nil {
-			attempt, cancel := context.WithTimeout(ctx, time.Second)
-			resp, err := st.operators(m).GetConfig(attempt, connect.NewRequest(&pb.GetConfigRequest{}))
+			attempt, cancel := context.WithTimeout(ctx, 2*time.Second)
+			resp, err := call(attempt, st.operators(m))
 			cancel()
 			if err == nil {
-				return resp.Msg.Config
+				return resp.Msg
 			}
 		}
 		time.Sleep(5 * time.Millisecond)
@@ -211,24 +214,17 @@
 	return nil
 }
 
-// changeAnywhere sends one change to members in turn, always under the same
-// request id, until it is answered.
+func readAnywhere(ctx context.Context, st *testStore) *pb.Config {
+	return anywhere(ctx, st, func(ctx context.Context, o godwitwardv1connect.OperatorServiceClient) (*connect.Response[pb.GetConfigResponse], error) {
+		return o.GetConfig(ctx, connect.NewRequest(&pb.GetConfigRequest{}))
+	}).GetConfig()
+}
+
+// changeAnywhere sends one change, always under the same request id.
 func changeAnywhere(ctx context.Context, st *testStore, op configOp) *pb.ChangeConfigResponse {
-	for ctx.Err() == nil {
-		if m := st.anyMember(); m != nil {
-			attempt, cancel := context.WithTimeout(ctx, 2*time.Second)
-			resp, err := st.operators(m).ChangeConfig(attempt, connect.NewRequest(&pb.ChangeConfigRequest{Change: &pb.ConfigChange{
-				RequestId: op.value, BaseVersion: op.base,
-				Change: &pb.ConfigChange_PutRoute{PutRoute: &pb.Route{Name: "r", Path: op.value}},
-			}}))
-			cancel()
-			if err == nil {
-				return resp.Msg
-			}
-		}
-		time.Sleep(5 * time.Millisecond)
-	}
-	return nil
+	return anywhere(ctx, st, func(ctx context.Context, o godwitwardv1connect.OperatorServiceClient) (*connect.Response[pb.ChangeConfigResponse], error) {
+		return o.ChangeConfig(ctx, change(op.value, op.base, op.value))
+	})
 }
 
 type leaseOp struct {
@@ -265,7 +261,7 @@
 	}
 	run(st, len(clients), func(w int, ctx context.Context) {
 		// A short hold ends by release, a long one by faults.
-		hold, cancel := context.WithTimeout(ctx, time.Duration(rand.IntN(2500))*time.Millisecond)
+		hold, cancel := context.WithTimeout(ctx, time.Duration(rand.IntN(1500))*time.Millisecond)
 		defer cancel()
 		var token uint64
 		began := h.now()
