--- a/internal/control/cluster.go
+++ b/internal/control/cluster.go
@@ -42,7 +42,7 @@
 }
 
 // Cluster replicates over several members with package replica. It implements
-// Replication and MemberChanger.
+// Replication and changes the membership.
 type Cluster struct {
 	opts   ClusterOptions
 	node   *replica.Node
