--- a/internal/replica/bench_test.go
+++ b/internal/replica/bench_test.go
@@ -78,29 +78,38 @@
 }
 
 // BenchmarkFailover measures the time from the stop of the leader to the next
-// commit, with the default ticks. Run it with -benchtime=20x.
+// commit, with the default ticks, without and with a HandOver before the stop.
+// Run it with -benchtime=20x.
 func BenchmarkFailover(b *testing.B) {
 	for _, size := range []int{3, 5} {
-		b.Run(fmt.Sprintf("members=%d", size), func(b *testing.B) {
-			c := benchCluster(b, size, func(*Options) {})
-			c.propose("first")
-			var times []time.Duration
-			for b.Loop() {
-				id := c.leader().ID()
-				c.stop(id)
-				began := time.Now()
-				c.propose("next")
-				times = append(times, time.Since(began))
-				b.StopTimer()
-				c.start(id, StartExisting)
-				require.Eventually(b, func() bool { return c.nodes[id].Leader(1) != 0 }, 10*time.Second, time.Millisecond)
-				b.StartTimer()
-			}
-			slices.Sort(times)
-			b.ReportMetric(float64(times[len(times)/2].Milliseconds()), "p50-ms")
-			b.ReportMetric(float64(times[len(times)-1].Milliseconds()), "max-ms")
-		})
+		for _, planned := range []bool{false, true} {
+			b.Run(fmt.Sprintf("members=%d/planned=%t", size, planned), func(b *testing.B) {
+				measureFailover(b, benchCluster(b, size, func(*Options) {}), planned)
+			})
+		}
+	}
+}
+
+func measureFailover(b *testing.B, c *testCluster, planned bool) {
+	c.propose("first")
+	var times []time.Duration
+	for b.Loop() {
+		leader := c.leader()
+		began := time.Now()
+		if planned {
+			require.NoError(b, leader.HandOver(b.Context()))
+		}
+		c.stop(leader.ID())
+		c.propose("next")
+		times = append(times, time.Since(began))
+		b.StopTimer()
+		c.start(leader.ID(), StartExisting)
+		require.Eventually(b, func() bool { return c.nodes[leader.ID()].Leader(1) != 0 }, 10*time.Second, time.Millisecond)
+		b.StartTimer()
 	}
+	slices.Sort(times)
+	b.ReportMetric(float64(times[len(times)/2].Microseconds())/1000, "p50-ms")
+	b.ReportMetric(float64(times[len(times)-1].Microseconds())/1000, "max-ms")
 }
 
 // BenchmarkRecovery measures Start until the first read, by log size without a
