scheduler: reserve a prefill engine only where engines need it

The stand-ins interrupt a prefill between chunks, so the kept engine gained little. Change: the reserved prefill engine is a setting, off by default; the simulated engines of TestTargetsInSimulation do not interrupt and keep it on. Conclusion: the default suits engines with chunked prefill.

--- a/cmd/gw-scheduler/main.go
+++ b/cmd/gw-scheduler/main.go
@@ -35,6 +35,8 @@
 		Default("default").EnumVar(&o.cfg.Policy, "default", "round-robin", "least-outstanding", "two-choices", "prefill-first")
 	app.Flag("urgent-reserve", "Share of decode and prefill capacity that drafts leave free for urgent requests, 0 to 0.9; 0: the default.").
 		Float64Var(&o.cfg.Params.UrgentReserve)
+	app.Flag("reserve-prefill-engine", "Keep one of three or more prefill engines for urgent requests; for engines that do not interrupt a running prefill.").
+		BoolVar(&o.cfg.Params.ReservePrefillEngine)
 	app.Flag("handover-timeout", "Longest wait for handing leases over at a stop.").Default("5s").DurationVar(&o.handoverTimeout)
 	o.internal.AddFlags(app, "internal", "sessions between daemons")
 }
--- a/internal/scheduler/options.go
+++ b/internal/scheduler/options.go
@@ -60,9 +60,12 @@
 	RestateWindow time.Duration
 	// UrgentReserve is the part of decode slots, decode memory and prefill
 	// capacity that drafts leave free for urgent requests while any have come in
-	// the last minute; 0 means 0.05. At least one slot of each decode engine and
-	// one of three or more prefill engines are kept. Negative means none.
+	// the last minute; 0 means 0.05. Negative means none.
 	UrgentReserve float64
+	// ReservePrefillEngine also keeps one of three or more prefill engines for
+	// urgent requests and short drafts. It is for engines that do not interrupt
+	// a running prefill for a more urgent one; with others it costs goodput.
+	ReservePrefillEngine bool
 	// DraftAge is the queueing time after which a draft that fits nowhere gets
 	// memory earmarked on one engine.
 	DraftAge time.Duration
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -86,7 +86,8 @@
 		}
 		n, ok := rooms[model]
 		if !ok {
-			n = p.upstreams.group(model).room(class, p.reserve())
+			c := p.upstreams.group(model)
+			n = c.room(class, p.reserve(), p.reservedPrefill(c))
 			rooms[model] = n
 		}
 		return n
@@ -137,7 +138,7 @@
 	c := p.upstreams.group(w.req.Model)
 	q := policy.Query{
 		Request: &w.spec, Prefill: c.prefill, Decode: c.decode, Exclude: w.req.Exclude, Reserve: p.reserve(),
-		ReservedPrefill: c.reservedPrefill(p.reserve()),
+		ReservedPrefill: p.reservedPrefill(c),
 		Random:          [2]float64{p.random.Float64(), p.random.Float64()},
 	}
 	w.cached = p.prefix.lookup(w.req.PrefixHashes, w.cached)
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -16,7 +16,7 @@
 )
 
 // simulation drives a core against simulated engines in simulated time: serial
-// prefill by priority, results that live 900 ms, decode engines that refuse an
+// prefill by priority that is not interrupted, results that live 900 ms, decode engines that refuse an
 // import when full and slow down with their batch, reports 500 ms old.
 type simulation struct {
 	core    *Pool
@@ -202,7 +202,7 @@
 	pol, err := policy.ByName(name)
 	require.NoError(t, err)
 	s := &simulation{
-		core: NewPool(testPool, Params{}, pol, 1, 0, 1), rng: rand.New(rand.NewPCG(3, 4)), states: map[string]*pb.UpstreamState{},
+		core: NewPool(testPool, Params{ReservePrefillEngine: true}, pol, 1, 0, 1), rng: rand.New(rand.NewPCG(3, 4)), states: map[string]*pb.UpstreamState{},
 		waiting: map[uint64]*simRequest{}, busy: map[string]bool{}, line: map[string][]*simRequest{}, used: map[string]uint32{}, batch: map[string]uint32{},
 	}
 	for i := range 11 {
--- a/internal/scheduler/upstreams.go
+++ b/internal/scheduler/upstreams.go
@@ -258,8 +258,9 @@
 
 // reservedPrefill returns the number of prefill engines reserved for urgent
 // requests.
-func (c *candidates) reservedPrefill(reserve float64) int {
-	if reserve <= 0 || len(c.prefill) < minReservable {
+func (p *Pool) reservedPrefill(c *candidates) int {
+	reserve := p.reserve()
+	if !p.params.ReservePrefillEngine || reserve <= 0 || len(c.prefill) < minReservable {
 		return 0
 	}
 	return max(1, int(reserve*float64(len(c.prefill))))
@@ -267,10 +268,9 @@
 
 // prefillOpen reports whether a prefill engine that is not reserved for another
 // class takes more work.
-func (c *candidates) prefillOpen(class policy.Class, reserve float64) bool {
-	reserved := 0
-	if class == policy.Draft {
-		reserved = c.reservedPrefill(reserve)
+func (c *candidates) prefillOpen(class policy.Class, reserve float64, reserved int) bool {
+	if class == policy.Urgent {
+		reserved = 0
 	}
 	for _, e := range c.prefill {
 		if e.Usable && reserved > 0 {
@@ -286,8 +286,8 @@
 
 // room returns the largest free memory of the group's decode engines, or 0
 // when no prefill engine takes more work.
-func (c *candidates) room(class policy.Class, reserve float64) int {
-	if !c.prefillOpen(class, reserve) {
+func (c *candidates) room(class policy.Class, reserve float64, reservedPrefill int) int {
+	if !c.prefillOpen(class, reserve, reservedPrefill) {
 		return 0
 	}
 	most := 0
