daemon: export metrics of the scheduler and the control store

The debug listeners of the scheduler and of the control store served only the variables of the Go runtime, and that of the entry no health, although its flag says so. Operators could not see queues, refusals, takeovers, leadership, ledger use or slow syncs.

The scheduler counts grants, refusals by code, takeovers, cancelled orphans and failed engine calls, and shows queued requests and holds by pool. The control member shows what Stats holds, and now term and leadership of each group, committed proposals, and count, sum and longest time of file syncs. All three daemons serve /livez, /readyz and their metrics under their own name through one handler. The syncs are timed around the file system that the log uses, so that package wal stays as it is.

--- a/cmd/gw-control/options.go
+++ b/cmd/gw-control/options.go
@@ -62,14 +62,21 @@
 
 func (o *options) check(l *finding.List) {
 	o.process.Check(l, program)
-	settings.CheckIPAddr(l, "--listen", o.listen)
-	settings.CheckIPAddr(l, "--operator-listen", o.operatorListen)
+	// Other members tell gwctl to dial this address when this member leads.
+	settings.CheckPeerAddr(l, "--operator-listen", o.operatorListen)
+	o.process.CheckVM(l, o.listen)
 	o.internal.Check(l, o.listen, true, o.process.AllowPlainText)
 	o.operator.Check(l, o.operatorListen, true, o.process.AllowPlainText)
 	o.members = parseMembers(l, o.memberList)
 	if o.memberID == 0 {
 		l.Addf("--member-id", "must be at least 1")
 	}
+	if _, ok := o.members[o.memberID]; !ok {
+		// A member that --members does not list is dialed at its listener.
+		settings.CheckPeerAddr(l, "--listen", o.listen)
+	} else {
+		settings.CheckIPAddr(l, "--listen", o.listen)
+	}
 	if _, ok := o.members[o.memberID]; !ok && o.start == "found" {
 		l.Addf("--members", "does not list member %d, which founds the store", o.memberID)
 	}
@@ -91,7 +98,7 @@
 			l.Addf(field, "%q is not of the form 1=10.0.0.1:7300", part)
 			continue
 		}
-		settings.CheckIPAddr(l, field, address)
+		settings.CheckPeerAddr(l, field, address)
 		if _, ok := out[id]; ok {
 			l.Addf(field, "member %d is listed twice", id)
 		}
--- a/cmd/gw-entry/main.go
+++ b/cmd/gw-entry/main.go
@@ -47,6 +47,7 @@
 	o.process.Check(l, program)
 	settings.CheckIPAddr(l, "--listen", o.cfg.Listen)
 	settings.CheckIPAddr(l, "--sessions", o.cfg.Sessions)
+	o.process.CheckVM(l, o.cfg.Sessions)
 	if o.cfg.Debug != "" {
 		settings.CheckIPAddr(l, "--debug", o.cfg.Debug)
 	}
--- a/cmd/gw-scheduler/main.go
+++ b/cmd/gw-scheduler/main.go
@@ -41,7 +41,10 @@
 
 func (o *options) check(l *finding.List) {
 	o.process.Check(l, program)
-	settings.CheckIPAddr(l, "--sessions", o.cfg.Sessions)
+	// The pool leases tell entries to dial this address.
+	settings.CheckPeerAddr(l, "--sessions", o.cfg.Sessions)
+	o.process.CheckVM(l, o.cfg.Sessions)
+	o.process.CheckRegion(l, o.cfg.Sessions)
 	if o.cfg.Debug != "" {
 		settings.CheckIPAddr(l, "--debug", o.cfg.Debug)
 	}
--- a/internal/control/cluster.go
+++ b/internal/control/cluster.go
@@ -13,6 +13,7 @@
 	"godwitward.example/godwitward/internal/replica"
 	"godwitward.example/godwitward/internal/timeline"
 	"godwitward.example/godwitward/internal/transport"
+	"godwitward.example/godwitward/wal"
 )
 
 // ClusterOptions configure a Cluster.
@@ -46,6 +47,7 @@
 type Cluster struct {
 	opts   ClusterOptions
 	node   *replica.Node
+	syncs  *timedFS
 	groups int
 	stop   chan struct{}
 	done   chan struct{}
@@ -62,7 +64,7 @@
 // startCluster starts replication of the given state machines.
 func startCluster(opts ClusterOptions, machines []StateMachine, st *store) (*Cluster, error) {
 	c := &Cluster{
-		opts: opts, groups: len(machines), stop: make(chan struct{}), done: make(chan struct{}),
+		opts: opts, syncs: &timedFS{FS: wal.OS{}}, groups: len(machines), stop: make(chan struct{}), done: make(chan struct{}),
 		addresses: map[uint64]string{}, links: map[uint64]*link{},
 	}
 	var voters []replica.MemberID
@@ -77,7 +79,7 @@
 	}
 	node, err := replica.Start(replica.Options{
 		ID: replica.MemberID(opts.ID), Start: opts.Start, Voters: voters, Groups: groups, Sender: c,
-		Dir: opts.Dir, Tick: opts.Tick, Seed: opts.Seed, SnapshotBytes: opts.SnapshotBytes,
+		Dir: opts.Dir, FS: c.syncs, Tick: opts.Tick, Seed: opts.Seed, SnapshotBytes: opts.SnapshotBytes,
 		OnFatal: opts.OnFatal, Logger: opts.Logger,
 	})
 	if err != nil {
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -106,6 +107,8 @@
 	peers   *peers
 	stop    context.CancelFunc
 	stopped chan struct{}
+	// proposals counts the commands that were committed.
+	proposals atomic.Int64
 
 	// electing serialises the start of a term.
 	electing sync.Mutex
@@ -302,6 +305,7 @@
 	if err != nil {
 		return nil, s.replicationError(group, err)
 	}
+	s.proposals.Add(1)
 	if err, ok := res.(error); ok {
 		return nil, transport.Errorf(pb.Status_INVALID, "applying command: %v", err)
 	}
--- a/internal/control/stats.go
+++ b/internal/control/stats.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"expvar"
 	"time"
 
 	"godwitward.example/godwitward/ledger"
@@ -20,6 +21,14 @@
 	Outcomes int `json:"outcomes"`
 	// PoolLeases counts the leases that have a holder.
 	PoolLeases int `json:"pool_leases"`
+	// Groups has one element for each replicated group; 0 is the group of
+	// configuration and leases.
+	Groups []GroupStats `json:"groups"`
+	// Proposals counts the commands of this member that were committed since
+	// its start.
+	Proposals int64 `json:"proposals"`
+	// Syncs is zero for a store without a disk.
+	Syncs SyncStats `json:"syncs"`
 	// Serving counts the live serving leases, Lagging those of daemons that
 	// have not acknowledged Version. Both are 0 at a follower.
 	Serving int `json:"serving"`
@@ -28,6 +37,13 @@
 	Ledger []LedgerStats `json:"ledger"`
 }
 
+// GroupStats describe the leadership of one group as this member sees it.
+type GroupStats struct {
+	Leader uint64 `json:"leader"`
+	Leads  bool   `json:"leads"`
+	Term   uint64 `json:"term"`
+}
+
 // LedgerStats describe one shard. New keys are refused as full when Bytes
 // reaches MaxBytes.
 type LedgerStats struct {
@@ -41,6 +57,15 @@
 func (s *Server) Stats() Stats {
 	out := s.store.stats()
 	out.Leader, out.Leads, out.Term = s.repl.Leader(storeGroup)
+	for g := range uint32(len(s.shards) + 1) {
+		st := GroupStats{}
+		st.Leader, st.Leads, st.Term = s.repl.Leader(g)
+		out.Groups = append(out.Groups, st)
+	}
+	out.Proposals = s.proposals.Load()
+	if s.cluster != nil {
+		out.Syncs = s.cluster.syncs.stats()
+	}
 	for _, l := range s.servingLeases(time.Now()) {
 		out.Serving++
 		if l.AppliedVersion < out.Version {
@@ -53,6 +78,11 @@
 	return out
 }
 
+// Vars returns the member's state as a metric.
+func (s *Server) Vars() expvar.Var {
+	return expvar.Func(func() any { return s.Stats() })
+}
+
 func (s *store) stats() Stats {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -92,7 +92,7 @@
 	router := chi.NewRouter()
 	path, handler := c.server.OperatorHandler()
 	router.Mount(path, handler)
-	router.Mount("/", DebugHandler(c.server.Ready))
+	router.Mount("/", DebugHandler(c.server.Ready, "control", c.server.Vars()))
 	if c.operators, err = c.base.ServeHTTP(cfg.Operators, router, cfg.OperatorTLS); err != nil {
 		return err
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"expvar"
+	"fmt"
 	"net"
 	"net/http"
 	"time"
@@ -122,8 +123,11 @@
 }
 
 // DebugHandler serves /livez, /readyz and the metrics at /debug/vars. ready
-// returns nil when the daemon can take work.
-func DebugHandler(ready func() error) http.Handler {
+// returns nil when the daemon can take work. The daemon's own metrics are
+// listed under name, beside the variables of the process. They are not
+// published in the global expvar registry, because it allows a name only once
+// in a process and one process may run several daemons.
+func DebugHandler(ready func() error, name string, metrics expvar.Var) http.Handler {
 	r := chi.NewRouter()
 	r.Get("/livez", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	r.Get("/readyz", func(w http.ResponseWriter, _ *http.Request) {
@@ -133,6 +137,11 @@
 		}
 		_, _ = w.Write([]byte("ok\n"))
 	})
-	r.Get("/debug/vars", expvar.Handler().ServeHTTP)
+	r.Get("/debug/vars", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json; charset=utf-8")
+		_, _ = fmt.Fprintf(w, "{\n%q: %s", name, metrics)
+		expvar.Do(func(kv expvar.KeyValue) { _, _ = fmt.Fprintf(w, ",\n%q: %s", kv.Key, kv.Value) })
+		_, _ = fmt.Fprint(w, "\n}\n")
+	})
 	return r
 }
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -101,7 +101,7 @@
 	if cfg.Debug == "" {
 		return nil
 	}
-	e.debug, err = e.base.ServeHTTP(cfg.Debug, e.server.DebugHandler(), nil)
+	e.debug, err = e.base.ServeHTTP(cfg.Debug, DebugHandler(e.server.Ready, "entry", e.server.Vars()), nil)
 	return err
 }
 
--- a/internal/daemon/scheduler.go
+++ b/internal/daemon/scheduler.go
@@ -89,7 +89,7 @@
 		return nil
 	}
 	ready := func() error { return nil }
-	s.debug, err = s.base.ServeHTTP(s.cfg.Debug, DebugHandler(ready), nil)
+	s.debug, err = s.base.ServeHTTP(s.cfg.Debug, DebugHandler(ready, "scheduler", s.server.Vars()), nil)
 	return err
 }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/go-chi/chi/v5"
+	"github.com/pkg/errors"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
 	"godwitward.example/godwitward/internal/request"
@@ -171,14 +172,22 @@
 }
 
 func (s *Server) readyz(w http.ResponseWriter, _ *http.Request) {
-	switch {
-	case s.draining.Load():
-		http.Error(w, "draining", http.StatusServiceUnavailable)
-	case !s.opts.Control.Serving():
-		http.Error(w, "no serving lease", http.StatusServiceUnavailable)
-	default:
-		_, _ = w.Write([]byte("ok\n"))
+	if err := s.Ready(); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
 	}
+	_, _ = w.Write([]byte("ok\n"))
+}
+
+// Ready returns nil when the entry may be sent new requests.
+func (s *Server) Ready() error {
+	if s.draining.Load() {
+		return errors.New("draining")
+	}
+	if !s.opts.Control.Serving() {
+		return errors.New("no serving lease")
+	}
+	return nil
 }
 
 // serve handles every path that is not the entry's own.
--- a/internal/entry/vars.go
+++ b/internal/entry/vars.go
@@ -1,9 +1,6 @@
 package entry
 
-import (
-	"expvar"
-	"net/http"
-)
+import "expvar"
 
 // vars are the metrics of one server. They are not published in the global
 // expvar registry, which allows a name only once in a process.
@@ -35,18 +32,3 @@
 func (s *Server) Vars() expvar.Var {
 	return s.vars.all
 }
-
-// DebugHandler serves /debug/vars: the process's expvar variables and this
-// server's metrics under "entry".
-func (s *Server) DebugHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("/debug/vars", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json; charset=utf-8")
-		_, _ = w.Write([]byte("{\n\"entry\": " + s.vars.all.String()))
-		expvar.Do(func(kv expvar.KeyValue) {
-			_, _ = w.Write([]byte(",\n\"" + kv.Key + "\": " + kv.Value.String()))
-		})
-		_, _ = w.Write([]byte("\n}\n"))
-	})
-	return mux
-}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -109,6 +109,13 @@
 	return len(p.queue.byTicket)
 }
 
+// HoldCount returns the number of holds, including those whose cancellation is
+// not confirmed yet.
+func (p *Pool) HoldCount() int {
+	defer p.lock(holdsTable)()
+	return len(p.holds.byID)
+}
+
 func classOf(c pb.RequestClass) policy.Class {
 	if c == pb.RequestClass_REQUEST_CLASS_DRAFT {
 		return policy.Draft
--- a/internal/scheduler/engines.go
+++ b/internal/scheduler/engines.go
@@ -26,6 +26,7 @@
 	select {
 	case s.calls <- engineCall{pool: a, action: act}:
 	default:
+		s.vars.engineFailures.Add(callDropped, 1)
 		if x, ok := act.(SendOrder); ok {
 			s.perform(a, a.core.OrderDone(x.ID, "too many calls to engines are waiting", s.now()))
 		}
@@ -75,6 +76,7 @@
 	defer stop()
 	err := engine.Cancel(ctx, &x.Work)
 	if err != nil {
+		s.vars.engineFailures.Add(callCancel, 1)
 		s.opts.Logger.Warn().Str("event", "engine.cancel").Str("upstream", state.Id).Str("request", x.Work.RequestID).Err(err).Msg("")
 	}
 	return err == nil
@@ -88,8 +90,11 @@
 	ctx, stop := context.WithTimeout(ctx, cancelCallLimit)
 	defer stop()
 	if err := engine.Cancel(ctx, &x.Work); err != nil {
+		s.vars.engineFailures.Add(callCancelOrphan, 1)
 		s.opts.Logger.Warn().Str("event", "engine.cancel_orphan").Str("upstream", x.Engine.Id).Str("request", x.Work.RequestID).Err(err).Msg("")
+		return
 	}
+	s.vars.orphans.Add(1)
 }
 
 func (s *Scheduler) list(ctx context.Context, a *activePool, x ListRunning) {
@@ -102,6 +107,7 @@
 	defer stop()
 	running, err := engine.Running(ctx)
 	if err != nil {
+		s.vars.engineFailures.Add(callRunning, 1)
 		s.opts.Logger.Warn().Str("event", "engine.running").Str("upstream", x.Engine.Id).Err(err).Msg("")
 		a.core.ListFailed(x.Engine)
 		return
@@ -115,6 +121,7 @@
 		ctx, stop := context.WithTimeout(ctx, time.Duration(x.LimitMillis)*time.Millisecond)
 		defer stop()
 		if err := engine.Order(ctx, &x.Order); err != nil {
+			s.vars.engineFailures.Add(callOrder, 1)
 			failure = err.Error()
 		}
 	}
--- a/internal/scheduler/handlers.go
+++ b/internal/scheduler/handlers.go
@@ -59,6 +59,14 @@
 
 // Submit blocks until the request is granted or refused, or ctx ends.
 func (s *Scheduler) Submit(ctx context.Context, req *pb.SubmitRequest) (*pb.SubmitResponse, error) {
+	resp, err := s.submit(ctx, req)
+	if err == nil {
+		s.vars.answered(resp)
+	}
+	return resp, err
+}
+
+func (s *Scheduler) submit(ctx context.Context, req *pb.SubmitRequest) (*pb.SubmitResponse, error) {
 	a := s.pool(req.Pool)
 	if a == nil {
 		return notHolder(req.Pool), nil
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -32,6 +32,7 @@
 	opts   Options
 	policy policy.Policy
 	origin time.Time
+	vars   *vars
 
 	mu     sync.Mutex
 	pools  map[string]*activePool
@@ -79,12 +80,14 @@
 		opts.Logger.Error().Str("event", "scheduler.policy").Err(err).Msg("using the default policy")
 		pol = policy.Default{}
 	}
-	return &Scheduler{
+	s := &Scheduler{
 		opts: opts, policy: pol, origin: opts.Now(),
 		pools: map[string]*activePool{}, drains: NewDrainSet(nil), sessions: map[string]int{},
 		tasks: make(chan task, taskQueueSize), calls: make(chan engineCall, engineQueueSize),
 		engines: map[string]knownEngine{},
 	}
+	s.vars = newVars(s)
+	return s
 }
 
 // now returns the core's time.
@@ -111,6 +114,7 @@
 	if old != nil {
 		s.retire(old)
 	}
+	s.vars.takeovers.Add(1)
 	s.opts.Recorder.Record(&pb.Event{Kind: "pool.activated", Lease: pool + holdSeparator + strconv.FormatUint(fencingToken, 10)})
 }
 
--- a/internal/settings/checks.go
+++ b/internal/settings/checks.go
@@ -23,6 +23,16 @@
 	}
 }
 
+// CheckPeerAddr checks an address that others are told to dial, which can't be
+// one that stands for all interfaces.
+func CheckPeerAddr(l *finding.List, field, addr string) {
+	CheckIPAddr(l, field, addr)
+	host, _, err := net.SplitHostPort(addr)
+	if ip := net.ParseIP(host); err == nil && ip != nil && ip.IsUnspecified() {
+		l.Addf(field, "%q stands for all interfaces, but others are told to dial this address; give the VM's own", addr)
+	}
+}
+
 // CheckIPAddrs checks each address of a list that must not be empty.
 func CheckIPAddrs(l *finding.List, field string, addrs []string) {
 	if len(addrs) == 0 {
--- a/internal/settings/process.go
+++ b/internal/settings/process.go
@@ -12,6 +12,9 @@
 	"godwitward.example/godwitward/internal/finding"
 )
 
+// defaultName is the VM, place and region of processes on one machine.
+const defaultName = "local"
+
 // Process names a daemon to its peers.
 type Process struct {
 	ID     string
@@ -25,9 +28,9 @@
 // AddFlags adds the flags that every daemon has.
 func (p *Process) AddFlags(app *kingpin.Application) {
 	app.Flag("id", "Name of this daemon, unique in the system; default: the program and its VM.").StringVar(&p.ID)
-	app.Flag("vm", "Name of the VM that this process runs on.").Default("local").StringVar(&p.VM)
-	app.Flag("place", "Place (data centre) of this process, for example otaru-b.").Default("local").StringVar(&p.Place)
-	app.Flag("region", "Region of this process, for example dohoku.").Default("local").StringVar(&p.Region)
+	app.Flag("vm", "Name of the VM that this process runs on.").Default(defaultName).StringVar(&p.VM)
+	app.Flag("place", "Place (data centre) of this process, for example otaru-b.").Default(defaultName).StringVar(&p.Place)
+	app.Flag("region", "Region of this process, for example dohoku.").Default(defaultName).StringVar(&p.Region)
 	app.Flag("allow-plain-text", "Accept listeners without TLS outside loopback.").BoolVar(&p.AllowPlainText)
 }
 
@@ -42,6 +45,23 @@
 	CheckName(l, "--id", p.ID)
 }
 
+// CheckVM adds a finding when the VM has no name although the process listens
+// outside loopback. Daemons of two unnamed VMs would have the same id, and so
+// count as one daemon for serving leases and holds.
+func (p *Process) CheckVM(l *finding.List, listen string) {
+	if p.VM == defaultName && !IsLoopback(listen) {
+		l.Addf("--vm", "needed because %s is not a loopback address; the default would be the same on every VM", listen)
+	}
+}
+
+// CheckRegion adds a finding when the region has no name although the process
+// listens outside loopback.
+func (p *Process) CheckRegion(l *finding.List, listen string) {
+	if p.Region == defaultName && !IsLoopback(listen) {
+		l.Addf("--region", "needed because %s is not a loopback address; the scheduler serves the pools of this region only", listen)
+	}
+}
+
 // Hello returns the message that names the process on its sessions.
 func (p *Process) Hello(program string) *pb.Hello {
 	return &pb.Hello{DaemonId: p.ID, Vm: p.VM, Place: p.Place, Process: program + "/" + p.ID}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -32,3 +32,21 @@
 	Parse(app, nil, nil)
 	require.Equal(t, "vm-7", p.VM)
 }
+
+// Guards against daemons of several VMs that start under one id, a scheduler
+// without pools, and addresses that reach nobody when they are passed on.
+func TestDefaultsOfOneMachineAreRefusedElsewhere(t *testing.T) {
+	for listen, want := range map[string]int{"127.0.0.1:7200": 0, "10.0.0.1:7200": 2} {
+		l := &finding.List{}
+		p := &Process{VM: "local", Place: "local", Region: "local"}
+		p.Check(l, "gw-scheduler")
+		p.CheckVM(l, listen)
+		p.CheckRegion(l, listen)
+		require.Len(t, l.Items(), want, listen)
+	}
+	for addr, want := range map[string]int{"10.0.0.1:7200": 0, "[::1]:7200": 0, "0.0.0.0:7200": 1, "[::]:7200": 1, ":7200": 1} {
+		l := &finding.List{}
+		CheckPeerAddr(l, "--sessions", addr)
+		require.Len(t, l.Items(), want, addr)
+	}
+}
