operator: name what is missing in unclear errors

A call that no member could serve ends with the last error of each member. The programs print their version.

Tested by TestUnfinishedMemberChangeSaysWhatIsMissing and TestChangesAndExitCodes.

--- a/cmd/gw-load/main.go
+++ b/cmd/gw-load/main.go
@@ -16,6 +16,7 @@
 	"github.com/phuslu/log"
 
 	"godwitward.example/godwitward/internal/load"
+	"godwitward.example/godwitward/internal/settings"
 )
 
 const (
@@ -42,6 +43,7 @@
 	log.DefaultLogger.Writer = &log.ConsoleWriter{Formatter: log.LogfmtFormatter{TimeField: "ts"}.Formatter}
 	var c command
 	app := kingpin.New("gw-load", "Drive entries with load and check every answer.")
+	app.Version(settings.VersionLine("gw-load"))
 	app.Flag("workload", "kiritani or vodnarka.").Default("kiritani").EnumVar(&c.workload, "kiritani", "vodnarka")
 	app.Flag("load", "Offered load, percent of the stand-ins' capacity.").Default("90").Float64Var(&c.options.Load)
 	app.Flag("urgent-load", "Load of urgent calls, percent; same as --load by default.").Float64Var(&c.options.UrgentLoad)
--- a/cmd/gw-standin/main.go
+++ b/cmd/gw-standin/main.go
@@ -11,6 +11,7 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/phuslu/log"
 
+	"godwitward.example/godwitward/internal/settings"
 	"godwitward.example/godwitward/internal/standin"
 )
 
@@ -18,6 +19,7 @@
 	log.DefaultLogger.Writer = &log.ConsoleWriter{Formatter: log.LogfmtFormatter{TimeField: "ts"}.Formatter}
 	var s standin.Settings
 	app := kingpin.New("gw-standin", "Run a stand-in upstream for tests.")
+	app.Version(settings.VersionLine("gw-standin"))
 	app.Flag("id", "Upstream id.").Required().StringVar(&s.ID)
 	app.Flag("service", "Upstream service.").Required().StringVar(&s.Service)
 	app.Flag("role", "prefill, decode or plain.").Required().EnumVar(&s.Role,
--- a/internal/control/cluster.go
+++ b/internal/control/cluster.go
@@ -83,7 +83,7 @@
 		OnFatal: opts.OnFatal, Logger: opts.Logger,
 	})
 	if err != nil {
-		return nil, errors.Wrap(err, "starting replica")
+		return nil, err
 	}
 	c.node = node
 	go c.colocate()
--- a/internal/operator/app.go
+++ b/internal/operator/app.go
@@ -10,6 +10,8 @@
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/pkg/errors"
+
+	"godwitward.example/godwitward/internal/settings"
 )
 
 // Exit codes of Main; see the package documentation.
@@ -58,6 +60,7 @@
 func Main(args []string, stdin io.Reader, stdout, stderr io.Writer) int {
 	c := &cli{stdin: stdin, stdout: stdout, stderr: stderr}
 	app := kingpin.New("gwctl", "Operate a godwitward installation. Exit codes: 0 ok, 1 usage, 2 invalid, 3 version conflict, 4 unavailable, 5 accepted but not confirmed.")
+	app.Version(settings.VersionLine("gwctl"))
 	app.DefaultEnvars()
 	app.UsageWriter(stderr)
 	app.ErrorWriter(stderr)
--- a/internal/operator/change.go
+++ b/internal/operator/change.go
@@ -116,6 +116,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "reading route")
 	}
+	if file == "-" || file == "" {
+		file = "from standard input"
+	}
 	r := &pb.Route{}
 	return r, errors.Wrapf(protojson.Unmarshal(raw, r), "reading route %s", file)
 }
--- a/internal/operator/dial.go
+++ b/internal/operator/dial.go
@@ -4,9 +4,12 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"maps"
 	"net"
 	"net/http"
 	"os"
+	"slices"
+	"strings"
 	"time"
 
 	"connectrpc.com/connect"
@@ -89,6 +92,8 @@
 	next      int
 	// leader is the address that an error named, tried first.
 	leader string
+	// failures holds the last error of each member, for the final error.
+	failures map[string]error
 }
 
 func newRing(addresses []string, cfg *tls.Config, operator string) *ring {
@@ -97,7 +102,7 @@
 		DialContext:       (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		ForceAttemptHTTP2: cfg != nil,
 	}
-	r := &ring{client: &http.Client{Transport: &named{next: t, operator: operator}}, scheme: "http", addresses: addresses}
+	r := &ring{client: &http.Client{Transport: &named{next: t, operator: operator}}, scheme: "http", addresses: addresses, failures: map[string]error{}}
 	if cfg != nil {
 		r.scheme = "https"
 	}
@@ -118,10 +123,27 @@
 }
 
 func (r *ring) current() godwitwardv1connect.OperatorServiceClient {
+	return r.at(r.target())
+}
+
+// target returns the address that is tried next.
+func (r *ring) target() string {
 	if r.leader != "" {
-		return r.at(r.leader)
+		return r.leader
+	}
+	return r.addresses[r.next%len(r.addresses)]
+}
+
+// explain adds the last errors of the other members to err.
+func (r *ring) explain(err error) error {
+	if err == nil || len(r.failures) < 2 {
+		return err
+	}
+	var others []string
+	for _, address := range slices.Sorted(maps.Keys(r.failures)) {
+		others = append(others, address+": "+r.failures[address].Error())
 	}
-	return r.at(r.addresses[r.next%len(r.addresses)])
+	return errors.Wrapf(err, "no member could serve the call (%s)", strings.Join(others, "; "))
 }
 
 func (r *ring) at(address string) godwitwardv1connect.OperatorServiceClient {
@@ -147,17 +169,22 @@
 // that another member cannot change. The call must be safe to repeat.
 func retry[T any](ctx context.Context, r *ring, call func(context.Context, godwitwardv1connect.OperatorServiceClient) (T, error)) (T, error) {
 	for {
+		address := r.target()
 		attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
-		res, err := call(attempt, r.current())
+		res, err := call(attempt, r.at(address))
 		cancel()
-		if err == nil || !repeatable(err) || ctx.Err() != nil {
+		if err == nil || !repeatable(err) {
 			return res, err
 		}
+		r.failures[address] = err
+		if ctx.Err() != nil {
+			return res, r.explain(err)
+		}
 		if r.moved(err) {
 			continue
 		}
 		if sleep(ctx, attemptPause) != nil {
-			return res, err
+			return res, r.explain(err)
 		}
 	}
 }
--- a/internal/operator/members.go
+++ b/internal/operator/members.go
@@ -6,6 +6,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
 	"godwitward.example/godwitward/api/godwitward/v1/godwitwardv1connect"
@@ -52,6 +53,13 @@
 	resp, err := retry(ctx, c.ring, func(ctx context.Context, s godwitwardv1connect.OperatorServiceClient) (*connect.Response[pb.ChangeMembersResponse], error) {
 		return s.ChangeMembers(ctx, connect.NewRequest(req))
 	})
+	if errors.Is(err, context.DeadlineExceeded) || connect.CodeOf(err) == connect.CodeDeadlineExceeded {
+		if req.Add != nil {
+			return ExitUnavailable, errors.Wrapf(err, "the change is not complete; steps that were taken stay; check that member %d runs with --start join at %s, "+
+				"then repeat the command, with a longer --timeout if its state is large", req.Add.Id, req.Add.Address)
+		}
+		return ExitUnavailable, errors.Wrap(err, "the change is not complete; repeat the command")
+	}
 	if err != nil {
 		return ExitOK, err
 	}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -12,6 +12,7 @@
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
 	"godwitward.example/godwitward/internal/control"
+	"godwitward.example/godwitward/internal/replica"
 )
 
 const routeFile = `{"name": "draft", "path": "/a", "service": "draftwell", "region": "dohoku"}`
@@ -88,6 +89,12 @@
 	require.Equal(t, ExitUsage, code)
 	code, _, _ = run("", "--help")
 	require.Equal(t, ExitOK, code)
+	code, out, errs = run("", "--version")
+	require.Equal(t, ExitOK, code, errs)
+	require.Contains(t, out+errs, "gwctl ")
+	code, _, errs = run(`{"nam": "x"}`, "route", "put", "-f", "-")
+	require.Equal(t, ExitInvalid, code)
+	require.Contains(t, errs, "reading route from standard input")
 	code, _, errs = run("", "-a", "192.0.2.1:1", "route", "list")
 	require.Equal(t, ExitUsage, code)
 	require.Contains(t, errs, "plaintext")
@@ -114,3 +121,24 @@
 	require.Equal(t, ExitOK, code, errs)
 	require.Contains(t, out, "version 1 is in force")
 }
+
+// Guards against an unfinished change of members that does not say what is
+// missing, and against errors that name only one of several members.
+func TestUnfinishedMemberChangeSaysWhatIsMissing(t *testing.T) {
+	cluster := &control.ClusterOptions{Dir: t.TempDir(), Start: replica.StartFounding, Members: map[uint64]string{1: "127.0.0.1:1"}, Tick: 10 * time.Millisecond}
+	srv, err := control.New(control.Options{Cluster: cluster, Shards: 1})
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, srv.Close()) })
+	_, h := srv.OperatorHandler()
+	hs := httptest.NewServer(h)
+	t.Cleanup(hs.Close)
+	t.Setenv("GWCTL_ADDRESS", strings.TrimPrefix(hs.URL, "http://"))
+	code, _, errs := run("", "member", "add", "2", "127.0.0.1:1", "--timeout", "2s")
+	require.Equal(t, ExitUnavailable, code)
+	require.Contains(t, errs, "member 2 runs with --start join at 127.0.0.1:1")
+
+	code, _, errs = run("", "-a", "127.0.0.1:1,127.0.0.1:2", "--timeout", "600ms", "member", "list")
+	require.Equal(t, ExitUnavailable, code)
+	require.Contains(t, errs, "127.0.0.1:1: ")
+	require.Contains(t, errs, "127.0.0.1:2: ")
+}
--- a/internal/settings/app.go
+++ b/internal/settings/app.go
@@ -35,7 +35,7 @@
 // and which knows --version and --help.
 func NewApp(name, help string) *kingpin.Application {
 	app := kingpin.New(name, help)
-	app.Version(name + " " + version())
+	app.Version(VersionLine(name))
 	app.HelpFlag.Short('h')
 	app.Flag("log-level", "Lowest level that is logged: debug, info, warn or error.").
 		Default("info").EnumVar(&logLevel, "debug", "info", "warn", "error")
@@ -45,6 +45,11 @@
 // logLevel is the value of --log-level; programs without the flag log at info.
 var logLevel = "info"
 
+// VersionLine returns what --version prints for a program.
+func VersionLine(name string) string {
+	return name + " " + version()
+}
+
 func version() string {
 	if Version != "" {
 		return Version
