--- a/cmd/gw-entry/main.go
+++ b/cmd/gw-entry/main.go
@@ -48,9 +48,7 @@
 	settings.CheckIPAddr(l, "--listen", o.cfg.Listen)
 	settings.CheckIPAddr(l, "--sessions", o.cfg.Sessions)
 	o.process.CheckVM(l, o.cfg.Sessions)
-	if o.cfg.Debug != "" {
-		settings.CheckIPAddr(l, "--debug", o.cfg.Debug)
-	}
+	settings.CheckDebugAddr(l, o.cfg.Debug, o.process.AllowPlainText)
 	o.cfg.ControlAddrs = settings.SplitList(o.control)
 	settings.CheckIPAddrs(l, "--control-addrs", o.cfg.ControlAddrs)
 	if o.memory < 1<<26 {
--- a/cmd/gw-scheduler/main.go
+++ b/cmd/gw-scheduler/main.go
@@ -45,9 +45,7 @@
 	settings.CheckPeerAddr(l, "--sessions", o.cfg.Sessions)
 	o.process.CheckVM(l, o.cfg.Sessions)
 	o.process.CheckRegion(l, o.cfg.Sessions)
-	if o.cfg.Debug != "" {
-		settings.CheckIPAddr(l, "--debug", o.cfg.Debug)
-	}
+	settings.CheckDebugAddr(l, o.cfg.Debug, o.process.AllowPlainText)
 	o.cfg.ControlAddrs = settings.SplitList(o.control)
 	settings.CheckIPAddrs(l, "--control-addrs", o.cfg.ControlAddrs)
 	if r := o.cfg.Params.UrgentReserve; r < 0 || r > 0.9 {
--- a/internal/settings/checks.go
+++ b/internal/settings/checks.go
@@ -33,6 +33,19 @@
 	}
 }
 
+// CheckDebugAddr checks the address of health and metrics, which may be empty.
+// The listener has no TLS, so it is accepted on loopback only, unless
+// allowPlain is set.
+func CheckDebugAddr(l *finding.List, addr string, allowPlain bool) {
+	if addr == "" {
+		return
+	}
+	CheckIPAddr(l, "--debug", addr)
+	if !allowPlain && !IsLoopback(addr) {
+		l.Addf("--debug", "%s is not a loopback address and the listener has no TLS; --allow-plain-text turns this check off", addr)
+	}
+}
+
 // CheckIPAddrs checks each address of a list that must not be empty.
 func CheckIPAddrs(l *finding.List, field string, addrs []string) {
 	if len(addrs) == 0 {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -50,3 +50,15 @@
 		require.Len(t, l.Items(), want, addr)
 	}
 }
+
+// Guards against metrics that are served in plain text outside loopback
+// although nobody allowed it.
+func TestDebugListenerOutsideLoopbackNeedsConsent(t *testing.T) {
+	for addr, want := range map[string][2]int{"": {0, 0}, "127.0.0.1:8180": {0, 0}, "10.0.0.1:8180": {1, 0}} {
+		for i, allowed := range []bool{false, true} {
+			l := &finding.List{}
+			CheckDebugAddr(l, addr, allowed)
+			require.Len(t, l.Items(), want[i], "%q, allowed %t", addr, allowed)
+		}
+	}
+}
