--- a/cmd/gw-entry/main.go
+++ b/cmd/gw-entry/main.go
@@ -47,9 +47,8 @@
 	o.process.Check(l, program)
 	settings.CheckIPAddr(l, "--listen", o.cfg.Listen)
 	settings.CheckIPAddr(l, "--sessions", o.cfg.Sessions)
-	if o.cfg.Debug != "" {
-		settings.CheckIPAddr(l, "--debug", o.cfg.Debug)
-	}
+	o.process.CheckVM(l, o.cfg.Sessions)
+	settings.CheckDebugAddr(l, o.cfg.Debug, o.process.AllowPlainText)
 	o.cfg.ControlAddrs = settings.SplitList(o.control)
 	settings.CheckIPAddrs(l, "--control-addrs", o.cfg.ControlAddrs)
 	if o.memory < 1<<26 {
--- a/cmd/gw-scheduler/main.go
+++ b/cmd/gw-scheduler/main.go
@@ -43,10 +43,11 @@
 
 func (o *options) check(l *finding.List) {
 	o.process.Check(l, program)
-	settings.CheckIPAddr(l, "--sessions", o.cfg.Sessions)
-	if o.cfg.Debug != "" {
-		settings.CheckIPAddr(l, "--debug", o.cfg.Debug)
-	}
+	// The pool leases tell entries to dial this address.
+	settings.CheckPeerAddr(l, "--sessions", o.cfg.Sessions)
+	o.process.CheckVM(l, o.cfg.Sessions)
+	o.process.CheckRegion(l, o.cfg.Sessions)
+	settings.CheckDebugAddr(l, o.cfg.Debug, o.process.AllowPlainText)
 	o.cfg.ControlAddrs = settings.SplitList(o.control)
 	settings.CheckIPAddrs(l, "--control-addrs", o.cfg.ControlAddrs)
 	if r := o.cfg.Params.UrgentReserve; r < 0 || r > 0.9 {
--- a/internal/scheduler/engines.go
+++ b/internal/scheduler/engines.go
@@ -37,6 +37,7 @@
 	select {
 	case s.calls <- engineCall{pool: a, action: act}:
 	default:
+		s.vars.engineFailures.Add(callDropped, 1)
 		if x, ok := act.(SendOrder); ok {
 			s.perform(a, a.core.OrderDone(x.ID, "too many calls to engines are waiting", s.now()))
 		}
@@ -86,6 +87,7 @@
 		return known.engine.Cancel(ctx, &x.Work)
 	})
 	if err != nil && err != errUnresponsive {
+		s.vars.engineFailures.Add(callCancel, 1)
 		s.opts.Logger.Warn().Str("event", "engine.cancel").Str("upstream", state.Id).Str("request", x.Work.RequestID).Err(err).Msg("")
 	}
 	return err == nil
@@ -99,9 +101,15 @@
 	err := s.limited(ctx, known, cancelCallLimit, func(ctx context.Context) error {
 		return known.engine.Cancel(ctx, &x.Work)
 	})
-	if err != nil && err != errUnresponsive {
+	if err == errUnresponsive {
+		return
+	}
+	if err != nil {
+		s.vars.engineFailures.Add(callCancelOrphan, 1)
 		s.opts.Logger.Warn().Str("event", "engine.cancel_orphan").Str("upstream", x.Engine.Id).Str("request", x.Work.RequestID).Err(err).Msg("")
+		return
 	}
+	s.vars.orphans.Add(1)
 }
 
 func (s *Scheduler) list(ctx context.Context, a *activePool, x ListRunning) {
@@ -116,6 +124,7 @@
 		return err
 	})
 	if err != nil {
+		s.vars.engineFailures.Add(callRunning, 1)
 		s.opts.Logger.Warn().Str("event", "engine.running").Str("upstream", x.Engine.Id).Err(err).Msg("")
 		a.core.ListFailed(x.Engine)
 		return
@@ -129,6 +138,7 @@
 		ctx, stop := context.WithTimeout(ctx, time.Duration(x.LimitMillis)*time.Millisecond)
 		defer stop()
 		if err := known.engine.Order(ctx, &x.Order); err != nil {
+			s.vars.engineFailures.Add(callOrder, 1)
 			failure = err.Error()
 		}
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -32,3 +32,33 @@
 	Parse(app, nil, nil)
 	require.Equal(t, "vm-7", p.VM)
 }
+
+// Guards against daemons of several VMs that start under one id, a scheduler
+// without pools, and addresses that reach nobody when they are passed on.
+func TestDefaultsOfOneMachineAreRefusedElsewhere(t *testing.T) {
+	for listen, want := range map[string]int{"127.0.0.1:7200": 0, "10.0.0.1:7200": 2} {
+		l := &finding.List{}
+		p := &Process{VM: "local", Place: "local", Region: "local"}
+		p.Check(l, "gw-scheduler")
+		p.CheckVM(l, listen)
+		p.CheckRegion(l, listen)
+		require.Len(t, l.Items(), want, listen)
+	}
+	for addr, want := range map[string]int{"10.0.0.1:7200": 0, "[::1]:7200": 0, "0.0.0.0:7200": 1, "[::]:7200": 1, ":7200": 1} {
+		l := &finding.List{}
+		CheckPeerAddr(l, "--sessions", addr)
+		require.Len(t, l.Items(), want, addr)
+	}
+}
+
+// Guards against metrics that are served in plain text outside loopback
+// although nobody allowed it.
+func TestDebugListenerOutsideLoopbackNeedsConsent(t *testing.T) {
+	for addr, want := range map[string][2]int{"": {0, 0}, "127.0.0.1:8180": {0, 0}, "10.0.0.1:8180": {1, 0}} {
+		for i, allowed := range []bool{false, true} {
+			l := &finding.List{}
+			CheckDebugAddr(l, addr, allowed)
+			require.Len(t, l.Items(), want[i], "%q, allowed %t", addr, allowed)
+		}
+	}
+}
