entry: accept announcements on a listener of their own

Cause: announcements shared the callers' listener without authentication, so a caller could announce an upstream and receive other callers' requests. Without the flag nothing changes.

--- a/cmd/gw-entry/main.go
+++ b/cmd/gw-entry/main.go
@@ -19,6 +19,7 @@
 type options struct {
 	process      settings.Process
 	callers      settings.TLS
+	upstreams    settings.TLS
 	internal     settings.TLS
 	cfg          daemon.EntryConfig
 	control      string
@@ -29,7 +30,9 @@
 
 func (o *options) addFlags(app *kingpin.Application) {
 	o.process.AddFlags(app)
-	app.Flag("listen", "Address for callers and for announcements of upstreams.").Default("127.0.0.1:8080").StringVar(&o.cfg.Listen)
+	app.Flag("upstream-listen", "Address for announcements of upstreams; empty: accepted on --listen, where callers can announce too.").
+		StringVar(&o.cfg.Upstreams)
+	app.Flag("listen", "Address for callers.").Default("127.0.0.1:8080").StringVar(&o.cfg.Listen)
 	app.Flag("sessions", "Address for sessions from other daemons.").Default("127.0.0.1:7100").StringVar(&o.cfg.Sessions)
 	app.Flag("debug", "Address of health and metrics; empty: not served.").Default("127.0.0.1:8180").StringVar(&o.cfg.Debug)
 	app.Flag("control-addrs", "Session addresses of the control members, separated by commas.").Required().StringVar(&o.control)
@@ -40,6 +43,7 @@
 	app.Flag("drain-delay", "Time to go on accepting requests while the balancer notices a drain.").Default("5s").DurationVar(&o.cfg.DrainDelay)
 	app.Flag("drain-timeout", "Longest wait for requests in flight at a stop.").Default("150s").DurationVar(&o.drainTimeout)
 	o.callers.AddFlags(app, "caller", "callers")
+	o.upstreams.AddFlags(app, "upstream", "announcements of upstreams")
 	o.internal.AddFlags(app, "internal", "sessions between daemons")
 }
 
@@ -54,6 +58,10 @@
 	if o.memory < 1<<26 {
 		l.Addf("--memory-bytes", "%d is less than 64 MiB", o.memory)
 	}
+	if o.cfg.Upstreams != "" {
+		settings.CheckIPAddr(l, "--upstream-listen", o.cfg.Upstreams)
+	}
+	o.upstreams.Check(l, o.cfg.Upstreams, false, o.process.AllowPlainText)
 	o.callers.Check(l, o.cfg.Listen, false, o.process.AllowPlainText)
 	o.internal.Check(l, o.cfg.Sessions, true, o.process.AllowPlainText)
 }
@@ -85,6 +93,9 @@
 	if err := settings.LoadTLS(&o.callers, &o.cfg.CallerTLS, nil); err != nil {
 		settings.Fail(logger, "loading callers' TLS", err)
 	}
+	if err := settings.LoadTLS(&o.upstreams, &o.cfg.UpstreamTLS, nil); err != nil {
+		settings.Fail(logger, "loading upstreams' TLS", err)
+	}
 	if err := settings.LoadTLS(&o.internal, &o.cfg.ServerTLS, &o.cfg.ClientTLS); err != nil {
 		settings.Fail(logger, "loading internal TLS", err)
 	}
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -33,9 +33,13 @@
 	Listen   string
 	Sessions string
 	Debug    string
+	// Upstreams is the address for announcements. Empty: they are accepted on
+	// Listen as well, where callers could announce upstreams too.
+	Upstreams string
 	// ControlAddrs are the session addresses of the control members.
 	ControlAddrs []string
 	CallerTLS    *tls.Config
+	UpstreamTLS  *tls.Config
 	ServerTLS    *tls.Config
 	ClientTLS    *tls.Config
 	Limits       entry.Limits
@@ -56,9 +60,11 @@
 	pools   *entry.Pools
 	control *client.Client
 	callers *HTTPServer
-	debug   *HTTPServer
-	cancel  context.CancelFunc
-	wg      sync.WaitGroup
+	// announcements is nil when they are served with the callers.
+	announcements *HTTPServer
+	debug         *HTTPServer
+	cancel        context.CancelFunc
+	wg            sync.WaitGroup
 }
 
 // StartEntry starts an entry. It runs until Shutdown or Kill.
@@ -71,7 +77,8 @@
 	e.pools = entry.NewPools(entry.PoolOptions{EntryID: cfg.Self.DaemonId, Holder: e.control.Lease, Transport: e.base.ClientOptions()})
 	server, err := entry.New(entry.Options{
 		ID: cfg.Self.DaemonId, Control: e.control, Schedulers: e.pools, Engine: newEngines().get,
-		Recorder: e.base.Recorder, Logger: cfg.Logger, Limits: cfg.Limits, DrainDelay: cfg.DrainDelay,
+		SeparateAnnouncements: cfg.Upstreams != "",
+		Recorder:              e.base.Recorder, Logger: cfg.Logger, Limits: cfg.Limits, DrainDelay: cfg.DrainDelay,
 	})
 	if err != nil {
 		return nil, errors.Wrap(err, "creating the entry")
@@ -98,6 +105,11 @@
 		return err
 	}
 	e.Addr = e.callers.Addr
+	if cfg.Upstreams != "" {
+		if e.announcements, err = e.base.ServeHTTP(cfg.Upstreams, e.server.AnnounceHandler(), cfg.UpstreamTLS); err != nil {
+			return err
+		}
+	}
 	if cfg.Debug == "" {
 		return nil
 	}
@@ -135,7 +147,7 @@
 	if e.cancel != nil {
 		e.cancel()
 	}
-	for _, s := range []*HTTPServer{e.callers, e.debug} {
+	for _, s := range []*HTTPServer{e.callers, e.announcements, e.debug} {
 		if s != nil {
 			_ = s.srv.Close()
 		}
--- a/internal/entry/engine_test.go
+++ b/internal/entry/engine_test.go
@@ -341,6 +341,19 @@
 	}
 }
 
+// Guards against callers who announce upstreams where announcements have a
+// listener of their own.
+func TestSeparateAnnouncements(t *testing.T) {
+	f := newFixture(t, func(o *Options) { o.SeparateAnnouncements = true })
+	body := `{"id":"u","url":"http://127.0.0.1:1","role":"plain","place":"p","region":"r","service":"s"}`
+	resp, _ := f.post(t, "/upstreams/announce", body)
+	require.Equal(t, 404, resp.StatusCode)
+	require.Empty(t, f.schedulers.announce)
+	w := httptest.NewRecorder()
+	f.AnnounceHandler().ServeHTTP(w, httptest.NewRequest("POST", "/upstreams/announce", strings.NewReader(body)))
+	require.Equal(t, 204, w.Code)
+}
+
 // Guards against an invalid announcement reaching a scheduler, and against an
 // upstream that has to correct its announcement one field at a time.
 func TestAnnouncements(t *testing.T) {
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -133,6 +133,9 @@
 	Limits   Limits
 	Timeouts Timeouts
 	Stages   request.Limits
+	// SeparateAnnouncements keeps the announcements of upstreams off Handler;
+	// AnnounceHandler alone accepts them, so that callers cannot announce.
+	SeparateAnnouncements bool
 	// DrainDelay is how long a draining entry goes on accepting requests, so
 	// that load balancers notice that it is not ready.
 	DrainDelay time.Duration
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -15,6 +15,7 @@
 	pb "godwitward.example/godwitward/api/godwitward/v1"
 	"godwitward.example/godwitward/internal/request"
 	"godwitward.example/godwitward/internal/route"
+	"godwitward.example/godwitward/internal/upstream"
 )
 
 // configPoll is the time between looks at the configuration, which tell the
@@ -74,13 +75,22 @@
 	r := chi.NewRouter()
 	r.Get("/livez", s.livez)
 	r.Get("/readyz", s.readyz)
-	r.Post("/upstreams/announce", s.announce)
+	if !s.opts.SeparateAnnouncements {
+		r.Post(upstream.PathAnnounce, s.announce)
+	}
 	r.NotFound(s.serve)
 	// chi sends methods that it does not know here; plain routes forward them.
 	r.MethodNotAllowed(s.serve)
 	return r
 }
 
+// AnnounceHandler serves announcements of upstreams and nothing else.
+func (s *Server) AnnounceHandler() http.Handler {
+	r := chi.NewRouter()
+	r.Post(upstream.PathAnnounce, s.announce)
+	return r
+}
+
 // Run watches the pools of the configuration until ctx ends.
 func (s *Server) Run(ctx context.Context) error {
 	ticker := time.NewTicker(configPoll)
