--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -42,8 +42,9 @@
 	}
 }
 
-// timeTokens returns the time to the first token and the time of the rest.
-func timeTokens(b *testing.B, url string) (first, rest time.Duration) {
+// timeTokens returns the time to the first token and the mean time from a
+// token's departure at the engine to its arrival at the caller.
+func timeTokens(b *testing.B, url string, sent *[benchTokens]time.Time) (first, delay time.Duration) {
 	started := time.Now()
 	resp, err := http.Post(url, "", strings.NewReader(fmt.Sprintf(`{"prompt":"hello","stream":true,"max_tokens":%d}`, benchTokens)))
 	require.NoError(b, err)
@@ -58,37 +59,44 @@
 		if n == 0 {
 			first = time.Since(started)
 		}
+		delay += time.Since(sent[n])
 		n++
 	}
-	total := time.Since(started)
 	for err = nil; err == nil; {
 		_, err = lines.ReadSlice('\n')
 	}
-	return first, total - first
+	return first, delay / benchTokens
 }
 
 // BenchmarkAddedTime alternates a direct call and a call through the entry to
-// the same engine. The engine does not pace its tokens, so the time per token
-// is the cost of relaying one.
+// the same engine, which sends a token each millisecond.
 func BenchmarkAddedTime(b *testing.B) {
 	f := newFixture(b, nil)
 	f.engine.tokens = benchTokens
+	var sent [benchTokens]time.Time
+	f.engine.next = func(_ context.Context, _ *upstream.DecodeRequest, offset int) error {
+		if offset > 0 {
+			time.Sleep(time.Millisecond)
+		}
+		if offset < benchTokens {
+			sent[offset] = time.Now()
+		}
+		return nil
+	}
 	direct := httptest.NewServer(directHandler(f.engine))
 	defer direct.Close()
 	var sum [4]time.Duration
-	timeTokens(b, direct.URL)
-	timeTokens(b, f.url+completions)
+	timeTokens(b, direct.URL, &sent)
+	timeTokens(b, f.url+completions, &sent)
 	for b.Loop() {
-		first, rest := timeTokens(b, direct.URL)
-		sum[0], sum[1] = sum[0]+first, sum[1]+rest
-		first, rest = timeTokens(b, f.url+completions)
-		sum[2], sum[3] = sum[2]+first, sum[3]+rest
+		first, delay := timeTokens(b, direct.URL, &sent)
+		sum[0], sum[1] = sum[0]+first, sum[1]+delay
+		first, delay = timeTokens(b, f.url+completions, &sent)
+		sum[2], sum[3] = sum[2]+first, sum[3]+delay
+	}
+	for i, name := range []string{"direct-ttft-us", "direct-us/token", "entry-ttft-us", "entry-us/token"} {
+		b.ReportMetric(float64(sum[i].Nanoseconds())/1000/float64(b.N), name)
 	}
-	n := float64(b.N)
-	b.ReportMetric(float64(sum[0].Microseconds())/n, "direct-ttft-us")
-	b.ReportMetric(float64(sum[2].Microseconds())/n, "entry-ttft-us")
-	b.ReportMetric(float64(sum[1].Nanoseconds())/n/(benchTokens-1), "direct-ns/token")
-	b.ReportMetric(float64(sum[3].Nanoseconds())/n/(benchTokens-1), "entry-ns/token")
 }
 
 // discard is a caller that takes everything at once.
