scheduler: check the lease before each grant and each call to an engine

Cause: a process that was suspended past the end of its lease runs on before it learns of it. In that time it could cancel, at the engines, work that its successor had taken over, and grant memory that the successor counts too. Measured: TestExpiredLeaseGrantsNothingAndCallsNoEngine; with real processes TestSchedulerFrozenPastItsLease (5 s of SIGSTOP, 30 requests, all answered). Conclusion: the fencing token alone does not protect engines that ignore it.

--- a/internal/daemon/scheduler.go
+++ b/internal/daemon/scheduler.go
@@ -71,6 +71,7 @@
 		NewEngine: func(state *pb.UpstreamState) scheduler.Engine {
 			return upstream.NewHTTPEngine(state.Url, client)
 		},
+		Holds: s.holds,
 	})
 	s.server.Register(s.base.Sessions)
 	if err := s.listen(); err != nil {
@@ -81,6 +82,11 @@
 	return s, nil
 }
 
+func (s *Scheduler) holds(pool string, fencingToken uint64) bool {
+	token, ok := s.control.Holding(pool)
+	return ok && token == fencingToken
+}
+
 func (s *Scheduler) listen() (err error) {
 	if s.Addr, err = s.base.ServeSessions(s.cfg.Sessions); err != nil {
 		return err
--- a/internal/processes/cluster_test.go
+++ b/internal/processes/cluster_test.go
@@ -69,7 +69,7 @@
 
 // cluster is a system of separate processes.
 type cluster struct {
-	t         *testing.T
+	t         testing.TB
 	dir       string
 	sessions  []string
 	operators []string
@@ -78,7 +78,7 @@
 	running   []*process
 }
 
-func freeAddr(t *testing.T) string {
+func freeAddr(t testing.TB) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer l.Close()
@@ -101,7 +101,7 @@
 	return p
 }
 
-func newCluster(t *testing.T) *cluster {
+func newCluster(t testing.TB) *cluster {
 	c := &cluster{t: t, dir: t.TempDir()}
 	t.Cleanup(c.close)
 	for range members {
--- a/internal/processes/processes_test.go
+++ b/internal/processes/processes_test.go
@@ -260,3 +260,28 @@
 	changed.MaxOutputTokens = 77
 	c.putRoute("after-second-failure", changed)
 }
+
+// Guards against a scheduler that was frozen past the end of its lease and
+// then cancels or grants work that its successor is responsible for.
+func TestSchedulerFrozenPastItsLease(t *testing.T) {
+	c := engineCluster(t)
+	frozen := c.running[members]
+	c.startScheduler("scheduler-2")
+	results := make(chan error, 30)
+	for i := range cap(results) {
+		go func() {
+			time.Sleep(time.Duration(i) * 300 * time.Millisecond)
+			results <- completeAt(c.entries[i%2], fmt.Sprintf("summary %d", i), 150)
+		}()
+	}
+	time.Sleep(time.Second)
+	frozen.signal(syscall.SIGSTOP)
+	time.Sleep(5 * time.Second)
+	frozen.signal(syscall.SIGCONT)
+	for range cap(results) {
+		require.NoError(t, <-results)
+	}
+	out, err := exec.Command(filepath.Join(binaries, "gw-timeline"), filepath.Join(c.dir, "scheduler-2.log")).CombinedOutput()
+	require.NoError(t, err)
+	require.Contains(t, string(out), "pool.activated")
+}
--- a/internal/scheduler/engines.go
+++ b/internal/scheduler/engines.go
@@ -63,6 +63,9 @@
 		return
 	default:
 	}
+	if !s.holds(c.pool) {
+		return
+	}
 	switch x := c.action.(type) {
 	case CancelWork:
 		if s.cancel(ctx, x.Engine, x) {
--- a/internal/scheduler/options.go
+++ b/internal/scheduler/options.go
@@ -27,6 +27,11 @@
 	// NewEngine returns the engine at a base URL. It is called once for each
 	// start of an engine. Nil disables calls to engines.
 	NewEngine func(state *pb.UpstreamState) Engine
+	// Holds reports whether this process holds the pool's lease with the token
+	// at this moment. It is asked before each grant and each call to an engine:
+	// a process that was suspended runs on before it learns that its lease has
+	// expired. Nil means always.
+	Holds func(pool string, fencingToken uint64) bool
 	// Recorder may be nil.
 	Recorder *timeline.Recorder
 	// Logger may be nil.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -66,6 +66,11 @@
 	closed  bool
 }
 
+// holds reports whether this process still holds the pool's lease.
+func (s *Scheduler) holds(a *activePool) bool {
+	return s.opts.Holds == nil || s.opts.Holds(a.name, a.core.token)
+}
+
 // task is one run of a controller.
 type task struct {
 	pool       *activePool
@@ -312,6 +317,10 @@
 // deliver hands an answer to its waiter. When the waiter has gone away a grant
 // is given back.
 func (s *Scheduler) deliver(a *activePool, x Answer) {
+	if x.Response.GetGrant() != nil && !s.holds(a) {
+		s.giveBack(a, x.Response)
+		x.Response = notHolder(a.name)
+	}
 	a.mu.Lock()
 	ch := a.waiters[x.Ticket]
 	delete(a.waiters, x.Ticket)
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -280,3 +280,40 @@
 	require.Eventually(t, func() bool { return good.cancels("r") }, 10*time.Second, 10*time.Millisecond)
 	require.Less(t, time.Since(start), 3*time.Second)
 }
+
+// Guards against a process that was suspended past the end of its lease and
+// then, before it notices, grants memory or cancels work that belongs to the
+// next holder by now.
+func TestExpiredLeaseGrantsNothingAndCallsNoEngine(t *testing.T) {
+	held := true
+	engine := &fakeEngine{}
+	s := New(Options{
+		NewEngine: func(*pb.UpstreamState) Engine { return engine },
+		Holds:     func(_ string, token uint64) bool { return held && token == 7 },
+	})
+	s.Activate(testPool, 7, time.Now().Add(-time.Minute))
+	a := s.pool(testPool)
+	a.core.Announce([]*pb.UpstreamState{prefillState("p1"), decodeState("d1", 10)}, s.now())
+	submit := func() *pb.SubmitResponse {
+		out := make(chan *pb.SubmitResponse, 1)
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		go func() {
+			resp, _ := s.Submit(ctx, submitRequest("r", pb.RequestClass_REQUEST_CLASS_URGENT, 1000, 500))
+			out <- resp
+		}()
+		require.Eventually(t, func() bool { return a.core.Queued() == 1 }, 2*time.Second, time.Millisecond)
+		s.perform(a, a.core.Run(Placement, s.now()))
+		return <-out
+	}
+	require.NotNil(t, submit().GetGrant())
+	cancelWork := engineCall{pool: a, action: CancelOrphan{Engine: decodeState("d1", 10), Work: upstream.CancelRequest{RequestID: "r"}}}
+	held = false
+	require.Equal(t, pb.Refusal_NOT_HOLDER, submit().GetRefusal().GetCode())
+	require.Len(t, a.core.Holds(), 1)
+	s.callEngine(context.Background(), cancelWork)
+	require.False(t, engine.cancels("r"))
+	held = true
+	s.callEngine(context.Background(), cancelWork)
+	require.True(t, engine.cancels("r"))
+}
