--- a/internal/operator/app.go
+++ b/internal/operator/app.go
@@ -65,7 +65,12 @@
 	app.UsageWriter(stderr)
 	app.ErrorWriter(stderr)
 	helped := false
-	app.Terminate(func(int) { helped = true })
+	app.Terminate(func(int) {
+		helped = true
+		// Parsing goes on and would print the usage after the help or version.
+		app.UsageWriter(io.Discard)
+		app.ErrorWriter(io.Discard)
+	})
 	c.addFlags(app)
 	actions := map[string]action{}
 	c.addRouteCommands(app, actions)
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -92,6 +92,7 @@
 	code, out, errs = run("", "--version")
 	require.Equal(t, ExitOK, code, errs)
 	require.Contains(t, out+errs, "gwctl ")
+	require.NotContains(t, out+errs, "usage")
 	code, _, errs = run(`{"nam": "x"}`, "route", "put", "-f", "-")
 	require.Equal(t, ExitInvalid, code)
 	require.Contains(t, errs, "reading route from standard input")
