processes, scheduler: benchmarks of daemons; clearer names

Cause: no command measured what a daemon spends for announcements, requests and tokens; a field of the upstream table was named like the test peers. Conclusion: no behaviour changes.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -18,12 +18,13 @@
 	"godwitward.example/godwitward/internal/upstream"
 )
 
-// configPoll is the time between looks at the configuration, which tell the
-// Schedulers about new pools. Requests always use the configuration in force.
-// releasePoll is the time between looks at the pending releases in a drain.
-const releasePoll = 10 * time.Millisecond
-
-const configPoll = 50 * time.Millisecond
+const (
+	// configPoll is the time between looks at the configuration, which tell the
+	// Schedulers about new pools. Requests always use the configuration in force.
+	configPoll = 50 * time.Millisecond
+	// releasePoll is the time between looks at the pending releases in a drain.
+	releasePoll = 10 * time.Millisecond
+)
 
 // Server serves callers on one VM.
 type Server struct {
--- a/internal/processes/bench_test.go
+++ b/internal/processes/bench_test.go
@@ -6,6 +6,8 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -75,3 +77,65 @@
 		})
 	}
 }
+
+// BenchmarkRequestCost measures the CPU time that the entry and the scheduler
+// spend for one request and one output token, against the number of requests
+// in flight. The stand-ins decode a token each 5 ms.
+func BenchmarkRequestCost(b *testing.B) {
+	const tokens = 200
+	for _, callers := range []int{8, 16, 32, 64, 128} {
+		b.Run(fmt.Sprintf("in-flight=%d", callers), func(b *testing.B) {
+			c := newCluster(b)
+			scheduler := c.startScheduler("scheduler-1")
+			entry := c.startEntry("entry-1")
+			c.putDefaultRoutes()
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			for _, s := range dev.DefaultUpstreams(1, 2, 1) {
+				s.Region = dev.Region
+				s.Entries = []string{"http://" + c.entries[0]}
+				s.DecodePerToken = 5 * time.Millisecond
+				s.BatchGrowth = -1
+				s.MaxBatch = callers
+				s.TotalPieces = 4 * callers
+				_, err := standin.Start(ctx, s)
+				require.NoError(b, err)
+			}
+			c.awaitLive(4)
+			b.ResetTimer()
+			for range b.N {
+				entryCPU, _ := usage(b, entry)
+				schedulerCPU, _ := usage(b, scheduler)
+				done := c.runCallers(b, callers, tokens, time.Now().Add(costWindow))
+				entryAfter, entryRSS := usage(b, entry)
+				schedulerAfter, _ := usage(b, scheduler)
+				each := func(d time.Duration) float64 { return float64(d.Microseconds()) / float64(done) }
+				b.ReportMetric(float64(done)/costWindow.Seconds(), "requests/s")
+				b.ReportMetric(each(entryAfter-entryCPU), "entry-us/request")
+				b.ReportMetric(each(entryAfter-entryCPU)/tokens, "entry-us/token")
+				b.ReportMetric(each(schedulerAfter-schedulerCPU), "scheduler-us/request")
+				b.ReportMetric(float64(entryRSS)/1024, "entry-MiB")
+			}
+		})
+	}
+}
+
+// runCallers keeps a number of requests in flight until a time and returns how
+// many were answered whole.
+func (c *cluster) runCallers(t testing.TB, callers, tokens int, until time.Time) int {
+	t.Helper()
+	var wg sync.WaitGroup
+	var done atomic.Int64
+	for i := range callers {
+		wg.Go(func() {
+			for n := 0; time.Now().Before(until); n++ {
+				if err := completeAt(c.entries[0], fmt.Sprintf("report %d of caller %d", n, i), tokens); err == nil {
+					done.Add(1)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	require.Positive(t, done.Load())
+	return int(done.Load())
+}
--- a/internal/scheduler/orphans.go
+++ b/internal/scheduler/orphans.go
@@ -51,7 +51,7 @@
 
 // restore adds a hold that another scheduler granted.
 func (p *Pool) restore(e *entryRecord, s *pb.Hold, now time.Duration) {
-	pre, dec := p.standIn(s.PrefillId, now), p.standIn(s.DecodeId, now)
+	pre, dec := p.placeholder(s.PrefillId, now), p.placeholder(s.DecodeId, now)
 	h := &hold{
 		id: s.HoldId, requestID: s.RequestId, model: s.Model, entry: e, prefill: pre, decode: dec,
 		granted: now, expires: now + defaultDeadline + p.params.DeadlineMargin, attempt: s.Attempt,
@@ -83,15 +83,15 @@
 	dec.view.ForeignBatch = max(0, dec.view.ForeignBatch-1)
 }
 
-// standIn returns the member with an id. For one that has not announced itself
+// placeholder returns the member with an id. For one that has not announced itself
 // since the takeover it adds a record that receives no work.
-func (p *Pool) standIn(id string, now time.Duration) *member {
+func (p *Pool) placeholder(id string, now time.Duration) *member {
 	if m := p.upstreams.byID[id]; m != nil {
 		return m
 	}
 	s := &pb.UpstreamState{Id: id}
 	m := newMember(s)
-	m.standIn = true
+	m.placeholder = true
 	m.state = s
 	m.seen = now - p.params.SilentAfter
 	m.view.ID = id
--- a/internal/scheduler/property_test.go
+++ b/internal/scheduler/property_test.go
@@ -465,7 +465,7 @@
 		if v.HeldPieces != s.held || v.PromisedPieces != s.promised || v.Batch != s.batch {
 			t.Fatalf("%s: held %d, promised %d, batch %d, holds say %+v", v.ID, v.HeldPieces, v.PromisedPieces, v.Batch, *s)
 		}
-		if v.HeldPieces > v.TotalPieces && !o.standIn {
+		if v.HeldPieces > v.TotalPieces && !o.placeholder {
 			t.Fatalf("%s: held %d of %d pieces", v.ID, v.HeldPieces, v.TotalPieces)
 		}
 	}
--- a/internal/scheduler/tables.go
+++ b/internal/scheduler/tables.go
@@ -98,9 +98,9 @@
 	health pb.UpstreamStatus_Health
 	speed  policy.Speed
 	eject  policy.Ejector
-	// standIn marks a record of an engine that entries named after a takeover
+	// placeholder marks a record of an engine that entries named after a takeover
 	// and that has not announced itself to this holder.
-	standIn bool
+	placeholder bool
 	// changing is set while the engine drains for a role change and until it
 	// announces the new role, at the latest at changeBy.
 	changing bool
--- a/internal/scheduler/upstreams.go
+++ b/internal/scheduler/upstreams.go
@@ -351,14 +351,14 @@
 	if m != nil && s.Generation < m.state.Generation {
 		return nil, false
 	}
-	fresh := m == nil || (s.Generation > m.state.Generation && !m.standIn)
-	changed := fresh || m.standIn || !sameShape(m.state, s)
+	fresh := m == nil || (s.Generation > m.state.Generation && !m.placeholder)
+	changed := fresh || m.placeholder || !sameShape(m.state, s)
 	switch {
 	case fresh:
 		m = newMember(s)
 		t.byID[s.Id] = m
-	case m.standIn:
-		m.standIn = false
+	case m.placeholder:
+		m.placeholder = false
 		m.speed = announcedSpeed(s)
 	case m.state.Leaving:
 		// Announcements come through several entries and may be overtaken. An
