--- a/cmd/gw-entry/main.go
+++ b/cmd/gw-entry/main.go
@@ -60,6 +60,8 @@
 	}
 	if o.cfg.Upstreams != "" {
 		settings.CheckIPAddr(l, "--upstream-listen", o.cfg.Upstreams)
+	} else if o.upstreams.Enabled() {
+		l.Addf("--upstream-listen", "needed because files for --upstream-tls are given, which only this listener uses")
 	}
 	o.upstreams.Check(l, o.cfg.Upstreams, false, o.process.AllowPlainText)
 	o.callers.Check(l, o.cfg.Listen, false, o.process.AllowPlainText)
