replica, scheduler: event keys in log lines; skipped lists are no failures

Cause: four log lines had a bare message without an event key, and a list that was skipped because the engine does not answer was counted as a failed call. Change: one event key each; skipped lists are neither counted nor logged. Conclusion: every log line is key=value pairs with an event.

--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -25,7 +25,7 @@
 	}
 	n.err = err
 	if err != nil {
-		n.options.Logger.Error().Err(err).Uint64("member", uint64(n.who.id)).Msg("replica failed")
+		n.options.Logger.Error().Str("event", "replica.failed").Err(err).Uint64("member", uint64(n.who.id)).Msg("")
 		n.options.OnFatal(err)
 	}
 }
@@ -97,7 +97,7 @@
 	for i := range messages {
 		g := messages[i].group
 		if err := g.core.Step(messages[i].message); err != nil {
-			n.options.Logger.Warn().Err(err).Uint32("group", uint32(g.id)).Msg("dropping a raft message")
+			n.options.Logger.Warn().Str("event", "replica.message_dropped").Err(err).Uint32("group", uint32(g.id)).Msg("")
 		}
 	}
 	for _, task := range tasks {
@@ -190,7 +190,7 @@
 			continue
 		}
 		leads := g.last.role == raft.Leader
-		n.options.Logger.Info().Uint32("group", uint32(g.id)).Uint64("term", g.last.term).Bool("leads", leads).Msg("leadership changed")
+		n.options.Logger.Info().Str("event", "replica.leadership").Uint32("group", uint32(g.id)).Uint64("term", g.last.term).Bool("leads", leads).Msg("")
 		n.options.OnLeadership(g.id, g.last.term, leads)
 	}
 }
@@ -226,7 +226,7 @@
 			return err
 		}
 		if !n.diskFull.Swap(true) {
-			n.options.Logger.Error().Err(err).Msg("disk full, refusing proposals")
+			n.options.Logger.Error().Str("event", "replica.disk_full").Err(err).Msg("")
 		}
 		n.refuseQueued()
 		select {
--- a/internal/scheduler/engines.go
+++ b/internal/scheduler/engines.go
@@ -127,8 +127,10 @@
 		return err
 	})
 	if err != nil {
-		s.vars.engineFailures.Add(callRunning, 1)
-		s.opts.Logger.Warn().Str("event", "engine.running").Str("upstream", x.Engine.Id).Err(err).Msg("")
+		if err != errUnresponsive {
+			s.vars.engineFailures.Add(callRunning, 1)
+			s.opts.Logger.Warn().Str("event", "engine.running").Str("upstream", x.Engine.Id).Err(err).Msg("")
+		}
 		a.core.ListFailed(x.Engine)
 		return
 	}
