entry, scheduler: slower timers while idle

Change: the lease is polled every 100 ms and the configuration's pools every 250 ms; the scheduler's timers run every 200 ms while nothing is queued or held.

--- a/internal/entry/schedulers.go
+++ b/internal/entry/schedulers.go
@@ -13,7 +13,7 @@
 const (
 	// leasePoll is the time between looks at a pool's lease while a submission
 	// or a watch waits for a holder.
-	leasePoll = 20 * time.Millisecond
+	leasePoll = 100 * time.Millisecond
 	// rpcTimeout bounds one short call to a scheduler.
 	rpcTimeout = 2 * time.Second
 	// lateGrantWait bounds the wait for the answer to a withdrawn submission,
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -21,7 +21,7 @@
 const (
 	// configPoll is the time between looks at the configuration, which tell the
 	// Schedulers about new pools. Requests always use the configuration in force.
-	configPoll = 50 * time.Millisecond
+	configPoll = 250 * time.Millisecond
 	// releasePoll is the time between looks at the pending releases in a drain.
 	releasePoll = 10 * time.Millisecond
 )
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -264,6 +264,12 @@
 	p.unblock()
 }
 
+// Busy reports whether requests are queued or hold memory.
+func (p *Pool) Busy() bool {
+	defer p.lock(holdsTable | queueTableBit)()
+	return len(p.queue.byTicket) > 0 || len(p.holds.byID) > 0
+}
+
 // Withdraw removes a queued request whose submitter went away. It reports
 // whether the request was still queued; otherwise its answer is on the way.
 func (p *Pool) Withdraw(ticket uint64) bool {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -14,7 +14,10 @@
 
 // Intervals at which the shell runs the controllers that time alone triggers.
 const (
-	tick             = 20 * time.Millisecond
+	tick = 20 * time.Millisecond
+	// idleTick replaces tick while no pool has queued requests or holds. Most
+	// schedulers lead no pool, and their timers are all that they spend.
+	idleTick         = 200 * time.Millisecond
 	forecastInterval = 2 * tick
 	expiryInterval   = 60 * time.Millisecond
 	ordersInterval   = 100 * time.Millisecond
@@ -278,6 +281,7 @@
 		Placement: {every: tick}, Forecast: {every: forecastInterval}, Expiry: {every: expiryInterval}, Orphans: {every: orphansInterval},
 		Aging: {every: agingInterval}, Roles: {every: rolesInterval}, Loads: {every: ordersInterval},
 	}
+	interval := tick
 	for {
 		select {
 		case <-ctx.Done():
@@ -286,6 +290,10 @@
 		}
 		now := s.now()
 		pools := s.active()
+		if next := nextTick(pools); next != interval {
+			interval = next
+			t.Reset(interval)
+		}
 		for c := range due {
 			if now < due[c].next {
 				continue
@@ -298,6 +306,15 @@
 	}
 }
 
+func nextTick(pools []*activePool) time.Duration {
+	for _, a := range pools {
+		if a.core.Busy() {
+			return tick
+		}
+	}
+	return idleTick
+}
+
 // perform carries out the actions of a core.
 func (s *Scheduler) perform(a *activePool, actions []Action) {
 	for _, act := range actions {
