--- a/internal/processes/bench_test.go
+++ b/internal/processes/bench_test.go
@@ -139,3 +139,35 @@
 	require.Positive(t, done.Load())
 	return int(done.Load())
 }
+
+// BenchmarkTakeover measures the time from the kill of the active scheduler to
+// the first whole answer to a request that was sent after it.
+func BenchmarkTakeover(b *testing.B) {
+	c := newCluster(b)
+	active := c.startScheduler("scheduler-0")
+	c.startEntry("entry-1")
+	c.putDefaultRoutes()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for _, s := range dev.DefaultUpstreams(1, 2, 1) {
+		s.Region = dev.Region
+		s.Entries = []string{"http://" + c.entries[0]}
+		_, err := standin.Start(ctx, s)
+		require.NoError(b, err)
+	}
+	c.awaitLive(4)
+	var longest, sum time.Duration
+	for i := range b.N {
+		next := c.startScheduler(fmt.Sprintf("scheduler-%d", i+1))
+		time.Sleep(2 * time.Second)
+		start := time.Now()
+		active.kill()
+		require.NoError(b, completeAt(c.entries[0], fmt.Sprintf("report %d", i), 1))
+		gap := time.Since(start)
+		sum += gap
+		longest = max(longest, gap)
+		active = next
+	}
+	b.ReportMetric(sum.Seconds()/float64(b.N), "s/takeover")
+	b.ReportMetric(longest.Seconds(), "s-longest")
+}
