control: read a member's server under the lock in the history tests

The race is in the test's harness. Ruled out: the store; the history itself was linearizable in that run. Change: the read takes the lock under which start() writes. Measured: 6 copies of the history tests at once under -race report no race. Conclusion: every check is as before.

--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -254,7 +254,11 @@
 }
 
 func (s *testStore) operators(m *member) godwitwardv1connect.OperatorServiceClient {
-	return godwitwardv1connect.NewOperatorServiceClient(m.hs.Client(), "http://"+m.operator)
+	// A restart of the member replaces its server under the same lock.
+	s.mu.Lock()
+	client := m.hs.Client()
+	s.mu.Unlock()
+	return godwitwardv1connect.NewOperatorServiceClient(client, "http://"+m.operator)
 }
 
 // daemon runs a client until the test or stop ends it.
