--- a/internal/control/cluster.go
+++ b/internal/control/cluster.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/raftlink"
 	"godwitward.example/godwitward/internal/replica"
 	"godwitward.example/godwitward/internal/timeline"
 	"godwitward.example/godwitward/internal/transport"
@@ -54,10 +55,26 @@
 
 	mu        sync.Mutex
 	addresses map[uint64]string
-	links     map[uint64]*link
+	links     map[uint64]*memberLink
 	closed    bool
 }
 
+// memberLink is the session to one member and the raft messages on it.
+type memberLink struct {
+	*raftlink.Link
+	client *transport.Client
+}
+
+func newMemberLink(address string, opts transport.Options) *memberLink {
+	client := transport.NewClient(address, opts)
+	return &memberLink{Link: raftlink.New(client), client: client}
+}
+
+func (l *memberLink) close() {
+	l.client.Close()
+	l.Link.Close()
+}
+
 // colocateInterval is the time between two looks at where the groups are led.
 const colocateInterval = 250 * time.Millisecond
 
@@ -65,7 +82,7 @@
 func startCluster(opts ClusterOptions, machines []StateMachine, st *store) (*Cluster, error) {
 	c := &Cluster{
 		opts: opts, syncs: &timedFS{FS: wal.OS{}}, groups: len(machines), stop: make(chan struct{}), done: make(chan struct{}),
-		addresses: map[uint64]string{}, links: map[uint64]*link{},
+		addresses: map[uint64]string{}, links: map[uint64]*memberLink{},
 	}
 	var voters []replica.MemberID
 	for id, address := range opts.Members {
@@ -98,7 +115,7 @@
 	c.mu.Lock()
 	c.closed = true
 	links := c.links
-	c.links = map[uint64]*link{}
+	c.links = map[uint64]*memberLink{}
 	c.mu.Unlock()
 	for _, l := range links {
 		l.close()
@@ -133,12 +150,12 @@
 // Send implements replica.Sender.
 func (c *Cluster) Send(to replica.MemberID, messages []replica.GroupMessage) {
 	if l := c.link(uint64(to)); l != nil {
-		l.send(messages)
+		l.Send(messages)
 	}
 }
 
 // link returns the link to a member, nil when its address is not known.
-func (c *Cluster) link(id uint64) *link {
+func (c *Cluster) link(id uint64) *memberLink {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
@@ -151,7 +168,7 @@
 	if address == "" {
 		return nil
 	}
-	l := newLink(address, transport.Options{Self: c.opts.Self, TLS: c.opts.TLS, Clock: c.opts.Clock, Logger: c.opts.Logger})
+	l := newMemberLink(address, transport.Options{Self: c.opts.Self, TLS: c.opts.TLS, Clock: c.opts.Clock, Logger: c.opts.Logger})
 	c.links[id] = l
 	return l
 }
@@ -178,7 +195,7 @@
 // register adds the members' call to a transport server.
 func (c *Cluster) register(t *transport.Server) {
 	t.Handle(transport.MethodRaft, func(ctx context.Context, st *transport.Stream) error {
-		return receiveRaft(st, func(group uint32, message []byte) {
+		return raftlink.Receive(st, func(group uint32, message []byte) {
 			// A refused message counts as lost.
 			_ = c.node.Step(replica.GroupID(group), message)
 		})
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,158 @@
+// Package core assembles the core daemon: the listener for operators and
+// upstreams, the replicated configuration, and the hub that spreads both to
+// the entries.
+package core
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime/debug"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/corestore"
+	"godwitward.example/godwitward/internal/feed"
+	"godwitward.example/godwitward/internal/finding"
+	"godwitward.example/godwitward/internal/transport"
+	"godwitward.example/godwitward/platform"
+)
+
+const (
+	// memoryShare is the part of the process's memory that the Go runtime is
+	// told to stay below.
+	memoryShare = 0.7
+	// headerTimeout and idleTimeout bound a connection of an operator or an
+	// upstream.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 60 * time.Second
+	// handOverTimeout bounds the transfer of leadership at a stop, and
+	// finishTimeout the calls in flight.
+	handOverTimeout = time.Second
+	finishTimeout   = 2 * time.Second
+	storeFolder     = "/store"
+)
+
+// OpenSettings reads the settings file and checks what a core daemon needs of
+// it.
+func OpenSettings(l *finding.List, path string, logger *log.Logger) *platform.File {
+	file, err := platform.OpenFile(path, logger)
+	if err != nil {
+		l.Addf("--node-file", "%v", err)
+		return nil
+	}
+	s := file.Current()
+	if s.Operators == "" {
+		l.Addf("--node-file", "names no address for operators")
+	}
+	if s.DataDir == "" {
+		l.Addf("--node-file", "names no data folder")
+	}
+	return file
+}
+
+// Run serves until ctx ends.
+func Run(ctx context.Context, file *platform.File, logger *log.Logger) error {
+	s := file.Current()
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	}
+	go file.Watch(ctx)
+	d, err := start(file, logger)
+	if err != nil {
+		return err
+	}
+	logger.Info().Str("event", "process.started").Str("vm", s.VM).Str("operators", s.Operators).Msg("")
+	select {
+	case err := <-d.failed:
+		return err
+	case <-ctx.Done():
+	}
+	d.shutDown(logger)
+	return nil
+}
+
+// daemon is one running core daemon.
+type daemon struct {
+	store    *corestore.Store
+	hub      *feed.Hub
+	peers    *corestore.Peers
+	sessions *transport.Server
+	http     *http.Server
+	failed   chan error
+}
+
+func start(file *platform.File, logger *log.Logger) (*daemon, error) {
+	s := file.Current()
+	session, err := netip.ParseAddrPort(s.Session)
+	if err != nil {
+		return nil, errors.Wrap(err, "session address")
+	}
+	options := transport.Options{Self: &pb.Hello{Vm: s.VM, Place: s.Place, Process: "gw-core"}, Logger: logger}
+	d := &daemon{
+		peers: corestore.NewPeers(s.Session, session.Port(), options), sessions: transport.NewServer(options),
+		failed: make(chan error, 4),
+	}
+	changed := make(chan struct{}, 1)
+	d.store, err = corestore.Start(corestore.Options{
+		Dir: s.DataDir + storeFolder, Address: s.Session, Bootstrap: s.FirstStart, Tolerate: s.TolerateLoss,
+		Seeds: func() []string { return file.Current().Seeds }, Peers: d.peers, Logger: logger,
+		OnDocument: func(corestore.Document) {
+			select {
+			case changed <- struct{}{}:
+			default:
+			}
+		},
+		OnFatal: func(err error) { d.failed <- err },
+	}, d.sessions)
+	if err != nil {
+		return nil, err
+	}
+	d.hub = feed.NewHub(feed.HubOptions{Store: d.store, Peers: d.peers, Self: s.Session, Logger: logger}, d.sessions)
+	go func() {
+		for range changed {
+			d.hub.DocumentChanged()
+		}
+	}()
+	return d, d.listen(s, logger)
+}
+
+func (d *daemon) listen(s *platform.Settings, logger *log.Logger) error {
+	sessions, err := net.Listen("tcp", s.Session)
+	if err != nil {
+		return errors.Wrap(err, "listening for sessions")
+	}
+	operators, err := net.Listen("tcp", s.Operators)
+	if err != nil {
+		return errors.Wrap(err, "listening for operators")
+	}
+	control := &platform.Control{Documents: d.store, Registry: d.hub, Logger: logger}
+	d.http = &http.Server{Handler: control.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	go func() { d.failed <- d.sessions.Serve(sessions) }()
+	go func() { d.failed <- d.http.Serve(operators) }()
+	return nil
+}
+
+// shutDown hands the leadership over first, then finishes the calls in flight.
+func (d *daemon) shutDown(logger *log.Logger) {
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	if err := d.store.HandOver(ctx); err != nil {
+		logger.Warn().Str("event", "store.hand_over_failed").Err(err).Msg("")
+	}
+	ctx, cancel = context.WithTimeout(context.Background(), finishTimeout)
+	defer cancel()
+	if err := d.http.Shutdown(ctx); err != nil {
+		logger.Warn().Str("event", "process.calls_cut_off").Err(err).Msg("")
+	}
+	d.hub.Stop()
+	if err := d.store.Stop(); err != nil {
+		logger.Error().Str("event", "store.stop_failed").Err(err).Msg("")
+	}
+	d.peers.Close()
+	logger.Info().Str("event", "process.stopped").Msg("")
+}
--- /dev/null
+++ b/internal/corestore/calls.go
@@ -0,0 +1,132 @@
+package corestore
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/replica"
+	"godwitward.example/godwitward/internal/transport"
+	"godwitward.example/godwitward/raft"
+)
+
+// Put stores a document unless a version as high is stored, and returns the
+// version in force. It returns nil only once a majority has synced that state.
+func (s *Store) Put(ctx context.Context, d Document) (version uint64, err error) {
+	err = s.atLeader(ctx, func(ctx context.Context, node *replica.Node) error {
+		version, err = s.propose(ctx, node, d)
+		return err
+	}, func(ctx context.Context, leader *transport.Client) error {
+		reply := &pb.PutDocumentReply{}
+		err := leader.Call(ctx, transport.MethodPutDocument, &pb.PutDocumentRequest{Document: &pb.Document{Version: d.Version, Body: d.Body}}, reply)
+		version = reply.Version
+		return err
+	})
+	return version, err
+}
+
+// Get returns the newest document. The version is 0 when none was ever stored.
+func (s *Store) Get(ctx context.Context) (d Document, err error) {
+	err = s.atLeader(ctx, func(ctx context.Context, node *replica.Node) error {
+		d, err = s.read(ctx, node)
+		return err
+	}, func(ctx context.Context, leader *transport.Client) error {
+		reply := &pb.GetDocumentReply{}
+		err := leader.Call(ctx, transport.MethodGetDocument, &pb.GetDocumentRequest{}, reply)
+		if reply.Document != nil {
+			d = Document{Version: reply.Document.Version, Body: reply.Document.Body}
+		}
+		return err
+	})
+	return d, err
+}
+
+// atLeader runs a call here when this member leads, else at the leader. It
+// looks again until ctx ends, because the leader may change.
+func (s *Store) atLeader(ctx context.Context, local func(context.Context, *replica.Node) error, remote func(context.Context, *transport.Client) error) error {
+	var last error
+	for {
+		last = s.tryLeader(ctx, local, remote)
+		if last == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(ErrUnavailable, "%v", last)
+		case <-s.stop:
+			return errors.Wrap(ErrUnavailable, "stopping")
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+func (s *Store) tryLeader(ctx context.Context, local func(context.Context, *replica.Node) error, remote func(context.Context, *transport.Client) error) error {
+	node := s.currentNode()
+	if _, leads := node.Leads(documentGroup); leads {
+		return local(ctx, node)
+	}
+	leader := node.Leader(documentGroup)
+	if leader == raft.None {
+		return errors.New("no leader known")
+	}
+	client := s.opts.Peers.Client(memberAddress(leader, s.self.Port()))
+	if client == nil {
+		return errors.Errorf("no session to the leader %d", leader)
+	}
+	callCtx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	return remote(callCtx, client)
+}
+
+// propose stores a document at the leader.
+func (s *Store) propose(ctx context.Context, node *replica.Node, d Document) (uint64, error) {
+	if s.forming() {
+		return 0, errors.New("the group is still forming")
+	}
+	result, err := node.Propose(ctx, documentGroup, encodeDocument(d))
+	if err != nil {
+		return 0, err
+	}
+	version, _ := result.(uint64)
+	return version, nil
+}
+
+// forming reports whether the group has fewer voters than its fault tolerance
+// needs shortly after the start: a document that two of three disks hold would
+// not survive the loss of two disks.
+func (s *Store) forming() bool {
+	voters := len(s.status.Load().Membership.Voters)
+	return voters < s.needed() && time.Since(s.started) < formingTime
+}
+
+// needed is the number of voters whose majority outlives the tolerated losses.
+func (s *Store) needed() int { return 2*s.opts.Tolerate + 1 }
+
+func (s *Store) read(ctx context.Context, node *replica.Node) (Document, error) {
+	if err := node.ReadIndex(ctx, documentGroup); err != nil {
+		return Document{}, err
+	}
+	return s.machine.document(), nil
+}
+
+func (s *Store) handlePut(ctx context.Context, req *pb.PutDocumentRequest) (*pb.PutDocumentReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	version, err := s.propose(ctx, s.currentNode(), Document{Version: req.Document.GetVersion(), Body: req.Document.GetBody()})
+	if err != nil {
+		return nil, transport.Errorf(pb.Status_UNAVAILABLE, "%v", err)
+	}
+	return &pb.PutDocumentReply{Version: version}, nil
+}
+
+func (s *Store) handleGet(ctx context.Context, _ *pb.GetDocumentRequest) (*pb.GetDocumentReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	d, err := s.read(ctx, s.currentNode())
+	if err != nil {
+		return nil, transport.Errorf(pb.Status_UNAVAILABLE, "%v", err)
+	}
+	return &pb.GetDocumentReply{Document: &pb.Document{Version: d.Version, Body: d.Body}}, nil
+}
--- /dev/null
+++ b/internal/corestore/peers.go
@@ -0,0 +1,114 @@
+package corestore
+
+import (
+	"sync"
+
+	"godwitward.example/godwitward/internal/raftlink"
+	"godwitward.example/godwitward/internal/replica"
+	"godwitward.example/godwitward/internal/transport"
+)
+
+// Peers keeps one session to each other core daemon. It implements
+// replica.Sender.
+type Peers struct {
+	opts transport.Options
+	self string
+	port uint16
+
+	mu     sync.Mutex
+	peers  map[string]*peer
+	closed bool
+}
+
+type peer struct {
+	client *transport.Client
+	// link is created with the first raft message.
+	link *raftlink.Link
+}
+
+// NewPeers returns an empty set. self is the daemon's own session address.
+func NewPeers(self string, port uint16, opts transport.Options) *Peers {
+	return &Peers{opts: opts, self: self, port: port, peers: map[string]*peer{}}
+}
+
+// Send implements replica.Sender.
+func (p *Peers) Send(to replica.MemberID, messages []replica.GroupMessage) {
+	if link := p.linkTo(memberAddress(to, p.port)); link != nil {
+		link.Send(messages)
+	}
+}
+
+func (p *Peers) linkTo(address string) *raftlink.Link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.get(address)
+	if known == nil {
+		return nil
+	}
+	if known.link == nil {
+		known.link = raftlink.New(known.client)
+	}
+	return known.link
+}
+
+// Client returns the session to an address, nil after Close or for the daemon
+// itself.
+func (p *Peers) Client(address string) *transport.Client {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if known := p.get(address); known != nil {
+		return known.client
+	}
+	return nil
+}
+
+func (p *Peers) get(address string) *peer {
+	if p.closed || address == p.self || address == "" {
+		return nil
+	}
+	known := p.peers[address]
+	if known == nil {
+		known = &peer{client: transport.NewClient(address, p.opts)}
+		p.peers[address] = known
+	}
+	return known
+}
+
+// Keep ends the sessions to daemons that are not in the list.
+func (p *Peers) Keep(addresses []string) {
+	wanted := map[string]bool{}
+	for _, a := range addresses {
+		wanted[a] = true
+	}
+	p.mu.Lock()
+	var dropped []*peer
+	for address, known := range p.peers {
+		if !wanted[address] {
+			dropped = append(dropped, known)
+			delete(p.peers, address)
+		}
+	}
+	p.mu.Unlock()
+	for _, known := range dropped {
+		known.close()
+	}
+}
+
+// Close ends all sessions.
+func (p *Peers) Close() {
+	p.mu.Lock()
+	p.closed = true
+	peers := p.peers
+	p.peers = map[string]*peer{}
+	p.mu.Unlock()
+	for _, known := range peers {
+		known.close()
+	}
+}
+
+func (p *peer) close() {
+	p.client.Close()
+	if p.link != nil {
+		p.link.Close()
+	}
+}
--- /dev/null
+++ b/internal/corestore/store.go
@@ -0,0 +1,272 @@
+package corestore
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+
+	"godwitward.example/godwitward/internal/raftlink"
+	"godwitward.example/godwitward/internal/replica"
+	"godwitward.example/godwitward/internal/transport"
+	"godwitward.example/godwitward/raft"
+	"godwitward.example/godwitward/wal"
+)
+
+const (
+	// documentGroup is the only raft group of the store.
+	documentGroup replica.GroupID = 1
+	// tick, electionTicks and heartbeatTicks give elections after 0.7 to
+	// 1.4 s, well inside the 3 s after which a daemon counts as in contact,
+	// at five timer wake-ups a second less than with a 50 ms tick.
+	tick           = 100 * time.Millisecond
+	electionTicks  = 7
+	heartbeatTicks = 2
+	// keepEntries is low because one document may take 4 MB.
+	keepEntries = 16
+	// statusInterval is the time between looks at the group.
+	statusInterval = 200 * time.Millisecond
+	// statusFresh is the age up to which a status counts as present. A member
+	// whose disk stalls has an older one.
+	statusFresh = time.Second
+	// formingTime is how long after its start a store waits for the number of
+	// voters that the fault tolerance needs before it takes documents. Traffic
+	// starts 10 s after the VMs.
+	formingTime = 7 * time.Second
+	// retryPause separates attempts to find the leader.
+	retryPause = 40 * time.Millisecond
+	// forwardTimeout bounds one call to the leader. The operator moves on
+	// after a second.
+	forwardTimeout = 800 * time.Millisecond
+)
+
+// ErrUnavailable means that the store cannot tell or change the newest
+// document now. A document that was to be stored may be stored later.
+var ErrUnavailable = errors.New("no majority of the core answers")
+
+// Options configure a Store.
+type Options struct {
+	// Dir is the folder of the log.
+	Dir string
+	FS  wal.FS
+	// Address is the daemon's own session address.
+	Address string
+	// Seeds returns the session addresses that the settings name at present.
+	Seeds func() []string
+	// Bootstrap tells that the whole system starts for the first time.
+	Bootstrap bool
+	// Tolerate is the number of members that may be lost at once.
+	Tolerate int
+	Peers    *Peers
+	Logger   *log.Logger
+	// OnDocument is called with each new document. It must not block.
+	OnDocument func(Document)
+	// OnFatal is called when the log fails; the process must end.
+	OnFatal func(error)
+}
+
+// Store is one core daemon's part of the replicated document.
+type Store struct {
+	opts    Options
+	self    netip.AddrPort
+	started time.Time
+	machine *machine
+
+	// mu guards node, which changes when a removed member joins again.
+	mu   sync.Mutex
+	node *replica.Node
+
+	status atomic.Pointer[observed]
+
+	joinMu  sync.Mutex
+	joiners map[replica.MemberID]time.Time
+
+	stop chan struct{}
+	done sync.WaitGroup
+}
+
+// observed is a status with the time at which it was taken.
+type observed struct {
+	raft.Status
+	at time.Time
+}
+
+// Start restores, founds or joins the group and registers the calls between
+// core daemons.
+func Start(opts Options, server *transport.Server) (*Store, error) {
+	self, err := parseSession(opts.Address)
+	if err != nil {
+		return nil, err
+	}
+	if opts.FS == nil {
+		opts.FS = wal.OS{}
+	}
+	s := &Store{
+		opts: opts, self: self, started: time.Now(), stop: make(chan struct{}),
+		joiners: map[replica.MemberID]time.Time{},
+		machine: &machine{onChange: opts.OnDocument},
+	}
+	s.status.Store(&observed{})
+	if err := s.startNode(opts.Bootstrap); err != nil {
+		return nil, err
+	}
+	s.register(server)
+	s.done.Add(2)
+	go s.observe()
+	go s.stayMember()
+	return s, nil
+}
+
+// startNode starts the replica in the mode that the disk and the settings ask
+// for.
+func (s *Store) startNode(bootstrap bool) error {
+	hasState, err := replica.HasState(s.opts.FS, s.opts.Dir)
+	if err != nil {
+		return err
+	}
+	o := replica.Options{
+		Groups: map[replica.GroupID]replica.StateMachine{documentGroup: s.machine},
+		Sender: s.opts.Peers, Dir: s.opts.Dir, FS: s.opts.FS,
+		Tick: tick, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
+		Seed: uint64(time.Now().UnixNano()), KeepEntries: keepEntries,
+		OnFatal: s.opts.OnFatal, Logger: s.opts.Logger,
+	}
+	seeds := s.seedMembers()
+	mode := "restored"
+	switch {
+	case hasState:
+		o.Start = replica.StartExisting
+	case bootstrap && slices.Contains(seeds, foundingID(s.self)):
+		o.Start, o.ID, o.Voters = replica.StartFounding, foundingID(s.self), seeds
+		mode = "founding"
+	default:
+		o.Start, o.ID = replica.StartJoining, joiningID(s.self)
+		mode = "joining"
+	}
+	node, err := replica.Start(o)
+	if errors.Is(err, replica.ErrNoState) {
+		// A crash between creating the log and storing the identity leaves
+		// files of a member that never answered anybody.
+		if err := s.clearDisk(); err != nil {
+			return err
+		}
+		return s.startNode(bootstrap)
+	}
+	if err != nil {
+		return err
+	}
+	s.opts.Logger.Info().Str("event", "store.started").Str("mode", mode).Uint64("member", uint64(node.ID())).
+		Uint64("version", s.machine.document().Version).Msg("")
+	s.mu.Lock()
+	s.node = node
+	s.mu.Unlock()
+	return nil
+}
+
+func (s *Store) seedMembers() []replica.MemberID {
+	var members []replica.MemberID
+	for _, seed := range s.opts.Seeds() {
+		if a, err := parseSession(seed); err == nil {
+			members = append(members, foundingID(a))
+		}
+	}
+	return members
+}
+
+func (s *Store) clearDisk() error {
+	names, err := s.opts.FS.ReadDir(s.opts.Dir)
+	if err != nil {
+		return errors.Wrap(err, "clearing the disk")
+	}
+	for _, name := range names {
+		if err := s.opts.FS.Remove(s.opts.Dir + "/" + name); err != nil {
+			return errors.Wrap(err, "clearing the disk")
+		}
+	}
+	return errors.Wrap(s.opts.FS.SyncDir(s.opts.Dir), "clearing the disk")
+}
+
+func (s *Store) currentNode() *replica.Node {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.node
+}
+
+// register adds the calls between core daemons to the transport server.
+func (s *Store) register(server *transport.Server) {
+	server.Handle(transport.MethodRaft, func(_ context.Context, st *transport.Stream) error {
+		return raftlink.Receive(st, func(group uint32, message []byte) {
+			// A refused message counts as lost.
+			_ = s.currentNode().Step(replica.GroupID(group), message)
+		})
+	})
+	transport.HandleUnary(server, transport.MethodPutDocument, s.handlePut)
+	transport.HandleUnary(server, transport.MethodGetDocument, s.handleGet)
+	transport.HandleUnary(server, transport.MethodJoin, s.handleJoin)
+}
+
+// Current returns the newest document that this daemon knows. Only Get proves
+// that it is the newest.
+func (s *Store) Current() Document { return s.machine.document() }
+
+// Quorate reports whether this member hears the leader of a majority.
+func (s *Store) Quorate() bool {
+	st := s.status.Load()
+	return st.Leader != raft.None && time.Since(st.at) < statusFresh
+}
+
+// Members returns the session addresses of all members that this one knows.
+func (s *Store) Members() []string {
+	st := s.status.Load()
+	members := []string{s.opts.Address}
+	for _, list := range [][]replica.MemberID{st.Membership.Voters, st.Membership.Learners} {
+		for _, id := range list {
+			if a := memberAddress(id, s.self.Port()); !slices.Contains(members, a) {
+				members = append(members, a)
+			}
+		}
+	}
+	return members
+}
+
+// observe keeps the status up to date and, at the leader, the membership in
+// repair. It ends with Stop.
+func (s *Store) observe() {
+	defer s.done.Done()
+	ticker := time.NewTicker(statusInterval)
+	defer ticker.Stop()
+	r := newRepairer(s)
+	for {
+		select {
+		case <-s.stop:
+			return
+		case <-ticker.C:
+		}
+		node := s.currentNode()
+		st, err := node.Status(documentGroup)
+		if err != nil {
+			continue
+		}
+		s.status.Store(&observed{Status: st, at: time.Now()})
+		s.opts.Peers.Keep(append(s.Members(), s.opts.Seeds()...))
+		r.step(node, &st)
+	}
+}
+
+// HandOver moves the leadership to another member before a planned stop.
+func (s *Store) HandOver(ctx context.Context) error {
+	return s.currentNode().HandOver(ctx)
+}
+
+// Stop ends the member. Its disk keeps the state.
+func (s *Store) Stop() error {
+	close(s.stop)
+	err := s.currentNode().Stop()
+	s.done.Wait()
+	return err
+}
--- /dev/null
+++ b/internal/feed/hub.go
@@ -0,0 +1,360 @@
+package feed
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/corestore"
+	"godwitward.example/godwitward/internal/fleet"
+	"godwitward.example/godwitward/internal/transport"
+)
+
+const (
+	// pulse is the longest time between two updates of a stream. A follower
+	// takes a stream that is silent for pulseTimeout for lost.
+	pulse = 500 * time.Millisecond
+	// expiryInterval is the time between looks for silent upstreams.
+	expiryInterval = 500 * time.Millisecond
+	// gossipRetry is the pause before a stream to another hub is opened again.
+	gossipRetry = 250 * time.Millisecond
+	// maxPending bounds the records that wait for one reader. A reader that is
+	// further behind gets the whole table again.
+	maxPending = 4096
+)
+
+// Store is what the hub reads of the replicated document.
+type Store interface {
+	Current() corestore.Document
+	Quorate() bool
+	Members() []string
+}
+
+// HubOptions configure a Hub.
+type HubOptions struct {
+	Store Store
+	Peers *corestore.Peers
+	// Self is the daemon's own session address.
+	Self   string
+	Logger *log.Logger
+}
+
+// Hub spreads records and documents from one core daemon. mu guards the table
+// and the readers' queues; no call is made while it is held.
+type Hub struct {
+	opts  HubOptions
+	start time.Time
+
+	mu      sync.Mutex
+	table   *fleet.Table
+	readers map[*reader]struct{}
+
+	stop context.CancelFunc
+	ctx  context.Context
+	done sync.WaitGroup
+}
+
+// reader queues records for one stream.
+type reader struct {
+	wake    chan struct{}
+	pending []*pb.UpstreamRecord
+	// whole asks for the whole table instead of the pending records.
+	whole bool
+	// every asks for each report and not only for visible changes.
+	every bool
+}
+
+// NewHub starts a hub, which Stop ends.
+func NewHub(opts HubOptions, server *transport.Server) *Hub {
+	ctx, cancel := context.WithCancel(context.Background())
+	h := &Hub{
+		opts: opts, start: time.Now(), table: fleet.NewTable(),
+		readers: map[*reader]struct{}{}, ctx: ctx, stop: cancel,
+	}
+	server.Handle(transport.MethodFeed, h.serveFeed)
+	server.Handle(transport.MethodGossip, h.serveGossip)
+	h.done.Add(1)
+	go h.maintain()
+	return h
+}
+
+// Stop ends the hub's goroutines.
+func (h *Hub) Stop() {
+	h.stop()
+	h.done.Wait()
+}
+
+func (h *Hub) now() time.Duration { return time.Since(h.start) }
+
+// Report takes a report from an upstream.
+func (h *Hub) Report(r *pb.UpstreamRecord) { h.observe(r) }
+
+// Leave takes the notice that an upstream process ends.
+func (h *Hub) Leave(id string, born int64) {
+	h.mu.Lock()
+	gone := h.table.Leave(id, born, h.now())
+	if gone != nil {
+		h.queue([]*pb.UpstreamRecord{gone}, true)
+	}
+	h.mu.Unlock()
+	if gone != nil {
+		h.logRecord(gone)
+	}
+}
+
+// DocumentChanged wakes all streams.
+func (h *Hub) DocumentChanged() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for r := range h.readers {
+		r.signal()
+	}
+}
+
+func (h *Hub) observe(r *pb.UpstreamRecord) {
+	h.mu.Lock()
+	changed, heard := h.table.Observe(r, h.now())
+	if heard {
+		h.queue(changed, false)
+		h.queueGossip(r)
+	}
+	h.mu.Unlock()
+	for _, c := range changed {
+		h.logRecord(c)
+	}
+}
+
+// queue adds records to the streams of entries, and to those of other hubs if
+// asked. The caller holds mu.
+func (h *Hub) queue(records []*pb.UpstreamRecord, gossip bool) {
+	if len(records) == 0 {
+		return
+	}
+	for r := range h.readers {
+		if !r.every || gossip {
+			r.add(records)
+		}
+	}
+}
+
+func (h *Hub) queueGossip(record *pb.UpstreamRecord) {
+	for r := range h.readers {
+		if r.every {
+			r.add([]*pb.UpstreamRecord{record})
+		}
+	}
+}
+
+func (r *reader) add(records []*pb.UpstreamRecord) {
+	if len(r.pending)+len(records) > maxPending {
+		r.pending, r.whole = nil, true
+	} else if !r.whole {
+		r.pending = append(r.pending, records...)
+	}
+	r.signal()
+}
+
+func (r *reader) signal() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (h *Hub) logRecord(r *pb.UpstreamRecord) {
+	h.opts.Logger.Info().Str("event", "upstream.changed").Str("upstream", r.Id).Str("service", r.Service).
+		Str("address", r.Address).Str("phase", r.Phase.String()).Bool("silent", r.Silent).
+		Int64("born_ms", r.BornMs).Uint64("sequence", r.Sequence).Msg("")
+}
+
+func (h *Hub) open(every bool) *reader {
+	r := &reader{wake: make(chan struct{}, 1), whole: true, every: every}
+	r.signal()
+	h.mu.Lock()
+	h.readers[r] = struct{}{}
+	h.mu.Unlock()
+	return r
+}
+
+func (h *Hub) close(r *reader) {
+	h.mu.Lock()
+	delete(h.readers, r)
+	h.mu.Unlock()
+}
+
+// take returns the records for one update.
+func (h *Hub) take(r *reader) []*pb.UpstreamRecord {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	records := r.pending
+	r.pending = nil
+	if r.whole {
+		r.whole = false
+		return h.table.Records(h.now())
+	}
+	return records
+}
+
+// serveFeed streams updates to one entry.
+func (h *Hub) serveFeed(ctx context.Context, st *transport.Stream) error {
+	req := &pb.FeedRequest{}
+	if err := st.Recv(req); err != nil {
+		return err
+	}
+	r := h.open(false)
+	defer h.close(r)
+	have := req.HaveVersion
+	var core []string
+	ticker := time.NewTicker(pulse)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-h.ctx.Done():
+			return nil
+		case <-r.wake:
+		case <-ticker.C:
+		}
+		u := &pb.FeedUpdate{Upstreams: h.take(r), Quorate: h.opts.Store.Quorate()}
+		if d := h.opts.Store.Current(); d.Version > have {
+			u.Document = &pb.Document{Version: d.Version, Body: d.Body}
+			have = d.Version
+		}
+		if members := h.opts.Store.Members(); !slices.Equal(members, core) {
+			core = members
+			u.Core = members
+		}
+		if err := st.Send(u); err != nil {
+			return err
+		}
+	}
+}
+
+// serveGossip takes records from another hub. They are not passed on: each hub
+// sends what it heard itself to all others.
+func (h *Hub) serveGossip(_ context.Context, st *transport.Stream) error {
+	for {
+		g := &pb.Gossip{}
+		if err := st.Recv(g); err != nil {
+			return nil
+		}
+		for _, r := range g.Upstreams {
+			h.observeGossip(r)
+		}
+	}
+}
+
+func (h *Hub) observeGossip(r *pb.UpstreamRecord) {
+	h.mu.Lock()
+	changed, _ := h.table.Observe(r, h.now())
+	h.queue(changed, false)
+	h.mu.Unlock()
+	for _, c := range changed {
+		h.logRecord(c)
+	}
+}
+
+// maintain marks silent upstreams and keeps one gossip stream to each other
+// hub. It ends with Stop.
+func (h *Hub) maintain() {
+	defer h.done.Done()
+	ticker := time.NewTicker(expiryInterval)
+	defer ticker.Stop()
+	streams := map[string]context.CancelFunc{}
+	defer func() {
+		for _, cancel := range streams {
+			cancel()
+		}
+	}()
+	for {
+		h.expire()
+		h.keepStreams(streams)
+		select {
+		case <-h.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (h *Hub) expire() {
+	h.mu.Lock()
+	silent := h.table.Expire(h.now())
+	h.queue(silent, false)
+	h.mu.Unlock()
+	for _, r := range silent {
+		h.logRecord(r)
+	}
+}
+
+func (h *Hub) keepStreams(streams map[string]context.CancelFunc) {
+	members := h.opts.Store.Members()
+	for _, address := range members {
+		if address == h.opts.Self || streams[address] != nil {
+			continue
+		}
+		ctx, cancel := context.WithCancel(h.ctx)
+		streams[address] = cancel
+		h.done.Add(1)
+		go func() {
+			defer h.done.Done()
+			h.gossipTo(ctx, address)
+		}()
+	}
+	for address, cancel := range streams {
+		if !slices.Contains(members, address) {
+			cancel()
+			delete(streams, address)
+		}
+	}
+}
+
+// gossipTo sends every report that arrives here to one other hub.
+func (h *Hub) gossipTo(ctx context.Context, address string) {
+	r := h.open(true)
+	defer h.close(r)
+	for ctx.Err() == nil {
+		h.gossipStream(ctx, address, r)
+		select {
+		case <-ctx.Done():
+		case <-time.After(gossipRetry):
+		}
+	}
+}
+
+func (h *Hub) gossipStream(ctx context.Context, address string, r *reader) {
+	client := h.opts.Peers.Client(address)
+	if client == nil {
+		return
+	}
+	openCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	st, err := client.Open(openCtx, transport.MethodGossip)
+	cancel()
+	if err != nil {
+		return
+	}
+	defer st.Close()
+	h.mu.Lock()
+	r.whole = true
+	h.mu.Unlock()
+	r.signal()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.wake:
+		}
+		records := h.take(r)
+		if len(records) == 0 {
+			continue
+		}
+		if err := st.Send(&pb.Gossip{Upstreams: records}); err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/table_test.go
@@ -0,0 +1,91 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+)
+
+func report(id string, born int64, sequence uint64) *pb.UpstreamRecord {
+	return &pb.UpstreamRecord{Id: id, Service: "s", Address: "10.0.0.1:80", Phase: pb.UpstreamPhase_UPSTREAM_READY, BornMs: born, Sequence: sequence}
+}
+
+// A report that was held up must not bring back a process that has ended.
+func TestLateReportDoesNotReviveEndedProcess(t *testing.T) {
+	table := NewTable()
+	table.Observe(report("a", 100, 1), 0)
+	require.NotNil(t, table.Leave("a", 100, time.Second))
+	changed, heard := table.Observe(report("a", 100, 9), 2*time.Second)
+	require.Empty(t, changed)
+	require.False(t, heard)
+	require.Equal(t, pb.UpstreamPhase_UPSTREAM_GONE, table.Get("a").Phase)
+}
+
+// A process that starts again under its id begins with a lower report number.
+func TestRestartUnderSameIDIsNewer(t *testing.T) {
+	table := NewTable()
+	table.Observe(report("a", 100, 50), 0)
+	table.Leave("a", 100, time.Second)
+	_, heard := table.Observe(report("a", 200, 1), 2*time.Second)
+	require.True(t, heard)
+	require.Equal(t, pb.UpstreamPhase_UPSTREAM_READY, table.Get("a").Phase)
+}
+
+// A late report of an older process must not hide the process that took over
+// its address.
+func TestLateReportDoesNotShadowNewProcessAtAddress(t *testing.T) {
+	table := NewTable()
+	table.Observe(report("old", 100, 5), 0)
+	changed, _ := table.Observe(report("new", 200, 1), time.Second)
+	require.Len(t, changed, 2)
+	require.Equal(t, pb.UpstreamPhase_UPSTREAM_GONE, table.Get("old").Phase)
+	_, heard := table.Observe(report("late", 150, 7), 2*time.Second)
+	require.False(t, heard)
+	require.Equal(t, pb.UpstreamPhase_UPSTREAM_READY, table.Get("new").Phase)
+}
+
+// An upstream that stops reporting is marked once, and a new report clears it.
+func TestSilenceIsMarkedAndCleared(t *testing.T) {
+	table := NewTable()
+	table.Observe(report("a", 100, 1), 0)
+	require.Empty(t, table.Expire(SilenceLimit))
+	require.Len(t, table.Expire(SilenceLimit+1), 1)
+	require.Empty(t, table.Expire(SilenceLimit+2))
+	changed, _ := table.Observe(report("a", 100, 2), SilenceLimit+3)
+	require.Len(t, changed, 1)
+	require.False(t, table.Get("a").Silent)
+}
+
+// Daemons that receive the same reports in different orders must agree.
+func TestTablesConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		gen := rapid.Custom(func(t *rapid.T) *pb.UpstreamRecord {
+			r := report(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "id"), rapid.Int64Range(1, 3).Draw(t, "born"), rapid.Uint64Range(1, 4).Draw(t, "sequence"))
+			r.Address = "10.0.0.1:" + r.Id
+			if rapid.Bool().Draw(t, "gone") {
+				r.Phase, r.Sequence = pb.UpstreamPhase_UPSTREAM_GONE, 0
+			}
+			return r
+		})
+		reports := rapid.SliceOfN(gen, 1, 12).Draw(t, "reports")
+		order := rapid.Permutation(reports).Draw(t, "order")
+		first, second := NewTable(), NewTable()
+		for i := range reports {
+			first.Observe(clone(reports[i]), 0)
+			second.Observe(clone(order[i]), 0)
+		}
+		for _, id := range []string{"a", "b"} {
+			a, b := first.Get(id), second.Get(id)
+			if (a == nil) != (b == nil) {
+				t.Fatalf("only one table knows %s", id)
+			}
+			if a != nil && (a.BornMs != b.BornMs || a.Phase != b.Phase) {
+				t.Fatalf("%s: %v and %v", id, a, b)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/forward/stream.go
@@ -0,0 +1,212 @@
+package forward
+
+import (
+	"bufio"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"godwitward.example/godwitward/policy"
+)
+
+const (
+	// firstEventFactor scales the route's target to the wait for an answer's
+	// first byte, after which a resumable stream is sent to another upstream.
+	// Under load first events take longer than the target.
+	firstEventFactor = 1.8
+	// gapFactor and minGap bound the silence inside a stream in the same way.
+	gapFactor = 3
+	minGap    = 700 * time.Millisecond
+	// answerShare is the share of the most answer tokens that a typical answer
+	// has, for the estimate of memory.
+	answerShare = 0.6
+)
+
+// streamState is how far an answer got.
+type streamState struct {
+	// lastEvent is the id of the last event that was passed on.
+	lastEvent string
+	// started is set once the head was written to the caller.
+	started bool
+	events  int
+}
+
+// serveStream relays a stream of events and continues it at another upstream
+// where the route allows that.
+func (x *exchange) serveStream() {
+	st := &streamState{lastEvent: x.facts.LastEvent}
+	work := policy.Work{
+		PromptTokens: x.facts.PromptTokens,
+		MemoryTokens: x.facts.PromptTokens + int(answerShare*float64(x.facts.AnswerTokens)),
+	}
+	runs, rejections := 0, 0
+	for {
+		t := x.s.upstreams.pick(choice{service: x.service.Name, stage: stageOf(x.service), tried: x.tried}, x.s.now(), rand.Float64())
+		if t == nil {
+			x.endStream(st, "no_upstream")
+			return
+		}
+		if x.sends > 0 && !x.s.budget(x.service.Name).take(x.s.now()) {
+			x.endStream(st, "repeat_budget")
+			return
+		}
+		lastRun := runs+1 >= x.route.MaxAttempts || !x.route.Repeatable()
+		t.use(work)
+		verdict := x.tryStream(t, st, lastRun)
+		t.unuse(work)
+		x.tried[t] = true
+		switch verdict {
+		case verdictDone:
+			return
+		case verdictNotSent, verdictRejected:
+			if rejections++; rejections > maxRejections {
+				x.endStream(st, "rejected")
+				return
+			}
+		case verdictLost:
+			x.mayRun = true
+			if runs++; runs >= x.route.MaxAttempts || !x.route.Repeatable() {
+				x.endStream(st, "lost")
+				return
+			}
+		}
+		if x.left() || x.remaining() < lateMargin {
+			x.endStream(st, "deadline")
+			return
+		}
+	}
+}
+
+// endStream gives up. A stream that has begun is broken off, so that it does
+// not look complete.
+func (x *exchange) endStream(st *streamState, reason string) {
+	if !st.started {
+		x.giveUp(reason)
+		return
+	}
+	x.abort(reason + "_after_" + x.reason)
+}
+
+// tryStream sends the request to one upstream and passes its events on.
+func (x *exchange) tryStream(t *target, st *streamState, lastRun bool) verdict {
+	wait := x.remaining() - lateMargin
+	if !lastRun {
+		wait = min(wait, time.Duration(firstEventFactor*float64(x.route.Target)))
+	}
+	a, err := x.send(t, &Send{Priority: -1, LastEvent: st.lastEvent}, wait)
+	if err != nil {
+		return x.sendFailed(t, err)
+	}
+	if v := x.notRun(t, a); v != 0 {
+		return v
+	}
+	if a.resp.StatusCode >= 300 {
+		return x.streamError(t, a, st, lastRun)
+	}
+	if spoiled(a) {
+		a.close(false)
+		t.failed(x.s.now(), policy.FaultError)
+		x.reason = "answer_spoiled"
+		return verdictLost
+	}
+	return x.passEvents(t, a, st, lastRun)
+}
+
+// streamError handles an answer without a stream.
+func (x *exchange) streamError(t *target, a *sent, st *streamState, lastRun bool) verdict {
+	_ = a.c.SetDeadline(time.Now().Add(x.remaining()))
+	body, err := io.ReadAll(io.LimitReader(a.resp.Body, maxBuffered))
+	t.failed(x.s.now(), policy.FaultError)
+	if err != nil || st.started || !lastRun {
+		a.close(err == nil)
+		x.reason = "upstream_error"
+		return verdictLost
+	}
+	x.relay(a, body)
+	return verdictDone
+}
+
+// passEvents relays whole events as they arrive.
+func (x *exchange) passEvents(t *target, a *sent, st *streamState, lastRun bool) verdict {
+	flusher := http.NewResponseController(x.w)
+	rd := &eventReader{rd: bufio.NewReaderSize(a.resp.Body, readBuffer)}
+	for {
+		_ = a.c.SetReadDeadline(time.Now().Add(x.eventWait(st, lastRun)))
+		ev, err := rd.next()
+		if err == io.EOF {
+			return x.streamWhole(t, a, st, flusher)
+		}
+		if err != nil {
+			return x.streamBroke(t, a, err)
+		}
+		if !st.started {
+			x.startStream(a, st)
+		}
+		_, werr := x.w.Write(ev.raw)
+		if werr == nil {
+			werr = flusher.Flush()
+		}
+		if werr != nil {
+			a.close(false)
+			x.reason = "caller_left"
+			return verdictLost
+		}
+		st.events++
+		if ev.id != "" {
+			st.lastEvent = ev.id
+		}
+	}
+}
+
+func (x *exchange) startStream(a *sent, st *streamState) {
+	st.started = true
+	x.status = a.resp.StatusCode
+	x.copyHeaders(a.resp.Header)
+	x.w.Header().Del("Content-Length")
+	x.w.WriteHeader(x.status)
+}
+
+// eventWait is the longest silence before a stream is taken for broken.
+func (x *exchange) eventWait(st *streamState, lastRun bool) time.Duration {
+	left := x.remaining() + x.slackAtEnd()
+	if lastRun {
+		return left
+	}
+	if st.events == 0 {
+		return min(left, time.Duration(firstEventFactor*float64(x.route.Target)))
+	}
+	return min(left, max(minGap, gapFactor*x.route.Gap))
+}
+
+func (x *exchange) streamWhole(t *target, a *sent, st *streamState, flusher *http.ResponseController) verdict {
+	if !st.started {
+		x.startStream(a, st)
+		// A caller that has left ends the request's context.
+		_ = flusher.Flush()
+	}
+	a.close(true)
+	t.succeeded(x.s.now())
+	x.outcome = "answered"
+	return verdictDone
+}
+
+func (x *exchange) streamBroke(t *target, a *sent, err error) verdict {
+	a.close(false)
+	switch {
+	case x.left():
+		x.reason = "caller_left"
+	case isTimeout(err):
+		x.reason = "stream_silent"
+		t.failed(x.s.now(), policy.FaultSilent)
+	default:
+		x.reason = "stream_broke"
+		t.failed(x.s.now(), policy.FaultError)
+	}
+	if errors.Is(err, errLongEvent) {
+		x.reason = "event_too_long"
+	}
+	return verdictLost
+}
--- a/internal/control/raftlink.go
+++ b/internal/raftlink/raftlink.go
@@ -1,4 +1,6 @@
-package control
+// Package raftlink carries raft messages between members over the system's
+// transport, in parts where they are large.
+package raftlink
 
 import (
 	"context"
@@ -37,9 +39,9 @@
 	partLast
 )
 
-// link sends raft messages to one member over two streams: large messages use
+// Link sends raft messages to one member over two streams: large messages use
 // their own, so that a snapshot does not delay heartbeats.
-type link struct {
+type Link struct {
 	client *transport.Client
 	small  *lane
 	large  *lane
@@ -47,9 +49,11 @@
 	done   sync.WaitGroup
 }
 
-func newLink(address string, opts transport.Options) *link {
+// New returns a link over a client's session. The caller closes the client
+// after the link.
+func New(client *transport.Client) *Link {
 	ctx, cancel := context.WithCancel(context.Background())
-	l := &link{client: transport.NewClient(address, opts), small: newLane(), large: newLane(), stop: cancel}
+	l := &Link{client: client, small: newLane(), large: newLane(), stop: cancel}
 	l.done.Add(2)
 	for _, ln := range []*lane{l.small, l.large} {
 		go func() {
@@ -60,14 +64,14 @@
 	return l
 }
 
-// close stops both senders and ends the session.
-func (l *link) close() {
+// Close stops both senders. Closing the client first ends a blocked send.
+func (l *Link) Close() {
 	l.stop()
-	l.client.Close()
 	l.done.Wait()
 }
 
-func (l *link) send(messages []replica.GroupMessage) {
+// Send queues messages. It does not block and may drop them.
+func (l *Link) Send(messages []replica.GroupMessage) {
 	for _, m := range messages {
 		if len(m.Message) > partBytes {
 			l.large.push(m)
@@ -187,8 +191,8 @@
 	return flush()
 }
 
-// receiveRaft passes the messages of one stream to the node.
-func receiveRaft(st *transport.Stream, step func(group uint32, message []byte)) error {
+// Receive passes the messages of one stream to the node.
+func Receive(st *transport.Stream, step func(group uint32, message []byte)) error {
 	var parts []byte
 	for {
 		e := &pb.Envelope{}
--- a/internal/control/raftlink_test.go
+++ b/internal/raftlink/raftlink_test.go
@@ -1,4 +1,4 @@
-package control
+package raftlink
 
 import (
 	"bytes"
@@ -19,7 +19,7 @@
 	got := make(chan replica.GroupMessage, 16)
 	ts := transport.NewServer(transport.Options{})
 	ts.Handle(transport.MethodRaft, func(_ context.Context, st *transport.Stream) error {
-		return receiveRaft(st, func(group uint32, message []byte) {
+		return Receive(st, func(group uint32, message []byte) {
 			got <- replica.GroupMessage{Group: replica.GroupID(group), Message: message}
 		})
 	})
@@ -27,8 +27,10 @@
 	require.NoError(t, err)
 	go func() { _ = ts.Serve(l) }()
 	defer ts.Close()
-	lk := newLink(l.Addr().String(), transport.Options{})
-	defer lk.close()
+	client := transport.NewClient(l.Addr().String(), transport.Options{})
+	lk := New(client)
+	defer lk.Close()
+	defer client.Close()
 
 	sizes := []int{0, 1, partBytes, partBytes + 1, 2 * partBytes, 3*partBytes + 7, transport.MaxMessageBytes + 5}
 	want := map[replica.GroupID][]byte{}
@@ -38,7 +40,7 @@
 		want[replica.GroupID(i)] = m
 		batch = append(batch, replica.GroupMessage{Group: replica.GroupID(i), Message: m})
 	}
-	lk.send(batch)
+	lk.Send(batch)
 	for range sizes[:len(sizes)-1] {
 		select {
 		case m := <-got:
@@ -49,7 +51,7 @@
 		}
 	}
 	// The queue's byte bound drops a message over it only behind others.
-	lk.send(batch[len(batch)-1:])
+	lk.Send(batch[len(batch)-1:])
 	select {
 	case m := <-got:
 		require.True(t, bytes.Equal(want[m.Group], m.Message))
--- a/internal/settings/process.go
+++ b/internal/settings/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"os/signal"
 	"strings"
 	"syscall"
@@ -79,3 +80,16 @@
 	context.AfterFunc(ctx, stop)
 	return ctx, stop
 }
+
+// StopContext returns a context that ends at the first SIGTERM or SIGINT.
+// Later ones change nothing: the process is already finishing its work.
+func StopContext() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		cancel()
+	}()
+	return ctx
+}
--- a/internal/transport/method.go
+++ b/internal/transport/method.go
@@ -28,3 +28,12 @@
 	MethodOrder
 	MethodEvents
 )
+
+// Calls of the forwarding deployment's core daemons.
+const (
+	MethodFeed Method = iota + 64
+	MethodGossip
+	MethodPutDocument
+	MethodGetDocument
+	MethodJoin
+)
