--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -32,6 +32,8 @@
 	// started is set once the head was written to the caller.
 	started bool
 	events  int
+	// read is the prompt that a prefill engine holds for the next send.
+	read *readPrompt
 }
 
 // serveStream relays a stream of events and continues it at another upstream
@@ -43,6 +45,7 @@
 		MemoryTokens: x.facts.PromptTokens + int(answerShare*float64(x.facts.AnswerTokens)),
 	}
 	runs, rejections := 0, 0
+	defer func() { x.free(st.read) }()
 	for {
 		t := x.s.upstreams.pick(choice{service: x.service.Name, stage: stageOf(x.service), tried: x.tried}, x.s.now(), rand.Float64())
 		if t == nil {
@@ -55,6 +58,9 @@
 		}
 		lastRun := runs+1 >= x.route.MaxAttempts || !x.route.Repeatable()
 		t.use(work)
+		if st.read == nil && x.sends == 0 {
+			st.read = x.readPrompt(work)
+		}
 		verdict := x.tryStream(t, st, lastRun)
 		t.unuse(work)
 		x.tried[t] = true
@@ -62,6 +68,7 @@
 		case verdictDone:
 			return
 		case verdictNotSent, verdictRejected:
+			st.read = x.stillHeld(st.read)
 			if rejections++; rejections > maxRejections {
 				x.endStream(st, "rejected")
 				return
@@ -96,13 +103,18 @@
 	if !lastRun {
 		wait = min(wait, time.Duration(firstEventFactor*float64(x.route.Target)))
 	}
-	a, err := x.send(t, &Send{Priority: -1, LastEvent: st.lastEvent}, wait)
+	send := &Send{Priority: -1, LastEvent: st.lastEvent}
+	if st.read != nil {
+		send.Source = st.read.source
+	}
+	a, err := x.send(t, send, wait)
 	if err != nil {
 		return x.sendFailed(t, err)
 	}
 	if v := x.notRun(t, a); v != 0 {
 		return v
 	}
+	st.read = nil
 	if a.resp.StatusCode >= 300 {
 		return x.streamError(t, a, st, lastRun)
 	}
