core: schedule engine pools at the core's leader

Cause: each entry placed drafts by its own view.

The core's leader runs internal/scheduler with the term as fencing token; entries reserve through entry.Pools and place by themselves while no scheduler is in reach.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -82,8 +82,11 @@
 	hub      *feed.Hub
 	peers    *corestore.Peers
 	sessions *transport.Server
+	pools    *pools
 	http     *http.Server
 	failed   chan error
+	// stopPools ends the scheduling of pools.
+	stopPools context.CancelFunc
 }
 
 func start(file *platform.File, logger *log.Logger) (*daemon, error) {
@@ -92,11 +95,12 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "session address")
 	}
-	options := transport.Options{Self: &pb.Hello{Vm: s.VM, Place: s.Place, Process: "gw-core"}, Logger: logger}
-	d := &daemon{
-		peers: corestore.NewPeers(s.Session, session.Port(), options), sessions: transport.NewServer(options),
-		failed: make(chan error, 4),
-	}
+	options := transport.Options{Self: &pb.Hello{DaemonId: s.VM, Vm: s.VM, Place: s.Place, Process: "gw-core"}, Logger: logger}
+	d := &daemon{peers: corestore.NewPeers(s.Session, session.Port(), options), failed: make(chan error, 4)}
+	serving := options
+	serving.OnSessionEnd = func(peer *pb.Hello) { d.pools.scheduler.EntrySessionEnded(peer.DaemonId) }
+	d.sessions = transport.NewServer(serving)
+	d.pools = newPools(logger, func() (string, uint64, bool) { return d.store.Leader() }, d.sessions)
 	changed := make(chan struct{}, 1)
 	d.store, err = corestore.Start(corestore.Options{
 		Dir: s.DataDir + storeFolder, Address: s.Session, Bootstrap: s.FirstStart, Tolerate: s.TolerateLoss,
@@ -112,15 +116,36 @@
 	if err != nil {
 		return nil, err
 	}
-	d.hub = feed.NewHub(feed.HubOptions{Store: d.store, Peers: d.peers, Self: s.Session, Logger: logger}, d.sessions)
+	d.hub = feed.NewHub(feed.HubOptions{Store: d.store, Peers: d.peers, Self: s.Session, Logger: logger, OnReport: d.pools.announce}, d.sessions)
+	d.pools.records = d.hub.Records
+	d.documentChanged(logger)
 	go func() {
 		for range changed {
-			d.hub.DocumentChanged()
+			d.documentChanged(logger)
 		}
 	}()
+	var ctx context.Context
+	ctx, d.stopPools = context.WithCancel(context.Background())
+	go d.pools.run(ctx)
 	return d, d.listen(s, logger)
 }
 
+// documentChanged spreads the newest configuration.
+func (d *daemon) documentChanged(logger *log.Logger) {
+	d.hub.DocumentChanged()
+	doc := d.store.Current()
+	if doc.Version == 0 {
+		return
+	}
+	config, err := platform.DecodeConfig(doc.Body)
+	if err != nil {
+		// Only what this decoder accepts is stored.
+		logger.Error().Str("event", "config.undecodable").Uint64("version", doc.Version).Err(err).Msg("")
+		return
+	}
+	d.pools.setServices(config.Services)
+}
+
 func (d *daemon) listen(s *platform.Settings, logger *log.Logger) error {
 	sessions, err := net.Listen("tcp", s.Session)
 	if err != nil {
@@ -149,6 +174,7 @@
 	if err := d.http.Shutdown(ctx); err != nil {
 		logger.Warn().Str("event", "process.calls_cut_off").Err(err).Msg("")
 	}
+	d.stopPools()
 	d.hub.Stop()
 	if err := d.store.Stop(); err != nil {
 		logger.Error().Str("event", "store.stop_failed").Err(err).Msg("")
--- a/internal/corestore/store.go
+++ b/internal/corestore/store.go
@@ -220,6 +220,20 @@
 	return st.Leader != raft.None && time.Since(st.at) < statusFresh
 }
 
+// Leader returns the session address of the leader and its term, "" when none
+// is known, and whether this member leads.
+func (s *Store) Leader() (address string, term uint64, self bool) {
+	node := s.currentNode()
+	if term, leads := node.Leads(documentGroup); leads && s.Quorate() {
+		return s.opts.Address, term, true
+	}
+	st := s.status.Load()
+	if st.Leader == raft.None || st.Leader == node.ID() || time.Since(st.at) >= statusFresh {
+		return "", 0, false
+	}
+	return memberAddress(st.Leader, s.self.Port()), st.Term, false
+}
+
 // Members returns the session addresses of all members that this one knows.
 func (s *Store) Members() []string {
 	st := s.status.Load()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -8,12 +8,14 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/entry"
 	"godwitward.example/godwitward/internal/feed"
 	"godwitward.example/godwitward/internal/finding"
 	"godwitward.example/godwitward/internal/forward"
@@ -65,23 +67,41 @@
 	s := file.Current()
 	limitMemory(s.MemoryBytes)
 	go file.Watch(ctx)
+	var follower atomic.Pointer[feed.Follower]
+	entries := func() int {
+		if f := follower.Load(); f != nil {
+			return f.Entries()
+		}
+		return 0
+	}
 	server := forward.NewServer(forward.Options{
 		Protocol: platform.Headers{}, Place: s.Place, Logger: logger,
 		BodyBytes: int64(bodyShare * float64(s.MemoryBytes)),
 		Bounds: func() forward.Bounds {
 			b := file.Current()
-			return forward.Bounds{RepeatRatio: b.RepeatRatio, RepeatSlack: b.RepeatSlack, RepeatWindow: b.RepeatWindow}
+			return forward.Bounds{RepeatRatio: b.RepeatRatio, RepeatSlack: b.RepeatSlack, RepeatWindow: b.RepeatWindow, Entries: entries()}
 		},
 	})
 	defer server.Stop()
-	follower := feed.Follow(feed.FollowerOptions{
+	self := &pb.Hello{DaemonId: s.VM, Vm: s.VM, Place: s.Place, Process: "gw-edge"}
+	started := feed.Follow(feed.FollowerOptions{
 		Seeds:       func() []string { return file.Current().Seeds },
-		Transport:   transport.Options{Self: &pb.Hello{Vm: s.VM, Place: s.Place, Process: "gw-edge"}, Logger: logger},
+		Transport:   transport.Options{Self: self, Logger: logger},
 		Logger:      logger,
 		OnDocument:  func(version uint64, body []byte) { applyDocument(server, logger, version, body) },
 		OnUpstreams: server.SetUpstreams,
 	})
-	defer follower.Stop()
+	defer started.Stop()
+	follower.Store(started)
+	pools := entry.NewPools(entry.PoolOptions{
+		EntryID: s.VM, Transport: transport.Options{Self: self, Logger: logger},
+		Holder: func(pool string) (*pb.PoolLease, bool) {
+			address, term, known := started.Leader()
+			return &pb.PoolLease{Name: pool, Address: address, FencingToken: term}, known
+		},
+	})
+	defer pools.Close()
+	server.SetPlacer(&placer{pools: pools}, pools.SetPools)
 	return serve(ctx, file, server, logger)
 }
 
--- /dev/null
+++ b/internal/edge/placer.go
@@ -0,0 +1,90 @@
+package edge
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/entry"
+	"godwitward.example/godwitward/internal/forward"
+)
+
+// answerSlack is added to the wait that the scheduler was told, for its answer
+// to arrive.
+const answerSlack = 150 * time.Millisecond
+
+// placer reserves room at the core's scheduler.
+type placer struct {
+	pools *entry.Pools
+}
+
+// Reserve implements forward.Placer.
+func (p *placer) Reserve(ctx context.Context, d *forward.Demand) (forward.Reservation, error) {
+	if !p.pools.Connected(d.Service) {
+		return nil, forward.ErrNoScheduler
+	}
+	ctx, cancel := context.WithTimeout(ctx, d.Wait+answerSlack)
+	defer cancel()
+	resp, err := p.pools.Submit(ctx, &pb.SubmitRequest{
+		RequestId: d.ID, Attempt: uint32(d.Attempt), Pool: d.Service, Model: d.Model,
+		RequestClass: pb.RequestClass_REQUEST_CLASS_DRAFT,
+		PromptTokens: uint32(d.PromptTokens), MaxOutputTokens: uint32(d.AnswerTokens),
+		MaxWaitMs: millis(d.Wait), DeadlineMs: millis(d.Deadline), TtftTargetMs: millis(d.Target), AgeMs: millis(d.Age),
+		Exclude: d.Exclude,
+	})
+	if err != nil {
+		return nil, forward.ErrNoScheduler
+	}
+	if r := resp.GetRefusal(); r != nil {
+		if r.Code == pb.Refusal_NO_UPSTREAM {
+			return nil, forward.ErrNoScheduler
+		}
+		return nil, &forward.Refusal{
+			Reason: strings.ToLower(r.Code.String()), After: time.Duration(r.RetryAfterMs) * time.Millisecond,
+		}
+	}
+	return &reservation{pools: p.pools, pool: d.Service, grant: resp.GetGrant()}, nil
+}
+
+func millis(d time.Duration) uint32 { return uint32(max(0, d.Milliseconds())) }
+
+// reservation is one granted hold.
+type reservation struct {
+	pools *entry.Pools
+	pool  string
+	grant *pb.Grant
+}
+
+func (r *reservation) Prefill() string { return r.grant.Prefill.GetId() }
+func (r *reservation) Decode() string  { return r.grant.Decode.GetId() }
+
+var stages = map[forward.Stage]pb.ProgressRequest_Stage{
+	forward.StageReading:   pb.ProgressRequest_PREFILL_STARTED,
+	forward.StageRead:      pb.ProgressRequest_PREFILL_DONE,
+	forward.StageAnswering: pb.ProgressRequest_FIRST_TOKEN,
+}
+
+// Reached implements forward.Reservation.
+func (r *reservation) Reached(s forward.Stage, took time.Duration) {
+	r.pools.Progress(r.pool, &pb.ProgressRequest{HoldId: r.grant.HoldId, Stage: stages[s], DurationUs: uint32(took.Microseconds())})
+}
+
+var ends = map[forward.End]pb.ReleaseRequest_Outcome{
+	forward.EndCompleted:     pb.ReleaseRequest_COMPLETED,
+	forward.EndCancelled:     pb.ReleaseRequest_CANCELLED,
+	forward.EndPrefillFailed: pb.ReleaseRequest_PREFILL_FAILED,
+	forward.EndDecodeFailed:  pb.ReleaseRequest_DECODE_FAILED,
+	forward.EndNotStarted:    pb.ReleaseRequest_NOT_STARTED,
+}
+
+// Release implements forward.Reservation.
+func (r *reservation) Release(e forward.End, answerTokens int, took time.Duration) {
+	perToken := time.Duration(0)
+	if answerTokens > 0 {
+		perToken = took / time.Duration(answerTokens)
+	}
+	r.pools.Release(r.pool, &pb.ReleaseRequest{
+		HoldId: r.grant.HoldId, Outcome: ends[e], OutputTokens: uint32(answerTokens), TpotUs: uint32(perToken.Microseconds()),
+	})
+}
--- a/internal/entry/schedulers.go
+++ b/internal/entry/schedulers.go
@@ -115,6 +115,9 @@
 	return *list
 }
 
+// Connected reports whether a session to the pool's scheduler is in use.
+func (p *Pools) Connected(name string) bool { return p.pool(name).current() != nil }
+
 // Pending implements Schedulers.
 func (p *Pools) Pending() int {
 	return int(p.pending.Load())
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -55,6 +55,12 @@
 	version uint64
 	// contact is when an update last arrived from a hub that hears a leader.
 	contact time.Time
+	// leader and term name the newest known leader of the core.
+	leader string
+	term   uint64
+	// entries is the highest number of entries that was stated lately.
+	entries   uint32
+	entriesAt time.Time
 
 	stop context.CancelFunc
 	done sync.WaitGroup
@@ -182,6 +188,10 @@
 	if u.Quorate {
 		f.contact = time.Now()
 	}
+	if u.Leader != "" && u.Term >= f.term {
+		f.leader, f.term = u.Leader, u.Term
+	}
+	f.countEntries(u.Entries)
 	changed := f.merge(u.Upstreams, u.Quorate)
 	newer := u.Document != nil && u.Document.Version > f.version
 	if newer {
@@ -195,6 +205,30 @@
 	f.mu.Unlock()
 }
 
+// entriesLife is how long the highest stated number of entries counts: entries
+// that are restarting come back and spend their part again.
+const entriesLife = 20 * time.Second
+
+func (f *Follower) countEntries(n uint32) {
+	if n >= f.entries || time.Since(f.entriesAt) > entriesLife {
+		f.entries, f.entriesAt = n, time.Now()
+	}
+}
+
+// Entries returns the number of entries in the system, 0 when unknown.
+func (f *Follower) Entries() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return int(f.entries)
+}
+
+// Leader returns the session address and the term of the core's leader.
+func (f *Follower) Leader() (address string, term uint64, known bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.leader, f.term, f.leader != ""
+}
+
 // merge returns the records that are news. Only a hub that hears a leader is
 // believed when it calls an upstream silent: the others may be cut off.
 func (f *Follower) merge(records []*pb.UpstreamRecord, quorate bool) []*pb.UpstreamRecord {
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -22,6 +22,8 @@
 	expiryInterval = 500 * time.Millisecond
 	// gossipRetry is the pause before a stream to another hub is opened again.
 	gossipRetry = 250 * time.Millisecond
+	// attachedLife is how long a stated number of entries counts.
+	attachedLife = 6 * time.Second
 	// maxPending bounds the records that wait for one reader. A reader that is
 	// further behind gets the whole table again.
 	maxPending = 4096
@@ -32,6 +34,8 @@
 	Current() corestore.Document
 	Quorate() bool
 	Members() []string
+	// Leader returns the leader's session address and term.
+	Leader() (address string, term uint64, self bool)
 }
 
 // HubOptions configure a Hub.
@@ -41,6 +45,9 @@
 	// Self is the daemon's own session address.
 	Self   string
 	Logger *log.Logger
+	// OnReport is called with each report that counts as a sign of life, and
+	// with each record of an ended process.
+	OnReport func(*pb.UpstreamRecord)
 }
 
 // Hub spreads records and documents from one core daemon. mu guards the table
@@ -52,12 +59,20 @@
 	mu      sync.Mutex
 	table   *fleet.Table
 	readers map[*reader]struct{}
+	// attached counts the entries at each other hub, as it last said.
+	attached map[string]attachedCount
 
 	stop context.CancelFunc
 	ctx  context.Context
 	done sync.WaitGroup
 }
 
+// attachedCount is the number of entries at a hub, and when it was stated.
+type attachedCount struct {
+	n  int
+	at time.Duration
+}
+
 // reader queues records for one stream.
 type reader struct {
 	wake    chan struct{}
@@ -73,7 +88,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Hub{
 		opts: opts, start: time.Now(), table: fleet.NewTable(),
-		readers: map[*reader]struct{}{}, ctx: ctx, stop: cancel,
+		readers: map[*reader]struct{}{}, attached: map[string]attachedCount{}, ctx: ctx, stop: cancel,
 	}
 	server.Handle(transport.MethodFeed, h.serveFeed)
 	server.Handle(transport.MethodGossip, h.serveGossip)
@@ -103,6 +118,7 @@
 	h.mu.Unlock()
 	if gone != nil {
 		h.logRecord(gone)
+		h.opts.OnReport(gone)
 	}
 }
 
@@ -123,9 +139,51 @@
 		h.queueGossip(r)
 	}
 	h.mu.Unlock()
+	h.changed(changed, r, heard)
+}
+
+// changed logs visible changes and passes signs of life on.
+func (h *Hub) changed(changed []*pb.UpstreamRecord, r *pb.UpstreamRecord, heard bool) {
 	for _, c := range changed {
 		h.logRecord(c)
+		if c != r {
+			h.opts.OnReport(c)
+		}
+	}
+	if heard {
+		h.opts.OnReport(r)
+	}
+}
+
+// Records returns all records with their age.
+func (h *Hub) Records() []*pb.UpstreamRecord {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.table.Records(h.now())
+}
+
+// entries returns the number of entries in the system. Each is attached to
+// several hubs.
+func (h *Hub) entries() uint32 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	total := h.attachedHere()
+	for _, c := range h.attached {
+		if h.now()-c.at < attachedLife {
+			total += c.n
+		}
+	}
+	return uint32((total + attachments - 1) / attachments)
+}
+
+func (h *Hub) attachedHere() int {
+	n := 0
+	for r := range h.readers {
+		if !r.every {
+			n++
+		}
 	}
+	return n
 }
 
 // queue adds records to the streams of entries, and to those of other hubs if
@@ -220,7 +278,8 @@
 		case <-r.wake:
 		case <-ticker.C:
 		}
-		u := &pb.FeedUpdate{Upstreams: h.take(r), Quorate: h.opts.Store.Quorate()}
+		u := &pb.FeedUpdate{Upstreams: h.take(r), Quorate: h.opts.Store.Quorate(), Entries: h.entries()}
+		u.Leader, u.Term, _ = h.opts.Store.Leader()
 		if d := h.opts.Store.Current(); d.Version > have {
 			u.Document = &pb.Document{Version: d.Version, Body: d.Body}
 			have = d.Version
@@ -237,7 +296,7 @@
 
 // serveGossip takes records from another hub. They are not passed on: each hub
 // sends what it heard itself to all others.
-func (h *Hub) serveGossip(_ context.Context, st *transport.Stream) error {
+func (h *Hub) serveGossip(ctx context.Context, st *transport.Stream) error {
 	for {
 		g := &pb.Gossip{}
 		if err := st.Recv(g); err != nil {
@@ -246,17 +305,18 @@
 		for _, r := range g.Upstreams {
 			h.observeGossip(r)
 		}
+		h.mu.Lock()
+		h.attached[transport.PeerFrom(ctx).Vm] = attachedCount{int(g.Attached), h.now()}
+		h.mu.Unlock()
 	}
 }
 
 func (h *Hub) observeGossip(r *pb.UpstreamRecord) {
 	h.mu.Lock()
-	changed, _ := h.table.Observe(r, h.now())
+	changed, heard := h.table.Observe(r, h.now())
 	h.queue(changed, false)
 	h.mu.Unlock()
-	for _, c := range changed {
-		h.logRecord(c)
-	}
+	h.changed(changed, r, heard)
 }
 
 // maintain marks silent upstreams and keeps one gossip stream to each other
@@ -343,17 +403,20 @@
 	r.whole = true
 	h.mu.Unlock()
 	r.signal()
+	ticker := time.NewTicker(attachedLife / 3)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-r.wake:
+		case <-ticker.C:
 		}
 		records := h.take(r)
-		if len(records) == 0 {
-			continue
-		}
-		if err := st.Send(&pb.Gossip{Upstreams: records}); err != nil {
+		h.mu.Lock()
+		attached := uint32(h.attachedHere())
+		h.mu.Unlock()
+		if err := st.Send(&pb.Gossip{Upstreams: records, Attached: attached}); err != nil {
 			return
 		}
 	}
--- /dev/null
+++ b/internal/forward/placement.go
@@ -0,0 +1,116 @@
+package forward
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/policy"
+)
+
+const (
+	// answerShare is the part of the likely answer for which memory is
+	// reserved: answers grow to their full size only at their end, so that a
+	// batch at mixed progress uses about half of it.
+	answerShare = 0.55
+	// patience is how many targets callers wait for a first event before they
+	// leave; waitShare is the part of that time spent in the queue at most.
+	patience  = 4
+	waitShare = 0.8
+)
+
+// placement is where a generation runs: a decode engine and, when a scheduler
+// reserved one, a prefill engine.
+type placement struct {
+	prefill *target
+	decode  *target
+	work    policy.Work
+	// hold is nil when the entry placed the request by itself.
+	hold Reservation
+}
+
+func (p *placement) reached(s Stage, took time.Duration) {
+	if p.hold != nil {
+		p.hold.Reached(s, took)
+	}
+}
+
+// release gives the room back once.
+func (p *placement) release(e End, st *streamState) {
+	if p.hold == nil {
+		return
+	}
+	took := time.Duration(0)
+	if st.events > 1 {
+		took = time.Since(st.firstAt)
+	}
+	p.hold.Release(e, 0, took)
+	p.hold = nil
+}
+
+// place finds engines for a request: through the scheduler, which sees all
+// requests of all entries, or by the entry's own view when no scheduler is in
+// reach. Engines enforce their own limits, so that a wrong guess costs a
+// rejected call only.
+func (x *exchange) place(attempt int) (*placement, *Refusal) {
+	work := policy.Work{
+		PromptTokens: x.facts.PromptTokens,
+		MemoryTokens: x.facts.PromptTokens + int(answerShare*float64(x.facts.LikelyTokens)),
+	}
+	if x.service.Engine != nil && x.s.placer != nil {
+		hold, err := x.s.placer.Reserve(x.ctx, x.demand(attempt, work))
+		var refusal *Refusal
+		if errors.As(err, &refusal) {
+			return nil, refusal
+		}
+		if err == nil {
+			p := &placement{
+				prefill: x.s.upstreams.get(hold.Prefill()), decode: x.s.upstreams.get(hold.Decode()), work: work, hold: hold,
+			}
+			if p.decode != nil {
+				return p, nil
+			}
+			// The engine's report has not reached this entry, or it has ended.
+			hold.Release(EndNotStarted, 0, 0)
+		}
+	}
+	c := choice{service: x.service.Name, stage: stageOf(x.service), tried: x.tried}
+	decode := x.s.upstreams.pick(c, x.s.now(), rand.Float64())
+	if decode == nil {
+		return nil, nil
+	}
+	return &placement{decode: decode, work: work, prefill: x.pickPrefill(nil)}, nil
+}
+
+// pickPrefill chooses a prefill engine by the entry's own view.
+func (x *exchange) pickPrefill(tried map[*target]bool) *target {
+	if x.service.Engine == nil {
+		return nil
+	}
+	c := choice{service: x.service.Name, stage: pb.EngineStage_ENGINE_STAGE_PREFILL, tried: tried}
+	return x.s.upstreams.pick(c, x.s.now(), rand.Float64())
+}
+
+func (x *exchange) demand(attempt int, work policy.Work) *Demand {
+	age := time.Since(x.began)
+	wait := max(0, time.Duration(waitShare*patience*float64(x.route.Target))-age)
+	d := &Demand{
+		Service: x.service.Name, Model: x.facts.Model, ID: x.facts.ID, Attempt: attempt,
+		PromptTokens: work.PromptTokens, AnswerTokens: work.MemoryTokens - work.PromptTokens,
+		Wait: min(wait, x.remaining()), Deadline: x.remaining(), Target: x.route.Target, Age: age,
+	}
+	for t := range x.tried {
+		d.Exclude = append(d.Exclude, t.record.Id)
+	}
+	return d
+}
+
+// comeBackAfter bounds a scheduler's advice by what the caller honours.
+func (x *exchange) comeBackAfter(after time.Duration) time.Duration {
+	if after <= 0 {
+		return x.comeBack()
+	}
+	return min(after, max(0, time.Until(x.callerEnds))/3)
+}
--- /dev/null
+++ b/internal/forward/placer.go
@@ -0,0 +1,82 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// Demand asks a scheduler for room on the engines of a service.
+type Demand struct {
+	Service string
+	Model   string
+	// ID and Attempt name the request.
+	ID      string
+	Attempt int
+	// PromptTokens and AnswerTokens size the memory to reserve.
+	PromptTokens int
+	AnswerTokens int
+	// Wait is the longest time to wait for room; Deadline the time left for the
+	// whole answer; Target the route's time to the first event.
+	Wait     time.Duration
+	Deadline time.Duration
+	Target   time.Duration
+	// Age is the time since the request arrived.
+	Age time.Duration
+	// Exclude lists engines that failed the request before.
+	Exclude []string
+}
+
+// Stage is how far a request got on its engines.
+type Stage uint8
+
+// Stages, in order.
+const (
+	StageReading Stage = iota + 1
+	StageRead
+	StageAnswering
+)
+
+// End is how a reservation ended.
+type End uint8
+
+// Ends of a reservation.
+const (
+	EndCompleted End = iota + 1
+	EndCancelled
+	EndPrefillFailed
+	EndDecodeFailed
+	EndNotStarted
+)
+
+// Reservation is room on a prefill and a decode engine.
+type Reservation interface {
+	// Prefill and Decode are the ids of the engines.
+	Prefill() string
+	Decode() string
+	// Reached tells the scheduler how far the request got.
+	Reached(s Stage, took time.Duration)
+	// Release gives the room back.
+	Release(e End, answerTokens int, took time.Duration)
+}
+
+// Placer reserves room on engines.
+type Placer interface {
+	// Reserve waits for room. It returns a *Refusal when there is none in
+	// time, and ErrNoScheduler when nobody can be asked.
+	Reserve(ctx context.Context, d *Demand) (Reservation, error)
+}
+
+// ErrNoScheduler means that no scheduler is in reach: the entry places the
+// request by itself.
+var ErrNoScheduler = errors.New("no scheduler is in reach")
+
+// Refusal is a scheduler's answer that a request has no room in time.
+type Refusal struct {
+	Reason string
+	// After is when the caller should come back.
+	After time.Duration
+}
+
+// Error implements error.
+func (r *Refusal) Error() string { return "refused by the scheduler: " + r.Reason }
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -138,6 +138,12 @@
 	return b.b.Left(now)
 }
 
+func (b budgetOf) spend(now time.Duration) {
+	b.s.mu.Lock()
+	defer b.s.mu.Unlock()
+	b.b.Spend(now)
+}
+
 // slackAtEnd lets an answer that has begun arrive a little late.
 func (x *exchange) slackAtEnd() time.Duration { return 200 * time.Millisecond }
 
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
-	pb "godwitward.example/godwitward/api/godwitward/v1"
 	"godwitward.example/godwitward/policy"
 )
 
@@ -39,23 +37,27 @@
 // readPrompt has the prompt read by a prefill engine, so that reading it does
 // not slow the answers of a decode engine. It returns nil when no engine read
 // it; the decode engine then reads it itself.
-func (x *exchange) readPrompt(work policy.Work) *readPrompt {
-	if x.service.Engine == nil || work.PromptTokens == 0 {
+func (x *exchange) readPrompt(p *placement) *readPrompt {
+	if x.service.Engine == nil || p.work.PromptTokens == 0 {
 		return nil
 	}
 	tried := map[*target]bool{}
-	for range maxPrefills {
-		t := x.s.upstreams.pick(choice{service: x.service.Name, stage: pb.EngineStage_ENGINE_STAGE_PREFILL, tried: tried}, x.s.now(), rand.Float64())
+	t := p.prefill
+	for len(tried) < maxPrefills {
 		if t == nil || tried[t] || x.left() {
 			return nil
 		}
-		if len(tried) > 0 && !x.s.budget(x.service.Name).take(x.s.now()) {
+		// The first call that an engine accepts is free of charge. Whether it
+		// is accepted shows later, so one repeat is kept for it.
+		if len(tried) > 0 && x.s.budget(x.service.Name).left(x.s.now()) < 2 {
 			return nil
 		}
 		tried[t] = true
-		if read := x.readAt(t, work); read != nil {
+		if read := x.readAt(t, p.work); read != nil {
 			return read
 		}
+		x.s.budget(x.service.Name).spend(x.s.now())
+		t = x.pickPrefill(tried)
 	}
 	return nil
 }
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -12,7 +12,12 @@
 	Wait time.Duration
 	// PromptTokens and AnswerTokens are 0 when the request is no generation.
 	PromptTokens int
+	// AnswerTokens is the most that the answer may have, LikelyTokens an
+	// estimate that is often far off.
 	AnswerTokens int
+	LikelyTokens int
+	// Model is the model asked for; empty when the request is no generation.
+	Model string
 	// LastEvent is the last event that the caller has of this stream; empty
 	// for a new one.
 	LastEvent string
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,6 +38,9 @@
 	RepeatRatio  float64
 	RepeatSlack  float64
 	RepeatWindow time.Duration
+	// Entries is the number of entries that share the fixed part of the budget;
+	// 0 when it is not known.
+	Entries int
 }
 
 // Server forwards requests at one entry.
@@ -49,6 +53,9 @@
 	inFlight  atomic.Int64
 	draining  atomic.Bool
 
+	placer   Placer
+	setPools func(services []string)
+
 	mu      sync.Mutex
 	budgets map[string]*policy.RepeatBudget
 
@@ -78,12 +85,34 @@
 			return
 		}
 		if s.config.CompareAndSwap(old, c) {
+			s.announcePools()
 			s.opts.Logger.Info().Str("event", "config.applied").Uint64("version", c.Version).Int("routes", len(c.Routes)).Msg("")
 			return
 		}
 	}
 }
 
+// SetPlacer makes the server ask a scheduler for room on engines. setPools is
+// told the services with engines. It must be called before the server serves.
+func (s *Server) SetPlacer(p Placer, setPools func(services []string)) {
+	s.placer, s.setPools = p, setPools
+	s.announcePools()
+}
+
+func (s *Server) announcePools() {
+	c := s.config.Load()
+	if s.setPools == nil || c == nil {
+		return
+	}
+	var names []string
+	for name, service := range c.Services {
+		if service.Engine != nil {
+			names = append(names, name)
+		}
+	}
+	s.setPools(names)
+}
+
 // SetUpstreams takes changed upstream records.
 func (s *Server) SetUpstreams(records []*pb.UpstreamRecord) {
 	s.upstreams.update(records)
@@ -145,11 +174,13 @@
 	// callerEnds is when the caller stops waiting.
 	callerEnds time.Time
 
-	sends   int
-	tried   map[*target]bool
-	last    *target
-	mayRun  bool
-	reason  string
+	sends  int
+	tried  map[*target]bool
+	last   *target
+	mayRun bool
+	reason string
+	// trail lists the sends with their outcomes, for the log.
+	trail   []string
 	outcome string
 	status  int
 }
@@ -252,10 +283,18 @@
 	b *policy.RepeatBudget
 }
 
+// slackMargin keeps a part of the fixed number of repeats for entries that
+// were started since they were counted.
+const slackMargin = 0.7
+
 // slackShare is the part of the fixed number of repeats that one entry spends.
-// Entries are not told how many there are; the deployments have 7 to 75, and
-// their own requests add most of the budget.
-const slackShare = 1.0 / 12
+// An entry that does not know how many there are spends none.
+func (b *Bounds) slackShare() float64 {
+	if b.Entries <= 0 {
+		return 0
+	}
+	return slackMargin / float64(b.Entries)
+}
 
 func (s *Server) budget(service string) budgetOf {
 	s.mu.Lock()
@@ -266,7 +305,7 @@
 		b = &policy.RepeatBudget{}
 		s.budgets[service] = b
 	}
-	b.Ratio, b.Slack, b.Window = bounds.RepeatRatio, bounds.RepeatSlack*slackShare, bounds.RepeatWindow
+	b.Ratio, b.Slack, b.Window = bounds.RepeatRatio, bounds.RepeatSlack*bounds.slackShare(), bounds.RepeatWindow
 	return budgetOf{s, b}
 }
 
@@ -377,6 +416,7 @@
 func (x *exchange) sendOn(c *conn, t *target, send *Send, firstByte time.Duration) (*sent, error) {
 	stop := context.AfterFunc(x.ctx, func() { _ = c.Close() })
 	fail := func(err error) (*sent, error) {
+		x.note(t, send, "lost", nil)
 		stop()
 		_ = c.Close()
 		return nil, err
@@ -397,9 +437,31 @@
 		return fail(err)
 	}
 	t.report(answer.Load, x.s.now())
+	x.note(t, send, itoa(resp.StatusCode), answer.Load)
 	return &sent{t: t, c: c, resp: resp, answer: answer, stop: stop}, nil
 }
 
+// maxTrail bounds the sends that a log line lists.
+const maxTrail = 12
+
+// note adds a send to the trail: upstream, stage, outcome, the load that the
+// upstream stated as running/waiting/slots, and the time since the request
+// arrived.
+func (x *exchange) note(t *target, send *Send, outcome string, load *Load) {
+	if len(x.trail) >= maxTrail {
+		return
+	}
+	entry := t.record.Id
+	if send.Prefill {
+		entry += ":prefill"
+	}
+	entry += ":" + outcome
+	if load != nil {
+		entry += ":" + itoa(load.Running) + "/" + itoa(load.Waiting) + "/" + itoa(load.Slots)
+	}
+	x.trail = append(x.trail, entry+"@"+itoa(int(time.Since(x.began).Milliseconds())))
+}
+
 func isTimeout(err error) bool {
 	var t interface{ Timeout() bool }
 	return errors.As(err, &t) && t.Timeout()
@@ -439,5 +501,6 @@
 	}
 	l.Str("event", "request.ended").Str("id", x.facts.ID).Str("route", route).Str("service", service).Str("upstream", upstream).
 		Int("status", x.status).Str("outcome", x.outcome).Str("reason", x.reason).Int("sends", x.sends).
+		Str("trail", strings.Join(x.trail, ",")).
 		Int64("ms", time.Since(x.began).Milliseconds()).Uint64("config", version).Msg("")
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -20,9 +19,6 @@
 	// gapFactor and minGap bound the silence inside a stream in the same way.
 	gapFactor = 3
 	minGap    = 700 * time.Millisecond
-	// answerShare is the share of the most answer tokens that a typical answer
-	// has, for the estimate of memory.
-	answerShare = 0.6
 )
 
 // streamState is how far an answer got.
@@ -32,38 +28,37 @@
 	// started is set once the head was written to the caller.
 	started bool
 	events  int
+	firstAt time.Time
 	// read is the prompt that a prefill engine holds for the next send.
 	read *readPrompt
+	// lastRun tells that the route allows no run after this one.
+	lastRun bool
 }
 
 // serveStream relays a stream of events and continues it at another upstream
 // where the route allows that.
 func (x *exchange) serveStream() {
 	st := &streamState{lastEvent: x.facts.LastEvent}
-	work := policy.Work{
-		PromptTokens: x.facts.PromptTokens,
-		MemoryTokens: x.facts.PromptTokens + int(answerShare*float64(x.facts.AnswerTokens)),
-	}
-	runs, rejections := 0, 0
 	defer func() { x.free(st.read) }()
-	for {
-		t := x.s.upstreams.pick(choice{service: x.service.Name, stage: stageOf(x.service), tried: x.tried}, x.s.now(), rand.Float64())
-		if t == nil {
+	runs, rejections := 0, 0
+	for attempt := 1; ; attempt++ {
+		st.lastRun = runs+1 >= x.route.MaxAttempts || !x.route.Repeatable()
+		p, refusal := x.place(attempt)
+		if refusal != nil && !st.started && !x.mayRun {
+			x.refuse("scheduler_"+refusal.Reason, x.comeBackAfter(refusal.After))
+			return
+		}
+		if p == nil {
 			x.endStream(st, "no_upstream")
 			return
 		}
 		if x.sends > 0 && !x.s.budget(x.service.Name).take(x.s.now()) {
+			p.release(EndNotStarted, st)
 			x.endStream(st, "repeat_budget")
 			return
 		}
-		lastRun := runs+1 >= x.route.MaxAttempts || !x.route.Repeatable()
-		t.use(work)
-		if st.read == nil && x.sends == 0 {
-			st.read = x.readPrompt(work)
-		}
-		verdict := x.tryStream(t, st, lastRun)
-		t.unuse(work)
-		x.tried[t] = true
+		verdict := x.runPlaced(p, st)
+		x.tried[p.decode] = true
 		switch verdict {
 		case verdictDone:
 			return
@@ -74,6 +69,7 @@
 				return
 			}
 		case verdictLost:
+			st.read = nil
 			x.mayRun = true
 			if runs++; runs >= x.route.MaxAttempts || !x.route.Repeatable() {
 				x.endStream(st, "lost")
@@ -87,6 +83,33 @@
 	}
 }
 
+// runPlaced has the prompt read and the answer made on the engines of a
+// placement, and gives the room back.
+func (x *exchange) runPlaced(p *placement, st *streamState) verdict {
+	p.decode.use(p.work)
+	defer p.decode.unuse(p.work)
+	if st.read == nil && st.lastEvent == "" {
+		p.reached(StageReading, 0)
+		began := time.Now()
+		st.read = x.readPrompt(p)
+		if st.read != nil {
+			p.reached(StageRead, time.Since(began))
+		}
+	}
+	verdict := x.tryStream(p, st)
+	end := EndDecodeFailed
+	switch {
+	case verdict == verdictDone:
+		end = EndCompleted
+	case x.left():
+		end = EndCancelled
+	case verdict == verdictRejected || verdict == verdictNotSent:
+		end = EndNotStarted
+	}
+	p.release(end, st)
+	return verdict
+}
+
 // endStream gives up. A stream that has begun is broken off, so that it does
 // not look complete.
 func (x *exchange) endStream(st *streamState, reason string) {
@@ -98,9 +121,10 @@
 }
 
 // tryStream sends the request to one upstream and passes its events on.
-func (x *exchange) tryStream(t *target, st *streamState, lastRun bool) verdict {
+func (x *exchange) tryStream(p *placement, st *streamState) verdict {
+	t := p.decode
 	wait := x.remaining() - lateMargin
-	if !lastRun {
+	if !st.lastRun {
 		wait = min(wait, time.Duration(firstEventFactor*float64(x.route.Target)))
 	}
 	send := &Send{Priority: -1, LastEvent: st.lastEvent}
@@ -116,7 +140,7 @@
 	}
 	st.read = nil
 	if a.resp.StatusCode >= 300 {
-		return x.streamError(t, a, st, lastRun)
+		return x.streamError(t, a, st)
 	}
 	if spoiled(a) {
 		a.close(false)
@@ -124,15 +148,16 @@
 		x.reason = "answer_spoiled"
 		return verdictLost
 	}
-	return x.passEvents(t, a, st, lastRun)
+	p.reached(StageAnswering, 0)
+	return x.passEvents(t, a, st)
 }
 
 // streamError handles an answer without a stream.
-func (x *exchange) streamError(t *target, a *sent, st *streamState, lastRun bool) verdict {
+func (x *exchange) streamError(t *target, a *sent, st *streamState) verdict {
 	_ = a.c.SetDeadline(time.Now().Add(x.remaining()))
 	body, err := io.ReadAll(io.LimitReader(a.resp.Body, maxBuffered))
 	t.failed(x.s.now(), policy.FaultError)
-	if err != nil || st.started || !lastRun {
+	if err != nil || st.started || !st.lastRun {
 		a.close(err == nil)
 		x.reason = "upstream_error"
 		return verdictLost
@@ -142,11 +167,11 @@
 }
 
 // passEvents relays whole events as they arrive.
-func (x *exchange) passEvents(t *target, a *sent, st *streamState, lastRun bool) verdict {
+func (x *exchange) passEvents(t *target, a *sent, st *streamState) verdict {
 	flusher := http.NewResponseController(x.w)
 	rd := &eventReader{rd: bufio.NewReaderSize(a.resp.Body, readBuffer)}
 	for {
-		_ = a.c.SetReadDeadline(time.Now().Add(x.eventWait(st, lastRun)))
+		_ = a.c.SetReadDeadline(time.Now().Add(x.eventWait(st)))
 		ev, err := rd.next()
 		if err == io.EOF {
 			return x.streamWhole(t, a, st, flusher)
@@ -166,6 +191,9 @@
 			x.reason = "caller_left"
 			return verdictLost
 		}
+		if st.events == 0 {
+			st.firstAt = time.Now()
+		}
 		st.events++
 		if ev.id != "" {
 			st.lastEvent = ev.id
@@ -182,9 +210,9 @@
 }
 
 // eventWait is the longest silence before a stream is taken for broken.
-func (x *exchange) eventWait(st *streamState, lastRun bool) time.Duration {
+func (x *exchange) eventWait(st *streamState) time.Duration {
 	left := x.remaining() + x.slackAtEnd()
-	if lastRun {
+	if st.lastRun {
 		return left
 	}
 	if st.events == 0 {
--- a/internal/forward/upstreams.go
+++ b/internal/forward/upstreams.go
@@ -91,6 +91,13 @@
 	return l
 }
 
+// get returns an upstream by id, nil when it is not known or has ended.
+func (u *upstreams) get(id string) *target {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.byID[id]
+}
+
 // choice narrows which upstreams of a service may take a request.
 type choice struct {
 	service string
--- a/internal/scheduler/handlers.go
+++ b/internal/scheduler/handlers.go
@@ -168,13 +168,9 @@
 	}
 	var err error
 	for name, states := range byPool {
-		a := s.pool(name)
-		if a == nil {
+		if !s.Announce(name, states) {
 			err = errNotHolder(name)
-			continue
 		}
-		s.perform(a, a.core.Announce(states, s.now()))
-		s.signal(a, Placement)
 	}
 	if err != nil {
 		return nil, err
@@ -182,6 +178,18 @@
 	return &pb.Empty{}, nil
 }
 
+// Announce takes over announcements of one pool's upstreams. It reports
+// whether the pool is served here, and keeps the messages.
+func (s *Scheduler) Announce(pool string, states []*pb.UpstreamState) bool {
+	a := s.pool(pool)
+	if a == nil {
+		return false
+	}
+	s.perform(a, a.core.Announce(states, s.now()))
+	s.signal(a, Placement)
+	return true
+}
+
 // handleWatch pushes the upstream table of a pool after each change.
 func (s *Scheduler) handleWatch(ctx context.Context, st *transport.Stream) error {
 	req := &pb.WatchUpstreamsRequest{}
