--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -18,6 +18,7 @@
 	"godwitward.example/godwitward/internal/corestore"
 	"godwitward.example/godwitward/internal/feed"
 	"godwitward.example/godwitward/internal/finding"
+	"godwitward.example/godwitward/internal/scheduler"
 	"godwitward.example/godwitward/internal/transport"
 	"godwitward.example/godwitward/platform"
 )
@@ -100,7 +101,7 @@
 	serving := options
 	serving.OnSessionEnd = func(peer *pb.Hello) { d.pools.scheduler.EntrySessionEnded(peer.DaemonId) }
 	d.sessions = transport.NewServer(serving)
-	d.pools = newPools(logger, func() (string, uint64, bool) { return d.store.Leader() }, d.sessions)
+	d.pools = newPools(logger, func() (string, uint64, bool) { return d.store.Leader() }, newEngine(s), s.Lease, d.sessions)
 	changed := make(chan struct{}, 1)
 	d.store, err = corestore.Start(corestore.Options{
 		Dir: s.DataDir + storeFolder, Address: s.Session, Bootstrap: s.FirstStart, Tolerate: s.TolerateLoss,
@@ -130,6 +131,15 @@
 	return d, d.listen(s, logger)
 }
 
+// newEngine returns the constructor of clients for orders to engines. Each call
+// uses a connection of its own.
+func newEngine(s *platform.Settings) func(*pb.UpstreamState) scheduler.Engine {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	return func(u *pb.UpstreamState) scheduler.Engine {
+		return &platform.Engine{Client: client, Address: u.Url, ID: u.Id, Holder: s.VM}
+	}
+}
+
 // documentChanged spreads the newest configuration.
 func (d *daemon) documentChanged(logger *log.Logger) {
 	d.hub.DocumentChanged()
--- a/internal/core/pools.go
+++ b/internal/core/pools.go
@@ -47,16 +47,20 @@
 	active uint64
 }
 
-func newPools(logger *log.Logger, leader func() (string, uint64, bool), sessions *transport.Server) *pools {
+// newPools returns pools that are led by nobody. newEngine returns the client
+// for orders to an engine, and lease is how long an earlier leader may still
+// give orders.
+func newPools(logger *log.Logger, leader func() (string, uint64, bool), newEngine func(*pb.UpstreamState) scheduler.Engine, lease time.Duration, sessions *transport.Server) *pools {
 	p := &pools{leader: leader, logger: logger, engines: map[string]*forward.Engine{}}
 	p.scheduler = scheduler.New(scheduler.Options{
-		Logger: logger,
+		Logger: logger, NewEngine: newEngine,
 		Holds: func(_ string, token uint64) bool {
 			_, term, self := leader()
 			return self && term == token
 		},
 		Params: scheduler.Params{
-			SilentAfter: fleet.SilenceLimit, RestateWindow: restateWindow, RoleHold: -1, UrgentReserve: -1, DisableJIT: true,
+			SilentAfter: fleet.SilenceLimit, RestateWindow: restateWindow, LeaseTTL: lease, BalanceRoles: true,
+			UrgentReserve: -1, DisableJIT: true,
 		},
 	})
 	p.scheduler.Register(sessions)
--- /dev/null
+++ b/internal/scheduler/balance.go
@@ -0,0 +1,116 @@
+package scheduler
+
+import (
+	"time"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/policy"
+)
+
+const (
+	// minMixSamples is the number of completed requests from which the mix of
+	// work is trusted.
+	minMixSamples = 15
+	// mixGain follows a change of the mix within some tens of requests.
+	mixGain = 0.05
+	// balanceHold is how long an imbalance must last before an engine changes
+	// its role, and balancePause the time between changes of a pool.
+	balanceHold  = time.Second
+	balancePause = 3 * time.Second
+	// scarceHold replaces balanceHold for a change that takes an engine from
+	// the decode side: its answers must end first, so it pays only when the
+	// prefill side stays short.
+	scarceHold = 8 * time.Second
+	// orderLimit bounds a role order; the engine only notes it.
+	orderLimit = 1500 * time.Millisecond
+)
+
+// mix is the learned work of the pool's requests, guarded by the holds lock.
+type mix struct {
+	prefill float64
+	decode  float64
+	pieces  float64
+	samples int
+}
+
+func (m *mix) read(seconds float64) { learnMean(&m.prefill, seconds) }
+
+func (m *mix) answered(seconds float64, pieces int) {
+	learnMean(&m.decode, seconds)
+	learnMean(&m.pieces, float64(pieces))
+	m.samples++
+}
+
+func learnMean(value *float64, sample float64) {
+	if *value == 0 {
+		*value = sample
+		return
+	}
+	*value += mixGain * (sample - *value)
+}
+
+// balanceRoles moves engines between the sides so that the measured mix of
+// work uses both alike.
+func (p *Pool) balanceRoles(now time.Duration) []Action {
+	defer p.lock(upstreamsTable | holdsTable | queueTableBit | linksTable | ordersTable)()
+	s := &p.orders.roles
+	short := p.shortSide()
+	if short != s.shortRole {
+		s.shortRole = short
+		s.since = now
+	}
+	hold := balanceHold
+	if short == pb.EngineRole_ENGINE_ROLE_PREFILL {
+		hold = scarceHold
+	}
+	if short == pb.EngineRole_ENGINE_ROLE_UNSPECIFIED || now-s.since < hold || len(p.orders.byID) > 0 {
+		return nil
+	}
+	if s.changed && now-s.changedAt < balancePause {
+		return nil
+	}
+	m := p.spareEngine(short)
+	if m == nil {
+		return nil
+	}
+	s.changed = true
+	s.changedAt = now
+	o := &pb.EngineOrder{
+		UpstreamId: m.view.ID, FencingToken: p.token, DeadlineMs: millis(orderLimit),
+		Order: &pb.EngineOrder_SetRole{SetRole: short},
+	}
+	p.addOrder(m, o, true, now)
+	return []Action{Note{Kind: "role.change", Upstream: m.view.ID, Detail: roleName(short)}}
+}
+
+// shortSide returns the role that should have one engine more.
+func (p *Pool) shortSide() pb.EngineRole {
+	prefill, decode, batch := 0, 0, 0.0
+	work := &p.holds.mix
+	for _, m := range p.upstreams.byID {
+		if m.health != pb.UpstreamStatus_LIVE || !m.isEngine() {
+			continue
+		}
+		if m.changing {
+			// An engine on its way to the other side counts there already.
+			return pb.EngineRole_ENGINE_ROLE_UNSPECIFIED
+		}
+		if m.state.Role == pb.EngineRole_ENGINE_ROLE_PREFILL {
+			prefill++
+			continue
+		}
+		decode++
+		batch += min(float64(m.view.MaxBatch), float64(m.view.TotalPieces)/max(1, work.pieces))
+	}
+	if work.samples < minMixSamples || prefill == 0 || decode == 0 {
+		return pb.EngineRole_ENGINE_ROLE_UNSPECIFIED
+	}
+	m := policy.Mix{PrefillSeconds: work.prefill, DecodeSeconds: work.decode, Batch: batch / float64(decode)}
+	switch target := m.PrefillEngines(prefill + decode); {
+	case target == 0 || target == prefill:
+		return pb.EngineRole_ENGINE_ROLE_UNSPECIFIED
+	case target < prefill:
+		return pb.EngineRole_ENGINE_ROLE_DECODE
+	}
+	return pb.EngineRole_ENGINE_ROLE_PREFILL
+}
--- a/internal/scheduler/holds.go
+++ b/internal/scheduler/holds.go
@@ -344,6 +344,7 @@
 	m.prefilledAt = now
 	m.eject.Succeeded()
 	m.speed.Prefilled(int(h.uncached), took)
+	p.holds.mix.read(float64(h.uncached) / m.speed.PrefillRate)
 	p.speedLearned(m, now)
 }
 
@@ -363,6 +364,7 @@
 	switch r.Outcome {
 	case pb.ReleaseRequest_COMPLETED:
 		p.holds.learnTime(now - h.granted)
+		p.holds.mix.answered((now - h.granted).Seconds(), int(h.pieces))
 		h.decode.eject.Succeeded()
 		perToken := time.Duration(r.TpotUs) * time.Microsecond
 		h.decode.speed.Decoded(int(r.OutputTokens), perToken, h.decode.view.Batch, h.decode.view.MaxBatch)
--- a/internal/scheduler/options.go
+++ b/internal/scheduler/options.go
@@ -79,6 +79,9 @@
 	// RoleHold is how long an imbalance must last before an engine changes its
 	// role. Negative disables role changes.
 	RoleHold time.Duration
+	// BalanceRoles splits the engines between prefill and decode by the measured
+	// work of the requests instead of waiting for one side to run short.
+	BalanceRoles bool
 	// LoadInterval is the time between model loads, from the weight store's
 	// rate and the size of a model.
 	LoadInterval time.Duration
--- a/internal/scheduler/roles.go
+++ b/internal/scheduler/roles.go
@@ -33,6 +33,9 @@
 // capacity for RoleHold while the other had plenty, the least busy engine of
 // the other role drains and changes.
 func (p *Pool) changeRoles(now time.Duration) []Action {
+	if p.params.BalanceRoles {
+		return p.balanceRoles(now)
+	}
 	if p.params.RoleHold < 0 {
 		return nil
 	}
--- a/internal/scheduler/tables.go
+++ b/internal/scheduler/tables.go
@@ -132,6 +132,7 @@
 	// excess is how much longer than on idle engines drafts take from the
 	// grant to the first token.
 	excess policy.Delay
+	mix    mix
 }
 
 // entryRecord is what is known about one entry.
--- /dev/null
+++ b/policy/roles.go
@@ -0,0 +1,32 @@
+package policy
+
+import "math"
+
+// Mix is the measured work of a pool's requests.
+type Mix struct {
+	// PrefillSeconds is the time that one prompt takes on a prefill engine.
+	PrefillSeconds float64
+	// DecodeSeconds is the time that one answer takes on a decode engine, and
+	// Batch the number of answers that an engine makes at once.
+	DecodeSeconds float64
+	Batch         float64
+}
+
+// prefillHeadroom is the part of an engine that is added to the prefill side.
+// Prompts wait in line for one engine, while a full decode side only lets
+// requests queue, so the prefill side should not be the tighter one.
+const prefillHeadroom = 0.2
+
+// PrefillEngines returns how many of a number of engines should run prefill so
+// that both sides are used alike. It answers bursts on pools whose engines were
+// split for another mix: the side with spare engines gives one to the other.
+// Each side keeps at least one engine. It returns 0 when the mix is not known.
+func (m *Mix) PrefillEngines(total int) int {
+	if total < 2 || m.PrefillSeconds <= 0 || m.DecodeSeconds <= 0 || m.Batch <= 0 {
+		return 0
+	}
+	decode := m.DecodeSeconds / m.Batch
+	share := m.PrefillSeconds / (m.PrefillSeconds + decode)
+	n := int(math.Round(float64(total)*share + prefillHeadroom))
+	return min(max(n, 1), total-1)
+}
