entry, scheduler: tell a long queue from a scheduler that is gone

Cause: a submission to a scheduler that was killed or frozen waited for the session's heartbeat, up to 3 s, although the entry can place the request by itself. A scheduler now repeats a sign of life for what waits, and an entry gives up after 0.4 s without one.

--- a/internal/corestore/store.go
+++ b/internal/corestore/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -165,9 +166,27 @@
 	s.mu.Lock()
 	s.node = node
 	s.mu.Unlock()
+	if o.Start != replica.StartJoining {
+		go s.campaignEarly(node)
+	}
 	return nil
 }
 
+// earlyCampaign bounds the random wait before the first campaign. When all
+// members start at once, nobody leads, and waiting for an election timeout
+// would keep entries without a configuration for a second.
+const earlyCampaign = 400 * time.Millisecond
+
+func (s *Store) campaignEarly(node *replica.Node) {
+	select {
+	case <-s.stop:
+		return
+	case <-time.After(earlyCampaign/4 + rand.N(earlyCampaign)):
+	}
+	// A node that has ended needs no leader.
+	_ = node.Campaign(documentGroup)
+}
+
 func (s *Store) seedMembers() []replica.MemberID {
 	var members []replica.MemberID
 	for _, seed := range s.opts.Seeds() {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -42,7 +42,7 @@
 	// ready: two checks, a second apart, and the time of the answers.
 	noticeTime = 2800 * time.Millisecond
 	// stopMargin is how long before the kill an entry ends by itself.
-	stopMargin = 500 * time.Millisecond
+	stopMargin = 700 * time.Millisecond
 )
 
 // OpenSettings reads the settings file and checks what an entry needs of it.
@@ -82,7 +82,6 @@
 			return forward.Bounds{RepeatRatio: b.RepeatRatio, RepeatSlack: b.RepeatSlack, RepeatWindow: b.RepeatWindow, Entries: entries()}
 		},
 	})
-	defer server.Stop()
 	self := &pb.Hello{DaemonId: s.VM, Vm: s.VM, Place: s.Place, Process: "gw-edge"}
 	started := feed.Follow(feed.FollowerOptions{
 		Seeds:       func() []string { return file.Current().Seeds },
@@ -91,7 +90,6 @@
 		OnDocument:  func(version uint64, body []byte) { applyDocument(server, logger, version, body) },
 		OnUpstreams: server.SetUpstreams,
 	})
-	defer started.Stop()
 	follower.Store(started)
 	pools := entry.NewPools(entry.PoolOptions{
 		EntryID: s.VM, Transport: transport.Options{Self: self, Logger: logger},
@@ -100,7 +98,7 @@
 			return &pb.PoolLease{Name: pool, Address: address, FencingToken: term}, known
 		},
 	})
-	defer pools.Close()
+	// The end of the process stops what still runs when the drain is over.
 	server.SetPlacer(&placer{pools: pools}, pools.SetPools)
 	return serve(ctx, file, server, logger)
 }
--- a/internal/edge/placer.go
+++ b/internal/edge/placer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
@@ -14,19 +15,26 @@
 // to arrive.
 const answerSlack = 150 * time.Millisecond
 
+// silentPause is how long a scheduler that showed no sign of life is not asked
+// again: each request that asks loses time of its caller.
+const silentPause = 700 * time.Millisecond
+
 // placer reserves room at the core's scheduler.
 type placer struct {
 	pools *entry.Pools
+	// resumeAt is the Unix time in nanoseconds from which the scheduler is asked
+	// again.
+	resumeAt atomic.Int64
 }
 
 // Reserve implements forward.Placer.
 func (p *placer) Reserve(ctx context.Context, d *forward.Demand) (forward.Reservation, error) {
-	if !p.pools.Connected(d.Service) {
+	if !p.pools.Connected(d.Service) || time.Now().UnixNano() < p.resumeAt.Load() {
 		return nil, forward.ErrNoScheduler
 	}
 	ctx, cancel := context.WithTimeout(ctx, d.Wait+answerSlack)
 	defer cancel()
-	resp, err := p.pools.Submit(ctx, &pb.SubmitRequest{
+	resp, err := p.pools.TrySubmit(ctx, &pb.SubmitRequest{
 		RequestId: d.ID, Attempt: uint32(d.Attempt), Pool: d.Service, Model: d.Model,
 		RequestClass: pb.RequestClass_REQUEST_CLASS_DRAFT,
 		PromptTokens: uint32(d.PromptTokens), MaxOutputTokens: uint32(d.AnswerTokens),
@@ -34,6 +42,9 @@
 		Exclude: d.Exclude,
 	})
 	if err != nil {
+		if ctx.Err() == nil {
+			p.resumeAt.Store(time.Now().Add(silentPause).UnixNano())
+		}
 		return nil, forward.ErrNoScheduler
 	}
 	if r := resp.GetRefusal(); r != nil {
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -30,6 +31,24 @@
 	return nil, errors.Wrap(err, "submitting")
 }
 
+// TrySubmit submits once to the scheduler in reach. It fails at once when there
+// is none, and after submitSilence when the scheduler shows no sign of life.
+func (p *Pools) TrySubmit(ctx context.Context, req *pb.SubmitRequest) (*pb.SubmitResponse, error) {
+	q := p.pool(req.Pool)
+	s := q.current()
+	if s == nil {
+		return nil, errSessionEnded
+	}
+	return q.submitTo(ctx, s, req)
+}
+
+// submitSilence is how long a submission may show no sign of life: two and a
+// half intervals of the scheduler's signs.
+const submitSilence = 400 * time.Millisecond
+
+// errSchedulerSilent means that the scheduler did not answer in time.
+var errSchedulerSilent = errors.New("the scheduler shows no sign of life")
+
 type submitAnswer struct {
 	resp *pb.SubmitResponse
 	err  error
@@ -48,12 +67,23 @@
 		return nil, err
 	}
 	answer := make(chan submitAnswer, 1)
+	silent := time.NewTimer(submitSilence)
+	defer silent.Stop()
 	go func() {
-		resp := &pb.SubmitResponse{}
-		err := stream.Recv(resp)
-		answer <- submitAnswer{resp, err}
+		for {
+			resp := &pb.SubmitResponse{}
+			err := stream.Recv(resp)
+			if err == nil && resp.GetQueued() != nil {
+				silent.Reset(submitSilence)
+				continue
+			}
+			answer <- submitAnswer{resp, err}
+			return
+		}
 	}()
 	select {
+	case <-silent.C:
+		err = errSchedulerSilent
 	case a := <-answer:
 		_ = stream.Close()
 		if a.err != nil {
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -199,9 +199,11 @@
 
 // accept checks a request and reads its body. It answers what it rejects.
 func (x *exchange) accept() bool {
-	x.config = x.s.config.Load()
+	facts, factsErr := x.s.opts.Protocol.Facts(x.r.Header)
+	x.facts = facts
+	x.config = x.s.waitForConfig(x.ctx, min(configWait, facts.Wait/configWaitPart))
 	if x.config == nil {
-		x.refuse("no_config", time.Second)
+		x.refuse("no_config", noConfigRetry)
 		return false
 	}
 	path := x.r.URL.EscapedPath()
@@ -210,12 +212,10 @@
 		x.fail(http.StatusNotFound, "no_route")
 		return false
 	}
-	facts, err := x.s.opts.Protocol.Facts(x.r.Header)
-	if err != nil {
+	if factsErr != nil {
 		x.fail(http.StatusBadRequest, "bad_headers")
 		return false
 	}
-	x.facts = facts
 	wait := x.route.Timeout
 	x.callerEnds = x.began.Add(wait)
 	if facts.Wait > 0 {
@@ -227,6 +227,28 @@
 	return x.readBody()
 }
 
+const (
+	// configWait bounds the wait of a request for the first configuration of a
+	// process that has just started; configWaitPart is the part of the caller's
+	// time that may be spent on it.
+	configWait     = 800 * time.Millisecond
+	configWaitPart = 12
+	// configPoll is the time between looks for it.
+	configPoll = 20 * time.Millisecond
+	// noConfigRetry is when a caller should come back to a process without a
+	// configuration: one more round of connecting to the core.
+	noConfigRetry = 250 * time.Millisecond
+)
+
+func (s *Server) waitForConfig(ctx context.Context, wait time.Duration) *Config {
+	for until := time.Now().Add(wait); ; {
+		if c := s.config.Load(); c != nil || time.Now().After(until) || ctx.Err() != nil {
+			return c
+		}
+		time.Sleep(configPoll)
+	}
+}
+
 // readBody reads the whole body, so that a repeated send has all of it.
 func (x *exchange) readBody() bool {
 	limit := x.config.Limits.BodyBytes
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -244,6 +244,17 @@
 	return status, err
 }
 
+// Campaign starts a pre-vote if no leader is known, without waiting for the
+// election timeout. It is for the time after a start of all members at once.
+func (n *Node) Campaign(id GroupID) error {
+	return n.inspect(id, func(g *group) error {
+		if g.core.Leader() == raft.None {
+			g.core.Campaign()
+		}
+		return nil
+	})
+}
+
 // TransferLeadership asks another voter to lead a group. It returns before the
 // transfer is done, which Leader shows.
 func (n *Node) TransferLeadership(id GroupID, to MemberID) error {
--- a/internal/scheduler/handlers.go
+++ b/internal/scheduler/handlers.go
@@ -14,6 +14,9 @@
 	watchPoll = 100 * time.Millisecond
 	// watchRefresh is the time after which an unchanged table is sent again.
 	watchRefresh = 10 * time.Second
+	// queuedInterval is the time between signs of life to a request that waits.
+	// An entry takes a scheduler for gone after missing two of them.
+	queuedInterval = 150 * time.Millisecond
 )
 
 // Register registers the calls of a scheduler.
@@ -57,7 +60,7 @@
 		_ = st.Recv(&pb.Empty{})
 		cancel()
 	}()
-	resp, err := s.Submit(ctx, req)
+	resp, err := s.submitWithSigns(ctx, st, req)
 	if err != nil {
 		return err
 	}
@@ -67,6 +70,30 @@
 	return st.Send(resp)
 }
 
+// submitWithSigns tells the entry in intervals that its request still waits.
+func (s *Scheduler) submitWithSigns(ctx context.Context, st *transport.Stream, req *pb.SubmitRequest) (*pb.SubmitResponse, error) {
+	type answer struct {
+		resp *pb.SubmitResponse
+		err  error
+	}
+	done := make(chan answer, 1)
+	go func() {
+		resp, err := s.Submit(ctx, req)
+		done <- answer{resp, err}
+	}()
+	ticker := time.NewTicker(queuedInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case a := <-done:
+			return a.resp, a.err
+		case <-ticker.C:
+		}
+		// A failed send shows as the end of ctx.
+		_ = st.Send(&pb.SubmitResponse{Result: &pb.SubmitResponse_Queued{Queued: &pb.Queued{}}})
+	}
+}
+
 // Submit blocks until the request is granted or refused, or ctx ends.
 func (s *Scheduler) Submit(ctx context.Context, req *pb.SubmitRequest) (*pb.SubmitResponse, error) {
 	resp, err := s.submit(ctx, req)
