--- a/internal/core/pools.go
+++ b/internal/core/pools.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -69,15 +70,19 @@
 
 // setServices takes the services of a new configuration.
 func (p *pools) setServices(services map[string]*forward.Service) {
-	p.mu.Lock()
-	p.engines = map[string]*forward.Engine{}
+	engines := map[string]*forward.Engine{}
 	for name, s := range services {
 		if s.Engine != nil {
-			p.engines[name] = s.Engine
+			engines[name] = s.Engine
 		}
 	}
-	p.active = 0
-	p.mu.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	same := maps.EqualFunc(p.engines, engines, func(a, b *forward.Engine) bool { return *a == *b })
+	p.engines = engines
+	if !same {
+		p.active = 0
+	}
 }
 
 // run activates the pools while this daemon leads. It ends with ctx.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -324,6 +324,8 @@
 		case OrderResult:
 			a.finishOrder(x)
 		case Note:
+			s.opts.Logger.Info().Str("event", x.Kind).Str("id", x.RequestID).Uint32("attempt", x.Attempt).
+				Str("upstream", x.Upstream).Str("lease", a.lease).Str("detail", x.Detail).Msg("")
 			s.opts.Recorder.Record(&pb.Event{Kind: x.Kind, RequestId: x.RequestID, Attempt: x.Attempt, Upstream: x.Upstream, Lease: a.lease}, "detail", x.Detail)
 		case CancelWork, CancelOrphan, ListRunning, SendOrder:
 			s.enqueueCall(a, act)
--- a/policy/roles.go
+++ b/policy/roles.go
@@ -17,10 +17,18 @@
 // requests queue, so the prefill side should not be the tighter one.
 const prefillHeadroom = 0.2
 
+const (
+	// spareFrom is the number of engines from which two of them run prefill, so
+	// that the loss of one does not stop the pool's prompts. Decode engines read
+	// prompts at half the speed and to the cost of running answers.
+	spareFrom = 5
+	minSpare  = 2
+)
+
 // PrefillEngines returns how many of a number of engines should run prefill so
 // that both sides are used alike. It answers bursts on pools whose engines were
 // split for another mix: the side with spare engines gives one to the other.
-// Each side keeps at least one engine. It returns 0 when the mix is not known.
+// Each side keeps at least one engine, and the prefill side of larger pools two. It returns 0 when the mix is not known.
 func (m *Mix) PrefillEngines(total int) int {
 	if total < 2 || m.PrefillSeconds <= 0 || m.DecodeSeconds <= 0 || m.Batch <= 0 {
 		return 0
@@ -28,5 +36,9 @@
 	decode := m.DecodeSeconds / m.Batch
 	share := m.PrefillSeconds / (m.PrefillSeconds + decode)
 	n := int(math.Round(float64(total)*share + prefillHeadroom))
-	return min(max(n, 1), total-1)
+	least := 1
+	if total >= spareFrom {
+		least = minSpare
+	}
+	return min(max(n, least), total-1)
 }
