--- a/internal/core/pools.go
+++ b/internal/core/pools.go
@@ -60,7 +60,7 @@
 			return self && term == token
 		},
 		Params: scheduler.Params{
-			SilentAfter: fleet.SilenceLimit, RestateWindow: restateWindow, LeaseTTL: lease, BalanceRoles: true,
+			SilentAfter: fleet.SilenceLimit, RestateWindow: restateWindow, LeaseTTL: lease, BalanceRoles: true, DirectReads: true,
 			UrgentReserve: -1, DisableJIT: true,
 		},
 	})
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -56,7 +56,8 @@
 	p.upstreams.refreshAll(&p.params, now, false)
 	c := p.upstreams.models[req.Model]
 	arriving := now < p.activeAt+arrivalWindow
-	if c == nil || len(c.decode) == 0 || len(c.prefill) == 0 || (!c.live() && !arriving) {
+	direct := p.params.DirectReads
+	if c == nil || len(c.decode) == 0 || (len(c.prefill) == 0 && !direct) || (!c.live(direct) && !arriving) {
 		return p.admitBlind(w, c, arriving, now)
 	}
 	w.size(c.pieceTokens)
@@ -215,6 +216,11 @@
 		own := (same.FlowLen(w.req.Organisation) + 1) * w.spec.Pieces * max(1, same.Flows())
 		ahead += min(q.pieces[w.lane], own)
 	}
+	// What is free now is not waited for. Shortly after a start nothing has been
+	// freed yet, and the rate alone would forecast a long wait before idle engines.
+	if c := p.upstreams.models[w.req.Model]; c != nil {
+		ahead = max(0, ahead-c.freePieces())
+	}
 	rate := p.holds.freeRate(now)
 	if ahead == 0 || rate <= 0 {
 		return wait
--- a/internal/scheduler/holds.go
+++ b/internal/scheduler/holds.go
@@ -44,6 +44,9 @@
 	// prefilling and linked: the prefill slot or the link share is reserved.
 	prefilling bool
 	linked     bool
+	// direct: the decode engine reads the prompt; reading, until its first token.
+	direct  bool
+	reading bool
 	// ending: the hold is dropped once the engines in pending have confirmed
 	// the cancellation.
 	ending  bool
@@ -81,6 +84,10 @@
 		dec.Batch++
 		h.decode.held.add(now, dec.HeldPieces, dec.Batch)
 	}
+	if h.direct {
+		h.reading = true
+		dec.DirectReads++
+	}
 	if h.prefilling {
 		pre := &h.prefill.view
 		pre.Batch++
@@ -110,6 +117,15 @@
 	}
 }
 
+// closeRead ends a direct read.
+func (h *hold) closeRead() {
+	if !h.reading {
+		return
+	}
+	h.reading = false
+	h.decode.view.DirectReads--
+}
+
 // closeLink frees the link share and the memory on the prefill engine.
 func (h *hold) closeLink() {
 	if !h.linked {
@@ -127,6 +143,7 @@
 		return
 	}
 	h.closePrefill()
+	h.closeRead()
 	h.closeLink()
 	delete(p.holds.byID, h.id)
 	delete(h.entry.holds, h.id)
@@ -300,6 +317,10 @@
 		h.closeLink()
 		p.unblock()
 	}
+	if r.Stage >= pb.ProgressRequest_FIRST_TOKEN && h.reading {
+		h.closeRead()
+		p.unblock()
+	}
 	if r.Stage >= pb.ProgressRequest_FIRST_TOKEN && h.firstAt == 0 {
 		h.firstAt = now
 		if h.class == policy.Draft && h.service > 0 {
--- a/internal/scheduler/options.go
+++ b/internal/scheduler/options.go
@@ -79,6 +79,9 @@
 	// RoleHold is how long an imbalance must last before an engine changes its
 	// role. Negative disables role changes.
 	RoleHold time.Duration
+	// DirectReads allows decode engines to read prompts themselves when no
+	// prefill engine is in reach or their queue is long.
+	DirectReads bool
 	// BalanceRoles splits the engines between prefill and decode by the measured
 	// work of the requests instead of waiting for one side to run short.
 	BalanceRoles bool
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -87,14 +87,14 @@
 		n, ok := rooms[model]
 		if !ok {
 			c := p.upstreams.group(model)
-			n = c.room(class, p.reserve(), p.reservedPrefill(c))
+			n = c.room(class, p.reserve(), p.reservedPrefill(c), p.params.DirectReads)
 			rooms[model] = n
 		}
 		return n
 	}
 	p.queue.lanes[l].Serve(room, func(w *waiting) policy.Verdict {
 		q := p.query(w)
-		pl, ok := p.policy.Place(&q)
+		pl, ok := p.choose(&q)
 		if ok {
 			out = append(out, p.grant(w, &pl, 0, now))
 			clear(rooms)
@@ -106,6 +106,20 @@
 	return out, aside < maxAside
 }
 
+// choose places a request on a prefill and a decode engine, or on a decode
+// engine that reads the prompt itself where that is allowed and better.
+func (p *Pool) choose(q *policy.Query) (policy.Placement, bool) {
+	apart, ok := p.policy.Place(q)
+	if !p.params.DirectReads || ok && apart.Wait == 0 {
+		return apart, ok
+	}
+	direct, found := policy.PlaceDirect(q)
+	if found && (!ok || policy.PreferDirect(&apart, &direct)) {
+		return direct, true
+	}
+	return apart, ok
+}
+
 // verdict says what else cannot fit, given that a request did not.
 func (p *Pool) verdict(q *policy.Query, aside int) policy.Verdict {
 	if aside >= maxAside {
@@ -172,8 +186,12 @@
 }
 
 func (p *Pool) grantHold(w *waiting, pl *policy.Placement, delay time.Duration, promised bool, now time.Duration) Answer {
-	pre := p.upstreams.byID[pl.Prefill.ID]
 	dec := p.upstreams.byID[pl.Decode.ID]
+	direct := pl.Prefill == nil
+	pre := dec
+	if !direct {
+		pre = p.upstreams.byID[pl.Prefill.ID]
+	}
 	req := w.req
 	h := &hold{
 		id: p.newHoldID(), requestID: req.RequestId, model: req.Model, entry: p.entry(req.EntryId),
@@ -182,7 +200,7 @@
 		pieces: int32(w.spec.Pieces), promptPieces: int32(w.spec.PromptPieces),
 		promptTokens: int32(req.PromptTokens), maxOutput: int32(req.MaxOutputTokens),
 		uncached: int32(w.spec.PromptTokens - pl.CachedTokens), class: w.spec.Class,
-		promised: promised, prefilling: true, linked: true,
+		promised: promised, prefilling: !direct, linked: !direct, direct: direct,
 		linkBytes: policy.KVBytes(&pre.view, &dec.view, w.spec.PromptTokens),
 	}
 	p.leftQueue(w)
@@ -190,13 +208,15 @@
 	limit := min(max(policy.Seconds(transferSlack*pl.Transfer), minTransferLimit), maxTransferLimit)
 	g := &pb.Grant{
 		HoldId:          h.id,
-		Prefill:         addressOf(pre),
 		Decode:          addressOf(dec),
 		Pieces:          uint32(h.pieces),
 		Priority:        p.priority(w, now),
 		PrefillDelayMs:  millis(delay),
 		TransferLimitMs: millis(limit),
 	}
+	if !direct {
+		g.Prefill = addressOf(pre)
+	}
 	return Answer{Ticket: w.ticket, Response: &pb.SubmitResponse{Result: &pb.SubmitResponse_Grant{Grant: g}}}
 }
 
--- a/internal/scheduler/upstreams.go
+++ b/internal/scheduler/upstreams.go
@@ -247,10 +247,22 @@
 	}
 }
 
-// live reports whether the group has a usable engine of each role.
-func (c *candidates) live() bool {
+// live reports whether the group has a usable engine of each role that it
+// needs.
+func (c *candidates) live(direct bool) bool {
 	usable := func(e *policy.Engine) bool { return e.Usable }
-	return slices.ContainsFunc(c.prefill, usable) && slices.ContainsFunc(c.decode, usable)
+	return (direct || slices.ContainsFunc(c.prefill, usable)) && slices.ContainsFunc(c.decode, usable)
+}
+
+// freePieces is the memory that requests could take now.
+func (c *candidates) freePieces() int {
+	free := 0
+	for _, e := range c.decode {
+		if e.Usable && e.FreeSlots(policy.Draft, 0) > 0 {
+			free += max(0, e.FreePieces(policy.Draft, 0))
+		}
+	}
+	return free
 }
 
 // minReservable is the number of prefill engines from which some are reserved.
@@ -285,9 +297,9 @@
 }
 
 // room returns the largest free memory of the group's decode engines, or 0
-// when no prefill engine takes more work.
-func (c *candidates) room(class policy.Class, reserve float64, reservedPrefill int) int {
-	if !c.prefillOpen(class, reserve, reservedPrefill) {
+// when no prefill engine takes more work and they may not read prompts.
+func (c *candidates) room(class policy.Class, reserve float64, reservedPrefill int, direct bool) int {
+	if !direct && !c.prefillOpen(class, reserve, reservedPrefill) {
 		return 0
 	}
 	most := 0
--- /dev/null
+++ b/policy/direct.go
@@ -0,0 +1,45 @@
+package policy
+
+const (
+	// directSpeed is the reading speed of a decode engine relative to a prefill
+	// engine: it reads between the tokens of its answers.
+	directSpeed = 0.5
+	// directPatience is the prefill wait, in seconds, up to which a prefill
+	// engine is preferred: a direct read costs its decode engine twice the work
+	// and stretches the pauses of the answers there.
+	directPatience = 0.2
+	// maxDirectRead is the longest direct read, in seconds, on an engine with
+	// running answers. Together with the usual time between two events it stays
+	// near the pause that callers accept.
+	maxDirectRead = 0.25
+	// directBatch is the part of an engine's batch up to which it reads prompts.
+	directBatch = 0.75
+)
+
+// PlaceDirect selects a decode engine that reads the prompt itself. It answers
+// a prefill side that is lost, replaced or overrun while decode engines have
+// places free.
+func PlaceDirect(q *Query) (Placement, bool) {
+	var out Placement
+	for _, e := range q.Decode {
+		if !Fits(q, e) || e.DirectReads > 0 || float64(e.Batch) > directBatch*float64(e.MaxBatch) {
+			continue
+		}
+		read := float64(q.Request.PromptTokens) / (directSpeed * e.PrefillRate)
+		if e.Batch > 0 && read > maxDirectRead {
+			continue
+		}
+		token := e.TokenSeconds(e.Batch + 1)
+		cost := read + token*float64(expectedOutput(q.Request)) + read*float64(e.Batch)
+		if out.Decode == nil || cost < out.Cost {
+			out = Placement{Decode: e, Compute: read, PerToken: token, Cost: cost}
+		}
+	}
+	return out, out.Decode != nil
+}
+
+// PreferDirect reports whether a direct read is better than a placement with a
+// prefill engine.
+func PreferDirect(apart, direct *Placement) bool {
+	return apart.Wait > directPatience && direct.TTFT() < apart.TTFT()
+}
--- a/policy/engine.go
+++ b/policy/engine.go
@@ -48,6 +48,9 @@
 	PromisedBatch int
 	ForeignBatch  int
 	MaxBatch      int
+	// DirectReads counts the prompts that this decode engine reads itself at
+	// present.
+	DirectReads int
 	// BacklogTokens are prompt tokens granted to this prefill engine whose
 	// prefill has not finished. UrgentTokens is the urgent part.
 	BacklogTokens int
