scheduler: forecast growing memory, tell lost handles from full engines, one repeat budget

Now: memory is granted by a forecast of its peak; a rejection by an engine with places free rests the prefill engine; a stated load corrects the holds; the scheduler charges repeats for the pool.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -101,7 +101,7 @@
 	serving := options
 	serving.OnSessionEnd = func(peer *pb.Hello) { d.pools.scheduler.EntrySessionEnded(peer.DaemonId) }
 	d.sessions = transport.NewServer(serving)
-	d.pools = newPools(logger, func() (string, uint64, bool) { return d.store.Leader() }, newEngine(s), s.Lease, d.sessions)
+	d.pools = newPools(logger, func() (string, uint64, bool) { return d.store.Leader() }, newEngine(s), s, d.sessions)
 	changed := make(chan struct{}, 1)
 	d.store, err = corestore.Start(corestore.Options{
 		Dir: s.DataDir + storeFolder, Address: s.Session, Bootstrap: s.FirstStart, Tolerate: s.TolerateLoss,
--- a/internal/core/pools.go
+++ b/internal/core/pools.go
@@ -13,6 +13,7 @@
 	"godwitward.example/godwitward/internal/forward"
 	"godwitward.example/godwitward/internal/scheduler"
 	"godwitward.example/godwitward/internal/transport"
+	"godwitward.example/godwitward/platform"
 )
 
 const (
@@ -48,10 +49,14 @@
 	active uint64
 }
 
+// repeatShare is the part of the repeat budget that the scheduler spends; the
+// entries spend the rest while no scheduler is in reach and for prompts that
+// are read twice.
+const repeatShare = 0.5
+
 // newPools returns pools that are led by nobody. newEngine returns the client
-// for orders to an engine, and lease is how long an earlier leader may still
-// give orders.
-func newPools(logger *log.Logger, leader func() (string, uint64, bool), newEngine func(*pb.UpstreamState) scheduler.Engine, lease time.Duration, sessions *transport.Server) *pools {
+// for orders to an engine.
+func newPools(logger *log.Logger, leader func() (string, uint64, bool), newEngine func(*pb.UpstreamState) scheduler.Engine, s *platform.Settings, sessions *transport.Server) *pools {
 	p := &pools{leader: leader, logger: logger, engines: map[string]*forward.Engine{}}
 	p.scheduler = scheduler.New(scheduler.Options{
 		Logger: logger, NewEngine: newEngine,
@@ -60,7 +65,8 @@
 			return self && term == token
 		},
 		Params: scheduler.Params{
-			SilentAfter: fleet.SilenceLimit, RestateWindow: restateWindow, LeaseTTL: lease, BalanceRoles: true, DirectReads: true,
+			SilentAfter: fleet.SilenceLimit, RestateWindow: restateWindow, LeaseTTL: s.Lease, BalanceRoles: true, DirectReads: true, GrowingMemory: true,
+			RepeatRatio: repeatShare * s.RepeatRatio, RepeatSlack: repeatShare * s.RepeatSlack, RepeatWindow: s.RepeatWindow,
 			UrgentReserve: -1, DisableJIT: true,
 		},
 	})
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -99,7 +99,7 @@
 		},
 	})
 	// The end of the process stops what still runs when the drain is over.
-	server.SetPlacer(&placer{pools: pools}, pools.SetPools)
+	server.SetPlacer(&placer{pools: pools, logger: logger}, pools.SetPools)
 	return serve(ctx, file, server, logger)
 }
 
--- a/internal/edge/placer.go
+++ b/internal/edge/placer.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/phuslu/log"
+
 	pb "godwitward.example/godwitward/api/godwitward/v1"
 	"godwitward.example/godwitward/internal/entry"
 	"godwitward.example/godwitward/internal/forward"
@@ -21,7 +23,8 @@
 
 // placer reserves room at the core's scheduler.
 type placer struct {
-	pools *entry.Pools
+	pools  *entry.Pools
+	logger *log.Logger
 	// resumeAt is the Unix time in nanoseconds from which the scheduler is asked
 	// again.
 	resumeAt atomic.Int64
@@ -42,6 +45,8 @@
 		Exclude: d.Exclude,
 	})
 	if err != nil {
+		p.logger.Warn().Str("event", "scheduler.unanswered").Str("id", d.ID).Str("pool", d.Service).
+			Int64("wait_ms", d.Wait.Milliseconds()).Err(err).Msg("")
 		if ctx.Err() == nil {
 			p.resumeAt.Store(time.Now().Add(silentPause).UnixNano())
 		}
@@ -49,6 +54,7 @@
 	}
 	if r := resp.GetRefusal(); r != nil {
 		if r.Code == pb.Refusal_NO_UPSTREAM {
+			p.logger.Warn().Str("event", "scheduler.no_upstream").Str("id", d.ID).Str("pool", d.Service).Str("detail", r.Message).Msg("")
 			return nil, forward.ErrNoScheduler
 		}
 		return nil, &forward.Refusal{
@@ -70,6 +76,10 @@
 func (r *reservation) Prefill() string { return r.grant.Prefill.GetId() }
 func (r *reservation) Decode() string  { return r.grant.Decode.GetId() }
 
+// Budgeted implements forward.Reservation: the scheduler of a pool charges each
+// attempt after the first.
+func (r *reservation) Budgeted() bool { return true }
+
 var stages = map[forward.Stage]pb.ProgressRequest_Stage{
 	forward.StageReading:   pb.ProgressRequest_PREFILL_STARTED,
 	forward.StageRead:      pb.ProgressRequest_PREFILL_DONE,
@@ -77,8 +87,17 @@
 }
 
 // Reached implements forward.Reservation.
-func (r *reservation) Reached(s forward.Stage, took time.Duration) {
-	r.pools.Progress(r.pool, &pb.ProgressRequest{HoldId: r.grant.HoldId, Stage: stages[s], DurationUs: uint32(took.Microseconds())})
+func (r *reservation) Reached(s forward.Stage, took time.Duration, load *forward.Load) {
+	r.pools.Progress(r.pool, &pb.ProgressRequest{
+		HoldId: r.grant.HoldId, Stage: stages[s], DurationUs: uint32(took.Microseconds()), Load: statedLoad(load),
+	})
+}
+
+func statedLoad(l *forward.Load) *pb.StatedLoad {
+	if l == nil {
+		return nil
+	}
+	return &pb.StatedLoad{Running: uint32(l.Running), Waiting: uint32(l.Waiting)}
 }
 
 var ends = map[forward.End]pb.ReleaseRequest_Outcome{
@@ -87,15 +106,19 @@
 	forward.EndPrefillFailed: pb.ReleaseRequest_PREFILL_FAILED,
 	forward.EndDecodeFailed:  pb.ReleaseRequest_DECODE_FAILED,
 	forward.EndNotStarted:    pb.ReleaseRequest_NOT_STARTED,
+	forward.EndRejected:      pb.ReleaseRequest_REJECTED,
+	forward.EndUnreachable:   pb.ReleaseRequest_UNREACHABLE,
+	forward.EndHandleLost:    pb.ReleaseRequest_TRANSFER_FAILED,
 }
 
 // Release implements forward.Reservation.
-func (r *reservation) Release(e forward.End, answerTokens int, took time.Duration) {
+func (r *reservation) Release(result forward.Result) {
 	perToken := time.Duration(0)
-	if answerTokens > 0 {
-		perToken = took / time.Duration(answerTokens)
+	if result.AnswerTokens > 0 {
+		perToken = result.Took / time.Duration(result.AnswerTokens)
 	}
 	r.pools.Release(r.pool, &pb.ReleaseRequest{
-		HoldId: r.grant.HoldId, Outcome: ends[e], OutputTokens: uint32(answerTokens), TpotUs: uint32(perToken.Microseconds()),
+		HoldId: r.grant.HoldId, Outcome: ends[result.End], OutputTokens: uint32(result.AnswerTokens),
+		TpotUs: uint32(perToken.Microseconds()), Load: statedLoad(result.Load),
 	})
 }
--- a/internal/entry/schedulers.go
+++ b/internal/entry/schedulers.go
@@ -206,12 +206,20 @@
 	ctx := q.owner.ctx
 	for ctx.Err() == nil {
 		if lease, ok := q.owner.opts.Holder(q.name); ok {
-			_ = q.follow(lease)
+			q.logSession("scheduler.lost", lease, q.follow(lease))
 		}
 		sleep(ctx, leasePoll)
 	}
 }
 
+// logSession writes a line for a gained or lost scheduler.
+func (q *pool) logSession(event string, lease *pb.PoolLease, err error) {
+	if l := q.owner.opts.Transport.Logger; l != nil {
+		l.Info().Str("event", event).Str("pool", q.name).Str("scheduler", lease.Address).
+			Uint64("token", lease.FencingToken).Err(err).Msg("")
+	}
+}
+
 func (q *pool) follow(lease *pb.PoolLease) error {
 	ctx := q.owner.ctx
 	client := q.owner.client(lease.Address)
@@ -225,6 +233,7 @@
 		return err
 	}
 	defer q.end(s)
+	q.logSession("scheduler.attached", lease, nil)
 	if err := stream.Send(&pb.WatchUpstreamsRequest{Pool: q.name, EntryId: q.owner.opts.EntryID}); err != nil {
 		return err
 	}
--- a/internal/forward/config.go
+++ b/internal/forward/config.go
@@ -93,6 +93,8 @@
 	Slots int
 	// MemoryTokens is the room of one engine for prompts and answers.
 	MemoryTokens int
+	// Stride is the number of tokens in one event of an answer.
+	Stride int
 	// HandleLife is how long a prefill result is kept for its decode engine.
 	HandleLife time.Duration
 }
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -11,10 +11,6 @@
 )
 
 const (
-	// answerShare is the part of the likely answer for which memory is
-	// reserved: answers grow to their full size only at their end, so that a
-	// batch at mixed progress uses about half of it.
-	answerShare = 0.55
 	// patience is how many targets callers wait for a first event before they
 	// leave; waitShare is the part of that time spent in the queue at most.
 	patience  = 4
@@ -27,13 +23,20 @@
 	prefill *target
 	decode  *target
 	work    policy.Work
+	// stride is the number of tokens in an event.
+	stride int
+	// stated is the load with which the decode engine rejected the request.
+	stated *Load
 	// hold is nil when the entry placed the request by itself.
 	hold Reservation
 }
 
-func (p *placement) reached(s Stage, took time.Duration) {
+// budgeted reports whether the scheduler has charged this attempt.
+func (p *placement) budgeted() bool { return p.hold != nil && p.hold.Budgeted() }
+
+func (p *placement) reached(s Stage, took time.Duration, load *Load) {
 	if p.hold != nil {
-		p.hold.Reached(s, took)
+		p.hold.Reached(s, took, load)
 	}
 }
 
@@ -42,11 +45,12 @@
 	if p.hold == nil {
 		return
 	}
-	took := time.Duration(0)
+	tokens, took := 0, time.Duration(0)
 	if st.events > 1 {
-		took = time.Since(st.firstAt)
+		tokens = (st.events - 1) * p.stride
+		took = st.lastAt.Sub(st.firstAt)
 	}
-	p.hold.Release(e, 0, took)
+	p.hold.Release(Result{End: e, AnswerTokens: tokens, Took: took, Load: p.stated})
 	p.hold = nil
 }
 
@@ -54,26 +58,28 @@
 // requests of all entries, or by the entry's own view when no scheduler is in
 // reach. Engines enforce their own limits, so that a wrong guess costs a
 // rejected call only.
-func (x *exchange) place(attempt int) (*placement, *Refusal) {
+func (x *exchange) place(attempt int, st *streamState) (*placement, *Refusal) {
 	work := policy.Work{
 		PromptTokens: x.facts.PromptTokens,
-		MemoryTokens: x.facts.PromptTokens + int(answerShare*float64(x.facts.LikelyTokens)),
+		MemoryTokens: x.facts.PromptTokens + x.facts.LikelyTokens,
 	}
 	if x.service.Engine != nil && x.s.placer != nil {
-		hold, err := x.s.placer.Reserve(x.ctx, x.demand(attempt, work))
+		hold, err := x.s.placer.Reserve(x.ctx, x.demand(attempt, work, st))
 		var refusal *Refusal
-		if errors.As(err, &refusal) {
+		if errors.As(err, &refusal) && !st.started {
 			return nil, refusal
 		}
 		if err == nil {
 			p := &placement{
 				prefill: x.s.upstreams.get(hold.Prefill()), decode: x.s.upstreams.get(hold.Decode()), work: work, hold: hold,
+				stride: x.service.Engine.Stride,
 			}
 			if p.decode != nil {
+				x.placedBy = "scheduler"
 				return p, nil
 			}
 			// The engine's report has not reached this entry, or it has ended.
-			hold.Release(EndNotStarted, 0, 0)
+			hold.Release(Result{End: EndNotStarted})
 		}
 	}
 	c := choice{service: x.service.Name, stage: stageOf(x.service), tried: x.tried}
@@ -81,7 +87,8 @@
 	if decode == nil {
 		return nil, nil
 	}
-	return &placement{decode: decode, work: work, prefill: x.pickPrefill(nil)}, nil
+	x.placedBy = "entry"
+	return &placement{decode: decode, work: work, prefill: x.pickPrefill(x.lostHandles)}, nil
 }
 
 // pickPrefill chooses a prefill engine by the entry's own view.
@@ -93,8 +100,12 @@
 	return x.s.upstreams.pick(c, x.s.now(), rand.Float64())
 }
 
-func (x *exchange) demand(attempt int, work policy.Work) *Demand {
+func (x *exchange) demand(attempt int, work policy.Work, st *streamState) *Demand {
 	age := time.Since(x.began)
+	if st.started {
+		// The caller's patience starts anew with each event.
+		age = time.Since(st.lastAt)
+	}
 	wait := max(0, time.Duration(waitShare*patience*float64(x.route.Target))-age)
 	d := &Demand{
 		Service: x.service.Name, Model: x.facts.Model, ID: x.facts.ID, Attempt: attempt,
@@ -104,6 +115,9 @@
 	for t := range x.tried {
 		d.Exclude = append(d.Exclude, t.record.Id)
 	}
+	for t := range x.lostHandles {
+		d.Exclude = append(d.Exclude, t.record.Id)
+	}
 	return d
 }
 
--- a/internal/forward/placer.go
+++ b/internal/forward/placer.go
@@ -47,6 +47,12 @@
 	EndPrefillFailed
 	EndDecodeFailed
 	EndNotStarted
+	// EndRejected: the decode engine was full.
+	EndRejected
+	// EndHandleLost: the decode engine could not fetch the prompt.
+	EndHandleLost
+	// EndUnreachable: the decode engine could not be connected to.
+	EndUnreachable
 )
 
 // Reservation is room on a prefill and a decode engine.
@@ -54,10 +60,24 @@
 	// Prefill and Decode are the ids of the engines.
 	Prefill() string
 	Decode() string
+	// Budgeted reports whether the scheduler has charged a repeated attempt to
+	// the budget that all entries share.
+	Budgeted() bool
 	// Reached tells the scheduler how far the request got.
-	Reached(s Stage, took time.Duration)
+	// load is what the decode engine stated, nil when it stated nothing.
+	Reached(s Stage, took time.Duration, load *Load)
 	// Release gives the room back.
-	Release(e End, answerTokens int, took time.Duration)
+	Release(r Result)
+}
+
+// Result tells how a reservation was used.
+type Result struct {
+	End End
+	// AnswerTokens were made in Took.
+	AnswerTokens int
+	Took         time.Duration
+	// Load is what the decode engine stated with a rejection.
+	Load *Load
 }
 
 // Placer reserves room on engines.
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -174,11 +174,15 @@
 	// callerEnds is when the caller stops waiting.
 	callerEnds time.Time
 
-	sends  int
-	tried  map[*target]bool
-	last   *target
-	mayRun bool
-	reason string
+	sends int
+	tried map[*target]bool
+	// lostHandles are prefill engines whose result could not be fetched.
+	lostHandles map[*target]bool
+	last        *target
+	mayRun      bool
+	reason      string
+	// placedBy tells who chose the engines of the last send.
+	placedBy string
 	// trail lists the sends with their outcomes, for the log.
 	trail   []string
 	outcome string
@@ -305,9 +309,14 @@
 	b *policy.RepeatBudget
 }
 
-// slackMargin keeps a part of the fixed number of repeats for entries that
+// slackMargin is the part of the fixed number of repeats that entries spend by
+// themselves. The rest is kept for the schedulers of pools and for entries that
 // were started since they were counted.
-const slackMargin = 0.7
+const slackMargin = 0.35
+
+// ratioShare is the part of the ratio that entries spend by themselves for a
+// service with a scheduler, which spends the rest.
+const ratioShare = 0.4
 
 // slackShare is the part of the fixed number of repeats that one entry spends.
 // An entry that does not know how many there are spends none.
@@ -328,6 +337,11 @@
 		s.budgets[service] = b
 	}
 	b.Ratio, b.Slack, b.Window = bounds.RepeatRatio, bounds.RepeatSlack*bounds.slackShare(), bounds.RepeatWindow
+	if c := s.config.Load(); c != nil && c.Services[service] != nil && c.Services[service].Engine != nil {
+		b.Ratio *= ratioShare
+	} else {
+		b.Slack *= 2
+	}
 	return budgetOf{s, b}
 }
 
@@ -523,6 +537,6 @@
 	}
 	l.Str("event", "request.ended").Str("id", x.facts.ID).Str("route", route).Str("service", service).Str("upstream", upstream).
 		Int("status", x.status).Str("outcome", x.outcome).Str("reason", x.reason).Int("sends", x.sends).
-		Str("trail", strings.Join(x.trail, ",")).
+		Str("placed_by", x.placedBy).Str("trail", strings.Join(x.trail, ",")).
 		Int64("ms", time.Since(x.began).Milliseconds()).Uint64("config", version).Msg("")
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -17,8 +17,10 @@
 	// Under load first events take longer than the target.
 	firstEventFactor = 1.8
 	// gapFactor and minGap bound the silence inside a stream in the same way.
-	gapFactor = 3
-	minGap    = 700 * time.Millisecond
+	// A slow engine is better than reading the prompt again at another one, and
+	// callers leave after eight pauses.
+	gapFactor = 5
+	minGap    = 1200 * time.Millisecond
 )
 
 // streamState is how far an answer got.
@@ -28,7 +30,9 @@
 	// started is set once the head was written to the caller.
 	started bool
 	events  int
+	// firstAt and lastAt are when the first and the last event arrived.
 	firstAt time.Time
+	lastAt  time.Time
 	// read is the prompt that a prefill engine holds for the next send.
 	read *readPrompt
 	// lastRun tells that the route allows no run after this one.
@@ -43,7 +47,7 @@
 	runs, rejections := 0, 0
 	for attempt := 1; ; attempt++ {
 		st.lastRun = runs+1 >= x.route.MaxAttempts || !x.route.Repeatable()
-		p, refusal := x.place(attempt)
+		p, refusal := x.place(attempt, st)
 		if refusal != nil && !st.started && !x.mayRun {
 			x.refuse("scheduler_"+refusal.Reason, x.comeBackAfter(refusal.After))
 			return
@@ -52,13 +56,15 @@
 			x.endStream(st, "no_upstream")
 			return
 		}
-		if x.sends > 0 && !x.s.budget(x.service.Name).take(x.s.now()) {
+		if x.sends > 0 && !p.budgeted() && !x.s.budget(x.service.Name).take(x.s.now()) {
 			p.release(EndNotStarted, st)
 			x.endStream(st, "repeat_budget")
 			return
 		}
 		verdict := x.runPlaced(p, st)
-		x.tried[p.decode] = true
+		if verdict != verdictRejected || st.read != nil {
+			x.tried[p.decode] = true
+		}
 		switch verdict {
 		case verdictDone:
 			return
@@ -89,11 +95,11 @@
 	p.decode.use(p.work)
 	defer p.decode.unuse(p.work)
 	if st.read == nil && st.lastEvent == "" {
-		p.reached(StageReading, 0)
+		p.reached(StageReading, 0, nil)
 		began := time.Now()
 		st.read = x.readPrompt(p)
 		if st.read != nil {
-			p.reached(StageRead, time.Since(began))
+			p.reached(StageRead, time.Since(began), nil)
 		}
 	}
 	verdict := x.tryStream(p, st)
@@ -103,13 +109,39 @@
 		end = EndCompleted
 	case x.left():
 		end = EndCancelled
-	case verdict == verdictRejected || verdict == verdictNotSent:
-		end = EndNotStarted
+	case verdict == verdictRejected && x.handleLost(p, st):
+		end = EndHandleLost
+	case verdict == verdictRejected:
+		end = EndRejected
+	case verdict == verdictNotSent:
+		end = EndUnreachable
 	}
 	p.release(end, st)
 	return verdict
 }
 
+// handleLost judges a rejection of a request with a prompt to fetch. An engine
+// with places free that rejects it could not fetch the prompt, so the prompt
+// must be read elsewhere. Engines give the same answer for both.
+func (x *exchange) handleLost(p *placement, st *streamState) bool {
+	if st.read == nil || p.stated == nil || x.service.Engine == nil {
+		return false
+	}
+	if p.stated.Waiting > 0 || float64(p.stated.Running) > lostHandleBatch*float64(x.service.Engine.Slots) {
+		return false
+	}
+	if x.lostHandles == nil {
+		x.lostHandles = map[*target]bool{}
+	}
+	x.lostHandles[st.read.engine] = true
+	st.read = nil
+	return true
+}
+
+// lostHandleBatch is the part of the batch up to which an engine that rejects a
+// request is not taken for full. Memory may be full before the batch is.
+const lostHandleBatch = 0.7
+
 // endStream gives up. A stream that has begun is broken off, so that it does
 // not look complete.
 func (x *exchange) endStream(st *streamState, reason string) {
@@ -136,6 +168,7 @@
 		return x.sendFailed(t, err)
 	}
 	if v := x.notRun(t, a); v != 0 {
+		p.stated = a.answer.Load
 		return v
 	}
 	st.read = nil
@@ -148,7 +181,7 @@
 		x.reason = "answer_spoiled"
 		return verdictLost
 	}
-	p.reached(StageAnswering, 0)
+	p.reached(StageAnswering, 0, a.answer.Load)
 	return x.passEvents(t, a, st)
 }
 
@@ -191,8 +224,9 @@
 			x.reason = "caller_left"
 			return verdictLost
 		}
+		st.lastAt = time.Now()
 		if st.events == 0 {
-			st.firstAt = time.Now()
+			st.firstAt = st.lastAt
 		}
 		st.events++
 		if ev.id != "" {
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -28,6 +28,9 @@
 func (p *Pool) Submit(ticket uint64, req *pb.SubmitRequest, now time.Duration) []Action {
 	defer p.lock(placementTables)()
 	w, refusal := p.admit(ticket, req, now)
+	if refusal == nil {
+		refusal = p.charge(req, now)
+	}
 	if refusal != nil {
 		return []Action{refuse(ticket, refusal), refusalNote(req, refusal)}
 	}
@@ -35,6 +38,27 @@
 	return nil
 }
 
+// charge takes a repeated attempt from the pool's budget. A scheduler that has
+// just taken over doesn't know what the one before it spent; the entries' own
+// part of the budget leaves room for that.
+func (p *Pool) charge(req *pb.SubmitRequest, now time.Duration) *pb.Refusal {
+	if p.repeats.Window == 0 {
+		return nil
+	}
+	if req.Attempt <= 1 {
+		p.repeats.Requested(now)
+		return nil
+	}
+	if p.repeats.Take(now) {
+		return nil
+	}
+	return refusal(pb.Refusal_REPEAT_BUDGET, p.repeats.Window/budgetRetryPart, "the pool's repeat budget is spent")
+}
+
+// budgetRetryPart is the part of the budget's window after which a refused
+// repeat may find some budget again.
+const budgetRetryPart = 10
+
 func refuse(ticket uint64, r *pb.Refusal) Answer {
 	return Answer{Ticket: ticket, Response: &pb.SubmitResponse{Result: &pb.SubmitResponse_Refusal{Refusal: r}}}
 }
@@ -61,6 +85,9 @@
 		return p.admitBlind(w, c, arriving, now)
 	}
 	w.size(c.pieceTokens)
+	if p.params.GrowingMemory {
+		w.spec.Pieces = w.spec.PromptPieces
+	}
 	if w.spec.Pieces > c.largest {
 		return nil, refusal(pb.Refusal_TOO_LARGE, 0, "request needs %d pieces, the largest engine has %d", w.spec.Pieces, c.largest)
 	}
--- a/internal/scheduler/balance.go
+++ b/internal/scheduler/balance.go
@@ -30,14 +30,20 @@
 	prefill float64
 	decode  float64
 	pieces  float64
+	// prompt and answer are the usual sizes in tokens.
+	prompt  float64
+	answer  float64
 	samples int
 }
 
 func (m *mix) read(seconds float64) { learnMean(&m.prefill, seconds) }
 
-func (m *mix) answered(seconds float64, pieces int) {
+func (m *mix) answered(seconds float64, h *hold, pieceTokens int) {
 	learnMean(&m.decode, seconds)
-	learnMean(&m.pieces, float64(pieces))
+	learnMean(&m.prompt, float64(h.promptTokens))
+	learnMean(&m.answer, float64(h.maxOutput))
+	// An answer holds its prompt and on average half of its tokens.
+	learnMean(&m.pieces, (float64(h.promptTokens)+float64(h.maxOutput)/2)/float64(max(1, pieceTokens)))
 	m.samples++
 }
 
--- a/internal/scheduler/holds.go
+++ b/internal/scheduler/holds.go
@@ -322,6 +322,10 @@
 		p.unblock()
 	}
 	if r.Stage >= pb.ProgressRequest_FIRST_TOKEN && h.firstAt == 0 {
+		if !h.direct {
+			h.prefill.lostHandles = 0
+		}
+		p.stateLoad(h.decode, r.Load, now)
 		h.firstAt = now
 		if h.class == policy.Draft && h.service > 0 {
 			p.holds.excess.Add(now - h.granted - h.service)
@@ -381,11 +385,37 @@
 	return true
 }
 
+// unreachablePause is how long an engine that an entry could not connect to gets
+// no requests. One attempt after it finds an engine that is back; until then
+// each request that is sent there loses a connection timeout.
+const unreachablePause = 1500 * time.Millisecond
+
+// fullPause is how long an engine that rejected a granted request gets no other:
+// about the time in which one of its answers ends.
+const fullPause = 200 * time.Millisecond
+
+const (
+	// lostHandleLimit is the number of lost handles in a row after which a
+	// prefill engine rests, and lostHandlePause for how long.
+	lostHandleLimit = 2
+	lostHandlePause = 2 * time.Second
+)
+
+// handleLost counts a prompt that was read in vain.
+func (p *Pool) handleLost(m *member, now time.Duration) {
+	m.lostHandles++
+	if m.lostHandles < lostHandleLimit {
+		return
+	}
+	m.fullUntil = now + lostHandlePause
+	p.upstreams.refresh(m, &p.params, now)
+}
+
 func (p *Pool) learnRelease(h *hold, r *pb.ReleaseRequest, now time.Duration) {
 	switch r.Outcome {
 	case pb.ReleaseRequest_COMPLETED:
 		p.holds.learnTime(now - h.granted)
-		p.holds.mix.answered((now - h.granted).Seconds(), int(h.pieces))
+		p.holds.mix.answered((now - h.granted).Seconds(), h, int(h.decode.state.PieceTokens))
 		h.decode.eject.Succeeded()
 		perToken := time.Duration(r.TpotUs) * time.Microsecond
 		h.decode.speed.Decoded(int(r.OutputTokens), perToken, h.decode.view.Batch, h.decode.view.MaxBatch)
@@ -394,6 +424,15 @@
 		if h.prefill.eject.Failed() {
 			p.eject(h.prefill, now)
 		}
+	case pb.ReleaseRequest_REJECTED:
+		h.decode.fullUntil = now + fullPause
+		p.stateLoad(h.decode, r.Load, now)
+		p.upstreams.refresh(h.decode, &p.params, now)
+	case pb.ReleaseRequest_UNREACHABLE:
+		h.decode.fullUntil = now + unreachablePause
+		p.upstreams.refresh(h.decode, &p.params, now)
+	case pb.ReleaseRequest_TRANSFER_FAILED:
+		p.handleLost(h.prefill, now)
 	case pb.ReleaseRequest_DECODE_FAILED:
 		if h.decode.eject.Failed() {
 			p.eject(h.decode, now)
--- a/internal/scheduler/options.go
+++ b/internal/scheduler/options.go
@@ -79,6 +79,15 @@
 	// RoleHold is how long an imbalance must last before an engine changes its
 	// role. Negative disables role changes.
 	RoleHold time.Duration
+	// RepeatRatio, RepeatSlack and RepeatWindow bound the repeated attempts of a
+	// pool, as in policy.RepeatBudget. A zero window sets no bound.
+	RepeatRatio  float64
+	RepeatSlack  float64
+	RepeatWindow time.Duration
+	// GrowingMemory tells that engines take memory for an answer as it grows.
+	// Requests then state the likely length of their answer, and an engine gets
+	// a request when the forecast of its memory has room for it.
+	GrowingMemory bool
 	// DirectReads allows decode engines to read prompts themselves when no
 	// prefill engine is in reach or their queue is long.
 	DirectReads bool
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -46,6 +46,7 @@
 	}
 	p.upstreams.refreshAll(&p.params, now, false)
 	p.settle(now)
+	p.placingAt = now
 	var out []Action
 	out = p.placeEarmarked(out, now)
 	for i, q := range p.queue.lanes {
@@ -125,7 +126,7 @@
 	if aside >= maxAside {
 		return policy.Stop
 	}
-	if len(q.Exclude) > 0 {
+	if len(q.Exclude) > 0 || p.params.GrowingMemory {
 		return policy.SkipFlow
 	}
 	for _, e := range q.Decode {
--- a/internal/scheduler/tables.go
+++ b/internal/scheduler/tables.go
@@ -105,7 +105,16 @@
 	// announces the new role, at the latest at changeBy.
 	changing bool
 	changeBy time.Duration
-	held     heldLog
+	// fullUntil is set when the engine rejected a granted request: it is fuller
+	// than its holds tell.
+	fullUntil time.Duration
+	// foreign counts the answers beyond the holds, as stated at foreignAt.
+	foreign   int
+	foreignAt time.Duration
+	// lostHandles counts the prompts in a row that were read here and could not
+	// be fetched.
+	lostHandles int
+	held        heldLog
 	// prefilledAt is when the last prefill here finished.
 	prefilledAt time.Duration
 	prefix      prefixState
--- a/internal/scheduler/upstreams.go
+++ b/internal/scheduler/upstreams.go
@@ -173,7 +173,7 @@
 // It reports whether the health changed.
 func (t *upstreamTable) refresh(m *member, p *Params, now time.Duration) bool {
 	health := t.healthAt(m, p, now)
-	m.view.Usable = health == pb.UpstreamStatus_LIVE && !m.changing
+	m.view.Usable = health == pb.UpstreamStatus_LIVE && !m.changing && now >= m.fullUntil
 	m.view.Share = m.eject.Share(now)
 	t.nextChange = min(t.nextChange, m.seen+p.SilentAfter)
 	if health == m.health {
@@ -333,6 +333,9 @@
 			p.replaced(before)
 		}
 		regroup = regroup || changed
+		if p.params.GrowingMemory && m.view.Room == nil {
+			m.view.Room = func(r *policy.Request) bool { return p.fitsGrowing(m, r, p.placingAt) }
+		}
 		p.prefix.apply(m, s.CacheEvents)
 		s.CacheEvents = nil
 		m.view.LinkRate = float64(s.LinkBytesPerS)
--- a/policy/engine.go
+++ b/policy/engine.go
@@ -48,6 +48,9 @@
 	PromisedBatch int
 	ForeignBatch  int
 	MaxBatch      int
+	// Room reports whether the engine's memory has room for a request until its
+	// end; nil means that the pieces tell.
+	Room func(r *Request) bool
 	// DirectReads counts the prompts that this decode engine reads itself at
 	// present.
 	DirectReads int
--- a/policy/place.go
+++ b/policy/place.go
@@ -176,7 +176,7 @@
 func Fits(q *Query, e *Engine) bool {
 	r := q.Request
 	return e.Usable && e.FreePieces(r.Class, q.Reserve) >= r.Pieces && e.FreeSlots(r.Class, q.Reserve) >= 1 &&
-		linkOpen(e, r.Class) && !slices.Contains(q.Exclude, e.ID)
+		linkOpen(e, r.Class) && !slices.Contains(q.Exclude, e.ID) && (e.Room == nil || e.Room(r))
 }
 
 func scoreDecode(q *Query, e *Engine) (scored, bool) {
