--- a/cmd/gw-timeline/main.go
+++ b/cmd/gw-timeline/main.go
@@ -5,6 +5,8 @@
 	"context"
 	"fmt"
 	"os"
+	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -87,7 +89,7 @@
 		return nil, err
 	}
 	defer f.Close()
-	return timeline.ReadLog(f)
+	return timeline.ReadLog(f, strings.TrimSuffix(filepath.Base(name), ".log"))
 }
 
 func fetch(o *options, addr string) ([]*pb.Event, error) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -18,6 +18,7 @@
 	"godwitward.example/godwitward/internal/corestore"
 	"godwitward.example/godwitward/internal/feed"
 	"godwitward.example/godwitward/internal/finding"
+	"godwitward.example/godwitward/internal/metrics"
 	"godwitward.example/godwitward/internal/scheduler"
 	"godwitward.example/godwitward/internal/transport"
 	"godwitward.example/godwitward/platform"
@@ -57,7 +58,7 @@
 }
 
 // Run serves until ctx ends.
-func Run(ctx context.Context, file *platform.File, logger *log.Logger) error {
+func Run(ctx context.Context, file *platform.File, metricsPort uint16, logger *log.Logger) error {
 	s := file.Current()
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
@@ -67,6 +68,7 @@
 	if err != nil {
 		return err
 	}
+	metrics.Serve(s.Session, metricsPort, "core", d.vars(), logger)
 	logger.Info().Str("event", "process.started").Str("vm", s.VM).Str("operators", s.Operators).Msg("")
 	select {
 	case err := <-d.failed:
--- /dev/null
+++ b/internal/core/vars.go
@@ -0,0 +1,28 @@
+package core
+
+import "expvar"
+
+// vars returns the metrics of the daemon.
+func (d *daemon) vars() *expvar.Map {
+	m := new(expvar.Map).Init()
+	m.Set("quorate", expvar.Func(func() any { return d.store.Quorate() }))
+	m.Set("config_version", expvar.Func(func() any { return d.store.Current().Version }))
+	m.Set("members", expvar.Func(func() any { return d.store.Members() }))
+	m.Set("leads", expvar.Func(func() any {
+		_, _, leads := d.store.Leader()
+		return leads
+	}))
+	m.Set("term", expvar.Func(func() any {
+		_, term, _ := d.store.Leader()
+		return term
+	}))
+	m.Set("upstreams", expvar.Func(func() any {
+		count := map[string]int{}
+		for _, r := range d.hub.Records() {
+			count[r.Service+" "+r.Phase.String()]++
+		}
+		return count
+	}))
+	m.Set("scheduler", d.pools.scheduler.Vars())
+	return m
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"expvar"
 	"net"
 	"net/http"
 	"os"
@@ -19,6 +20,7 @@
 	"godwitward.example/godwitward/internal/feed"
 	"godwitward.example/godwitward/internal/finding"
 	"godwitward.example/godwitward/internal/forward"
+	"godwitward.example/godwitward/internal/metrics"
 	"godwitward.example/godwitward/internal/transport"
 	"godwitward.example/godwitward/platform"
 )
@@ -63,7 +65,7 @@
 }
 
 // Run serves until ctx ends and the work in flight is done.
-func Run(ctx context.Context, file *platform.File, logger *log.Logger) error {
+func Run(ctx context.Context, file *platform.File, metricsPort uint16, logger *log.Logger) error {
 	s := file.Current()
 	limitMemory(s.MemoryBytes)
 	go file.Watch(ctx)
@@ -100,6 +102,9 @@
 	})
 	// The end of the process stops what still runs when the drain is over.
 	server.SetPlacer(&placer{pools: pools, logger: logger}, pools.SetPools)
+	server.Vars().Set("feed_age_ms", expvar.Func(func() any { return started.Age().Milliseconds() }))
+	server.Vars().Set("entries_known", expvar.Func(func() any { return started.Entries() }))
+	metrics.Serve(s.Session, metricsPort, "forward", server.Vars(), logger)
 	return serve(ctx, file, server, logger)
 }
 
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -64,7 +64,9 @@
 		MemoryTokens: x.facts.PromptTokens + x.facts.LikelyTokens,
 	}
 	if x.service.Engine != nil && x.s.placer != nil {
+		asked := time.Now()
 		hold, err := x.s.placer.Reserve(x.ctx, x.demand(attempt, work, st))
+		x.s.vars.placed.add(time.Since(asked))
 		var refusal *Refusal
 		if errors.As(err, &refusal) && !st.started {
 			return nil, refusal
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -74,6 +74,7 @@
 	expected := time.Duration(float64(usual) * pace * (1 + ahead))
 	began := time.Now()
 	sends := x.sends
+	x.s.vars.prefills.Add(1)
 	a, err := x.send(t, &Send{Priority: -1, Prefill: true}, min(x.remaining(), max(minPrefill, prefillFactor*expected)))
 	x.sends = sends
 	if err != nil {
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -53,6 +53,7 @@
 	inFlight  atomic.Int64
 	draining  atomic.Bool
 
+	vars     *vars
 	placer   Placer
 	setPools func(services []string)
 
@@ -70,6 +71,7 @@
 		opts: opts, start: time.Now(), upstreams: newUpstreams(opts.Place),
 		budgets: map[string]*policy.RepeatBudget{}, stop: make(chan struct{}),
 	}
+	s.vars = newVars(s)
 	s.done.Add(1)
 	go s.closeIdle()
 	return s
@@ -194,7 +196,7 @@
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	x := &exchange{s: s, w: w, r: r, ctx: r.Context(), began: time.Now(), tried: map[*target]bool{}}
-	defer x.log()
+	defer x.finish()
 	if x.accept() {
 		defer s.bodies.Add(-int64(len(x.body)))
 		x.serve()
@@ -515,6 +517,12 @@
 	}
 }
 
+// finish records the end of a request.
+func (x *exchange) finish() {
+	x.count()
+	x.log()
+}
+
 // log writes the line of a finished request.
 func (x *exchange) log() {
 	l := x.s.opts.Logger.Info()
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -227,6 +227,7 @@
 		st.lastAt = time.Now()
 		if st.events == 0 {
 			st.firstAt = st.lastAt
+			x.s.vars.first.add(time.Since(x.began))
 		}
 		st.events++
 		if ev.id != "" {
--- a/internal/timeline/merge.go
+++ b/internal/timeline/merge.go
@@ -6,6 +6,7 @@
 	"sort"
 	"strconv"
 	"strings"
+	"time"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
 )
@@ -44,13 +45,16 @@
 }
 
 // ReadLog reads the events of a key=value log and skips all other lines.
-func ReadLog(r io.Reader) ([]*pb.Event, error) {
+// process names the writer of lines that don't.
+func ReadLog(r io.Reader, process string) ([]*pb.Event, error) {
 	var events []*pb.Event
 	sc := bufio.NewScanner(r)
 	sc.Buffer(nil, MaxLineBytes)
 	for sc.Scan() {
 		if e, ok := ParseLine(sc.Text()); ok {
 			events = append(events, e)
+		} else if e, ok := ParseDecision(sc.Text(), process); ok {
+			events = append(events, e)
 		}
 	}
 	return events, sc.Err()
@@ -74,6 +78,36 @@
 	return e, e.Kind != "" && e.Time.WallUs != 0
 }
 
+// ParseDecision parses a line that carries only the time of day, as the
+// forwarding daemons write for each decision. Their clocks are close but not
+// ordered, so events of different processes may be out of order by the
+// difference.
+func ParseDecision(line, process string) (*pb.Event, bool) {
+	e := &pb.Event{Time: &pb.Timestamp{}, Process: process}
+	for line = strings.TrimSpace(line); line != ""; line = strings.TrimLeft(line, " ") {
+		key, value, rest, ok := nextPair(line)
+		if !ok {
+			return nil, false
+		}
+		line = rest
+		switch key {
+		case "time":
+			at, err := time.Parse(time.RFC3339, value)
+			if err != nil {
+				return nil, false
+			}
+			e.Time.WallUs = at.UnixMicro()
+		case "id":
+			e.RequestId = value
+		default:
+			if !setField(e, key, value) {
+				return nil, false
+			}
+		}
+	}
+	return e, e.Kind != "" && e.Time.WallUs != 0
+}
+
 func nextPair(line string) (key, value, rest string, ok bool) {
 	key, rest, ok = strings.Cut(line, "=")
 	if !ok {
--- a/internal/timeline/timeline_test.go
+++ b/internal/timeline/timeline_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strings"
 	"testing"
 	"time"
 
@@ -33,7 +34,7 @@
 	b.Record(&pb.Event{Kind: "request.granted", RequestId: "r1", Upstream: "decode-1"})
 	buf.WriteString("not an event\n")
 
-	fromLog, err := ReadLog(&buf)
+	fromLog, err := ReadLog(&buf, "")
 	require.NoError(t, err)
 	require.Len(t, fromLog, 1)
 	f := &pb.EventsRequest{RequestId: "r1"}
@@ -62,3 +63,16 @@
 	}
 	require.Equal(t, "345", got)
 }
+
+// Guards against decision lines of the forwarding daemons that no time line
+// shows.
+func TestDecisionLinesBecomeEvents(t *testing.T) {
+	line := `time=2026-12-04T06:00:00.250Z level=warn event=request.ended id=abc upstream=i-1 status=503 reason="no upstream"`
+	events, err := ReadLog(strings.NewReader(line+"\nrubbish\n"), "edge-1")
+	require.NoError(t, err)
+	require.Len(t, events, 1)
+	require.Equal(t, "edge-1", events[0].Process)
+	require.Equal(t, "abc", events[0].RequestId)
+	require.Equal(t, "i-1", events[0].Upstream)
+	require.Equal(t, int64(250_000), events[0].Time.WallUs%1_000_000)
+}
