--- a/internal/edge/placer.go
+++ b/internal/edge/placer.go
@@ -53,8 +53,8 @@
 		return nil, forward.ErrNoScheduler
 	}
 	if r := resp.GetRefusal(); r != nil {
-		if r.Code == pb.Refusal_NO_UPSTREAM {
-			p.logger.Warn().Str("event", "scheduler.no_upstream").Str("id", d.ID).Str("pool", d.Service).Str("detail", r.Message).Msg("")
+		if r.Code == pb.Refusal_NO_UPSTREAM || r.Code == pb.Refusal_NOT_HOLDER {
+			p.logger.Warn().Str("event", "scheduler.cannot_place").Str("id", d.ID).Str("pool", d.Service).Str("detail", r.Message).Msg("")
 			return nil, forward.ErrNoScheduler
 		}
 		return nil, &forward.Refusal{
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -61,12 +61,20 @@
 			}
 		case verdictLost:
 			x.mayRun = true
+			if x.left() {
+				x.leave()
+				return
+			}
 			if runs++; runs >= x.route.MaxAttempts || !x.route.Repeatable() {
 				x.giveUp("lost")
 				return
 			}
 		}
-		if x.left() || x.remaining() < lateMargin {
+		if x.left() {
+			x.leave()
+			return
+		}
+		if x.remaining() < lateMargin {
 			x.giveUp("deadline")
 			return
 		}
@@ -228,6 +236,12 @@
 	panic(http.ErrAbortHandler)
 }
 
+// leave ends a request whose caller has gone. Nobody can be told.
+func (x *exchange) leave() {
+	x.outcome, x.reason = "cancelled", "caller_left"
+	panic(http.ErrAbortHandler)
+}
+
 // giveUp gives the final answer of a request that no upstream answered.
 func (x *exchange) giveUp(reason string) {
 	if x.reason != "" {
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -526,7 +526,7 @@
 // log writes the line of a finished request.
 func (x *exchange) log() {
 	l := x.s.opts.Logger.Info()
-	if x.status >= 500 || x.outcome != "answered" {
+	if x.status >= 500 || x.outcome != "answered" && x.outcome != "cancelled" {
 		l = x.s.opts.Logger.Warn()
 	}
 	upstream, route, service := "", "", ""
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -48,6 +48,13 @@
 	for attempt := 1; ; attempt++ {
 		st.lastRun = runs+1 >= x.route.MaxAttempts || !x.route.Repeatable()
 		p, refusal := x.place(attempt, st)
+		if x.left() {
+			if p != nil {
+				p.release(EndCancelled, st)
+			}
+			x.leave()
+			return
+		}
 		if refusal != nil && !st.started && !x.mayRun {
 			x.refuse("scheduler_"+refusal.Reason, x.comeBackAfter(refusal.After))
 			return
@@ -77,12 +84,20 @@
 		case verdictLost:
 			st.read = nil
 			x.mayRun = true
+			if x.left() {
+				x.leave()
+				return
+			}
 			if runs++; runs >= x.route.MaxAttempts || !x.route.Repeatable() {
 				x.endStream(st, "lost")
 				return
 			}
 		}
-		if x.left() || x.remaining() < lateMargin {
+		if x.left() {
+			x.leave()
+			return
+		}
+		if x.remaining() < lateMargin {
 			x.endStream(st, "deadline")
 			return
 		}
