--- a/internal/entry/codes_test.go
+++ b/internal/entry/codes_test.go
@@ -14,7 +14,7 @@
 // Guards against an error code or a metric that operators find nowhere in the
 // operations page.
 func TestCodesAndMetricsAreDocumented(t *testing.T) {
-	page, err := os.ReadFile("../../docs/operations.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	require.NoError(t, err)
 	file, err := parser.ParseFile(token.NewFileSet(), "codes.go", nil, 0)
 	require.NoError(t, err)
--- /dev/null
+++ b/internal/feed/feed_test.go
@@ -0,0 +1,184 @@
+package feed
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/stretchr/testify/require"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/corestore"
+	"godwitward.example/godwitward/internal/transport"
+)
+
+// spreadBound is the time in which a change must reach an entry in contact, a
+// quarter of the platform's drainMs.
+const spreadBound = 500 * time.Millisecond
+
+// fakeStore is the replicated document of a test.
+type fakeStore struct {
+	mu      sync.Mutex
+	doc     corestore.Document
+	quorate bool
+	members []string
+}
+
+func (s *fakeStore) Current() corestore.Document {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.doc
+}
+
+func (s *fakeStore) Quorate() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.quorate
+}
+
+func (s *fakeStore) Members() []string                { return s.members }
+func (s *fakeStore) Leader() (string, uint64, bool)   { return s.members[0], 4, false }
+func (s *fakeStore) set(version uint64, quorate bool) { s.setDoc(version, quorate) }
+
+func (s *fakeStore) setDoc(version uint64, quorate bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.doc = corestore.Document{Version: version, Body: []byte("body")}
+	s.quorate = quorate
+}
+
+// hubs is a set of hubs on loopback.
+type hubs struct {
+	hubs    []*Hub
+	stores  []*fakeStore
+	servers []*transport.Server
+	members []string
+}
+
+func startHubs(t *testing.T, n int) *hubs {
+	h := &hubs{}
+	quiet := &log.Logger{Level: log.PanicLevel}
+	var listeners []net.Listener
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		listeners = append(listeners, l)
+		h.members = append(h.members, l.Addr().String())
+	}
+	for i, l := range listeners {
+		port := netip.MustParseAddrPort(h.members[i]).Port()
+		server := transport.NewServer(transport.Options{})
+		peers := corestore.NewPeers(h.members[i], port, transport.Options{Self: &pb.Hello{Vm: h.members[i]}})
+		store := &fakeStore{members: h.members, quorate: true}
+		hub := NewHub(HubOptions{Store: store, Peers: peers, Self: h.members[i], Logger: quiet, OnReport: func(*pb.UpstreamRecord) {}}, server)
+		go func() { _ = server.Serve(l) }()
+		h.hubs, h.stores, h.servers = append(h.hubs, hub), append(h.stores, store), append(h.servers, server)
+		t.Cleanup(func() {
+			hub.Stop()
+			peers.Close()
+			server.Close()
+		})
+	}
+	return h
+}
+
+// entryView is what one follower has learned.
+type entryView struct {
+	mu      sync.Mutex
+	version uint64
+	phases  map[string]pb.UpstreamPhase
+	silent  map[string]bool
+}
+
+func follow(t *testing.T, seeds []string) (*Follower, *entryView) {
+	v := &entryView{phases: map[string]pb.UpstreamPhase{}, silent: map[string]bool{}}
+	f := Follow(FollowerOptions{
+		Seeds: func() []string { return seeds }, Logger: &log.Logger{Level: log.PanicLevel},
+		OnDocument: func(version uint64, _ []byte) {
+			v.mu.Lock()
+			defer v.mu.Unlock()
+			v.version = version
+		},
+		OnUpstreams: func(records []*pb.UpstreamRecord) {
+			v.mu.Lock()
+			defer v.mu.Unlock()
+			for _, r := range records {
+				v.phases[r.Id], v.silent[r.Id] = r.Phase, r.Silent
+			}
+		},
+	})
+	t.Cleanup(f.Stop)
+	return f, v
+}
+
+func (v *entryView) phase(id string) pb.UpstreamPhase {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.phases[id]
+}
+
+func record(id string, sequence uint64, phase pb.UpstreamPhase) *pb.UpstreamRecord {
+	return &pb.UpstreamRecord{Id: id, Service: "s", Address: "10.0.0.1:80", BornMs: 1, Sequence: sequence, Phase: phase}
+}
+
+// A runner that drains at a core daemon to which an entry is not attached must
+// still get no new work from it.
+func TestDrainReachesEntriesOfAllHubs(t *testing.T) {
+	h := startHubs(t, 3)
+	_, v := follow(t, h.members[:1])
+	h.hubs[2].Report(record("i-1", 1, pb.UpstreamPhase_UPSTREAM_READY))
+	require.Eventually(t, func() bool { return v.phase("i-1") == pb.UpstreamPhase_UPSTREAM_READY }, 3*time.Second, 5*time.Millisecond)
+	h.hubs[1].Report(record("i-1", 2, pb.UpstreamPhase_UPSTREAM_DRAINING))
+	require.Eventually(t, func() bool { return v.phase("i-1") == pb.UpstreamPhase_UPSTREAM_DRAINING }, spreadBound, 2*time.Millisecond)
+	h.hubs[0].Leave("i-1", 1)
+	require.Eventually(t, func() bool { return v.phase("i-1") == pb.UpstreamPhase_UPSTREAM_GONE }, spreadBound, 2*time.Millisecond)
+}
+
+// A new configuration must reach entries at once, and an older one never.
+func TestDocumentsOnlyGrow(t *testing.T) {
+	h := startHubs(t, 2)
+	_, v := follow(t, h.members)
+	version := func() uint64 {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		return v.version
+	}
+	h.stores[0].set(5, true)
+	h.hubs[0].DocumentChanged()
+	require.Eventually(t, func() bool { return version() == 5 }, 3*time.Second, 5*time.Millisecond)
+	h.stores[1].set(3, true)
+	h.hubs[1].DocumentChanged()
+	time.Sleep(2 * pulse)
+	require.Equal(t, uint64(5), version())
+}
+
+// A hub that ends or hears no leader must not leave entries without news.
+func TestFollowerLeavesHubsWithoutLeader(t *testing.T) {
+	h := startHubs(t, 3)
+	f, v := follow(t, h.members)
+	require.Eventually(t, func() bool { return f.Age() < time.Second }, 3*time.Second, 5*time.Millisecond)
+	h.stores[0].set(0, false)
+	h.servers[1].Close()
+	require.Eventually(t, func() bool {
+		h.hubs[2].Report(record("i-9", uint64(time.Now().UnixNano()), pb.UpstreamPhase_UPSTREAM_READY))
+		return v.phase("i-9") == pb.UpstreamPhase_UPSTREAM_READY && f.Age() < time.Second
+	}, 6*time.Second, 50*time.Millisecond)
+	address, term, known := f.Leader()
+	require.True(t, known)
+	require.Equal(t, h.members[0], address)
+	require.Equal(t, uint64(4), term)
+}
+
+// Each entry spends its part of a shared budget, so the number of entries must
+// not be counted once for each hub to which they are attached.
+func TestEntriesAreCountedOnce(t *testing.T) {
+	h := startHubs(t, 3)
+	var last *Follower
+	for range 4 {
+		last, _ = follow(t, h.members)
+	}
+	require.Eventually(t, func() bool { return last.Entries() == 4 }, 5*time.Second, 20*time.Millisecond)
+}
--- /dev/null
+++ b/internal/scheduler/platform_test.go
@@ -0,0 +1,229 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/policy"
+)
+
+const (
+	testPiece = 64
+	// kiritaniMemory and kiritaniSlots are those of one engine of the grown
+	// deployment, whose memory and not its batch is the limit.
+	kiritaniMemory = 67990
+	kiritaniSlots  = 12
+)
+
+func platformPool(p Params) *Pool {
+	p.DisableJIT, p.UrgentReserve, p.RestateWindow = true, -1, time.Millisecond
+	return NewPool(testPool, p, policy.Default{}, 7, 0, 1)
+}
+
+func platformEngine(id string, role pb.EngineRole) *pb.UpstreamState {
+	return &pb.UpstreamState{
+		Id: id, Generation: 1, Url: id, Role: role, Models: []string{"m"}, TotalPieces: kiritaniMemory / testPiece,
+		MaxBatch: kiritaniSlots, PieceTokens: testPiece, LinkBytesPerS: 1e11, KvBytesPerToken: 1,
+		PrefillTokensPerS: 55000, DecodeUsPerToken: 700,
+	}
+}
+
+func platformRequest(id string, prompt, answer int) *pb.SubmitRequest {
+	return &pb.SubmitRequest{
+		RequestId: id, Attempt: 1, EntryId: "e", Pool: testPool, Model: "m", RequestClass: pb.RequestClass_REQUEST_CLASS_DRAFT,
+		PromptTokens: uint32(prompt), MaxOutputTokens: uint32(answer), MaxWaitMs: 2800, DeadlineMs: 14000, TtftTargetMs: 900,
+	}
+}
+
+// submitAll submits requests and returns the grants.
+func submitAll(p *Pool, now time.Duration, n, prompt, answer int) []*pb.Grant {
+	var grants []*pb.Grant
+	for i := range n {
+		out := p.Submit(uint64(1000+i), platformRequest(fmt.Sprintf("r%d", i), prompt, answer), now)
+		out = append(out, p.Run(Placement, now)...)
+		for _, a := range out {
+			if x, ok := a.(Answer); ok && x.Response.GetGrant() != nil {
+				grants = append(grants, x.Response.GetGrant())
+			}
+		}
+	}
+	return grants
+}
+
+const (
+	roleP = pb.EngineRole_ENGINE_ROLE_PREFILL
+	roleD = pb.EngineRole_ENGINE_ROLE_DECODE
+)
+
+// A burst of long prompts must not be granted more memory than the engine has
+// when the answers have grown: the engine would drop answers and read their
+// prompts again.
+func TestGrantsStayWithinGrownMemory(t *testing.T) {
+	p := platformPool(Params{GrowingMemory: true})
+	now := time.Second
+	p.Announce([]*pb.UpstreamState{platformEngine("p1", roleP), platformEngine("p2", roleP), platformEngine("d1", roleD)}, now)
+	const prompt, answer = 5200, 4900
+	grants := submitAll(p, now, kiritaniSlots, prompt, answer)
+	require.NotEmpty(t, grants)
+	require.LessOrEqual(t, len(grants)*(prompt+answer), kiritaniMemory, "all start at once, so all grow to their end")
+	require.Greater(t, (len(grants)+2)*(prompt+answer)*100, kiritaniMemory*80, "at least most of the memory is used")
+}
+
+// Answers at mixed progress use less memory than their final sizes; an engine
+// that counted these would leave places empty in a burst.
+func TestStaggeredAnswersShareMemory(t *testing.T) {
+	p := platformPool(Params{GrowingMemory: true})
+	now := time.Second
+	const prompt, answer = 5200, 4900
+	token := time.Duration(0.7 * float64(time.Millisecond))
+	granted := 0
+	for range 60 {
+		p.Announce([]*pb.UpstreamState{platformEngine("p1", roleP), platformEngine("p2", roleP), platformEngine("d1", roleD)}, now)
+		for _, g := range submitAll(p, now, 1, prompt, answer) {
+			p.Progress(&pb.ProgressRequest{HoldId: g.HoldId, Stage: pb.ProgressRequest_PREFILL_DONE, DurationUs: 90000}, now)
+			p.Progress(&pb.ProgressRequest{HoldId: g.HoldId, Stage: pb.ProgressRequest_FIRST_TOKEN}, now)
+			granted++
+		}
+		now += 400 * time.Millisecond
+		for _, h := range p.Holds() {
+			if p.holds.byID[h.HoldId].granted+answer*token < now {
+				p.Release(&pb.ReleaseRequest{HoldId: h.HoldId, Outcome: pb.ReleaseRequest_COMPLETED}, now)
+			}
+		}
+		p.Run(Expiry, now)
+	}
+	// Reserving final sizes in the same part of the memory fits 5 answers at once
+	// (0.82 x 67,990 / 10,100), which is 35 in the 24 s of the replay.
+	require.Greater(t, granted, 35)
+}
+
+// When the prefill side is lost or overrun, decode engines with free places read
+// prompts themselves, one at a time each.
+func TestDecodeEnginesReadWhenPrefillIsLost(t *testing.T) {
+	p := platformPool(Params{GrowingMemory: true, DirectReads: true})
+	now := 3 * time.Second
+	p.Announce([]*pb.UpstreamState{platformEngine("d1", roleD), platformEngine("d2", roleD)}, now)
+	grants := submitAll(p, now, 4, 3000, 2000)
+	require.Len(t, grants, 2, "a second direct read would stretch the pauses of the answers there")
+	for _, g := range grants {
+		require.Nil(t, g.Prefill)
+	}
+	p.Progress(&pb.ProgressRequest{HoldId: grants[0].HoldId, Stage: pb.ProgressRequest_FIRST_TOKEN}, now)
+	out := p.Run(Placement, now)
+	require.Len(t, grantedTickets(out), 1)
+}
+
+// A prefill engine whose results cannot be fetched must rest although its calls
+// succeed.
+func TestPrefillEngineWithLostHandlesRests(t *testing.T) {
+	p := platformPool(Params{GrowingMemory: true})
+	now := time.Second
+	announce := func() {
+		p.Announce([]*pb.UpstreamState{platformEngine("p1", roleP), platformEngine("p2", roleP), platformEngine("d1", roleD)}, now)
+	}
+	announce()
+	for range lostHandleLimit {
+		g := submitAll(p, now, 1, 1000, 500)[0]
+		for g.Prefill.Id != "p1" {
+			g = submitAll(p, now, 1, 1000, 500)[0]
+		}
+		p.Progress(&pb.ProgressRequest{HoldId: g.HoldId, Stage: pb.ProgressRequest_PREFILL_DONE, DurationUs: 20000}, now)
+		p.Release(&pb.ReleaseRequest{HoldId: g.HoldId, Outcome: pb.ReleaseRequest_TRANSFER_FAILED}, now)
+		now += 10 * time.Millisecond
+	}
+	for range 4 {
+		for _, g := range submitAll(p, now, 1, 200, 100) {
+			require.Equal(t, "p2", g.Prefill.Id)
+			p.Release(&pb.ReleaseRequest{HoldId: g.HoldId, Outcome: pb.ReleaseRequest_COMPLETED}, now)
+		}
+	}
+	now += lostHandlePause
+	p.Run(Expiry, now)
+	announce()
+	require.True(t, p.upstreams.byID["p1"].view.Usable, "it is tried again")
+}
+
+// Work that entries placed by themselves shows in an engine's stated load; a
+// scheduler that grants beside it sends requests to full engines.
+func TestStatedLoadCorrectsHolds(t *testing.T) {
+	p := platformPool(Params{GrowingMemory: true})
+	now := time.Second
+	p.Announce([]*pb.UpstreamState{platformEngine("p1", roleP), platformEngine("d1", roleD)}, now)
+	g := submitAll(p, now, 1, 500, 200)[0]
+	p.Progress(&pb.ProgressRequest{HoldId: g.HoldId, Stage: pb.ProgressRequest_FIRST_TOKEN, Load: &pb.StatedLoad{Running: kiritaniSlots}}, now)
+	require.Empty(t, submitAll(p, now, 1, 500, 200), "11 answers of others and one hold fill the batch")
+	now += foreignLife + time.Millisecond
+	p.Announce([]*pb.UpstreamState{platformEngine("p1", roleP), platformEngine("d1", roleD)}, now)
+	p.foreignAnswers(p.upstreams.byID["d1"], now)
+	p.Run(Expiry, now)
+	require.NotEmpty(t, submitAll(p, now, 1, 500, 200))
+}
+
+// Repeats of all entries together stay within the pool's budget.
+func TestRepeatedAttemptsAreChargedToThePool(t *testing.T) {
+	p := platformPool(Params{RepeatRatio: 0.2, RepeatSlack: 5, RepeatWindow: 10 * time.Second})
+	now := time.Second
+	p.Announce([]*pb.UpstreamState{platformEngine("p1", roleP), platformEngine("d1", roleD)}, now)
+	for i := range 20 {
+		p.Submit(uint64(i+1), platformRequest(fmt.Sprintf("a%d", i), 100, 10), now)
+	}
+	charged := 0
+	for i := range 30 {
+		req := platformRequest(fmt.Sprintf("b%d", i), 100, 10)
+		req.Attempt = 2
+		refused := false
+		for _, a := range p.Submit(uint64(100+i), req, now) {
+			if x, ok := a.(Answer); ok && x.Response.GetRefusal().GetCode() == pb.Refusal_REPEAT_BUDGET {
+				refused = true
+			}
+		}
+		if !refused {
+			charged++
+		}
+	}
+	require.Equal(t, 9, charged, "0.2 of 20 requests and 5 more")
+}
+
+// A pool that was split for another mix of work leaves its prefill side idle
+// while decode is full in every burst.
+func TestRolesFollowTheMeasuredWork(t *testing.T) {
+	p := platformPool(Params{BalanceRoles: true, LeaseTTL: time.Millisecond})
+	now := 10 * time.Second
+	var states []*pb.UpstreamState
+	for i := range 4 {
+		states = append(states, platformEngine(fmt.Sprintf("p%d", i), roleP))
+	}
+	for i := range 5 {
+		states = append(states, platformEngine(fmt.Sprintf("d%d", i), roleD))
+	}
+	orders := 0
+	for range 40 {
+		p.Announce(states, now)
+		for _, g := range submitAll(p, now, 1, 5200, 4900) {
+			p.Progress(&pb.ProgressRequest{HoldId: g.HoldId, Stage: pb.ProgressRequest_PREFILL_DONE, DurationUs: 94000}, now)
+			now += 3400 * time.Millisecond
+			p.Release(&pb.ReleaseRequest{HoldId: g.HoldId, Outcome: pb.ReleaseRequest_COMPLETED}, now)
+		}
+		p.Announce(states, now)
+		p.Run(Expiry, now)
+		p.Run(Roles, now)
+		for _, a := range p.Run(Loads, now) {
+			if x, ok := a.(SendOrder); ok {
+				require.Equal(t, "decode", x.Order.Value)
+				require.Equal(t, uint64(7), x.Order.FencingToken)
+				for _, s := range states {
+					if s.Id == x.Engine.Id {
+						s.Role = roleD
+					}
+				}
+				p.OrderDone(x.ID, "", now)
+				orders++
+			}
+		}
+	}
+	require.Equal(t, 2, orders, "four prefill engines become two")
+}
--- /dev/null
+++ b/policy/pick_test.go
@@ -0,0 +1,116 @@
+package policy
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// An upstream that fails part of its calls while it looks healthy must lose
+// calls to its peers, and one that is silent must get none while others serve.
+func TestPickAvoidsFailingUpstreams(t *testing.T) {
+	var sound, grey, silent Health
+	var load EngineLoad
+	for range 30 {
+		sound.Succeeded(0)
+		grey.Failed(0, FaultError)
+		grey.Succeeded(0)
+	}
+	silent.Failed(time.Second, FaultSilent)
+	list := []Candidate{{Health: &grey, Load: &load}, {Health: &silent, Load: &load}, {Health: &sound, Load: &load}}
+	for r := 0.0; r < 1; r += 0.1 {
+		require.Equal(t, 2, PickUpstream(list, time.Second, r))
+	}
+	list[2].Tried = true
+	require.Equal(t, 0, PickUpstream(list, time.Second, 0))
+}
+
+// A single upstream is used whatever is known of it: a refusal helps nobody.
+func TestPickKeepsTheLastUpstream(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var h Health
+		var load EngineLoad
+		for range rapid.IntRange(0, 20).Draw(t, "faults") {
+			h.Failed(0, Fault(rapid.IntRange(1, 3).Draw(t, "fault")))
+		}
+		c := Candidate{Health: &h, Load: &load, Doubtful: rapid.Bool().Draw(t, "doubtful"), Tried: rapid.Bool().Draw(t, "tried")}
+		if PickUpstream([]Candidate{c}, 0, rapid.Float64Range(0, 0.999).Draw(t, "r")) != 0 {
+			t.Fatal("the only upstream was not picked")
+		}
+	})
+	require.Equal(t, -1, PickUpstream(nil, 0, 0.5))
+}
+
+// Entries with the same view must not all choose the same upstream.
+func TestPickSpreadsTies(t *testing.T) {
+	var h Health
+	var load EngineLoad
+	list := make([]Candidate, 4)
+	for i := range list {
+		list[i] = Candidate{Health: &h, Load: &load}
+	}
+	seen := map[int]bool{}
+	for r := 0.0; r < 1; r += 0.05 {
+		seen[PickUpstream(list, 0, r)] = true
+	}
+	require.Len(t, seen, 4)
+}
+
+// A rest must end by itself, or a returning upstream is never found.
+func TestRestEnds(t *testing.T) {
+	var h Health
+	for range 50 {
+		h.Failed(time.Second, FaultUnreachable)
+	}
+	require.True(t, h.Resting(time.Second+maxRest-1))
+	require.False(t, h.Resting(time.Second+maxRest))
+}
+
+// A stated load counts the requests of others; the own ones are exact, and an
+// old statement fades.
+func TestStatedLoadFades(t *testing.T) {
+	var l EngineLoad
+	l.Begin(Work{})
+	l.Stated(5, 1, 0)
+	require.InDelta(t, 6, l.Requests(0), 1e-9)
+	require.Less(t, l.Requests(statedLife), 3.0)
+	l.End(Work{})
+	require.GreaterOrEqual(t, l.Requests(0), 0.0)
+}
+
+// No window may hold more repeats than the budget of that window, whatever the
+// order of requests and repeats.
+func TestRepeatBudgetHoldsInEveryWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := RepeatBudget{Ratio: 0.2, Slack: 3, Window: 10 * time.Second}
+		var requests, repeats []time.Duration
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 300).Draw(t, "events") {
+			now += time.Duration(rapid.IntRange(0, 400).Draw(t, "step")) * time.Millisecond
+			if rapid.Bool().Draw(t, "request") {
+				b.Requested(now)
+				requests = append(requests, now)
+			} else if b.Take(now) {
+				repeats = append(repeats, now)
+			}
+		}
+		for _, end := range repeats {
+			spent, asked := 0, 0
+			for _, at := range repeats {
+				if at <= end && end-at < 9*time.Second {
+					spent++
+				}
+			}
+			for _, at := range requests {
+				if at <= end && end-at <= 10*time.Second {
+					asked++
+				}
+			}
+			if float64(spent) > 0.2*float64(asked)+3+1e-9 {
+				t.Fatalf("%d repeats for %d requests before %v", spent, asked, end)
+			}
+		}
+	})
+}
