--- a/internal/scheduler/balance.go
+++ b/internal/scheduler/balance.go
@@ -16,7 +16,10 @@
 	// balanceHold is how long an imbalance must last before an engine changes
 	// its role, and balancePause the time between changes of a pool.
 	balanceHold  = time.Second
-	balancePause = 3 * time.Second
+	balancePause = time.Second
+	// changingPart is the part of a pool's engines that may change their role at
+	// once: each is away for some seconds.
+	changingPart = 8
 	// scarceHold replaces balanceHold for a change that takes an engine from
 	// the decode side: its answers must end first, so it pays only when the
 	// prefill side stays short.
@@ -69,14 +72,14 @@
 	if short == pb.EngineRole_ENGINE_ROLE_PREFILL {
 		hold = scarceHold
 	}
-	if short == pb.EngineRole_ENGINE_ROLE_UNSPECIFIED || now-s.since < hold || len(p.orders.byID) > 0 {
+	if short == pb.EngineRole_ENGINE_ROLE_UNSPECIFIED || now-s.since < hold {
 		return nil
 	}
 	if s.changed && now-s.changedAt < balancePause {
 		return nil
 	}
 	m := p.spareEngine(short)
-	if m == nil {
+	if m == nil || p.ordered(m) {
 		return nil
 	}
 	s.changed = true
@@ -91,24 +94,26 @@
 
 // shortSide returns the role that should have one engine more.
 func (p *Pool) shortSide() pb.EngineRole {
-	prefill, decode, batch := 0, 0, 0.0
+	prefill, decode, changing, batch := 0, 0, 0, 0.0
 	work := &p.holds.mix
 	for _, m := range p.upstreams.byID {
 		if m.health != pb.UpstreamStatus_LIVE || !m.isEngine() {
 			continue
 		}
-		if m.changing {
+		role := m.state.Role
+		if p.ordered(m) {
 			// An engine on its way to the other side counts there already.
-			return pb.EngineRole_ENGINE_ROLE_UNSPECIFIED
+			changing++
+			role = otherRole(role)
 		}
-		if m.state.Role == pb.EngineRole_ENGINE_ROLE_PREFILL {
+		if role == pb.EngineRole_ENGINE_ROLE_PREFILL {
 			prefill++
 			continue
 		}
 		decode++
 		batch += min(float64(m.view.MaxBatch), float64(m.view.TotalPieces)/max(1, work.pieces))
 	}
-	if work.samples < minMixSamples || prefill == 0 || decode == 0 {
+	if work.samples < minMixSamples || prefill == 0 || decode == 0 || changing >= max(1, (prefill+decode)/changingPart) {
 		return pb.EngineRole_ENGINE_ROLE_UNSPECIFIED
 	}
 	m := policy.Mix{PrefillSeconds: work.prefill, DecodeSeconds: work.decode, Batch: batch / float64(decode)}
@@ -120,3 +125,23 @@
 	}
 	return pb.EngineRole_ENGINE_ROLE_PREFILL
 }
+
+// ordered reports whether an engine is changing its role or has an order to.
+func (p *Pool) ordered(m *member) bool {
+	if m.changing {
+		return true
+	}
+	for _, o := range p.orders.byID {
+		if _, role := o.role(); role && o.order.UpstreamId == m.view.ID {
+			return true
+		}
+	}
+	return false
+}
+
+func otherRole(r pb.EngineRole) pb.EngineRole {
+	if r == pb.EngineRole_ENGINE_ROLE_PREFILL {
+		return pb.EngineRole_ENGINE_ROLE_DECODE
+	}
+	return pb.EngineRole_ENGINE_ROLE_PREFILL
+}
