scheduler: direct reads only where pauses stay short; memory share 0.87

A direct read beside running answers is now bounded by 0.18 s at the engine's own pace, and preferred only when the prefill queue takes half of the target.

--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -183,6 +183,8 @@
 	last        *target
 	mayRun      bool
 	reason      string
+	// first is the time to the first event, gap the longest pause between two.
+	first, gap time.Duration
 	// placedBy tells who chose the engines of the last send.
 	placedBy string
 	// trail lists the sends with their outcomes, for the log.
@@ -545,6 +547,7 @@
 	}
 	l.Str("event", "request.ended").Str("id", x.facts.ID).Str("route", route).Str("service", service).Str("upstream", upstream).
 		Int("status", x.status).Str("outcome", x.outcome).Str("reason", x.reason).Int("sends", x.sends).
+		Int64("first_ms", x.first.Milliseconds()).Int64("gap_ms", x.gap.Milliseconds()).
 		Str("placed_by", x.placedBy).Str("trail", strings.Join(x.trail, ",")).
 		Int64("ms", time.Since(x.began).Milliseconds()).Uint64("config", version).Msg("")
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -239,11 +239,15 @@
 			x.reason = "caller_left"
 			return verdictLost
 		}
-		st.lastAt = time.Now()
+		now := time.Now()
 		if st.events == 0 {
-			st.firstAt = st.lastAt
-			x.s.vars.first.add(time.Since(x.began))
+			st.firstAt = now
+			x.first = now.Sub(x.began)
+			x.s.vars.first.add(x.first)
+		} else {
+			x.gap = max(x.gap, now.Sub(st.lastAt))
 		}
+		st.lastAt = now
 		st.events++
 		if ev.id != "" {
 			st.lastEvent = ev.id
--- a/internal/scheduler/memory.go
+++ b/internal/scheduler/memory.go
@@ -10,9 +10,10 @@
 const (
 	// memoryShare is the part of an engine's memory that forecasts may fill.
 	// Estimates of answers are right at the median only: with eight answers
-	// whose lengths vary by half, the sum varies by a sixth. An engine that runs
-	// out of memory drops an answer and reads its prompt again.
-	memoryShare = 0.82
+	// that have on average half of their tokens to come, and lengths that vary
+	// by half, the sum varies by about 7%, and two such deviations are left. An
+	// engine that runs out of memory drops an answer and reads its prompt again.
+	memoryShare = 0.87
 	// overrun is the rest that is assumed of an answer that is longer than
 	// estimated, relative to the estimate.
 	overrun = 0.2
--- a/internal/scheduler/platform_test.go
+++ b/internal/scheduler/platform_test.go
@@ -97,7 +97,7 @@
 		p.Run(Expiry, now)
 	}
 	// Reserving final sizes in the same part of the memory fits 5 answers at once
-	// (0.82 x 67,990 / 10,100), which is 35 in the 24 s of the replay.
+	// (0.87 x 67,990 / 10,100), which is 35 in the 24 s of the replay.
 	require.Greater(t, granted, 35)
 }
 
--- a/internal/scheduler/upstreams.go
+++ b/internal/scheduler/upstreams.go
@@ -129,6 +129,7 @@
 		v.TotalPieces = unknownPieces
 	}
 	v.KVPerToken = float64(s.KvBytesPerToken)
+	v.UsualDecode = float64(s.DecodeUsPerToken) / 1e6
 	v.Reported = policy.Report{UsedPieces: int(s.UsedPieces), Running: int(s.Running), Queued: int(s.Queued)}
 	m.correctReport(now)
 	m.publishSpeed()
--- a/policy/direct.go
+++ b/policy/direct.go
@@ -6,12 +6,13 @@
 	directSpeed = 0.5
 	// directPatience is the prefill wait, in seconds, up to which a prefill
 	// engine is preferred: a direct read costs its decode engine twice the work
-	// and stretches the pauses of the answers there.
-	directPatience = 0.2
+	// and stretches the pauses of all answers there. Half of the usual target
+	// for the first event remains after it.
+	directPatience = 0.45
 	// maxDirectRead is the longest direct read, in seconds, on an engine with
-	// running answers. Together with the usual time between two events it stays
-	// near the pause that callers accept.
-	maxDirectRead = 0.25
+	// running answers. Together with the usual 0.1 s between two events it stays
+	// below the pause that callers accept.
+	maxDirectRead = 0.18
 	// directBatch is the part of an engine's batch up to which it reads prompts.
 	directBatch = 0.75
 )
@@ -25,7 +26,7 @@
 		if !Fits(q, e) || e.DirectReads > 0 || float64(e.Batch) > directBatch*float64(e.MaxBatch) {
 			continue
 		}
-		read := float64(q.Request.PromptTokens) / (directSpeed * e.PrefillRate)
+		read := float64(q.Request.PromptTokens) / (directSpeed * e.PrefillRate) * e.relativeSlowness()
 		if e.Batch > 0 && read > maxDirectRead {
 			continue
 		}
@@ -38,6 +39,15 @@
 	return out, out.Decode != nil
 }
 
+// relativeSlowness is the learned time of a token over the announced one; an
+// engine that decodes slowly reads slowly as well.
+func (e *Engine) relativeSlowness() float64 {
+	if e.UsualDecode <= 0 || e.DecodeSeconds <= e.UsualDecode {
+		return 1
+	}
+	return e.DecodeSeconds / e.UsualDecode
+}
+
 // PreferDirect reports whether a direct read is better than a placement with a
 // prefill engine.
 func PreferDirect(apart, direct *Placement) bool {
--- a/policy/engine.go
+++ b/policy/engine.go
@@ -63,6 +63,8 @@
 	PrefillRate float64
 	// DecodeSeconds is the learned time per token of a full batch, seconds.
 	DecodeSeconds float64
+	// UsualDecode is the time per token that the engine announced; 0 is unknown.
+	UsualDecode float64
 
 	// LinkRate is the KV cache link's rate, bytes a second. LinkBytes are
 	// reserved for transfers that have not finished.
