--- a/internal/forward/config.go
+++ b/internal/forward/config.go
@@ -81,9 +81,6 @@
 // Service is a set of upstreams with one name.
 type Service struct {
 	Name string
-	// MaxConns is the number of connections that one upstream accepts from
-	// all entries together.
-	MaxConns int
 	// Engine is nil for a plain service.
 	Engine *Engine
 }
@@ -101,10 +98,8 @@
 
 // Limits bound what a caller may send.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	HeaderBytes int
+	BodyBytes   int64
 }
 
 // Compile checks a configuration and prepares it for Match. It returns all
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -140,18 +140,6 @@
 	return verdictDone
 }
 
-func (b budgetOf) left(now time.Duration) float64 {
-	b.s.mu.Lock()
-	defer b.s.mu.Unlock()
-	return b.b.Left(now)
-}
-
-func (b budgetOf) spend(now time.Duration) {
-	b.s.mu.Lock()
-	defer b.s.mu.Unlock()
-	b.b.Spend(now)
-}
-
 // slackAtEnd lets an answer that has begun arrive a little late.
 func (x *exchange) slackAtEnd() time.Duration { return 200 * time.Millisecond }
 
