--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -147,6 +147,7 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
+		s.upstreams.prune(now)
 		for _, t := range s.upstreams.all() {
 			t.closeIdle(now, false)
 		}
--- a/internal/forward/target.go
+++ b/internal/forward/target.go
@@ -14,6 +14,8 @@
 type target struct {
 	mu     sync.Mutex
 	record *pb.UpstreamRecord
+	// silentSince is when the record was marked silent.
+	silentSince time.Time
 	// misdirected is set when the address answered for another process.
 	misdirected bool
 	health      policy.Health
--- a/internal/forward/upstreams.go
+++ b/internal/forward/upstreams.go
@@ -22,9 +22,24 @@
 	return &upstreams{place: place, byID: map[string]*target{}, byService: map[string][]*target{}}
 }
 
-// forgetGone is how long after its last report an ended or silent upstream is
-// dropped from the list.
-const forgetGone = 90 * time.Second
+// forgetSilent is how long an upstream stays in the list after it was marked
+// silent, as long as the core keeps its record.
+const forgetSilent = 90 * time.Second
+
+// prune drops upstreams that have been silent for long: a crashed process says
+// nothing, and most processes that start again have another id.
+func (u *upstreams) prune(now time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for id, t := range u.byID {
+		t.mu.Lock()
+		old := t.record.Silent && now.Sub(t.silentSince) > forgetSilent
+		t.mu.Unlock()
+		if old {
+			u.remove(id)
+		}
+	}
+}
 
 // update takes changed records.
 func (u *upstreams) update(records []*pb.UpstreamRecord) {
@@ -34,6 +49,9 @@
 		known := u.byID[r.Id]
 		if known != nil && known.record.BornMs == r.BornMs && known.record.Address == r.Address && known.record.Service == r.Service {
 			known.mu.Lock()
+			if r.Silent && !known.record.Silent {
+				known.silentSince = time.Now()
+			}
 			known.record = r
 			known.mu.Unlock()
 		} else {
@@ -49,7 +67,7 @@
 	if old != nil {
 		u.remove(r.Id)
 	}
-	t := &target{record: r}
+	t := &target{record: r, silentSince: time.Now()}
 	u.byID[r.Id] = t
 	u.byService[r.Service] = append(u.byService[r.Service], t)
 }
