--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -69,45 +69,66 @@
 	s := file.Current()
 	limitMemory(s.MemoryBytes)
 	go file.Watch(ctx)
-	var follower atomic.Pointer[feed.Follower]
-	entries := func() int {
-		if f := follower.Load(); f != nil {
-			return f.Entries()
-		}
-		return 0
-	}
-	server := forward.NewServer(forward.Options{
-		Protocol: platform.Headers{}, Place: s.Place, Logger: logger,
-		BodyBytes: int64(bodyShare * float64(s.MemoryBytes)),
-		Bounds: func() forward.Bounds {
-			b := file.Current()
-			return forward.Bounds{RepeatRatio: b.RepeatRatio, RepeatSlack: b.RepeatSlack, RepeatWindow: b.RepeatWindow, Entries: entries()}
-		},
-	})
-	self := &pb.Hello{DaemonId: s.VM, Vm: s.VM, Place: s.Place, Process: "gw-edge"}
-	started := feed.Follow(feed.FollowerOptions{
+	e := &entryProcess{file: file, logger: logger, self: &pb.Hello{DaemonId: s.VM, Vm: s.VM, Place: s.Place, Process: "gw-edge"}}
+	server := e.newServer()
+	follower := feed.Follow(feed.FollowerOptions{
 		Seeds:       func() []string { return file.Current().Seeds },
-		Transport:   transport.Options{Self: self, Logger: logger},
+		Transport:   transport.Options{Self: e.self, Logger: logger},
 		Logger:      logger,
 		OnDocument:  func(version uint64, body []byte) { applyDocument(server, logger, version, body) },
 		OnUpstreams: server.SetUpstreams,
 	})
-	follower.Store(started)
-	pools := entry.NewPools(entry.PoolOptions{
-		EntryID: s.VM, Transport: transport.Options{Self: self, Logger: logger},
-		Holder: func(pool string) (*pb.PoolLease, bool) {
-			address, term, known := started.Leader()
-			return &pb.PoolLease{Name: pool, Address: address, FencingToken: term}, known
-		},
-	})
-	// The end of the process stops what still runs when the drain is over.
-	server.SetPlacer(&placer{pools: pools, logger: logger}, pools.SetPools)
-	server.Vars().Set("feed_age_ms", expvar.Func(func() any { return started.Age().Milliseconds() }))
-	server.Vars().Set("entries_known", expvar.Func(func() any { return started.Entries() }))
+	e.follower.Store(follower)
+	server.Vars().Set("feed_age_ms", expvar.Func(func() any { return follower.Age().Milliseconds() }))
+	server.Vars().Set("entries_known", expvar.Func(func() any { return follower.Entries() }))
 	metrics.Serve(s.Session, metricsPort, "forward", server.Vars(), logger)
+	// The end of the process stops what still runs when the drain is over.
 	return serve(ctx, file, server, logger)
 }
 
+// entryProcess connects the parts of an entry.
+type entryProcess struct {
+	file   *platform.File
+	logger *log.Logger
+	self   *pb.Hello
+	// follower is set once the feed has started; the server exists before it.
+	follower atomic.Pointer[feed.Follower]
+}
+
+// newServer returns the forwarding server with its way to the schedulers.
+func (e *entryProcess) newServer() *forward.Server {
+	s := e.file.Current()
+	server := forward.NewServer(forward.Options{
+		Protocol: platform.Headers{}, Place: s.Place, Logger: e.logger,
+		BodyBytes: int64(bodyShare * float64(s.MemoryBytes)), Bounds: e.bounds,
+	})
+	pools := entry.NewPools(entry.PoolOptions{
+		EntryID: s.VM, Transport: transport.Options{Self: e.self, Logger: e.logger}, Holder: e.scheduler,
+	})
+	server.SetPlacer(&placer{pools: pools, logger: e.logger}, pools.SetPools)
+	return server
+}
+
+// bounds returns the bounds that the settings state at present.
+func (e *entryProcess) bounds() forward.Bounds {
+	s := e.file.Current()
+	b := forward.Bounds{RepeatRatio: s.RepeatRatio, RepeatSlack: s.RepeatSlack, RepeatWindow: s.RepeatWindow}
+	if f := e.follower.Load(); f != nil {
+		b.Entries = f.Entries()
+	}
+	return b
+}
+
+// scheduler returns the core's leader, which schedules all pools.
+func (e *entryProcess) scheduler(pool string) (*pb.PoolLease, bool) {
+	f := e.follower.Load()
+	if f == nil {
+		return nil, false
+	}
+	address, term, known := f.Leader()
+	return &pb.PoolLease{Name: pool, Address: address, FencingToken: term}, known
+}
+
 func limitMemory(bytes int64) {
 	if bytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(bytes)))
--- a/internal/feed/doc.go
+++ b/internal/feed/doc.go
@@ -7,8 +7,3 @@
 // one silent hub delays nothing. An entry that reaches no hub keeps what it
 // has.
 package feed
-
-import "github.com/pkg/errors"
-
-// errNoLeader ends the attachment to a hub that hears no leader.
-var errNoLeader = errors.New("the hub hears no leader of a majority")
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"github.com/pkg/errors"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
 	"godwitward.example/godwitward/internal/fleet"
@@ -29,6 +30,9 @@
 	patience = 1500 * time.Millisecond
 )
 
+// errNoLeader ends the attachment to a hub that hears no leader.
+var errNoLeader = errors.New("the hub hears no leader of a majority")
+
 // FollowerOptions configure a Follower.
 type FollowerOptions struct {
 	// Seeds returns the session addresses that the settings name at present.
--- a/policy/health.go
+++ b/policy/health.go
@@ -33,17 +33,14 @@
 type Health struct {
 	// errors is the moving share of failed calls.
 	errors float64
-	// rest doubles with each fault in a row.
+	// rest doubles with each fault in a row; until is when it ends.
 	rest  time.Duration
 	until time.Duration
-	// probing is set while the first call after a rest is under way.
-	faults int
 }
 
 // Succeeded counts a good answer.
 func (h *Health) Succeeded(time.Duration) {
 	h.errors -= errorGain * h.errors
-	h.faults = 0
 	h.rest = 0
 	h.until = 0
 }
@@ -60,7 +57,6 @@
 	if fault == FaultError {
 		return
 	}
-	h.faults++
 	h.rest = min(max(2*h.rest, firstRest), maxRest)
 	h.until = now + h.rest
 }
