forward, settings: two data races that the soak found with the race detector

The library's asynchronous writer reads an entry after it has handed it to its goroutine; the logger now has a queue of its own. A target's id and address were read beside an update of its record; they are fields of their own that never change.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -250,7 +250,7 @@
 	}
 	upstream, route, service := "", "", ""
 	if x.last != nil {
-		upstream = x.last.record.Id
+		upstream = x.last.id
 	}
 	if x.route != nil {
 		route = x.route.Name
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -115,10 +115,10 @@
 		Wait: min(wait, x.remaining()), Deadline: x.remaining(), Target: x.route.Target, Age: age,
 	}
 	for t := range x.tried {
-		d.Exclude = append(d.Exclude, t.record.Id)
+		d.Exclude = append(d.Exclude, t.id)
 	}
 	for t := range x.lostHandles {
-		d.Exclude = append(d.Exclude, t.record.Id)
+		d.Exclude = append(d.Exclude, t.id)
 	}
 	return d
 }
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -105,7 +105,7 @@
 	t.load.Learn(float64(took) / (float64(usual+fixedPrefill) * (1 + ahead)))
 	t.mu.Unlock()
 	return &readPrompt{
-		engine: t, handle: handle, source: x.s.opts.Protocol.Source(t.record.Address, handle),
+		engine: t, handle: handle, source: x.s.opts.Protocol.Source(t.address, handle),
 		until: time.Now().Add(x.service.Engine.HandleLife - handleMargin),
 	}
 }
@@ -138,7 +138,7 @@
 		}
 		defer c.Close()
 		_ = c.SetDeadline(time.Now().Add(freeTimeout))
-		if err := c.write(&outgoing{method: http.MethodDelete, uri: path, host: t.record.Address, header: http.Header{}}); err != nil {
+		if err := c.write(&outgoing{method: http.MethodDelete, uri: path, host: t.address, header: http.Header{}}); err != nil {
 			return
 		}
 		// The answer tells nothing that matters now.
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -37,7 +37,7 @@
 func (x *exchange) send(t *target, send *Send, firstByte time.Duration) (*sent, error) {
 	x.sends++
 	x.last = t
-	send.Instance = t.record.Id
+	send.Instance = t.id
 	for fresh := !x.route.Repeatable(); ; fresh = true {
 		c, err := t.connect(x.ctx, false)
 		if err != nil {
@@ -99,7 +99,7 @@
 	if len(x.trail) >= maxTrail {
 		return
 	}
-	entry := t.record.Id
+	entry := t.id
 	if send.Prefill {
 		entry += ":prefill"
 	}
--- a/internal/forward/target.go
+++ b/internal/forward/target.go
@@ -9,9 +9,12 @@
 	"godwitward.example/godwitward/policy"
 )
 
-// target is one upstream process as this entry sees it. mu guards all fields
-// but record's content, which is immutable.
+// target is one upstream process as this entry sees it. id and address do not
+// change; mu guards the other fields. The content of a record is immutable.
 type target struct {
+	id      string
+	address string
+
 	mu     sync.Mutex
 	record *pb.UpstreamRecord
 	// silentSince is when the record was marked silent.
@@ -123,5 +126,5 @@
 			return c, nil
 		}
 	}
-	return dial(ctx, t.record.Address)
+	return dial(ctx, t.address)
 }
--- a/internal/forward/upstreams.go
+++ b/internal/forward/upstreams.go
@@ -47,7 +47,7 @@
 	defer u.mu.Unlock()
 	for _, r := range records {
 		known := u.byID[r.Id]
-		if known != nil && known.record.BornMs == r.BornMs && known.record.Address == r.Address && known.record.Service == r.Service {
+		if known != nil && known.record.BornMs == r.BornMs && known.address == r.Address && known.record.Service == r.Service {
 			known.mu.Lock()
 			if r.Silent && !known.record.Silent {
 				known.silentSince = time.Now()
@@ -67,7 +67,7 @@
 	if old != nil {
 		u.remove(r.Id)
 	}
-	t := &target{record: r, silentSince: time.Now()}
+	t := &target{id: r.Id, address: r.Address, record: r, silentSince: time.Now()}
 	u.byID[r.Id] = t
 	u.byService[r.Service] = append(u.byService[r.Service], t)
 }
--- a/internal/settings/logger.go
+++ b/internal/settings/logger.go
@@ -1,11 +1,13 @@
 package settings
 
 import (
+	"bytes"
 	"io"
 	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
+	"github.com/pkg/errors"
 )
 
 const (
@@ -24,7 +26,8 @@
 // BoundedWriter passes log entries to a queue without blocking and within a
 // rate. It reports the number of dropped lines in a line of its own.
 type BoundedWriter struct {
-	out     *log.AsyncWriter
+	out     log.Writer
+	queue   *lineQueue
 	second  atomic.Int64
 	info    atomic.Int64
 	warn    atomic.Int64
@@ -32,13 +35,62 @@
 }
 
 // NewAsyncLogger returns a logger like NewLogger that never blocks its callers
-// and whose volume is bounded.
+// and whose volume is bounded. CloseLogger ends its goroutine.
 func NewAsyncLogger(w io.Writer) *log.Logger {
-	l := NewLogger(w)
-	l.Writer = &BoundedWriter{out: &log.AsyncWriter{ChannelSize: logQueue, DiscardOnFull: true, Writer: l.Writer}}
+	b := &BoundedWriter{queue: newLineQueue(w)}
+	l := NewLogger(b.queue)
+	b.out = l.Writer
+	l.Writer = b
 	return l
 }
 
+// lineQueue is an io.Writer that hands lines to a goroutine. A line that finds
+// the queue full is dropped.
+type lineQueue struct {
+	lines chan []byte
+	// closing asks the goroutine to write what is queued and end.
+	closing chan struct{}
+	done    chan struct{}
+}
+
+var errQueueFull = errors.New("log queue is full")
+
+func newLineQueue(w io.Writer) *lineQueue {
+	q := &lineQueue{lines: make(chan []byte, logQueue), closing: make(chan struct{}), done: make(chan struct{})}
+	go q.run(w)
+	return q
+}
+
+// Write implements io.Writer.
+func (q *lineQueue) Write(line []byte) (int, error) {
+	select {
+	case q.lines <- bytes.Clone(line):
+		return len(line), nil
+	default:
+		return 0, errQueueFull
+	}
+}
+
+func (q *lineQueue) run(w io.Writer) {
+	defer close(q.done)
+	for {
+		select {
+		case line := <-q.lines:
+			// Nothing is left that could report an error of the log's output.
+			_, _ = w.Write(line)
+		case <-q.closing:
+			for {
+				select {
+				case line := <-q.lines:
+					_, _ = w.Write(line)
+				default:
+					return
+				}
+			}
+		}
+	}
+}
+
 // WriteEntry implements log.Writer.
 func (b *BoundedWriter) WriteEntry(e *log.Entry) (int, error) {
 	now := time.Now()
@@ -80,14 +132,9 @@
 	if !ok {
 		return
 	}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		// Nothing is left that could report the error.
-		_ = b.out.Close()
-	}()
+	close(b.queue.closing)
 	select {
-	case <-done:
+	case <-b.queue.done:
 	case <-time.After(logCloseTimeout):
 	}
 }
