scheduler, entry: no lists of upstreams for entries that have them from the feed

The edge has the list from its feed and now asks for a stream without lists. Ruled out: gossip between core daemons (a report is sent once to each) and connections (6 for each entry).

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -103,7 +103,7 @@
 		BodyBytes: int64(bodyShare * float64(s.MemoryBytes)), Bounds: e.bounds,
 	})
 	pools := entry.NewPools(entry.PoolOptions{
-		EntryID: s.VM, Transport: transport.Options{Self: e.self, Logger: e.logger}, Holder: e.scheduler,
+		EntryID: s.VM, WithoutLists: true, Transport: transport.Options{Self: e.self, Logger: e.logger}, Holder: e.scheduler,
 	})
 	server.SetPlacer(&placer{pools: pools, logger: e.logger}, pools.SetPools)
 	return server
--- a/internal/entry/schedulers.go
+++ b/internal/entry/schedulers.go
@@ -27,6 +27,9 @@
 	EntryID string
 	// Holder returns the current lease of a pool, when one is known.
 	Holder func(pool string) (*pb.PoolLease, bool)
+	// WithoutLists asks the schedulers for no lists of upstreams: the entry
+	// learns of them elsewhere. Upstreams then returns none.
+	WithoutLists bool
 	// Transport configures the sessions to the schedulers.
 	Transport transport.Options
 }
@@ -234,7 +237,7 @@
 	}
 	defer q.end(s)
 	q.logSession("scheduler.attached", lease, nil)
-	if err := stream.Send(&pb.WatchUpstreamsRequest{Pool: q.name, EntryId: q.owner.opts.EntryID}); err != nil {
+	if err := stream.Send(&pb.WatchUpstreamsRequest{Pool: q.name, EntryId: q.owner.opts.EntryID, WithoutList: q.owner.opts.WithoutLists}); err != nil {
 		return err
 	}
 	received := make(chan error, 1)
--- a/internal/scheduler/handlers.go
+++ b/internal/scheduler/handlers.go
@@ -237,9 +237,22 @@
 	}()
 	s.entryConnected(req.EntryId)
 	defer s.entryDisconnected(req.EntryId)
+	if req.WithoutList {
+		return waitForEnd(ctx, a)
+	}
 	return s.pushTable(ctx, a, st)
 }
 
+// waitForEnd returns when the entry leaves or the pool is served here no more.
+func waitForEnd(ctx context.Context, a *activePool) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-a.done:
+		return errNotHolder(a.name)
+	}
+}
+
 func (s *Scheduler) pushTable(ctx context.Context, a *activePool, st *transport.Stream) error {
 	t := time.NewTicker(watchPoll)
 	defer t.Stop()
