scheduler, forward: lines tell who reads which prompt and how long it was queued

A request.placed line for each grant names the prefill engine, the time in the queue, the prompt, the forecast wait and the decode engine's batch. request.ended gains prompt and queued_ms.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -36,6 +36,8 @@
 	reason      string
 	// first is the time to the first event, gap the longest pause between two.
 	first, gap time.Duration
+	// queued is the time spent waiting for room on an engine.
+	queued time.Duration
 	// placedBy tells who chose the engines of the last send.
 	placedBy string
 	// trail lists the sends with their outcomes, for the log.
@@ -265,6 +267,6 @@
 	l.Str("event", "request.ended").Str("id", x.facts.ID).Str("route", route).Str("service", service).Str("upstream", upstream).
 		Int("status", x.status).Str("outcome", x.outcome).Str("reason", x.reason).Int("sends", x.sends).
 		Int64("first_ms", x.first.Milliseconds()).Int64("gap_ms", x.gap.Milliseconds()).
-		Str("placed_by", x.placedBy).Str("trail", strings.Join(x.trail, ",")).
+		Int("prompt", x.facts.PromptTokens).Int64("queued_ms", x.queued.Milliseconds()).Str("placed_by", x.placedBy).Str("trail", strings.Join(x.trail, ",")).
 		Int64("ms", time.Since(x.began).Milliseconds()).Uint64("config", version).Msg("")
 }
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -66,7 +66,9 @@
 	if x.service.Engine != nil && x.s.placer != nil {
 		asked := time.Now()
 		hold, err := x.s.placer.Reserve(x.ctx, x.demand(attempt, work, st))
-		x.s.vars.placed.add(time.Since(asked))
+		took := time.Since(asked)
+		x.queued += took
+		x.s.vars.placed.add(took)
 		var refusal *Refusal
 		if errors.As(err, &refusal) && !st.started {
 			return nil, refusal
--- a/internal/scheduler/forecast.go
+++ b/internal/scheduler/forecast.go
@@ -68,7 +68,7 @@
 				return policy.SkipFlow
 			}
 			if pl, delay, ok := p.placeAhead(w, ends, now); ok {
-				out = append(out, p.grantHold(w, &pl, delay, true, now))
+				out = append(out, p.grantHold(w, &pl, delay, true, now)...)
 				return policy.Taken
 			}
 			left[w.req.Model] = true
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -97,7 +98,7 @@
 		q := p.query(w, now)
 		pl, ok := p.choose(&q)
 		if ok {
-			out = append(out, p.grant(w, &pl, 0, now))
+			out = append(out, p.grant(w, &pl, 0, now)...)
 			clear(rooms)
 			return policy.Taken
 		}
@@ -182,11 +183,11 @@
 
 // grant turns a queued request into a hold. delay is set when the memory is
 // forecast to become free.
-func (p *Pool) grant(w *waiting, pl *policy.Placement, delay time.Duration, now time.Duration) Answer {
+func (p *Pool) grant(w *waiting, pl *policy.Placement, delay time.Duration, now time.Duration) []Action {
 	return p.grantHold(w, pl, delay, false, now)
 }
 
-func (p *Pool) grantHold(w *waiting, pl *policy.Placement, delay time.Duration, promised bool, now time.Duration) Answer {
+func (p *Pool) grantHold(w *waiting, pl *policy.Placement, delay time.Duration, promised bool, now time.Duration) []Action {
 	dec := p.upstreams.byID[pl.Decode.ID]
 	direct := pl.Prefill == nil
 	pre := dec
@@ -218,7 +219,23 @@
 	if !direct {
 		g.Prefill = addressOf(pre)
 	}
-	return Answer{Ticket: w.ticket, Response: &pb.SubmitResponse{Result: &pb.SubmitResponse_Grant{Grant: g}}}
+	return []Action{
+		Answer{Ticket: w.ticket, Response: &pb.SubmitResponse{Result: &pb.SubmitResponse_Grant{Grant: g}}},
+		Note{Kind: "request.placed", RequestID: req.RequestId, Attempt: req.Attempt, Upstream: dec.view.ID, Detail: h.placedDetail(now-w.since, pl)},
+	}
+}
+
+// placedDetail states what decided a placement: the prefill engine, the time in
+// the queue, the prompt, the forecast wait there, and the decode engine's batch
+// with this request.
+func (h *hold) placedDetail(queued time.Duration, pl *policy.Placement) string {
+	prefill := "none"
+	if !h.direct {
+		prefill = h.prefill.view.ID
+	}
+	dec := &h.decode.view
+	return fmt.Sprintf("prefill=%s queued_ms=%d prompt=%d wait_ms=%d batch=%d/%d", prefill, queued.Milliseconds(), h.uncached,
+		policy.Seconds(pl.Wait).Milliseconds(), dec.Batch+dec.PromisedBatch+dec.ForeignBatch, dec.MaxBatch)
 }
 
 func addressOf(m *member) *pb.UpstreamAddress {
@@ -255,7 +272,7 @@
 		return out
 	}
 	p.queue.lanes[w.lane].Remove(w.req.Organisation, func(o *waiting) bool { return o == w })
-	return append(out, p.grant(w, &pl, 0, now))
+	return append(out, p.grant(w, &pl, 0, now)...)
 }
 
 // age is the aging controller. A draft that has waited for DraftAge gets
