forward: the prompt of a resumed stream is read by a prefill engine too

Cause: an entry had a prompt read apart only for requests without an event id.

Ruled out: lost or unknown prefill engines (no prefill in the trail of any of the 20 requests, and other requests of the same entries used it).

--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -36,8 +36,9 @@
 
 // readPrompt has the prompt read by a prefill engine, so that reading it does
 // not slow the answers of a decode engine. It returns nil when no engine read
-// it; the decode engine then reads it itself.
-func (x *exchange) readPrompt(p *placement) *readPrompt {
+// it; the decode engine then reads it itself, and its answers pause meanwhile.
+// lastEvent is set for a stream that goes on behind that event.
+func (x *exchange) readPrompt(p *placement, lastEvent string) *readPrompt {
 	if x.service.Engine == nil || p.work.PromptTokens == 0 {
 		return nil
 	}
@@ -53,7 +54,7 @@
 			return nil
 		}
 		tried[t] = true
-		if read := x.readAt(t, p.work); read != nil {
+		if read := x.readAt(t, p.work, lastEvent); read != nil {
 			return read
 		}
 		x.s.budget(x.service.Name).spend(x.s.now())
@@ -63,7 +64,7 @@
 }
 
 // readAt asks one engine to read the prompt.
-func (x *exchange) readAt(t *target, work policy.Work) *readPrompt {
+func (x *exchange) readAt(t *target, work policy.Work, lastEvent string) *readPrompt {
 	t.mu.Lock()
 	ahead := t.load.Requests(x.s.now())
 	pace := t.load.Pace()
@@ -75,7 +76,7 @@
 	began := time.Now()
 	sends := x.sends
 	x.s.vars.prefills.Add(1)
-	a, err := x.send(t, &Send{Priority: -1, Prefill: true}, min(x.remaining(), max(minPrefill, prefillFactor*expected)))
+	a, err := x.send(t, &Send{Priority: -1, Prefill: true, LastEvent: lastEvent}, min(x.remaining(), max(minPrefill, prefillFactor*expected)))
 	x.sends = sends
 	if err != nil {
 		x.sendFailed(t, err)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -109,10 +109,10 @@
 func (x *exchange) runPlaced(p *placement, st *streamState) verdict {
 	p.decode.use(p.work)
 	defer p.decode.unuse(p.work)
-	if st.read == nil && st.lastEvent == "" {
+	if st.read == nil {
 		p.reached(StageReading, 0, nil)
 		began := time.Now()
-		st.read = x.readPrompt(p)
+		st.read = x.readPrompt(p, st.lastEvent)
 		if st.read != nil {
 			p.reached(StageRead, time.Since(began), nil)
 		}
