--- a/internal/scheduler/balance.go
+++ b/internal/scheduler/balance.go
@@ -24,6 +24,10 @@
 	// the decode side: its answers must end first, so it pays only when the
 	// prefill side stays short.
 	scarceHold = 8 * time.Second
+	// spareHold replaces scarceHold while the prefill side is smaller than it
+	// may ever be. It lasts longer than a new leader takes to hear of every
+	// engine (one report each, once a second) and than a short outage.
+	spareHold = 2500 * time.Millisecond
 	// orderLimit bounds a role order; the engine only notes it.
 	orderLimit = 1500 * time.Millisecond
 )
@@ -71,6 +75,9 @@
 	hold := balanceHold
 	if short == pb.EngineRole_ENGINE_ROLE_PREFILL {
 		hold = scarceHold
+		if p.withoutSpare() {
+			hold = spareHold
+		}
 	}
 	if short == pb.EngineRole_ENGINE_ROLE_UNSPECIFIED || now-s.since < hold {
 		return nil
@@ -92,9 +99,10 @@
 	return []Action{Note{Kind: "role.change", Upstream: m.view.ID, Detail: roleName(short)}}
 }
 
-// shortSide returns the role that should have one engine more.
-func (p *Pool) shortSide() pb.EngineRole {
-	prefill, decode, changing, batch := 0, 0, 0, 0.0
+// sides counts the live engines of each role and those that change theirs; an
+// engine on its way to the other side counts there already. batch is the room
+// of the decode side in answers.
+func (p *Pool) sides() (prefill, decode, changing int, batch float64) {
 	work := &p.holds.mix
 	for _, m := range p.upstreams.byID {
 		if m.health != pb.UpstreamStatus_LIVE || !m.isEngine() {
@@ -113,7 +121,27 @@
 		decode++
 		batch += min(float64(m.view.MaxBatch), float64(m.view.TotalPieces)/max(1, work.pieces))
 	}
-	if work.samples < minMixSamples || prefill == 0 || decode == 0 || changing >= max(1, (prefill+decode)/changingPart) {
+	return prefill, decode, changing, batch
+}
+
+// withoutSpare reports whether the prefill side is smaller than it may ever be.
+func (p *Pool) withoutSpare() bool {
+	prefill, decode, _, _ := p.sides()
+	return prefill < policy.LeastPrefill(prefill+decode)
+}
+
+// shortSide returns the role that should have one engine more. Until the mix of
+// work is known, only a missing spare counts.
+func (p *Pool) shortSide() pb.EngineRole {
+	prefill, decode, changing, batch := p.sides()
+	if changing >= max(1, (prefill+decode)/changingPart) {
+		return pb.EngineRole_ENGINE_ROLE_UNSPECIFIED
+	}
+	if prefill < policy.LeastPrefill(prefill+decode) {
+		return pb.EngineRole_ENGINE_ROLE_PREFILL
+	}
+	work := &p.holds.mix
+	if work.samples < minMixSamples || prefill == 0 || decode == 0 {
 		return pb.EngineRole_ENGINE_ROLE_UNSPECIFIED
 	}
 	m := policy.Mix{PrefillSeconds: work.prefill, DecodeSeconds: work.decode, Batch: batch / float64(decode)}
--- a/internal/scheduler/platform_test.go
+++ b/internal/scheduler/platform_test.go
@@ -281,3 +281,36 @@
 	}
 	require.Equal(t, 2, orders, "four prefill engines become two")
 }
+
+// A new leader must not wait until it has learned the mix of work, and then for
+// the usual time before it takes a decode engine, when one prefill engine is
+// left of a pool: prompts of every burst then wait behind each other.
+func TestMissingPrefillSpareIsReplacedSoon(t *testing.T) {
+	p := platformPool(Params{BalanceRoles: true, LeaseTTL: time.Millisecond})
+	start := 10 * time.Second
+	states := []*pb.UpstreamState{platformEngine("p0", roleP)}
+	for i := range 8 {
+		states = append(states, platformEngine(fmt.Sprintf("d%d", i), roleD))
+	}
+	orders := 0
+	for now := start; now < start+20*time.Second; now += 100 * time.Millisecond {
+		p.Announce(states, now)
+		p.Run(Expiry, now)
+		p.Run(Roles, now)
+		for _, a := range p.Run(Loads, now) {
+			if x, ok := a.(SendOrder); ok {
+				require.Equal(t, "prefill", x.Order.Value)
+				require.GreaterOrEqual(t, now, start+spareHold, "engines may not have reported yet")
+				require.Less(t, now, start+scarceHold)
+				for _, s := range states {
+					if s.Id == x.Engine.Id {
+						s.Role = roleP
+					}
+				}
+				p.OrderDone(x.ID, "", now)
+				orders++
+			}
+		}
+	}
+	require.Equal(t, 1, orders)
+}
--- a/policy/roles.go
+++ b/policy/roles.go
@@ -36,9 +36,16 @@
 	decode := m.DecodeSeconds / m.Batch
 	share := m.PrefillSeconds / (m.PrefillSeconds + decode)
 	n := int(math.Round(float64(total)*share + prefillHeadroom))
-	least := 1
-	if total >= spareFrom {
-		least = minSpare
+	return min(max(n, LeastPrefill(total)), total-1)
+}
+
+// LeastPrefill returns how many of a number of engines run prefill at least.
+func LeastPrefill(total int) int {
+	switch {
+	case total >= spareFrom:
+		return minSpare
+	case total >= 2:
+		return 1
 	}
-	return min(max(n, least), total-1)
+	return 0
 }
