scheduler, policy: the mix of work is known from the first grants, roles keep a margin

Cause: the split of an engine pool follows the measured mix, which was known after 15 complete answers.

Now the sizes that requests state count from their grant until 15 answers are complete, and the first samples count alike.

--- a/internal/scheduler/balance.go
+++ b/internal/scheduler/balance.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// minMixSamples is the number of completed requests from which the mix of
-	// work is trusted.
+	// minMixSamples is the number of requests from which the mix of work is
+	// trusted: the mean of 15 prompts is mostly within a fifth of the usual one.
 	minMixSamples = 15
 	// mixGain follows a change of the mix within some tens of requests.
 	mixGain = 0.05
@@ -34,32 +34,59 @@
 
 // mix is the learned work of the pool's requests, guarded by the holds lock.
 type mix struct {
-	prefill float64
-	decode  float64
-	pieces  float64
-	// prompt and answer are the usual sizes in tokens.
-	prompt  float64
-	answer  float64
-	samples int
+	// prefill and decode are seconds of an engine, pieces the memory of an
+	// answer, prompt and answer the usual sizes in tokens.
+	prefill, decode, pieces mean
+	prompt, answer          mean
+	// expected counts the requests whose work was forecast at their grant,
+	// answered those whose work was measured.
+	expected, answered int
 }
 
-func (m *mix) read(seconds float64) { learnMean(&m.prefill, seconds) }
+// known reports whether the mix can be trusted.
+func (m *mix) known() bool { return m.expected+m.answered >= minMixSamples }
 
-func (m *mix) answered(seconds float64, h *hold, pieceTokens int) {
-	learnMean(&m.decode, seconds)
-	learnMean(&m.prompt, float64(h.promptTokens))
-	learnMean(&m.answer, float64(h.maxOutput))
+// granted learns from what a request states, until enough answers are complete.
+// Answers take seconds, and a burst in which a new leader knows nothing of its
+// pool's work is over before enough of them have ended.
+func (m *mix) granted(h *hold) {
+	if m.answered >= minMixSamples {
+		return
+	}
+	m.expected++
+	read := float64(h.uncached) / max(1, h.prefill.speed.PrefillRate)
+	if !h.direct {
+		m.prefill.add(read)
+	}
+	m.decode.add(read + float64(h.maxOutput)*h.decode.speed.DecodeSeconds)
+	m.sizes(h)
+}
+
+func (m *mix) read(seconds float64) { m.prefill.add(seconds) }
+
+func (m *mix) completed(seconds float64, h *hold) {
+	m.decode.add(seconds)
+	m.sizes(h)
+	m.answered++
+}
+
+func (m *mix) sizes(h *hold) {
+	m.prompt.add(float64(h.promptTokens))
+	m.answer.add(float64(h.maxOutput))
 	// An answer holds its prompt and on average half of its tokens.
-	learnMean(&m.pieces, (float64(h.promptTokens)+float64(h.maxOutput)/2)/float64(max(1, pieceTokens)))
-	m.samples++
+	pieceTokens := max(1, float64(h.decode.state.PieceTokens))
+	m.pieces.add((float64(h.promptTokens) + float64(h.maxOutput)/2) / pieceTokens)
 }
 
-func learnMean(value *float64, sample float64) {
-	if *value == 0 {
-		*value = sample
-		return
-	}
-	*value += mixGain * (sample - *value)
+// mean is the plain mean of the first samples, then a moving one.
+type mean struct {
+	value float64
+	count int
+}
+
+func (m *mean) add(sample float64) {
+	m.count++
+	m.value += max(mixGain, 1/float64(m.count)) * (sample - m.value)
 }
 
 // balanceRoles moves engines between the sides so that the measured mix of
@@ -119,7 +146,7 @@
 			continue
 		}
 		decode++
-		batch += min(float64(m.view.MaxBatch), float64(m.view.TotalPieces)/max(1, work.pieces))
+		batch += min(float64(m.view.MaxBatch), float64(m.view.TotalPieces)/max(1, work.pieces.value))
 	}
 	return prefill, decode, changing, batch
 }
@@ -141,11 +168,11 @@
 		return pb.EngineRole_ENGINE_ROLE_PREFILL
 	}
 	work := &p.holds.mix
-	if work.samples < minMixSamples || prefill == 0 || decode == 0 {
+	if !work.known() || prefill == 0 || decode == 0 {
 		return pb.EngineRole_ENGINE_ROLE_UNSPECIFIED
 	}
-	m := policy.Mix{PrefillSeconds: work.prefill, DecodeSeconds: work.decode, Batch: batch / float64(decode)}
-	switch target := m.PrefillEngines(prefill + decode); {
+	m := policy.Mix{PrefillSeconds: work.prefill.value, DecodeSeconds: work.decode.value, Batch: batch / float64(decode)}
+	switch target := m.PrefillEngines(prefill+decode, prefill); {
 	case target == 0 || target == prefill:
 		return pb.EngineRole_ENGINE_ROLE_UNSPECIFIED
 	case target < prefill:
--- a/internal/scheduler/holds.go
+++ b/internal/scheduler/holds.go
@@ -417,7 +417,7 @@
 	switch r.Outcome {
 	case pb.ReleaseRequest_COMPLETED:
 		p.holds.learnTime(now - h.granted)
-		p.holds.mix.answered((now - h.granted).Seconds(), h, int(h.decode.state.PieceTokens))
+		p.holds.mix.completed((now - h.granted).Seconds(), h)
 		h.decode.eject.Succeeded()
 		perToken := time.Duration(r.TpotUs) * time.Microsecond
 		h.decode.speed.Decoded(int(r.OutputTokens), perToken, h.decode.view.Batch, h.decode.view.MaxBatch)
--- a/internal/scheduler/memory.go
+++ b/internal/scheduler/memory.go
@@ -30,8 +30,8 @@
 	}
 	for range p.foreignAnswers(m, now) {
 		// Nothing is known of them, so they are taken for usual ones halfway.
-		usual := p.holds.mix.answer
-		answers = append(answers, policy.Answer{Held: p.holds.mix.prompt + usual/2, Left: usual / 2})
+		usual := p.holds.mix.answer.value
+		answers = append(answers, policy.Answer{Held: p.holds.mix.prompt.value + usual/2, Left: usual / 2})
 	}
 	answers = append(answers, policy.Answer{Held: float64(r.PromptTokens), Left: float64(r.MaxOutput)})
 	total := float64(m.view.TotalPieces * int(m.state.PieceTokens))
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -207,6 +207,7 @@
 	}
 	p.leftQueue(w)
 	p.addHold(h, now)
+	p.holds.mix.granted(h)
 	limit := min(max(policy.Seconds(transferSlack*pl.Transfer), minTransferLimit), maxTransferLimit)
 	g := &pb.Grant{
 		HoldId:          h.id,
--- a/internal/scheduler/platform_test.go
+++ b/internal/scheduler/platform_test.go
@@ -314,3 +314,28 @@
 	}
 	require.Equal(t, 1, orders)
 }
+
+// A pool that was split for another mix of work must be balanced before the
+// first answers are complete: a leader that learns from complete answers alone
+// gave its first order after the first burst had begun.
+func TestMixIsKnownFromTheFirstGrants(t *testing.T) {
+	p := platformPool(Params{BalanceRoles: true, GrowingMemory: true, LeaseTTL: time.Millisecond})
+	now := 10 * time.Second
+	var states []*pb.UpstreamState
+	for i := range 14 {
+		states = append(states, platformEngine(fmt.Sprintf("p%d", i), roleP), platformEngine(fmt.Sprintf("d%d", i), roleD))
+	}
+	p.Announce(states, now)
+	require.Len(t, submitAll(p, now, minMixSamples, 5200, 4900), minMixSamples)
+	orders := 0
+	for end := now + 2*balanceHold; now < end; now += 100 * time.Millisecond {
+		p.Announce(states, now)
+		p.Run(Expiry, now)
+		for _, a := range p.Run(Roles, now) {
+			require.Equal(t, "role.change", a.(Note).Kind)
+			require.Equal(t, "decode", a.(Note).Detail)
+			orders++
+		}
+	}
+	require.Positive(t, orders, "no answer is complete yet")
+}
--- a/policy/roles.go
+++ b/policy/roles.go
@@ -25,17 +25,27 @@
 	minSpare  = 2
 )
 
+// roleMargin is how much of an engine the wanted number may differ from the
+// present one beyond rounding. Without it a learned mix between two whole
+// numbers moves one engine to and fro, which is away for seconds each time.
+const roleMargin = 0.15
+
 // PrefillEngines returns how many of a number of engines should run prefill so
-// that both sides are used alike. It answers bursts on pools whose engines were
-// split for another mix: the side with spare engines gives one to the other.
-// Each side keeps at least one engine, and the prefill side of larger pools two. It returns 0 when the mix is not known.
-func (m *Mix) PrefillEngines(total int) int {
+// that both sides are used alike, given that present do. It answers bursts on
+// pools whose engines were split for another mix: the side with spare engines
+// gives one to the other. Each side keeps at least one engine, and the prefill
+// side of larger pools two. It returns 0 when the mix is not known.
+func (m *Mix) PrefillEngines(total, present int) int {
 	if total < 2 || m.PrefillSeconds <= 0 || m.DecodeSeconds <= 0 || m.Batch <= 0 {
 		return 0
 	}
 	decode := m.DecodeSeconds / m.Batch
 	share := m.PrefillSeconds / (m.PrefillSeconds + decode)
-	n := int(math.Round(float64(total)*share + prefillHeadroom))
+	wanted := float64(total)*share + prefillHeadroom
+	n := int(math.Round(wanted))
+	if math.Abs(wanted-float64(present)) < 0.5+roleMargin {
+		n = present
+	}
 	return min(max(n, LeastPrefill(total)), total-1)
 }
 
