forward: a prefill engine that rejects with places free rests

Cause: an engine that changes its role stays in the table as ready and answers each prefill call with 503 and the load 0 of 16, which makes it the best choice of every entry that places by itself, and a good one for a new leader that does not know of the order.

Ruled out: lost reports (the engine's were on time).

--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -44,6 +44,9 @@
 	}
 	tried := map[*target]bool{}
 	t := p.prefill
+	if t != nil && t.resting(x.s.now()) {
+		t = x.pickPrefill(x.lostHandles)
+	}
 	for len(tried) < maxPrefills {
 		if t == nil || tried[t] || x.left() {
 			return nil
@@ -84,6 +87,9 @@
 		return nil
 	}
 	if x.notRun(t, a) != 0 {
+		if l := a.answer.Load; l != nil && l.Running+l.Waiting < l.Slots {
+			t.failed(x.s.now(), policy.FaultAway)
+		}
 		return nil
 	}
 	_ = a.c.SetDeadline(time.Now().Add(minPrefill))
--- a/internal/forward/target.go
+++ b/internal/forward/target.go
@@ -61,6 +61,13 @@
 	t.mu.Unlock()
 }
 
+// resting reports whether the target is left alone while others can serve.
+func (t *target) resting(now time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.health.Resting(now)
+}
+
 // take returns an idle connection that works, nil when there is none.
 func (t *target) take(now time.Time) *conn {
 	for {
--- a/policy/health.go
+++ b/policy/health.go
@@ -13,6 +13,9 @@
 	FaultSilent
 	// FaultError: an answer that says that the upstream failed, or a spoiled one.
 	FaultError
+	// FaultAway: a rejection although places are free, as by an engine that is
+	// changing its role. It tells nothing about the answers of the upstream.
+	FaultAway
 )
 
 const (
@@ -47,8 +50,11 @@
 
 // Failed counts a failure.
 func (h *Health) Failed(now time.Duration, fault Fault) {
-	steps := 1
-	if fault != FaultError {
+	steps := 0
+	switch fault {
+	case FaultError:
+		steps = 1
+	case FaultUnreachable, FaultSilent:
 		steps = silentWeight
 	}
 	for range steps {
--- a/policy/pick_test.go
+++ b/policy/pick_test.go
@@ -33,7 +33,7 @@
 		var h Health
 		var load EngineLoad
 		for range rapid.IntRange(0, 20).Draw(t, "faults") {
-			h.Failed(0, Fault(rapid.IntRange(1, 3).Draw(t, "fault")))
+			h.Failed(0, Fault(rapid.IntRange(1, 4).Draw(t, "fault")))
 		}
 		c := Candidate{Health: &h, Load: &load, Doubtful: rapid.Bool().Draw(t, "doubtful"), Tried: rapid.Bool().Draw(t, "tried")}
 		if PickUpstream([]Candidate{c}, 0, rapid.Float64Range(0, 0.999).Draw(t, "r")) != 0 {
