transport: a connection attempt without an answer is joined by another after 250 ms

The entries' first packets are lost, the kernel repeats them after 1 s, and the attempt ends after 0.7 s, so that the first configuration was applied at 35.46 s and the new leader scheduled at 35.52 s. Every request until then was refused.

Ruled out: the store (the hubs have the document at their start); the election (it begins 0.1 to 0.5 s after the start).

--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -135,7 +135,9 @@
 func (c *Client) dial(ctx context.Context) (*yamux.Session, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", c.addr)
+	conn, err := hedge(ctx, hedgeInterval, func(ctx context.Context) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, "tcp", c.addr)
+	})
 	if err != nil {
 		return nil, err
 	}
