core, scheduler: the scheduler hears of engines that ended or fell silent

The scheduler was told of no record that was silent, ended ones included, and placed 70 requests of the burst on the ended engines until 7.8 s: empty, they looked best. The entries could not send there and placed them by their own view, beside the scheduler's.

Ruled out: late tables at the entries (all had the end at 4.73 s); refused calls of the scheduler (no line of an unanswered one after 3.8 s).

--- a/internal/core/pools.go
+++ b/internal/core/pools.go
@@ -144,10 +144,17 @@
 	engine := p.engines[r.Service]
 	active := p.active != 0
 	p.mu.Unlock()
-	if engine == nil || !active || r.Silent {
+	if engine == nil || !active {
 		return
 	}
-	p.scheduler.Announce(r.Service, []*pb.UpstreamState{stateOf(r, engine)})
+	state := stateOf(r, engine)
+	if r.Silent && !state.Leaving {
+		p.scheduler.Silence(r.Service, state.Id, state.Generation)
+		return
+	}
+	// A process whose end is known is announced although it is silent: the
+	// scheduler heard of it last when it was well, or at its own start.
+	p.scheduler.Announce(r.Service, []*pb.UpstreamState{state})
 }
 
 var roles = map[pb.EngineStage]pb.EngineRole{
--- /dev/null
+++ b/internal/core/pools_test.go
@@ -0,0 +1,71 @@
+package core
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/stretchr/testify/require"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/forward"
+	"godwitward.example/godwitward/internal/scheduler"
+	"godwitward.example/godwitward/internal/transport"
+	"godwitward.example/godwitward/platform"
+)
+
+// leadingPools returns pools with one engine service that lead in term 3.
+func leadingPools(t *testing.T) *pools {
+	server := transport.NewServer(transport.Options{})
+	t.Cleanup(server.Close)
+	leader := func() (string, uint64, bool) { return "127.0.0.1:1", 3, true }
+	p := newPools(&log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, leader, func(*pb.UpstreamState) scheduler.Engine { return nil }, &platform.Settings{Lease: time.Second}, server)
+	p.records = func() []*pb.UpstreamRecord { return nil }
+	p.setServices(map[string]*forward.Service{"draft": {Name: "draft", Engine: &forward.Engine{Slots: 12, MemoryTokens: 68000, Stride: 70}}})
+	p.follow(3)
+	return p
+}
+
+func engineRecord(id string, born int64) *pb.UpstreamRecord {
+	return &pb.UpstreamRecord{
+		Id: id, BornMs: born, Address: "10.0.0.1:80", Service: "draft", Stage: pb.EngineStage_ENGINE_STAGE_DECODE,
+		Phase: pb.UpstreamPhase_UPSTREAM_READY, Models: []string{"m"},
+	}
+}
+
+func health(t *testing.T, p *pools, id string) pb.UpstreamStatus_Health {
+	for _, s := range p.scheduler.Statuses("draft") {
+		if s.State.Id == id {
+			return s.Health
+		}
+	}
+	t.Fatalf("the scheduler does not know %s", id)
+	return 0
+}
+
+// Guards against a scheduler that goes on with an engine whose end the core
+// knows. A new leader had heard of a crashed engine at its own start, and placed
+// 70 requests of a burst on it that no entry could send there.
+func TestSchedulerHearsOfEndedAndSilentEngines(t *testing.T) {
+	p := leadingPools(t)
+	for _, id := range []string{"ended", "silent", "leaving"} {
+		p.announce(engineRecord(id, 1))
+		require.Equal(t, pb.UpstreamStatus_LIVE, health(t, p, id))
+	}
+	ended := engineRecord("ended", 1)
+	ended.Phase, ended.Silent = pb.UpstreamPhase_UPSTREAM_GONE, true
+	p.announce(ended)
+	require.Equal(t, pb.UpstreamStatus_LEAVING, health(t, p, "ended"))
+
+	silent := engineRecord("silent", 1)
+	silent.Silent = true
+	p.announce(silent)
+	require.Equal(t, pb.UpstreamStatus_SILENT, health(t, p, "silent"))
+	p.announce(engineRecord("silent", 1))
+	require.Equal(t, pb.UpstreamStatus_LIVE, health(t, p, "silent"), "it reports again")
+	earlier := engineRecord("silent", 0)
+	earlier.Silent = true
+	p.announce(earlier)
+	require.Equal(t, pb.UpstreamStatus_LIVE, health(t, p, "silent"), "the notice is about an earlier process")
+}
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -46,7 +46,7 @@
 	Self   string
 	Logger *log.Logger
 	// OnReport is called with each report that counts as a sign of life, and
-	// with each record of an ended process.
+	// with each record of a process that ended or fell silent.
 	OnReport func(*pb.UpstreamRecord)
 }
 
@@ -349,6 +349,7 @@
 	h.mu.Unlock()
 	for _, r := range silent {
 		h.logRecord(r)
+		h.opts.OnReport(r)
 	}
 }
 
--- a/internal/scheduler/handlers.go
+++ b/internal/scheduler/handlers.go
@@ -217,6 +217,24 @@
 	return true
 }
 
+// Silence passes on that one start of an upstream has fallen silent.
+func (s *Scheduler) Silence(pool, id string, generation uint64) {
+	if a := s.pool(pool); a != nil {
+		a.core.Silence(id, generation, s.now())
+	}
+}
+
+// Statuses returns what the scheduler of a pool knows of its upstreams; nil when
+// the pool is not served here.
+func (s *Scheduler) Statuses(pool string) []*pb.UpstreamStatus {
+	a := s.pool(pool)
+	if a == nil {
+		return nil
+	}
+	statuses, _ := a.core.Statuses()
+	return statuses
+}
+
 // handleWatch pushes the upstream table of a pool after each change.
 func (s *Scheduler) handleWatch(ctx context.Context, st *transport.Stream) error {
 	req := &pb.WatchUpstreamsRequest{}
--- a/internal/scheduler/upstreams.go
+++ b/internal/scheduler/upstreams.go
@@ -399,6 +399,19 @@
 	return policy.NewSpeed(float64(s.PrefillTokensPerS), float64(s.DecodeUsPerToken)/1e6)
 }
 
+// Silence takes the notice that one start of an upstream has not been heard for
+// too long. It receives nothing until it is announced again.
+func (p *Pool) Silence(id string, generation uint64, now time.Duration) {
+	defer p.lock(placementTables)()
+	m := p.upstreams.byID[id]
+	if m == nil || m.state.Generation != generation {
+		return
+	}
+	m.seen = min(m.seen, now-p.params.SilentAfter)
+	p.upstreams.refresh(m, &p.params, now)
+	p.unblock()
+}
+
 // SetDrains replaces the drained upstreams and places.
 func (p *Pool) SetDrains(s DrainSet, now time.Duration) {
 	defer p.lock(upstreamsTable | queueTableBit)()
