forward, feed: the failures of all entries judge an upstream

Ruled out: the retry budget (the requests may run once only); the 500s that come at every upstream, which go on at 2 to 3% of the requests.

Only answers that say that the upstream failed count: one that an entry cannot reach may serve others.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -77,6 +77,7 @@
 		Logger:      logger,
 		OnDocument:  func(version uint64, body []byte) { applyDocument(server, logger, version, body) },
 		OnUpstreams: server.SetUpstreams,
+		Outcomes:    server.Outcomes, OnErrorShares: server.SetErrorShares,
 	})
 	e.follower.Store(follower)
 	server.Vars().Set("feed_age_ms", expvar.Func(func() any { return follower.Age().Milliseconds() }))
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -43,6 +43,10 @@
 	OnDocument func(version uint64, body []byte)
 	// OnUpstreams is called with changed records.
 	OnUpstreams func([]*pb.UpstreamRecord)
+	// Outcomes returns the outcomes of the entry's calls since it was last
+	// called, and OnErrorShares takes those of all entries. Both may be nil.
+	Outcomes      func() []*pb.UpstreamOutcomes
+	OnErrorShares func([]*pb.ErrorShare)
 }
 
 // Follower keeps an entry up to date.
@@ -65,6 +69,8 @@
 	// entries is the highest number of entries that was stated lately.
 	entries   uint32
 	entriesAt time.Time
+	// streams are the attachments in use.
+	streams map[*transport.Stream]struct{}
 
 	stop context.CancelFunc
 	done sync.WaitGroup
@@ -75,7 +81,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Follower{
 		opts: opts, start: time.Now(), used: map[string]bool{}, failed: map[string]time.Time{},
-		table: fleet.NewTable(), silent: map[string]bool{}, stop: cancel,
+		table: fleet.NewTable(), silent: map[string]bool{}, streams: map[*transport.Stream]struct{}{}, stop: cancel,
+	}
+	if opts.Outcomes != nil {
+		f.done.Add(1)
+		go f.report(ctx)
 	}
 	for range attachments {
 		f.done.Add(1)
@@ -166,6 +176,7 @@
 	if err := st.Send(&pb.FeedRequest{HaveVersion: have}); err != nil {
 		return err
 	}
+	defer f.attached(st)()
 	f.opts.Logger.Info().Str("event", "feed.attached").Str("hub", address).Uint64("version", have).Msg("")
 	quorateAt := time.Now()
 	for {
@@ -206,6 +217,9 @@
 	if len(changed) > 0 {
 		f.opts.OnUpstreams(changed)
 	}
+	if f.opts.OnErrorShares != nil {
+		f.opts.OnErrorShares(u.ErrorShares)
+	}
 	f.mu.Unlock()
 }
 
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -61,6 +61,12 @@
 	readers map[*reader]struct{}
 	// attached counts the entries at each other hub, as it last said.
 	attached map[string]attachedCount
+	// outcomes counts the calls of the attached entries.
+	outcomes outcomeTable
+	// shares is what entries were told of them at sharesAt. The messages are
+	// not changed once they are in the list.
+	shares   []*pb.ErrorShare
+	sharesAt time.Duration
 
 	stop context.CancelFunc
 	ctx  context.Context
@@ -88,7 +94,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Hub{
 		opts: opts, start: time.Now(), table: fleet.NewTable(),
-		readers: map[*reader]struct{}{}, attached: map[string]attachedCount{}, ctx: ctx, stop: cancel,
+		readers: map[*reader]struct{}{}, attached: map[string]attachedCount{}, outcomes: outcomeTable{}, ctx: ctx, stop: cancel,
 	}
 	server.Handle(transport.MethodFeed, h.serveFeed)
 	server.Handle(transport.MethodGossip, h.serveGossip)
@@ -265,6 +271,7 @@
 	}
 	r := h.open(false)
 	defer h.close(r)
+	go h.readOutcomes(st)
 	have := req.HaveVersion
 	var core []string
 	ticker := time.NewTicker(pulse)
@@ -278,7 +285,7 @@
 		case <-r.wake:
 		case <-ticker.C:
 		}
-		u := &pb.FeedUpdate{Upstreams: h.take(r), Quorate: h.opts.Store.Quorate(), Entries: h.entries()}
+		u := &pb.FeedUpdate{Upstreams: h.take(r), Quorate: h.opts.Store.Quorate(), Entries: h.entries(), ErrorShares: h.errorShares()}
 		u.Leader, u.Term, _ = h.opts.Store.Leader()
 		if d := h.opts.Store.Current(); d.Version > have {
 			u.Document = &pb.Document{Version: d.Version, Body: d.Body}
--- a/internal/forward/target.go
+++ b/internal/forward/target.go
@@ -14,6 +14,9 @@
 type target struct {
 	id      string
 	address string
+	born    int64
+	// outcomes counts the calls for the core.
+	outcomes *outcomeLog
 
 	mu     sync.Mutex
 	record *pb.UpstreamRecord
@@ -24,6 +27,9 @@
 	health      policy.Health
 	load        policy.EngineLoad
 	idle        []*conn
+	// othersErrors is the share of failed calls at all entries until othersUntil.
+	othersErrors float64
+	othersUntil  time.Duration
 }
 
 // use counts a request that begins at the target.
@@ -53,12 +59,17 @@
 	t.mu.Lock()
 	t.health.Succeeded(now)
 	t.mu.Unlock()
+	t.outcomes.add(t, false)
 }
 
 func (t *target) failed(now time.Duration, fault policy.Fault) {
 	t.mu.Lock()
 	t.health.Failed(now, fault)
 	t.mu.Unlock()
+	// An upstream that this entry cannot reach may serve the others.
+	if fault == policy.FaultError {
+		t.outcomes.add(t, true)
+	}
 }
 
 // resting reports whether the target is left alone while others can serve.
--- a/internal/forward/upstreams.go
+++ b/internal/forward/upstreams.go
@@ -16,10 +16,11 @@
 	mu        sync.Mutex
 	byID      map[string]*target
 	byService map[string][]*target
+	outcomes  outcomeLog
 }
 
 func newUpstreams(place string) *upstreams {
-	return &upstreams{place: place, byID: map[string]*target{}, byService: map[string][]*target{}}
+	return &upstreams{place: place, byID: map[string]*target{}, byService: map[string][]*target{}, outcomes: outcomeLog{counts: map[*target]*pb.UpstreamOutcomes{}}}
 }
 
 // forgetSilent is how long an upstream stays in the list after it was marked
@@ -67,7 +68,7 @@
 	if old != nil {
 		u.remove(r.Id)
 	}
-	t := &target{id: r.Id, address: r.Address, record: r, silentSince: time.Now()}
+	t := &target{id: r.Id, address: r.Address, born: r.BornMs, outcomes: &u.outcomes, record: r, silentSince: time.Now()}
 	u.byID[r.Id] = t
 	u.byService[r.Service] = append(u.byService[r.Service], t)
 }
@@ -132,6 +133,10 @@
 		t.mu.Lock()
 		record, misdirected := t.record, t.misdirected
 		health, load := t.health, t.load
+		others := 0.0
+		if now < t.othersUntil {
+			others = t.othersErrors
+		}
 		t.mu.Unlock()
 		if misdirected || record.Phase != pb.UpstreamPhase_UPSTREAM_READY || record.Stage != c.stage {
 			continue
@@ -139,7 +144,7 @@
 		usable = append(usable, t)
 		candidates = append(candidates, policy.Candidate{
 			Health: &health, Load: &load, Near: record.Place == u.place,
-			Doubtful: record.Silent, Tried: c.tried[t],
+			Doubtful: record.Silent, Tried: c.tried[t], OthersErrors: others,
 		})
 	}
 	i := policy.PickUpstream(candidates, now, r)
--- a/policy/pick.go
+++ b/policy/pick.go
@@ -13,6 +13,9 @@
 	Doubtful bool
 	// Tried upstreams failed this request before.
 	Tried bool
+	// OthersErrors is the share of failed calls that all entries together had
+	// there lately.
+	OthersErrors float64
 }
 
 const (
@@ -44,7 +47,8 @@
 }
 
 func pickCost(c *Candidate, now time.Duration) float64 {
-	cost := (1 + c.Load.Requests(now)) * c.Load.Pace() * (1 + errorCost*c.Health.ErrorShare()*c.Health.ErrorShare())
+	errors := max(c.Health.ErrorShare(), c.OthersErrors)
+	cost := (1 + c.Load.Requests(now)) * c.Load.Pace() * (1 + errorCost*errors*errors)
 	if !c.Near {
 		cost += farCost
 	}
