core, metrics: histograms of store commits and disk syncs

A stalled disk or a majority that answers slowly showed only in its consequences. gw-core's metrics now have store_commit, the time until a configuration was stored by a majority at the leader, and store_sync, the time until a file on the machine's own disk was durable. The histogram type moves from forward to metrics, so that there is one.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -22,6 +22,7 @@
 	"godwitward.example/godwitward/internal/scheduler"
 	"godwitward.example/godwitward/internal/transport"
 	"godwitward.example/godwitward/platform"
+	"godwitward.example/godwitward/wal"
 )
 
 const (
@@ -88,6 +89,9 @@
 	pools    *pools
 	http     *http.Server
 	failed   chan error
+	// commit is the time until a configuration was stored by a majority, sync
+	// the time until a file on this machine's disk was durable.
+	commit, sync *metrics.Timing
 	// stopPools ends the scheduling of pools.
 	stopPools context.CancelFunc
 }
@@ -99,7 +103,7 @@
 		return nil, errors.Wrap(err, "session address")
 	}
 	options := transport.Options{Self: &pb.Hello{DaemonId: s.VM, Vm: s.VM, Place: s.Place, Process: "gw-core"}, Logger: logger}
-	d := &daemon{peers: corestore.NewPeers(s.Session, session.Port(), options), failed: make(chan error, 4)}
+	d := &daemon{peers: corestore.NewPeers(s.Session, session.Port(), options), failed: make(chan error, 4), commit: metrics.NewTiming(), sync: metrics.NewTiming()}
 	serving := options
 	serving.OnSessionEnd = func(peer *pb.Hello) { d.pools.scheduler.EntrySessionEnded(peer.DaemonId) }
 	d.sessions = transport.NewServer(serving)
@@ -108,6 +112,7 @@
 	d.store, err = corestore.Start(corestore.Options{
 		Dir: s.DataDir + storeFolder, Address: s.Session, Bootstrap: s.FirstStart, Tolerate: s.TolerateLoss,
 		Seeds: func() []string { return file.Current().Seeds }, Peers: d.peers, Logger: logger,
+		FS: timedFS{wal.OS{}, d.sync}, OnCommit: d.commit.Add,
 		OnDocument: func(corestore.Document) {
 			select {
 			case changed <- struct{}{}:
--- a/internal/core/vars.go
+++ b/internal/core/vars.go
@@ -23,6 +23,8 @@
 		}
 		return count
 	}))
+	m.Set("store_commit", expvar.Func(d.commit.Value))
+	m.Set("store_sync", expvar.Func(d.sync.Value))
 	m.Set("scheduler", d.pools.scheduler.Vars())
 	return m
 }
--- a/internal/corestore/calls.go
+++ b/internal/corestore/calls.go
@@ -85,10 +85,14 @@
 	if s.forming() {
 		return 0, errors.New("the group is still forming")
 	}
+	began := time.Now()
 	result, err := node.Propose(ctx, documentGroup, encodeDocument(d))
 	if err != nil {
 		return 0, err
 	}
+	if s.opts.OnCommit != nil {
+		s.opts.OnCommit(time.Since(began))
+	}
 	version, _ := result.(uint64)
 	return version, nil
 }
--- a/internal/corestore/store.go
+++ b/internal/corestore/store.go
@@ -58,6 +58,9 @@
 	// Dir is the folder of the log.
 	Dir string
 	FS  wal.FS
+	// OnCommit is called with the time that a document took to be stored by a
+	// majority, at the leader. It may be nil.
+	OnCommit func(time.Duration)
 	// Address is the daemon's own session address.
 	Address string
 	// Seeds returns the session addresses that the settings name at present.
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -68,7 +68,7 @@
 		hold, err := x.s.placer.Reserve(x.ctx, x.demand(attempt, work, st))
 		took := time.Since(asked)
 		x.queued += took
-		x.s.vars.placed.add(took)
+		x.s.vars.placed.Add(took)
 		var refusal *Refusal
 		if errors.As(err, &refusal) && !st.started {
 			return nil, refusal
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -243,7 +243,7 @@
 		if st.events == 0 {
 			st.firstAt = now
 			x.first = now.Sub(x.began)
-			x.s.vars.first.add(x.first)
+			x.s.vars.first.Add(x.first)
 		} else {
 			x.gap = max(x.gap, now.Sub(st.lastAt))
 		}
