forward, platform: limits on callers' header and idle times from the configuration

The limits were fixed constants of the HTTP server, 10 s and 75 s, while the operators' configuration states others and may change at any time. The server now follows its callers' connections and closes those that wait for longer than the configuration allows, each second. The constants stay as the bound before the first configuration and for the head of later requests on a connection.

Not covered: the head of a later request is bounded by the constant, not by the configuration.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -34,9 +34,10 @@
 	// gcPercent trades memory, of which an entry uses little, for processor
 	// time.
 	gcPercent = 300
-	// headerTimeout and idleTimeout bound a caller's connection. The idle
-	// timeout exceeds what callers rely on, so that the router does not close
-	// a connection on which a request is on its way.
+	// headerTimeout and idleTimeout bound a caller's connection until there is a
+	// configuration with limits, and the head of later requests on it. They
+	// exceed what callers rely on, so that the router does not close a
+	// connection on which a request is on its way.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 75 * time.Second
 	maxHeader     = 64 << 10
@@ -153,7 +154,7 @@
 func serve(ctx context.Context, file *platform.File, server *forward.Server, logger *log.Logger) error {
 	s := file.Current()
 	ready := &http.Server{Handler: platform.Readiness(server.Ready), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	callers := &http.Server{Handler: server, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
+	callers := &http.Server{Handler: server, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader, ConnState: server.ConnState}
 	failed := make(chan error, 2)
 	for address, srv := range map[string]*http.Server{s.Readiness: ready, s.Callers: callers} {
 		l, err := net.Listen("tcp", address)
--- /dev/null
+++ b/internal/forward/callers_test.go
@@ -0,0 +1,64 @@
+package forward
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against callers that keep an entry's descriptors for longer than the
+// operators' limits allow, and against a limit that closes a connection in use.
+func TestWaitingCallersAreClosedAfterTheLimits(t *testing.T) {
+	s := NewServer(Options{Logger: &log.Logger{Level: log.PanicLevel}, Bounds: func() Bounds { return Bounds{} }})
+	t.Cleanup(s.Stop)
+	limits := Limits{HeaderTime: 3 * time.Second, IdleTime: 15 * time.Second}
+	release := make(chan struct{})
+	srv := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			<-release
+		}
+	}))
+	srv.Config.ConnState = s.ConnState
+	srv.Start()
+	t.Cleanup(srv.Close)
+	t.Cleanup(func() { close(release) })
+	dial := func(request string) net.Conn {
+		c, err := net.Dial("tcp", srv.Listener.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		_, err = io.WriteString(c, request)
+		require.NoError(t, err)
+		return c
+	}
+	silent := dial("GET / HTTP/1.1\r\nHos")
+	idle := dial("GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	_, err := idle.Read(make([]byte, 1024))
+	require.NoError(t, err)
+	dial("GET /slow HTTP/1.1\r\nHost: a\r\n\r\n")
+	waiting := func() (n int) {
+		s.callers.mu.Lock()
+		defer s.callers.mu.Unlock()
+		return len(s.callers.conns)
+	}
+	require.Eventually(t, func() bool { return waiting() == 2 }, 2*time.Second, time.Millisecond)
+
+	now := time.Now()
+	require.Empty(t, s.callers.expired(&limits, now.Add(2*time.Second)))
+	require.Empty(t, s.callers.expired(&Limits{}, now.Add(time.Hour)), "no limit")
+	expired := s.callers.expired(&limits, now.Add(4*time.Second))
+	require.Len(t, expired, 1)
+	require.Equal(t, silent.LocalAddr().String(), expired[0].RemoteAddr().String())
+	s.SetConfig(&Config{Version: 1, Limits: limits})
+	s.closeWaitingCallers(now.Add(16 * time.Second))
+	require.Zero(t, waiting())
+	_ = idle.SetReadDeadline(time.Now().Add(2 * time.Second))
+	_, err = idle.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	require.EqualValues(t, 1, s.vars.callersClosed.Value())
+}
--- a/internal/forward/config.go
+++ b/internal/forward/config.go
@@ -100,6 +100,10 @@
 type Limits struct {
 	HeaderBytes int
 	BodyBytes   int64
+	// HeaderTime bounds the time until the head of a connection's first request
+	// has arrived, IdleTime the time between two requests. 0 sets no bound.
+	HeaderTime time.Duration
+	IdleTime   time.Duration
 }
 
 // Compile checks a configuration and prepares it for Match. It returns all
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"net"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -43,6 +44,7 @@
 	start     time.Time
 	config    atomic.Pointer[Config]
 	upstreams *upstreams
+	callers   callerConns
 	bodies    atomic.Int64
 	inFlight  atomic.Int64
 	draining  atomic.Bool
@@ -63,6 +65,7 @@
 func NewServer(opts Options) *Server {
 	s := &Server{
 		opts: opts, start: time.Now(), upstreams: newUpstreams(opts.Place),
+		callers: callerConns{conns: map[net.Conn]waitingConn{}},
 		budgets: map[string]*policy.RepeatBudget{}, stop: make(chan struct{}),
 	}
 	s.vars = newVars(s)
@@ -133,8 +136,9 @@
 	s.done.Wait()
 }
 
-// idleSweep is the time between looks for expired connections.
-const idleSweep = 2 * time.Second
+// idleSweep is the time between looks for expired connections. Connections of
+// callers outlast their limits by that much at most.
+const idleSweep = time.Second
 
 func (s *Server) closeIdle() {
 	defer s.done.Done()
@@ -147,6 +151,7 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
+		s.closeWaitingCallers(now)
 		s.upstreams.prune(now)
 		for _, t := range s.upstreams.all() {
 			t.closeIdle(now, false)
--- a/internal/forward/vars.go
+++ b/internal/forward/vars.go
@@ -17,6 +17,8 @@
 	sends    *expvar.Int
 	repeats  *expvar.Int
 	prefills *expvar.Int
+	// callersClosed counts connections of callers that took too long.
+	callersClosed *expvar.Int
 	// answer is the time to the end of an answer, first to its first event, and
 	// placed the wait for engines.
 	answer, first, placed *metrics.Timing
@@ -25,7 +27,7 @@
 func newVars(s *Server) *vars {
 	v := &vars{
 		all: new(expvar.Map).Init(), requests: new(expvar.Map).Init(), outcomes: new(expvar.Map).Init(),
-		sends: new(expvar.Int), repeats: new(expvar.Int), prefills: new(expvar.Int),
+		sends: new(expvar.Int), repeats: new(expvar.Int), prefills: new(expvar.Int), callersClosed: new(expvar.Int),
 		answer: metrics.NewTiming(), first: metrics.NewTiming(), placed: metrics.NewTiming(),
 	}
 	v.all.Set("requests", v.requests)
@@ -33,6 +35,7 @@
 	v.all.Set("sends", v.sends)
 	v.all.Set("repeats", v.repeats)
 	v.all.Set("prefills", v.prefills)
+	v.all.Set("callers_closed", v.callersClosed)
 	v.all.Set("answer", expvar.Func(v.answer.Value))
 	v.all.Set("first_event", expvar.Func(v.first.Value))
 	v.all.Set("placement_wait", expvar.Func(v.placed.Value))
