feed: records given to an entry are not changed afterwards; soak: crashes and races in logs are findings

Followers now pass copies on. The soak reads the logs of all processes for what the Go runtime writes about races and panics. Tests of both fail without them.

--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -12,6 +12,7 @@
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
 	"godwitward.example/godwitward/internal/corestore"
+	"godwitward.example/godwitward/internal/fleet"
 	"godwitward.example/godwitward/internal/transport"
 )
 
@@ -182,3 +183,18 @@
 	}
 	require.Eventually(t, func() bool { return last.Entries() == 4 }, 5*time.Second, 20*time.Millisecond)
 }
+
+// Guards against records that change while their receiver reads them: the soak's
+// race detector saw an entry read a record that the follower marked silent.
+func TestRecordsAreNotChangedAfterwards(t *testing.T) {
+	f := &Follower{table: fleet.NewTable(), silent: map[string]bool{}, start: time.Now()}
+	first := f.merge([]*pb.UpstreamRecord{record("a", 1, pb.UpstreamPhase_UPSTREAM_READY)}, true)
+	require.Len(t, first, 1)
+	silent := record("a", 1, pb.UpstreamPhase_UPSTREAM_READY)
+	silent.Silent = true
+	second := f.merge([]*pb.UpstreamRecord{silent}, true)
+	require.Len(t, second, 1)
+	require.True(t, second[0].Silent)
+	require.False(t, first[0].Silent)
+	require.Empty(t, f.merge([]*pb.UpstreamRecord{silent}, true))
+}
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -9,6 +9,7 @@
 
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
 	"godwitward.example/godwitward/internal/fleet"
@@ -247,7 +248,8 @@
 	return f.leader, f.term, f.leader != ""
 }
 
-// merge returns the records that are news. Only a hub that hears a leader is
+// merge returns the records that are news, as copies that are not changed
+// afterwards. Only a hub that hears a leader is
 // believed when it calls an upstream silent: the others may be cut off.
 func (f *Follower) merge(records []*pb.UpstreamRecord, quorate bool) []*pb.UpstreamRecord {
 	var changed []*pb.UpstreamRecord
@@ -266,8 +268,13 @@
 			news = []*pb.UpstreamRecord{known}
 		}
 		f.silent[r.Id] = silent
-		known.Silent = silent
-		changed = append(changed, news...)
+		for _, n := range news {
+			n = proto.CloneOf(n)
+			if n.Id == r.Id {
+				n.Silent = silent
+			}
+			changed = append(changed, n)
+		}
 	}
 	return changed
 }
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -2,6 +2,10 @@
 
 import (
 	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -172,3 +176,30 @@
 		c.find("config: a read returned version %d after %d was acknowledged", version, acknowledged)
 	}
 }
+
+// crashMarks begin what the Go runtime writes when a process fails by itself.
+var crashMarks = []string{"WARNING: DATA RACE", "panic: ", "fatal error: "}
+
+// logs looks for processes that failed by themselves; they are started again, so
+// that callers may notice nothing.
+func (c *checker) logs(dir string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	files, err := filepath.Glob(filepath.Join(dir, "*.log"))
+	if err != nil {
+		c.find("reading the logs: %v", err)
+	}
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			c.find("reading the logs: %v", err)
+			continue
+		}
+		for number, line := range strings.Split(string(text), "\n") {
+			if slices.ContainsFunc(crashMarks, func(mark string) bool { return strings.HasPrefix(line, mark) }) {
+				c.find("%s line %d: %s", filepath.Base(file), number+1, line)
+				break
+			}
+		}
+	}
+}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -67,6 +67,7 @@
 	s.checkCalm()
 	check.refusals()
 	s.checkConfig(ctx)
+	check.logs(opts.Dir)
 	served, all := check.served()
 	fmt.Fprintf(opts.Out, "seed %d: %d faults, %d of %d requests served, %v\n", opts.Seed, len(schedule), served, all, check.counts)
 	return check.findings, ctx.Err()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -40,6 +42,12 @@
 			c.arrived(standin.Run{ID: "a", Runner: "i-1", At: time.Now()})
 		},
 		"config": func(c *checker) { c.versionRead(3, 4) },
+		"logs": func(c *checker) {
+			dir := t.TempDir()
+			lines := "event=process.started\nevent=request.ended reason=\"panic: quoted\"\nWARNING: DATA RACE\npanic: late\n"
+			require.NoError(t, os.WriteFile(filepath.Join(dir, "entry-0.log"), []byte(lines), 0o600))
+			c.logs(dir)
+		},
 	} {
 		c := newChecker()
 		breakIt(c)
