forward: tokens of a resumed answer are bounded by what the answer may have

A caller's event id such as 10^18 would have been multiplied by the engine's stride and cut to 32 bits on its way to the scheduler.

--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -104,12 +104,13 @@
 	return x.s.upstreams.pick(c, x.s.now(), rand.Float64())
 }
 
-// made returns the tokens that a resumed answer has already.
+// made returns the tokens that a resumed answer has already. The caller states
+// the event, so that the number is bounded by what its answer may have.
 func (x *exchange) made(st *streamState) int {
-	if x.service.Engine == nil {
+	if x.service.Engine == nil || x.facts.EventsMade > x.facts.AnswerTokens {
 		return 0
 	}
-	return (x.facts.EventsMade + st.events) * x.service.Engine.Stride
+	return min((x.facts.EventsMade+st.events)*x.service.Engine.Stride, x.facts.AnswerTokens)
 }
 
 func (x *exchange) demand(attempt int, work policy.Work, st *streamState) *Demand {
