processes: addresses of test clusters are out of the kernel's reach

Test clusters chose addresses by listening on port 0 and closing; the kernel gave the port to another connection before the daemon started. With two members left, the kill of the leader ended the majority.

Ruled out: the change of the transport's dialing (the log of control-2 has the two lines of its start only).

Addresses now come from 12000 to 31999, below the range of connections, each once in a process. Bound and check of the failed test are unchanged; the new test of the addresses fails with the old choice.

--- a/internal/processes/cluster_test.go
+++ b/internal/processes/cluster_test.go
@@ -6,12 +6,15 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -79,10 +82,47 @@
 }
 
 func freeAddr(t testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	for range 1000 {
+		port := minFreePort + rand.IntN(maxFreePort-minFreePort)
+		if _, taken := givenPorts.LoadOrStore(port, true); taken {
+			continue
+		}
+		l, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
+		if err != nil {
+			continue
+		}
+		require.NoError(t, l.Close())
+		return l.Addr().String()
+	}
+	t.Fatal("no free port")
+	return ""
+}
+
+// Ports below those that the kernel gives to outgoing connections and to
+// listeners without a port. One of these was taken by a connection between the
+// choice and the start of its daemon, which then ended at once.
+const (
+	minFreePort = 12000
+	maxFreePort = 32000
+)
+
+// givenPorts are the ports that this process has chosen.
+var givenPorts sync.Map
+
+// Guards against a daemon that cannot listen because its address was given to a
+// connection meanwhile: a cluster of two then lost its majority with one member.
+func TestAddressesAreOutOfTheKernelsReach(t *testing.T) {
+	seen := map[string]bool{}
+	for range 50 {
+		addr := freeAddr(t)
+		require.False(t, seen[addr], "given twice")
+		seen[addr] = true
+		_, text, err := net.SplitHostPort(addr)
+		require.NoError(t, err)
+		port, err := strconv.Atoi(text)
+		require.NoError(t, err)
+		require.Less(t, port, 32768, "the kernel's usual first port for connections")
+	}
 }
 
 func (c *cluster) start(name, program string, args ...string) *process {
