scheduler, policy: engine speeds that nobody announced are learned

Cause: package core announced every engine of the users' platform with the speed of one site (55,000 prompt tokens a second, 0.7 ms a token).

Change: the first samples of a rate that was not announced replace it, its baseline is the mean of the first ten, and engines that have not been measured get the pool's median. Announced speeds are learned as before.

Ruled out: the share of prefill engines (21 of 60 at the start; with the old speeds the simulated pool stays at 36% of its memory after they have changed their role) and rejections by engines (39 of 2,137 placements).

Test: TestEnginesOfUnknownSpeedAreFilled replays 59 drafts a second with bursts on 60 engines.

--- a/internal/core/pools.go
+++ b/internal/core/pools.go
@@ -14,6 +14,7 @@
 	"godwitward.example/godwitward/internal/scheduler"
 	"godwitward.example/godwitward/internal/transport"
 	"godwitward.example/godwitward/platform"
+	"godwitward.example/godwitward/policy"
 )
 
 const (
@@ -24,11 +25,11 @@
 	// counts an engine's KV cache. Engines allocate blocks of 16 tokens; with 64,
 	// the rounding error stays under one percent of a usual prompt.
 	pieceTokens = 64
-	// nominalPrefillTokensPerS and nominalDecodeUsPerToken are the speed that the
-	// scheduler assumes for an engine until it has learned the actual one. Engines
-	// do not announce their speed.
-	nominalPrefillTokensPerS = 55000
-	nominalDecodeUsPerToken  = 700
+	// assumedPrefillRate (tokens a second) and assumedDecodeSeconds (for a token)
+	// are used until the first engine of a pool has been measured. Engines do not
+	// announce their speed.
+	assumedPrefillRate   = 55000
+	assumedDecodeSeconds = 0.0007
 	// linkBytesPerS is the assumed bandwidth of an engine's link. It is so high
 	// that KV cache transfers never saturate it.
 	linkBytesPerS = 100e9
@@ -73,6 +74,7 @@
 			SilentAfter: fleet.SilentAfter, RestateWindow: restateWindow, LeaseTTL: s.LeaseTTL, BalanceRoles: true, LocalPrefill: true, OnDemandMemory: true,
 			RetryRatio: schedulerRetryShare * s.RetryRatio, RetrySlack: schedulerRetryShare * s.RetrySlack, RetryWindow: s.RetryWindow,
 			UrgentReserve: -1, DisableForecast: true,
+			AssumedRates: policy.Rates{PrefillRate: assumedPrefillRate, DecodeSeconds: assumedDecodeSeconds},
 		},
 	})
 	p.scheduler.Register(sessions)
@@ -176,7 +178,6 @@
 		Id: r.Id, Generation: uint64(r.BornMs), Url: r.Address, Place: r.Place, Service: r.Service, Role: roles[r.Stage],
 		Models: r.Models, TotalPieces: uint32(e.MemoryTokens / pieceTokens), MaxBatch: uint32(e.Slots),
 		PieceTokens: pieceTokens, LinkBytesPerS: linkBytesPerS, KvBytesPerToken: 1,
-		Leaving:           r.Phase != pb.UpstreamPhase_UPSTREAM_READY,
-		PrefillTokensPerS: nominalPrefillTokensPerS, DecodeUsPerToken: nominalDecodeUsPerToken,
+		Leaving: r.Phase != pb.UpstreamPhase_UPSTREAM_READY,
 	}
 }
--- /dev/null
+++ b/internal/scheduler/memory_load_test.go
@@ -0,0 +1,55 @@
+package scheduler
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// minGoodput is the target of docs/design.md for goodput where capacity
+// suffices.
+const minGoodput = 0.97
+
+// requiredEnginePart returns the part of the pool's engines that the offered load
+// needs on average, limited by memory for decoding and by rate for prefill.
+func (f memoryFleet) requiredEnginePart() float64 {
+	requests := f.perSecond * f.duration.Seconds()
+	for _, b := range f.bursts {
+		requests += (b.factor - 1) * f.perSecond * (b.to - b.from).Seconds()
+	}
+	perSecond := requests / f.duration.Seconds()
+	batch := min(float64(f.slots), float64(f.memoryTokens)/(f.promptTokens+f.outputToken/2))
+	answerSeconds := f.outputToken * (f.stepSeconds + f.slotSeconds*batch)
+	return perSecond * (answerSeconds/batch + f.promptTokens/f.prefillRate) / float64(f.engines)
+}
+
+// Guards against placements that rest on an assumed speed. Engines that take six
+// times as long for a token as was assumed counted as ejected for slowness, up
+// to a third of them at a time, and their running requests counted with a
+// multiple of their output, so that requests queued and were refused while 60%
+// of the pool's memory was idle.
+func TestEnginesOfUnknownSpeedAreFilled(t *testing.T) {
+	for _, f := range []memoryFleet{tagoreGrown(), slowStepFleet(), fastStepFleet()} {
+		require.Less(t, f.requiredEnginePart(), 0.9, "the load fits the pool")
+		for seed := range uint64(3) {
+			r := simulateMemory(f, seed+1).result
+			require.GreaterOrEqual(t, float64(r.onTarget), minGoodput*float64(r.offered), "seed %d: %+v", seed+1, r)
+		}
+	}
+}
+
+// slowStepFleet has fewer and larger engines that take 20 ms a token.
+func slowStepFleet() memoryFleet {
+	f := tagoreGrown()
+	f.engines, f.prefillEngines, f.memoryTokens, f.stepSeconds = 30, 4, 160000, 0.02
+	f.perSecond, f.outputToken = 16, 400
+	return f
+}
+
+// fastStepFleet has engines of the assumed speed with long outputs.
+func fastStepFleet() memoryFleet {
+	f := tagoreGrown()
+	f.engines, f.prefillEngines, f.memoryTokens, f.slots, f.stepSeconds, f.slotSeconds = 48, 7, 72950, 12, 0.000605, 0.000008
+	f.perSecond, f.outputToken = 44, 4900
+	return f
+}
--- a/internal/scheduler/options.go
+++ b/internal/scheduler/options.go
@@ -99,6 +99,9 @@
 	// measured work of the requests instead of waiting until one role is
 	// overloaded. RoleChangeDelay then has no effect.
 	BalanceRoles bool
+	// AssumedRates are the rates of engines that announce none, until one engine
+	// of the pool has been measured.
+	AssumedRates policy.Rates
 	// LoadInterval is the minimum time between model loads, given by the weight
 	// store's rate and the size of a model.
 	LoadInterval time.Duration
--- a/internal/scheduler/orphans.go
+++ b/internal/scheduler/orphans.go
@@ -92,7 +92,7 @@
 		return m
 	}
 	s := &pb.UpstreamState{Id: id}
-	m := newUpstreamRecord(s)
+	m := p.upstreams.newUpstreamRecord(s)
 	m.placeholder = true
 	m.state = s
 	m.lastSeen = now - p.params.SilentAfter
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -43,6 +43,7 @@
 	p.upstreams.byID = map[string]*upstreamRecord{}
 	p.upstreams.byModel = map[string]*candidates{}
 	p.upstreams.nextSilentAt = activeAt
+	p.upstreams.typical = params.AssumedRates
 	p.holds.byID = map[string]*hold{}
 	p.holds.byDecode = map[*upstreamRecord][]*hold{}
 	p.holds.entries = map[string]*entryRecord{}
--- a/internal/scheduler/tables.go
+++ b/internal/scheduler/tables.go
@@ -63,6 +63,9 @@
 	drains  DrainSet
 	// nextSilentAt is the earliest time at which an upstream may become silent.
 	nextSilentAt time.Duration
+	// typical are the median rates of the engines that have been measured, and
+	// those of Params until one has been.
+	typical policy.Rates
 	// revision is incremented with each change that entries must be told of.
 	revision uint64
 }
--- a/internal/scheduler/upstreams.go
+++ b/internal/scheduler/upstreams.go
@@ -133,7 +133,6 @@
 		v.TotalPieces = unlimitedPieces
 	}
 	v.KVBytesPerToken = float64(s.KvBytesPerToken)
-	v.NominalDecodeSeconds = float64(s.DecodeUsPerToken) / 1e6
 	v.Reported = policy.Report{UsedPieces: int(s.UsedPieces), Running: int(s.Running), Queued: int(s.Queued)}
 	m.updateForeign(now)
 	m.publishSpeed()
@@ -159,6 +158,15 @@
 	m.view.DecodeSeconds = m.speed.DecodeSeconds
 }
 
+// publishNominal publishes the time per token that counts as normal for the
+// engine: the announced one or else the pool's typical one.
+func (m *upstreamRecord) publishNominal(typical policy.Rates) {
+	m.view.NominalDecodeSeconds = typical.DecodeSeconds
+	if announced := announcedRates(m.state).DecodeSeconds; announced > 0 {
+		m.view.NominalDecodeSeconds = announced
+	}
+}
+
 func (t *upstreamTable) healthAt(m *upstreamRecord, p *Params, now time.Duration) pb.UpstreamStatus_Health {
 	switch {
 	case m.state.Leaving:
@@ -380,11 +388,11 @@
 	changed := newStart || m.placeholder || !sameCandidateLists(m.state, s)
 	switch {
 	case newStart:
-		m = newUpstreamRecord(s)
+		m = t.newUpstreamRecord(s)
 		t.byID[s.Id] = m
 	case m.placeholder:
 		m.placeholder = false
-		m.speed = announcedSpeed(s)
+		m.speed = policy.NewSpeed(announcedRates(s), t.typical)
 	case m.state.Leaving:
 		// Announcements arrive through several entries and may be reordered. An
 		// upstream that is leaving stays so until it starts again.
@@ -394,18 +402,55 @@
 		m.changingRole = false
 	}
 	m.applyAnnouncement(s, now)
+	m.publishNominal(t.typical)
 	t.refresh(m, p, now)
 	return m, changed
 }
 
-func newUpstreamRecord(s *pb.UpstreamState) *upstreamRecord {
-	m := &upstreamRecord{speed: announcedSpeed(s)}
+func (t *upstreamTable) newUpstreamRecord(s *pb.UpstreamState) *upstreamRecord {
+	m := &upstreamRecord{speed: policy.NewSpeed(announcedRates(s), t.typical)}
 	m.view.Share = 1
 	return m
 }
 
-func announcedSpeed(s *pb.UpstreamState) policy.Speed {
-	return policy.NewSpeed(float64(s.PrefillTokensPerS), float64(s.DecodeUsPerToken)/1e6)
+func announcedRates(s *pb.UpstreamState) policy.Rates {
+	return policy.Rates{PrefillRate: float64(s.PrefillTokensPerS), DecodeSeconds: float64(s.DecodeUsPerToken) / 1e6}
+}
+
+// updateTypicalRates recomputes the typical rates of the pool's engines and
+// assumes them for the engines whose own rates are neither announced nor
+// learned. Decisions soon after a start or a change of leader would otherwise
+// rest on figures that may be wrong by an order of magnitude: with an assumed
+// time per token of a sixth of the actual one, the forecast of growing memory
+// left half of a pool's memory idle.
+func (t *upstreamTable) updateTypicalRates() {
+	var prefill, decode []float64
+	for _, m := range t.byID {
+		r := m.speed.Learned()
+		if r.PrefillRate > 0 {
+			prefill = append(prefill, r.PrefillRate)
+		}
+		if r.DecodeSeconds > 0 {
+			decode = append(decode, r.DecodeSeconds)
+		}
+	}
+	if len(prefill) > 0 {
+		t.typical.PrefillRate = median(prefill)
+	}
+	if len(decode) > 0 {
+		t.typical.DecodeSeconds = median(decode)
+	}
+	for _, m := range t.byID {
+		m.speed.Assume(t.typical)
+		m.publishSpeed()
+		m.publishNominal(t.typical)
+	}
+}
+
+// median sorts values, which must not be empty, and returns their median.
+func median(values []float64) float64 {
+	slices.Sort(values)
+	return values[len(values)/2]
 }
 
 // MarkSilent marks one start of an upstream as silent before SilentAfter has
--- a/policy/engine.go
+++ b/policy/engine.go
@@ -66,8 +66,8 @@
 	PrefillRate float64
 	// DecodeSeconds is the learned time per token at full batch.
 	DecodeSeconds float64
-	// NominalDecodeSeconds is the time per token that the engine announced; 0
-	// means unknown.
+	// NominalDecodeSeconds is the time per token that the engine announced, or
+	// that is typical in its pool; 0 means unknown.
 	NominalDecodeSeconds float64
 
 	// LinkRate is the rate of the KV cache link in bytes per second. LinkBytes are
--- a/policy/local_prefill.go
+++ b/policy/local_prefill.go
@@ -60,8 +60,8 @@
 	return out, out.Decode != nil
 }
 
-// decodeSlowdown returns the learned time per token divided by the announced
-// one, at least 1. An engine that decodes slowly prefills slowly as well.
+// decodeSlowdown returns the learned time per token divided by the nominal one,
+// at least 1. An engine that decodes slowly prefills slowly as well.
 func (e *Engine) decodeSlowdown() float64 {
 	if e.NominalDecodeSeconds <= 0 || e.DecodeSeconds <= e.NominalDecodeSeconds {
 		return 1
--- a/policy/speed.go
+++ b/policy/speed.go
@@ -9,6 +9,9 @@
 	// baselineGain is the smoothing gain of the baseline speed. It averages over
 	// about a hundred completions.
 	baselineGain = 0.01
+	// firstBaselineSamples is the number of samples whose mean is the first
+	// baseline of a rate that was not announced.
+	firstBaselineSamples = 10
 	// defaultPrefillRate, in tokens per second, and defaultDecodeSeconds are used
 	// until an engine's speed has been announced or learned.
 	defaultPrefillRate   = 5000
@@ -18,28 +21,61 @@
 	maxSampleRatio = 4
 )
 
+// Rates are the rates of an engine. A zero field is unknown.
+type Rates struct {
+	// PrefillRate is in tokens per second, DecodeSeconds the time per token at
+	// full batch.
+	PrefillRate   float64
+	DecodeSeconds float64
+}
+
 // Speed is the learned speed of one engine.
 type Speed struct {
 	// PrefillRate is the current rate in tokens per second, DecodeSeconds the
 	// current time per token at full batch.
 	PrefillRate   float64
 	DecodeSeconds float64
-	// The baselines are the same values averaged over a longer time. The current
-	// values are compared with them to detect an engine that became slow.
-	baselinePrefillRate   float64
-	baselineDecodeSeconds float64
-	Samples               int
+	prefill       learnedRate
+	decode        learnedRate
+}
+
+// learnedRate is what is known of one rate besides its current value.
+type learnedRate struct {
+	// baseline is the rate averaged over a longer time. The current value is
+	// compared with it to detect an engine that became slow.
+	baseline  float64
+	samples   int
+	announced bool
+}
+
+// NewSpeed returns a Speed that starts from the announced rates, and from the
+// assumed ones where none is announced. Samples replace an assumed rate at once
+// and an announced one gradually.
+func NewSpeed(announced, assumed Rates) Speed {
+	s := Speed{PrefillRate: announced.PrefillRate, DecodeSeconds: announced.DecodeSeconds}
+	s.prefill = learnedRate{baseline: announced.PrefillRate, announced: announced.PrefillRate > 0}
+	s.decode = learnedRate{baseline: announced.DecodeSeconds, announced: announced.DecodeSeconds > 0}
+	s.Assume(Rates{PrefillRate: defaultPrefillRate, DecodeSeconds: defaultDecodeSeconds})
+	s.Assume(assumed)
+	return s
 }
 
-// NewSpeed returns a Speed that starts from announced values; 0 means unknown.
-func NewSpeed(prefillRate, decodeSeconds float64) Speed {
-	if prefillRate <= 0 {
-		prefillRate = defaultPrefillRate
+// Assume replaces the rates that are neither announced nor learned.
+func (s *Speed) Assume(r Rates) {
+	s.prefill.assume(&s.PrefillRate, r.PrefillRate)
+	s.decode.assume(&s.DecodeSeconds, r.DecodeSeconds)
+}
+
+// Learned returns the rates that have been measured.
+func (s *Speed) Learned() Rates {
+	var out Rates
+	if s.prefill.samples > 0 {
+		out.PrefillRate = s.PrefillRate
 	}
-	if decodeSeconds <= 0 {
-		decodeSeconds = defaultDecodeSeconds
+	if s.decode.samples > 0 {
+		out.DecodeSeconds = s.DecodeSeconds
 	}
-	return Speed{PrefillRate: prefillRate, DecodeSeconds: decodeSeconds, baselinePrefillRate: prefillRate, baselineDecodeSeconds: decodeSeconds}
+	return out
 }
 
 // minPrefillSampleTokens is the smallest prefill used as a sample: in smaller
@@ -51,10 +87,7 @@
 	if tokens < minPrefillSampleTokens || took <= 0 {
 		return
 	}
-	rate := float64(tokens) / took.Seconds()
-	updateAverage(&s.PrefillRate, rate, currentGain)
-	updateAverage(&s.baselinePrefillRate, rate, baselineGain)
-	s.Samples++
+	s.prefill.add(&s.PrefillRate, float64(tokens)/took.Seconds())
 }
 
 // Decoded updates the decode speed with one completion, given its mean time per
@@ -63,15 +96,48 @@
 	if tokens < 2 || perToken <= 0 {
 		return
 	}
-	full := perToken.Seconds() / BatchFactor(batch, maxBatch)
-	updateAverage(&s.DecodeSeconds, full, currentGain)
-	updateAverage(&s.baselineDecodeSeconds, full, baselineGain)
-	s.Samples++
+	s.decode.add(&s.DecodeSeconds, perToken.Seconds()/BatchFactor(batch, maxBatch))
 }
 
 // Slowness returns how many times slower than its baseline the engine is.
 func (s *Speed) Slowness() float64 {
-	return max(s.DecodeSeconds/s.baselineDecodeSeconds, s.baselinePrefillRate/s.PrefillRate)
+	return max(s.DecodeSeconds/s.decode.baseline, s.prefill.baseline/s.PrefillRate)
+}
+
+// Reset sets the current speed to the baseline, so that a reinstated engine is
+// judged by new completions.
+func (s *Speed) Reset() {
+	s.PrefillRate = s.prefill.baseline
+	s.DecodeSeconds = s.decode.baseline
+}
+
+func (r *learnedRate) assume(current *float64, rate float64) {
+	if rate <= 0 || r.announced || r.samples > 0 {
+		return
+	}
+	*current = rate
+	r.baseline = rate
+}
+
+// add updates the current rate and the baseline with a sample. The first
+// samples of a rate that was not announced form its arithmetic mean.
+func (r *learnedRate) add(current *float64, sample float64) {
+	r.samples++
+	if r.announced {
+		updateAverage(current, sample, currentGain)
+		updateAverage(&r.baseline, sample, baselineGain)
+		return
+	}
+	if r.samples == 1 {
+		*current, r.baseline = sample, sample
+		return
+	}
+	updateAverage(current, sample, max(currentGain, 1/float64(r.samples)))
+	gain := baselineGain
+	if r.samples <= firstBaselineSamples {
+		gain = 1 / float64(r.samples)
+	}
+	updateAverage(&r.baseline, sample, gain)
 }
 
 // updateAverage adds a sample to an exponentially weighted moving average. The
@@ -155,13 +221,6 @@
 	return initialShare + (1-initialShare)*float64(now-e.until)/float64(rampUpTime)
 }
 
-// Reset sets the current speed to the baseline, so that a reinstated engine is
-// judged by new completions.
-func (s *Speed) Reset() {
-	s.PrefillRate = s.baselinePrefillRate
-	s.DecodeSeconds = s.baselineDecodeSeconds
-}
-
 // Rate is an exponentially weighted moving average of an amount per second.
 type Rate struct {
 	value       float64
