scheduler: surplus prefill engines change together, none is ordered twice

Cause: an engine that accepted a role order was given 5 s to announce the new role, but takes 6 s to change it, so it counted as usable again and got a second order, which took the one change a second that a pool may make. After a change of leader the workload was forecast from assumed speeds, and the first requests to complete are the short ones; both call for too much prefill.

Change: the time that engines take to change their role is read from the configuration; an engine counts for the role it was ordered to until it announces it; one that did not accept an order is left alone for 5 s. Half of the surplus prefill engines change at once, at most a quarter of the pool. The work of a request is forecast from sizes and the pool's typical rates until enough have completed for the mean to stand for all.

Ruled out: changing the whole surplus at once (half of it reaches the target in three steps and leaves room for a wrong forecast).

--- a/internal/core/pools.go
+++ b/internal/core/pools.go
@@ -65,7 +65,7 @@
 func newPools(logger *log.Logger, leader func() (string, uint64, bool), newEngine func(*pb.UpstreamState) scheduler.Engine, s *platform.Settings, sessions *transport.Server) *pools {
 	p := &pools{leader: leader, logger: logger, engines: map[string]*forward.EngineConfig{}}
 	p.scheduler = scheduler.New(scheduler.Options{
-		Logger: logger, NewEngine: newEngine,
+		Logger: logger, NewEngine: newEngine, PoolParams: p.setPoolParams,
 		HoldsLease: func(_ string, token uint64) bool {
 			_, term, self := leader()
 			return self && term == token
@@ -81,6 +81,15 @@
 	return p
 }
 
+// setPoolParams sets the parameters that depend on the pool's engines.
+func (p *pools) setPoolParams(pool string, params *scheduler.Params) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e := p.engines[pool]; e != nil {
+		params.RoleSwitchTime = e.RoleSwitchTime
+	}
+}
+
 // setServices applies the services of a new configuration. If an engine service
 // changed, the next setTerm activates the pools again.
 func (p *pools) setServices(services map[string]*forward.Service) {
--- a/internal/forward/config.go
+++ b/internal/forward/config.go
@@ -100,6 +100,9 @@
 	TokensPerEvent int
 	// HandleTTL is how long a prefill engine keeps a result for the decode engine.
 	HandleTTL time.Duration
+	// RoleSwitchTime is how long an engine is unavailable while it changes its
+	// role.
+	RoleSwitchTime time.Duration
 }
 
 // Limits holds the limits on callers' requests and connections.
--- a/internal/scheduler/balance.go
+++ b/internal/scheduler/balance.go
@@ -12,18 +12,31 @@
 	// workload is used. The mean of 15 prompts is mostly within a fifth of the
 	// long-term mean.
 	minWorkloadSamples = 15
+	// unbiasedSamples is the number of completed requests from which on their
+	// mean time stands for all: of the requests that were granted first, the
+	// short ones complete first.
+	unbiasedSamples = 150
 	// workloadGain is the weight of a new sample, which adapts to a change of
 	// the workload within some tens of requests.
 	workloadGain = 0.05
-	// imbalanceDelay is how long an imbalance must last before an engine
-	// changes its role, and roleChangeInterval the time between role changes of
-	// a pool.
+	// imbalanceDelay is how long an imbalance must last before engines change
+	// their role, and roleChangeInterval the time between role changes of a
+	// pool.
 	imbalanceDelay     = time.Second
 	roleChangeInterval = time.Second
-	// roleChangeDivisor limits concurrent role changes to one in
-	// roleChangeDivisor of a pool's engines, but at least one, because an engine
-	// is unavailable for some seconds while it changes.
-	roleChangeDivisor = 8
+	// roleChangeDivisor limits concurrent changes from prefill to decode to one
+	// in roleChangeDivisor of a pool's engines, but at least one, because an
+	// engine is unavailable for some seconds while it changes. Decode engines
+	// have running requests and change in smaller numbers.
+	roleChangeDivisor       = 4
+	decodeRoleChangeDivisor = 8
+	// surplusDivisor divides the number of surplus prefill engines to give the
+	// number that changes at once, rounded up: the next ones change when newer
+	// measurements still show a surplus.
+	surplusDivisor = 2
+	// roleRetryDelay is how long an engine that did not accept a role order is
+	// not given another one. It may carry the order out late.
+	roleRetryDelay = 5 * time.Second
 	// decodeToPrefillDelay replaces imbalanceDelay for a change from decode to
 	// prefill. The engine must finish its running requests first, so the change
 	// pays only when prefill stays overloaded.
@@ -46,7 +59,7 @@
 	// mean decode memory.
 	prefillSeconds, decodeSeconds, requestPieces runningMean
 	promptTokens, outputTokens                   runningMean
-	// forecasts counts the requests whose work was forecast when they were
+	// forecasts counts the requests whose sizes were learned when they were
 	// granted, measured those whose work was measured.
 	forecasts, measured int
 }
@@ -63,14 +76,27 @@
 		return
 	}
 	m.forecasts++
-	prefill := float64(h.prefillTokens) / max(1, h.prefill.speed.PrefillRate)
-	if !h.localPrefill {
-		m.prefillSeconds.add(prefill)
-	}
-	m.decodeSeconds.add(prefill + float64(h.outputTokens)*h.decode.speed.DecodeSeconds)
 	m.addSizes(h)
 }
 
+// seconds returns the mean time of a request on a prefill engine and in a decode
+// slot. It is forecast from the sizes of requests and the pool's typical rates
+// until it has been measured.
+func (m *workload) seconds(r policy.Rates, batch float64, maxBatch int) (prefill, decode float64) {
+	prefill = m.promptTokens.value / max(1, r.PrefillRate)
+	decode = prefill + m.outputTokens.value*r.DecodeSeconds*policy.BatchFactor(int(batch), maxBatch)
+	if m.prefillSeconds.count >= minWorkloadSamples {
+		prefill = m.prefillSeconds.value
+	}
+	switch {
+	case m.decodeSeconds.count >= unbiasedSamples:
+		decode = m.decodeSeconds.value
+	case m.decodeSeconds.count >= minWorkloadSamples:
+		decode = max(decode, m.decodeSeconds.value)
+	}
+	return prefill, decode
+}
+
 func (m *workload) addPrefill(seconds float64) { m.prefillSeconds.add(seconds) }
 
 func (m *workload) addCompleted(seconds float64, h *hold) {
@@ -104,7 +130,7 @@
 func (p *Pool) balanceRoles(now time.Duration) []Action {
 	defer p.lock(upstreamsBit | holdsBit | queueBit | linksBit | ordersBit)()
 	s := &p.orders.roles
-	needed := p.roleBelowTarget()
+	needed, count := p.roleBelowTarget()
 	if needed != s.neededRole {
 		s.neededRole = needed
 		s.neededSince = now
@@ -122,18 +148,22 @@
 	if s.changed && now-s.changedAt < roleChangeInterval {
 		return nil
 	}
-	m := p.underusedEngine(needed)
-	if m == nil || p.roleChangePending(m) {
-		return nil
-	}
-	s.changed = true
-	s.changedAt = now
-	o := &pb.EngineOrder{
-		UpstreamId: m.view.ID, FencingToken: p.fencingToken, DeadlineMs: toMillis(roleOrderTimeout),
-		Order: &pb.EngineOrder_SetRole{SetRole: needed},
+	var out []Action
+	for range count {
+		m := p.underusedEngine(needed, now)
+		if m == nil {
+			break
+		}
+		s.changed = true
+		s.changedAt = now
+		o := &pb.EngineOrder{
+			UpstreamId: m.view.ID, FencingToken: p.fencingToken, DeadlineMs: toMillis(roleOrderTimeout),
+			Order: &pb.EngineOrder_SetRole{SetRole: needed},
+		}
+		p.addOrder(m, o, true, now)
+		out = append(out, TimelineEvent{Kind: "role.change", Upstream: m.view.ID, Detail: roleName(needed)})
 	}
-	p.addOrder(m, o, true, now)
-	return []Action{TimelineEvent{Kind: "role.change", Upstream: m.view.ID, Detail: roleName(needed)}}
+	return out
 }
 
 // countRoles counts the live engines of each role and the engines that are
@@ -146,10 +176,11 @@
 		if m.health != pb.UpstreamStatus_LIVE || !m.isEngine() {
 			continue
 		}
-		role := m.state.Role
-		if p.roleChangePending(m) {
+		role, pending := p.pendingRole(m)
+		if pending {
 			changing++
-			role = otherRole(role)
+		} else {
+			role = m.state.Role
 		}
 		if role == pb.EngineRole_ENGINE_ROLE_PREFILL {
 			prefill++
@@ -168,47 +199,57 @@
 	return prefill < policy.MinPrefillEngines(prefill+decode)
 }
 
-// roleBelowTarget returns the role that should have one more engine. While the
-// workload is not known, only the minimum of prefill engines counts.
-func (p *Pool) roleBelowTarget() pb.EngineRole {
+// roleBelowTarget returns the role that should have more engines, and how many
+// may change to it now. While the workload is not known, only the minimum of
+// prefill engines counts.
+func (p *Pool) roleBelowTarget() (pb.EngineRole, int) {
+	const none = pb.EngineRole_ENGINE_ROLE_UNSPECIFIED
 	prefill, decode, changing, slots := p.countRoles()
-	if changing >= max(1, (prefill+decode)/roleChangeDivisor) {
-		return pb.EngineRole_ENGINE_ROLE_UNSPECIFIED
-	}
-	if prefill < policy.MinPrefillEngines(prefill+decode) {
-		return pb.EngineRole_ENGINE_ROLE_PREFILL
+	total := prefill + decode
+	if prefill < policy.MinPrefillEngines(total) {
+		return allowedChanges(pb.EngineRole_ENGINE_ROLE_PREFILL, 1, changing, total/decodeRoleChangeDivisor)
 	}
 	work := &p.holds.workload
 	if !work.reliable() || prefill == 0 || decode == 0 {
-		return pb.EngineRole_ENGINE_ROLE_UNSPECIFIED
+		return none, 0
 	}
-	m := policy.Workload{PrefillSeconds: work.prefillSeconds.value, DecodeSeconds: work.decodeSeconds.value, Batch: slots / float64(decode)}
-	switch target := m.TargetPrefillEngines(prefill+decode, prefill); {
+	batch := slots / float64(decode)
+	m := policy.Workload{Batch: batch}
+	m.PrefillSeconds, m.DecodeSeconds = work.seconds(p.upstreams.typical, batch, p.upstreams.maxBatch())
+	switch target := m.TargetPrefillEngines(total, prefill); {
 	case target == 0 || target == prefill:
-		return pb.EngineRole_ENGINE_ROLE_UNSPECIFIED
+		return none, 0
 	case target < prefill:
-		return pb.EngineRole_ENGINE_ROLE_DECODE
+		surplus := (prefill - target + surplusDivisor - 1) / surplusDivisor
+		return allowedChanges(pb.EngineRole_ENGINE_ROLE_DECODE, surplus, changing, total/roleChangeDivisor)
 	}
-	return pb.EngineRole_ENGINE_ROLE_PREFILL
+	return allowedChanges(pb.EngineRole_ENGINE_ROLE_PREFILL, 1, changing, total/decodeRoleChangeDivisor)
 }
 
-// roleChangePending reports whether an engine is changing its role or has an
-// order to change it.
-func (p *Pool) roleChangePending(m *upstreamRecord) bool {
+// allowedChanges limits the number of changes to a role by those in progress.
+func allowedChanges(role pb.EngineRole, wanted, changing, limit int) (pb.EngineRole, int) {
+	n := min(wanted, max(1, limit)-changing)
+	if n <= 0 {
+		return pb.EngineRole_ENGINE_ROLE_UNSPECIFIED, 0
+	}
+	return role, n
+}
+
+// pendingRole returns the role to which an engine is changing or has an order to
+// change, and reports whether there is one.
+func (p *Pool) pendingRole(m *upstreamRecord) (pb.EngineRole, bool) {
 	if m.changingRole {
-		return true
+		return m.targetRole, true
 	}
 	for _, o := range p.orders.byID {
-		if _, ok := o.role(); ok && o.order.UpstreamId == m.view.ID {
-			return true
+		if role, ok := o.role(); ok && o.order.UpstreamId == m.view.ID {
+			return role, true
 		}
 	}
-	return false
+	return pb.EngineRole_ENGINE_ROLE_UNSPECIFIED, false
 }
 
-func otherRole(r pb.EngineRole) pb.EngineRole {
-	if r == pb.EngineRole_ENGINE_ROLE_PREFILL {
-		return pb.EngineRole_ENGINE_ROLE_DECODE
-	}
-	return pb.EngineRole_ENGINE_ROLE_PREFILL
+func (p *Pool) roleChangePending(m *upstreamRecord) bool {
+	_, pending := p.pendingRole(m)
+	return pending
 }
--- a/internal/scheduler/memory_load_test.go
+++ b/internal/scheduler/memory_load_test.go
@@ -53,3 +53,24 @@
 	f.perSecond, f.outputToken = 44, 4900
 	return f
 }
+
+// Guards against a pool that keeps the roles of another workload until its
+// bursts come, and against a second order to an engine that is still changing
+// its role: it takes the turn of an engine that could have changed.
+func TestSurplusPrefillEnginesChangeBeforeTheFirstBurst(t *testing.T) {
+	f := tagoreGrown()
+	f.engines, f.prefillEngines = 46, 18
+	needed := int(f.perSecond*f.promptTokens/f.prefillRate) + 1
+	for seed := range uint64(3) {
+		r := simulateMemory(f, seed+1).result
+		beforeBurst := 0
+		for id, times := range r.roleOrders {
+			require.Len(t, times, 1, "orders to %s, which takes %v to change its role", id, f.roleSwitch)
+			if times[0] < f.bursts[0].from {
+				beforeBurst++
+			}
+		}
+		// Half of the surplus may remain as headroom for a burst.
+		require.GreaterOrEqual(t, beforeBurst, (f.prefillEngines-needed)/2, "seed %d", seed+1)
+	}
+}
--- a/internal/scheduler/memory_simulation_test.go
+++ b/internal/scheduler/memory_simulation_test.go
@@ -102,7 +102,7 @@
 	s.result.roleOrders = map[string][]time.Duration{}
 	s.pool = NewPool(testPool, Params{
 		DisableForecast: true, UrgentReserve: -1, RestateWindow: time.Millisecond, OnDemandMemory: true, LocalPrefill: true, BalanceRoles: true,
-		SilentAfter: 4600 * time.Millisecond, AssumedRates: policy.Rates{PrefillRate: 55000, DecodeSeconds: 0.0007},
+		SilentAfter: 4600 * time.Millisecond, RoleSwitchTime: f.roleSwitch, AssumedRates: policy.Rates{PrefillRate: 55000, DecodeSeconds: 0.0007},
 	}, policy.Default{}, 7, 0, seed)
 	for i := range f.engines {
 		role := roleDecode
@@ -222,7 +222,12 @@
 	e.switching = true
 	s.after(s.fleet.roleSwitch, func() {
 		e.switching = false
-		e.state.Role = otherRole(e.state.Role)
+		// The pool keeps announced states.
+		e.state = proto.CloneOf(e.state)
+		e.state.Role = rolePrefill
+		if x.Order.Value == roleName(roleDecode) {
+			e.state.Role = roleDecode
+		}
 	})
 }
 
--- a/internal/scheduler/options.go
+++ b/internal/scheduler/options.go
@@ -44,6 +44,9 @@
 	EngineCalls int
 	// Params configures the pools.
 	Params Params
+	// PoolParams changes Params for one pool when it is activated; nil changes
+	// nothing.
+	PoolParams func(pool string, params *Params)
 }
 
 // Params configures the decisions of a pool. The zero value of each field
@@ -102,6 +105,9 @@
 	// AssumedRates are the rates of engines that announce none, until one engine
 	// of the pool has been measured.
 	AssumedRates policy.Rates
+	// RoleSwitchTime is how long an engine is unavailable while it changes its
+	// role.
+	RoleSwitchTime time.Duration
 	// LoadInterval is the minimum time between model loads, given by the weight
 	// store's rate and the size of a model.
 	LoadInterval time.Duration
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -16,8 +16,8 @@
 	// maxOrderWait bounds the time until an order is sent: the engine's drain,
 	// the queue of model loads and the wait for the end of an old lease.
 	maxOrderWait = 5 * time.Minute
-	// announceRoleTimeout is the time in which an engine that changed its role
-	// must announce the new one.
+	// announceRoleTimeout is the time in which an engine that has changed its
+	// role must announce the new one.
 	announceRoleTimeout = 5 * time.Second
 )
 
@@ -178,6 +178,8 @@
 	}
 	if !m.changingRole {
 		m.changingRole = true
+		m.targetRole = role
+		m.announceRoleBy = 0
 		p.upstreams.refresh(m, &p.params, now)
 		p.upstreams.revision++
 	}
@@ -196,9 +198,10 @@
 		p.orders.loadsInProgress--
 	}
 	if m := p.upstreams.byID[o.order.UpstreamId]; m != nil && m.changingRole {
-		m.announceRoleBy = now + announceRoleTimeout
+		m.announceRoleBy = now + p.params.RoleSwitchTime + announceRoleTimeout
 		if failure != "" {
 			m.changingRole = false
+			m.roleRetryAt = now + roleRetryDelay
 			p.upstreams.refresh(m, &p.params, now)
 			p.unblockQueue()
 		}
--- a/internal/scheduler/roles.go
+++ b/internal/scheduler/roles.go
@@ -55,7 +55,7 @@
 	if s.changed && now-s.changedAt < roleCooldownFactor*p.params.RoleChangeDelay {
 		return nil
 	}
-	m := p.underusedEngine(needed)
+	m := p.underusedEngine(needed, now)
 	if m == nil {
 		return nil
 	}
@@ -111,10 +111,10 @@
 
 // underusedEngine returns the least busy engine that can change to the needed
 // role. Each model keeps an engine of each role.
-func (p *Pool) underusedEngine(needed pb.EngineRole) *upstreamRecord {
+func (p *Pool) underusedEngine(needed pb.EngineRole, now time.Duration) *upstreamRecord {
 	var out *upstreamRecord
 	for _, m := range p.upstreams.byID {
-		if !m.isEngine() || m.state.Role == needed || !m.view.Usable || !p.canChangeRole(m) {
+		if !m.isEngine() || m.state.Role == needed || !m.view.Usable || now < m.roleRetryAt || p.roleChangePending(m) || !p.canChangeRole(m) {
 			continue
 		}
 		if out == nil || lessBusy(m, out) {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -114,7 +114,11 @@
 		s.mu.Unlock()
 		return
 	}
-	p := NewPool(pool, s.opts.Params, s.policy, fencingToken, acquiredAt.Sub(s.origin), uint64(s.opts.Now().UnixNano()))
+	params := s.opts.Params
+	if s.opts.PoolParams != nil {
+		s.opts.PoolParams(pool, &params)
+	}
+	p := NewPool(pool, params, s.policy, fencingToken, acquiredAt.Sub(s.origin), uint64(s.opts.Now().UnixNano()))
 	p.SetDrains(s.drains, s.now())
 	s.pools[pool] = &activePool{
 		name: pool, lease: pool + tokenSeparator + strconv.FormatUint(fencingToken, 10), pool: p, done: make(chan struct{}),
--- a/internal/scheduler/tables.go
+++ b/internal/scheduler/tables.go
@@ -63,8 +63,8 @@
 	drains  DrainSet
 	// nextSilentAt is the earliest time at which an upstream may become silent.
 	nextSilentAt time.Duration
-	// typical are the median rates of the engines that have been measured, and
-	// those of Params until one has been.
+	// typical are the median rates of the engines whose rates were announced or
+	// measured, and those of Params until there is one.
 	typical policy.Rates
 	// revision is incremented with each change that entries must be told of.
 	revision uint64
@@ -107,10 +107,14 @@
 	// placeholder marks an engine that entries restated after a takeover and
 	// that has not announced itself to this lease holder.
 	placeholder bool
-	// changingRole is set while the engine drains for a role change and until
-	// it announces the new role, at the latest at announceRoleBy.
+	// changingRole is set while the engine drains for a change to targetRole and
+	// until it announces that role, at the latest at announceRoleBy.
 	changingRole   bool
+	targetRole     pb.EngineRole
 	announceRoleBy time.Duration
+	// roleRetryAt is the earliest time of another role change after one that
+	// the engine did not accept.
+	roleRetryAt time.Duration
 	// backoffUntil is the time until which the engine gets no requests after it
 	// rejected one, was unreachable or lost prefill results.
 	backoffUntil time.Duration
--- a/internal/scheduler/upstreams.go
+++ b/internal/scheduler/upstreams.go
@@ -398,7 +398,7 @@
 		// upstream that is leaving stays so until it starts again.
 		s.Leaving = true
 	}
-	if m.changingRole && m.state != nil && m.state.Role != s.Role {
+	if m.changingRole && m.targetRole == s.Role {
 		m.changingRole = false
 	}
 	m.applyAnnouncement(s, now)
@@ -426,7 +426,7 @@
 func (t *upstreamTable) updateTypicalRates() {
 	var prefill, decode []float64
 	for _, m := range t.byID {
-		r := m.speed.Learned()
+		r := m.speed.Known()
 		if r.PrefillRate > 0 {
 			prefill = append(prefill, r.PrefillRate)
 		}
@@ -447,6 +447,17 @@
 	}
 }
 
+// maxBatch returns the largest batch of an engine.
+func (t *upstreamTable) maxBatch() int {
+	largest := 0
+	for _, m := range t.byID {
+		if m.isEngine() {
+			largest = max(largest, m.view.MaxBatch)
+		}
+	}
+	return largest
+}
+
 // median sorts values, which must not be empty, and returns their median.
 func median(values []float64) float64 {
 	slices.Sort(values)
--- a/policy/speed.go
+++ b/policy/speed.go
@@ -66,13 +66,13 @@
 	s.decode.assume(&s.DecodeSeconds, r.DecodeSeconds)
 }
 
-// Learned returns the rates that have been measured.
-func (s *Speed) Learned() Rates {
+// Known returns the rates that were announced or measured.
+func (s *Speed) Known() Rates {
 	var out Rates
-	if s.prefill.samples > 0 {
+	if s.prefill.known() {
 		out.PrefillRate = s.PrefillRate
 	}
-	if s.decode.samples > 0 {
+	if s.decode.known() {
 		out.DecodeSeconds = s.DecodeSeconds
 	}
 	return out
@@ -111,8 +111,10 @@
 	s.DecodeSeconds = s.decode.baseline
 }
 
+func (r *learnedRate) known() bool { return r.announced || r.samples > 0 }
+
 func (r *learnedRate) assume(current *float64, rate float64) {
-	if rate <= 0 || r.announced || r.samples > 0 {
+	if rate <= 0 || r.known() {
 		return
 	}
 	*current = rate
--- a/policy/speed_test.go
+++ b/policy/speed_test.go
@@ -11,7 +11,7 @@
 // of another kind would count as slow and be ejected.
 func TestFirstSampleReplacesAssumedRates(t *testing.T) {
 	s := NewSpeed(Rates{}, Rates{PrefillRate: 55000, DecodeSeconds: 0.0007})
-	require.Equal(t, Rates{}, s.Learned())
+	require.Equal(t, Rates{}, s.Known())
 	for range 20 {
 		s.Decoded(500, 5*time.Millisecond, 8, 8)
 		s.Prefilled(5000, 500*time.Millisecond)
