forward, scheduler: a rejection for lack of memory keeps the prefill

Cause: an engine that rejected a request with fewer than 0.7 of its slots in use was taken for one that could not fetch the prefill result. The repeated prefill was charged to no budget.

Change: policy.Capacity judges by slots and by memory, from the number of running requests and the entry's mean request size. A second prefill is charged before it is sent: to the scheduler's part of the budget together with the attempt, or to the entry's where it places by itself.

Ruled out: dropping a result after two rejections (the rejections of a burst come in a row) and turning the detection off (a lapsed handle would be offered until it expires).

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -33,6 +33,9 @@
 	// tried holds upstreams that have failed or rejected this request. They are
 	// avoided in further attempts.
 	tried map[*target]bool
+	// prefilled is set once a prefill engine has accepted the prompt. Each further
+	// prefill counts against the retry budget.
+	prefilled bool
 	// lostHandleEngines holds the prefill engines whose result the decode engine
 	// could not fetch.
 	lostHandleEngines map[*target]bool
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -133,6 +133,12 @@
 		PromptTokens: prefillTokens, OutputTokens: max(x.service.Engine.TokensPerEvent, work.MemoryTokens-prefillTokens), GeneratedTokens: x.generatedTokens(st),
 		MaxWait: min(maxWait, x.remaining()), RemainingTime: x.remaining(), TTFTTarget: x.route.LatencyTarget, Age: age,
 	}
+	if attempt > 1 {
+		req.RetrySends = 1
+		if st.prompt == nil && x.prefilled {
+			req.RetrySends = 2
+		}
+	}
 	for t := range x.tried {
 		req.Exclude = append(req.Exclude, t.id)
 	}
--- a/internal/forward/placement_test.go
+++ b/internal/forward/placement_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"godwitward.example/godwitward/policy"
 )
 
 // Guards against an event id from a caller that overflows, or that makes the number
@@ -24,3 +26,23 @@
 	plain := &exchange{service: &Service{}, info: RequestInfo{EventsDelivered: 3, MaxOutputTokens: 9100}}
 	require.Zero(t, plain.generatedTokens(&streamState{}))
 }
+
+// Guards against a second prefill of a prompt that is not charged to the retry
+// budget before it is sent.
+func TestReservationNamesItsRetries(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		attempt   int
+		prefilled bool
+		prompt    *prefilledPrompt
+		sends     int
+	}{
+		{"first attempt", 1, false, nil, 0},
+		{"no engine has prefilled the prompt", 2, false, nil, 1},
+		{"the result is still held", 2, true, &prefilledPrompt{}, 1},
+		{"the result is lost", 2, true, nil, 2},
+	} {
+		x := &exchange{service: &Service{Engine: &EngineConfig{TokensPerEvent: 70}}, route: &Route{}, prefilled: c.prefilled}
+		require.Equal(t, c.sends, x.reserveRequest(c.attempt, policy.Work{}, &streamState{prompt: c.prompt}).RetrySends, c.name)
+	}
+}
--- a/internal/forward/placer.go
+++ b/internal/forward/placer.go
@@ -29,6 +29,9 @@
 	// Age is the time since the request arrived or, for a stream to be resumed,
 	// since its last event.
 	Age time.Duration
+	// RetrySends is the number of requests to engines of this attempt that count
+	// against the retry budget.
+	RetrySends int
 	// Exclude lists engines that have failed the request.
 	Exclude []string
 }
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -47,13 +47,17 @@
 	if t != nil && t.inBackoff(x.s.now()) {
 		t = x.pickPrefill(x.lostHandleEngines)
 	}
+	// The first prefill that an engine accepts is free, and the scheduler has
+	// charged the next one with its reservation.
+	if x.prefilled && !p.retryCharged() && !x.s.retryBudget(x.service.Name).take(x.s.now()) {
+		return nil
+	}
 	for len(tried) < maxPrefillAttempts {
 		if t == nil || tried[t] || x.callerGone() {
 			return nil
 		}
-		// A prefill is charged to the retry budget only after it has failed. A
-		// further attempt is made only if two retries remain: one for its own
-		// failure, and one to spare.
+		// A rejected prefill is charged afterwards. A further attempt is made only
+		// if two retries remain: one for its own failure, and one to spare.
 		if len(tried) > 0 && x.s.retryBudget(x.service.Name).remaining(x.s.now()) < 2 {
 			return nil
 		}
@@ -108,6 +112,7 @@
 		return nil
 	}
 	t.recordSuccess(x.s.now())
+	x.prefilled = true
 	took := time.Since(start)
 	t.mu.Lock()
 	t.load.RecordLatency(float64(took) / (float64(nominal+prefillOverhead) * (1 + queued)))
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -55,6 +55,8 @@
 
 	mu           sync.Mutex
 	retryBudgets map[string]*policy.RetryBudget
+	// requestSizes are the mean sizes of the requests to services with engines.
+	requestSizes map[string]*policy.MeanSize
 
 	stop chan struct{}
 	done sync.WaitGroup
@@ -66,7 +68,7 @@
 	s := &Server{
 		opts: opts, start: time.Now(), upstreams: newUpstreams(opts.Place),
 		callerConns:  callerConns{conns: map[net.Conn]waitingConn{}},
-		retryBudgets: map[string]*policy.RetryBudget{}, stop: make(chan struct{}),
+		retryBudgets: map[string]*policy.RetryBudget{}, requestSizes: map[string]*policy.MeanSize{}, stop: make(chan struct{}),
 	}
 	s.vars = newVars(s)
 	s.done.Add(1)
@@ -138,6 +140,30 @@
 	s.done.Wait()
 }
 
+// addRequestSize counts the size of a request to a service with engines.
+func (s *Server) addRequestSize(service string, promptTokens, outputTokens int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := s.requestSizes[service]
+	if m == nil {
+		m = &policy.MeanSize{}
+		s.requestSizes[service] = m
+	}
+	m.Add(promptTokens, outputTokens)
+}
+
+// meanRequestTokens returns the memory that a request to a service holds on
+// average, in tokens.
+func (s *Server) meanRequestTokens(service string) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := s.requestSizes[service]
+	if m == nil {
+		return 0
+	}
+	return m.Tokens()
+}
+
 // sweepInterval is the time between two checks for expired connections. Callers'
 // connections exceed their limits by at most this time.
 const sweepInterval = time.Second
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -48,6 +48,9 @@
 func (x *exchange) serveStream() {
 	st := &streamState{lastEventID: x.info.LastEventID}
 	defer func() { x.freeHandle(st.prompt) }()
+	if x.service.Engine != nil {
+		x.s.addRequestSize(x.service.Name, x.info.PromptTokens, x.info.ExpectedOutputTokens)
+	}
 	runs, rejections := 0, 0
 	for attempt := 1; ; attempt++ {
 		st.lastRun = runs+1 >= x.route.MaxAttempts || !x.route.Repeatable()
@@ -141,13 +144,14 @@
 
 // detectLostHandle reports whether a decode engine rejected a request because it
 // could not fetch the prefill result. Engines respond in the same way when they are
-// full, so a rejection by an engine with free slots is taken for a lost handle. In
+// full, so a rejection by an engine that has room is taken for a lost handle. In
 // that case the prompt is dropped, so that another engine prefills it.
 func (x *exchange) detectLostHandle(p *placement, st *streamState) bool {
 	if st.prompt == nil || p.rejectionLoad == nil || x.service.Engine == nil {
 		return false
 	}
-	if p.rejectionLoad.Waiting > 0 || float64(p.rejectionLoad.Running) > lostHandleMaxLoad*float64(x.service.Engine.Slots) {
+	capacity := policy.Capacity{Slots: x.service.Engine.Slots, MemoryTokens: x.service.Engine.MemoryTokens}
+	if capacity.LikelyFull(p.rejectionLoad.Running, p.rejectionLoad.Waiting, x.s.meanRequestTokens(x.service.Name), p.work.PromptTokens) {
 		return false
 	}
 	if x.lostHandleEngines == nil {
@@ -158,10 +162,6 @@
 	return true
 }
 
-// lostHandleMaxLoad is the fraction of busy slots up to which a rejecting engine is
-// not considered full. Its memory may be full before all slots are busy.
-const lostHandleMaxLoad = 0.7
-
 // endStream ends a stream that cannot be completed: with an error response or, if
 // the response has begun, by aborting the connection.
 func (x *exchange) endStream(st *streamState, reason string) {
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -40,8 +40,8 @@
 	return nil
 }
 
-// chargeRetryBudget counts a first attempt, or takes a retry from the pool's
-// retry budget and refuses it when the budget is spent. A scheduler that has
+// chargeRetryBudget counts a first attempt, or takes the requests of a further one
+// from the pool's retry budget and refuses it when the budget is spent. A scheduler that has
 // just taken over does not know how much its predecessor spent; the entries' own
 // budgets leave a margin for that.
 func (p *Pool) chargeRetryBudget(req *pb.SubmitRequest, now time.Duration) *pb.Refusal {
@@ -52,7 +52,7 @@
 		p.retryBudget.RecordRequest(now)
 		return nil
 	}
-	if p.retryBudget.Take(now) {
+	if p.retryBudget.TakeN(now, max(1, int(req.RetrySends))) {
 		return nil
 	}
 	return newRefusal(pb.Refusal_REPEAT_BUDGET, p.retryBudget.Window/retryAfterDivisor, "the pool's repeat budget is spent")
--- a/internal/scheduler/platform_test.go
+++ b/internal/scheduler/platform_test.go
@@ -246,6 +246,29 @@
 	require.Equal(t, 9, charged, "0.2 of 20 requests and 5 more")
 }
 
+// Guards against retries that cost the upstreams more than the budget shows: one
+// that prefills the prompt again sends two requests.
+func TestRepeatedPrefillIsCharged(t *testing.T) {
+	p := platformPool(Params{RetryRatio: 0.2, RetrySlack: 5, RetryWindow: 10 * time.Second})
+	now := time.Second
+	p.Announce([]*pb.UpstreamState{platformEngine("p1", rolePrefill), platformEngine("d1", roleDecode)}, now)
+	submit := func(ticket uint64, sends uint32) bool {
+		req := platformRequest(fmt.Sprintf("r%d", ticket), 100, 10)
+		req.Attempt, req.RetrySends = 2, sends
+		for _, a := range p.Submit(ticket, req, now) {
+			if x, ok := a.(SubmitResult); ok && x.Response.GetRefusal().GetCode() == pb.Refusal_REPEAT_BUDGET {
+				return false
+			}
+		}
+		return true
+	}
+	require.True(t, submit(1, 2))
+	require.True(t, submit(2, 2))
+	require.False(t, submit(3, 2), "one of five remains")
+	require.True(t, submit(4, 1))
+	require.False(t, submit(5, 1))
+}
+
 // Guards against a pool that keeps the division of roles made for another
 // workload, with idle prefill engines while decode is full in every burst.
 func TestRolesFollowTheMeasuredWork(t *testing.T) {
--- a/policy/retry_budget.go
+++ b/policy/retry_budget.go
@@ -33,11 +33,14 @@
 func (b *RetryBudget) RecordRequest(now time.Duration) { b.bucket(now).requests++ }
 
 // Take spends one retry and reports whether the budget allowed it.
-func (b *RetryBudget) Take(now time.Duration) bool {
-	if b.Remaining(now) < 1 {
+func (b *RetryBudget) Take(now time.Duration) bool { return b.TakeN(now, 1) }
+
+// TakeN spends n retries, or none, and reports whether the budget allowed them.
+func (b *RetryBudget) TakeN(now time.Duration, n int) bool {
+	if b.Remaining(now) < float64(n) {
 		return false
 	}
-	b.bucket(now).retries++
+	b.bucket(now).retries += n
 	return true
 }
 
