policy, scheduler: memory left free follows the spread of outputs

Cause: forecasts of growing memory left a fixed 13% of an engine free, the figure of engines whose requests are half output.

Change: policy.OutputForecast fits lengths to estimates (slope, offset and spread, from completed requests) and gives mean and variance of what remains after the tokens generated so far; one standard deviation of the sum and 3% are left free.

--- a/internal/scheduler/holds.go
+++ b/internal/scheduler/holds.go
@@ -431,6 +431,7 @@
 	case pb.ReleaseRequest_COMPLETED:
 		p.holds.learnHoldTime(now - h.grantedAt)
 		p.holds.workload.addCompleted((now - h.grantedAt).Seconds(), h)
+		p.holds.outputs.Completed(int(h.outputTokens), int(r.OutputTokens))
 		h.decode.eject.RecordSuccess()
 		perToken := time.Duration(r.TpotUs) * time.Microsecond
 		h.decode.speed.Decoded(int(r.OutputTokens), perToken, h.decode.view.Batch, h.decode.view.MaxBatch)
--- a/internal/scheduler/memory.go
+++ b/internal/scheduler/memory.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"time"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
@@ -8,17 +9,14 @@
 )
 
 const (
-	// usableMemoryPart is the part of an engine's memory that forecasts may
-	// fill. Output lengths are estimated by their median. With eight requests
-	// that have half of their output left on average, and lengths that vary by
-	// half, the sum varies by about 7%; two such deviations are left free. An
-	// engine that runs out of memory evicts a request and prefills its prompt
-	// again.
-	usableMemoryPart = 0.87
-	// overrunPart is the output, relative to the estimate, that is assumed to
-	// remain for a request that has less than half as much left or exceeds its
-	// estimate.
-	overrunPart = 0.2
+	// memoryDeviations is how many standard deviations of the outputs that remain
+	// are left free on an engine. An engine that runs out of memory evicts a
+	// request and prefills its prompt again.
+	memoryDeviations = 1.0
+	// usableMemoryPart is the part of an engine's memory that forecasts may fill.
+	// Some is in use by results of prefills that were not fetched and by blocks
+	// that are not full.
+	usableMemoryPart = 0.97
 )
 
 // fitsPeakMemory reports whether a request fits the memory of an engine until
@@ -26,34 +24,34 @@
 func (p *Pool) fitsPeakMemory(m *upstreamRecord, r *policy.Request, now time.Duration) bool {
 	holds := p.holds.byDecode[m]
 	growths := make([]policy.RequestGrowth, 0, len(holds)+1)
+	variance := 0.0
+	add := func(promptTokens, estimate, generated float64) {
+		mean, v := p.holds.outputs.Remaining(estimate, generated)
+		growths = append(growths, policy.RequestGrowth{UsedTokens: promptTokens + generated, RemainingTokens: mean})
+		variance += v
+	}
 	tokenSeconds := m.view.TokenSeconds(m.view.Batch)
 	for _, h := range holds {
-		growths = append(growths, forecastGrowth(h, tokenSeconds, now))
+		add(float64(h.promptTokens), float64(h.outputTokens), h.generatedTokens(tokenSeconds, now))
 	}
+	work := &p.holds.workload
 	for range p.foreignRequestCount(m, now) {
 		// Nothing is known of foreign requests. They are assumed to be of mean
 		// size and half complete.
-		meanOutput := p.holds.workload.outputTokens.value
-		growths = append(growths, policy.RequestGrowth{UsedTokens: p.holds.workload.promptTokens.value + meanOutput/2, RemainingTokens: meanOutput / 2})
+		add(work.promptTokens.value, work.outputTokens.value, work.outputTokens.value/2)
 	}
-	growths = append(growths, policy.RequestGrowth{UsedTokens: float64(r.PromptTokens), RemainingTokens: float64(r.MaxOutput)})
+	add(float64(r.PromptTokens), float64(r.MaxOutput), 0)
 	total := float64(m.view.TotalPieces * int(m.state.PieceTokens))
-	return policy.PeakMemory(growths) <= usableMemoryPart*total
+	return policy.PeakMemory(growths)+memoryDeviations*math.Sqrt(variance) <= usableMemoryPart*total
 }
 
-// forecastGrowth estimates the used and remaining tokens of a hold from the
+// generatedTokens estimates how much of its output a hold has generated, from the
 // engine's time per token.
-func forecastGrowth(h *hold, tokenSeconds float64, now time.Duration) policy.RequestGrowth {
-	generated := 0.0
-	if h.firstTokenAt > 0 && tokenSeconds > 0 {
-		generated = (now - h.firstTokenAt).Seconds() / tokenSeconds
-	}
-	expected := float64(h.outputTokens)
-	remaining := expected - generated
-	if remaining < overrunPart*expected/2 {
-		remaining = overrunPart * expected
+func (h *hold) generatedTokens(tokenSeconds float64, now time.Duration) float64 {
+	if h.firstTokenAt == 0 || tokenSeconds <= 0 {
+		return 0
 	}
-	return policy.RequestGrowth{UsedTokens: float64(h.promptTokens) + generated, RemainingTokens: remaining}
+	return (now - h.firstTokenAt).Seconds() / tokenSeconds
 }
 
 // foreignTTL is how long a reported load is used. Requests take some seconds,
--- a/internal/scheduler/memory_load_test.go
+++ b/internal/scheduler/memory_load_test.go
@@ -74,3 +74,21 @@
 		require.GreaterOrEqual(t, beforeBurst, (f.prefillEngines-needed)/2, "seed %d", seed+1)
 	}
 }
+
+// Guards against a fixed margin for the growth of outputs. It left an eighth of
+// the memory idle on engines whose requests are mostly prompt, where bursts then
+// queued, and was too small on engines whose requests are mostly output, which
+// evicted requests and prefilled their prompts again.
+func TestMarginFollowsTheSpreadOfOutputs(t *testing.T) {
+	prompts := tagoreGrown()
+	prompts.perSecond = 80
+	outputs := fastStepFleet()
+	outputs.perSecond = 60
+	for _, f := range []memoryFleet{prompts, outputs} {
+		for seed := range uint64(3) {
+			r := simulateMemory(f, seed+1).result
+			require.GreaterOrEqual(t, float64(r.onTarget), 0.9*float64(r.offered), "%v/s, seed %d", f.perSecond, seed+1)
+			require.Less(t, float64(r.rejected+r.preempted), 0.005*float64(r.prefills), "%v/s, seed %d", f.perSecond, seed+1)
+		}
+	}
+}
--- a/internal/scheduler/tables.go
+++ b/internal/scheduler/tables.go
@@ -154,6 +154,8 @@
 	// ttftExcess estimates how much longer drafts take from the grant to the
 	// first token than on idle engines.
 	ttftExcess policy.DelayEstimator
+	// outputs forecasts how far running requests will grow.
+	outputs policy.OutputForecast
 	workload   workload
 }
 
