scheduler, forward: returning callers are recognised by their request

Change: entries send a hash of the request without its id, and the scheduler remembers the hashes that it refused until their callers have stopped waiting. Memory is forecast to be released at the rate of a full pool at least. request.placed names the lane.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -28,10 +28,6 @@
 	// none.
 	callerDeadline time.Time
 
-	// waited is how long the caller has probably waited for earlier attempts of the
-	// request, which were refused.
-	waited time.Duration
-
 	// sends is the number of requests sent to upstreams, without prefills.
 	sends int
 	// tried holds upstreams that have failed or rejected this request. They are
@@ -110,7 +106,6 @@
 		return false
 	}
 	timeout := x.route.Timeout
-	x.waited = x.s.budgets.waitedBefore(x.route.Name, info.Timeout)
 	x.callerDeadline = x.receivedAt.Add(timeout)
 	if info.Timeout > 0 {
 		x.callerDeadline = x.receivedAt.Add(info.Timeout)
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -131,7 +131,7 @@
 	req := &ReserveRequest{
 		Service: x.service.Name, Model: x.info.Model, ID: x.info.ID, Attempt: attempt,
 		PromptTokens: prefillTokens, OutputTokens: max(x.service.Engine.TokensPerEvent, work.MemoryTokens-prefillTokens), GeneratedTokens: x.generatedTokens(st),
-		Waited: x.waited, MaxWait: min(maxWait, x.remaining()), RemainingTime: x.remaining(), TTFTTarget: x.route.LatencyTarget, Age: age,
+		ContentHash: x.contentHash(), MaxWait: min(maxWait, x.remaining()), RemainingTime: x.remaining(), TTFTTarget: x.route.LatencyTarget, Age: age,
 	}
 	if attempt > 1 {
 		req.RetrySends = 1
--- a/internal/forward/placement_test.go
+++ b/internal/forward/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/http/httptest"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -42,7 +43,7 @@
 		{"the result is still held", 2, true, &prefilledPrompt{}, 1},
 		{"the result is lost", 2, true, nil, 2},
 	} {
-		x := &exchange{service: &Service{Engine: &EngineConfig{TokensPerEvent: 70}}, route: &Route{}, prefilled: c.prefilled}
+		x := &exchange{r: httptest.NewRequest("POST", "/", nil), service: &Service{Engine: &EngineConfig{TokensPerEvent: 70}}, route: &Route{}, prefilled: c.prefilled}
 		require.Equal(t, c.sends, x.reserveRequest(c.attempt, policy.Work{}, &streamState{prompt: c.prompt}).RetrySends, c.name)
 	}
 }
--- a/internal/forward/placer.go
+++ b/internal/forward/placer.go
@@ -32,9 +32,9 @@
 	// RetrySends is the number of requests to engines of this attempt that count
 	// against the retry budget.
 	RetrySends int
-	// Waited is the time that the caller has spent on earlier attempts; 0 for a
-	// first attempt.
-	Waited time.Duration
+	// ContentHash identifies the content of the caller's request, by which one that
+	// returns after a refusal is recognised.
+	ContentHash uint64
 	// Exclude lists engines that have failed the request.
 	Exclude []string
 }
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -21,6 +21,9 @@
 	// Model is the requested model; empty when the request is not for text
 	// generation.
 	Model string
+	// PromptKey identifies the prompt; empty when the request is not for text
+	// generation.
+	PromptKey string
 	// LastEventID is the id of the last event that the caller received of a stream
 	// to resume; empty for a new stream.
 	LastEventID string
--- a/internal/forward/returning_test.go
+++ b/internal/forward/returning_test.go
@@ -1,25 +1,31 @@
 package forward
 
 import (
+	"crypto/rand"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 )
 
-// Guards against a caller that returns after a refusal and is treated as a new
-// one, and against new callers that are taken for returning ones.
-func TestReturningCallersHaveLessTimeLeft(t *testing.T) {
-	var b callerBudgets
-	require.Zero(t, b.waitedBefore("r", 14*time.Second))
-	require.Zero(t, b.waitedBefore("r", 14*time.Second))
-	require.Zero(t, b.waitedBefore("r", 13900*time.Millisecond), "transmission takes some time")
-	require.Equal(t, 3*time.Second, b.waitedBefore("r", 11*time.Second))
-	require.Zero(t, b.waitedBefore("r", 0), "no budget is stated")
-	require.Zero(t, b.waitedBefore("other", time.Second))
-	b.keep(&Config{Routes: []Route{{Name: "other"}}})
-	require.Zero(t, b.waitedBefore("r", 2*time.Second), "the route was forgotten")
-	require.Equal(t, 500*time.Millisecond, b.waitedBefore("other", 500*time.Millisecond))
+// Guards against a caller that returns after a refusal and is not recognised, and
+// against different requests that are taken for one.
+func TestContentHashIdentifiesRequests(t *testing.T) {
+	request := func(path, prompt, body string) *exchange {
+		return &exchange{r: httptest.NewRequest("POST", path, nil), body: []byte(body), info: RequestInfo{ID: rand.Text(), Model: "m", PromptKey: prompt}}
+	}
+	first := request("/draft/x", "a:200,b:800", "prompt")
+	require.Equal(t, first.contentHash(), request("/draft/x", "a:200,b:800", "prompt").contentHash(), "the id differs, the request is the same")
+	for _, other := range []*exchange{
+		request("/draft/y", "a:200,b:800", "prompt"),
+		request("/draft/x", "a:200,c:800", "prompt"),
+		request("/draft/x", "a:200,b:800", "prompt2"),
+		request("/draft/x", "a:200,b:800p", "rompt"),
+	} {
+		require.NotEqual(t, first.contentHash(), other.contentHash())
+	}
+	require.NotZero(t, first.contentHash())
 }
 
 // Guards against callers that all return at the same moment, and against a delay
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -45,7 +45,6 @@
 	config      atomic.Pointer[Config]
 	upstreams   *upstreams
 	callerConns callerConns
-	budgets     callerBudgets
 	bodyBytes   atomic.Int64
 	inFlight    atomic.Int64
 	draining    atomic.Bool
@@ -88,7 +87,6 @@
 			return
 		}
 		if s.config.CompareAndSwap(old, c) {
-			s.budgets.keep(c)
 			s.updatePools()
 			s.opts.Logger.Info().Str("event", "config.applied").Uint64("version", c.Version).Int("routes", len(c.Routes)).Msg("")
 			return
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -34,6 +34,7 @@
 		refusal = p.chargeRetryBudget(req, now)
 	}
 	if refusal != nil {
+		p.queue.refused.add(req, now)
 		return []Action{refusalResult(ticket, refusal), refusalEvent(req, refusal)}
 	}
 	if w.lane == draftLane || w.lane == overdueLane {
@@ -82,7 +83,7 @@
 
 // admit checks whether a request can be served within its time limits.
 func (p *Pool) admit(ticket uint64, req *pb.SubmitRequest, now time.Duration) (*queuedRequest, *pb.Refusal) {
-	w := newQueuedRequest(ticket, req, now)
+	w := newQueuedRequest(ticket, req, p.queue.refused.take(req, now), now)
 	p.upstreams.refreshAll(&p.params, now, false)
 	c := p.upstreams.byModel[req.Model]
 	announcing := now < p.activeAt+announceWindow
@@ -120,8 +121,8 @@
 	return w, nil
 }
 
-func newQueuedRequest(ticket uint64, req *pb.SubmitRequest, now time.Duration) *queuedRequest {
-	w := &queuedRequest{ticket: ticket, req: req, queuedAt: now, timeoutCode: pb.Refusal_OVERLOADED}
+func newQueuedRequest(ticket uint64, req *pb.SubmitRequest, returned bool, now time.Duration) *queuedRequest {
+	w := &queuedRequest{ticket: ticket, req: req, returned: returned, queuedAt: now, timeoutCode: pb.Refusal_OVERLOADED}
 	deadline := fromMillis(req.DeadlineMs)
 	if deadline == 0 {
 		deadline = defaultDeadline
@@ -136,7 +137,7 @@
 		TPOTTarget:      fromMillis(req.TpotTargetMs),
 		Weights:         policy.Weights{Goodput: req.Weights.GetGoodput(), WastedPrefill: req.Weights.GetWastedPrefill()},
 	}
-	w.lane = firstLane(req, w.spec.Class)
+	w.lane = firstLane(w.spec.Class, w.returned)
 	if w.spec.TTFTTarget == 0 {
 		w.spec.TTFTTarget = defaultTTFT
 	}
@@ -188,7 +189,7 @@
 // is never overdue: its caller may have received part of the answer and waits
 // for the rest. Neither is a returned draft, which has a lane of its own.
 func (p *Pool) overdue(w *queuedRequest, now time.Duration) bool {
-	if w.spec.Class != policy.Draft || w.req.Attempt > 1 || returned(w.req) || w.firstTokenDeadline == 0 {
+	if w.spec.Class != policy.Draft || w.req.Attempt > 1 || w.returned || w.firstTokenDeadline == 0 {
 		return false
 	}
 	return now+w.idleTTFT+p.holds.ttftExcess.Bound() >= w.firstTokenDeadline
@@ -256,7 +257,7 @@
 	if c := p.upstreams.byModel[w.req.Model]; c != nil {
 		ahead = max(0, ahead-c.freePieces())
 	}
-	return wait + p.queueForecast(now).Wait(ahead, w.lane.yields())
+	return wait + p.queueForecast(now, w.req.Model).Wait(ahead, w.lane.yields())
 }
 
 func (p *Pool) enqueue(w *queuedRequest) {
--- a/internal/scheduler/lanes.go
+++ b/internal/scheduler/lanes.go
@@ -14,19 +14,22 @@
 const lastChanceTime = 600 * time.Millisecond
 
 // firstLane returns the lane in which a request is queued unless it is overdue.
-func firstLane(req *pb.SubmitRequest, class policy.Class) lane {
+func firstLane(class policy.Class, wasRefused bool) lane {
 	switch {
 	case class == policy.Urgent:
 		return urgentLane
-	case returned(req):
+	case wasRefused:
 		return returnedLane
 	}
 	return draftLane
 }
 
-// returned reports whether a request's caller was refused before. A later attempt
-// by the entry is not: its caller may have received part of the answer.
-func returned(req *pb.SubmitRequest) bool { return req.WaitedMs > 0 && req.Attempt <= 1 }
+var laneNames = [laneCount]string{
+	urgentLane: "urgent", lastChanceLane: "last_chance", draftLane: "draft", returnedLane: "returned", overdueLane: "overdue",
+}
+
+// String implements fmt.Stringer.
+func (l lane) String() string { return laneNames[l] }
 
 // yields reports whether new drafts are served before those of the lane.
 func (l lane) yields() bool { return l == overdueLane }
@@ -74,11 +77,10 @@
 // that they may still wait, so that their callers can return when there is
 // capacity.
 func (p *Pool) refuseHopeless(now time.Duration) []Action {
-	forecast := p.queueForecast(now)
 	ahead := p.piecesBefore(overdueLane)
 	var due []*queuedRequest
 	p.queue.lanes[overdueLane].Each(func(w *queuedRequest) bool {
-		wait := forecast.Wait(ahead, true)
+		wait := p.queueForecast(now, w.req.Model).Wait(ahead, true)
 		if w != p.queue.earmarkedDraft && now+scaleWait(wait) > w.queueDeadline {
 			due = append(due, w)
 			return true
@@ -90,18 +92,32 @@
 	var out []Action
 	for _, w := range due {
 		p.dequeue(w)
+		p.queue.refused.add(w.req, now)
 		// Those refused at the same time return one after the other.
 		ahead += w.spec.Pieces
-		wait := forecast.Wait(ahead, true)
+		wait := p.queueForecast(now, w.req.Model).Wait(ahead, true)
 		r := newRefusal(pb.Refusal_OVERLOADED, max(wait, minRetryAfter), "forecast wait %v is over the remaining %v", wait.Round(time.Millisecond), (w.queueDeadline - now).Round(time.Millisecond))
 		out = append(out, refusalResult(w.ticket, r), refusalEvent(w.req, r))
 	}
 	return out
 }
 
-// queueForecast returns the forecast for the queue at its present rates.
-func (p *Pool) queueForecast(now time.Duration) policy.QueueForecast {
-	return policy.QueueForecast{ReleaseRate: p.holds.releaseRate(now), ArrivalRate: p.queue.newDrafts.PerSecond(now)}
+// fullMemoryShare is the share of the decode memory that is held when requests are
+// queued.
+const fullMemoryShare = 0.75
+
+// queueForecast returns the forecast for the queue. Memory is released at the rate
+// of a full pool at least, which a pool that has just got engines back reaches
+// soon.
+func (p *Pool) queueForecast(now time.Duration, model string) policy.QueueForecast {
+	release := p.holds.releaseRate(now)
+	if c := p.upstreams.byModel[model]; c != nil && p.holds.meanHoldTime > 0 {
+		release = max(release, fullMemoryShare*float64(c.usablePieces())/p.holds.meanHoldTime.Seconds())
+	}
+	return policy.QueueForecast{
+		ReleaseRate: release,
+		ArrivalRate: p.queue.newDrafts.PerSecond(now),
+	}
 }
 
 // piecesBefore returns the memory that the requests of all earlier lanes need.
--- a/internal/scheduler/memory_simulation_test.go
+++ b/internal/scheduler/memory_simulation_test.go
@@ -166,7 +166,9 @@
 	output := max(11, min(s.lognormal(s.fleet.outputToken, 0.7), 2.4*s.fleet.outputToken))
 	hint := max(11, output*math.Exp(0.5*s.rng.NormFloat64()))
 	s.result.offered++
-	s.send(&memoryRequest{req: platformRequest("", int(prompt), int(hint)), output: output, arrivedAt: s.now})
+	r := &memoryRequest{req: platformRequest("", int(prompt), int(hint)), output: output, arrivedAt: s.now}
+	r.req.ContentHash = s.rng.Uint64()
+	s.send(r)
 }
 
 func (s *memorySimulation) lognormal(mean, spread float64) float64 {
@@ -211,7 +213,7 @@
 	again := &memoryRequest{req: proto.CloneOf(r.req), output: r.output, arrivedAt: r.arrivedAt, returned: true}
 	left := r.arrivedAt + 14*time.Second - s.now
 	s.after(min(fromMillis(refusal.RetryAfterMs), left/3), func() {
-		again.req.WaitedMs = toMillis(s.now - r.arrivedAt)
+		again.req.DeadlineMs = toMillis(r.arrivedAt + 14*time.Second - s.now)
 		s.send(again)
 	})
 }
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -229,21 +229,21 @@
 	}
 	return []Action{
 		SubmitResult{Ticket: w.ticket, Response: &pb.SubmitResponse{Result: &pb.SubmitResponse_Grant{Grant: g}}},
-		TimelineEvent{Kind: "request.placed", RequestID: req.RequestId, Attempt: req.Attempt, Upstream: dec.view.ID, Detail: h.placedDetail(now-w.queuedAt, pl)},
+		TimelineEvent{Kind: "request.placed", RequestID: req.RequestId, Attempt: req.Attempt, Upstream: dec.view.ID, Detail: h.placedDetail(now-w.queuedAt, w.lane, pl)},
 	}
 }
 
 // placedDetail describes a placement for the log: the prefill engine, the time
 // in the queue, the prompt tokens to prefill, the forecast wait for the
-// prefill, and the decode engine's batch with this request.
-func (h *hold) placedDetail(queued time.Duration, pl *policy.Placement) string {
+// prefill, the decode engine's batch with this request, and its lane.
+func (h *hold) placedDetail(queued time.Duration, l lane, pl *policy.Placement) string {
 	prefill := "none"
 	if !h.localPrefill {
 		prefill = h.prefill.view.ID
 	}
 	dec := &h.decode.view
-	return fmt.Sprintf("prefill=%s queued_ms=%d prompt=%d wait_ms=%d batch=%d/%d", prefill, queued.Milliseconds(), h.prefillTokens,
-		policy.Seconds(pl.WaitSeconds).Milliseconds(), dec.Batch+dec.PromisedBatch+dec.ForeignBatch, dec.MaxBatch)
+	return fmt.Sprintf("prefill=%s queued_ms=%d prompt=%d wait_ms=%d batch=%d/%d lane=%s", prefill, queued.Milliseconds(), h.prefillTokens,
+		policy.Seconds(pl.WaitSeconds).Milliseconds(), dec.Batch+dec.PromisedBatch+dec.ForeignBatch, dec.MaxBatch, l)
 }
 
 func addressOf(m *upstreamRecord) *pb.UpstreamAddress {
--- a/internal/scheduler/tables.go
+++ b/internal/scheduler/tables.go
@@ -173,6 +173,8 @@
 	mu       sync.Mutex
 	lanes    [laneCount]*policy.FairQueue[*queuedRequest]
 	byTicket map[uint64]*queuedRequest
+	// refused remembers the requests that were refused.
+	refused refusedRequests
 	// newDrafts is the rate at which new drafts ask for memory, in pieces.
 	newDrafts policy.Rate
 	// queuedPieces is the memory that the queued requests of each lane need.
@@ -221,6 +223,8 @@
 	spec          policy.Request
 	queuedAt      time.Duration
 	queueDeadline time.Duration
+	// returned is set when the request was refused before.
+	returned bool
 	// firstTokenDeadline is when the TTFT target is missed, idleTTFT the
 	// forecast TTFT on idle engines.
 	firstTokenDeadline time.Duration
--- a/internal/scheduler/upstreams.go
+++ b/internal/scheduler/upstreams.go
@@ -280,6 +280,17 @@
 	return free
 }
 
+// usablePieces returns the memory of the usable decode engines, in pieces.
+func (c *candidates) usablePieces() int {
+	total := 0
+	for _, e := range c.decode {
+		if e.Usable && e.TotalPieces < unlimitedPieces {
+			total += e.TotalPieces
+		}
+	}
+	return total
+}
+
 // minReservableEngines is the number of prefill engines from which on some are
 // reserved for urgent requests.
 const minReservableEngines = 3
