scheduler, core: role orders wait for the old lease only where engines check fencing

Cause: the core said of no engine that it checks fencing tokens, so a new leader waited 8.2 s (lease, drift and the old order's timeout, from its election) before its first role order, also where the settings say that engines reject old tokens.

Change: the setting is read; where engines check, the first order waits for the old lease (3.03 s), so that two holders never take turns within one.

Ruled out: no wait at all, since two holders in turn within a lease are a broken rule for engines that check, too.

Test: TestFirstOrderWaitsForTheOldLease.

--- a/internal/core/pools.go
+++ b/internal/core/pools.go
@@ -48,6 +48,8 @@
 	leader    func() (address string, term uint64, self bool)
 	records   func() []*pb.UpstreamRecord
 	logger    *log.Logger
+	// checksFencing is set if engines reject orders with an old fencing token.
+	checksFencing bool
 
 	mu      sync.Mutex
 	engines map[string]*forward.EngineConfig
@@ -63,7 +65,7 @@
 // newPools returns pools that are not active yet. newEngine returns the
 // scheduler's client of an engine.
 func newPools(logger *log.Logger, leader func() (string, uint64, bool), newEngine func(*pb.UpstreamState) scheduler.Engine, s *platform.Settings, sessions *transport.Server) *pools {
-	p := &pools{leader: leader, logger: logger, engines: map[string]*forward.EngineConfig{}}
+	p := &pools{leader: leader, logger: logger, checksFencing: s.EnginesCheckFencing, engines: map[string]*forward.EngineConfig{}}
 	p.scheduler = scheduler.New(scheduler.Options{
 		Logger: logger, NewEngine: newEngine, PoolParams: p.setPoolParams,
 		HoldsLease: func(_ string, token uint64) bool {
@@ -71,7 +73,7 @@
 			return self && term == token
 		},
 		Params: scheduler.Params{
-			SilentAfter: fleet.SilentAfter, RestateWindow: restateWindow, LeaseTTL: s.LeaseTTL, BalanceRoles: true, LocalPrefill: true, OnDemandMemory: true,
+			SilentAfter: fleet.SilentAfter, RestateWindow: restateWindow, LeaseTTL: s.LeaseTTL, OrdersAfterLease: true, BalanceRoles: true, LocalPrefill: true, OnDemandMemory: true,
 			RetryRatio: schedulerRetryShare * s.RetryRatio, RetrySlack: schedulerRetryShare * s.RetrySlack, RetryWindow: s.RetryWindow,
 			UrgentReserve: -1, DisableForecast: true,
 			AssumedRates: policy.Rates{PrefillRate: assumedPrefillRate, DecodeSeconds: assumedDecodeSeconds},
@@ -166,6 +168,7 @@
 		return
 	}
 	state := upstreamState(r, engine)
+	state.ChecksFencing = p.checksFencing
 	if r.Silent && !state.Leaving {
 		p.scheduler.MarkSilent(r.Service, state.Id, state.Generation)
 		return
--- a/internal/scheduler/options.go
+++ b/internal/scheduler/options.go
@@ -82,6 +82,9 @@
 	// LeaseTTL is the TTL of pool leases, which bounds how long a previous
 	// holder may still act.
 	LeaseTTL time.Duration
+	// OrdersAfterLease makes a new lease holder wait for the end of the previous
+	// lease before its first order even to engines that check fencing tokens.
+	OrdersAfterLease bool
 	// RoleChangeDelay is how long an imbalance must last before an engine
 	// changes its role. A negative value disables role changes.
 	RoleChangeDelay time.Duration
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -107,12 +107,15 @@
 	}
 	p.orders.sequence++
 	rec := &order{id: p.orders.sequence, order: o, queuedAt: now, timeout: timeout, internal: internal}
-	if !m.state.ChecksFencing {
-		// The engine would also obey the previous lease holder. The order
-		// therefore waits until that lease has expired by the slowest clock and
-		// the last order under it has ended.
-		ttl := time.Duration(float64(p.params.LeaseTTL) * (1 + maxClockDrift))
-		rec.notBefore = p.activeAt + ttl + timeout
+	// leaseEnd is when the previous lease has expired by the slowest clock.
+	leaseEnd := p.activeAt + time.Duration(float64(p.params.LeaseTTL)*(1+maxClockDrift))
+	switch {
+	case !m.state.ChecksFencing:
+		// The engine would also obey the previous lease holder, so its last order
+		// must have ended, too.
+		rec.notBefore = leaseEnd + timeout
+	case p.params.OrdersAfterLease:
+		rec.notBefore = leaseEnd
 	}
 	p.orders.byID[rec.id] = rec
 	return rec.id
--- a/internal/scheduler/platform_test.go
+++ b/internal/scheduler/platform_test.go
@@ -103,6 +103,39 @@
 	require.Greater(t, granted, 35)
 }
 
+// Guards against two lease holders that give an engine orders in turn, and against
+// a new holder that leaves the roles alone for longer than it must.
+func TestFirstOrderWaitsForTheOldLease(t *testing.T) {
+	const ttl, timeout = 3 * time.Second, 1500 * time.Millisecond
+	for _, c := range []struct {
+		name           string
+		checks, delays bool
+		earliest       time.Duration
+	}{
+		{"engine without fencing", false, true, ttl + timeout},
+		{"engine with fencing", true, true, ttl},
+		{"fencing is trusted alone", true, false, 0},
+	} {
+		p := platformPool(Params{BalanceRoles: true, LeaseTTL: ttl, OrdersAfterLease: c.delays})
+		s := platformEngine("d1", roleDecode)
+		s.ChecksFencing = c.checks
+		sentAt := time.Duration(-1)
+		for now := time.Duration(0); now < 8*time.Second && sentAt < 0; now += 10 * time.Millisecond {
+			p.Announce([]*pb.UpstreamState{s}, now)
+			if now == 0 {
+				p.Order(&pb.EngineOrder{UpstreamId: "d1", DeadlineMs: toMillis(timeout), Order: &pb.EngineOrder_SetRole{SetRole: rolePrefill}}, now)
+			}
+			for _, a := range p.Run(Orders, now) {
+				if _, ok := a.(SendOrder); ok {
+					sentAt = now
+				}
+			}
+		}
+		require.GreaterOrEqual(t, sentAt, c.earliest, c.name)
+		require.Less(t, sentAt, c.earliest+ttl/50+100*time.Millisecond, c.name)
+	}
+}
+
 // Guards against requests that wait although decode engines have free slots
 // while the prefill engines are lost or overloaded. Each decode engine then
 // prefills one prompt at a time.
