httpdrain, edge, daemon, core: a planned stop answers callers on kept connections

Cause: SetKeepAlivesEnabled(false) and Shutdown close every idle connection at once, while the balancer and callers still use them.

Change: during a drain each response closes its connection, and a connection is closed only after 0.5 s of idleness; then the server shuts down as before.

Ruled out: keeping idle connections to the end of the grace period, which keeps a process down for 8 s; entries that are stopped in turn would overlap.

Tests: TestCallersOnKeptConnectionsAreAnswered, TestShutdownWaitsForRequestsOnly.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -18,6 +18,7 @@
 	"godwitward.example/godwitward/internal/corestore"
 	"godwitward.example/godwitward/internal/feed"
 	"godwitward.example/godwitward/internal/finding"
+	"godwitward.example/godwitward/internal/httpdrain"
 	"godwitward.example/godwitward/internal/metrics"
 	"godwitward.example/godwitward/internal/scheduler"
 	"godwitward.example/godwitward/internal/transport"
@@ -89,6 +90,7 @@
 	sessions    *transport.Server
 	pools       *pools
 	http        *http.Server
+	drainer     httpdrain.Drainer
 	fatalErrors chan error
 	// commitTime measures how long a majority takes to store a configuration,
 	// syncTime how long a file sync on this VM's disk takes.
@@ -175,7 +177,7 @@
 		return errors.Wrap(err, "listening for operators")
 	}
 	control := &platform.Control{Documents: d.store, Registry: d.hub, Logger: logger}
-	d.http = &http.Server{Handler: control.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	d.http = &http.Server{Handler: d.drainer.Handler(control.Handler()), ConnState: d.drainer.ConnState, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	go func() { d.fatalErrors <- d.sessions.Serve(sessions) }()
 	go func() { d.fatalErrors <- d.http.Serve(operators) }()
 	return nil
@@ -191,7 +193,7 @@
 	}
 	ctx, cancel = context.WithTimeout(context.Background(), httpShutdownTimeout)
 	defer cancel()
-	if err := d.http.Shutdown(ctx); err != nil {
+	if err := d.drainer.Shutdown(ctx, d.http); err != nil {
 		logger.Warn().Str("event", "process.calls_cut_off").Err(err).Msg("")
 	}
 	d.stopPools()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/httpdrain"
 	"godwitward.example/godwitward/internal/timeline"
 	"godwitward.example/godwitward/internal/transport"
 )
@@ -79,8 +80,9 @@
 // HTTPServer is a running HTTP server.
 type HTTPServer struct {
 	// Addr is the bound address.
-	Addr string
-	srv  *http.Server
+	Addr    string
+	srv     *http.Server
+	drainer *httpdrain.Drainer
 }
 
 // ServeHTTP listens on addr and serves h in the background. With a nil
@@ -95,7 +97,8 @@
 	protocols.SetHTTP2(true)
 	// gRPC clients of the operator service use HTTP/2 without TLS on loopback.
 	protocols.SetUnencryptedHTTP2(true)
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, TLSConfig: tlsConfig, Protocols: protocols}
+	drainer := &httpdrain.Drainer{}
+	srv := &http.Server{Handler: drainer.Handler(h), ConnState: drainer.ConnState, ReadHeaderTimeout: readHeaderTimeout, TLSConfig: tlsConfig, Protocols: protocols}
 	go func() {
 		var err error
 		if tlsConfig != nil {
@@ -107,12 +110,12 @@
 			b.Logger.Error().Str("event", "http.failed").Err(err).Msg("")
 		}
 	}()
-	return &HTTPServer{Addr: l.Addr().String(), srv: srv}, nil
+	return &HTTPServer{Addr: l.Addr().String(), srv: srv, drainer: drainer}, nil
 }
 
 // Shutdown stops listening and waits for the requests in flight until ctx ends.
 func (s *HTTPServer) Shutdown(ctx context.Context) error {
-	return s.srv.Shutdown(ctx)
+	return s.drainer.Shutdown(ctx, s.srv)
 }
 
 // Close waits up to shutdownTimeout for the requests in flight, then closes the
@@ -120,7 +123,7 @@
 func (s *HTTPServer) Close() {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
-	if err := s.srv.Shutdown(ctx); err != nil {
+	if err := s.drainer.Shutdown(ctx, s.srv); err != nil {
 		_ = s.srv.Close()
 	}
 }
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -136,6 +136,7 @@
 // DrainDelay, waits for those in flight and stops the entry. When ctx ends first,
 // the remaining requests are aborted.
 func (e *Entry) Shutdown(ctx context.Context) error {
+	e.callerServer.drainer.Start()
 	err := e.server.Drain(ctx)
 	e.base.Recorder.Record(&pb.Event{Kind: "process.drained"})
 	if shutdownErr := e.callerServer.Shutdown(ctx); err == nil {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -20,6 +20,7 @@
 	"godwitward.example/godwitward/internal/feed"
 	"godwitward.example/godwitward/internal/finding"
 	"godwitward.example/godwitward/internal/forward"
+	"godwitward.example/godwitward/internal/httpdrain"
 	"godwitward.example/godwitward/internal/metrics"
 	"godwitward.example/godwitward/internal/transport"
 	"godwitward.example/godwitward/platform"
@@ -161,7 +162,12 @@
 func serve(ctx context.Context, file *platform.File, server *forward.Server, logger *log.Logger) error {
 	s := file.Current()
 	ready := &http.Server{Handler: platform.Readiness(server.Ready), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	callers := &http.Server{Handler: server, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: server.ConnState}
+	drainer := &httpdrain.Drainer{}
+	callers := &http.Server{Handler: drainer.Handler(server), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	callers.ConnState = func(c net.Conn, state http.ConnState) {
+		server.ConnState(c, state)
+		drainer.ConnState(c, state)
+	}
 	failed := make(chan error, 2)
 	for address, srv := range map[string]*http.Server{s.ReadinessAddress: ready, s.CallerAddress: callers} {
 		l, err := net.Listen("tcp", address)
@@ -176,20 +182,20 @@
 		return err
 	case <-ctx.Done():
 	}
-	return drain(callers, ready, server, s.GracePeriod, logger)
+	return drain(callers, ready, drainer, server, s.GracePeriod, logger)
 }
 
 // drain reports the entry as not ready, keeps serving until the load balancer has
 // detected that, and then waits for the requests in flight.
-func drain(callers, ready *http.Server, server *forward.Server, gracePeriod time.Duration, logger *log.Logger) error {
+func drain(callers, ready *http.Server, drainer *httpdrain.Drainer, server *forward.Server, gracePeriod time.Duration, logger *log.Logger) error {
 	began := time.Now()
 	server.Drain()
-	callers.SetKeepAlivesEnabled(false)
+	drainer.Start()
 	logger.Info().Str("event", "process.draining").Int64("in_flight", server.InFlight()).Msg("")
 	time.Sleep(min(balancerNoticeTime, gracePeriod/2))
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(gracePeriod-shutdownMargin))
 	defer cancel()
-	err := callers.Shutdown(ctx)
+	err := drainer.Shutdown(ctx, callers)
 	_ = ready.Close()
 	logger.Info().Str("event", "process.stopped").Int64("in_flight", server.InFlight()).
 		Int64("ms", time.Since(began).Milliseconds()).Err(err).Msg("")
