forward: bytes that are no answer are not read without end

An error body of a stream over 512 KiB was relayed cut off, as if it were complete, and a connection was kept although a discarded body had not ended.

Change: 64 KiB for all heads, 512 KiB for a skipped or discarded body, which is read to its end or the connection is closed.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"syscall"
@@ -58,6 +59,8 @@
 type conn struct {
 	net.Conn
 	rd *bufio.Reader
+	// limit bounds what rd reads from the connection.
+	limit *byteLimit
 	// requests is the number of requests sent on the connection.
 	requests int
 	// expires is the time after which the idle connection is not reused.
@@ -79,7 +82,32 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, rd: bufio.NewReaderSize(c, readBufferBytes)}, nil
+	limit := &byteLimit{rd: c, remaining: unlimitedBytes}
+	return &conn{Conn: c, rd: bufio.NewReaderSize(limit, readBufferBytes), limit: limit}, nil
+}
+
+// byteLimit is a reader that fails after a number of bytes.
+type byteLimit struct {
+	rd        io.Reader
+	remaining int64
+}
+
+const unlimitedBytes = math.MaxInt64
+
+// errTooLong means that an upstream sent more than any response has.
+var errTooLong = errors.New("response exceeds the limit")
+
+// Read implements io.Reader.
+func (l *byteLimit) Read(b []byte) (int, error) {
+	if l.remaining <= 0 {
+		return 0, errTooLong
+	}
+	if int64(len(b)) > l.remaining {
+		b = b[:l.remaining]
+	}
+	n, err := l.rd.Read(b)
+	l.remaining -= int64(n)
+	return n, err
 }
 
 // alive reports whether an idle connection can be reused. It cannot if it has
@@ -164,9 +192,15 @@
 	}
 }
 
-// maxSkippedResponses limits the responses that are skipped before the expected
-// one: interim (1xx) responses and those to other requests.
-const maxSkippedResponses = 2
+const (
+	// maxSkippedResponses limits the responses that are skipped before the expected
+	// one: interim (1xx) responses and those to other requests.
+	maxSkippedResponses = 2
+	// maxResponseHeadBytes limits the heads of a response and of those skipped
+	// before it, maxSkippedBytes the body of each skipped one.
+	maxResponseHeadBytes = 64 << 10
+	maxSkippedBytes      = maxBufferedBytes
+)
 
 // errMismatched means that no response with the id of the request was found.
 var errMismatched = errors.New("response belongs to another request")
@@ -176,6 +210,8 @@
 // only for the first request of the connection.
 func (c *conn) readResponse(p Protocol, method, id string) (*http.Response, ResponseInfo, error) {
 	req := &http.Request{Method: method}
+	c.limit.remaining = maxResponseHeadBytes
+	defer func() { c.limit.remaining = unlimitedBytes }()
 	for range maxSkippedResponses + 1 {
 		resp, err := http.ReadResponse(c.rd, req)
 		if err != nil {
@@ -192,13 +228,38 @@
 		if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			break
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		if err := c.skipBody(resp); err != nil {
 			return nil, ResponseInfo{}, err
 		}
 	}
 	return nil, ResponseInfo{}, errMismatched
 }
 
+// skipBody reads the body of a response to another request.
+func (c *conn) skipBody(resp *http.Response) error {
+	c.limit.remaining = unlimitedBytes
+	defer func() { c.limit.remaining = maxResponseHeadBytes }()
+	return discardBody(resp, maxSkippedBytes)
+}
+
+// readBody reads a whole body. It fails if the body is longer than limit.
+func readBody(resp *http.Response, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err == nil && int64(len(body)) > limit {
+		return nil, errTooLong
+	}
+	return body, err
+}
+
+// discardBody reads a body to its end. It fails if the body is longer than limit.
+func discardBody(resp *http.Response, limit int64) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, limit+1))
+	if err == nil && n > limit {
+		return errTooLong
+	}
+	return err
+}
+
 // reusable reports whether the connection can carry another request, after
 // resp was read to its end.
 func (c *conn) reusable(resp *http.Response, info *ResponseInfo) bool {
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -130,7 +130,7 @@
 	if res.resp.StatusCode >= http.StatusInternalServerError {
 		t.recordFailure(x.s.now(), policy.FaultError)
 		if !lastRun && x.s.retryBudget(x.service.Name).remaining(x.s.now()) >= 1 {
-			res.close(true)
+			res.close(len(body) <= maxBufferedBytes)
 			x.reason = "upstream_error"
 			return sendOutcomeUnknown
 		}
@@ -179,8 +179,8 @@
 	if !res.info.NotRun && res.resp.StatusCode != http.StatusMisdirectedRequest {
 		return 0
 	}
-	_, err := io.Copy(io.Discard, io.LimitReader(res.resp.Body, maxBufferedBytes))
-	res.close(err == nil)
+	_ = res.conn.SetDeadline(time.Now().Add(minResponseTimeout))
+	res.close(discardBody(res.resp, maxBufferedBytes) == nil)
 	if res.resp.StatusCode == http.StatusMisdirectedRequest {
 		t.mu.Lock()
 		t.misdirected = true
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -98,7 +97,7 @@
 		return nil
 	}
 	_ = res.conn.SetDeadline(time.Now().Add(minPrefillTimeout))
-	body, err := io.ReadAll(io.LimitReader(res.resp.Body, maxBufferedBytes))
+	body, err := readBody(res.resp, maxBufferedBytes)
 	res.close(err == nil)
 	if err != nil || res.resp.StatusCode != http.StatusOK {
 		t.recordFailure(x.s.now(), policy.FaultError)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -209,7 +209,7 @@
 // passed on if no retry follows and no event has been relayed.
 func (x *exchange) handleErrorResponse(t *target, res *upstreamResponse, st *streamState) sendResult {
 	_ = res.conn.SetDeadline(time.Now().Add(x.remaining()))
-	body, err := io.ReadAll(io.LimitReader(res.resp.Body, maxBufferedBytes))
+	body, err := readBody(res.resp, maxBufferedBytes)
 	t.recordFailure(x.s.now(), policy.FaultError)
 	if err != nil || st.headWritten || !st.lastRun {
 		res.close(err == nil)
