--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // exchange is the state of one caller's request.
@@ -66,7 +68,7 @@
 	if !x.accept() {
 		return
 	}
-	defer s.bodyBytes.Add(-int64(len(x.body)))
+	defer func() { s.bodies.release(int64(len(x.body))) }()
 	// A caller that stops reading must not occupy an engine beyond the deadline
 	// of its request. The write deadline belongs to the connection and is
 	// cleared for the next request.
@@ -164,31 +166,38 @@
 	if x.r.ContentLength == 0 {
 		return true
 	}
-	if s := x.s; s.bodyBytes.Load()+max(0, x.r.ContentLength) > s.opts.MaxBufferedBodyBytes {
-		x.respondUnavailable("body_memory", 200*time.Millisecond)
-		return false
-	}
-	var body []byte
-	var err error
-	if n := x.r.ContentLength; n > 0 {
-		body = make([]byte, n)
-		_, err = io.ReadFull(x.r.Body, body)
-	} else {
-		body, err = io.ReadAll(io.LimitReader(x.r.Body, limit+1))
-	}
-	if err != nil {
-		x.respondError(http.StatusBadRequest, "body_cut_off")
-		return false
+	// A caller that sends slowly must not occupy memory beyond the time limit of its
+	// request. The read deadline belongs to the connection; while it is set, net/http
+	// would take a timeout for a caller that has disconnected.
+	rc := http.NewResponseController(x.w)
+	hasDeadline := rc.SetReadDeadline(x.deadline) == nil
+	body, err := x.s.bodies.read(x.r.Body, x.r.ContentLength, limit)
+	if err == nil {
+		if hasDeadline {
+			_ = rc.SetReadDeadline(time.Time{})
+		}
+		x.body = body
+		return true
 	}
-	if int64(len(body)) > limit {
+	// What is left of the body is not read.
+	x.w.Header().Set("Connection", "close")
+	switch {
+	case errors.Is(err, errBodyMemory):
+		x.respondUnavailable("body_memory", bodyMemoryRetryAfter)
+	case errors.Is(err, errBodyTooLarge):
 		x.respondError(http.StatusRequestEntityTooLarge, "body_too_large")
-		return false
+	case isTimeout(err):
+		x.respondError(http.StatusRequestTimeout, "body_too_slow")
+	default:
+		x.respondError(http.StatusBadRequest, "body_cut_off")
 	}
-	x.body = body
-	x.s.bodyBytes.Add(int64(len(body)))
-	return true
+	return false
 }
 
+// bodyMemoryRetryAfter is the Retry-After of a request that the memory for bodies
+// has no room for.
+const bodyMemoryRetryAfter = 200 * time.Millisecond
+
 // defaultBodyBytes is the body limit if the configuration sets none.
 const defaultBodyBytes = 4 << 20
 
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -45,7 +45,7 @@
 	config      atomic.Pointer[Config]
 	upstreams   *upstreams
 	callerConns callerConns
-	bodyBytes   atomic.Int64
+	bodies      bodyMemory
 	inFlight    atomic.Int64
 	draining    atomic.Bool
 
@@ -66,7 +66,7 @@
 // called. It starts a goroutine that runs until Stop.
 func NewServer(opts Options) *Server {
 	s := &Server{
-		opts: opts, start: time.Now(), upstreams: newUpstreams(opts.Place),
+		opts: opts, start: time.Now(), bodies: bodyMemory{max: opts.MaxBufferedBodyBytes}, upstreams: newUpstreams(opts.Place),
 		callerConns:  callerConns{conns: map[net.Conn]waitingConn{}},
 		retryBudgets: map[string]*policy.RetryBudget{}, requestSizes: map[string]*policy.MeanSize{}, stop: make(chan struct{}),
 	}
--- a/internal/forward/vars.go
+++ b/internal/forward/vars.go
@@ -43,7 +43,7 @@
 	v.all.Set("first_event", expvar.Func(v.firstEventTime.Value))
 	v.all.Set("placement_wait", expvar.Func(v.placementWait.Value))
 	v.all.Set("in_flight", expvar.Func(func() any { return s.inFlight.Load() }))
-	v.all.Set("body_bytes", expvar.Func(func() any { return s.bodyBytes.Load() }))
+	v.all.Set("body_bytes", expvar.Func(func() any { return s.bodies.used.Load() }))
 	v.all.Set("config_version", expvar.Func(func() any {
 		if c := s.config.Load(); c != nil {
 			return c.Version
