--- a/internal/settings/app.go
+++ b/internal/settings/app.go
@@ -142,8 +142,9 @@
 	return append(line, value...)
 }
 
-// Fatal logs err and exits with ExitFailed.
+// Fatal logs err, writes the queued log lines and exits with ExitFailed.
 func Fatal(logger *log.Logger, action string, err error) {
 	logger.Error().Str("event", "process.failed").Str("action", action).Err(err).Msg("")
+	CloseLogger(logger)
 	os.Exit(ExitFailed)
 }
