feed: core daemons send reports and new upstreams in batches

Cause: each report of an upstream went to every other core daemon in a message of its own (2,000 a second in and out at 3,000 upstreams), and after a restart of the whole system each upstream that appeared went to each attached entry in one (120 streams to a daemon: hundreds of thousands a second).

Change: reports that change nothing visible wait up to 0.1 s for others; visible changes go at once, but a stream carries at most 25 updates a second. Metric gossip_received.

Ruled out: compact messages for unchanged reports, which daemons of the last landing would not understand: upstreams would look silent during an upgrade.

--- a/internal/core/vars.go
+++ b/internal/core/vars.go
@@ -23,6 +23,7 @@
 		}
 		return count
 	}))
+	m.Set("gossip_received", expvar.Func(func() any { return d.hub.GossipReceived() }))
 	m.Set("store_commit", expvar.Func(d.commitTime.Value))
 	m.Set("store_sync", expvar.Func(d.syncTime.Value))
 	m.Set("scheduler", d.pools.scheduler.Vars())
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -1,9 +1,11 @@
 package feed
 
 import (
+	"fmt"
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -87,6 +89,78 @@
 	return h
 }
 
+// Guards against a message to every other hub for each report that changes nothing,
+// and against visible changes that wait for others.
+func TestReportsAreGossipedInBatches(t *testing.T) {
+	h := startHubs(t, 2)
+	report := func(sequence uint64, phase pb.UpstreamPhase) *pb.UpstreamRecord {
+		return &pb.UpstreamRecord{Id: "i-1", Service: "s", Address: "10.0.0.1:80", Phase: phase, BornMs: 1, Sequence: sequence}
+	}
+	seen := func(sequence uint64) func() bool {
+		return func() bool {
+			for _, r := range h.hubs[1].Records() {
+				if r.Id == "i-1" && r.Sequence == sequence {
+					return true
+				}
+			}
+			return false
+		}
+	}
+	h.hubs[0].Report(report(1, pb.UpstreamPhase_UPSTREAM_READY))
+	require.Eventually(t, seen(1), 5*time.Second, time.Millisecond)
+	before, began := h.hubs[1].GossipReceived(), time.Now()
+	const reports = 400
+	for i := range uint64(reports) {
+		h.hubs[0].Report(report(2+i, pb.UpstreamPhase_UPSTREAM_READY))
+		time.Sleep(time.Millisecond)
+	}
+	require.Eventually(t, seen(1+reports), time.Second, time.Millisecond)
+	allowed := int64(time.Since(began)/gossipDelay) + 3
+	require.LessOrEqual(t, h.hubs[1].GossipReceived()-before, allowed)
+
+	time.Sleep(minUpdateInterval)
+	changedAt := time.Now()
+	h.hubs[0].Report(report(3+reports, pb.UpstreamPhase_UPSTREAM_DRAINING))
+	require.Eventually(t, seen(3+reports), time.Second, time.Millisecond)
+	require.Less(t, time.Since(changedAt), gossipDelay/2, "a visible change is sent at once")
+}
+
+// Guards against a message to each entry for each upstream when all of them appear
+// at once, as after a restart of the whole system.
+func TestUpstreamsThatAppearTogetherAreSentTogether(t *testing.T) {
+	h := startHubs(t, 1)
+	var updates atomic.Int64
+	known := make(chan struct{})
+	const upstreams = 2000
+	seen := map[string]bool{}
+	subscriber := Subscribe(SubscriberOptions{
+		Seeds: func() []string { return h.members }, Logger: &log.Logger{Level: log.PanicLevel},
+		OnDocument: func(uint64, []byte) {},
+		OnUpstreams: func(records []*pb.UpstreamRecord) {
+			updates.Add(1)
+			for _, r := range records {
+				seen[r.Id] = true
+			}
+			if len(seen) == upstreams {
+				close(known)
+			}
+		},
+	})
+	defer subscriber.Stop()
+	require.Eventually(t, func() bool { return subscriber.Age() < time.Second }, 5*time.Second, time.Millisecond)
+	began := time.Now()
+	for i := range upstreams {
+		h.hubs[0].Report(&pb.UpstreamRecord{Id: fmt.Sprint("i-", i), Service: "s", Address: fmt.Sprint("10.0.0.1:", i), Phase: pb.UpstreamPhase_UPSTREAM_READY, BornMs: 1, Sequence: 1})
+		time.Sleep(200 * time.Microsecond)
+	}
+	select {
+	case <-known:
+	case <-time.After(5 * time.Second):
+		t.Fatal("not all upstreams became known")
+	}
+	require.LessOrEqual(t, updates.Load(), int64(time.Since(began)/minUpdateInterval)+3)
+}
+
 // entryView is the state that one subscriber has received.
 type entryView struct {
 	mu      sync.Mutex
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -25,6 +26,15 @@
 	// gossipRetryDelay is the delay before a failed stream to another hub is
 	// opened again.
 	gossipRetryDelay = 250 * time.Millisecond
+	// gossipDelay is how long a report that changes nothing visible waits for
+	// others before it is sent to the other hubs. With hundreds of reports a second,
+	// a message for each is most of a core daemon's work.
+	gossipDelay = 100 * time.Millisecond
+	// minUpdateInterval is the shortest time between two updates on a stream. After
+	// a restart of the whole system thousands of upstreams appear within a second,
+	// and a message for each of them to each entry would keep a core daemon busy
+	// for half a minute.
+	minUpdateInterval = 40 * time.Millisecond
 	// attachmentCountTTL is how long the count of attached entries that another
 	// hub sent is used. Hubs send it at least three times in this period.
 	attachmentCountTTL = 6 * time.Second
@@ -74,6 +84,9 @@
 	cachedShares   []*pb.ErrorShare
 	cachedSharesAt time.Duration
 
+	// gossipReceived counts the messages from other hubs.
+	gossipReceived atomic.Int64
+
 	stop context.CancelFunc
 	ctx  context.Context
 	done sync.WaitGroup
@@ -98,6 +111,8 @@
 	// upstreams send to this hub, whereas streams to entries carry only visible
 	// changes.
 	allReports bool
+	// delayed is set while a signal is due after gossipDelay.
+	delayed bool
 }
 
 // NewHub starts a hub and registers its streams. Stop ends it.
@@ -154,7 +169,7 @@
 	changed, accepted := h.table.Observe(r, h.now())
 	if accepted {
 		h.enqueueUpdates(changed, false)
-		h.enqueueGossip(r)
+		h.enqueueGossip(r, len(changed) > 0)
 	}
 	h.mu.Unlock()
 	h.notifyChanged(changed, r, accepted)
@@ -173,6 +188,9 @@
 	}
 }
 
+// GossipReceived returns the number of messages received from other hubs.
+func (h *Hub) GossipReceived() int64 { return h.gossipReceived.Load() }
+
 // Records returns copies of all records with their current age.
 func (h *Hub) Records() []*pb.UpstreamRecord {
 	h.mu.Lock()
@@ -217,21 +235,47 @@
 	}
 }
 
-func (h *Hub) enqueueGossip(record *pb.UpstreamRecord) {
+// enqueueGossip queues a report for the other hubs. One that changes something
+// visible is sent at once. The caller holds mu.
+func (h *Hub) enqueueGossip(record *pb.UpstreamRecord, visible bool) {
 	for s := range h.subscriptions {
-		if s.allReports {
+		switch {
+		case !s.allReports:
+		case visible:
 			s.enqueue([]*pb.UpstreamRecord{record})
+		default:
+			s.add([]*pb.UpstreamRecord{record})
+			h.signalLater(s)
 		}
 	}
 }
 
+// signalLater signals a subscription after gossipDelay. The caller holds mu.
+func (h *Hub) signalLater(s *subscription) {
+	if s.delayed {
+		return
+	}
+	s.delayed = true
+	time.AfterFunc(gossipDelay, func() {
+		h.mu.Lock()
+		s.delayed = false
+		h.mu.Unlock()
+		s.signal()
+	})
+}
+
 func (s *subscription) enqueue(records []*pb.UpstreamRecord) {
+	s.add(records)
+	s.signal()
+}
+
+// add queues records for the next update.
+func (s *subscription) add(records []*pb.UpstreamRecord) {
 	if len(s.pending)+len(records) > maxPending {
 		s.pending, s.sendAll = nil, true
 	} else if !s.sendAll {
 		s.pending = append(s.pending, records...)
 	}
-	s.signal()
 }
 
 func (s *subscription) signal() {
@@ -286,6 +330,7 @@
 	go h.receiveOutcomes(st)
 	haveVersion := req.HaveVersion
 	var sentMembers []string
+	var lastSent time.Time
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
 	for {
@@ -297,6 +342,10 @@
 		case <-s.wake:
 		case <-ticker.C:
 		}
+		if !h.awaitTurn(ctx, lastSent) {
+			return nil
+		}
+		lastSent = time.Now()
 		u := &pb.FeedUpdate{Upstreams: h.takePending(s), Quorate: h.opts.Store.HasQuorum(), Entries: h.entryCount(), ErrorShares: h.errorShares()}
 		u.Leader, u.Term, _ = h.opts.Store.Leader()
 		if d := h.opts.Store.Current(); d.Version > haveVersion {
@@ -313,6 +362,23 @@
 	}
 }
 
+// awaitTurn waits until minUpdateInterval after the last update. It returns false
+// when ctx or the hub ends.
+func (h *Hub) awaitTurn(ctx context.Context, last time.Time) bool {
+	wait := minUpdateInterval - time.Since(last)
+	if wait <= 0 {
+		return true
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-h.ctx.Done():
+		return false
+	case <-time.After(wait):
+		return true
+	}
+}
+
 // serveGossip applies the records sent by another hub. It does not forward them
 // to other hubs, because each hub sends its upstreams' reports to all others.
 func (h *Hub) serveGossip(ctx context.Context, st *transport.Stream) error {
@@ -321,6 +387,7 @@
 		if err := st.Recv(g); err != nil {
 			return nil
 		}
+		h.gossipReceived.Add(1)
 		for _, r := range g.Upstreams {
 			h.applyGossip(r)
 		}
@@ -426,6 +493,7 @@
 	s.signal()
 	ticker := time.NewTicker(attachmentCountTTL / 3)
 	defer ticker.Stop()
+	var lastSent time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -433,6 +501,10 @@
 		case <-s.wake:
 		case <-ticker.C:
 		}
+		if !h.awaitTurn(ctx, lastSent) {
+			return
+		}
+		lastSent = time.Now()
 		records := h.takePending(s)
 		h.mu.Lock()
 		attached := uint32(h.localAttachments())
