corestore, core, feed: a new leader is published at once

Cause: members read the raft status every 0.2 s, the pools looked at it every 0.1 s and entries heard of it with the next heartbeat (0.5 s), so entries restated their holds after the new scheduler had begun to grant (0.3 s), and placed requests themselves meanwhile.

Change: a change of leader or term wakes the monitor, the pools and the streams to entries.

Test: TestNewLeaderIsReportedAtOnce (before: 175 to 197 ms between election and the last member's report, allowed 100).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -111,18 +111,14 @@
 	serverOptions.OnSessionEnd = func(peer *pb.Hello) { d.pools.scheduler.EntrySessionEnded(peer.DaemonId) }
 	d.sessions = transport.NewServer(serverOptions)
 	d.pools = newPools(logger, func() (string, uint64, bool) { return d.store.Leader() }, newEngineFactory(s), s, d.sessions)
-	changed := make(chan struct{}, 1)
+	changed, leaderChanged := make(chan struct{}, 1), make(chan struct{}, 1)
 	d.store, err = corestore.Start(corestore.Options{
 		Dir: s.DataDir + storeDir, Address: s.SessionAddress, Bootstrap: s.Bootstrap, FaultTolerance: s.FaultTolerance,
 		Seeds: func() []string { return file.Current().SeedAddresses }, Peers: d.peers, Logger: logger,
 		FS: timedFS{wal.OS{}, d.syncTime}, OnCommit: d.commitTime.Record,
-		OnDocument: func(corestore.Document) {
-			select {
-			case changed <- struct{}{}:
-			default:
-			}
-		},
-		OnFatal: func(err error) { d.fatalErrors <- err },
+		OnDocument: func(corestore.Document) { signal(changed) },
+		OnLeader:   func() { signal(leaderChanged) },
+		OnFatal:    func(err error) { d.fatalErrors <- err },
 	}, d.sessions)
 	if err != nil {
 		return nil, err
@@ -135,6 +131,14 @@
 			d.publishDocument(logger)
 		}
 	}()
+	go func() {
+		// Entries that learn of a new leader late restate their holds after it has
+		// begun to grant.
+		for range leaderChanged {
+			signal(d.pools.leaderChanged)
+			d.hub.StoreChanged()
+		}
+	}()
 	var ctx context.Context
 	ctx, d.stopPools = context.WithCancel(context.Background())
 	go d.pools.run(ctx)
@@ -150,9 +154,17 @@
 	}
 }
 
+// signal wakes the reader of c, if it is not due to wake already.
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
 // publishDocument passes the newest configuration on to the hub and the pools.
 func (d *daemon) publishDocument(logger *log.Logger) {
-	d.hub.DocumentChanged()
+	d.hub.StoreChanged()
 	doc := d.store.Current()
 	if doc.Version == 0 {
 		return
--- a/internal/core/pools.go
+++ b/internal/core/pools.go
@@ -48,6 +48,8 @@
 	leader    func() (address string, term uint64, self bool)
 	records   func() []*pb.UpstreamRecord
 	logger    *log.Logger
+	// leaderChanged makes run look at the leadership at once.
+	leaderChanged chan struct{}
 	// checksFencing is set if engines reject orders with an old fencing token.
 	checksFencing bool
 
@@ -65,7 +67,7 @@
 // newPools returns pools that are not active yet. newEngine returns the
 // scheduler's client of an engine.
 func newPools(logger *log.Logger, leader func() (string, uint64, bool), newEngine func(*pb.UpstreamState) scheduler.Engine, s *platform.Settings, sessions *transport.Server) *pools {
-	p := &pools{leader: leader, logger: logger, checksFencing: s.EnginesCheckFencing, engines: map[string]*forward.EngineConfig{}}
+	p := &pools{leader: leader, logger: logger, leaderChanged: make(chan struct{}, 1), checksFencing: s.EnginesCheckFencing, engines: map[string]*forward.EngineConfig{}}
 	p.scheduler = scheduler.New(scheduler.Options{
 		Logger: logger, NewEngine: newEngine, PoolParams: p.setPoolParams,
 		HoldsLease: func(_ string, token uint64) bool {
@@ -120,6 +122,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-p.leaderChanged:
 		}
 		_, term, self := p.leader()
 		if !self {
--- a/internal/corestore/store.go
+++ b/internal/corestore/store.go
@@ -76,6 +76,9 @@
 	Logger         *log.Logger
 	// OnDocument is called with each new document. It must not block.
 	OnDocument func(Document)
+	// OnLeader is called when Leader returns another leader or term. It must not
+	// block. It may be nil.
+	OnLeader func()
 	// OnFatal is called when the store cannot continue, such as after a failed
 	// write to the log; the process must end.
 	OnFatal func(error)
@@ -94,6 +97,9 @@
 
 	status atomic.Pointer[timedStatus]
 
+	// leaderChanged wakes the monitor.
+	leaderChanged chan struct{}
+
 	joinMu       sync.Mutex
 	joinRequests map[replica.MemberID]time.Time
 
@@ -119,8 +125,8 @@
 	}
 	s := &Store{
 		opts: opts, self: self, started: time.Now(), stop: make(chan struct{}),
-		joinRequests: map[replica.MemberID]time.Time{},
-		state:        &stateMachine{onChange: opts.OnDocument},
+		joinRequests: map[replica.MemberID]time.Time{}, leaderChanged: make(chan struct{}, 1),
+		state: &stateMachine{onChange: opts.OnDocument},
 	}
 	s.status.Store(&timedStatus{})
 	if err := s.startNode(opts.Bootstrap); err != nil {
@@ -145,7 +151,7 @@
 		Sender: s.opts.Peers, Dir: s.opts.Dir, FS: s.opts.FS,
 		Tick: tick, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
 		Seed: uint64(time.Now().UnixNano()), KeepEntries: keepEntries,
-		OnFatal: s.opts.OnFatal, Logger: s.opts.Logger,
+		OnFatal: s.opts.OnFatal, OnLeader: s.wakeMonitor, Logger: s.opts.Logger,
 	}
 	seeds := s.seedMembers()
 	mode := "restored"
@@ -295,6 +301,7 @@
 		case <-s.stop:
 			return
 		case <-timer.C:
+		case <-s.leaderChanged:
 		}
 		timer.Reset(statusPollInterval)
 		node := s.currentNode()
@@ -302,7 +309,10 @@
 		if err != nil {
 			continue
 		}
-		s.status.Store(&timedStatus{Status: st, takenAt: time.Now()})
+		previous := s.status.Swap(&timedStatus{Status: st, takenAt: time.Now()})
+		if s.opts.OnLeader != nil && (previous.Leader != st.Leader || previous.Term != st.Term) {
+			s.opts.OnLeader()
+		}
 		s.opts.Peers.Retain(append(s.Members(), s.opts.Seeds()...))
 		if r.step(node, &st) {
 			timer.Reset(repairPollInterval)
@@ -310,6 +320,14 @@
 	}
 }
 
+// wakeMonitor makes the monitor read the status at once.
+func (s *Store) wakeMonitor(replica.GroupID) {
+	select {
+	case s.leaderChanged <- struct{}{}:
+	default:
+	}
+}
+
 // StepDown transfers the leadership to another member before a planned stop.
 func (s *Store) StepDown(ctx context.Context) error {
 	return s.currentNode().StepDown(ctx)
--- a/internal/corestore/store_test.go
+++ b/internal/corestore/store_test.go
@@ -221,3 +221,42 @@
 	}
 	return l
 }
+
+// Guards against members that report a new leader only when they next look at the
+// status: entries would restate their holds to it after it has begun to grant.
+func TestNewLeaderIsReportedAtOnce(t *testing.T) {
+	c := newTestCluster(t, 3, 1)
+	c.waitVoters(3)
+	for range 5 {
+		var old *Store
+		require.Eventually(t, func() bool {
+			for _, s := range c.stores {
+				if _, _, self := s.Leader(); self {
+					old = s
+				}
+			}
+			return old != nil
+		}, repairTimeout, time.Millisecond)
+		_, oldTerm, _ := old.Leader()
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		require.NoError(t, old.StepDown(ctx))
+		cancel()
+		var elected, reported time.Time
+		require.Eventually(t, func() bool {
+			known := 0
+			for _, s := range c.stores {
+				_, term, self := s.Leader()
+				if term <= oldTerm {
+					continue
+				}
+				known++
+				if self && elected.IsZero() {
+					elected = time.Now()
+				}
+			}
+			reported = time.Now()
+			return known == len(c.stores) && !elected.IsZero()
+		}, repairTimeout, time.Millisecond)
+		require.Less(t, reported.Sub(elected), statusPollInterval/2)
+	}
+}
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -224,10 +224,10 @@
 		return v.version
 	}
 	h.stores[0].set(5, true)
-	h.hubs[0].DocumentChanged()
+	h.hubs[0].StoreChanged()
 	require.Eventually(t, func() bool { return version() == 5 }, 3*time.Second, 5*time.Millisecond)
 	h.stores[1].set(3, true)
-	h.hubs[1].DocumentChanged()
+	h.hubs[1].StoreChanged()
 	time.Sleep(2 * heartbeatInterval)
 	require.Equal(t, uint64(5), version())
 }
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -154,9 +154,9 @@
 	}
 }
 
-// DocumentChanged wakes all streams, so that those to entries send the newest
-// document.
-func (h *Hub) DocumentChanged() {
+// StoreChanged wakes all streams, so that those to entries send the newest document
+// and leader.
+func (h *Hub) StoreChanged() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for s := range h.subscriptions {
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -191,7 +191,12 @@
 // steps down for lack of a quorum may have none.
 func (n *Node) publishLeadership() {
 	for _, g := range n.sortedGroups {
-		if !g.updateLeadership() {
+		previous := g.lastLeadership
+		roleChanged := g.updateLeadership()
+		if previous.leader != g.lastLeadership.leader || previous.term != g.lastLeadership.term {
+			n.options.OnLeader(g.id)
+		}
+		if !roleChanged {
 			continue
 		}
 		leads := g.lastLeadership.role == raft.Leader
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -113,6 +113,9 @@
 	// leader of a group, loses leadership or leads in a new term. Stopping the
 	// node does not call it. It runs on the node's goroutine and must not block.
 	OnLeadership func(group GroupID, term uint64, leading bool)
+	// OnLeader is called when the leader that this member knows of, or its term,
+	// has changed. It runs on the node's goroutine and must not block.
+	OnLeader func(group GroupID)
 	// OnFatal is called once when the node stops because of an error, for
 	// example a failed sync. The process must then terminate.
 	OnFatal func(err error)
@@ -135,6 +138,9 @@
 	if o.OnLeadership == nil {
 		o.OnLeadership = func(GroupID, uint64, bool) {}
 	}
+	if o.OnLeader == nil {
+		o.OnLeader = func(GroupID) {}
+	}
 	if o.OnFatal == nil {
 		o.OnFatal = func(error) {}
 	}
