raft, replica, corestore: a leader that was paused steps down before it acts

Cause: check-quorum counts ticks, and a ticker drops those of a pause, so a core daemon that woke after 7 s held itself for the leader until a message told it otherwise. On a suspended machine the age of the status stood still as well, because the monotonic clock does.

Change: the node measures the time since it last ran with a clock that counts suspensions, and a leader that did not run for an election timeout steps down before it handles anything. The status ages by the same clock.

Ruled out: running the missed ticks, which makes followers campaign when they wake.

--- a/internal/corestore/store.go
+++ b/internal/corestore/store.go
@@ -12,6 +12,7 @@
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 
+	"godwitward.example/godwitward/internal/boottime"
 	"godwitward.example/godwitward/internal/raftlink"
 	"godwitward.example/godwitward/internal/replica"
 	"godwitward.example/godwitward/internal/transport"
@@ -110,9 +111,14 @@
 // timedStatus is a status with the time at which it was taken.
 type timedStatus struct {
 	raft.Status
-	takenAt time.Time
+	// takenAt is a boottime.
+	takenAt time.Duration
 }
 
+// current reports whether the status is at most statusMaxAge old, suspensions of the
+// machine included.
+func (s *timedStatus) current() bool { return boottime.Now()-s.takenAt < statusMaxAge }
+
 // Start restores the member from disk, bootstraps the group or joins it, and
 // registers the handlers of the calls between core daemons.
 func Start(opts Options, server *transport.Server) (*Store, error) {
@@ -257,7 +263,7 @@
 // majority.
 func (s *Store) HasQuorum() bool {
 	st := s.status.Load()
-	return st.Leader != raft.None && time.Since(st.takenAt) < statusMaxAge
+	return st.Leader != raft.None && st.current()
 }
 
 // Leader returns the session address and the term of the leader, and whether
@@ -268,7 +274,7 @@
 		return s.opts.Address, term, true
 	}
 	st := s.status.Load()
-	if st.Leader == raft.None || st.Leader == node.ID() || time.Since(st.takenAt) >= statusMaxAge {
+	if st.Leader == raft.None || st.Leader == node.ID() || !st.current() {
 		return "", 0, false
 	}
 	return memberAddress(st.Leader, s.self.Port()), st.Term, false
@@ -309,7 +315,7 @@
 		if err != nil {
 			continue
 		}
-		previous := s.status.Swap(&timedStatus{Status: st, takenAt: time.Now()})
+		previous := s.status.Swap(&timedStatus{Status: st, takenAt: boottime.Now()})
 		if s.opts.OnLeader != nil && (previous.Leader != st.Leader || previous.Term != st.Term) {
 			s.opts.OnLeader()
 		}
--- a/internal/replica/failure_test.go
+++ b/internal/replica/failure_test.go
@@ -168,6 +168,31 @@
 	require.False(t, leads)
 }
 
+// Guards against a leader that was paused, with its clock or without, and acts on a
+// leadership that may have passed to another member: no tick has told it so.
+func TestInterruptedLeaderStepsDownBeforeItActs(t *testing.T) {
+	c := newTestCluster(t, 3)
+	clocks := map[MemberID]*atomic.Int64{}
+	c.adjust = func(o *Options) {
+		clock := &atomic.Int64{}
+		clocks[o.ID] = clock
+		o.BootTime = func() time.Duration { return time.Duration(clock.Load()) }
+	}
+	c.bootstrap()
+	c.propose("before")
+	leader := c.leader()
+	clocks[leader.ID()].Add(int64(raft.DefaultElectionTicks*testTick) - 1)
+	require.NoError(t, leader.runOnGroup(1, func(*group) error { return nil }))
+	_, leads := leader.Leads(1)
+	require.True(t, leads, "no other member can have been elected")
+	clocks[leader.ID()].Add(int64(raft.DefaultElectionTicks * testTick))
+	require.NoError(t, leader.runOnGroup(1, func(g *group) error {
+		require.Equal(t, raft.Follower, g.core.Role(), "a call after the pause")
+		return nil
+	}))
+	c.propose("after")
+}
+
 // Guards against a node that keeps running after a failed sync, or acknowledges
 // a command that the failed sync covered.
 func TestFailedSyncStopsNode(t *testing.T) {
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -63,6 +63,7 @@
 		// Lets runnable callers queue their calls first, so that they share a
 		// batch. On one processor each call would otherwise need its own sync.
 		runtime.Gosched()
+		n.detectInterruption()
 		if err := n.processInbox(); err != nil {
 			return err
 		}
@@ -88,6 +89,22 @@
 	}
 }
 
+// detectInterruption makes leaders step down when this goroutine did not run for an
+// election timeout, because the process or the machine was paused or a write to
+// the disk took that long.
+func (n *Node) detectInterruption() {
+	now := n.options.BootTime()
+	gap := now - n.ranAt
+	n.ranAt = now
+	if gap < time.Duration(n.options.ElectionTicks)*n.options.Tick {
+		return
+	}
+	n.options.Logger.Warn().Str("event", "replica.interrupted").Int64("ms", gap.Milliseconds()).Msg("")
+	for _, g := range n.sortedGroups {
+		g.core.Interrupted()
+	}
+}
+
 // processInbox passes the queued messages and calls to the raft cores and runs
 // the queued tasks.
 func (n *Node) processInbox() error {
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -43,7 +43,9 @@
 	diskFull atomic.Bool
 
 	ticker *time.Ticker
-	batch  wal.Batch
+	// ranAt is when the node's goroutine last ran, by options.BootTime.
+	ranAt time.Duration
+	batch wal.Batch
 	// snapshotWriters tracks background snapshot writes, which must finish
 	// before the log is closed.
 	snapshotWriters sync.WaitGroup
@@ -89,6 +91,7 @@
 		stopping: make(chan struct{}),
 		done:     make(chan struct{}),
 		ticker:   time.NewTicker(options.Tick),
+		ranAt:    options.BootTime(),
 	}
 	for _, id := range slices.Sorted(maps.Keys(options.Groups)) {
 		g, err := newGroup(id, l, member, &n.options)
--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -59,7 +59,9 @@
 	}
 	c.machines[id] = &commandLog{}
 	o := Options{ID: id, Start: mode, Voters: c.voters, Groups: map[GroupID]StateMachine{1: c.machines[id]},
-		Sender: c.network.Sender(id), Dir: c.dirs[id], Tick: testTick, Seed: 7}
+		Sender: c.network.Sender(id), Dir: c.dirs[id], Tick: testTick, Seed: 7,
+		// With such short ticks a busy machine would count as an interruption.
+		BootTime: func() time.Duration { return 0 }}
 	c.adjust(&o)
 	n, err := Start(o)
 	require.NoError(c.t, err)
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -6,6 +6,7 @@
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 
+	"godwitward.example/godwitward/internal/boottime"
 	"godwitward.example/godwitward/raft"
 	"godwitward.example/godwitward/wal"
 )
@@ -113,6 +114,9 @@
 	// leader of a group, loses leadership or leads in a new term. Stopping the
 	// node does not call it. It runs on the node's goroutine and must not block.
 	OnLeadership func(group GroupID, term uint64, leading bool)
+	// BootTime is a clock that also advances while the machine is suspended; nil
+	// means boottime.Now.
+	BootTime func() time.Duration
 	// OnLeader is called when the leader that this member knows of, or its term,
 	// has changed. It runs on the node's goroutine and must not block.
 	OnLeader func(group GroupID)
@@ -138,6 +142,12 @@
 	if o.OnLeadership == nil {
 		o.OnLeadership = func(GroupID, uint64, bool) {}
 	}
+	if o.ElectionTicks == 0 {
+		o.ElectionTicks = raft.DefaultElectionTicks
+	}
+	if o.BootTime == nil {
+		o.BootTime = boottime.Now
+	}
 	if o.OnLeader == nil {
 		o.OnLeader = func(GroupID) {}
 	}
--- a/raft/core.go
+++ b/raft/core.go
@@ -336,6 +336,15 @@
 	}
 }
 
+// Interrupted tells the core that its process did not run for ElectionTicks or
+// longer. Another member may have been elected meanwhile, and no tick has told a
+// leader so: it steps down before it does anything else.
+func (c *Core) Interrupted() {
+	if c.role == Leader {
+		c.becomeFollower(c.term, None)
+	}
+}
+
 func (c *Core) tickLeader() {
 	c.heartbeatElapsed++
 	if c.electionElapsed >= c.config.ElectionTicks {
--- a/raft/core_test.go
+++ b/raft/core_test.go
@@ -380,3 +380,18 @@
 	}
 	require.Equal(t, uint64(1), follower.Status().LastIndex)
 }
+
+// Guards against a leader that was paused for an election timeout and serves before
+// a tick shows it that nobody answers any more.
+func TestInterruptedLeaderStepsDown(t *testing.T) {
+	c := newClusterWithLeader(t, 3)
+	term := c.members[1].core.Term()
+	c.members[2].core.Interrupted()
+	require.Equal(t, Follower, c.members[2].core.Role())
+	c.members[1].core.Interrupted()
+	require.Equal(t, Follower, c.members[1].core.Role())
+	require.Equal(t, term, c.members[1].core.Term())
+	require.ErrorIs(t, c.members[1].core.ReadIndex(1), ErrNotLeader)
+	c.tickAll(4 * DefaultElectionTicks)
+	require.NotNil(t, c.leader(), "a new election follows")
+}
