scheduler: an unconfirmed role order counts until it can no longer be carried out

Cause: since an engine that did not confirm a role order was passed over for 5 s and another one ordered in its place.

Change: an engine that did not confirm an order counts for the ordered role until the order can no longer be carried out (the time of the change and 5 s), and is used in its present role meanwhile.

Test: TestUnconfirmedRoleChangeIsNotMadeTwice (before: all four prefill engines ordered, two are too many).

--- a/internal/scheduler/balance.go
+++ b/internal/scheduler/balance.go
@@ -34,8 +34,10 @@
 	// number that changes at once, rounded up: the next ones change when newer
 	// measurements still show a surplus.
 	surplusDivisor = 2
-	// roleRetryDelay is how long an engine that did not accept a role order is
-	// not given another one. It may carry the order out late.
+	// roleRetryDelay is added to the time of a role change to give the time in which
+	// an engine that did not confirm a role order gets no other one and counts for
+	// the role it was ordered to. It may carry the order out late, and an order to
+	// another engine in its place would then be one change too many.
 	roleRetryDelay = 5 * time.Second
 	// decodeToPrefillDelay replaces imbalanceDelay for a change from decode to
 	// prefill. The engine must finish its running requests first, so the change
@@ -130,7 +132,7 @@
 func (p *Pool) balanceRoles(now time.Duration) []Action {
 	defer p.lock(upstreamsBit | holdsBit | queueBit | linksBit | ordersBit)()
 	s := &p.orders.roles
-	needed, count := p.roleBelowTarget()
+	needed, count := p.roleBelowTarget(now)
 	if needed != s.neededRole {
 		s.neededRole = needed
 		s.neededSince = now
@@ -138,7 +140,7 @@
 	delay := imbalanceDelay
 	if needed == pb.EngineRole_ENGINE_ROLE_PREFILL {
 		delay = decodeToPrefillDelay
-		if p.lacksPrefill() {
+		if p.lacksPrefill(now) {
 			delay = missingPrefillDelay
 		}
 	}
@@ -166,9 +168,9 @@
 // changing theirs. An engine that is changing counts for its new role. slots is
 // the number of requests that the decode engines can run, as limited by batch
 // size and memory.
-func (p *Pool) countRoles() (prefill, decode, changing int, slots float64) {
+func (p *Pool) countRoles(now time.Duration) (prefill, decode, changing int, slots float64) {
 	work := &p.holds.workload
-	pending := p.pendingRoles()
+	pending := p.pendingRoles(now)
 	for _, m := range p.upstreams.byID {
 		if m.health != pb.UpstreamStatus_LIVE || !m.isEngine() {
 			continue
@@ -190,16 +192,16 @@
 
 // lacksPrefill reports whether there are fewer prefill engines than the
 // minimum.
-func (p *Pool) lacksPrefill() bool {
-	prefill, decode, _, _ := p.countRoles()
+func (p *Pool) lacksPrefill(now time.Duration) bool {
+	prefill, decode, _, _ := p.countRoles(now)
 	return prefill < policy.MinPrefillEngines(prefill+decode)
 }
 
 // roleBelowTarget returns the role that should have more engines, and how many
 // may change to it now. While the workload is not known, only the minimum of
 // prefill engines counts.
-func (p *Pool) roleBelowTarget() (pb.EngineRole, int) {
-	prefill, decode, changing, slots := p.countRoles()
+func (p *Pool) roleBelowTarget(now time.Duration) (pb.EngineRole, int) {
+	prefill, decode, changing, slots := p.countRoles(now)
 	total := prefill + decode
 	if prefill < policy.MinPrefillEngines(total) {
 		return allowedChanges(pb.EngineRole_ENGINE_ROLE_PREFILL, 1, changing, total/decodeRoleChangeDivisor)
@@ -233,8 +235,8 @@
 const unspecifiedRole = pb.EngineRole_ENGINE_ROLE_UNSPECIFIED
 
 // pendingRoles returns the roles to which engines are changing or have an order to
-// change.
-func (p *Pool) pendingRoles() map[*upstreamRecord]pb.EngineRole {
+// change, or may be changing after an order that it did not confirm.
+func (p *Pool) pendingRoles(now time.Duration) map[*upstreamRecord]pb.EngineRole {
 	out := map[*upstreamRecord]pb.EngineRole{}
 	for _, o := range p.orders.byID {
 		if role, ok := o.role(); ok {
@@ -244,7 +246,7 @@
 		}
 	}
 	for _, m := range p.upstreams.byID {
-		if m.changingRole {
+		if m.changingRole || now < m.roleRetryAt && m.state.Role != m.targetRole {
 			out[m] = m.targetRole
 		}
 	}
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -204,7 +204,7 @@
 		m.announceRoleBy = now + p.params.RoleSwitchTime + announceRoleTimeout
 		if failure != "" {
 			m.changingRole = false
-			m.roleRetryAt = now + roleRetryDelay
+			m.roleRetryAt = now + p.params.RoleSwitchTime + roleRetryDelay
 			p.upstreams.refresh(m, &p.params, now)
 			p.unblockQueue()
 		}
--- a/internal/scheduler/platform_test.go
+++ b/internal/scheduler/platform_test.go
@@ -302,6 +302,39 @@
 	require.False(t, submit(5, 1))
 }
 
+// Guards against an engine that confirms no role order and carries it out late,
+// beside a second one that was ordered in its place: with few engines left for
+// prefill, prompts queue in every burst.
+func TestUnconfirmedRoleChangeIsNotMadeTwice(t *testing.T) {
+	p := platformPool(Params{BalanceRoles: true, LeaseTTL: time.Millisecond, RoleSwitchTime: 6 * time.Second})
+	now := 10 * time.Second
+	var states []*pb.UpstreamState
+	for i := range 4 {
+		states = append(states, platformEngine(fmt.Sprintf("p%d", i), rolePrefill))
+	}
+	for i := range 5 {
+		states = append(states, platformEngine(fmt.Sprintf("d%d", i), roleDecode))
+	}
+	p.Announce(states, now)
+	for _, g := range submitAll(p, now, minWorkloadSamples, 5200, 4900) {
+		p.Release(&pb.ReleaseRequest{HoldId: g.HoldId, Outcome: pb.ReleaseRequest_CANCELLED}, now)
+	}
+	ordered := map[string]bool{}
+	for end := now + 10*time.Second; now < end; now += 100 * time.Millisecond {
+		p.Announce(states, now)
+		p.Run(Expiry, now)
+		p.Run(Roles, now)
+		for _, a := range p.Run(Orders, now) {
+			if x, ok := a.(SendOrder); ok {
+				require.Equal(t, "decode", x.Order.Value)
+				ordered[x.Engine.Id] = true
+				p.OrderDone(x.ID, "context deadline exceeded", now)
+			}
+		}
+	}
+	require.Len(t, ordered, 2, "four prefill engines become two")
+}
+
 // Guards against a pool that keeps the division of roles made for another
 // workload, with idle prefill engines while decode is full in every burst.
 func TestRolesFollowTheMeasuredWork(t *testing.T) {
--- a/internal/scheduler/roles.go
+++ b/internal/scheduler/roles.go
@@ -113,10 +113,10 @@
 // underusedEngines returns up to n engines that can change to the needed role, the
 // least busy first. Each model keeps an engine of each role.
 func (p *Pool) underusedEngines(needed pb.EngineRole, n int, now time.Duration) []*upstreamRecord {
-	pending := p.pendingRoles()
+	pending := p.pendingRoles(now)
 	var list []*upstreamRecord
 	for _, m := range p.upstreams.byID {
-		if !m.isEngine() || m.state.Role == needed || !m.view.Usable || now < m.roleRetryAt || pending[m] != unspecifiedRole {
+		if !m.isEngine() || m.state.Role == needed || !m.view.Usable || pending[m] != unspecifiedRole {
 			continue
 		}
 		list = append(list, m)
