--- a/internal/scheduler/memory_load_test.go
+++ b/internal/scheduler/memory_load_test.go
@@ -1,13 +1,10 @@
 package scheduler
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
-
-	pb "godwitward.example/godwitward/api/godwitward/v1"
 )
 
 // minGoodput is the target of docs/design.md for goodput where capacity
@@ -125,15 +122,7 @@
 	const engines, prefillEngines = 3000, 1000
 	p := platformPool(Params{OnDemandMemory: true, BalanceRoles: true, LocalPrefill: true})
 	now := 10 * time.Second
-	states := make([]*pb.UpstreamState, engines)
-	for i := range states {
-		role := roleDecode
-		if i < prefillEngines {
-			role = rolePrefill
-		}
-		states[i] = platformEngine(fmt.Sprintf("e%04d", i), role)
-	}
-	p.Announce(states, now)
+	p.Announce(platformEngines(prefillEngines, engines-prefillEngines), now)
 	submitAll(p, now, minWorkloadSamples, 1000, 4900)
 	p.Run(Expiry, now)
 	p.Run(Roles, now)
--- a/internal/scheduler/platform_test.go
+++ b/internal/scheduler/platform_test.go
@@ -34,6 +34,18 @@
 	}
 }
 
+// platformEngines returns prefill engines p0, p1, ... and decode engines d0, d1, ...
+func platformEngines(prefill, decode int) []*pb.UpstreamState {
+	var out []*pb.UpstreamState
+	for i := range prefill {
+		out = append(out, platformEngine(fmt.Sprintf("p%d", i), rolePrefill))
+	}
+	for i := range decode {
+		out = append(out, platformEngine(fmt.Sprintf("d%d", i), roleDecode))
+	}
+	return out
+}
+
 func platformRequest(id string, prompt, output int) *pb.SubmitRequest {
 	return &pb.SubmitRequest{
 		RequestId: id, Attempt: 1, EntryId: "e", Pool: testPool, Model: "m", RequestClass: pb.RequestClass_REQUEST_CLASS_DRAFT,
@@ -308,13 +320,7 @@
 func TestUnconfirmedRoleChangeIsNotMadeTwice(t *testing.T) {
 	p := platformPool(Params{BalanceRoles: true, LeaseTTL: time.Millisecond, RoleSwitchTime: 6 * time.Second})
 	now := 10 * time.Second
-	var states []*pb.UpstreamState
-	for i := range 4 {
-		states = append(states, platformEngine(fmt.Sprintf("p%d", i), rolePrefill))
-	}
-	for i := range 5 {
-		states = append(states, platformEngine(fmt.Sprintf("d%d", i), roleDecode))
-	}
+	states := platformEngines(4, 5)
 	p.Announce(states, now)
 	for _, g := range submitAll(p, now, minWorkloadSamples, 5200, 4900) {
 		p.Release(&pb.ReleaseRequest{HoldId: g.HoldId, Outcome: pb.ReleaseRequest_CANCELLED}, now)
@@ -340,13 +346,7 @@
 func TestRolesFollowTheMeasuredWork(t *testing.T) {
 	p := platformPool(Params{BalanceRoles: true, LeaseTTL: time.Millisecond})
 	now := 10 * time.Second
-	var states []*pb.UpstreamState
-	for i := range 4 {
-		states = append(states, platformEngine(fmt.Sprintf("p%d", i), rolePrefill))
-	}
-	for i := range 5 {
-		states = append(states, platformEngine(fmt.Sprintf("d%d", i), roleDecode))
-	}
+	states := platformEngines(4, 5)
 	orders := 0
 	for range 40 {
 		p.Announce(states, now)
@@ -381,10 +381,7 @@
 func TestMissingPrefillEngineIsReplacedSoon(t *testing.T) {
 	p := platformPool(Params{BalanceRoles: true, LeaseTTL: time.Millisecond})
 	start := 10 * time.Second
-	states := []*pb.UpstreamState{platformEngine("p0", rolePrefill)}
-	for i := range 8 {
-		states = append(states, platformEngine(fmt.Sprintf("d%d", i), roleDecode))
-	}
+	states := platformEngines(1, 8)
 	orders := 0
 	for now := start; now < start+20*time.Second; now += 100 * time.Millisecond {
 		p.Announce(states, now)
@@ -413,10 +410,7 @@
 func TestWorkloadIsKnownFromFirstGrants(t *testing.T) {
 	p := platformPool(Params{BalanceRoles: true, OnDemandMemory: true, LeaseTTL: time.Millisecond})
 	now := 10 * time.Second
-	var states []*pb.UpstreamState
-	for i := range 14 {
-		states = append(states, platformEngine(fmt.Sprintf("p%d", i), rolePrefill), platformEngine(fmt.Sprintf("d%d", i), roleDecode))
-	}
+	states := platformEngines(14, 14)
 	p.Announce(states, now)
 	require.Len(t, submitAll(p, now, minWorkloadSamples, 5200, 4900), minWorkloadSamples)
 	orders := 0
