--- a/internal/scheduler/balance.go
+++ b/internal/scheduler/balance.go
@@ -53,6 +53,9 @@
 	roleOrderTimeout = 1500 * time.Millisecond
 )
 
+// unspecifiedRole stands for no change of a role.
+const unspecifiedRole = pb.EngineRole_ENGINE_ROLE_UNSPECIFIED
+
 // workload is the learned work per request of the pool. It is guarded by the
 // holds lock.
 type workload struct {
@@ -232,8 +235,6 @@
 	return role, n
 }
 
-const unspecifiedRole = pb.EngineRole_ENGINE_ROLE_UNSPECIFIED
-
 // pendingRoles returns the roles to which engines are changing or have an order to
 // change, or may be changing after an order that it did not confirm.
 func (p *Pool) pendingRoles(now time.Duration) map[*upstreamRecord]pb.EngineRole {
--- a/internal/scheduler/lanes.go
+++ b/internal/scheduler/lanes.go
@@ -77,11 +77,22 @@
 // that they may still wait, so that their callers can return when there is
 // capacity.
 func (p *Pool) refuseHopeless(now time.Duration) []Action {
+	if p.queue.lanes[overdueLane].Len() == 0 {
+		return nil
+	}
+	forecasts := map[string]policy.QueueForecast{}
+	wait := func(w *queuedRequest, ahead int) time.Duration {
+		f, ok := forecasts[w.req.Model]
+		if !ok {
+			f = p.queueForecast(now, w.req.Model)
+			forecasts[w.req.Model] = f
+		}
+		return f.Wait(ahead, true)
+	}
 	ahead := p.piecesBefore(overdueLane)
 	var due []*queuedRequest
 	p.queue.lanes[overdueLane].Each(func(w *queuedRequest) bool {
-		wait := p.queueForecast(now, w.req.Model).Wait(ahead, true)
-		if w != p.queue.earmarkedDraft && now+scaleWait(wait) > w.queueDeadline {
+		if w != p.queue.earmarkedDraft && now+scaleWait(wait(w, ahead)) > w.queueDeadline {
 			due = append(due, w)
 			return true
 		}
@@ -95,8 +106,8 @@
 		p.queue.refused.add(w.req, now)
 		// Those refused at the same time return one after the other.
 		ahead += w.spec.Pieces
-		wait := p.queueForecast(now, w.req.Model).Wait(ahead, true)
-		r := newRefusal(pb.Refusal_OVERLOADED, max(wait, minRetryAfter), "forecast wait %v is over the remaining %v", wait.Round(time.Millisecond), (w.queueDeadline - now).Round(time.Millisecond))
+		forecast := wait(w, ahead)
+		r := newRefusal(pb.Refusal_OVERLOADED, max(forecast, minRetryAfter), "forecast wait %v is over the remaining %v", forecast.Round(time.Millisecond), (w.queueDeadline - now).Round(time.Millisecond))
 		out = append(out, refusalResult(w.ticket, r), refusalEvent(w.req, r))
 	}
 	return out
