--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -191,6 +191,7 @@
 	control := &platform.Control{Documents: d.store, Registry: d.hub, Logger: logger}
 	d.http = &http.Server{Handler: d.drainer.Handler(control.Handler()), ConnState: d.drainer.ConnState, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	go func() { d.fatalErrors <- d.sessions.Serve(sessions) }()
+	operators = d.drainer.Listener(operators)
 	go func() { d.fatalErrors <- d.http.Serve(operators) }()
 	return nil
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -98,13 +98,14 @@
 	// gRPC clients of the operator service use HTTP/2 without TLS on loopback.
 	protocols.SetUnencryptedHTTP2(true)
 	drainer := &httpdrain.Drainer{}
+	drained := drainer.Listener(l)
 	srv := &http.Server{Handler: drainer.Handler(h), ConnState: drainer.ConnState, ReadHeaderTimeout: readHeaderTimeout, TLSConfig: tlsConfig, Protocols: protocols}
 	go func() {
 		var err error
 		if tlsConfig != nil {
-			err = srv.ServeTLS(l, "", "")
+			err = srv.ServeTLS(drained, "", "")
 		} else {
-			err = srv.Serve(l)
+			err = srv.Serve(drained)
 		}
 		if err != nil && !errors.Is(err, http.ErrServerClosed) {
 			b.Logger.Error().Str("event", "http.failed").Err(err).Msg("")
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -174,6 +174,9 @@
 		if err != nil {
 			return errors.Wrap(err, "listening")
 		}
+		if srv == callers {
+			l = drainer.Listener(l)
+		}
 		go func() { failed <- srv.Serve(l) }()
 	}
 	logger.Info().Str("event", "process.started").Str("vm", s.VM).Str("callers", s.CallerAddress).Msg("")
@@ -190,9 +193,12 @@
 func drain(callers, ready *http.Server, drainer *httpdrain.Drainer, server *forward.Server, gracePeriod time.Duration, logger *log.Logger) error {
 	began := time.Now()
 	server.Drain()
-	drainer.Start()
 	logger.Info().Str("event", "process.draining").Int64("in_flight", server.InFlight()).Msg("")
-	time.Sleep(min(balancerNoticeTime, gracePeriod/2))
+	noticeCtx, stop := context.WithTimeout(context.Background(), min(balancerNoticeTime, gracePeriod/2))
+	drainer.CloseIdle(noticeCtx)
+	stop()
+	// A request that came from now on might not end in time.
+	server.Refuse()
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(gracePeriod-shutdownMargin))
 	defer cancel()
 	err := drainer.Shutdown(ctx, callers)
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -88,6 +88,10 @@
 func (x *exchange) accept() bool {
 	info, parseErr := x.s.opts.Protocol.ParseRequest(x.r.Header)
 	x.info = info
+	if x.s.refusing.Load() {
+		x.respondUnavailable("stopping", stoppingRetryAfter)
+		return false
+	}
 	x.config = x.s.waitForConfig(x.ctx, min(maxConfigWait, info.Timeout/configWaitDivisor))
 	if x.config == nil {
 		x.respondUnavailable("no_config", noConfigRetryAfter)
@@ -118,6 +122,10 @@
 	return x.readBody()
 }
 
+// stoppingRetryAfter is the Retry-After of a process that is about to exit. Another
+// entry can serve the request at once.
+const stoppingRetryAfter = 20 * time.Millisecond
+
 // headerSize returns the size in bytes of the request line and the headers as the
 // caller sent them.
 func headerSize(r *http.Request) int {
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -48,6 +48,7 @@
 	bodies      bodyMemory
 	inFlight    atomic.Int64
 	draining    atomic.Bool
+	refusing    atomic.Bool
 
 	vars     *vars
 	placer   Placer
@@ -131,6 +132,10 @@
 // Drain makes Ready return false. Requests are still served.
 func (s *Server) Drain() { s.draining.Store(true) }
 
+// Refuse makes the server answer every new request with 503. Those in progress go
+// on.
+func (s *Server) Refuse() { s.refusing.Store(true) }
+
 // InFlight returns the number of requests in progress.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
--- a/internal/httpdrain/drain.go
+++ b/internal/httpdrain/drain.go
@@ -22,6 +22,7 @@
 // Drainer tracks the connections of one server. The zero value is ready to use.
 type Drainer struct {
 	draining atomic.Bool
+	listener *listener
 
 	mu sync.Mutex
 	// idleSince contains the connections on which no request is in progress,
@@ -57,6 +58,12 @@
 	}
 }
 
+// Listener returns l as the listener of the server. Shutdown stops it first.
+func (d *Drainer) Listener(l net.Listener) net.Listener {
+	d.listener = &listener{Listener: l, stopped: make(chan struct{}), closed: make(chan struct{})}
+	return d.listener
+}
+
 // Start makes every further response close its connection.
 func (d *Drainer) Start() { d.draining.Store(true) }
 
@@ -70,11 +77,30 @@
 	})
 }
 
-// Shutdown closes idle connections once they have been idle for IdleTime, waits for
-// the others and shuts the server down. When ctx ends first, it returns the error
-// of ctx and leaves connections open.
+// CloseIdle starts the drain and closes connections that have been idle for
+// IdleTime, until ctx ends. New connections are still accepted.
+func (d *Drainer) CloseIdle(ctx context.Context) {
+	d.Start()
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		d.closeIdle(time.Now())
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Shutdown stops accepting connections, closes those that have been idle for
+// IdleTime, waits for the others and shuts the server down. When ctx ends first, it
+// returns the error of ctx and leaves connections open.
 func (d *Drainer) Shutdown(ctx context.Context, srv *http.Server) error {
 	d.Start()
+	if d.listener != nil {
+		d.listener.stop()
+	}
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	for !d.closeIdle(time.Now()) {
@@ -147,3 +173,40 @@
 		w.Header().Set("Connection", "close")
 	}
 }
+
+// listener stops accepting connections before its server is shut down. Its server
+// sees that only when it closes the listener itself.
+type listener struct {
+	net.Listener
+	stopOnce, closeOnce sync.Once
+	stopped, closed     chan struct{}
+}
+
+func (l *listener) stop() {
+	l.stopOnce.Do(func() {
+		close(l.stopped)
+		_ = l.Listener.Close()
+	})
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		return c, nil
+	}
+	select {
+	case <-l.stopped:
+		<-l.closed
+		return nil, net.ErrClosed
+	default:
+		return nil, err
+	}
+}
+
+// Close implements net.Listener.
+func (l *listener) Close() error {
+	l.closeOnce.Do(func() { close(l.closed) })
+	l.stop()
+	return nil
+}
--- a/internal/httpdrain/drain_test.go
+++ b/internal/httpdrain/drain_test.go
@@ -26,9 +26,11 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	srv := &http.Server{Handler: d.Handler(h), ConnState: d.ConnState}
+	addr := l.Addr().String()
+	l = d.Listener(l)
 	go func() { _ = srv.Serve(l) }()
 	t.Cleanup(func() { _ = srv.Close() })
-	return l.Addr().String(), func(ctx context.Context) error { return d.Shutdown(ctx, srv) }
+	return addr, func(ctx context.Context) error { return d.Shutdown(ctx, srv) }
 }
 
 // Guards against a planned stop that closes kept connections on which a request is
@@ -118,3 +120,32 @@
 	require.True(t, resp.Close)
 	require.NoError(t, <-done)
 }
+
+// Guards against a stop that goes on accepting connections while requests are in
+// progress: those that come last would be cut off at its end.
+func TestNoConnectionIsAcceptedDuringShutdown(t *testing.T) {
+	entered, finish := make(chan struct{}), make(chan struct{})
+	addr, shutdown := server(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		close(entered)
+		<-finish
+	}))
+	busy, err := net.Dial("tcp", addr)
+	require.NoError(t, err)
+	defer busy.Close()
+	_, err = fmt.Fprint(busy, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	<-entered
+	done := make(chan error, 1)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	go func() { done <- shutdown(ctx) }()
+	require.Eventually(t, func() bool {
+		c, err := net.Dial("tcp", addr)
+		if err == nil {
+			_ = c.Close()
+		}
+		return err != nil
+	}, time.Second, time.Millisecond)
+	close(finish)
+	require.NoError(t, <-done)
+}
