--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -158,6 +158,8 @@
 		x.lostHandleEngines = map[*target]bool{}
 	}
 	x.lostHandleEngines[st.prompt.engine] = true
+	// The next requests would lose theirs as well, and each costs two retries.
+	st.prompt.engine.recordFailure(x.s.now(), policy.FaultUnavailable)
 	st.prompt = nil
 	return true
 }
