--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -169,6 +169,7 @@
 	if doc.Version == 0 {
 		return
 	}
+	logger.Info().Str("event", "config.published").Uint64("version", doc.Version).Msg("")
 	config, err := platform.DecodeConfig(doc.Body)
 	if err != nil {
 		// Not expected, because a document is stored only after DecodeConfig has
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -231,6 +231,8 @@
 	}
 	g.core.Advance()
 	if w.ready.Snapshot != nil {
+		n.options.Logger.Info().Str("event", "replica.snapshot_restored").Uint32("group", uint32(g.id)).
+			Uint64("index", w.ready.Snapshot.Meta.Index).Msg("")
 		if err := n.log.Compact(); err != nil {
 			return err
 		}
@@ -320,6 +322,8 @@
 		return errors.Wrapf(err, "group %d", g.id)
 	}
 	m.Snapshot = &raft.Snapshot{Meta: meta, Data: data}
+	n.options.Logger.Info().Str("event", "replica.snapshot_sent").Uint32("group", uint32(g.id)).Uint64("to", uint64(m.To)).
+		Uint64("index", meta.Index).Int("bytes", len(data)).Msg("")
 	return nil
 }
 
