feed: an entry leaves hubs that lack the newest configuration

What callers saw (users' report): requests handled by a configuration older than one confirmed long before.

Cause: a hub counted as in contact while it heard the leader's heartbeats, whether or not it received the log, and nothing told an entry that a newer version exists. An entry with two such hubs kept the old configuration without end.

Change: hubs announce their version to each other with the gossip and to entries with each update. An entry that lacks a version for 0.5 s leaves each hub that cannot send it.

Ruled out: leaving a hub that is behind while the entry itself is not (the other hub had the version), which would cost attachments for nothing.

--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -232,6 +232,29 @@
 	require.Equal(t, uint64(5), version())
 }
 
+// Guards against an entry that stays with an old configuration because both of its
+// hubs hear the leader but do not receive the leader's log.
+func TestEntryLeavesHubsThatAreBehind(t *testing.T) {
+	// configBound is the time in which an accepted configuration is in force.
+	const configBound = 2 * time.Second
+	h := startHubs(t, 5)
+	for i := range h.hubs {
+		h.stores[i].set(3, true)
+	}
+	_, v := startSubscriber(t, h.members[:2])
+	version := func() uint64 {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		return v.version
+	}
+	require.Eventually(t, func() bool { return version() == 3 && h.hubs[0].entryCount() > 0 && h.hubs[1].entryCount() > 0 }, 3*time.Second, 5*time.Millisecond)
+	for i := 2; i < 5; i++ {
+		h.stores[i].set(5, true)
+		h.hubs[i].StoreChanged()
+	}
+	require.Eventually(t, func() bool { return version() == 5 }, configBound, 5*time.Millisecond)
+}
+
 // A hub that stops or loses contact with the leader must not leave entries
 // without updates.
 func TestSubscriberLeavesHubsWithoutLeader(t *testing.T) {
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -84,6 +84,10 @@
 	cachedShares   []*pb.ErrorShare
 	cachedSharesAt time.Duration
 
+	// newestVersion is the highest version of the document that another hub has
+	// announced.
+	newestVersion uint64
+
 	// gossipReceived counts the messages from other hubs.
 	gossipReceived atomic.Int64
 
@@ -348,7 +352,9 @@
 		lastSent = time.Now()
 		u := &pb.FeedUpdate{Upstreams: h.takePending(s), Quorate: h.opts.Store.HasQuorum(), Entries: h.entryCount(), ErrorShares: h.errorShares()}
 		u.Leader, u.Term, _ = h.opts.Store.Leader()
-		if d := h.opts.Store.Current(); d.Version > haveVersion {
+		d := h.opts.Store.Current()
+		u.Version, u.NewestVersion = d.Version, max(d.Version, h.announcedVersion())
+		if d.Version > haveVersion {
 			u.Document = &pb.Document{Version: d.Version, Body: d.Body}
 			haveVersion = d.Version
 		}
@@ -393,10 +399,20 @@
 		}
 		h.mu.Lock()
 		h.remoteAttachments[transport.PeerFromContext(ctx).Vm] = attachmentCount{int(g.Attached), h.now()}
+		h.newestVersion = max(h.newestVersion, g.Version)
 		h.mu.Unlock()
 	}
 }
 
+// announcedVersion returns the highest version that another hub has announced. This
+// daemon may be behind it although it is in contact with the leader: a member that
+// needs a snapshot receives heartbeats but no entries.
+func (h *Hub) announcedVersion() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.newestVersion
+}
+
 func (h *Hub) applyGossip(r *pb.UpstreamRecord) {
 	h.mu.Lock()
 	changed, accepted := h.table.Observe(r, h.now())
@@ -509,7 +525,7 @@
 		h.mu.Lock()
 		attached := uint32(h.localAttachments())
 		h.mu.Unlock()
-		if err := st.Send(&pb.Gossip{Upstreams: records, Attached: attached}); err != nil {
+		if err := st.Send(&pb.Gossip{Upstreams: records, Attached: attached, Version: h.opts.Store.Current().Version}); err != nil {
 			return
 		}
 	}
--- a/internal/feed/subscriber.go
+++ b/internal/feed/subscriber.go
@@ -32,6 +32,13 @@
 	noLeaderTimeout = 1500 * time.Millisecond
 )
 
+// behindTimeout is how long a subscriber that knows of a newer document waits for it
+// before it leaves the hubs that do not have it.
+const behindTimeout = 500 * time.Millisecond
+
+// errHubBehind ends the attachment to a hub without the newest document.
+var errHubBehind = errors.New("the hub does not have the newest configuration")
+
 // errNoLeader ends the attachment to a hub without contact with the leader.
 var errNoLeader = errors.New("the hub is not in contact with the leader of a majority")
 
@@ -68,6 +75,10 @@
 	// silent is the silent mark last passed to OnUpstreams, by upstream id.
 	silent  map[string]bool
 	version uint64
+	// newestVersion is the highest version that a hub announced, and behindSince
+	// when it first exceeded version; zero if it does not.
+	newestVersion uint64
+	behindSince   time.Time
 	// lastContact is when the last update arrived from a hub that was in contact
 	// with the leader.
 	lastContact time.Time
@@ -197,6 +208,9 @@
 		}
 		watchdog.Reset(heartbeatTimeout)
 		s.apply(u)
+		if s.behind(u.Version) {
+			return errHubBehind
+		}
 		if u.Quorate {
 			lastQuorum = time.Now()
 		} else if time.Since(lastQuorum) > noLeaderTimeout {
@@ -225,6 +239,12 @@
 		// The callback runs under the lock, so that versions arrive in order.
 		s.opts.OnDocument(u.Document.Version, u.Document.Body)
 	}
+	s.newestVersion = max(s.newestVersion, u.NewestVersion)
+	if s.version >= s.newestVersion {
+		s.behindSince = time.Time{}
+	} else if s.behindSince.IsZero() {
+		s.behindSince = time.Now()
+	}
 	if len(changed) > 0 {
 		s.opts.OnUpstreams(changed)
 	}
@@ -234,6 +254,14 @@
 	s.mu.Unlock()
 }
 
+// behind reports whether the subscriber has lacked the newest document for
+// behindTimeout and a hub with the given version cannot send it.
+func (s *Subscriber) behind(hubVersion uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.behindSince.IsZero() && time.Since(s.behindSince) > behindTimeout && hubVersion < s.newestVersion
+}
+
 // entryCountTTL is how long the highest reported number of entries is used. A
 // lower number may only mean that entries are restarting, and each of them will
 // use its share of the retry budget again.
