forward, platform: log engines that crash under a request, with its prompt's parts

The logs did not tell a crashed engine from a lost connection, nor what the requests on crashed engines had in common.

When a stream breaks before its first event, the entry dials the engine again; if the connection is refused, it logs upstream.crashed with the engine, the request and the parts of its prompt, which are now parsed one by one.

No decision changed.

--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -24,6 +24,9 @@
 	// PromptKey identifies the prompt; empty when the request is not for text
 	// generation.
 	PromptKey string
+	// PromptParts are the ids of the parts of the prompt, in order. Other requests
+	// may share all but the last, which belongs to the request or its session.
+	PromptParts []string
 	// LastEventID is the id of the last event that the caller received of a stream
 	// to resume; empty for a new stream.
 	LastEventID string
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -95,6 +95,7 @@
 				x.abortCancelled()
 				return
 			}
+			x.detectCrash(p.decode, st)
 			if runs++; runs >= x.route.MaxAttempts || !x.route.Repeatable() {
 				x.endStream(st, "lost")
 				return
