policy, feed, forward: parts of prompts that crash engines are quarantined

Cause: a request that crashes whoever works on it is retried, comes back, and comes again in other forms at other entries. A crash was charged to the engine alone, which is back under another id in 3 s, and no process learned what the requests on crashed engines have in common.

Change: an entry whose stream breaks before its first event, and whose engine then refuses connections, reports the parts of the prompt. Every hub gets the reports of all entries and decides on its own (policy.PromptQuarantine): a part under which three engines have crashed one after the other, of two prompts at least, is quarantined; an answer to any prompt with a part clears it; of several parts that explain the same crashes, the one nearest to the end of the prompts is taken, and what it explains counts against no other. Requests with a quarantined part get 503 before anything is sent. One whose prompt is suspect is not sent to a second engine. A quarantine ends with an answer: after one minute, then ever more rarely, about one request is tried.

--- /dev/null
+++ b/internal/edge/crash_test.go
@@ -0,0 +1,201 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/stretchr/testify/require"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/corestore"
+	"godwitward.example/godwitward/internal/feed"
+	"godwitward.example/godwitward/internal/forward"
+	"godwitward.example/godwitward/internal/transport"
+	"godwitward.example/godwitward/platform"
+	"godwitward.example/godwitward/platform/standin"
+)
+
+// documentStore is a feed.Store with a fixed document.
+type documentStore struct {
+	document corestore.Document
+	members  []string
+}
+
+func (s *documentStore) Current() corestore.Document    { return s.document }
+func (s *documentStore) HasQuorum() bool                { return true }
+func (s *documentStore) Members() []string              { return s.members }
+func (s *documentStore) Leader() (string, uint64, bool) { return s.members[0], 1, false }
+
+const crashTestConfig = `{"version":1,"routes":[{"name":"draft","host":"h.example","pathPrefix":"/draft/","kind":"streaming","timeoutMs":4000,
+ "targetLatencyMs":300,"priority":1,"service":"llm","maxAttempts":2,"resumable":true,"gapAimMs":100,"sessionAffinity":true}],
+ "services":[{"name":"llm","healthPath":"/health","maxConnections":100,"engine":{"slots":8,"kvCapacityTokens":80000,"stride":1,"handleTtlS":0.5}}]}`
+
+// crashTest is a set of hubs, entries and engines on loopback addresses. Engines crash
+// under prompts with the part "dead" and are back after engineRestart.
+type crashTest struct {
+	t       *testing.T
+	hubs    []*feed.Hub
+	members []string
+	entries []*httptest.Server
+
+	// late holds the ids of the prompts that must not reach an engine any more, and
+	// lateStarts counts those that did.
+	late       sync.Map
+	lateStarts atomic.Int64
+
+	mu      sync.Mutex
+	crashes []time.Time
+}
+
+const (
+	engineRestart = 500 * time.Millisecond
+	// contactTime is the time after the fifth crash from which at most
+	// lateArrivals more prompts with the part may reach engines.
+	contactTime  = 3 * time.Second
+	lateArrivals = 3
+)
+
+func newCrashTest(t *testing.T, hubs, entries, engines int) *crashTest {
+	c := &crashTest{t: t}
+	discard := &log.Logger{Level: log.PanicLevel}
+	var listeners []net.Listener
+	for range hubs {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		listeners = append(listeners, l)
+		c.members = append(c.members, l.Addr().String())
+	}
+	for i, l := range listeners {
+		server := transport.NewServer(transport.Options{})
+		peers := corestore.NewPeers(c.members[i], netip.MustParseAddrPort(c.members[i]).Port(), transport.Options{Self: &pb.Hello{Vm: c.members[i]}})
+		store := &documentStore{corestore.Document{Version: 1, Body: []byte(crashTestConfig)}, c.members}
+		hub := feed.NewHub(feed.HubOptions{Store: store, Peers: peers, Self: c.members[i], Logger: discard, OnReport: func(*pb.UpstreamRecord) {}}, server)
+		go func() { _ = server.Serve(l) }()
+		c.hubs = append(c.hubs, hub)
+		t.Cleanup(func() {
+			hub.Stop()
+			peers.Close()
+			server.Close()
+		})
+	}
+	for i := range entries {
+		e := &entryProcess{logger: discard, self: &pb.Hello{Vm: fmt.Sprint("edge-", i)}}
+		server := forward.NewServer(forward.Options{
+			Protocol: platform.Headers{}, MaxBufferedBodyBytes: 1 << 20, Logger: discard,
+			RetryLimits: func() forward.RetryLimits {
+				return forward.RetryLimits{RetryRatio: 0.2, RetrySlack: 200, RetryWindow: 10 * time.Second, Entries: entries}
+			},
+		})
+		subscriber := e.subscribe(server, func() []string { return c.members })
+		front := httptest.NewServer(server)
+		c.entries = append(c.entries, front)
+		t.Cleanup(func() {
+			front.Close()
+			subscriber.Stop()
+			server.Stop()
+		})
+		require.Eventually(t, server.Ready, 5*time.Second, time.Millisecond)
+	}
+	for i := range engines {
+		c.startEngine(i, 0)
+	}
+	time.Sleep(200 * time.Millisecond)
+	return c
+}
+
+// startEngine starts the nth engine, again with another id after each crash.
+func (c *crashTest) startEngine(n, start int) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(c.t, err)
+	r := &standin.Runner{ID: fmt.Sprint("i-", n, "-", start), Service: "llm", Stage: standin.StageDecode, ServiceTime: 5 * time.Millisecond, Events: 3, CrashPart: "dead"}
+	r.OnArrival = func(standin.Run) {}
+	r.OnStart = func(run standin.Run) {
+		if _, late := c.late.Load(run.ID); late {
+			c.lateStarts.Add(1)
+		}
+	}
+	r.OnCrash = func() {
+		c.mu.Lock()
+		c.crashes = append(c.crashes, time.Now())
+		c.mu.Unlock()
+		time.AfterFunc(engineRestart, func() {
+			c.hubs[n%len(c.hubs)].Leave(r.ID, 1)
+			c.startEngine(n, start+1)
+		})
+	}
+	r.Start(l)
+	c.t.Cleanup(r.Stop)
+	c.hubs[n%len(c.hubs)].Report(&pb.UpstreamRecord{Id: r.ID, Service: "llm", Address: l.Addr().String(), Phase: pb.UpstreamPhase_UPSTREAM_READY, Stage: pb.EngineStage_ENGINE_STAGE_DECODE, BornMs: 1, Sequence: 1, Slots: 8})
+}
+
+// send sends a draft to a random entry and returns its status, 0 if the answer broke
+// off.
+func (c *crashTest) send(id, parts string) int {
+	req, err := standin.NewRequest(context.Background(), c.entries[rand.N(len(c.entries))].Listener.Addr().String(), "/draft/x", id, 3*time.Second)
+	require.NoError(c.t, err)
+	req.Header.Set("Godwitward-Prompt-Prefix", parts)
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	if _, err := io.ReadAll(resp.Body); err != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
+func (c *crashTest) fifthCrash() (time.Time, int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.crashes) < 5 {
+		return time.Time{}, len(c.crashes)
+	}
+	return c.crashes[4], len(c.crashes)
+}
+
+// Guards against prompts with one part in common that crash one engine after the other,
+// sent through any entry, and against refusing sound prompts that share another part
+// with them.
+func TestPromptsThatCrashEnginesAreQuarantined(t *testing.T) {
+	require.True(t, json.Valid([]byte(crashTestConfig)))
+	c := newCrashTest(t, 3, 6, 12)
+	var wg sync.WaitGroup
+	var sound, soundServed atomic.Int64
+	for i := range 80 {
+		time.Sleep(100 * time.Millisecond)
+		fifth, n := c.fifthCrash()
+		settled := n >= 5 && time.Since(fifth) > contactTime || i >= 50
+		crashing := fmt.Sprint("d-", i)
+		if settled {
+			c.late.Store(crashing, true)
+		}
+		wg.Go(func() { c.send(crashing, fmt.Sprintf("shared:200,dead:100,own%d:700", i)) })
+		wg.Go(func() {
+			status := c.send(fmt.Sprint("s-", i), fmt.Sprintf("shared:200,fine%d:100,good%d:700", i%3, i))
+			if settled {
+				sound.Add(1)
+				if status == http.StatusOK {
+					soundServed.Add(1)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	_, n := c.fifthCrash()
+	t.Logf("%d engines crashed; late prompts reached an engine %d times; %d of %d sound ones were served", n, c.lateStarts.Load(), soundServed.Load(), sound.Load())
+	require.LessOrEqual(t, c.lateStarts.Load(), int64(lateArrivals))
+	require.GreaterOrEqual(t, soundServed.Load()*2, sound.Load())
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -75,14 +75,7 @@
 	go file.Watch(ctx)
 	e := &entryProcess{file: file, logger: logger, self: &pb.Hello{DaemonId: s.VM, Vm: s.VM, Place: s.Place, Process: "gw-edge"}}
 	server := e.newServer()
-	subscriber := feed.Subscribe(feed.SubscriberOptions{
-		Seeds:       func() []string { return file.Current().SeedAddresses },
-		Transport:   transport.Options{Self: e.self, Logger: logger},
-		Logger:      logger,
-		OnDocument:  func(version uint64, body []byte) { applyConfig(server, logger, version, body) },
-		OnUpstreams: server.SetUpstreams,
-		Outcomes:    server.Outcomes, OnErrorShares: server.SetErrorShares,
-	})
+	subscriber := e.subscribe(server, func() []string { return file.Current().SeedAddresses })
 	e.subscriber.Store(subscriber)
 	server.Vars().Set("feed_age_ms", expvar.Func(func() any { return subscriber.Age().Milliseconds() }))
 	server.Vars().Set("entries_known", expvar.Func(func() any { return subscriber.Entries() }))
@@ -117,6 +110,19 @@
 	return server
 }
 
+// subscribe connects a server with the hubs of the core.
+func (e *entryProcess) subscribe(server *forward.Server, seeds func() []string) *feed.Subscriber {
+	return feed.Subscribe(feed.SubscriberOptions{
+		Seeds:       seeds,
+		Transport:   transport.Options{Self: e.self, Logger: e.logger},
+		Logger:      e.logger,
+		OnDocument:  func(version uint64, body []byte) { applyConfig(server, e.logger, version, body) },
+		OnUpstreams: server.SetUpstreams,
+		Outcomes:    server.Outcomes, ReportNow: server.ReportNow(), OnErrorShares: server.SetErrorShares,
+		OnEvidence: server.SetEvidence, Quarantined: server.Quarantined,
+	})
+}
+
 // retryLimits returns the retry limits of the current settings and the number of
 // entries known from the feed.
 func (e *entryProcess) retryLimits() forward.RetryLimits {
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -13,6 +13,7 @@
 	"godwitward.example/godwitward/internal/corestore"
 	"godwitward.example/godwitward/internal/fleet"
 	"godwitward.example/godwitward/internal/transport"
+	"godwitward.example/godwitward/policy"
 )
 
 const (
@@ -87,6 +88,7 @@
 	// newestVersion is the highest version of the document that another hub has
 	// announced.
 	newestVersion uint64
+	evidence      promptEvidence
 
 	// gossipReceived counts the messages from other hubs.
 	gossipReceived atomic.Int64
@@ -117,6 +119,9 @@
 	allReports bool
 	// delayed is set while a signal is due after gossipDelay.
 	delayed bool
+	// evidenceDue is set when the next message to another hub must carry the evidence
+	// on parts of prompts.
+	evidenceDue bool
 }
 
 // NewHub starts a hub and registers its streams. Stop ends it.
@@ -125,6 +130,7 @@
 	h := &Hub{
 		opts: opts, start: time.Now(), table: fleet.NewTable(),
 		subscriptions: map[*subscription]struct{}{}, remoteAttachments: map[string]attachmentCount{}, outcomes: outcomeTable{}, ctx: ctx, stop: cancel,
+		evidence: promptEvidence{quarantine: policy.NewPromptQuarantine()},
 	}
 	server.Handle(transport.MethodFeed, h.serveFeed)
 	server.Handle(transport.MethodGossip, h.serveGossip)
@@ -329,10 +335,14 @@
 	if err := st.Recv(req); err != nil {
 		return err
 	}
+	h.mu.Lock()
+	h.evidenceChanged(h.mergeQuarantined(req.Quarantined), false)
+	h.mu.Unlock()
 	s := h.subscribe(false)
 	defer h.unsubscribe(s)
 	go h.receiveOutcomes(st)
 	haveVersion := req.HaveVersion
+	var haveEvidence uint64
 	var sentMembers []string
 	var lastSent time.Time
 	ticker := time.NewTicker(heartbeatInterval)
@@ -358,6 +368,7 @@
 			u.Document = &pb.Document{Version: d.Version, Body: d.Body}
 			haveVersion = d.Version
 		}
+		u.Evidence, haveEvidence = h.evidenceForEntry(haveEvidence)
 		if members := h.opts.Store.Members(); !slices.Equal(members, sentMembers) {
 			sentMembers = members
 			u.Core = members
@@ -397,6 +408,7 @@
 		for _, r := range g.Upstreams {
 			h.applyGossip(r)
 		}
+		h.mergeEvidence(g.Evidence)
 		h.mu.Lock()
 		h.remoteAttachments[transport.PeerFromContext(ctx).Vm] = attachmentCount{int(g.Attached), h.now()}
 		h.newestVersion = max(h.newestVersion, g.Version)
@@ -435,6 +447,7 @@
 	}()
 	for {
 		h.expire()
+		h.decideQuarantine()
 		h.updateGossipStreams(streams)
 		select {
 		case <-h.ctx.Done():
@@ -504,7 +517,7 @@
 	}
 	defer st.Close()
 	h.mu.Lock()
-	s.sendAll = true
+	s.sendAll, s.evidenceDue = true, true
 	h.mu.Unlock()
 	s.signal()
 	ticker := time.NewTicker(attachmentCountTTL / 3)
@@ -523,9 +536,9 @@
 		lastSent = time.Now()
 		records := h.takePending(s)
 		h.mu.Lock()
-		attached := uint32(h.localAttachments())
+		attached, evidence := uint32(h.localAttachments()), h.evidenceForHub(s)
 		h.mu.Unlock()
-		if err := st.Send(&pb.Gossip{Upstreams: records, Attached: attached, Version: h.opts.Store.Current().Version}); err != nil {
+		if err := st.Send(&pb.Gossip{Upstreams: records, Attached: attached, Version: h.opts.Store.Current().Version, Evidence: evidence}); err != nil {
 			return
 		}
 	}
--- a/internal/feed/outcomes.go
+++ b/internal/feed/outcomes.go
@@ -62,6 +62,7 @@
 			h.outcomes.add(o, h.now())
 		}
 		h.mu.Unlock()
+		h.reportEvidence(report)
 	}
 }
 
@@ -88,15 +89,20 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-s.opts.ReportNow:
 		case <-ticker.C:
 		}
-		outcomes := s.opts.Outcomes()
-		if len(outcomes) == 0 {
+		streams := s.openStreams()
+		if len(streams) == 0 {
 			continue
 		}
-		for _, st := range s.openStreams() {
+		report := s.opts.Outcomes()
+		if len(report.Outcomes) == 0 && len(report.Crashes) == 0 && len(report.SoundParts) == 0 {
+			continue
+		}
+		for _, st := range streams {
 			// If the stream has failed, attach sees the error and ends.
-			_ = st.Send(&pb.OutcomeReport{Outcomes: outcomes})
+			_ = st.Send(report)
 		}
 	}
 }
--- a/internal/feed/outcomes_test.go
+++ b/internal/feed/outcomes_test.go
@@ -23,12 +23,12 @@
 	shares := map[string]uint32{}
 	first := Subscribe(SubscriberOptions{
 		Seeds: seeds, Logger: discard, OnDocument: func(uint64, []byte) {}, OnUpstreams: func([]*pb.UpstreamRecord) {},
-		Outcomes: func() []*pb.UpstreamOutcomes {
+		Outcomes: func() *pb.OutcomeReport {
 			if sent {
-				return nil
+				return &pb.OutcomeReport{}
 			}
 			sent = true
-			return []*pb.UpstreamOutcomes{{Id: "bad", BornMs: 7, Failed: 20}, {Id: "good", BornMs: 7, Good: 20, Failed: 2}}
+			return &pb.OutcomeReport{Outcomes: []*pb.UpstreamOutcomes{{Id: "bad", BornMs: 7, Failed: 20}, {Id: "good", BornMs: 7, Good: 20, Failed: 2}}}
 		},
 	})
 	t.Cleanup(first.Stop)
--- a/internal/feed/subscriber.go
+++ b/internal/feed/subscriber.go
@@ -53,10 +53,17 @@
 	// OnUpstreams is called with the records that changed.
 	OnUpstreams func([]*pb.UpstreamRecord)
 	// Outcomes returns the outcomes of the entry's calls since the last time it
-	// was called. OnErrorShares is called with the error shares of upstreams
-	// over all entries attached to the hub. Both may be nil.
-	Outcomes      func() []*pb.UpstreamOutcomes
+	// was called. A receive from ReportNow makes the subscriber send them at once.
+	// OnErrorShares is called with the error shares of upstreams over all entries
+	// attached to the hub. All three may be nil.
+	Outcomes      func() *pb.OutcomeReport
+	ReportNow     <-chan struct{}
 	OnErrorShares func([]*pb.ErrorShare)
+	// OnEvidence is called with changes of what is known about parts of prompts that
+	// crash engines. Quarantined returns the parts that the entry knows to be
+	// quarantined. Both may be nil.
+	OnEvidence  func(*pb.PromptEvidence)
+	Quarantined func() []*pb.QuarantinedPart
 }
 
 // Subscriber receives updates for one entry from the hubs to which it is
@@ -195,7 +202,11 @@
 	s.mu.Lock()
 	haveVersion := s.version
 	s.mu.Unlock()
-	if err := st.Send(&pb.FeedRequest{HaveVersion: haveVersion}); err != nil {
+	req := &pb.FeedRequest{HaveVersion: haveVersion}
+	if s.opts.Quarantined != nil {
+		req.Quarantined = s.opts.Quarantined()
+	}
+	if err := st.Send(req); err != nil {
 		return err
 	}
 	defer s.addStream(st)()
@@ -251,6 +262,9 @@
 	if s.opts.OnErrorShares != nil {
 		s.opts.OnErrorShares(u.ErrorShares)
 	}
+	if s.opts.OnEvidence != nil && u.Evidence != nil {
+		s.opts.OnEvidence(u.Evidence)
+	}
 	s.mu.Unlock()
 }
 
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -42,6 +42,10 @@
 	// could not fetch.
 	lostHandleEngines map[*target]bool
 	lastTarget        *target
+	// parts are the keys of the prompt's parts, in order. onTrial is set if one of
+	// them is quarantined and the request may be sent nevertheless.
+	parts   []uint64
+	onTrial bool
 	// mayHaveRun is set once an attempt may have run without a usable response.
 	mayHaveRun bool
 	// reason is the cause of the latest failure, for the log and error responses.
--- a/internal/forward/outcomes.go
+++ b/internal/forward/outcomes.go
@@ -29,9 +29,14 @@
 	}
 }
 
-// Outcomes returns the numbers of successful and failed calls by upstream since
-// the previous call of Outcomes.
-func (s *Server) Outcomes() []*pb.UpstreamOutcomes {
+// Outcomes returns the numbers of successful and failed calls by upstream, and what
+// was learned about parts of prompts, since the previous call of Outcomes.
+func (s *Server) Outcomes() *pb.OutcomeReport {
+	crashes, sound := s.promptParts.takeReport()
+	return &pb.OutcomeReport{Outcomes: s.takeCallOutcomes(), Crashes: crashes, SoundParts: sound}
+}
+
+func (s *Server) takeCallOutcomes() []*pb.UpstreamOutcomes {
 	l := &s.upstreams.outcomes
 	l.mu.Lock()
 	counts := l.counts
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -46,6 +46,7 @@
 	upstreams   *upstreams
 	callerConns callerConns
 	bodies      bodyMemory
+	promptParts promptParts
 	inFlight    atomic.Int64
 	draining    atomic.Bool
 	refusing    atomic.Bool
@@ -69,6 +70,7 @@
 	s := &Server{
 		opts: opts, start: time.Now(), bodies: bodyMemory{max: opts.MaxBufferedBodyBytes}, upstreams: newUpstreams(opts.Place),
 		callerConns:  callerConns{conns: map[net.Conn]waitingConn{}},
+		promptParts:  newPromptParts(),
 		retryBudgets: map[string]*policy.RetryBudget{}, requestSizes: map[string]*policy.MeanSize{}, stop: make(chan struct{}),
 	}
 	s.vars = newVars(s)
@@ -186,6 +188,7 @@
 		now := time.Now()
 		s.closeExpiredCallers(now)
 		s.upstreams.prune(now)
+		s.promptParts.prune(s.now())
 		for _, t := range s.upstreams.all() {
 			t.closeIdle(now, false)
 		}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -50,9 +50,14 @@
 	defer func() { x.freeHandle(st.prompt) }()
 	if x.service.Engine != nil {
 		x.s.addRequestSize(x.service.Name, x.info.PromptTokens, x.info.ExpectedOutputTokens)
+		x.parts = partKeys(x.service.Name, x.info.PromptParts)
 	}
 	runs, rejections := 0, 0
 	for attempt := 1; ; attempt++ {
+		if x.quarantined(st) {
+			x.refuseQuarantined(st)
+			return
+		}
 		st.lastRun = runs+1 >= x.route.MaxAttempts || !x.route.Repeatable()
 		p, refusal := x.placeRequest(attempt, st)
 		if x.callerGone() {
@@ -95,8 +100,7 @@
 				x.abortCancelled()
 				return
 			}
-			x.detectCrash(p.decode, st)
-			if runs++; runs >= x.route.MaxAttempts || !x.route.Repeatable() {
+			if runs++; x.crashSuspect(p.decode, st) || runs >= x.route.MaxAttempts || !x.route.Repeatable() {
 				x.endStream(st, "lost")
 				return
 			}
@@ -124,6 +128,11 @@
 		if st.prompt != nil {
 			p.reportProgress(StagePrefilled, time.Since(start), nil)
 		}
+		// Other engines may have crashed meanwhile.
+		if x.quarantined(st) {
+			p.release(OutcomeNotStarted, st)
+			return sendNotSent
+		}
 	}
 	result := x.tryStream(p, st)
 	outcome := OutcomeDecodeFailed
@@ -251,6 +260,7 @@
 		now := time.Now()
 		if st.events == 0 {
 			st.firstEventAt = now
+			x.s.promptParts.recordAnswer(x.parts, x.s.now())
 			x.firstEventTime = now.Sub(x.receivedAt)
 			x.s.vars.firstEventTime.Record(x.firstEventTime)
 		} else {
--- /dev/null
+++ b/policy/quarantine_test.go
@@ -0,0 +1,132 @@
+package policy
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Parts of the prompts in these tests. Parts from ownPart on belong to one prompt.
+const (
+	sharedPart uint64 = 1 + iota
+	deadlyPart
+	otherPart
+	ownPart uint64 = 100
+)
+
+// crash records that the nth engine crashed under a prompt.
+func crash(q *PromptQuarantine, n int, at time.Duration, parts ...uint64) {
+	q.RecordCrash(CrashedPrompt{Engine: EngineProcess{ID: fmt.Sprint("i-", n), BornMs: 1}, At: at, Parts: parts}, at)
+}
+
+func quarantinedParts(q *PromptQuarantine) []uint64 {
+	var list []uint64
+	for _, p := range q.Quarantined() {
+		list = append(list, p.Part)
+	}
+	return list
+}
+
+// Guards against requests with one part in common that crash one engine after the
+// other, and against the quarantine of what sound requests share with them.
+func TestPartThatCrashesEnginesIsQuarantined(t *testing.T) {
+	q := NewPromptQuarantine()
+	for n := range 3 {
+		require.Empty(t, q.Quarantined())
+		at := time.Duration(n) * 600 * time.Millisecond
+		crash(q, n, at, sharedPart, deadlyPart, ownPart+uint64(n))
+		// A sound prompt waited at the same engine.
+		crash(q, n, at, sharedPart, otherPart, ownPart+50+uint64(n))
+		q.RecordSound(otherPart, at+50*time.Millisecond)
+		q.Decide(at)
+	}
+	require.Equal(t, []uint64{deadlyPart}, quarantinedParts(q))
+	// Later crashes are explained by the part and count against no other.
+	for n := 3; n < 10; n++ {
+		at := time.Duration(n) * 600 * time.Millisecond
+		crash(q, n, at, sharedPart, deadlyPart, ownPart+uint64(n))
+		require.Empty(t, q.Decide(at))
+	}
+}
+
+// Guards against a quarantine after a power loss, in which many engines crash at once
+// and all their requests share parts.
+func TestEnginesThatCrashTogetherQuarantineNothing(t *testing.T) {
+	q := NewPromptQuarantine()
+	for n := range 28 {
+		crash(q, n, time.Duration(n)*5*time.Millisecond, sharedPart, otherPart, ownPart+uint64(n))
+	}
+	require.Empty(t, q.Decide(5*time.Second))
+}
+
+// Guards against a quarantine of a part whose prompts are answered, when engines crash
+// again and again for another reason.
+func TestAnsweredPartIsNotQuarantined(t *testing.T) {
+	q := NewPromptQuarantine()
+	for n := range 20 {
+		at := time.Duration(n) * 1500 * time.Millisecond
+		crash(q, n, at, sharedPart, ownPart+uint64(n))
+		require.Empty(t, q.Decide(at))
+		require.Contains(t, q.Suspects(), ownPart+uint64(n))
+		q.RecordSound(sharedPart, at+300*time.Millisecond)
+	}
+}
+
+// Guards against a single prompt that crashes each engine it is sent to, and against
+// the quarantine of the parts that other prompts share with it.
+func TestPromptThatCrashesEnginesAloneIsQuarantinedAlone(t *testing.T) {
+	q := NewPromptQuarantine()
+	for n := range 4 {
+		crash(q, n, time.Duration(n)*time.Second, sharedPart, otherPart, ownPart)
+	}
+	require.Equal(t, []uint64{ownPart}, q.Decide(4*time.Second))
+	require.Empty(t, q.Decide(5*time.Second))
+	crash(q, 5, 6*time.Second, sharedPart, otherPart, ownPart+1)
+	require.Equal(t, []uint64{otherPart}, q.Decide(6*time.Second), "a second prompt shows what the two have in common")
+}
+
+// Guards against a quarantine without end, and against trials that crash an engine
+// each minute.
+func TestQuarantineEndsWithAnAnswerAndTrialsBecomeRare(t *testing.T) {
+	q := NewPromptQuarantine()
+	for n := range 3 {
+		crash(q, n, time.Duration(n)*time.Second, sharedPart, deadlyPart, ownPart+uint64(n))
+	}
+	now := 2 * time.Second
+	require.Equal(t, []uint64{deadlyPart}, q.Decide(now))
+	require.Equal(t, now+time.Minute, q.Quarantined()[0].TrialAt)
+	delay := time.Minute
+	for n := 3; n < 10; n++ {
+		now = q.Quarantined()[0].TrialAt
+		crash(q, n, now, sharedPart, deadlyPart, ownPart+uint64(n))
+		q.Decide(now)
+		delay = min(2*delay, 10*time.Minute)
+		require.Equal(t, now+delay, q.Quarantined()[0].TrialAt)
+		require.Equal(t, []uint64{deadlyPart}, quarantinedParts(q))
+	}
+	require.True(t, q.RecordSound(deadlyPart, now))
+	require.Empty(t, q.Decide(now))
+	require.Empty(t, q.Quarantined())
+	require.False(t, q.Merge(QuarantinedPart{Part: deadlyPart, EndsAt: now + time.Hour}, now), "another daemon has not heard of the answer")
+}
+
+// Guards against memory that callers can fill.
+func TestQuarantineIsBounded(t *testing.T) {
+	q := NewPromptQuarantine()
+	for n := range 600 {
+		at := time.Duration(n) * 10 * time.Millisecond
+		for i := range uint64(40) {
+			crash(q, n, at, uint64(n)<<32|i<<16, uint64(n)<<32|i<<16|1)
+		}
+		q.Merge(QuarantinedPart{Part: uint64(n), TrialAt: time.Hour, EndsAt: time.Hour + at}, at)
+		if n%50 == 0 {
+			q.Decide(at)
+		}
+	}
+	require.LessOrEqual(t, len(q.crashes), maxCrashes)
+	require.LessOrEqual(t, len(q.Crashes()), maxCrashes*maxPromptsPerCrash)
+	require.LessOrEqual(t, len(q.Suspects()), maxSuspectParts)
+	require.LessOrEqual(t, len(q.Quarantined()), maxQuarantined)
+}
