platform, settings, soak: SIGHUP does not end a daemon that is stopping

Cause: File.Watch ended with the context that SIGTERM cancels, and its signal.Stop gave SIGHUP its default action back, which ends the process in the middle of its drain.

The soak sends such signals to each daemon that it stops and checks the exit status.

Ruled out: removing signal.Stop alone, which leaves a draining entry with the seeds and the retry budget of the time of its SIGTERM.

--- a/cmd/gw-core/main.go
+++ b/cmd/gw-core/main.go
@@ -15,6 +15,7 @@
 const program = "gw-core"
 
 func main() {
+	settings.IgnoreHangup()
 	app := settings.NewApp(program, "Serves operators and upstreams, and replicates the configuration.")
 	var path string
 	var metricsPort uint16
--- a/cmd/gw-edge/main.go
+++ b/cmd/gw-edge/main.go
@@ -14,6 +14,7 @@
 const program = "gw-edge"
 
 func main() {
+	settings.IgnoreHangup()
 	app := settings.NewApp(program, "Forwards callers' requests on one entry VM.")
 	var path string
 	var metricsPort uint16
--- a/cmd/gw-entry/main.go
+++ b/cmd/gw-entry/main.go
@@ -84,6 +84,7 @@
 }
 
 func main() {
+	settings.IgnoreHangup()
 	app := settings.NewApp(program, "Accepts callers' requests and forwards them to upstreams.")
 	o := &options{}
 	o.addFlags(app)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -66,7 +66,10 @@
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryBytes)))
 	}
-	go file.Watch(ctx)
+	// Requests in flight after ctx has ended still depend on the settings.
+	watchCtx, stopWatch := context.WithCancel(context.Background())
+	defer stopWatch()
+	go file.Watch(watchCtx)
 	d, err := start(file, logger)
 	if err != nil {
 		return err
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -72,7 +72,10 @@
 func Run(ctx context.Context, file *platform.File, metricsPort uint16, logger *log.Logger) error {
 	s := file.Current()
 	limitMemory(s.MemoryBytes)
-	go file.Watch(ctx)
+	// Requests in flight after ctx has ended still depend on the settings.
+	watchCtx, stopWatch := context.WithCancel(context.Background())
+	defer stopWatch()
+	go file.Watch(watchCtx)
 	e := &entryProcess{file: file, logger: logger, self: &pb.Hello{DaemonId: s.VM, Vm: s.VM, Place: s.Place, Process: "gw-edge"}}
 	server := e.newServer()
 	subscriber := e.subscribe(server, func() []string { return file.Current().SeedAddresses })
--- a/internal/settings/process.go
+++ b/internal/settings/process.go
@@ -76,6 +76,11 @@
 	return strings.FieldsFunc(s, func(r rune) bool { return r == ',' || r == ' ' })
 }
 
+// IgnoreHangup makes SIGHUP harmless for a daemon, from its first line on: the default
+// action is to end the process. Daemons that reload their settings on SIGHUP subscribe
+// to it later.
+func IgnoreHangup() { signal.Ignore(syscall.SIGHUP) }
+
 // SignalContext returns a context that ends at SIGTERM or SIGINT. A second
 // signal terminates the process.
 func SignalContext() (context.Context, context.CancelFunc) {
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -175,6 +175,17 @@
 	return served, total
 }
 
+// checkStop adds a finding for a process that did not stop after SIGTERM, or not as it
+// should. The caller holds mu.
+func (c *checker) checkStop(name string, exited bool, status error) {
+	switch {
+	case !exited:
+		c.addFinding("stop: %s still ran %v after SIGTERM", name, stopTimeout)
+	case status != nil:
+		c.addFinding("stop: %s ended with %q after SIGTERM", name, status)
+	}
+}
+
 // checkVersion checks a read of the configuration; acked is the highest version
 // that was acknowledged before the read began.
 func (c *checker) checkVersion(version, acked int) {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"time"
 )
@@ -81,15 +82,36 @@
 	}
 }
 
-// terminate sends SIGTERM and adds a finding when the process does not exit.
+// stopSignals follow the first SIGTERM of a process, stopSignalInterval apart, which
+// spreads them over the time in which an entry completes its requests. Before each
+// SIGHUP the settings change.
+var stopSignals = []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGINT, syscall.SIGHUP}
+
+const stopSignalInterval = 600 * time.Millisecond
+
+// terminate sends SIGTERM and further signals, and adds a finding when the process does
+// not exit or is ended by a signal.
 func (s *system) terminate(p *process) {
 	p.signal(syscall.SIGTERM)
-	if !p.waitFor(stopTimeout) {
-		s.check.mu.Lock()
-		s.check.addFinding("stop: %s still ran %v after SIGTERM", p.node.Name, stopTimeout)
-		s.check.mu.Unlock()
+	deadline := time.Now().Add(stopTimeout)
+	for i, next := range stopSignals {
+		if p.waitFor(stopSignalInterval) {
+			break
+		}
+		if next == syscall.SIGHUP {
+			changed := p.node
+			changed.Seeds = append(slices.Clone(p.node.Seeds[i%len(p.node.Seeds):]), p.node.Seeds[:i%len(p.node.Seeds)]...)
+			_ = changed.Write(p.nodeFile)
+		}
+		p.signal(next)
+	}
+	exited := p.waitFor(time.Until(deadline))
+	if !exited {
 		p.kill()
 	}
+	s.check.mu.Lock()
+	defer s.check.mu.Unlock()
+	s.check.checkStop(p.node.Name, exited, p.exitStatus())
 }
 
 // restartGracefully stops an entry with SIGTERM and restarts it. The entry must
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -21,6 +21,9 @@
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
+	// exitError is the result of the current OS process, which is valid once ended is
+	// closed.
+	exitError error
 	// ended is closed when the current OS process has exited.
 	ended chan struct{}
 }
@@ -44,8 +47,10 @@
 	p.cmd, p.ended = cmd, ended
 	p.mu.Unlock()
 	go func() {
-		// Processes are killed on purpose, so the exit status is ignored.
-		_ = cmd.Wait()
+		err := cmd.Wait()
+		p.mu.Lock()
+		p.exitError = err
+		p.mu.Unlock()
 		close(ended)
 	}()
 	return nil
@@ -81,6 +86,14 @@
 	}
 }
 
+// exitStatus returns the error of a process that has exited with another status than 0
+// or was ended by a signal.
+func (p *process) exitStatus() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.exitError
+}
+
 // kill sends SIGKILL and waits up to 5 s for the process to exit.
 func (p *process) kill() {
 	p.signal(syscall.SIGKILL)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -1,11 +1,15 @@
 package soak
 
 import (
+	"context"
+	"io"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
 	"godwitward.example/godwitward/platform/standin"
@@ -41,7 +45,9 @@
 			c.leaveAckedAt["i-1"] = time.Now().Add(-time.Minute)
 			c.requestArrived(standin.Run{ID: "a", Runner: "i-1", At: time.Now()})
 		},
-		"config": func(c *checker) { c.checkVersion(3, 4) },
+		"config":              func(c *checker) { c.checkVersion(3, 4) },
+		"stop, still running": func(c *checker) { c.checkStop("entry-0", false, nil) },
+		"stop, by a signal":   func(c *checker) { c.checkStop("entry-0", true, errors.New("signal: hangup")) },
 		"logs": func(c *checker) {
 			dir := t.TempDir()
 			lines := "event=process.started\nevent=request.ended reason=\"panic: quoted\"\nWARNING: DATA RACE\npanic: late\n"
@@ -72,3 +78,18 @@
 		}
 	}
 }
+
+// Guards against a process that a further signal ends while it completes its requests:
+// entries that were stopped as their settings changed cut off the streams they held.
+func TestOverlappingSignalsDoNotEndAStopEarly(t *testing.T) {
+	dir := t.TempDir()
+	build := exec.Command("go", "build", "-o", dir, "godwitward.example/godwitward/cmd/gw-edge", "godwitward.example/godwitward/cmd/gw-core")
+	output, err := build.CombinedOutput()
+	require.NoError(t, err, string(output))
+	findings, err := Run(context.Background(), Options{
+		Seed: 31, Duration: 8 * time.Second, Entries: 3, Runners: 4, Binaries: dir, Dir: dir, Out: io.Discard,
+		Faults: []string{string(stopEntry), string(stopCore), string(reloadSettings)},
+	})
+	require.NoError(t, err)
+	require.Empty(t, findings)
+}
