--- a/internal/corestore/store.go
+++ b/internal/corestore/store.go
@@ -30,6 +30,10 @@
 	tick           = 100 * time.Millisecond
 	electionTicks  = 7
 	heartbeatTicks = 2
+	// snapshotTicks is the time after which a snapshot that was not acknowledged is
+	// sent again. A document takes less than 100 ms to send, and a member that waits
+	// for its snapshot neither confirms changes nor learns of them.
+	snapshotTicks = 10
 	// keepEntries is the number of log entries before a snapshot that stay in
 	// memory. It is low because one document may take 4 MB.
 	keepEntries = 16
@@ -155,7 +159,7 @@
 	o := replica.Options{
 		Groups: map[replica.GroupID]replica.StateMachine{documentGroup: s.state},
 		Sender: s.opts.Peers, Dir: s.opts.Dir, FS: s.opts.FS,
-		Tick: tick, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
+		Tick: tick, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, SnapshotTicks: snapshotTicks,
 		Seed: uint64(time.Now().UnixNano()), KeepEntries: keepEntries,
 		OnFatal: s.opts.OnFatal, OnLeader: s.wakeMonitor, Logger: s.opts.Logger,
 	}
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -123,6 +123,7 @@
 		Seed:           o.Seed + uint64(id),
 		ElectionTicks:  o.ElectionTicks,
 		HeartbeatTicks: o.HeartbeatTicks,
+		SnapshotTicks:  o.SnapshotTicks,
 	}, restored)
 	if err != nil {
 		return nil, err
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -100,6 +100,9 @@
 	Tick           time.Duration
 	ElectionTicks  int
 	HeartbeatTicks int
+	// SnapshotTicks is the time after which a leader sends a snapshot again that was
+	// not acknowledged; 0 selects the default of raft.
+	SnapshotTicks int
 	// Seed seeds the random part of election timeouts.
 	Seed          uint64
 	SnapshotBytes int
--- a/raft/core.go
+++ b/raft/core.go
@@ -45,9 +45,9 @@
 	// behind the commit index when it is promoted. Each missing entry delays
 	// commits if another voter fails.
 	DefaultMaxPromoteLag = 256
-	// snapshotTimeoutFactor is the time after which the leader gives up on a
-	// snapshot and probes the member again, in multiples of ElectionTicks.
-	snapshotTimeoutFactor = 10
+	// defaultSnapshotFactor is the default of SnapshotTicks in multiples of
+	// ElectionTicks.
+	defaultSnapshotFactor = 10
 )
 
 // Config holds the settings of a Core. Zero values select the defaults.
@@ -59,6 +59,9 @@
 	// ElectionTicks is the minimum election timeout.
 	ElectionTicks  int
 	HeartbeatTicks int
+	// SnapshotTicks is the time after which the leader gives up on a snapshot and
+	// probes the member again. Until then the member gets no entries.
+	SnapshotTicks  int
 	MaxInflight    int
 	MaxAppendBytes uint64
 	MaxApplyBytes  uint64
@@ -72,6 +75,9 @@
 	if c.HeartbeatTicks == 0 {
 		c.HeartbeatTicks = DefaultHeartbeatTicks
 	}
+	if c.SnapshotTicks == 0 {
+		c.SnapshotTicks = defaultSnapshotFactor * c.ElectionTicks
+	}
 	if c.MaxInflight == 0 {
 		c.MaxInflight = DefaultMaxInflight
 	}
@@ -366,7 +372,7 @@
 			continue
 		}
 		p.snapshotTicks++
-		if p.snapshotTicks >= snapshotTimeoutFactor*c.config.ElectionTicks {
+		if p.snapshotTicks >= c.config.SnapshotTicks {
 			p.snapshotIndex = 0
 			p.becomeProbing()
 		}
--- a/raft/core_test.go
+++ b/raft/core_test.go
@@ -157,44 +157,63 @@
 	require.Equal(t, leader.value, c.members[3].value)
 }
 
+// loseSnapshot restarts member 3 of a new group when it needs a snapshot, and loses
+// that snapshot.
+func loseSnapshot(t *testing.T, snapshotTicks int) (*simCluster, *simMember) {
+	c := newClusterWithLeader(t, 3)
+	leader := c.members[1]
+	if snapshotTicks > 0 {
+		leader.core.config.SnapshotTicks = snapshotTicks
+	}
+	c.crash(c.members[3])
+	for range 10 {
+		c.write(leader)
+		c.runUntilIdle()
+	}
+	c.tickAll(DefaultElectionTicks)
+	c.compact(leader)
+	require.NoError(t, leader.core.Compact(leader.disk.snapshot.Meta, 0))
+	leader.core.log.compact(leader.applied)
+	c.start(c.members[3])
+	lost := 0
+	c.drop = func(m *Message) bool {
+		if m.Type == MsgInstallSnapshot {
+			lost++
+		}
+		return m.Type == MsgInstallSnapshot
+	}
+	for lost == 0 {
+		c.tickAll(1)
+	}
+	c.drop = nil
+	return c, leader
+}
+
 // Guards against a member that never catches up because its snapshot was lost.
 func TestLostSnapshotIsResent(t *testing.T) {
 	for _, reported := range []bool{true, false} {
-		c := newClusterWithLeader(t, 3)
-		leader := c.members[1]
-		c.crash(c.members[3])
-		for range 10 {
-			c.write(leader)
-			c.runUntilIdle()
-		}
-		c.tickAll(DefaultElectionTicks)
-		c.compact(leader)
-		require.NoError(t, leader.core.Compact(leader.disk.snapshot.Meta, 0))
-		leader.core.log.compact(leader.applied)
-		c.start(c.members[3])
-		lost := 0
-		c.drop = func(m *Message) bool {
-			if m.Type == MsgInstallSnapshot {
-				lost++
-			}
-			return m.Type == MsgInstallSnapshot
-		}
-		for lost == 0 {
-			c.tickAll(1)
-		}
-		c.drop = nil
+		c, leader := loseSnapshot(t, 0)
 		c.tickAll(DefaultElectionTicks)
 		require.Less(t, c.members[3].applied, leader.applied)
 		if reported {
 			leader.core.ReportSnapshotFailure(3)
 			c.tickAll(2 * DefaultElectionTicks)
 		} else {
-			c.tickAll((snapshotTimeoutFactor + 2) * DefaultElectionTicks)
+			c.tickAll((defaultSnapshotFactor + 2) * DefaultElectionTicks)
 		}
 		require.Equal(t, leader.applied, c.members[3].applied, "reported: %t", reported)
 	}
 }
 
+// Guards against a member that hears the leader but stays behind for ten election
+// timeouts because its snapshot was lost.
+func TestLostSnapshotIsResentAfterItsTimeout(t *testing.T) {
+	const snapshotTicks = DefaultElectionTicks
+	c, leader := loseSnapshot(t, snapshotTicks)
+	c.tickAll(2 * snapshotTicks)
+	require.Equal(t, leader.applied, c.members[3].applied)
+}
+
 // Guards against a group that rejects commands forever after a leadership transfer
 // to a member that doesn't respond.
 func TestTransferToUnreachableMemberTimesOut(t *testing.T) {
