request: a completion is sent to two engines that are lost before its first token

Cause: a completion that crashes the engine which begins to answer it was tried at four engines, one after the other. Evidence: TestPromptThatCrashesEnginesReachesTwo fails on the code before (d1 to d4) and passes now.

Change: a second engine lost before the first token ends the request, as the forwarding daemons do with the route's attempts. An engine that was never reached, or is lost after the first token, does not count.

Open: nothing looks for what such completions have in common.

--- a/internal/request/completion.go
+++ b/internal/request/completion.go
@@ -28,6 +28,9 @@
 	MaxReconnects int
 	// MaxAttempts is the maximum number of reservations of one request.
 	MaxAttempts int
+	// MaxLostBeforeToken is the number of decode engines that may be lost before the
+	// first token. A prompt that crashes engines must not reach one after the other.
+	MaxLostBeforeToken int
 }
 
 // DefaultLimits returns the limits used in production.
@@ -40,9 +43,10 @@
 		TransferTimeout: 2 * time.Second,
 		// The engine client closes a stream that carries neither tokens nor
 		// comments for 3 s. This limit catches an engine that sends comments only.
-		StallTimeout:  5 * time.Second,
-		MaxReconnects: 2,
-		MaxAttempts:   4,
+		StallTimeout:       5 * time.Second,
+		MaxReconnects:      2,
+		MaxAttempts:        4,
+		MaxLostBeforeToken: 2,
 	}
 }
 
@@ -79,6 +83,7 @@
 	importSent  bool // the attempt may occupy the decode engine
 	connection  uint32
 	reconnects  int
+	lostEngines int // decode engines that were lost before the first token
 	baseTokens  int // output tokens before this attempt
 	firstToken  time.Time
 
@@ -373,6 +378,10 @@
 		c.openStream(now)
 		return
 	}
+	// A stream that was never opened says nothing about the prompt.
+	if c.emitted == 0 && c.reconnects > 0 {
+		c.lostEngines++
+	}
 	c.retry(now, c.grant.GetDecode().GetId(), pb.ReleaseRequest_DECODE_FAILED, "decode: "+ev.Message)
 }
 
@@ -382,7 +391,8 @@
 	if failedUpstream != "" {
 		c.exclude = append(c.exclude, failedUpstream)
 	}
-	allowed := int(c.attempt) < c.spec.Limits.MaxAttempts && now.Before(c.spec.Deadline)
+	limits := &c.spec.Limits
+	allowed := int(c.attempt) < limits.MaxAttempts && c.lostEngines < limits.MaxLostBeforeToken && now.Before(c.spec.Deadline)
 	if !allowed || !c.spec.Budget.Withdraw(now) {
 		c.finish(now, Outcome{Failure: FailureUpstream, Message: message, RetryAfter: time.Second}, outcome)
 		return
--- a/internal/request/completion_test.go
+++ b/internal/request/completion_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
@@ -271,3 +272,45 @@
 		s.check()
 	})
 }
+
+// Guards against a prompt that crashes each engine which begins to answer it, and is
+// sent to four of them.
+func TestPromptThatCrashesEnginesReachesTwo(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := NewCompletion(Spec{PromptTokens: 10, MaxOutputTokens: 5, Deadline: now.Add(time.Minute), Limits: DefaultLimits(), Budget: unlimitedBudget{}})
+	engines := map[string]bool{}
+	var finished *Outcome
+	pending := []Event{&Start{}}
+	for len(pending) > 0 {
+		event := pending[0]
+		pending = pending[1:]
+		for _, a := range m.Step(now, event) {
+			switch a := a.(type) {
+			case *Submit:
+				grant := &pb.Grant{HoldId: fmt.Sprint("h", a.Attempt), Prefill: &pb.UpstreamAddress{Id: "p"}, Decode: &pb.UpstreamAddress{Id: fmt.Sprint("d", a.Attempt)}}
+				pending = append(pending, &Granted{Attempt: a.Attempt, Grant: grant})
+			case *StartPrefill:
+				pending = append(pending, &Prefilled{Attempt: a.Attempt, Result: &upstream.PrefillResult{PromptTokens: 10}})
+			case *StartImport:
+				pending = append(pending, &Imported{Attempt: a.Attempt})
+			case *OpenStream:
+				kind := upstream.KindOutcomeUnknown
+				if engines[a.Grant.Decode.Id] {
+					kind = upstream.KindNotSent
+				}
+				engines[a.Grant.Decode.Id] = true
+				pending = append(pending, &StreamLost{Attempt: a.Attempt, Connection: a.Connection, Kind: kind})
+			case *Finish:
+				finished = &a.Outcome
+			}
+		}
+	}
+	require.Len(t, engines, 2)
+	require.NotNil(t, finished)
+	require.Equal(t, FailureUpstream, finished.Failure)
+}
+
+// unlimitedBudget allows every retry.
+type unlimitedBudget struct{}
+
+func (unlimitedBudget) Withdraw(time.Time) bool { return true }
