policy: the retry budget counts retries over a whole window

What callers of the service see: more repeats than the budget of the whole system allows.

Cause: requests and retries were counted over the newest ten one-second slots, 9 to 10 s of a 10 s window, and entries all spend what becomes available at the start of a slot at once, so that eleven starts fell into one window. The test of every window looked at 9 s.

Change: requests over at most a window, retries over at least one, slots of a quarter of a second. Tests: TestRetryBudgetHoldsInEveryWindow with 10 s failed before (4 retries, 3 allowed), and so did TestRetryBudgetHoldsWhenAllOfItIsSpentAtOnce (206, 203 allowed).

--- a/policy/pick_test.go
+++ b/policy/pick_test.go
@@ -101,7 +101,7 @@
 		for _, end := range retries {
 			spent, requested := 0, 0
 			for _, at := range retries {
-				if at <= end && end-at < 9*time.Second {
+				if at <= end && end-at <= 10*time.Second {
 					spent++
 				}
 			}
@@ -116,3 +116,27 @@
 		}
 	})
 }
+
+// Guards against entries that all spend what becomes available at the start of each
+// time slot: eleven such starts fell into a window of ten slots, and a service got more
+// retries than the budget of the whole system.
+func TestRetryBudgetHoldsWhenAllOfItIsSpentAtOnce(t *testing.T) {
+	const window = 10 * time.Second
+	b := RetryBudget{Ratio: 0.2, Slack: 3, Window: window}
+	var retries []time.Duration
+	for now := time.Duration(0); now < 60*time.Second; now += 10 * time.Millisecond {
+		b.RecordRequest(now)
+		for b.Take(now) {
+			retries = append(retries, now)
+		}
+	}
+	spent := 0
+	for first, last := 0, 0; last < len(retries); last++ {
+		for retries[last]-retries[first] > window {
+			first++
+		}
+		spent = max(spent, last-first+1)
+	}
+	require.LessOrEqual(t, spent, 203, "1,000 requests in each window")
+	require.GreaterOrEqual(t, len(retries), 1_000, "the budget of 1,200 in 60 s is used")
+}
--- a/policy/retry_budget.go
+++ b/policy/retry_budget.go
@@ -13,13 +13,13 @@
 	Slack  float64
 	Window time.Duration
 
-	buckets [budgetBuckets]budgetBucket
+	buckets [budgetBuckets + 1]budgetBucket
 }
 
-// budgetBuckets is the number of buckets per window. Counts expire by whole
-// buckets, so they cover between nine tenths and the whole of a window and are
-// never higher than those of the whole window.
-const budgetBuckets = 10
+// budgetBuckets is the number of buckets per window. Counts expire by whole buckets.
+// Requests are counted over at most a window and retries over at least one, so that the
+// budget holds in every window, whichever way it lies to the buckets.
+const budgetBuckets = 40
 
 type budgetBucket struct {
 	// slot is the number of the time slot, from time 0 on, that the counts
@@ -53,8 +53,11 @@
 	current := b.slot(now)
 	requests, retries := 0, 0
 	for i := range b.buckets {
-		if k := &b.buckets[i]; current-k.slot < budgetBuckets {
+		k := &b.buckets[i]
+		if current-k.slot < budgetBuckets {
 			requests += k.requests
+		}
+		if current-k.slot <= budgetBuckets {
 			retries += k.retries
 		}
 	}
@@ -68,7 +71,7 @@
 // bucket returns the bucket for now, cleared when it held an older slot.
 func (b *RetryBudget) bucket(now time.Duration) *budgetBucket {
 	slot := b.slot(now)
-	k := &b.buckets[slot%budgetBuckets]
+	k := &b.buckets[slot%int64(len(b.buckets))]
 	if k.slot != slot {
 		*k = budgetBucket{slot: slot}
 	}
