policy: evidence that is sent to other hubs is a copy

Found by reading the diff: PromptQuarantine.Crashes returned the slices that RecordSound changes in place, while the hub encodes them without its lock: a data race that could send a hub wrong parts of a prompt. TestEvidenceIsCopied failed before. A comment on explained crashes now says what the code does.

--- a/policy/quarantine.go
+++ b/policy/quarantine.go
@@ -257,8 +257,9 @@
 	e.depth = max(e.depth, depth)
 }
 
-// explained reports whether a quarantined part accounts for a crash. A part that is
-// the last one of its prompt accounts for it only if nothing else does.
+// explained reports whether a quarantined part accounts for a crash. The last part of a
+// prompt accounts for none: a prompt that crashes engines again and again may do so
+// because of a part that others share.
 func (q *PromptQuarantine) explained(c *engineCrash) bool {
 	for _, parts := range c.prompts {
 		for _, part := range parts[:len(parts)-1] {
@@ -321,12 +322,12 @@
 	return list
 }
 
-// Crashes returns the evidence.
+// Crashes returns a copy of the evidence.
 func (q *PromptQuarantine) Crashes() []CrashedPrompt {
 	var list []CrashedPrompt
 	for _, c := range q.crashes {
 		for _, parts := range c.prompts {
-			list = append(list, CrashedPrompt{c.engine, c.at, parts})
+			list = append(list, CrashedPrompt{c.engine, c.at, slices.Clone(parts)})
 		}
 	}
 	return list
--- a/policy/quarantine_test.go
+++ b/policy/quarantine_test.go
@@ -130,3 +130,12 @@
 	require.LessOrEqual(t, len(q.Suspects()), maxSuspectParts)
 	require.LessOrEqual(t, len(q.Quarantined()), maxQuarantined)
 }
+
+// Guards against evidence that changes while it is sent to other daemons.
+func TestEvidenceIsCopied(t *testing.T) {
+	q := NewPromptQuarantine()
+	crash(q, 1, 0, sharedPart, deadlyPart, ownPart)
+	sent := q.Crashes()
+	q.RecordSound(sharedPart, time.Second)
+	require.Equal(t, []uint64{sharedPart, deadlyPart, ownPart}, sent[0].Parts)
+}
