cmd, soak: signals at the start of a process

No program can handle that signal; the platform starts a process again that has ended, and the soak now does so for one that SIGHUP ended before it logged process.started. A process that was stopped before that line is not checked for its exit status; a started one is, as before.

--- a/cmd/gw-core/main.go
+++ b/cmd/gw-core/main.go
@@ -16,6 +16,7 @@
 
 func main() {
 	settings.IgnoreHangup()
+	ctx := settings.FirstSignalContext()
 	app := settings.NewApp(program, "Serves operators and upstreams, and replicates the configuration.")
 	var path string
 	var metricsPort uint16
@@ -24,7 +25,7 @@
 	var node *platform.File
 	logger := settings.NewAsyncLogger(os.Stdout)
 	settings.Parse(app, os.Args[1:], func(l *finding.List) { node = core.OpenSettings(l, path, logger) })
-	if err := core.Run(settings.FirstSignalContext(), node, metricsPort, logger); err != nil {
+	if err := core.Run(ctx, node, metricsPort, logger); err != nil {
 		settings.Fatal(logger, "running", err)
 	}
 	settings.CloseLogger(logger)
--- a/cmd/gw-edge/main.go
+++ b/cmd/gw-edge/main.go
@@ -15,6 +15,7 @@
 
 func main() {
 	settings.IgnoreHangup()
+	ctx := settings.FirstSignalContext()
 	app := settings.NewApp(program, "Forwards callers' requests on one entry VM.")
 	var path string
 	var metricsPort uint16
@@ -23,7 +24,7 @@
 	var node *platform.File
 	logger := settings.NewAsyncLogger(os.Stdout)
 	settings.Parse(app, os.Args[1:], func(l *finding.List) { node = edge.OpenSettings(l, path, logger) })
-	if err := edge.Run(settings.FirstSignalContext(), node, metricsPort, logger); err != nil {
+	if err := edge.Run(ctx, node, metricsPort, logger); err != nil {
 		settings.Fatal(logger, "running", err)
 	}
 	settings.CloseLogger(logger)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -51,8 +51,13 @@
 			s.stopAndRestart(ctx, p, 0, func() {})
 		}
 	case reloadSettings:
-		entry.signal(syscall.SIGHUP)
-		core.signal(syscall.SIGHUP)
+		for _, p := range []*process{entry, core} {
+			if err := p.hangUp(); err != nil {
+				s.check.mu.Lock()
+				s.check.addFinding("start: %v", err)
+				s.check.mu.Unlock()
+			}
+		}
 	case changeConfig:
 		// An error is ignored: a change without acknowledgement may or may not
 		// be in force.
@@ -92,6 +97,7 @@
 // terminate sends SIGTERM and further signals, and adds a finding when the process does
 // not exit or is ended by a signal.
 func (s *system) terminate(p *process) {
+	started := p.hasStarted()
 	p.signal(syscall.SIGTERM)
 	deadline := time.Now().Add(stopTimeout)
 	for i, next := range stopSignals {
@@ -111,7 +117,9 @@
 	}
 	s.check.mu.Lock()
 	defer s.check.mu.Unlock()
-	s.check.checkStop(p.node.Name, exited, p.exitStatus())
+	if !exited || started {
+		s.check.checkStop(p.node.Name, exited, p.exitStatus())
+	}
 }
 
 // restartGracefully stops an entry with SIGTERM and restarts it. The entry must
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"bytes"
+	"io"
 	"os"
 	"os/exec"
 	"sync"
@@ -24,6 +26,8 @@
 	// exitError is the result of the current OS process, which is valid once ended is
 	// closed.
 	exitError error
+	// logOffset is the size of the log when the current OS process was started.
+	logOffset int64
 	// ended is closed when the current OS process has exited.
 	ended chan struct{}
 }
@@ -37,6 +41,10 @@
 		return errors.Wrap(err, "opening log")
 	}
 	defer out.Close()
+	offset, err := out.Seek(0, io.SeekEnd)
+	if err != nil {
+		return errors.Wrap(err, "finding the end of the log")
+	}
 	cmd := exec.Command(p.binary, "--node-file", p.nodeFile)
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
@@ -44,7 +52,7 @@
 	}
 	ended := make(chan struct{})
 	p.mu.Lock()
-	p.cmd, p.ended = cmd, ended
+	p.cmd, p.ended, p.logOffset = cmd, ended, offset
 	p.mu.Unlock()
 	go func() {
 		err := cmd.Wait()
@@ -86,6 +94,32 @@
 	}
 }
 
+// hasStarted reports whether the current OS process has logged that it serves. A signal
+// that comes before the first line of the program ends it.
+func (p *process) hasStarted() bool {
+	p.mu.Lock()
+	offset := p.logOffset
+	p.mu.Unlock()
+	content, err := os.ReadFile(p.logFile)
+	return err == nil && int64(len(content)) > offset && bytes.Contains(content[offset:], []byte("event=process.started"))
+}
+
+// hangUp sends SIGHUP. A process that it ends before it has started is started again,
+// as the platform does.
+func (p *process) hangUp() error {
+	p.signal(syscall.SIGHUP)
+	if p.hasStarted() || !p.waitFor(earlyEndTimeout) || p.hasStarted() {
+		return nil
+	}
+	if err := p.exitStatus(); err == nil || err.Error() != "signal: hangup" {
+		return nil
+	}
+	return p.start()
+}
+
+// earlyEndTimeout is how long a process takes to end by a signal at its start.
+const earlyEndTimeout = 300 * time.Millisecond
+
 // exitStatus returns the error of a process that has exited with another status than 0
 // or was ended by a signal.
 func (p *process) exitStatus() error {
