soak: recover counts only callers who stay

Those who left, and only after two events of their stream, are not counted any more; the bound is the same for the others, so the check is stricter for them. TestOnlyCallersWhoStayAreCounted.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -35,6 +35,8 @@
 	body     string
 	// truncated is set when the connection ended before a complete response.
 	truncated bool
+	// left is set when the caller disconnected on purpose.
+	left bool
 }
 
 // checker records what callers, runners and operators observe, and collects
@@ -162,11 +164,14 @@
 }
 
 // countServed returns how many requests got a complete response with status 200,
-// and how many have ended.
+// and how many have ended. Those whose callers left on purpose are not counted.
 func (c *checker) countServed() (served, total int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, o := range c.outcomes {
+		if o.left {
+			continue
+		}
 		total++
 		if o.status == 200 && o.complete {
 			served++
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -88,6 +88,7 @@
 			events = append(events, data)
 		}
 		if disconnects && len(events) == 2 {
+			o.left = true
 			return
 		}
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -61,6 +61,18 @@
 	}
 }
 
+// Guards against callers who leave on purpose being counted as not served, and against
+// any other request being left out.
+func TestOnlyCallersWhoStayAreCounted(t *testing.T) {
+	c := newChecker()
+	c.checkStream("left", outcome{status: 200, truncated: true, left: true}, []string{"left 1", "left 2"}, 3)
+	c.checkStream("broken", outcome{status: 200, truncated: true}, []string{"broken 1", "broken 2"}, 3)
+	c.checkPlain("refused", outcome{status: 503, complete: true})
+	c.checkPlain("served", outcome{status: 200, complete: true, body: "answer served"})
+	served, total := c.countServed()
+	require.Equal(t, []int{1, 3}, []int{served, total})
+}
+
 // Faults of core daemons must stay within the group's fault tolerance. Otherwise
 // the soak test reports failures that the system does not have to survive.
 func TestScheduleStaysWithinFaultTolerance(t *testing.T) {
