forward: the check for a crash and the check for a suspect are apart

Reading the diff: crashSuspect answered a question and, as a side effect, reported a crash. Now brokeBeforeFirstEvent, suspect and reportIfCrashed. No change of behaviour.

--- a/internal/forward/prompt_parts.go
+++ b/internal/forward/prompt_parts.go
@@ -241,33 +241,33 @@
 	x.respondUnavailable("prompt_quarantined", x.capRetryAfter(quarantineRetryAfter))
 }
 
-// crashSuspect reports whether the request must not be sent again after an attempt with
-// unknown outcome, because a part of its prompt is suspected of crashing engines or is
-// on trial. It also checks, in the background, whether the engine has crashed.
-func (x *exchange) crashSuspect(t *target, st *streamState) bool {
-	if len(x.parts) == 0 || x.begun(st) || !x.connectionBroke() {
-		return false
+// brokeBeforeFirstEvent reports whether the latest attempt ended with its connection
+// and the caller has no event of the stream.
+func (x *exchange) brokeBeforeFirstEvent(st *streamState) bool {
+	broke := x.reason == "connection_lost" || x.reason == "stream_broke"
+	return broke && len(x.parts) > 0 && !x.begun(st)
+}
+
+// suspect reports whether the request must not be sent again after such an attempt,
+// because a part of its prompt is suspected of crashing engines or is on trial.
+func (x *exchange) suspect(st *streamState) bool {
+	return x.brokeBeforeFirstEvent(st) && (x.onTrial || x.s.promptParts.suspect(x.parts, x.s.now()))
+}
+
+// reportIfCrashed reports a prompt under which an engine has crashed. ids are the parts
+// of the prompt as the caller sent them, parts their keys.
+func (s *Server) reportIfCrashed(t *target, id string, ids []string, parts []uint64) {
+	if !t.refusesConnections() {
+		return
 	}
-	id, ids := x.info.ID, strings.Join(x.info.PromptParts, ",")
-	go func() {
-		if !t.refusesConnections() {
-			return
-		}
-		x.s.promptParts.recordCrash(t, x.parts)
-		x.s.opts.Logger.Warn().Str("event", "upstream.crashed").Str("upstream", t.id).Str("id", id).Str("parts", ids).Msg("")
-	}()
-	return x.onTrial || x.s.promptParts.suspect(x.parts, x.s.now())
+	s.promptParts.recordCrash(t, parts)
+	s.opts.Logger.Warn().Str("event", "upstream.crashed").Str("upstream", t.id).Str("id", id).Str("parts", strings.Join(ids, ",")).Msg("")
 }
 
 // begun reports whether the caller has received an event of the stream, now or before
 // it resumed it.
 func (x *exchange) begun(st *streamState) bool { return st.events > 0 || x.info.LastEventID != "" }
 
-// connectionBroke reports whether the latest attempt ended with its connection.
-func (x *exchange) connectionBroke() bool {
-	return x.reason == "connection_lost" || x.reason == "stream_broke"
-}
-
 // refusesConnections reports whether no process listens at the target's address.
 func (t *target) refusesConnections() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -100,7 +100,10 @@
 				x.abortCancelled()
 				return
 			}
-			if runs++; x.crashSuspect(p.decode, st) || runs >= x.route.MaxAttempts || !x.route.Repeatable() {
+			if x.brokeBeforeFirstEvent(st) {
+				go x.s.reportIfCrashed(p.decode, x.info.ID, x.info.PromptParts, x.parts)
+			}
+			if runs++; runs >= x.route.MaxAttempts || !x.route.Repeatable() || x.suspect(st) {
 				x.endStream(st, "lost")
 				return
 			}
