forward, platform, policy: read and log the limits that upstreams state

An entry now reads the limit of each response that comes from the process itself, logs changes as upstream.limit with the requests that it sent there in the latest 4 s, and exports both as limited_upstreams. Nothing acts on the limit yet.

A value that is no number of requests a second is logged and changes nothing; 0 counts as 0.1, since without a request nobody would learn of the end; the lowest of several counts.

--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -151,6 +151,7 @@
 			return
 		}
 		defer c.Close()
+		t.countSend(x.s.now())
 		_ = c.SetDeadline(time.Now().Add(freeTimeout))
 		if err := c.writeRequest(&outboundRequest{method: http.MethodDelete, uri: path, host: t.address, header: http.Header{}}); err != nil {
 			return
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -70,6 +70,16 @@
 	// unknown.
 	KeepAlive       time.Duration
 	ConnectionClose bool
+	// RateLimit is the limit that the upstream states; nil if it states none.
+	RateLimit *RateLimit
+}
+
+// RateLimit is the number of requests a second that an upstream takes from all
+// entries together.
+type RateLimit struct {
+	PerSecond float64
+	// Err is set if the stated value is not a valid limit; PerSecond is then 0.
+	Err error
 }
 
 // Load is the load that an upstream reports: its running and waiting requests and
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -73,6 +73,8 @@
 		return nil, err
 	}
 	opts.RemainingTime = x.remaining()
+	sentAt := x.s.now()
+	t.countSend(sentAt)
 	_ = c.SetDeadline(time.Now().Add(firstByteTimeout))
 	if err := c.writeRequest(x.outboundRequest(opts)); err != nil {
 		return fail(errors.Wrap(errConnLost, err.Error()))
@@ -88,6 +90,7 @@
 		return fail(err)
 	}
 	t.recordLoad(info.Load, x.s.now())
+	x.s.recordLimit(t, opts, resp, &info, sentAt)
 	x.appendTrail(t, opts, itoa(resp.StatusCode), info.Load)
 	return &upstreamResponse{target: t, conn: c, resp: resp, info: info, stop: stop}, nil
 }
--- a/internal/forward/target.go
+++ b/internal/forward/target.go
@@ -34,6 +34,10 @@
 	// until errorShareExpires, counted from the start of the server.
 	globalErrorShare  float64
 	errorShareExpires time.Duration
+	// limit is what the process states about the requests that it takes, and
+	// recentSends counts those of this entry.
+	limit       policy.StatedLimit
+	recentSends policy.WindowCount
 }
 
 // beginRequest adds a request to the entry's own load at the target.
--- a/internal/forward/vars.go
+++ b/internal/forward/vars.go
@@ -50,6 +50,7 @@
 		}
 		return 0
 	}))
+	v.all.Set("limited_upstreams", expvar.Func(func() any { return s.limitedUpstreams() }))
 	v.all.Set("suspect_parts", expvar.Func(func() any { n, _ := s.promptParts.counts(); return n }))
 	v.all.Set("quarantined_parts", expvar.Func(func() any { _, n := s.promptParts.counts(); return n }))
 	v.all.Set("repeat_budget_left", expvar.Func(func() any { return s.remainingRetries() }))
