--- a/internal/edge/crash_test.go
+++ b/internal/edge/crash_test.go
@@ -7,43 +7,20 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"net/http/httptest"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
-	"github.com/phuslu/log"
 	"github.com/stretchr/testify/require"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
-	"godwitward.example/godwitward/internal/corestore"
-	"godwitward.example/godwitward/internal/feed"
-	"godwitward.example/godwitward/internal/forward"
-	"godwitward.example/godwitward/internal/transport"
-	"godwitward.example/godwitward/platform"
 	"godwitward.example/godwitward/platform/standin"
 )
 
-// documentStore is a feed.Store with a fixed document.
-type documentStore struct {
-	document corestore.Document
-	members  []string
-}
-
-func (s *documentStore) Current() corestore.Document    { return s.document }
-func (s *documentStore) HasQuorum() bool                { return true }
-func (s *documentStore) Members() []string              { return s.members }
-func (s *documentStore) Leader() (string, uint64, bool) { return s.members[0], 1, false }
-
-// crashTest is a set of hubs, entries and engines on loopback addresses. Engines crash
-// under prompts with the part "dead" and are back after engineRestart.
+// crashTest is a system with engines. Engines crash under prompts with the part "dead" and are back after engineRestart.
 type crashTest struct {
-	t       *testing.T
-	hubs    []*feed.Hub
-	members []string
-	entries []*httptest.Server
+	*testSystem
 
 	// late holds the ids of the prompts that must not reach an engine any more, and
 	// lateStarts counts those that did.
@@ -63,48 +40,7 @@
 )
 
 func newCrashTest(t *testing.T, hubs, entries, engines int) *crashTest {
-	c := &crashTest{t: t}
-	discard := &log.Logger{Level: log.PanicLevel}
-	config, err := (&standin.Config{Version: 1, PlainService: "plain", EngineService: "llm"}).Encode()
-	require.NoError(t, err)
-	var listeners []net.Listener
-	for range hubs {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		listeners = append(listeners, l)
-		c.members = append(c.members, l.Addr().String())
-	}
-	for i, l := range listeners {
-		server := transport.NewServer(transport.Options{})
-		peers := corestore.NewPeers(c.members[i], netip.MustParseAddrPort(c.members[i]).Port(), transport.Options{Self: &pb.Hello{Vm: c.members[i]}})
-		store := &documentStore{corestore.Document{Version: 1, Body: config}, c.members}
-		hub := feed.NewHub(feed.HubOptions{Store: store, Peers: peers, Self: c.members[i], Logger: discard, OnReport: func(*pb.UpstreamRecord) {}}, server)
-		go func() { _ = server.Serve(l) }()
-		c.hubs = append(c.hubs, hub)
-		t.Cleanup(func() {
-			hub.Stop()
-			peers.Close()
-			server.Close()
-		})
-	}
-	for i := range entries {
-		e := &entryProcess{logger: discard, self: &pb.Hello{Vm: fmt.Sprint("edge-", i)}}
-		server := forward.NewServer(forward.Options{
-			Protocol: platform.Headers{}, MaxBufferedBodyBytes: 1 << 20, Logger: discard,
-			RetryLimits: func() forward.RetryLimits {
-				return forward.RetryLimits{RetryRatio: 0.2, RetrySlack: 200, RetryWindow: 10 * time.Second, Entries: entries}
-			},
-		})
-		subscriber := e.subscribe(server, func() []string { return c.members })
-		front := httptest.NewServer(server)
-		c.entries = append(c.entries, front)
-		t.Cleanup(func() {
-			front.Close()
-			subscriber.Stop()
-			server.Stop()
-		})
-		require.Eventually(t, server.Ready, 5*time.Second, time.Millisecond)
-	}
+	c := &crashTest{testSystem: newTestSystem(t, hubs, entries)}
 	for i := range engines {
 		c.startEngine(i, 0)
 	}
--- /dev/null
+++ b/internal/edge/system_test.go
@@ -0,0 +1,101 @@
+package edge
+
+import (
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/stretchr/testify/require"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/corestore"
+	"godwitward.example/godwitward/internal/feed"
+	"godwitward.example/godwitward/internal/forward"
+	"godwitward.example/godwitward/internal/transport"
+	"godwitward.example/godwitward/platform"
+	"godwitward.example/godwitward/platform/standin"
+)
+
+// noLeader is the value of testSystem.leader while no core daemon leads.
+const noLeader = -1
+
+// documentStore is a feed.Store with a fixed document.
+type documentStore struct {
+	system   *testSystem
+	index    int
+	document corestore.Document
+}
+
+func (s *documentStore) Current() corestore.Document { return s.document }
+func (s *documentStore) HasQuorum() bool             { return true }
+func (s *documentStore) Members() []string           { return s.system.members }
+
+func (s *documentStore) Leader() (string, uint64, bool) {
+	leader := int(s.system.leader.Load())
+	if leader == noLeader {
+		return "", 0, false
+	}
+	return s.system.members[leader], uint64(leader + 1), leader == s.index
+}
+
+// testSystem is a set of hubs and entries on loopback addresses. The services of its
+// configuration are "plain" and "llm".
+type testSystem struct {
+	t       *testing.T
+	hubs    []*feed.Hub
+	members []string
+	entries []*httptest.Server
+	// leader is the index of the hub that leads, or noLeader.
+	leader atomic.Int32
+}
+
+func newTestSystem(t *testing.T, hubs, entries int) *testSystem {
+	s := &testSystem{t: t}
+	discard := &log.Logger{Level: log.PanicLevel}
+	config, err := (&standin.Config{Version: 1, PlainService: "plain", EngineService: "llm"}).Encode()
+	require.NoError(t, err)
+	var listeners []net.Listener
+	for range hubs {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		listeners = append(listeners, l)
+		s.members = append(s.members, l.Addr().String())
+	}
+	for i, l := range listeners {
+		server := transport.NewServer(transport.Options{})
+		peers := corestore.NewPeers(s.members[i], netip.MustParseAddrPort(s.members[i]).Port(), transport.Options{Self: &pb.Hello{Vm: s.members[i]}})
+		store := &documentStore{system: s, index: i, document: corestore.Document{Version: 1, Body: config}}
+		hub := feed.NewHub(feed.HubOptions{Store: store, Peers: peers, Self: s.members[i], Logger: discard, OnReport: func(*pb.UpstreamRecord) {}}, server)
+		go func() { _ = server.Serve(l) }()
+		s.hubs = append(s.hubs, hub)
+		t.Cleanup(func() {
+			hub.Stop()
+			peers.Close()
+			server.Close()
+		})
+	}
+	for i := range entries {
+		e := &entryProcess{logger: discard, self: &pb.Hello{Vm: fmt.Sprint("edge-", i)}}
+		server := forward.NewServer(forward.Options{
+			Protocol: platform.Headers{}, MaxBufferedBodyBytes: 1 << 20, Logger: discard,
+			RetryLimits: func() forward.RetryLimits {
+				return forward.RetryLimits{RetryRatio: 0.2, RetrySlack: 200, RetryWindow: 10 * time.Second, Entries: entries}
+			},
+		})
+		subscriber := e.subscribe(server, func() []string { return s.members })
+		front := httptest.NewServer(server)
+		s.entries = append(s.entries, front)
+		t.Cleanup(func() {
+			front.Close()
+			subscriber.Stop()
+			server.Stop()
+		})
+		require.Eventually(t, server.Ready, 5*time.Second, time.Millisecond)
+	}
+	return s
+}
