forward, feed, scheduler: keep the limits that upstreams state, over all entries

Cause: entries passed the statement on to the caller and did nothing with it. Class of fault: what an upstream asks for in its answers is dropped.

Ruled out: entries that each keep the whole limit (nothing read it), retries (each request in the log has one send there), entries that were not told (the rule does not count them).

Change: entries report what responses state; hubs pass it on to all entries and to each other; a request to a plain upstream with a limit needs a permit that the leader of the core gives, one after the other; the scheduler counts what it gives to engines. While other upstreams have room, a permit is only asked for; otherwise the request waits up to its latency target, and is refused at once if there is none by then. Statements are ordered by the time at which the request was sent, and belong to one process.

Why it works: one daemon counts the requests of all entries, and every path that sends (attempts, resends, prefills, freed handles) needs a permit, a reservation, or is left out.

--- a/internal/core/pools.go
+++ b/internal/core/pools.go
@@ -47,7 +47,9 @@
 	scheduler *scheduler.Scheduler
 	leader    func() (address string, term uint64, self bool)
 	records   func() []*pb.UpstreamRecord
-	logger    *log.Logger
+	// limits returns the limits that upstreams state.
+	limits func() []*pb.StatedLimit
+	logger *log.Logger
 	// leaderChanged makes run look at the leadership at once.
 	leaderChanged chan struct{}
 	// checksFencing is set if engines reject orders with an old fencing token.
@@ -157,6 +159,9 @@
 		for _, r := range p.records() {
 			p.announce(r)
 		}
+		for _, l := range p.limits() {
+			p.setLimit(l)
+		}
 	}
 }
 
@@ -181,6 +186,24 @@
 	p.scheduler.Announce(r.Service, []*pb.UpstreamState{state})
 }
 
+// setLimit passes on the limit that an engine states.
+func (p *pools) setLimit(l *pb.StatedLimit) {
+	p.mu.Lock()
+	var services []string
+	for name := range p.engines {
+		services = append(services, name)
+	}
+	active := p.activeTerm != 0
+	p.mu.Unlock()
+	if !active {
+		return
+	}
+	for _, service := range services {
+		// Only the service that has the engine knows its id.
+		p.scheduler.SetLimit(service, l.Id, uint64(l.BornMs), l.PerSecond)
+	}
+}
+
 var roles = map[pb.EngineStage]pb.EngineRole{
 	pb.EngineStage_ENGINE_STAGE_PREFILL: pb.EngineRole_ENGINE_ROLE_PREFILL,
 	pb.EngineStage_ENGINE_STAGE_DECODE:  pb.EngineRole_ENGINE_ROLE_DECODE,
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -115,15 +115,17 @@
 
 // subscribe connects a server with the hubs of the core.
 func (e *entryProcess) subscribe(server *forward.Server, seeds func() []string) *feed.Subscriber {
-	return feed.Subscribe(feed.SubscriberOptions{
+	subscriber := feed.Subscribe(feed.SubscriberOptions{
 		Seeds:       seeds,
 		Transport:   transport.Options{Self: e.self, Logger: e.logger},
 		Logger:      e.logger,
 		OnDocument:  func(version uint64, body []byte) { applyConfig(server, e.logger, version, body) },
 		OnUpstreams: server.SetUpstreams,
 		Outcomes:    server.Outcomes, ReportNow: server.ReportNow(), OnErrorShares: server.SetErrorShares,
-		OnEvidence: server.SetEvidence, Quarantined: server.Quarantined,
+		OnEvidence: server.SetEvidence, Quarantined: server.Quarantined, OnLimits: server.SetLimits,
 	})
+	server.SetPermits(&permits{subscriber: subscriber, logger: e.logger})
+	return subscriber
 }
 
 // retryLimits returns the retry limits of the current settings and the number of
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -63,6 +63,8 @@
 	// OnReport is called with each report that counts as a heartbeat, and with
 	// the record of each process that has ended or become silent.
 	OnReport func(*pb.UpstreamRecord)
+	// OnLimit is called when the limit that an upstream states changes. It may be nil.
+	OnLimit func(*pb.StatedLimit)
 }
 
 // Hub distributes records and documents from one core daemon. mu guards the
@@ -89,6 +91,7 @@
 	// announced.
 	newestVersion uint64
 	evidence      promptEvidence
+	limits        statedLimits
 
 	// gossipReceived counts the messages from other hubs.
 	gossipReceived atomic.Int64
@@ -119,9 +122,9 @@
 	allReports bool
 	// delayed is set while a signal is due after gossipDelay.
 	delayed bool
-	// evidenceDue is set when the next message to another hub must carry the evidence
-	// on parts of prompts.
-	evidenceDue bool
+	// evidenceDue and limitsDue are set when the next message to another hub must carry
+	// the evidence on parts of prompts, or the limits that upstreams state.
+	evidenceDue, limitsDue bool
 }
 
 // NewHub starts a hub and registers its streams. Stop ends it.
@@ -130,10 +133,11 @@
 	h := &Hub{
 		opts: opts, start: time.Now(), table: fleet.NewTable(),
 		subscriptions: map[*subscription]struct{}{}, remoteAttachments: map[string]attachmentCount{}, outcomes: outcomeTable{}, ctx: ctx, stop: cancel,
-		evidence: promptEvidence{quarantine: policy.NewPromptQuarantine()},
+		evidence: promptEvidence{quarantine: policy.NewPromptQuarantine()}, limits: newStatedLimits(),
 	}
 	server.Handle(transport.MethodFeed, h.serveFeed)
 	server.Handle(transport.MethodGossip, h.serveGossip)
+	transport.HandleUnary(server, transport.MethodSendPermit, h.serveSendPermit)
 	h.done.Add(1)
 	go h.maintain()
 	return h
@@ -360,7 +364,7 @@
 			return nil
 		}
 		lastSent = time.Now()
-		u := &pb.FeedUpdate{Upstreams: h.takePending(s), Quorate: h.opts.Store.HasQuorum(), Entries: h.entryCount(), ErrorShares: h.errorShares()}
+		u := &pb.FeedUpdate{Upstreams: h.takePending(s), Quorate: h.opts.Store.HasQuorum(), Entries: h.entryCount(), ErrorShares: h.errorShares(), Limits: h.Limits()}
 		u.Leader, u.Term, _ = h.opts.Store.Leader()
 		d := h.opts.Store.Current()
 		u.Version, u.NewestVersion = d.Version, max(d.Version, h.announcedVersion())
@@ -409,6 +413,7 @@
 			h.applyGossip(r)
 		}
 		h.mergeEvidence(g.Evidence)
+		h.mergeLimits(g.Limits, false)
 		h.mu.Lock()
 		h.remoteAttachments[transport.PeerFromContext(ctx).Vm] = attachmentCount{int(g.Attached), h.now()}
 		h.newestVersion = max(h.newestVersion, g.Version)
@@ -448,6 +453,7 @@
 	for {
 		h.expire()
 		h.decideQuarantine()
+		h.pruneLimits()
 		h.updateGossipStreams(streams)
 		select {
 		case <-h.ctx.Done():
@@ -517,7 +523,7 @@
 	}
 	defer st.Close()
 	h.mu.Lock()
-	s.sendAll, s.evidenceDue = true, true
+	s.sendAll, s.evidenceDue, s.limitsDue = true, true, true
 	h.mu.Unlock()
 	s.signal()
 	ticker := time.NewTicker(attachmentCountTTL / 3)
@@ -536,9 +542,9 @@
 		lastSent = time.Now()
 		records := h.takePending(s)
 		h.mu.Lock()
-		attached, evidence := uint32(h.localAttachments()), h.evidenceForHub(s)
+		attached, evidence, limits := uint32(h.localAttachments()), h.evidenceForHub(s), h.limitsForHub(s)
 		h.mu.Unlock()
-		if err := st.Send(&pb.Gossip{Upstreams: records, Attached: attached, Version: h.opts.Store.Current().Version, Evidence: evidence}); err != nil {
+		if err := st.Send(&pb.Gossip{Upstreams: records, Attached: attached, Version: h.opts.Store.Current().Version, Evidence: evidence, Limits: limits}); err != nil {
 			return
 		}
 	}
--- a/internal/feed/subscriber.go
+++ b/internal/feed/subscriber.go
@@ -64,6 +64,8 @@
 	// quarantined. Both may be nil.
 	OnEvidence  func(*pb.PromptEvidence)
 	Quarantined func() []*pb.QuarantinedPart
+	// OnLimits is called with the limits that upstreams state. It may be nil.
+	OnLimits func([]*pb.StatedLimit)
 }
 
 // Subscriber receives updates for one entry from the hubs to which it is
@@ -98,6 +100,9 @@
 	entryCountAt time.Time
 	// streams holds the open streams from hubs.
 	streams map[*transport.Stream]struct{}
+	// permitClient is the client of the leader; nil until a permit was asked for.
+	permitClient *transport.Client
+	stopped      bool
 
 	stop context.CancelFunc
 	done sync.WaitGroup
@@ -124,6 +129,7 @@
 // Stop closes the streams and waits for the subscriber's goroutines.
 func (s *Subscriber) Stop() {
 	s.stop()
+	s.closeLeaderClient()
 	s.done.Wait()
 }
 
@@ -262,6 +268,9 @@
 	if s.opts.OnErrorShares != nil {
 		s.opts.OnErrorShares(u.ErrorShares)
 	}
+	if s.opts.OnLimits != nil {
+		s.opts.OnLimits(u.Limits)
+	}
 	if s.opts.OnEvidence != nil && u.Evidence != nil {
 		s.opts.OnEvidence(u.Evidence)
 	}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -57,6 +57,9 @@
 	queueTime time.Duration
 	// placedBy tells whether the scheduler or the entry chose the last engines.
 	placedBy string
+	// permitRetryAfter is the time until an upstream that states a limit may get
+	// another request; 0 if the request did not fail for lack of a permit.
+	permitRetryAfter time.Duration
 	// trail lists the upstream requests with their outcomes, for the log.
 	trail   []string
 	outcome string
--- a/internal/forward/limits.go
+++ b/internal/forward/limits.go
@@ -2,8 +2,10 @@
 
 import (
 	"net/http"
+	"sync"
 	"time"
 
+	pb "godwitward.example/godwitward/api/godwitward/v1"
 	"godwitward.example/godwitward/policy"
 )
 
@@ -21,7 +23,13 @@
 		}
 		stated = policy.NewStatedLimit(info.RateLimit.PerSecond, sentAt)
 	}
-	s.updateLimit(t, stated, "response")
+	changed := s.updateLimit(t, stated, "response")
+	if changed || stated.PerSecond > 0 {
+		s.limitReports.add(t)
+	}
+	if changed {
+		s.reportNow.signal()
+	}
 }
 
 // fromProcess reports whether a response comes from the upstream process that it was
@@ -34,7 +42,7 @@
 }
 
 // updateLimit applies a stated limit. source tells where it was learned.
-func (s *Server) updateLimit(t *target, stated policy.StatedLimit, source string) {
+func (s *Server) updateLimit(t *target, stated policy.StatedLimit, source string) bool {
 	now := s.now()
 	t.mu.Lock()
 	changed := t.limit.Update(stated)
@@ -44,6 +52,44 @@
 		s.opts.Logger.Warn().Str("event", "upstream.limit").Str("upstream", t.id).Float64("per_second", stated.PerSecond).
 			Int64("age_ms", (now-stated.SentAt).Milliseconds()).Str("source", source).Int("sent_4s", sends).Msg("")
 	}
+	return changed
+}
+
+// limitReports holds the targets that have stated or ended a limit in a response to this
+// entry since the previous report.
+type limitReports struct {
+	mu      sync.Mutex
+	targets map[*target]bool
+}
+
+func (l *limitReports) add(t *target) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.targets[t] = true
+}
+
+// takeLimits returns the limits that are to be reported.
+func (s *Server) takeLimits() []*pb.StatedLimit {
+	l := &s.limitReports
+	l.mu.Lock()
+	targets := l.targets
+	l.targets = map[*target]bool{}
+	l.mu.Unlock()
+	var list []*pb.StatedLimit
+	for t := range targets {
+		u := t.limitedUpstream(s.now())
+		list = append(list, &pb.StatedLimit{Id: u.ID, BornMs: u.BornMs, PerSecond: u.PerSecond, AgeMs: uint32(max(0, u.Age).Milliseconds())})
+	}
+	return list
+}
+
+// SetLimits applies the limits that a feed hub knows.
+func (s *Server) SetLimits(limits []*pb.StatedLimit) {
+	for _, l := range limits {
+		if t := s.upstreams.get(l.Id); t != nil && t.bornMs == l.BornMs {
+			s.updateLimit(t, policy.StatedLimit{PerSecond: l.PerSecond, SentAt: s.now() - time.Duration(l.AgeMs)*time.Millisecond}, "hub")
+		}
+	}
 }
 
 // limitedUpstream is an upstream that states a limit, for the metrics.
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -91,21 +91,22 @@
 		}
 	}
 	filter := upstreamFilter{service: x.service.Name, stage: engineStage(x.service), tried: x.tried}
-	decode := x.s.upstreams.pick(filter, x.s.now(), rand.Float64())
+	decode := x.pickUnscheduled(filter, true)
 	if decode == nil {
 		return nil, nil
 	}
 	x.placedBy = "entry"
-	return &placement{decode: decode, work: work, prefill: x.pickPrefill(x.lostHandleEngines)}, nil
+	return &placement{decode: decode, work: work, prefill: x.pickPrefill(x.lostHandleEngines, true)}, nil
 }
 
 // pickPrefill chooses a prefill engine without the scheduler; nil if there is none.
-func (x *exchange) pickPrefill(tried map[*target]bool) *target {
+// noScheduler is set if none can place requests.
+func (x *exchange) pickPrefill(tried map[*target]bool, noScheduler bool) *target {
 	if x.service.Engine == nil {
 		return nil
 	}
 	filter := upstreamFilter{service: x.service.Name, stage: pb.EngineStage_ENGINE_STAGE_PREFILL, tried: tried}
-	return x.s.upstreams.pick(filter, x.s.now(), rand.Float64())
+	return x.pickUnscheduled(filter, noScheduler)
 }
 
 // generatedTokens returns the number of output tokens that the caller already has
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -34,7 +34,15 @@
 	work := policy.Work{}
 	runs, rejections := 0, 0
 	for {
-		t := x.s.upstreams.pick(upstreamFilter{service: x.service.Name, tried: x.tried}, x.s.now(), rand.Float64())
+		t := x.pickAdmitted()
+		if x.callerGone() {
+			x.abortCancelled()
+			return
+		}
+		if t == nil && x.permitRetryAfter > 0 {
+			x.giveUp("limited")
+			return
+		}
 		if t == nil || x.tried[t] && !x.route.Repeatable() && x.mayHaveRun {
 			x.giveUp("no_upstream")
 			return
@@ -241,7 +249,7 @@
 		reason += "_after_" + x.reason
 	}
 	if !x.mayHaveRun {
-		x.respondUnavailable(reason, x.retryAfter())
+		x.respondUnavailable(reason, x.capRetryAfter(x.permitRetryAfter))
 		return
 	}
 	if x.remaining() <= deadlineMargin {
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -44,7 +44,7 @@
 	tried := map[*target]bool{}
 	t := p.prefill
 	if t != nil && t.inBackoff(x.s.now()) {
-		t = x.pickPrefill(x.lostHandleEngines)
+		t = x.pickPrefill(x.lostHandleEngines, p.reservation == nil)
 	}
 	// The first prefill that an engine accepts is free, and the scheduler has
 	// charged the next one with its reservation.
@@ -65,7 +65,7 @@
 			return prompt
 		}
 		x.s.retryBudget(x.service.Name).spend(x.s.now())
-		t = x.pickPrefill(tried)
+		t = x.pickPrefill(tried, p.reservation == nil)
 	}
 	return nil
 }
@@ -135,9 +135,10 @@
 }
 
 // freeHandle frees, in the background, the engine memory of a handle that no engine
-// has fetched. prompt may be nil.
+// has fetched. prompt may be nil. An engine that states a limit gets no such request;
+// the handle expires by itself.
 func (x *exchange) freeHandle(prompt *prefilledPrompt) {
-	if prompt == nil {
+	if prompt == nil || prompt.engine.limited() {
 		return
 	}
 	t := prompt.engine
--- a/internal/forward/prompt_parts.go
+++ b/internal/forward/prompt_parts.go
@@ -42,20 +42,20 @@
 	// suspects holds, by part, until when it is suspect.
 	suspects    map[uint64]time.Duration
 	quarantined map[uint64]quarantine
-	// crashes and sound wait to be reported; reportNow receives when there is a crash.
+	// crashes and sound wait to be reported; reportNow is signalled when there is a crash.
 	crashes   []*pb.CrashedPrompt
 	sound     map[uint64]bool
-	reportNow chan struct{}
+	reportNow reportSignal
 }
 
 // quarantine tells from when on a prompt with a quarantined part may be tried and when
 // the quarantine ends.
 type quarantine struct{ trialAt, endsAt time.Duration }
 
-func newPromptParts() promptParts {
+func newPromptParts(reportNow reportSignal) promptParts {
 	return promptParts{
 		answeredAt: map[uint64]time.Duration{}, suspects: map[uint64]time.Duration{}, quarantined: map[uint64]quarantine{},
-		sound: map[uint64]bool{}, reportNow: make(chan struct{}, 1),
+		sound: map[uint64]bool{}, reportNow: reportNow,
 	}
 }
 
@@ -99,10 +99,7 @@
 	if len(p.crashes) < maxCrashReports {
 		p.crashes = append(p.crashes, &pb.CrashedPrompt{EngineId: t.id, EngineBornMs: t.bornMs, Parts: parts})
 	}
-	select {
-	case p.reportNow <- struct{}{}:
-	default:
-	}
+	p.reportNow.signal()
 }
 
 // takeReport returns what was learned since the previous call.
@@ -208,7 +205,17 @@
 func (s *Server) SetEvidence(e *pb.PromptEvidence) { s.promptParts.update(e, s.now()) }
 
 // ReportNow receives when Outcomes has something that must not wait.
-func (s *Server) ReportNow() <-chan struct{} { return s.promptParts.reportNow }
+func (s *Server) ReportNow() <-chan struct{} { return s.reportNow }
+
+// reportSignal wakes the reader that reports to hubs.
+type reportSignal chan struct{}
+
+func (c reportSignal) signal() {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
 
 // Quarantined returns the quarantined parts of prompts.
 func (s *Server) Quarantined() []*pb.QuarantinedPart {
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -47,12 +47,17 @@
 	callerConns callerConns
 	bodies      bodyMemory
 	promptParts promptParts
-	inFlight    atomic.Int64
-	draining    atomic.Bool
-	refusing    atomic.Bool
+	// reportNow is signalled when Outcomes has something that must not wait.
+	reportNow reportSignal
+	// limitReports are the limits that upstreams state to be reported.
+	limitReports limitReports
+	inFlight     atomic.Int64
+	draining     atomic.Bool
+	refusing     atomic.Bool
 
 	vars     *vars
 	placer   Placer
+	permits  SendPermits
 	setPools func(services []string)
 
 	mu           sync.Mutex
@@ -67,10 +72,12 @@
 // NewServer returns a server that rejects every request until SetConfig is
 // called. It starts a goroutine that runs until Stop.
 func NewServer(opts Options) *Server {
+	reportNow := make(reportSignal, 1)
 	s := &Server{
 		opts: opts, start: time.Now(), bodies: bodyMemory{max: opts.MaxBufferedBodyBytes}, upstreams: newUpstreams(opts.Place),
-		callerConns:  callerConns{conns: map[net.Conn]waitingConn{}},
-		promptParts:  newPromptParts(),
+		callerConns: callerConns{conns: map[net.Conn]waitingConn{}},
+		promptParts: newPromptParts(reportNow), reportNow: reportNow,
+		limitReports: limitReports{targets: map[*target]bool{}},
 		retryBudgets: map[string]*policy.RetryBudget{}, requestSizes: map[string]*policy.MeanSize{}, stop: make(chan struct{}),
 	}
 	s.vars = newVars(s)
@@ -105,6 +112,10 @@
 	s.updatePools()
 }
 
+// SetPermits makes the server ask p for permits to send requests to upstreams that
+// state limits. It must be called before the first request.
+func (s *Server) SetPermits(p SendPermits) { s.permits = p }
+
 func (s *Server) updatePools() {
 	c := s.config.Load()
 	if s.setPools == nil || c == nil {
--- a/internal/forward/target.go
+++ b/internal/forward/target.go
@@ -38,6 +38,7 @@
 	// recentSends counts those of this entry.
 	limit       policy.StatedLimit
 	recentSends policy.WindowCount
+	permit      permitState
 }
 
 // beginRequest adds a request to the entry's own load at the target.
--- a/internal/forward/upstreams.go
+++ b/internal/forward/upstreams.go
@@ -123,6 +123,8 @@
 	service string
 	stage   pb.EngineStage
 	tried   map[*target]bool
+	// excluded holds upstreams that are not used.
+	excluded map[*target]bool
 }
 
 // pick returns the best upstream that passes the filter, or nil. r is a random
@@ -140,7 +142,7 @@
 			errorShare = t.globalErrorShare
 		}
 		t.mu.Unlock()
-		if misdirected || record.Phase != pb.UpstreamPhase_UPSTREAM_READY || record.Stage != filter.stage {
+		if filter.excluded[t] || misdirected || record.Phase != pb.UpstreamPhase_UPSTREAM_READY || record.Stage != filter.stage {
 			continue
 		}
 		usable = append(usable, t)
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -49,6 +49,12 @@
 	p.upstreams.refreshAll(&p.params, now, false)
 	p.activateRestored(now)
 	p.placementTime = now
+	if len(p.upstreams.limited) > 0 {
+		// An engine that states a limit may get another request after some time,
+		// without any event.
+		p.upstreams.forgetReplaced()
+		p.unblockQueue()
+	}
 	var out []Action
 	out = p.placeEarmarked(out, now)
 	for i, q := range p.queue.lanes {
@@ -158,7 +164,7 @@
 func (p *Pool) query(w *queuedRequest, now time.Duration) policy.Query {
 	c := p.upstreams.candidatesFor(w.req.Model)
 	q := policy.Query{
-		Request: &w.spec, Prefill: c.prefill, Decode: c.decode, Exclude: w.req.Exclude, Reserve: p.urgentReserve(),
+		Request: &w.spec, Prefill: c.prefill, Decode: c.decode, Exclude: p.upstreams.excludeLimited(w.req.Exclude, now), Reserve: p.urgentReserve(),
 		ReservedPrefill: p.reservedPrefill(c), Now: now,
 		Random: [2]float64{p.random.Float64(), p.random.Float64()},
 	}
@@ -214,6 +220,10 @@
 	}
 	p.afterDequeue(w)
 	p.addHold(h, now)
+	dec.countSend(now)
+	if !local {
+		pre.countSend(now)
+	}
 	p.holds.workload.addForecast(h)
 	transferTimeout := min(max(policy.Seconds(transferTimeoutFactor*pl.TransferSeconds), minTransferTimeout), maxTransferTimeout)
 	g := &pb.Grant{
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -42,6 +42,7 @@
 	p.retryBudget = policy.RetryBudget{Ratio: params.RetryRatio, Slack: params.RetrySlack, Window: params.RetryWindow}
 	p.upstreams.byID = map[string]*upstreamRecord{}
 	p.upstreams.byModel = map[string]*candidates{}
+	p.upstreams.limited = map[*upstreamRecord]struct{}{}
 	p.upstreams.nextSilentAt = activeAt
 	p.upstreams.typical = params.AssumedRates
 	p.holds.byID = map[string]*hold{}
--- a/internal/scheduler/tables.go
+++ b/internal/scheduler/tables.go
@@ -63,6 +63,8 @@
 	drains  DrainSet
 	// nextSilentAt is the earliest time at which an upstream may become silent.
 	nextSilentAt time.Duration
+	// limited holds the engines that state a limit.
+	limited map[*upstreamRecord]struct{}
 	// typical are the median rates of the engines whose rates were announced or
 	// measured, and those of Params until there is one.
 	typical      policy.Rates
@@ -119,6 +121,10 @@
 	// backoffUntil is the time until which the engine gets no requests after it
 	// rejected one, was unreachable or lost prefill results.
 	backoffUntil time.Duration
+	// limit is how many requests a second the engine takes, 0 if it states no limit;
+	// sends spaces those that it gets.
+	limit float64
+	sends policy.SendSchedule
 	// foreignRequests counts the requests beyond the holds, as the engine
 	// reported at foreignReportedAt.
 	foreignRequests   int
--- a/internal/transport/method.go
+++ b/internal/transport/method.go
@@ -39,4 +39,5 @@
 	MethodPutDocument
 	MethodGetDocument
 	MethodJoin
+	MethodSendPermit
 )
