--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -126,6 +126,7 @@
 	if err != nil {
 		res.close(false)
 		t.recordFailure(x.s.now(), policy.FaultError)
+		x.connectionLost(t)
 		x.reason = "answer_cut_off"
 		return sendOutcomeUnknown
 	}
