forward: an attempt lost on a reused connection counts, although the upstream refuses the next one

Cause: when a reused connection breaks, a repeatable request is sent again to the same upstream. If that refused the connection, the error said that no byte was sent, for both sends together: the attempt did not count against the route, and the answer claimed that the request had not run. Class of fault: the result of the last of several sends is taken for that of all.

Why it works: what may have been sent before decides, not the last connection.

--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -40,10 +40,11 @@
 	x.sends++
 	x.lastTarget = t
 	opts.Instance = t.id
+	maybeSent := false
 	for finalTry := !x.route.Repeatable(); ; finalTry = true {
 		c, err := t.connect(x.ctx, false)
 		if err != nil {
-			return nil, &SendError{Err: err}
+			return nil, &SendError{MaybeSent: maybeSent, Err: err}
 		}
 		reused := c.requests > 0
 		res, err := x.sendOnConn(c, t, opts, firstByteTimeout)
@@ -61,6 +62,7 @@
 			return nil, &SendError{MaybeSent: true, Err: err}
 		}
 		x.sends++
+		maybeSent = true
 	}
 }
 
