forward, feed, policy: requests without prompt parts that crash upstreams are quarantined

Cause: only parts of prompts were quarantined; a plain request had nothing by which it is recognised.

Evidence: upstream.crashed names the same request= at crash after crash.

Change: a request without prompt parts, plain or stream, is identified by a hash of service, method, host, path with query, credentials and body. Crashes under it are reported to the hubs like those under prompts; after the third it is refused with 503 at every entry. For whole requests each crash counts, however soon after the last, since one request is in progress at one upstream after the other, and there is no delay. Sound requests beside it were in progress at fewer of the crashes; if at as many, both are refused. A suspect request is not tried at a second upstream. Any answer ends suspicion and quarantine.

Why it works: the key is the same at every entry, the verdict reaches all within a tenth of a second, and until then only crashes of the first two or three sends happen. Bodies over 64 KiB are hashed only while something is suspect.

--- a/internal/edge/crash_plain_test.go
+++ b/internal/edge/crash_plain_test.go
@@ -23,12 +23,18 @@
 type plainCrashTest struct {
 	*testSystem
 
+	// callers have different addresses.
+	callers []*http.Transport
+
 	mu      sync.Mutex
 	crashes []time.Time
 }
 
 const (
 	plainRestart = 700 * time.Millisecond
+	// callerAddresses is the number of addresses from which requests come. A request
+	// that comes again may do so from another one.
+	callerAddresses = 16
 	// lateRetries is the number of requests that may crash upstreams later than
 	// contactTime after the third crash.
 	lateRetries = 3
@@ -39,6 +45,11 @@
 	for i := range upstreams {
 		c.startUpstream(i, 0)
 	}
+	for i := range callerAddresses {
+		d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, byte(2+i))}}
+		c.callers = append(c.callers, &http.Transport{DialContext: d.DialContext})
+		t.Cleanup(c.callers[i].CloseIdleConnections)
+	}
 	time.Sleep(200 * time.Millisecond)
 	return c
 }
@@ -62,7 +73,7 @@
 	c.hubs[n%len(c.hubs)].Report(&pb.UpstreamRecord{Id: r.ID, Service: "plain", Address: l.Addr().String(), Phase: pb.UpstreamPhase_UPSTREAM_READY, BornMs: 1, Sequence: 1, Slots: 8})
 }
 
-// send sends a request to a random entry and returns its status, 0 if the answer broke
+// send sends a request from a random address to a random entry and returns its status, 0 if the answer broke
 // off.
 func (c *plainCrashTest) send(id, path string) int {
 	req, err := standin.NewRequest(context.Background(), c.entries[rand.N(len(c.entries))].Listener.Addr().String(), path, id, 1500*time.Millisecond)
@@ -70,7 +81,7 @@
 		panic(err)
 	}
 	req.Body, req.ContentLength = http.NoBody, 0
-	resp, err := http.DefaultTransport.RoundTrip(req)
+	resp, err := c.callers[rand.N(len(c.callers))].RoundTrip(req)
 	if err != nil {
 		return 0
 	}
--- a/internal/feed/evidence.go
+++ b/internal/feed/evidence.go
@@ -60,7 +60,7 @@
 	changed := false
 	for _, c := range crashes {
 		engine := policy.EngineProcess{ID: c.EngineId, BornMs: c.EngineBornMs}
-		if !h.evidence.quarantine.RecordCrash(policy.CrashedPrompt{Engine: engine, At: now - milliseconds(c.AgeMs), Parts: c.Parts}, now) {
+		if !h.evidence.quarantine.RecordCrash(policy.CrashedPrompt{Engine: engine, At: now - milliseconds(c.AgeMs), Parts: c.Parts, Whole: c.WholeRequest}, now) {
 			continue
 		}
 		changed = true
@@ -134,7 +134,7 @@
 	s.evidenceDue = false
 	e := h.encodeVerdicts()
 	for _, c := range h.evidence.quarantine.Crashes() {
-		e.Crashes = append(e.Crashes, &pb.CrashedPrompt{EngineId: c.Engine.ID, EngineBornMs: c.Engine.BornMs, Parts: c.Parts, AgeMs: remainingMs(h.now(), c.At)})
+		e.Crashes = append(e.Crashes, &pb.CrashedPrompt{EngineId: c.Engine.ID, EngineBornMs: c.Engine.BornMs, Parts: c.Parts, AgeMs: remainingMs(h.now(), c.At), WholeRequest: c.Whole})
 	}
 	return e
 }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -42,9 +42,11 @@
 	// could not fetch.
 	lostHandleEngines map[*target]bool
 	lastTarget        *target
-	// parts are the keys of the prompt's parts, in order. onTrial is set if one of
-	// them is quarantined and the request may be sent nevertheless.
+	// parts are the keys of the prompt's parts, in order. For a request without parts
+	// whole is set, and parts holds a key of its content or is empty. onTrial is set if
+	// one of them is quarantined and the request may be sent nevertheless.
 	parts   []uint64
+	whole   bool
 	onTrial bool
 	// mayHaveRun is set once an attempt may have run without a usable response.
 	mayHaveRun bool
@@ -218,6 +220,7 @@
 
 func (x *exchange) serve() {
 	x.s.retryBudget(x.service.Name).recordRequest(x.s.now())
+	x.identify()
 	if x.route.Kind == Stream {
 		x.serveStream()
 		return
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -33,7 +33,13 @@
 func (x *exchange) servePlain() {
 	work := policy.Work{}
 	runs, rejections := 0, 0
+	// The caller has nothing of the response before all of it has arrived.
+	notBegun := &streamState{}
 	for {
+		if x.quarantined(notBegun) {
+			x.refuseQuarantined(notBegun)
+			return
+		}
 		t := x.pickAdmitted()
 		if x.callerGone() {
 			x.abortCancelled()
@@ -74,7 +80,10 @@
 				x.abortCancelled()
 				return
 			}
-			if runs++; runs >= x.route.MaxAttempts || !x.route.Repeatable() {
+			if x.connectionBroke() {
+				x.reportCrash(t)
+			}
+			if runs++; runs >= x.route.MaxAttempts || !x.route.Repeatable() || x.suspect(notBegun) {
 				x.giveUp("lost")
 				return
 			}
@@ -126,7 +135,6 @@
 	if err != nil {
 		res.close(false)
 		t.recordFailure(x.s.now(), policy.FaultError)
-		x.connectionLost(t)
 		x.reason = "answer_cut_off"
 		return sendOutcomeUnknown
 	}
@@ -136,6 +144,9 @@
 		x.reason = "answer_spoiled"
 		return sendOutcomeUnknown
 	}
+	if res.info.FromUpstream && len(body) <= maxBufferedBytes {
+		x.s.promptParts.recordAnswer(x.parts, x.s.now())
+	}
 	if res.resp.StatusCode >= http.StatusInternalServerError {
 		t.recordFailure(x.s.now(), policy.FaultError)
 		if !lastRun && x.s.retryBudget(x.service.Name).remaining(x.s.now()) >= 1 {
--- a/internal/forward/prompt_parts.go
+++ b/internal/forward/prompt_parts.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"errors"
+	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
 	"strings"
@@ -93,11 +94,11 @@
 }
 
 // recordCrash records that an engine crashed before it began to answer a prompt.
-func (p *promptParts) recordCrash(t *target, parts []uint64) {
+func (p *promptParts) recordCrash(t *target, parts []uint64, whole bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.crashes) < maxCrashReports {
-		p.crashes = append(p.crashes, &pb.CrashedPrompt{EngineId: t.id, EngineBornMs: t.bornMs, Parts: parts})
+		p.crashes = append(p.crashes, &pb.CrashedPrompt{EngineId: t.id, EngineBornMs: t.bornMs, Parts: parts, WholeRequest: whole})
 	}
 	p.reportNow.signal()
 }
@@ -194,6 +195,12 @@
 	return false, onTrial
 }
 
+// active reports whether any part is suspect or quarantined.
+func (p *promptParts) active() bool {
+	suspects, quarantined := p.counts()
+	return suspects+quarantined > 0
+}
+
 // counts returns the numbers of suspect and quarantined parts.
 func (p *promptParts) counts() (suspects, quarantined int) {
 	p.mu.Lock()
@@ -242,17 +249,28 @@
 
 func (x *exchange) refuseQuarantined(st *streamState) {
 	if x.mayHaveRun {
-		x.endStream(st, "prompt_quarantined")
+		x.endStream(st, x.quarantineReason())
 		return
 	}
-	x.respondUnavailable("prompt_quarantined", x.capRetryAfter(quarantineRetryAfter))
+	x.respondUnavailable(x.quarantineReason(), x.capRetryAfter(quarantineRetryAfter))
+}
+
+func (x *exchange) quarantineReason() string {
+	if x.whole {
+		return "request_quarantined"
+	}
+	return "prompt_quarantined"
 }
 
 // brokeBeforeFirstEvent reports whether the latest attempt ended with its connection
 // and the caller has no event of the stream.
 func (x *exchange) brokeBeforeFirstEvent(st *streamState) bool {
-	broke := x.reason == "connection_lost" || x.reason == "stream_broke"
-	return broke && len(x.parts) > 0 && !x.begun(st)
+	return x.connectionBroke() && !x.begun(st)
+}
+
+// connectionBroke reports whether the latest attempt ended with its connection.
+func (x *exchange) connectionBroke() bool {
+	return x.reason == "connection_lost" || x.reason == "stream_broke" || x.reason == "answer_cut_off"
 }
 
 // suspect reports whether the request must not be sent again after such an attempt,
@@ -261,19 +279,27 @@
 	return x.brokeBeforeFirstEvent(st) && (x.onTrial || x.s.promptParts.suspect(x.parts, x.s.now()))
 }
 
-// reportIfCrashed reports a prompt under which an engine has crashed. ids are the parts
-// of the prompt as the caller sent them, parts their keys.
-func (s *Server) reportIfCrashed(t *target, id string, ids []string, parts []uint64) {
+// reportIfCrashed reports a request under which an upstream has crashed. parts are those
+// of its prompt or, if whole is set, the key of its content.
+func (s *Server) reportIfCrashed(t *target, info RequestInfo, parts []uint64, whole bool) {
 	if !t.refusesConnections() {
 		return
 	}
-	s.promptParts.recordCrash(t, parts)
-	s.opts.Logger.Warn().Str("event", "upstream.crashed").Str("upstream", t.id).Str("id", id).Str("parts", strings.Join(ids, ",")).Msg("")
+	s.promptParts.recordCrash(t, parts, whole)
+	l := s.opts.Logger.Warn().Str("event", "upstream.crashed").Str("upstream", t.id).Str("id", info.ID)
+	if whole {
+		l = l.Str("request", fmt.Sprintf("%016x", parts[0]))
+	} else {
+		l = l.Str("parts", strings.Join(info.PromptParts, ","))
+	}
+	l.Msg("")
 }
 
 // begun reports whether the caller has received an event of the stream, now or before
 // it resumed it.
-func (x *exchange) begun(st *streamState) bool { return st.events > 0 || x.info.LastEventID != "" }
+func (x *exchange) begun(st *streamState) bool {
+	return st.events > 0 || x.route.Kind == Stream && x.info.LastEventID != ""
+}
 
 // refusesConnections reports whether no process listens at the target's address.
 func (t *target) refusesConnections() bool {
--- a/internal/forward/request_key.go
+++ b/internal/forward/request_key.go
@@ -3,22 +3,16 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
-	"fmt"
 	"io"
-	"net"
 )
 
 // requestKey returns a key for the content of a request, which is the same at every
-// entry: its service, method, host, path with query, caller and body. A caller that
-// sends a request again gives it another id.
+// entry: its service, method, host, path with query, credentials and body. A caller that
+// sends a request again gives it another id, and may have another address.
 func (x *exchange) requestKey() uint64 {
-	caller, _, err := net.SplitHostPort(x.r.RemoteAddr)
-	if err != nil {
-		caller = x.r.RemoteAddr
-	}
 	h := sha256.New()
 	var length [8]byte
-	for _, field := range []string{x.service.Name, x.r.Method, x.r.Host, x.r.RequestURI, caller} {
+	for _, field := range []string{x.service.Name, x.r.Method, x.r.Host, x.r.RequestURI, x.r.Header.Get("Authorization")} {
 		binary.LittleEndian.PutUint64(length[:], uint64(len(field)))
 		// Writes to a hash do not fail.
 		_, _ = h.Write(length[:])
@@ -28,16 +22,27 @@
 	return binary.LittleEndian.Uint64(h.Sum(nil))
 }
 
-// connectionLost logs a request other than a prompt under which an upstream has
-// crashed.
-func (x *exchange) connectionLost(t *target) {
-	if len(x.parts) > 0 || x.callerGone() {
-		return
+// maxKeyedBody is the longest body whose request has a key while no upstream crashes. A
+// longer one would take an entry with a small share of a processor too long.
+const maxKeyedBody = 64 << 10
+
+// identify sets the parts by which the request is recognised if it crashes upstreams:
+// those of its prompt or, if it has none, a key of its content.
+func (x *exchange) identify() {
+	if x.service.Engine != nil {
+		x.parts = partKeys(x.service.Name, x.info.PromptParts)
+	}
+	x.whole = len(x.parts) == 0
+	if x.whole && (len(x.body) <= maxKeyedBody || x.s.promptParts.active()) {
+		x.parts = []uint64{x.requestKey()}
+	}
+}
+
+// reportCrash reports, in the background, the request if an upstream has crashed
+// under it.
+func (x *exchange) reportCrash(t *target) {
+	if len(x.parts) == 0 {
+		x.parts = []uint64{x.requestKey()}
 	}
-	key := x.requestKey()
-	go func() {
-		if t.refusesConnections() {
-			x.s.opts.Logger.Warn().Str("event", "upstream.crashed").Str("upstream", t.id).Str("id", x.info.ID).Str("request", fmt.Sprintf("%016x", key)).Msg("")
-		}
-	}()
+	go x.s.reportIfCrashed(t, x.info, x.parts, x.whole)
 }
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -51,9 +51,6 @@
 		if err == nil {
 			return res, nil
 		}
-		if errors.Is(err, errConnLost) {
-			x.connectionLost(t)
-		}
 		// The upstream may have closed the reused connection while it was idle.
 		// A repeatable request for which no byte of a response has arrived is
 		// retried once, which counts against the retry budget. An upstream that states
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -50,7 +50,6 @@
 	defer func() { x.freeHandle(st.prompt) }()
 	if x.service.Engine != nil {
 		x.s.addRequestSize(x.service.Name, x.info.PromptTokens, x.info.ExpectedOutputTokens)
-		x.parts = partKeys(x.service.Name, x.info.PromptParts)
 	}
 	runs, rejections := 0, 0
 	for attempt := 1; ; attempt++ {
@@ -101,7 +100,7 @@
 				return
 			}
 			if x.brokeBeforeFirstEvent(st) {
-				go x.s.reportIfCrashed(p.decode, x.info.ID, x.info.PromptParts, x.parts)
+				x.reportCrash(p.decode)
 			}
 			if runs++; runs >= x.route.MaxAttempts || !x.route.Repeatable() || x.suspect(st) {
 				x.endStream(st, "lost")
--- a/policy/quarantine.go
+++ b/policy/quarantine.go
@@ -17,7 +17,8 @@
 	// many engines at once, and their requests have parts in common by chance.
 	crashSpacing = 200 * time.Millisecond
 	// quarantineDelay is the shortest time from the first crash to the quarantine.
-	// Within it, entries that have seen an answer to a prompt with the part say so.
+	// Within it, entries that have seen an answer to a prompt with the part say so. It
+	// does not apply to whole requests, of which hardly two are alike.
 	quarantineDelay = 500 * time.Millisecond
 	// crashEvidenceTTL is how long a crash is remembered, soundPartTTL how long
 	// crashes do not count against a part whose prompts are answered.
@@ -44,6 +45,11 @@
 // crash for other reasons. A part is cleared by an answer to any prompt that has it.
 // Of several parts that explain the same crashes, only the one nearest to the end of
 // the prompts is quarantined, because parts at the beginning are shared by more.
+//
+// Whole requests, which have no parts, are found in the same way when they come again.
+// Each crash under one counts, however soon after the last: a request that is sent to
+// one upstream after the other was in progress at each when it crashed. Sound requests
+// that were in progress beside it were so at fewer crashes; if not, both are quarantined.
 type PromptQuarantine struct {
 	// crashes are in order of time.
 	crashes []*engineCrash
@@ -62,9 +68,18 @@
 type engineCrash struct {
 	engine  EngineProcess
 	at      time.Duration
-	prompts [][]uint64
+	prompts []suspectPrompt
+}
+
+// suspectPrompt holds the parts of a prompt that crashes count against, or the key of a
+// whole request.
+type suspectPrompt struct {
+	parts []uint64
+	whole bool
 }
 
+func (p *suspectPrompt) last() uint64 { return p.parts[len(p.parts)-1] }
+
 // QuarantinedPart is a part whose prompts are refused.
 type QuarantinedPart struct {
 	Part uint64
@@ -79,7 +94,10 @@
 type CrashedPrompt struct {
 	Engine EngineProcess
 	At     time.Duration
-	Parts  []uint64
+	// Parts are those of the prompt in their order or, if Whole is set, the key of a
+	// whole request.
+	Parts []uint64
+	Whole bool
 }
 
 // SoundPart is a part against which crashes do not count until EndsAt.
@@ -108,14 +126,14 @@
 	}
 	c := q.crashes[i]
 	for _, known := range c.prompts {
-		if known[len(known)-1] == parts[len(parts)-1] {
+		if known.last() == parts[len(parts)-1] {
 			return false
 		}
 	}
 	if len(c.prompts) == maxPromptsPerCrash {
 		return false
 	}
-	c.prompts = append(c.prompts, parts)
+	c.prompts = append(c.prompts, suspectPrompt{parts, p.Whole})
 	if len(q.crashes) > maxCrashes {
 		q.crashes = q.crashes[1:]
 	}
@@ -155,10 +173,11 @@
 		changed = true
 	}
 	for _, c := range q.crashes {
-		for i, parts := range c.prompts {
-			c.prompts[i] = slices.DeleteFunc(parts, func(part uint64) bool { return part == p.Part })
+		for i := range c.prompts {
+			s := &c.prompts[i]
+			s.parts = slices.DeleteFunc(s.parts, func(part uint64) bool { return part == p.Part })
 		}
-		c.prompts = slices.DeleteFunc(c.prompts, func(parts []uint64) bool { return len(parts) == 0 })
+		c.prompts = slices.DeleteFunc(c.prompts, func(s suspectPrompt) bool { return len(s.parts) == 0 })
 	}
 	q.crashes = slices.DeleteFunc(q.crashes, func(c *engineCrash) bool { return len(c.prompts) == 0 })
 	return changed
@@ -191,12 +210,14 @@
 	q.expire(now)
 	var added []uint64
 	for {
-		part, found := q.culprit(now)
-		if !found {
+		parts := q.culprits(now)
+		if len(parts) == 0 {
 			return added
 		}
-		q.add(&QuarantinedPart{Part: part, TrialAt: now + firstTrialDelay, EndsAt: now + quarantineTTL, trialDelay: firstTrialDelay})
-		added = append(added, part)
+		for _, part := range parts {
+			q.add(&QuarantinedPart{Part: part, TrialAt: now + firstTrialDelay, EndsAt: now + quarantineTTL, trialDelay: firstTrialDelay})
+		}
+		added = append(added, parts...)
 	}
 }
 
@@ -212,24 +233,35 @@
 	// number of parts before it.
 	isLast bool
 	depth  int
+	// whole is set for a whole request.
+	whole bool
+}
+
+// enough reports whether the evidence suffices for a quarantine.
+func (e *partEvidence) enough(now time.Duration) bool {
+	if e.crashes < quarantineCrashes {
+		return false
+	}
+	return e.whole || now-e.first >= quarantineDelay && (e.isLast || len(e.prompts) >= quarantinePrompts)
 }
 
-// culprit returns the part to quarantine next.
-func (q *PromptQuarantine) culprit(now time.Duration) (uint64, bool) {
+// culprits returns the part to quarantine next or, of whole requests, all that were in
+// progress at as many crashes.
+func (q *PromptQuarantine) culprits(now time.Duration) []uint64 {
 	evidence := map[uint64]*partEvidence{}
 	for _, c := range q.crashes {
 		if q.explained(c) {
 			continue
 		}
-		for _, parts := range c.prompts {
-			for depth, part := range parts {
-				addEvidence(evidence, part, depth, parts, c.at)
+		for i := range c.prompts {
+			for depth := range c.prompts[i].parts {
+				addEvidence(evidence, depth, &c.prompts[i], c.at)
 			}
 		}
 	}
 	var best *partEvidence
 	for _, e := range evidence {
-		if q.quarantined[e.part] != nil || e.crashes < quarantineCrashes || now-e.first < quarantineDelay || !e.isLast && len(e.prompts) < quarantinePrompts {
+		if q.quarantined[e.part] != nil || !e.enough(now) {
 			continue
 		}
 		if best == nil || cmp.Or(cmp.Compare(e.depth, best.depth), cmp.Compare(e.crashes, best.crashes), cmp.Compare(e.part, best.part)) > 0 {
@@ -237,33 +269,41 @@
 		}
 	}
 	if best == nil {
-		return 0, false
+		return nil
 	}
-	return best.part, true
+	list := []uint64{best.part}
+	for _, e := range evidence {
+		if best.whole && e != best && e.whole && e.crashes == best.crashes && q.quarantined[e.part] == nil {
+			list = append(list, e.part)
+		}
+	}
+	return list
 }
 
-func addEvidence(evidence map[uint64]*partEvidence, part uint64, depth int, parts []uint64, at time.Duration) {
+// addEvidence adds a crash under a prompt to the evidence against its part at depth.
+func addEvidence(evidence map[uint64]*partEvidence, depth int, p *suspectPrompt, at time.Duration) {
+	part := p.parts[depth]
 	e := evidence[part]
-	if e == nil {
-		e = &partEvidence{part: part, first: at, last: at, crashes: 1, prompts: map[uint64]bool{}, isLast: true}
+	switch {
+	case e == nil:
+		e = &partEvidence{part: part, first: at, last: at, crashes: 1, prompts: map[uint64]bool{}, isLast: true, whole: p.whole}
 		evidence[part] = e
-	}
-	if at-e.last >= crashSpacing {
+	case p.whole || at-e.last >= crashSpacing:
 		e.last = at
 		e.crashes++
 	}
-	e.prompts[parts[len(parts)-1]] = true
-	e.isLast = e.isLast && depth == len(parts)-1
+	e.prompts[p.last()] = true
+	e.isLast = e.isLast && depth == len(p.parts)-1
 	e.depth = max(e.depth, depth)
 }
 
-// explained reports whether a quarantined part accounts for a crash. The last part of a
-// prompt accounts for none: a prompt that crashes engines again and again may do so
-// because of a part that others share.
+// explained reports whether a quarantined part or whole request accounts for a crash.
+// The last part of a prompt accounts for none: a prompt that crashes engines again and
+// again may do so because of a part that others share.
 func (q *PromptQuarantine) explained(c *engineCrash) bool {
-	for _, parts := range c.prompts {
-		for _, part := range parts[:len(parts)-1] {
-			if q.quarantined[part] != nil {
+	for _, p := range c.prompts {
+		for i, part := range p.parts {
+			if q.quarantined[part] != nil && (p.whole || i < len(p.parts)-1) {
 				return true
 			}
 		}
@@ -292,8 +332,8 @@
 	var list []uint64
 	seen := map[uint64]bool{}
 	for _, c := range slices.Backward(q.crashes) {
-		for _, parts := range c.prompts {
-			for _, part := range parts {
+		for _, p := range c.prompts {
+			for _, part := range p.parts {
 				if !seen[part] && len(list) < maxSuspectParts {
 					seen[part] = true
 					list = append(list, part)
@@ -326,8 +366,8 @@
 func (q *PromptQuarantine) Crashes() []CrashedPrompt {
 	var list []CrashedPrompt
 	for _, c := range q.crashes {
-		for _, parts := range c.prompts {
-			list = append(list, CrashedPrompt{c.engine, c.at, slices.Clone(parts)})
+		for _, p := range c.prompts {
+			list = append(list, CrashedPrompt{c.engine, c.at, slices.Clone(p.parts), p.whole})
 		}
 	}
 	return list
--- a/policy/quarantine_test.go
+++ b/policy/quarantine_test.go
@@ -139,3 +139,50 @@
 	q.RecordSound(sharedPart, time.Second)
 	require.Equal(t, []uint64{sharedPart, deadlyPart, ownPart}, sent[0].Parts)
 }
+
+// crashWhole records that the nth upstream crashed under a whole request.
+func crashWhole(q *PromptQuarantine, n int, at time.Duration, key uint64) {
+	q.RecordCrash(CrashedPrompt{Engine: EngineProcess{ID: fmt.Sprint("i-", n), BornMs: 1}, At: at, Parts: []uint64{key}, Whole: true}, at)
+}
+
+// Guards against a request that crashes one upstream after the other within a second,
+// and against refusing those that were in progress at some of them.
+func TestWholeRequestThatCrashesUpstreamsIsQuarantined(t *testing.T) {
+	q := NewPromptQuarantine()
+	const deadly, sound = 1, 2
+	for n := range 3 {
+		require.Empty(t, q.Decide(time.Duration(n)*80*time.Millisecond))
+		crashWhole(q, n, time.Duration(n)*80*time.Millisecond, deadly)
+		if n > 0 {
+			crashWhole(q, n, time.Duration(n)*80*time.Millisecond, sound)
+		}
+	}
+	require.Equal(t, []uint64{deadly}, q.Decide(160*time.Millisecond))
+	// The crash is explained.
+	crashWhole(q, 3, time.Second, deadly)
+	crashWhole(q, 3, time.Second, sound)
+	require.Empty(t, q.Decide(time.Second))
+	require.True(t, q.RecordSound(deadly, 2*time.Second), "an answer ends the quarantine")
+	require.Empty(t, quarantinedParts(q))
+}
+
+// Guards against a sound request that is quarantined in place of the one beside which
+// it was in progress at each crash.
+func TestWholeRequestsAtTheSameCrashesAreAllQuarantined(t *testing.T) {
+	q := NewPromptQuarantine()
+	for n := range 3 {
+		crashWhole(q, n, time.Duration(n)*80*time.Millisecond, 1)
+		crashWhole(q, n, time.Duration(n)*80*time.Millisecond, 2)
+	}
+	require.ElementsMatch(t, []uint64{1, 2}, q.Decide(200*time.Millisecond))
+}
+
+// Guards against a quarantine of requests that were each in progress at one upstream
+// when all of them crashed.
+func TestUpstreamsThatCrashTogetherQuarantineNoRequest(t *testing.T) {
+	q := NewPromptQuarantine()
+	for n := range 24 {
+		crashWhole(q, n%6, time.Duration(n%6)*time.Millisecond, uint64(1+n))
+	}
+	require.Empty(t, q.Decide(time.Second))
+}
