forward, feed, scheduler: an upstream that says it leaves gets no new requests

Cause: as with limits, entries dropped what upstreams say in their answers.

Change: limits and leaving are one statement (policy.UpstreamStatement), read at one place from every response, shared over the hubs, obeyed by the choice of upstreams, by reservations, resends, freed handles, and by the scheduler. A process that has said it leaves does not stay, whatever comes later; another process at the address is a new one.

--- a/internal/core/pools.go
+++ b/internal/core/pools.go
@@ -47,9 +47,9 @@
 	scheduler *scheduler.Scheduler
 	leader    func() (address string, term uint64, self bool)
 	records   func() []*pb.UpstreamRecord
-	// limits returns the limits that upstreams state.
-	limits func() []*pb.StatedLimit
-	logger *log.Logger
+	// statements returns what upstreams say about the requests that they take.
+	statements func() []*pb.UpstreamStatement
+	logger     *log.Logger
 	// leaderChanged makes run look at the leadership at once.
 	leaderChanged chan struct{}
 	// checksFencing is set if engines reject orders with an old fencing token.
@@ -159,8 +159,8 @@
 		for _, r := range p.records() {
 			p.announce(r)
 		}
-		for _, l := range p.limits() {
-			p.setLimit(l)
+		for _, s := range p.statements() {
+			p.setStatement(s)
 		}
 	}
 }
@@ -186,8 +186,8 @@
 	p.scheduler.Announce(r.Service, []*pb.UpstreamState{state})
 }
 
-// setLimit passes on the limit that an engine states.
-func (p *pools) setLimit(l *pb.StatedLimit) {
+// setStatement passes on what an engine says about the requests that it takes.
+func (p *pools) setStatement(s *pb.UpstreamStatement) {
 	p.mu.Lock()
 	var services []string
 	for name := range p.engines {
@@ -200,7 +200,7 @@
 	}
 	for _, service := range services {
 		// Only the service that has the engine knows its id.
-		p.scheduler.SetLimit(service, l.Id, uint64(l.BornMs), l.PerSecond)
+		p.scheduler.SetStatement(service, s)
 	}
 }
 
--- a/internal/core/pools_test.go
+++ b/internal/core/pools_test.go
@@ -22,7 +22,7 @@
 	leader := func() (string, uint64, bool) { return "127.0.0.1:1", 3, true }
 	p := newPools(&log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, leader, func(*pb.UpstreamState) scheduler.Engine { return nil }, &platform.Settings{LeaseTTL: time.Second}, server)
 	p.records = func() []*pb.UpstreamRecord { return nil }
-	p.limits = func() []*pb.StatedLimit { return nil }
+	p.statements = func() []*pb.UpstreamStatement { return nil }
 	p.setServices(map[string]*forward.Service{"draft": {Name: "draft", Engine: &forward.EngineConfig{Slots: 12, MemoryTokens: 68000, TokensPerEvent: 70}}})
 	p.setTerm(3)
 	return p
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -122,7 +122,7 @@
 		OnDocument:  func(version uint64, body []byte) { applyConfig(server, e.logger, version, body) },
 		OnUpstreams: server.SetUpstreams,
 		Outcomes:    server.Outcomes, ReportNow: server.ReportNow(), OnErrorShares: server.SetErrorShares,
-		OnEvidence: server.SetEvidence, Quarantined: server.Quarantined, OnLimits: server.SetLimits,
+		OnEvidence: server.SetEvidence, Quarantined: server.Quarantined, OnStatements: server.SetStatements,
 	})
 	server.SetPermits(&permits{subscriber: subscriber, logger: e.logger})
 	return subscriber
--- a/internal/edge/limit_test.go
+++ b/internal/edge/limit_test.go
@@ -224,3 +224,16 @@
 		require.Greater(t, l.countSince(i, told), 10)
 	}
 }
+
+// Guards against entries that each send a request to an upstream which has told another
+// one that it leaves.
+func TestUpstreamThatLeavesGetsNothingFromAnyEntry(t *testing.T) {
+	l := newLimitTest(t, 3, 7, 3)
+	l.run(500*time.Millisecond, 50)
+	l.runners[0].SetLeaving()
+	l.run(time.Second, 50)
+	told := time.Now()
+	answers := l.run(2*time.Second, 50)
+	require.Zero(t, l.countSince(0, told))
+	require.Equal(t, len(answers), served(answers))
+}
--- a/internal/edge/permits.go
+++ b/internal/edge/permits.go
@@ -27,7 +27,7 @@
 	}
 	req := &pb.SendPermitRequest{MaxWaitMs: millis(maxWait)}
 	for _, u := range upstreams {
-		req.Upstreams = append(req.Upstreams, &pb.StatedLimit{Id: u.ID, BornMs: u.BornMs, PerSecond: u.PerSecond, AgeMs: millis(u.Age)})
+		req.Upstreams = append(req.Upstreams, &pb.UpstreamStatement{Id: u.ID, BornMs: u.BornMs, Limit: u.PerSecond, AgeMs: millis(u.Age)})
 	}
 	resp, err := p.subscriber.AcquireSendPermit(ctx, req)
 	if err != nil {
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -63,8 +63,9 @@
 	// OnReport is called with each report that counts as a heartbeat, and with
 	// the record of each process that has ended or become silent.
 	OnReport func(*pb.UpstreamRecord)
-	// OnLimit is called when the limit that an upstream states changes. It may be nil.
-	OnLimit func(*pb.StatedLimit)
+	// OnStatement is called when what an upstream says about the requests that it takes
+	// changes. It may be nil.
+	OnStatement func(*pb.UpstreamStatement)
 }
 
 // Hub distributes records and documents from one core daemon. mu guards the
@@ -91,7 +92,10 @@
 	// announced.
 	newestVersion uint64
 	evidence      promptEvidence
-	limits        statedLimits
+	// statements are what upstreams say about the requests that they take. While this
+	// hub leads, schedules hold when those with a limit may be sent requests.
+	statements map[processKey]*hubStatement
+	schedules  map[processKey]*sendSchedule
 
 	// gossipReceived counts the messages from other hubs.
 	gossipReceived atomic.Int64
@@ -122,9 +126,9 @@
 	allReports bool
 	// delayed is set while a signal is due after gossipDelay.
 	delayed bool
-	// evidenceDue and limitsDue are set when the next message to another hub must carry
-	// the evidence on parts of prompts, or the limits that upstreams state.
-	evidenceDue, limitsDue bool
+	// evidenceDue and statementsDue are set when the next message to another hub must carry
+	// the evidence on parts of prompts, or the statements of upstreams.
+	evidenceDue, statementsDue bool
 }
 
 // NewHub starts a hub and registers its streams. Stop ends it.
@@ -133,7 +137,7 @@
 	h := &Hub{
 		opts: opts, start: time.Now(), table: fleet.NewTable(),
 		subscriptions: map[*subscription]struct{}{}, remoteAttachments: map[string]attachmentCount{}, outcomes: outcomeTable{}, ctx: ctx, stop: cancel,
-		evidence: promptEvidence{quarantine: policy.NewPromptQuarantine()}, limits: newStatedLimits(),
+		evidence: promptEvidence{quarantine: policy.NewPromptQuarantine()}, statements: map[processKey]*hubStatement{}, schedules: map[processKey]*sendSchedule{},
 	}
 	server.Handle(transport.MethodFeed, h.serveFeed)
 	server.Handle(transport.MethodGossip, h.serveGossip)
@@ -364,7 +368,7 @@
 			return nil
 		}
 		lastSent = time.Now()
-		u := &pb.FeedUpdate{Upstreams: h.takePending(s), Quorate: h.opts.Store.HasQuorum(), Entries: h.entryCount(), ErrorShares: h.errorShares(), Limits: h.Limits()}
+		u := &pb.FeedUpdate{Upstreams: h.takePending(s), Quorate: h.opts.Store.HasQuorum(), Entries: h.entryCount(), ErrorShares: h.errorShares(), Statements: h.Statements()}
 		u.Leader, u.Term, _ = h.opts.Store.Leader()
 		d := h.opts.Store.Current()
 		u.Version, u.NewestVersion = d.Version, max(d.Version, h.announcedVersion())
@@ -413,7 +417,7 @@
 			h.applyGossip(r)
 		}
 		h.mergeEvidence(g.Evidence)
-		h.mergeLimits(g.Limits, false)
+		h.mergeStatements(g.Statements, false)
 		h.mu.Lock()
 		h.remoteAttachments[transport.PeerFromContext(ctx).Vm] = attachmentCount{int(g.Attached), h.now()}
 		h.newestVersion = max(h.newestVersion, g.Version)
@@ -453,7 +457,7 @@
 	for {
 		h.expire()
 		h.decideQuarantine()
-		h.pruneLimits()
+		h.pruneStatements()
 		h.updateGossipStreams(streams)
 		select {
 		case <-h.ctx.Done():
@@ -523,7 +527,7 @@
 	}
 	defer st.Close()
 	h.mu.Lock()
-	s.sendAll, s.evidenceDue, s.limitsDue = true, true, true
+	s.sendAll, s.evidenceDue, s.statementsDue = true, true, true
 	h.mu.Unlock()
 	s.signal()
 	ticker := time.NewTicker(attachmentCountTTL / 3)
@@ -542,9 +546,9 @@
 		lastSent = time.Now()
 		records := h.takePending(s)
 		h.mu.Lock()
-		attached, evidence, limits := uint32(h.localAttachments()), h.evidenceForHub(s), h.limitsForHub(s)
+		attached, evidence, statements := uint32(h.localAttachments()), h.evidenceForHub(s), h.statementsForHub(s)
 		h.mu.Unlock()
-		if err := st.Send(&pb.Gossip{Upstreams: records, Attached: attached, Version: h.opts.Store.Current().Version, Evidence: evidence, Limits: limits}); err != nil {
+		if err := st.Send(&pb.Gossip{Upstreams: records, Attached: attached, Version: h.opts.Store.Current().Version, Evidence: evidence, Statements: statements}); err != nil {
 			return
 		}
 	}
--- a/internal/feed/outcomes.go
+++ b/internal/feed/outcomes.go
@@ -63,7 +63,7 @@
 		}
 		h.mu.Unlock()
 		h.reportEvidence(report)
-		h.mergeLimits(report.Limits, true)
+		h.mergeStatements(report.Statements, true)
 	}
 }
 
@@ -98,7 +98,7 @@
 			continue
 		}
 		report := s.opts.Outcomes()
-		if len(report.Outcomes) == 0 && len(report.Crashes) == 0 && len(report.SoundParts) == 0 && len(report.Limits) == 0 {
+		if len(report.Outcomes) == 0 && len(report.Crashes) == 0 && len(report.SoundParts) == 0 && len(report.Statements) == 0 {
 			continue
 		}
 		for _, st := range streams {
--- a/internal/feed/subscriber.go
+++ b/internal/feed/subscriber.go
@@ -64,8 +64,9 @@
 	// quarantined. Both may be nil.
 	OnEvidence  func(*pb.PromptEvidence)
 	Quarantined func() []*pb.QuarantinedPart
-	// OnLimits is called with the limits that upstreams state. It may be nil.
-	OnLimits func([]*pb.StatedLimit)
+	// OnStatements is called with what upstreams say about the requests that they take.
+	// It may be nil.
+	OnStatements func([]*pb.UpstreamStatement)
 }
 
 // Subscriber receives updates for one entry from the hubs to which it is
@@ -268,8 +269,8 @@
 	if s.opts.OnErrorShares != nil {
 		s.opts.OnErrorShares(u.ErrorShares)
 	}
-	if s.opts.OnLimits != nil {
-		s.opts.OnLimits(u.Limits)
+	if s.opts.OnStatements != nil {
+		s.opts.OnStatements(u.Statements)
 	}
 	if s.opts.OnEvidence != nil && u.Evidence != nil {
 		s.opts.OnEvidence(u.Evidence)
--- a/internal/forward/permits.go
+++ b/internal/forward/permits.go
@@ -68,7 +68,14 @@
 func (t *target) limited() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.limit.PerSecond > 0
+	return t.stated.Limit > 0
+}
+
+// leaving reports whether the target has said that it is about to end.
+func (t *target) leaving() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.stated.Leaving
 }
 
 // takePermit uses a permit to send one request and reports whether there was one.
@@ -93,7 +100,7 @@
 func (t *target) limitedUpstream(now time.Duration) LimitedUpstream {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return LimitedUpstream{ID: t.id, BornMs: t.bornMs, PerSecond: t.limit.PerSecond, Age: now - t.limit.SentAt}
+	return LimitedUpstream{ID: t.id, BornMs: t.bornMs, PerSecond: t.stated.Limit, Age: now - t.stated.SentAt}
 }
 
 // takeOwnShare reports whether a request may be sent to a target that states a limit,
@@ -102,7 +109,7 @@
 	entries := s.opts.RetryLimits().Entries
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.permit.own.ReserveShare(t.limit.PerSecond, entries, rand.Float64(), maxWait, s.now())
+	return t.permit.own.ReserveShare(t.stated.Limit, entries, rand.Float64(), maxWait, s.now())
 }
 
 // acquirePermit returns one of several targets to which a request may be sent after a
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -82,11 +82,11 @@
 				prefill: x.s.upstreams.get(reservation.Prefill()), decode: x.s.upstreams.get(reservation.Decode()), work: work, reservation: reservation,
 				tokensPerEvent: x.service.Engine.TokensPerEvent,
 			}
-			if p.decode != nil {
+			if p.decode != nil && !p.decode.leaving() {
 				x.placedBy = "scheduler"
 				return p, nil
 			}
-			// The decode engine is not known to this entry yet, or it is gone.
+			// The decode engine is not known to this entry yet, or it is gone or leaves.
 			reservation.Release(Result{Outcome: OutcomeNotStarted})
 		}
 	}
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -72,6 +72,8 @@
 	ConnectionClose bool
 	// RateLimit is the limit that the upstream states; nil if it states none.
 	RateLimit *RateLimit
+	// Leaving is set when the upstream says that it is about to end.
+	Leaving bool
 }
 
 // RateLimit is the number of requests a second that an upstream takes from all
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -54,8 +54,8 @@
 		// The upstream may have closed the reused connection while it was idle.
 		// A repeatable request for which no byte of a response has arrived is
 		// retried once, which counts against the retry budget. An upstream that states
-		// a limit gets one request for each permit.
-		if finalTry || t.limited() || !reused || x.callerGone() || !errors.Is(err, errConnLost) || !x.s.retryBudget(x.service.Name).take(x.s.now()) {
+		// a limit gets one request for each permit, and one that leaves gets none.
+		if finalTry || t.limited() || t.leaving() || !reused || x.callerGone() || !errors.Is(err, errConnLost) || !x.s.retryBudget(x.service.Name).take(x.s.now()) {
 			return nil, &SendError{MaybeSent: true, Err: err}
 		}
 		x.sends++
@@ -93,7 +93,7 @@
 		return fail(err)
 	}
 	t.recordLoad(info.Load, x.s.now())
-	x.s.recordLimit(t, opts, resp, &info, sentAt)
+	x.s.recordStatement(t, opts, resp, &info, sentAt)
 	x.appendTrail(t, opts, itoa(resp.StatusCode), info.Load)
 	return &upstreamResponse{target: t, conn: c, resp: resp, info: info, stop: stop}, nil
 }
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -49,11 +49,11 @@
 	promptParts promptParts
 	// reportNow is signalled when Outcomes has something that must not wait.
 	reportNow reportSignal
-	// limitReports are the limits that upstreams state to be reported.
-	limitReports limitReports
-	inFlight     atomic.Int64
-	draining     atomic.Bool
-	refusing     atomic.Bool
+	// statementReports are the statements of upstreams that are to be reported.
+	statementReports statementReports
+	inFlight         atomic.Int64
+	draining         atomic.Bool
+	refusing         atomic.Bool
 
 	vars     *vars
 	placer   Placer
@@ -77,8 +77,8 @@
 		opts: opts, start: time.Now(), bodies: bodyMemory{max: opts.MaxBufferedBodyBytes}, upstreams: newUpstreams(opts.Place),
 		callerConns: callerConns{conns: map[net.Conn]waitingConn{}},
 		promptParts: newPromptParts(reportNow), reportNow: reportNow,
-		limitReports: limitReports{targets: map[*target]bool{}},
-		retryBudgets: map[string]*policy.RetryBudget{}, requestSizes: map[string]*policy.MeanSize{}, stop: make(chan struct{}),
+		statementReports: statementReports{targets: map[*target]bool{}},
+		retryBudgets:     map[string]*policy.RetryBudget{}, requestSizes: map[string]*policy.MeanSize{}, stop: make(chan struct{}),
 	}
 	s.vars = newVars(s)
 	s.done.Add(1)
--- a/internal/forward/target.go
+++ b/internal/forward/target.go
@@ -34,9 +34,9 @@
 	// until errorShareExpires, counted from the start of the server.
 	globalErrorShare  float64
 	errorShareExpires time.Duration
-	// limit is what the process states about the requests that it takes, and
+	// stated is what the process says about the requests that it takes, and
 	// recentSends counts those of this entry.
-	limit       policy.StatedLimit
+	stated      policy.UpstreamStatement
 	recentSends policy.WindowCount
 	permit      permitState
 }
--- a/internal/scheduler/limits.go
+++ b/internal/scheduler/statements.go
@@ -3,29 +3,32 @@
 import (
 	"math"
 	"time"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
 )
 
-// SetLimit sets how many requests a second one start of an engine takes from all
-// daemons together; 0 means that it states no limit.
-func (s *Scheduler) SetLimit(pool, id string, generation uint64, perSecond float64) {
+// SetStatement applies what one start of an engine says about the requests that it takes.
+func (s *Scheduler) SetStatement(pool string, st *pb.UpstreamStatement) {
 	if a := s.activePool(pool); a != nil {
-		a.pool.SetLimit(id, generation, perSecond)
+		a.pool.SetStatement(st, s.now())
 		s.requestRun(a, Placement)
 	}
 }
 
-// SetLimit sets the limit that one start of an engine states; 0 means none.
-func (p *Pool) SetLimit(id string, generation uint64, perSecond float64) {
+// SetStatement applies what one start of an engine says about the requests that it takes.
+func (p *Pool) SetStatement(s *pb.UpstreamStatement, now time.Duration) {
 	defer p.lock(placementBits)()
-	m := p.upstreams.byID[id]
-	if m == nil || m.state.Generation != generation {
+	m := p.upstreams.byID[s.Id]
+	if m == nil || m.state.Generation != uint64(s.BornMs) {
 		return
 	}
-	m.limit = perSecond
+	m.limit = s.Limit
 	delete(p.upstreams.limited, m)
-	if perSecond > 0 {
+	if m.limit > 0 {
 		p.upstreams.limited[m] = struct{}{}
 	}
+	m.saysLeaving = m.saysLeaving || s.Leaving
+	p.upstreams.refresh(m, &p.params, now)
 	p.unblockQueue()
 }
 
--- a/internal/scheduler/limits_test.go
+++ b/internal/scheduler/statements_test.go
@@ -27,7 +27,7 @@
 		}
 	}
 	announce(1)
-	p.SetLimit("d0", 1, 0.5)
+	p.SetStatement(&pb.UpstreamStatement{Id: "d0", BornMs: 1, Limit: 0.5}, now)
 	// serve places requests for some time and returns when d0 was given one.
 	serve := func(d time.Duration) (at []time.Duration, grants int) {
 		for end := now + d; now < end; now += 100 * time.Millisecond {
@@ -57,7 +57,7 @@
 	}
 	require.Greater(t, len(at), 5, "the limit is not used")
 
-	p.SetLimit("d1", 1, 0.5)
+	p.SetStatement(&pb.UpstreamStatement{Id: "d1", BornMs: 1, Limit: 0.5}, now)
 	_, grants = serve(20 * time.Second)
 	require.InDelta(t, 20, grants, 4, "both engines state a limit")
 
@@ -65,3 +65,23 @@
 	_, grants = serve(2 * time.Second)
 	require.Greater(t, grants, 15, "a new process has no limit")
 }
+
+// Guards against placements on an engine that has said in a response that it leaves,
+// while it still announces itself as ready.
+func TestSchedulerUsesNoEngineThatSaysItLeaves(t *testing.T) {
+	p := platformPool(Params{LocalPrefill: true, OnDemandMemory: true})
+	now := 10 * time.Second
+	announce := func(generation uint64) {
+		s := platformEngine("d0", roleDecode)
+		s.Generation = generation
+		p.Announce([]*pb.UpstreamState{s, platformEngine("d1", roleDecode)}, now)
+	}
+	announce(1)
+	p.SetStatement(&pb.UpstreamStatement{Id: "d0", BornMs: 1, Leaving: true}, now)
+	announce(1)
+	for _, g := range submitAll(p, now, 6, 1000, 70) {
+		require.Equal(t, "d1", g.Decode.Id)
+	}
+	announce(2)
+	require.True(t, p.upstreams.byID["d0"].view.Usable, "a new process does not leave")
+}
--- a/internal/scheduler/tables.go
+++ b/internal/scheduler/tables.go
@@ -125,6 +125,9 @@
 	// sends spaces those that it gets.
 	limit float64
 	sends policy.SendSchedule
+	// saysLeaving is set once the engine has said in a response that it leaves, which
+	// its announcements may not say yet.
+	saysLeaving bool
 	// foreignRequests counts the requests beyond the holds, as the engine
 	// reported at foreignReportedAt.
 	foreignRequests   int
--- a/internal/scheduler/upstreams.go
+++ b/internal/scheduler/upstreams.go
@@ -169,7 +169,7 @@
 
 func (t *upstreamTable) healthAt(m *upstreamRecord, p *Params, now time.Duration) pb.UpstreamStatus_Health {
 	switch {
-	case m.state.Leaving:
+	case m.state.Leaving || m.saysLeaving:
 		return pb.UpstreamStatus_LEAVING
 	case now-m.lastSeen >= p.SilentAfter:
 		return pb.UpstreamStatus_SILENT
