forward: an upstream that turns a request away with Retry-After gets nothing for that time

Cause: handleNotRun read that the request did not run, and dropped the rest of the answer.

Change: the entry keeps the end of the pause with the upstream, bounded to a minute, and excludes it from choice, reservations, resends and freed handles.

--- a/internal/forward/permits.go
+++ b/internal/forward/permits.go
@@ -71,11 +71,12 @@
 	return t.stated.Limit > 0
 }
 
-// leaving reports whether the target has said that it is about to end.
-func (t *target) leaving() bool {
+// refusesWork reports whether the target has said that it is about to end, or that it
+// wants no request for some time.
+func (t *target) refusesWork(now time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.stated.Leaving
+	return t.stated.Leaving || now < t.pausedUntil
 }
 
 // takePermit uses a permit to send one request and reports whether there was one.
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -82,11 +82,11 @@
 				prefill: x.s.upstreams.get(reservation.Prefill()), decode: x.s.upstreams.get(reservation.Decode()), work: work, reservation: reservation,
 				tokensPerEvent: x.service.Engine.TokensPerEvent,
 			}
-			if p.decode != nil && !p.decode.leaving() {
+			if p.decode != nil && !p.decode.refusesWork(x.s.now()) {
 				x.placedBy = "scheduler"
 				return p, nil
 			}
-			// The decode engine is not known to this entry yet, or it is gone or leaves.
+			// The decode engine is not known to this entry yet, or it is gone, leaves or pauses.
 			reservation.Release(Result{Outcome: OutcomeNotStarted})
 		}
 	}
@@ -146,6 +146,11 @@
 	for t := range x.lostHandleEngines {
 		req.Exclude = append(req.Exclude, t.id)
 	}
+	for _, t := range x.s.upstreams.list(x.service.Name) {
+		if t.refusesWork(x.s.now()) {
+			req.Exclude = append(req.Exclude, t.id)
+		}
+	}
 	return req
 }
 
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -261,7 +261,7 @@
 		reason += "_after_" + x.reason
 	}
 	if !x.mayHaveRun {
-		x.respondUnavailable(reason, x.capRetryAfter(x.permitRetryAfter))
+		x.respondUnavailable(reason, x.capRetryAfter(max(x.permitRetryAfter, x.afterPause())))
 		return
 	}
 	if x.remaining() <= deadlineMargin {
@@ -271,6 +271,17 @@
 	x.respondError(http.StatusBadGateway, reason)
 }
 
+// afterPause returns a time after which a paused upstream of the service takes requests
+// again, spread so that callers do not return together; 0 if none is paused.
+func (x *exchange) afterPause() time.Duration {
+	if x.service == nil {
+		return 0
+	}
+	left := x.s.upstreams.pauseEnd(x.service.Name, x.s.now())
+	// capRetryAfter shortens it by up to retryAfterSpread.
+	return time.Duration(float64(left) / (1 - retryAfterSpread))
+}
+
 // retryAfter returns the Retry-After of a request that was not served: a random
 // time around 100 ms, or 400 ms for engines, but at most a third of the time that
 // the caller still waits.
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -43,7 +43,7 @@
 	}
 	tried := map[*target]bool{}
 	t := p.prefill
-	if t != nil && (t.inBackoff(x.s.now()) || t.leaving()) {
+	if t != nil && (t.inBackoff(x.s.now()) || t.refusesWork(x.s.now())) {
 		t = x.pickPrefill(x.lostHandleEngines, p.reservation == nil)
 	}
 	// The first prefill that an engine accepts is free, and the scheduler has
@@ -135,10 +135,10 @@
 }
 
 // freeHandle frees, in the background, the engine memory of a handle that no engine
-// has fetched. prompt may be nil. An engine that states a limit or leaves gets no such
-// request; the handle expires by itself.
+// has fetched. prompt may be nil. An engine that states a limit, leaves or pauses gets no
+// such request; the handle expires by itself.
 func (x *exchange) freeHandle(prompt *prefilledPrompt) {
-	if prompt == nil || prompt.engine.limited() || prompt.engine.leaving() {
+	if prompt == nil || prompt.engine.limited() || prompt.engine.refusesWork(x.s.now()) {
 		return
 	}
 	t := prompt.engine
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -72,6 +72,9 @@
 	ConnectionClose bool
 	// RateLimit is the limit that the upstream states; nil if it states none.
 	RateLimit *RateLimit
+	// Pause is how long the upstream wants no request from this entry, which it says
+	// when it turns one away; 0 if it does not say.
+	Pause time.Duration
 	// Leaving is set when the upstream says that it is about to end.
 	Leaving bool
 }
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -54,8 +54,9 @@
 		// The upstream may have closed the reused connection while it was idle.
 		// A repeatable request for which no byte of a response has arrived is
 		// retried once, which counts against the retry budget. An upstream that states
-		// a limit gets one request for each permit, and one that leaves gets none.
-		if finalTry || t.limited() || t.leaving() || !reused || x.callerGone() || !errors.Is(err, errConnLost) || !x.s.retryBudget(x.service.Name).take(x.s.now()) {
+		// a limit gets one request for each permit, and one that leaves or pauses
+		// gets none.
+		if finalTry || t.limited() || t.refusesWork(x.s.now()) || !reused || x.callerGone() || !errors.Is(err, errConnLost) || !x.s.retryBudget(x.service.Name).take(x.s.now()) {
 			return nil, &SendError{MaybeSent: true, Err: err}
 		}
 		x.sends++
--- a/internal/forward/statements.go
+++ b/internal/forward/statements.go
@@ -16,6 +16,7 @@
 		// Another process or an intermediary has answered.
 		return
 	}
+	s.pause(t, info.Pause)
 	stated := policy.UpstreamStatement{Leaving: info.Leaving, SentAt: sentAt}
 	switch limit := info.RateLimit; {
 	case limit == nil && !info.Leaving && !fromProcess(opts, resp, info):
@@ -38,6 +39,42 @@
 	}
 }
 
+// maxPause bounds the time for which an upstream gets no request because it asked for
+// none. It may then ask again.
+const maxPause = time.Minute
+
+// pause keeps requests from a target that has turned one away and wants none for some
+// time; 0 means that it did not say so.
+func (s *Server) pause(t *target, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	until := s.now() + min(d, maxPause)
+	t.mu.Lock()
+	t.pausedUntil = max(t.pausedUntil, until)
+	t.mu.Unlock()
+	s.opts.Logger.Warn().Str("event", "upstream.paused").Str("upstream", t.id).Int64("ms", d.Milliseconds()).Msg("")
+}
+
+// pauseEnd returns the time until the first of a service's paused upstreams takes
+// requests again; 0 if none is paused or another upstream takes requests.
+func (u *upstreams) pauseEnd(service string, now time.Duration) time.Duration {
+	var first time.Duration
+	for _, t := range u.list(service) {
+		t.mu.Lock()
+		left := t.pausedUntil - now
+		takesRequests := left <= 0 && !t.stated.Leaving && !t.misdirected && t.record.Phase == pb.UpstreamPhase_UPSTREAM_READY
+		t.mu.Unlock()
+		if takesRequests {
+			return 0
+		}
+		if left > 0 && (first == 0 || left < first) {
+			first = left
+		}
+	}
+	return first
+}
+
 // fromProcess reports whether a response shows that the upstream itself has sent it.
 func fromProcess(opts *SendOptions, resp *http.Response, info *ResponseInfo) bool {
 	return info.FromUpstream || info.NotRun || opts.Prefill && resp.StatusCode < 300
--- a/internal/forward/target.go
+++ b/internal/forward/target.go
@@ -38,6 +38,8 @@
 	// recentSends counts those of this entry.
 	stated      policy.UpstreamStatement
 	recentSends policy.WindowCount
+	// pausedUntil is until when the process wants no request from this entry.
+	pausedUntil time.Duration
 	permit      permitState
 }
 
--- a/internal/forward/upstreams.go
+++ b/internal/forward/upstreams.go
@@ -135,14 +135,14 @@
 	candidates := make([]policy.Candidate, 0, len(list))
 	for _, t := range list {
 		t.mu.Lock()
-		record, misdirected, leaving := t.record, t.misdirected, t.stated.Leaving
+		record, misdirected, refusesWork := t.record, t.misdirected, t.stated.Leaving || now < t.pausedUntil
 		health, load := t.health, t.load
 		errorShare := 0.0
 		if now < t.errorShareExpires {
 			errorShare = t.globalErrorShare
 		}
 		t.mu.Unlock()
-		if filter.excluded[t] || misdirected || leaving || record.Phase != pb.UpstreamPhase_UPSTREAM_READY || record.Stage != filter.stage {
+		if filter.excluded[t] || misdirected || refusesWork || record.Phase != pb.UpstreamPhase_UPSTREAM_READY || record.Stage != filter.stage {
 			continue
 		}
 		usable = append(usable, t)
