--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -155,6 +155,10 @@
 	case crashRunner:
 		s.replaceRunner(ctx, f.target%len(s.runners), func() { runner.Stop() }, f.duration)
 	case leaveRunner:
+		if f.target%2 == 0 {
+			// The others only report it to the core.
+			runner.SetLeaving()
+		}
 		s.replaceRunner(ctx, f.target%len(s.runners), func() { s.drainRunner(ctx, runner) }, 0)
 	}
 }
