scheduler, entry: a new scheduler counts the retries that its predecessor has spent

Cause: each scheduler has half of the retry budget and starts with all of it. Class of fault: state that bounds what upstreams get is lost with the process that keeps it.

TestNewSchedulerDoesNotSpendTheRetryBudgetAgain fails without the change: 5 retries at the new one in place of 2.

--- a/internal/entry/schedulers.go
+++ b/internal/entry/schedulers.go
@@ -176,6 +176,8 @@
 	// session was lost. The holds are restated to the new one.
 	session *session
 	holds   map[string]*pb.Hold
+	// budgetUse counts what was submitted to this and earlier schedulers.
+	budgetUse budgetUse
 }
 
 // session is the connection to one scheduler while it holds the pool's lease and is
@@ -293,6 +295,7 @@
 	for _, h := range q.holds {
 		req.Holds = append(req.Holds, h)
 	}
+	req.RetryBudgetUse = q.budgetUse.earlier(s.lease.FencingToken, time.Now())
 	q.mu.Unlock()
 	ctx, cancel := context.WithTimeout(q.owner.ctx, rpcTimeout)
 	defer cancel()
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -117,6 +117,7 @@
 	if q.session != s {
 		return false
 	}
+	q.budgetUse.add(s.lease.FencingToken, req, time.Now())
 	q.holds[g.HoldId] = &pb.Hold{
 		HoldId: g.HoldId, RequestId: req.RequestId, Attempt: req.Attempt,
 		PrefillId: g.Prefill.GetId(), DecodeId: g.Decode.GetId(), Pieces: g.Pieces,
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -45,9 +45,8 @@
 }
 
 // chargeRetryBudget counts a first attempt, or takes the requests of a further one
-// from the pool's retry budget and refuses it when the budget is spent. A scheduler that has
-// just taken over does not know how much its predecessor spent; the entries' own
-// budgets leave a margin for that.
+// from the pool's retry budget and refuses it when the budget is spent. What a predecessor
+// has spent is restored from what entries restate.
 func (p *Pool) chargeRetryBudget(req *pb.SubmitRequest, now time.Duration) *pb.Refusal {
 	if p.retryBudget.Window == 0 {
 		return nil
@@ -62,6 +61,18 @@
 	return newRefusal(pb.Refusal_REPEAT_BUDGET, p.retryBudget.Window/retryAfterDivisor, "the pool's repeat budget is spent")
 }
 
+// restoreRetryBudget counts what an entry's submissions to earlier schedulers have used
+// of the retry budget, once for each entry.
+func (p *Pool) restoreRetryBudget(r *pb.RestateRequest, now time.Duration) {
+	if p.budgetRestored[r.EntryId] {
+		return
+	}
+	p.budgetRestored[r.EntryId] = true
+	for _, u := range r.RetryBudgetUse {
+		p.retryBudget.Restore(time.Duration(u.AgeMs)*time.Millisecond, int(u.Requests), int(u.Retries), now)
+	}
+}
+
 // retryAfterDivisor sets the retry-after time of a retry that exceeds the
 // budget: the budget's window divided by it.
 const retryAfterDivisor = 10
--- a/internal/scheduler/orphans.go
+++ b/internal/scheduler/orphans.go
@@ -26,6 +26,7 @@
 	defer p.lock(placementBits)()
 	e := p.getOrCreateEntry(r.EntryId)
 	e.disconnected = false
+	p.restoreRetryBudget(r, now)
 	restated := map[string]bool{}
 	for _, h := range r.Holds {
 		restated[h.HoldId] = true
--- a/internal/scheduler/platform_test.go
+++ b/internal/scheduler/platform_test.go
@@ -291,6 +291,38 @@
 	require.Equal(t, 9, charged, "0.2 of 20 requests and 5 more")
 }
 
+// Guards against a retry budget that is spent once more by each new scheduler: a leader
+// that froze and its successor together sent more retries than allowed.
+func TestNewSchedulerDoesNotSpendTheRetryBudgetAgain(t *testing.T) {
+	params := Params{RetryRatio: 0.2, RetrySlack: 5, RetryWindow: 10 * time.Second}
+	spend := func(p *Pool, now time.Duration) (spent uint32) {
+		p.Announce([]*pb.UpstreamState{platformEngine("p1", rolePrefill), platformEngine("d1", roleDecode)}, now)
+		for i := range 30 {
+			req := platformRequest(fmt.Sprint("r", now, i), 100, 10)
+			req.Attempt = 2
+			refused := false
+			for _, a := range p.Submit(uint64(now)+uint64(i), req, now) {
+				if x, ok := a.(SubmitResult); ok && x.Response.GetRefusal().GetCode() == pb.Refusal_REPEAT_BUDGET {
+					refused = true
+				}
+			}
+			if !refused {
+				spent++
+			}
+		}
+		return spent
+	}
+	first := platformPool(params)
+	require.Equal(t, uint32(5), spend(first, 20*time.Second))
+
+	next := NewPool(testPool, params, policy.Default{}, 8, 21*time.Second, 1)
+	restate := &pb.RestateRequest{EntryId: "e", Pool: testPool, FencingToken: 8, RetryBudgetUse: []*pb.RetryBudgetUse{{AgeMs: 2000, Requests: 10, Retries: 5}}}
+	next.Restate(restate, 22*time.Second)
+	next.Restate(restate, 22*time.Second)
+	require.Equal(t, uint32(2), spend(next, 22*time.Second), "0.2 of 10 requests")
+	require.Equal(t, uint32(3), spend(next, 31*time.Second), "the first five are over")
+}
+
 // Guards against retries that cost the upstreams more than the budget shows: one
 // that prefills the prompt again sends two requests.
 func TestRepeatedPrefillIsCharged(t *testing.T) {
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -26,8 +26,10 @@
 	// placementTime is the time of the latest placement run, from which memory
 	// forecasts start. It is guarded by the holds lock.
 	placementTime time.Duration
-	// retryBudget is guarded by the queue lock.
-	retryBudget policy.RetryBudget
+	// retryBudget and budgetRestored, which holds the entries that have restated what
+	// they used of it, are guarded by the queue lock.
+	retryBudget    policy.RetryBudget
+	budgetRestored map[string]bool
 	// random is guarded by the queue lock.
 	random *rand.Rand
 }
@@ -40,6 +42,7 @@
 		random: rand.New(rand.NewPCG(seed, token)),
 	}
 	p.retryBudget = policy.RetryBudget{Ratio: params.RetryRatio, Slack: params.RetrySlack, Window: params.RetryWindow}
+	p.budgetRestored = map[string]bool{}
 	p.upstreams.byID = map[string]*upstreamRecord{}
 	p.upstreams.byModel = map[string]*candidates{}
 	p.upstreams.limited = map[*upstreamRecord]struct{}{}
--- a/policy/retry_budget.go
+++ b/policy/retry_budget.go
@@ -47,6 +47,17 @@
 // Spend counts a retry that is made even when the budget is used up.
 func (b *RetryBudget) Spend(now time.Duration) { b.bucket(now).retries++ }
 
+// Restore counts requests and retries of some time ago that another holder of the
+// budget has counted.
+func (b *RetryBudget) Restore(age time.Duration, requests, retries int, now time.Duration) {
+	if age < 0 || age > b.Window || age > now {
+		return
+	}
+	k := b.bucket(now - age)
+	k.requests += requests
+	k.retries += retries
+}
+
 // Remaining returns the number of retries that remain. It is negative while the
 // budget is overdrawn.
 func (b *RetryBudget) Remaining(now time.Duration) float64 {
