httpdrain: a stop does not close a connection on which a request is arriving

Cause: connections idle for half a second are closed during a stop, and http.Server calls one idle until it has read the whole header of the next request. It was chosen while the request arrived, and closed when the request had been passed on. Class of fault: a state read and acted on in two steps.

Evidence: the entry logs caller_left after 0 ms for a caller that had not left; TestRequestThatArrivesSlowlyIsAnswered fails without the change (3 of 3).

Change: a connection notes the first byte of a request. It is closed only while none has arrived, and what arrives after that is not delivered.

Why it works: the byte and the decision are seen under one lock.

--- a/internal/httpdrain/drain.go
+++ b/internal/httpdrain/drain.go
@@ -34,6 +34,9 @@
 // ConnState must be called for every change of a connection's state, as
 // http.Server.ConnState.
 func (d *Drainer) ConnState(c net.Conn, state http.ConnState) {
+	if t, tracked := c.(*trackedConn); tracked && state == http.StateIdle {
+		t.requestEnded()
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	_, idle := d.idleSince[c]
@@ -58,7 +61,8 @@
 	}
 }
 
-// Listener returns l as the listener of the server. Shutdown stops it first.
+// Listener returns l as the listener of the server. Shutdown stops it first. Only
+// connections that it has accepted are safe from being closed while a request arrives.
 func (d *Drainer) Listener(l net.Listener) net.Listener {
 	d.listener = &listener{Listener: l, stopped: make(chan struct{}), closed: make(chan struct{})}
 	return d.listener
@@ -126,6 +130,10 @@
 	empty := len(closing) == len(d.idleSince) && d.active <= 0
 	d.mu.Unlock()
 	for _, c := range closing {
+		if t, tracked := c.(*trackedConn); tracked {
+			empty = t.closeIfIdle() && empty
+			continue
+		}
 		// The caller may have closed it at the same time.
 		_ = c.Close()
 	}
@@ -193,7 +201,7 @@
 func (l *listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err == nil {
-		return c, nil
+		return &trackedConn{Conn: c}, nil
 	}
 	select {
 	case <-l.stopped:
--- a/internal/httpdrain/drain_test.go
+++ b/internal/httpdrain/drain_test.go
@@ -82,6 +82,39 @@
 	require.EqualValues(t, callers, told.Load())
 }
 
+// Guards against a planned stop that closes a kept connection while the header of a
+// request arrives: the request was served, and its response could not be sent.
+func TestRequestThatArrivesSlowlyIsAnswered(t *testing.T) {
+	addr, shutdown := server(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok")) }))
+	c, err := net.Dial("tcp", addr)
+	require.NoError(t, err)
+	defer c.Close()
+	rd := bufio.NewReader(c)
+	send := func(text string) {
+		_, err := fmt.Fprint(c, text)
+		require.NoError(t, err)
+	}
+	receive := func() {
+		resp, err := http.ReadResponse(rd, nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, resp.StatusCode)
+		body := make([]byte, 2)
+		_, err = rd.Read(body)
+		require.NoError(t, err)
+	}
+	send("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	receive()
+	time.Sleep(httpdrain.IdleTime + 50*time.Millisecond)
+	send("GET / HTTP/1.1\r\n")
+	time.Sleep(50 * time.Millisecond)
+	stopped := make(chan error, 1)
+	go func() { stopped <- shutdown(context.Background()) }()
+	time.Sleep(100 * time.Millisecond)
+	send("Host: h\r\n\r\n")
+	receive()
+	require.NoError(t, <-stopped)
+}
+
 // Guards against a stop that waits for connections on which nothing is sent any
 // more, and against one that does not wait for the requests in progress.
 func TestShutdownWaitsForRequestsOnly(t *testing.T) {
