--- a/internal/forward/permits.go
+++ b/internal/forward/permits.go
@@ -64,21 +64,6 @@
 	own policy.SendSchedule
 }
 
-// limited reports whether the target states a limit.
-func (t *target) limited() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.stated.Limit > 0
-}
-
-// refusesWork reports whether the target has said that it is about to end, or that it
-// wants no request for some time.
-func (t *target) refusesWork(now time.Duration) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.stated.Leaving || now < t.pausedUntil
-}
-
 // takePermit uses a permit to send one request and reports whether there was one.
 func (t *target) takePermit(now time.Duration) bool {
 	t.mu.Lock()
@@ -185,6 +170,7 @@
 // nil if there is none. Those that state a limit need a permit: while others can take
 // the request, one is only asked for; otherwise the request waits for it.
 func (x *exchange) pickAdmitted() *target {
+	x.permitRetryAfter = 0
 	filter := upstreamFilter{service: x.service.Name, tried: x.tried, excluded: map[*target]bool{}}
 	var limited []*target
 	var other *target
@@ -233,7 +219,6 @@
 		x.permitRetryAfter = none.RetryAfter
 		return nil
 	}
-	x.permitRetryAfter = 0
 	select {
 	case <-x.ctx.Done():
 	case <-time.After(wait):
--- a/internal/forward/statements.go
+++ b/internal/forward/statements.go
@@ -75,6 +75,21 @@
 	return first
 }
 
+// limited reports whether the target states a limit.
+func (t *target) limited() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.stated.Limit > 0
+}
+
+// refusesWork reports whether the target has said that it is about to end, or that it
+// wants no request for some time.
+func (t *target) refusesWork(now time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.stated.Leaving || now < t.pausedUntil
+}
+
 // fromProcess reports whether a response shows that the upstream itself has sent it.
 func fromProcess(opts *SendOptions, resp *http.Response, info *ResponseInfo) bool {
 	return info.FromUpstream || info.NotRun || opts.Prefill && resp.StatusCode < 300
