--- a/internal/forward/placement_test.go
+++ b/internal/forward/placement_test.go
@@ -4,9 +4,11 @@
 	"math"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
+	pb "godwitward.example/godwitward/api/godwitward/v1"
 	"godwitward.example/godwitward/policy"
 )
 
@@ -43,7 +45,20 @@
 		{"the result is still held", 2, true, &prefilledPrompt{}, 1},
 		{"the result is lost", 2, true, nil, 2},
 	} {
-		x := &exchange{r: httptest.NewRequest("POST", "/", nil), service: &Service{Engine: &EngineConfig{TokensPerEvent: 70}}, route: &Route{}, prefilled: c.prefilled}
+		x := &exchange{s: &Server{upstreams: newUpstreams("")}, r: httptest.NewRequest("POST", "/", nil), service: &Service{Engine: &EngineConfig{TokensPerEvent: 70}}, route: &Route{}, prefilled: c.prefilled}
 		require.Equal(t, c.sends, x.reserveRequest(c.attempt, policy.Work{}, &streamState{prompt: c.prompt}).RetrySends, c.name)
 	}
 }
+
+// Guards against a reservation of engines that have said that they leave or want no
+// request for some time.
+func TestReservationExcludesEnginesThatRefuseWork(t *testing.T) {
+	s := &Server{start: time.Now(), upstreams: newUpstreams("")}
+	for _, id := range []string{"leaving", "paused", "ready"} {
+		s.upstreams.update([]*pb.UpstreamRecord{{Id: id, Service: "llm", Phase: pb.UpstreamPhase_UPSTREAM_READY, BornMs: 1}})
+	}
+	s.upstreams.get("leaving").stated.Leaving = true
+	s.upstreams.get("paused").pausedUntil = time.Minute
+	x := &exchange{s: s, r: httptest.NewRequest("POST", "/", nil), service: &Service{Name: "llm", Engine: &EngineConfig{TokensPerEvent: 70}}, route: &Route{}}
+	require.ElementsMatch(t, []string{"leaving", "paused"}, x.reserveRequest(1, policy.Work{}, &streamState{}).Exclude)
+}
