--- a/internal/feed/evidence.go
+++ b/internal/feed/evidence.go
@@ -8,9 +8,10 @@
 	"godwitward.example/godwitward/policy"
 )
 
-// promptEvidence is what a hub knows about parts of prompts that crash engines. Every
-// hub has the evidence of all entries and decides on its own, so that neither a change
-// of the leader nor the loss of a hub delays a decision. The hub's mu guards it.
+// promptEvidence is what a hub knows about parts of prompts, and keys of requests without
+// parts, that crash upstreams. Every hub has the evidence of all entries and decides on
+// its own, so that neither a change of the leader nor the loss of a hub delays a
+// decision. The hub's mu guards it.
 type promptEvidence struct {
 	quarantine *policy.PromptQuarantine
 	// revision changes with everything that entries are told.
--- a/internal/forward/prompt_parts.go
+++ b/internal/forward/prompt_parts.go
@@ -34,8 +34,9 @@
 	maxCrashReports = 256
 )
 
-// promptParts is what the entry knows about parts of prompts that crash engines. Hubs
-// decide which are quarantined; the entry reports crashes and answers to them.
+// promptParts is what the entry knows about parts of prompts, and keys of requests
+// without parts, that crash upstreams. Hubs decide which are quarantined; the entry
+// reports crashes and answers to them.
 type promptParts struct {
 	mu sync.Mutex
 	// answeredAt is when a prompt with the part was last answered here.
