forward: log and count what requests to upstreams are charged to

The trail of a request tells which calls were made, not who paid for them. The log field charged= and the metric of the same name tell free, entry, scheduler and none.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -62,6 +62,8 @@
 	// permitRetryAfter is the time until an upstream that states a limit may get
 	// another request; 0 if the request did not fail for lack of a permit.
 	permitRetryAfter time.Duration
+	// payers counts the upstream requests by what they were charged to, for the log.
+	payers payers
 	// trail lists the upstream requests with their outcomes, for the log.
 	trail   []string
 	outcome string
@@ -309,6 +311,6 @@
 	l.Str("event", "request.ended").Str("id", x.info.ID).Str("route", route).Str("service", service).Str("upstream", upstream).
 		Int("status", x.status).Str("outcome", x.outcome).Str("reason", x.reason).Int("sends", x.sends).
 		Int64("first_ms", x.firstEventTime.Milliseconds()).Int64("gap_ms", x.maxGap.Milliseconds()).
-		Int("prompt", x.info.PromptTokens).Int("likely", x.info.ExpectedOutputTokens).Str("resumed_after", x.info.LastEventID).Int64("queued_ms", x.queueTime.Milliseconds()).Str("placed_by", x.placedBy).Str("trail", strings.Join(x.trail, ",")).
+		Int("prompt", x.info.PromptTokens).Int("likely", x.info.ExpectedOutputTokens).Str("resumed_after", x.info.LastEventID).Int64("queued_ms", x.queueTime.Milliseconds()).Str("placed_by", x.placedBy).Str("charged", x.payers.String()).Str("trail", strings.Join(x.trail, ",")).
 		Int64("ms", time.Since(x.receivedAt).Milliseconds()).Uint64("config", version).Msg("")
 }
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -53,10 +53,15 @@
 			x.giveUp("no_upstream")
 			return
 		}
-		if x.sends > 0 && !x.s.retryBudget(x.service.Name).take(x.s.now()) {
-			x.giveUp("repeat_budget")
-			return
+		charge := payerFree
+		if x.sends > 0 {
+			charge = payerEntry
+			if !x.s.retryBudget(x.service.Name).take(x.s.now()) {
+				x.giveUp("repeat_budget")
+				return
+			}
 		}
+		x.recordPayer(charge)
 		lastRun := runs+1 >= x.route.MaxAttempts || !x.route.Repeatable()
 		t.beginRequest(work)
 		sentAt := time.Now()
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -61,9 +61,18 @@
 			return nil
 		}
 		tried[t] = true
+		charge := payerFree
+		if x.prefilled {
+			charge = payerEntry
+			if p.retryCharged() {
+				charge = payerScheduler
+			}
+		}
 		if prompt := x.prefillAt(t, p.work, lastEventID); prompt != nil {
+			x.recordPayer(charge)
 			return prompt
 		}
+		x.recordPayer(payerNone)
 		x.s.retryBudget(x.service.Name).spend(x.s.now())
 		t = x.pickPrefill(tried, p.reservation == nil)
 	}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -60,6 +60,7 @@
 			return nil, &SendError{MaybeSent: true, Err: err}
 		}
 		x.sends++
+		x.recordPayer(payerEntry)
 		maybeSent = true
 	}
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -74,11 +74,19 @@
 			x.endStream(st, "no_upstream")
 			return
 		}
-		if x.sends > 0 && !p.retryCharged() && !x.s.retryBudget(x.service.Name).take(x.s.now()) {
-			p.release(OutcomeNotStarted, st)
-			x.endStream(st, "repeat_budget")
-			return
+		charge := payerFree
+		if x.sends > 0 {
+			charge = payerScheduler
+			if !p.retryCharged() {
+				charge = payerEntry
+				if !x.s.retryBudget(x.service.Name).take(x.s.now()) {
+					p.release(OutcomeNotStarted, st)
+					x.endStream(st, "repeat_budget")
+					return
+				}
+			}
 		}
+		x.recordPayer(charge)
 		result := x.runPlacement(p, st)
 		if result != sendRejected || st.prompt != nil {
 			x.tried[p.decode] = true
--- a/internal/forward/vars.go
+++ b/internal/forward/vars.go
@@ -19,6 +19,9 @@
 	sends    *expvar.Int
 	retries  *expvar.Int
 	prefills *expvar.Int
+	// payers counts requests to upstreams, prefills included, by what they were charged
+	// to.
+	payers *expvar.Map
 	// callersClosed counts callers' connections that were closed because no
 	// request arrived in time.
 	callersClosed *expvar.Int
@@ -30,7 +33,7 @@
 func newVars(s *Server) *vars {
 	v := &vars{
 		all: new(expvar.Map).Init(), requests: new(expvar.Map).Init(), outcomes: new(expvar.Map).Init(),
-		sends: new(expvar.Int), retries: new(expvar.Int), prefills: new(expvar.Int), callersClosed: new(expvar.Int),
+		sends: new(expvar.Int), retries: new(expvar.Int), prefills: new(expvar.Int), payers: new(expvar.Map).Init(), callersClosed: new(expvar.Int),
 		responseTime: metrics.NewDurationHistogram(), firstEventTime: metrics.NewDurationHistogram(), placementWait: metrics.NewDurationHistogram(),
 	}
 	v.all.Set("requests", v.requests)
@@ -38,6 +41,7 @@
 	v.all.Set("sends", v.sends)
 	v.all.Set("repeats", v.retries)
 	v.all.Set("prefills", v.prefills)
+	v.all.Set("charged", v.payers)
 	v.all.Set("callers_closed", v.callersClosed)
 	v.all.Set("answer", expvar.Func(v.responseTime.Value))
 	v.all.Set("first_event", expvar.Func(v.firstEventTime.Value))
