forward: every request to an upstream is charged before it is sent

Cause: the first prefill call that an engine accepts is free, a rejected one counts. The entry made the call and charged a rejection afterwards, whatever was left.

Now a call needs a charge before it gets a connection. One that may turn out free is held and given back. Without a retry left, the free run of the request backs the call, and while engines reject such calls the decode engine prefills the prompt.

--- a/internal/edge/placer.go
+++ b/internal/edge/placer.go
@@ -76,10 +76,6 @@
 func (r *reservation) Prefill() string { return r.grant.Prefill.GetId() }
 func (r *reservation) Decode() string  { return r.grant.Decode.GetId() }
 
-// RetryCharged implements forward.Reservation. The scheduler charges each
-// attempt after the first to its own part of the retry budget.
-func (r *reservation) RetryCharged() bool { return true }
-
 var progressStages = map[forward.Stage]pb.ProgressRequest_Stage{
 	forward.StagePrefilling: pb.ProgressRequest_PREFILL_STARTED,
 	forward.StagePrefilled:  pb.ProgressRequest_PREFILL_DONE,
--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -57,23 +57,28 @@
 	b.budget.RecordRequest(now)
 }
 
-// take charges a retry if one remains, and reports whether it did.
-func (b serviceBudget) take(now time.Duration) bool {
+// remaining returns the number of retries that may be spent now.
+func (b serviceBudget) remaining(now time.Duration) float64 {
 	b.server.mu.Lock()
 	defer b.server.mu.Unlock()
-	return b.budget.Take(now)
+	return b.budget.Remaining(now)
 }
 
-// remaining returns the number of retries that may be spent now.
-func (b serviceBudget) remaining(now time.Duration) float64 {
+// hold sets a retry aside, to be spent or released, and reports whether one remained.
+func (b serviceBudget) hold(now time.Duration) bool {
 	b.server.mu.Lock()
 	defer b.server.mu.Unlock()
-	return b.budget.Remaining(now)
+	return b.budget.Hold(now)
 }
 
-// spend charges a retry that has already been made, even if none remains.
 func (b serviceBudget) spend(now time.Duration) {
 	b.server.mu.Lock()
 	defer b.server.mu.Unlock()
 	b.budget.Spend(now)
 }
+
+func (b serviceBudget) release() {
+	b.server.mu.Lock()
+	defer b.server.mu.Unlock()
+	b.budget.Release()
+}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -38,6 +38,9 @@
 	// prefilled is set once a prefill engine has accepted the prompt. Each further
 	// prefill counts against the retry budget.
 	prefilled bool
+	// freeUsed is set while the one request that does not count against the retry budget
+	// is used, see charge.
+	freeUsed bool
 	// lostHandleEngines holds the prefill engines whose result the decode engine
 	// could not fetch.
 	lostHandleEngines map[*target]bool
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -29,14 +29,13 @@
 	// rejectionLoad is the load that the decode engine reported when it rejected
 	// the request; nil if it reported none.
 	rejectionLoad *Load
+	// charges is the number of requests to engines that the scheduler has taken from its
+	// part of the retry budget and that are not used yet.
+	charges int
 	// reservation is nil if the entry chose the engines without a scheduler.
 	reservation Reservation
 }
 
-// retryCharged reports whether this attempt, if it is a retry, is charged to the
-// scheduler's part of the retry budget.
-func (p *placement) retryCharged() bool { return p.reservation != nil && p.reservation.RetryCharged() }
-
 func (p *placement) reportProgress(stage Stage, took time.Duration, load *Load) {
 	if p.reservation != nil {
 		p.reservation.ReportProgress(stage, took, load)
@@ -69,7 +68,8 @@
 	}
 	if x.service.Engine != nil && x.s.placer != nil {
 		askedAt := time.Now()
-		reservation, err := x.s.placer.Reserve(x.ctx, x.reserveRequest(attempt, work, st))
+		req := x.reserveRequest(attempt, work, st)
+		reservation, err := x.s.placer.Reserve(x.ctx, req)
 		took := time.Since(askedAt)
 		x.queueTime += took
 		x.s.vars.placementWait.Record(took)
@@ -80,7 +80,7 @@
 		if err == nil {
 			p := &placement{
 				prefill: x.s.upstreams.get(reservation.Prefill()), decode: x.s.upstreams.get(reservation.Decode()), work: work, reservation: reservation,
-				tokensPerEvent: x.service.Engine.TokensPerEvent,
+				tokensPerEvent: x.service.Engine.TokensPerEvent, charges: req.RetrySends,
 			}
 			if p.decode != nil && !p.decode.refusesWork(x.s.now()) {
 				x.placedBy = "scheduler"
--- a/internal/forward/placer.go
+++ b/internal/forward/placer.go
@@ -29,8 +29,8 @@
 	// Age is the time since the request arrived or, for a stream to be resumed,
 	// since its last event.
 	Age time.Duration
-	// RetrySends is the number of requests to engines of this attempt that count
-	// against the retry budget.
+	// RetrySends is the number of requests to engines of this attempt that the scheduler
+	// takes from its part of the retry budget.
 	RetrySends int
 	// ContentHash identifies the content of the caller's request, by which one that
 	// returns after a refusal is recognised.
@@ -74,9 +74,6 @@
 	// is reserved.
 	Prefill() string
 	Decode() string
-	// RetryCharged reports whether a retry is charged to the scheduler's part of
-	// the retry budget instead of the entry's.
-	RetryCharged() bool
 	// ReportProgress tells the scheduler that the request has reached a stage.
 	// took is the duration of a completed prefill. load is what the decode engine
 	// reported, or nil.
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -53,19 +53,15 @@
 			x.giveUp("no_upstream")
 			return
 		}
-		charge := payerFree
-		if x.sends > 0 {
-			charge = payerEntry
-			if !x.s.retryBudget(x.service.Name).take(x.s.now()) {
-				x.giveUp("repeat_budget")
-				return
-			}
+		ch, ok := x.chargeRun(nil)
+		if !ok {
+			x.giveUp("repeat_budget")
+			return
 		}
-		x.recordPayer(charge)
 		lastRun := runs+1 >= x.route.MaxAttempts || !x.route.Repeatable()
 		t.beginRequest(work)
 		sentAt := time.Now()
-		result := x.tryPlain(t, lastRun)
+		result := x.tryPlain(t, &ch, lastRun)
 		t.endRequest(work)
 		x.tried[t] = true
 		switch result {
@@ -119,16 +115,18 @@
 	sendRejected
 	// sendOutcomeUnknown: the request may have run, but there is no usable response.
 	sendOutcomeUnknown
+	// sendNotPaid: nothing was sent, because the retry budget is spent.
+	sendNotPaid
 )
 
-// tryPlain sends the request to one upstream. lastRun means that no retry follows if
+// tryPlain sends the request to one upstream, paid for by ch. lastRun means that no retry follows if
 // this attempt may have run, so that an error response of the upstream is passed on.
-func (x *exchange) tryPlain(t *target, lastRun bool) sendResult {
+func (x *exchange) tryPlain(t *target, ch *charge, lastRun bool) sendResult {
 	timeout := x.remaining() - deadlineMargin
 	if !lastRun {
 		timeout = min(timeout, max(minResponseTimeout, time.Duration(responseTimeoutFactor*float64(x.route.LatencyTarget))))
 	}
-	res, err := x.send(t, &SendOptions{Priority: -1}, timeout)
+	res, err := x.send(t, &SendOptions{Priority: -1}, ch, timeout)
 	if err != nil {
 		return x.handleSendError(t, err)
 	}
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -46,41 +46,30 @@
 	if t != nil && (t.inBackoff(x.s.now()) || t.refusesWork(x.s.now())) {
 		t = x.pickPrefill(x.lostHandleEngines, p.reservation == nil)
 	}
-	// The first prefill that an engine accepts is free, and the scheduler has
-	// charged the next one with its reservation.
-	if x.prefilled && !p.retryCharged() && !x.s.retryBudget(x.service.Name).take(x.s.now()) {
-		return nil
-	}
 	for len(tried) < maxPrefillAttempts {
 		if t == nil || tried[t] || x.callerGone() {
 			return nil
 		}
-		// A rejected prefill is charged afterwards. A further attempt is made only
-		// if two retries remain: one for its own failure, and one to spare.
-		if len(tried) > 0 && x.s.retryBudget(x.service.Name).remaining(x.s.now()) < 2 {
+		// Each call is charged before it is made. Without a charge the decode engine
+		// prefills the prompt.
+		ch, ok := x.chargePrefill(p)
+		if !ok {
 			return nil
 		}
 		tried[t] = true
-		charge := payerFree
-		if x.prefilled {
-			charge = payerEntry
-			if p.retryCharged() {
-				charge = payerScheduler
-			}
-		}
-		if prompt := x.prefillAt(t, p.work, lastEventID); prompt != nil {
-			x.recordPayer(charge)
+		if prompt := x.prefillAt(t, p.work, lastEventID, &ch); prompt != nil {
 			return prompt
 		}
-		x.recordPayer(payerNone)
-		x.s.retryBudget(x.service.Name).spend(x.s.now())
+		if !x.canPayRun(p) {
+			return nil
+		}
 		t = x.pickPrefill(tried, p.reservation == nil)
 	}
 	return nil
 }
 
-// prefillAt runs the prefill on one engine. It returns nil if that fails.
-func (x *exchange) prefillAt(t *target, work policy.Work, lastEventID string) *prefilledPrompt {
+// prefillAt runs the prefill on one engine, paid for by ch. It returns nil if that fails.
+func (x *exchange) prefillAt(t *target, work policy.Work, lastEventID string, ch *charge) *prefilledPrompt {
 	t.mu.Lock()
 	queued := t.load.Requests(x.s.now())
 	relativeLatency := t.load.RelativeLatency()
@@ -92,7 +81,7 @@
 	start := time.Now()
 	sends := x.sends
 	x.s.vars.prefills.Add(1)
-	res, err := x.send(t, &SendOptions{Priority: -1, Prefill: true, LastEventID: lastEventID}, min(x.remaining(), max(minPrefillTimeout, prefillTimeoutFactor*expected)))
+	res, err := x.send(t, &SendOptions{Priority: -1, Prefill: true, LastEventID: lastEventID}, ch, min(x.remaining(), max(minPrefillTimeout, prefillTimeoutFactor*expected)))
 	x.sends = sends
 	if err != nil {
 		x.handleSendError(t, err)
@@ -100,6 +89,8 @@
 		return nil
 	}
 	if x.handleNotRun(t, res) != 0 {
+		ch.spend()
+		x.s.recordPrefillRejection(x.service.Name)
 		if l := res.info.Load; l != nil && l.Running+l.Waiting < l.Slots {
 			t.recordFailure(x.s.now(), policy.FaultUnavailable)
 		}
@@ -109,18 +100,20 @@
 	body, err := readBody(res.resp, maxBufferedBytes)
 	res.close(err == nil)
 	if err != nil || res.resp.StatusCode != http.StatusOK {
+		ch.spend()
 		t.recordFailure(x.s.now(), policy.FaultError)
 		x.reason = "prefill_failed"
 		return nil
 	}
 	handle, err := x.s.opts.Protocol.ParseHandle(body)
 	if err != nil {
+		ch.spend()
 		t.recordFailure(x.s.now(), policy.FaultError)
 		x.reason = "prefill_undecodable"
 		return nil
 	}
 	t.recordSuccess(x.s.now())
-	x.prefilled = true
+	ch.accept()
 	took := time.Since(start)
 	t.mu.Lock()
 	t.load.RecordLatency(float64(took) / (float64(nominal+prefillOverhead) * (1 + queued)))
@@ -155,7 +148,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 		defer cancel()
-		c, err := t.connect(ctx, false)
+		c, err := t.connect(ctx, freeCharge())
 		if err != nil {
 			// The handle expires anyway.
 			return
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -35,32 +35,43 @@
 }
 
 // send sends the request to one upstream and reads the header of the response.
-// firstByteTimeout limits the time until the first byte of the response.
-func (x *exchange) send(t *target, opts *SendOptions, firstByteTimeout time.Duration) (*upstreamResponse, error) {
+// firstByteTimeout limits the time until the first byte of the response. It settles ch,
+// except for a prefill call that has been answered: only the answer tells whether that
+// one counts.
+func (x *exchange) send(t *target, opts *SendOptions, ch *charge, firstByteTimeout time.Duration) (*upstreamResponse, error) {
 	x.sends++
 	x.lastTarget = t
 	opts.Instance = t.id
 	maybeSent := false
 	for finalTry := !x.route.Repeatable(); ; finalTry = true {
-		c, err := t.connect(x.ctx, false)
+		c, err := t.connect(x.ctx, *ch)
 		if err != nil {
+			ch.giveBack()
 			return nil, &SendError{MaybeSent: maybeSent, Err: err}
 		}
 		reused := c.requests > 0
 		res, err := x.sendOnConn(c, t, opts, firstByteTimeout)
 		if err == nil {
+			if !opts.Prefill {
+				ch.spend()
+			}
 			return res, nil
 		}
+		ch.spend()
 		// The upstream may have closed the reused connection while it was idle.
 		// A repeatable request for which no byte of a response has arrived is
 		// retried once, which counts against the retry budget. An upstream that states
 		// a limit gets one request for each permit, and one that leaves or pauses
 		// gets none.
-		if finalTry || t.limited() || t.refusesWork(x.s.now()) || !reused || x.callerGone() || !errors.Is(err, errConnLost) || !x.s.retryBudget(x.service.Name).take(x.s.now()) {
+		if finalTry || t.limited() || t.refusesWork(x.s.now()) || !reused || x.callerGone() || !errors.Is(err, errConnLost) {
 			return nil, &SendError{MaybeSent: true, Err: err}
 		}
+		next, ok := x.chargeEntry()
+		if !ok {
+			return nil, &SendError{MaybeSent: true, Err: err}
+		}
+		*ch = next
 		x.sends++
-		x.recordPayer(payerEntry)
 		maybeSent = true
 	}
 }
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -62,6 +62,8 @@
 
 	mu           sync.Mutex
 	retryBudgets map[string]*policy.RetryBudget
+	// prefillRejectedAt is when an engine of a service last rejected a prefill call.
+	prefillRejectedAt map[string]time.Duration
 	// requestSizes are the mean sizes of the requests to services with engines.
 	requestSizes map[string]*policy.MeanSize
 
@@ -78,7 +80,7 @@
 		callerConns: callerConns{conns: map[net.Conn]waitingConn{}},
 		promptParts: newPromptParts(reportNow), reportNow: reportNow,
 		statementReports: statementReports{targets: map[*target]bool{}},
-		retryBudgets:     map[string]*policy.RetryBudget{}, requestSizes: map[string]*policy.MeanSize{}, stop: make(chan struct{}),
+		retryBudgets:     map[string]*policy.RetryBudget{}, prefillRejectedAt: map[string]time.Duration{}, requestSizes: map[string]*policy.MeanSize{}, stop: make(chan struct{}),
 	}
 	s.vars = newVars(s)
 	s.done.Add(1)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -74,20 +74,11 @@
 			x.endStream(st, "no_upstream")
 			return
 		}
-		charge := payerFree
-		if x.sends > 0 {
-			charge = payerScheduler
-			if !p.retryCharged() {
-				charge = payerEntry
-				if !x.s.retryBudget(x.service.Name).take(x.s.now()) {
-					p.release(OutcomeNotStarted, st)
-					x.endStream(st, "repeat_budget")
-					return
-				}
-			}
-		}
-		x.recordPayer(charge)
 		result := x.runPlacement(p, st)
+		if result == sendNotPaid {
+			x.endStream(st, "repeat_budget")
+			return
+		}
 		if result != sendRejected || st.prompt != nil {
 			x.tried[p.decode] = true
 		}
@@ -131,6 +122,10 @@
 func (x *exchange) runPlacement(p *placement, st *streamState) sendResult {
 	p.decode.beginRequest(p.work)
 	defer p.decode.endRequest(p.work)
+	if !x.canPayRun(p) {
+		p.release(OutcomeNotStarted, st)
+		return sendNotPaid
+	}
 	if st.prompt == nil {
 		p.reportProgress(StagePrefilling, 0, nil)
 		start := time.Now()
@@ -144,7 +139,12 @@
 			return sendNotSent
 		}
 	}
-	result := x.tryStream(p, st)
+	ch, ok := x.chargeRun(p)
+	if !ok {
+		p.release(OutcomeNotStarted, st)
+		return sendNotPaid
+	}
+	result := x.tryStream(p, st, &ch)
 	outcome := OutcomeDecodeFailed
 	switch {
 	case result == sendDone:
@@ -194,8 +194,8 @@
 	x.abort(reason + "_after_" + x.reason)
 }
 
-// tryStream sends the request to one upstream and relays its events.
-func (x *exchange) tryStream(p *placement, st *streamState) sendResult {
+// tryStream sends the request to one upstream, paid for by ch, and relays its events.
+func (x *exchange) tryStream(p *placement, st *streamState, ch *charge) sendResult {
 	t := p.decode
 	timeout := x.remaining() - deadlineMargin
 	if !st.lastRun {
@@ -205,7 +205,7 @@
 	if st.prompt != nil {
 		opts.Source = st.prompt.source
 	}
-	res, err := x.send(t, opts, timeout)
+	res, err := x.send(t, opts, ch, timeout)
 	if err != nil {
 		return x.handleSendError(t, err)
 	}
--- a/internal/forward/target.go
+++ b/internal/forward/target.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	pb "godwitward.example/godwitward/api/godwitward/v1"
 	"godwitward.example/godwitward/policy"
 )
@@ -150,13 +152,14 @@
 	}
 }
 
-// connect returns an idle connection, or a new one if there is none or if
-// forceNew is set.
-func (t *target) connect(ctx context.Context, forceNew bool) (*conn, error) {
-	if !forceNew {
-		if c := t.takeIdle(time.Now()); c != nil {
-			return c, nil
-		}
+// connect returns an idle connection, or a new one if there is none, for the one request
+// that ch pays for.
+func (t *target) connect(ctx context.Context, ch charge) (*conn, error) {
+	if ch.payer == payerNone {
+		return nil, errors.Errorf("request to upstream %q has no charge", t.id)
+	}
+	if c := t.takeIdle(time.Now()); c != nil {
+		return c, nil
 	}
 	return dial(ctx, t.address)
 }
--- a/policy/retry_budget.go
+++ b/policy/retry_budget.go
@@ -14,6 +14,8 @@
 	Window time.Duration
 
 	buckets [budgetBuckets + 1]budgetBucket
+	// held is the number of retries that are held.
+	held int
 }
 
 // budgetBuckets is the number of buckets per window. Counts expire by whole buckets.
@@ -44,8 +46,24 @@
 	return true
 }
 
-// Spend counts a retry that is made even when the budget is used up.
-func (b *RetryBudget) Spend(now time.Duration) { b.bucket(now).retries++ }
+// Hold sets a retry aside for a request that may turn out to count, and reports whether
+// the budget allowed it. Spend or Release ends the hold.
+func (b *RetryBudget) Hold(now time.Duration) bool {
+	if b.Remaining(now) < 1 {
+		return false
+	}
+	b.held++
+	return true
+}
+
+// Spend spends a retry that is held.
+func (b *RetryBudget) Spend(now time.Duration) {
+	b.held--
+	b.bucket(now).retries++
+}
+
+// Release returns a retry that is held and not spent.
+func (b *RetryBudget) Release() { b.held-- }
 
 // Restore counts requests and retries of some time ago that another holder of the
 // budget has counted.
@@ -72,7 +90,7 @@
 			retries += k.retries
 		}
 	}
-	return b.Ratio*float64(requests) + b.Slack - float64(retries)
+	return b.Ratio*float64(requests) + b.Slack - float64(retries+b.held)
 }
 
 func (b *RetryBudget) slot(now time.Duration) int64 {
