platform, forward, fleet: versions of runners and streams that are taken up are decoded and logged

The logs could not tell at which software version a stream began or went on. Nothing is decided by it yet.

--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -306,7 +306,7 @@
 func (h *Hub) logRecord(r *pb.UpstreamRecord) {
 	h.opts.Logger.Info().Str("event", "upstream.changed").Str("upstream", r.Id).Str("service", r.Service).
 		Str("address", r.Address).Str("phase", r.Phase.String()).Bool("silent", r.Silent).
-		Int64("born_ms", r.BornMs).Uint64("sequence", r.Sequence).Msg("")
+		Str("version", r.SoftwareVersion).Int64("born_ms", r.BornMs).Uint64("sequence", r.Sequence).Msg("")
 }
 
 func (h *Hub) subscribe(allReports bool) *subscription {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -297,9 +297,9 @@
 	if x.status >= 500 || x.outcome != "answered" && x.outcome != "cancelled" {
 		l = x.s.opts.Logger.Warn()
 	}
-	upstream, route, service := "", "", ""
+	upstream, upstreamVersion, route, service := "", "", "", ""
 	if x.lastTarget != nil {
-		upstream = x.lastTarget.id
+		upstream, upstreamVersion = x.lastTarget.id, x.lastTarget.softwareVersion()
 	}
 	if x.route != nil {
 		route = x.route.Name
@@ -311,9 +311,9 @@
 	if x.config != nil {
 		version = x.config.Version
 	}
-	l.Str("event", "request.ended").Str("id", x.info.ID).Str("route", route).Str("service", service).Str("upstream", upstream).
+	l.Str("event", "request.ended").Str("id", x.info.ID).Str("route", route).Str("service", service).Str("upstream", upstream).Str("upstream_version", upstreamVersion).
 		Int("status", x.status).Str("outcome", x.outcome).Str("reason", x.reason).Int("sends", x.sends).
 		Int64("first_ms", x.firstEventTime.Milliseconds()).Int64("gap_ms", x.maxGap.Milliseconds()).
-		Int("prompt", x.info.PromptTokens).Int("likely", x.info.ExpectedOutputTokens).Str("resumed_after", x.info.LastEventID).Int64("queued_ms", x.queueTime.Milliseconds()).Str("placed_by", x.placedBy).Str("charged", x.payers.String()).Str("trail", strings.Join(x.trail, ",")).
+		Int("prompt", x.info.PromptTokens).Int("likely", x.info.ExpectedOutputTokens).Str("resumed_after", x.info.LastEventID).Str("stream", x.info.StreamID).Int64("queued_ms", x.queueTime.Milliseconds()).Str("placed_by", x.placedBy).Str("charged", x.payers.String()).Str("trail", strings.Join(x.trail, ",")).
 		Int64("ms", time.Since(x.receivedAt).Milliseconds()).Uint64("config", version).Msg("")
 }
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -30,6 +30,9 @@
 	// LastEventID is the id of the last event that the caller received of a stream
 	// to resume; empty for a new stream.
 	LastEventID string
+	// StreamID is the id of the caller's request that brought the first event of the stream
+	// to resume; empty for a new stream.
+	StreamID string
 	// EventsDelivered is the number of events up to LastEventID; 0 if unknown.
 	EventsDelivered int
 }
--- a/internal/forward/target.go
+++ b/internal/forward/target.go
@@ -45,6 +45,14 @@
 	permit      permitState
 }
 
+// softwareVersion returns the version of the software that the process runs; empty if it
+// is not known.
+func (t *target) softwareVersion() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.record.SoftwareVersion
+}
+
 // beginRequest adds a request to the entry's own load at the target.
 func (t *target) beginRequest(w policy.Work) {
 	t.mu.Lock()
