--- a/internal/edge/system_test.go
+++ b/internal/edge/system_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http/httptest"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -50,6 +51,8 @@
 	hubs    []*feed.Hub
 	members []string
 	entries []*httptest.Server
+	// stopEntry ends the process of each entry.
+	stopEntry []func()
 	// leader is the index of the hub that leads, or noLeader.
 	leader atomic.Int32
 }
@@ -80,22 +83,36 @@
 		})
 	}
 	for i := range entries {
-		e := &entryProcess{logger: discard, self: &pb.Hello{Vm: fmt.Sprint("edge-", i)}}
-		server := forward.NewServer(forward.Options{
-			Protocol: platform.Headers{}, MaxBufferedBodyBytes: 1 << 20, Logger: discard,
-			RetryLimits: func() forward.RetryLimits {
-				return forward.RetryLimits{RetryRatio: 0.2, RetrySlack: 200, RetryWindow: 10 * time.Second, Entries: entries}
-			},
-		})
-		subscriber := e.subscribe(server, func() []string { return s.members })
-		front := httptest.NewServer(server)
-		s.entries = append(s.entries, front)
-		t.Cleanup(func() {
-			front.Close()
+		s.entries = append(s.entries, nil)
+		s.stopEntry = append(s.stopEntry, nil)
+		s.startEntry(i)
+	}
+	return s
+}
+
+// startEntry starts an entry, again after its process has ended.
+func (s *testSystem) startEntry(i int) {
+	discard := &log.Logger{Level: log.PanicLevel}
+	e := &entryProcess{logger: discard, self: &pb.Hello{Vm: fmt.Sprint("edge-", i)}}
+	server := forward.NewServer(forward.Options{
+		Protocol: platform.Headers{}, MaxBufferedBodyBytes: 1 << 20, Logger: discard,
+		RetryLimits: func() forward.RetryLimits {
+			return forward.RetryLimits{RetryRatio: 0.2, RetrySlack: 200, RetryWindow: 10 * time.Second, Entries: len(s.entries)}
+		},
+	})
+	subscriber := e.subscribe(server, func() []string { return s.members })
+	front := httptest.NewServer(server)
+	s.entries[i] = front
+	var once sync.Once
+	s.stopEntry[i] = func() {
+		once.Do(func() {
+			// Nothing is reported any more, as after a loss of power.
 			subscriber.Stop()
+			front.CloseClientConnections()
+			front.Close()
 			server.Stop()
 		})
-		require.Eventually(t, server.Ready, 5*time.Second, time.Millisecond)
 	}
-	return s
+	s.t.Cleanup(s.stopEntry[i])
+	require.Eventually(s.t, server.Ready, 5*time.Second, time.Millisecond)
 }
