forward, feed: a stream goes on only at the software version that began it

Cause: nothing read the version of a runner or the id that a caller names when it takes a stream up; any engine was chosen.

An entry reports to its two hubs at which version it sends a new stream, before it sends it; hubs share the reports, entries restate theirs when they attach. An entry that gets a stream to resume asks its hubs, and picks engines of that version only. Not known: the stream goes on if there has been one version for as long as a stream may last, and is refused otherwise. No engine of the version: refused at once.

--- a/internal/edge/placer.go
+++ b/internal/edge/placer.go
@@ -41,7 +41,7 @@
 		RequestClass: pb.RequestClass_REQUEST_CLASS_DRAFT,
 		PromptTokens: uint32(req.PromptTokens), MaxOutputTokens: uint32(req.OutputTokens), MadeTokens: uint32(req.GeneratedTokens),
 		MaxWaitMs: millis(req.MaxWait), DeadlineMs: millis(req.RemainingTime), TtftTargetMs: millis(req.TTFTTarget), AgeMs: millis(req.Age),
-		Exclude: req.Exclude, RetrySends: uint32(req.RetrySends), ContentHash: req.ContentHash,
+		Exclude: req.Exclude, RetrySends: uint32(req.RetrySends), SoftwareVersion: req.Version, ContentHash: req.ContentHash,
 	})
 	if err != nil {
 		p.logger.Warn().Str("event", "scheduler.unanswered").Str("id", req.ID).Str("pool", req.Service).
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -97,6 +97,8 @@
 	statements map[processKey]*hubStatement
 	schedules  map[processKey]*sendSchedule
 
+	streamVersions policy.StreamVersions
+
 	// gossipReceived counts the messages from other hubs.
 	gossipReceived atomic.Int64
 
@@ -129,6 +131,9 @@
 	// evidenceDue and statementsDue are set when the next message to another hub must carry
 	// the evidence on parts of prompts, or the statements of upstreams.
 	evidenceDue, statementsDue bool
+	// streamVersions are due in the next message to another hub, or all of them.
+	streamVersions    []policy.StreamVersion
+	allStreamVersions bool
 }
 
 // NewHub starts a hub and registers its streams. Stop ends it.
@@ -142,6 +147,7 @@
 	server.Handle(transport.MethodFeed, h.serveFeed)
 	server.Handle(transport.MethodGossip, h.serveGossip)
 	transport.HandleUnary(server, transport.MethodSendPermit, h.serveSendPermit)
+	transport.HandleUnary(server, transport.MethodStreamVersion, h.serveStreamVersion)
 	h.done.Add(1)
 	go h.maintain()
 	return h
@@ -346,6 +352,7 @@
 	h.mu.Lock()
 	h.evidenceChanged(h.mergeQuarantined(req.Quarantined), false)
 	h.mu.Unlock()
+	h.mergeStreamVersions(req.StreamVersions, true)
 	s := h.subscribe(false)
 	defer h.unsubscribe(s)
 	go h.receiveOutcomes(st)
@@ -418,6 +425,7 @@
 		}
 		h.mergeEvidence(g.Evidence)
 		h.mergeStatements(g.Statements, false)
+		h.mergeStreamVersions(g.StreamVersions, false)
 		h.mu.Lock()
 		h.remoteAttachments[transport.PeerFromContext(ctx).Vm] = attachmentCount{int(g.Attached), h.now()}
 		h.newestVersion = max(h.newestVersion, g.Version)
@@ -527,7 +535,7 @@
 	}
 	defer st.Close()
 	h.mu.Lock()
-	s.sendAll, s.evidenceDue, s.statementsDue = true, true, true
+	s.sendAll, s.evidenceDue, s.statementsDue, s.allStreamVersions = true, true, true, true
 	h.mu.Unlock()
 	s.signal()
 	ticker := time.NewTicker(attachmentCountTTL / 3)
@@ -547,8 +555,9 @@
 		records := h.takePending(s)
 		h.mu.Lock()
 		attached, evidence, statements := uint32(h.localAttachments()), h.evidenceForHub(s), h.statementsForHub(s)
+		versions := h.streamVersionsForHub(s)
 		h.mu.Unlock()
-		if err := st.Send(&pb.Gossip{Upstreams: records, Attached: attached, Version: h.opts.Store.Current().Version, Evidence: evidence, Statements: statements}); err != nil {
+		if err := st.Send(&pb.Gossip{Upstreams: records, Attached: attached, Version: h.opts.Store.Current().Version, Evidence: evidence, Statements: statements, StreamVersions: versions}); err != nil {
 			return
 		}
 	}
--- a/internal/feed/outcomes.go
+++ b/internal/feed/outcomes.go
@@ -64,6 +64,7 @@
 		h.mu.Unlock()
 		h.reportEvidence(report)
 		h.mergeStatements(report.Statements, true)
+		h.mergeStreamVersions(report.StreamVersions, true)
 	}
 }
 
@@ -98,7 +99,7 @@
 			continue
 		}
 		report := s.opts.Outcomes()
-		if len(report.Outcomes) == 0 && len(report.Crashes) == 0 && len(report.SoundParts) == 0 && len(report.Statements) == 0 {
+		if len(report.Outcomes) == 0 && len(report.Crashes) == 0 && len(report.SoundParts) == 0 && len(report.Statements) == 0 && len(report.StreamVersions) == 0 {
 			continue
 		}
 		for _, st := range streams {
@@ -120,10 +121,10 @@
 
 // addStream adds a stream to those that receive reports. The returned function
 // removes it.
-func (s *Subscriber) addStream(st *transport.Stream) func() {
+func (s *Subscriber) addStream(st *transport.Stream, client *transport.Client) func() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.streams[st] = struct{}{}
+	s.streams[st] = client
 	return func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
--- /dev/null
+++ b/internal/feed/stream_versions.go
@@ -0,0 +1,86 @@
+package feed
+
+import (
+	"context"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/transport"
+	"godwitward.example/godwitward/policy"
+)
+
+// mergeStreamVersions applies the versions of streams that an entry or, unless fromEntry
+// is set, another hub reported. What is new from an entry is passed on to the other hubs.
+func (h *Hub) mergeStreamVersions(list []*pb.StreamVersion, fromEntry bool) {
+	if len(list) == 0 {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.now()
+	var changed []policy.StreamVersion
+	for _, m := range list {
+		v := policy.StreamVersion{ID: m.Id, Version: m.Version, Sends: int(m.Sends), RecordedAt: now - milliseconds(m.AgeMs)}
+		if h.streamVersions.Record(v, now) {
+			changed = append(changed, v)
+		}
+	}
+	if !fromEntry || len(changed) == 0 {
+		return
+	}
+	for s := range h.subscriptions {
+		if s.allReports {
+			s.streamVersions = append(s.streamVersions, changed...)
+			h.signalLater(s)
+		}
+	}
+}
+
+// streamVersionsForHub returns the versions that are due on a stream to another hub. The
+// caller holds mu.
+func (h *Hub) streamVersionsForHub(s *subscription) []*pb.StreamVersion {
+	list := s.streamVersions
+	if s.allStreamVersions {
+		list = h.streamVersions.All(h.now())
+	}
+	s.streamVersions, s.allStreamVersions = nil, false
+	var out []*pb.StreamVersion
+	for _, v := range list {
+		out = append(out, &pb.StreamVersion{Id: v.ID, Version: v.Version, Sends: uint32(v.Sends), AgeMs: remainingMs(h.now(), v.RecordedAt)})
+	}
+	return out
+}
+
+// serveStreamVersion tells an entry at which version a stream began.
+func (h *Hub) serveStreamVersion(_ context.Context, req *pb.StreamVersionRequest) (*pb.StreamVersionResponse, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	v, known := h.streamVersions.Get(req.Id, h.now())
+	return &pb.StreamVersionResponse{Known: known, Version: v.Version}, nil
+}
+
+// StreamVersion asks the hubs to which the subscriber is attached at which version a
+// stream began.
+func (s *Subscriber) StreamVersion(ctx context.Context, id string) (version string, known bool) {
+	s.mu.Lock()
+	clients := make([]*transport.Client, 0, len(s.streams))
+	for _, c := range s.streams {
+		clients = append(clients, c)
+	}
+	s.mu.Unlock()
+	answers := make(chan *pb.StreamVersionResponse, len(clients))
+	for _, c := range clients {
+		go func() {
+			resp := &pb.StreamVersionResponse{}
+			if c.Call(ctx, transport.MethodStreamVersion, &pb.StreamVersionRequest{Id: id}, resp) != nil {
+				resp.Known = false
+			}
+			answers <- resp
+		}()
+	}
+	for range clients {
+		if resp := <-answers; resp.Known {
+			return resp.Version, true
+		}
+	}
+	return "", false
+}
--- a/internal/feed/subscriber.go
+++ b/internal/feed/subscriber.go
@@ -64,6 +64,9 @@
 	// quarantined. Both may be nil.
 	OnEvidence  func(*pb.PromptEvidence)
 	Quarantined func() []*pb.QuarantinedPart
+	// StreamVersions returns the versions of the streams that the entry has begun of late.
+	// It may be nil.
+	StreamVersions func() []*pb.StreamVersion
 	// OnStatements is called with what upstreams say about the requests that they take.
 	// It may be nil.
 	OnStatements func([]*pb.UpstreamStatement)
@@ -99,8 +102,8 @@
 	// entryCountTTL.
 	entryCount   uint32
 	entryCountAt time.Time
-	// streams holds the open streams from hubs.
-	streams map[*transport.Stream]struct{}
+	// streams holds the open streams from hubs, with the hubs' clients.
+	streams map[*transport.Stream]*transport.Client
 	// permitClient is the client of the leader; nil until a permit was asked for.
 	permitClient *transport.Client
 	stopped      bool
@@ -114,7 +117,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	subscriber := &Subscriber{
 		opts: opts, start: time.Now(), hubsInUse: map[string]bool{}, detachedAt: map[string]time.Time{},
-		table: fleet.NewTable(), silent: map[string]bool{}, streams: map[*transport.Stream]struct{}{}, stop: cancel,
+		table: fleet.NewTable(), silent: map[string]bool{}, streams: map[*transport.Stream]*transport.Client{}, stop: cancel,
 	}
 	if opts.Outcomes != nil {
 		subscriber.done.Add(1)
@@ -213,10 +216,13 @@
 	if s.opts.Quarantined != nil {
 		req.Quarantined = s.opts.Quarantined()
 	}
+	if s.opts.StreamVersions != nil {
+		req.StreamVersions = s.opts.StreamVersions()
+	}
 	if err := st.Send(req); err != nil {
 		return err
 	}
-	defer s.addStream(st)()
+	defer s.addStream(st, client)()
 	s.opts.Logger.Info().Str("event", "feed.attached").Str("hub", address).Uint64("version", haveVersion).Msg("")
 	lastQuorum := time.Now()
 	for {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -38,6 +38,8 @@
 	// prefilled is set once a prefill engine has accepted the prompt. Each further
 	// prefill counts against the retry budget.
 	prefilled bool
+	// version is the software version at which the stream began; nil while it has no event.
+	version *string
 	// freeUsed is set while the one request that does not count against the retry budget
 	// is used, see charge.
 	freeUsed bool
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -66,6 +66,9 @@
 		PromptTokens: x.info.PromptTokens,
 		MemoryTokens: x.info.PromptTokens + max(x.info.ExpectedOutputTokens, x.generatedTokens(st)),
 	}
+	if !x.versionServed() {
+		return nil, nil
+	}
 	if x.service.Engine != nil && x.s.placer != nil {
 		askedAt := time.Now()
 		req := x.reserveRequest(attempt, work, st)
@@ -82,15 +85,16 @@
 				prefill: x.s.upstreams.get(reservation.Prefill()), decode: x.s.upstreams.get(reservation.Decode()), work: work, reservation: reservation,
 				tokensPerEvent: x.service.Engine.TokensPerEvent, charges: req.RetrySends,
 			}
-			if p.decode != nil && !p.decode.refusesWork(x.s.now()) {
+			if p.decode != nil && !p.decode.refusesWork(x.s.now()) && x.fitsVersion(p.decode) {
 				x.placedBy = "scheduler"
 				return p, nil
 			}
-			// The decode engine is not known to this entry yet, or it is gone, leaves or pauses.
+			// The decode engine is not known to this entry yet, or it is gone, leaves,
+			// pauses or has another version.
 			reservation.Release(Result{Outcome: OutcomeNotStarted})
 		}
 	}
-	filter := upstreamFilter{service: x.service.Name, stage: engineStage(x.service), tried: x.tried}
+	filter := upstreamFilter{service: x.service.Name, stage: engineStage(x.service), tried: x.tried, version: x.version}
 	decode := x.pickUnscheduled(filter, true)
 	if decode == nil {
 		return nil, nil
@@ -134,6 +138,9 @@
 		PromptTokens: prefillTokens, OutputTokens: max(x.service.Engine.TokensPerEvent, work.MemoryTokens-prefillTokens), GeneratedTokens: x.generatedTokens(st),
 		ContentHash: x.contentHash(), MaxWait: min(maxWait, x.remaining()), RemainingTime: x.remaining(), TTFTTarget: x.route.LatencyTarget, Age: age,
 	}
+	if x.version != nil {
+		req.Version = *x.version
+	}
 	if attempt > 1 {
 		req.RetrySends = 1
 		if st.prompt == nil && x.prefilled {
--- a/internal/forward/placer.go
+++ b/internal/forward/placer.go
@@ -35,6 +35,9 @@
 	// ContentHash identifies the content of the caller's request, by which one that
 	// returns after a refusal is recognised.
 	ContentHash uint64
+	// Version is the software version that the decode engine must have; empty if any may
+	// serve the request.
+	Version string
 	// Exclude lists engines that have failed the request.
 	Exclude []string
 }
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -51,14 +51,17 @@
 	reportNow reportSignal
 	// statementReports are the statements of upstreams that are to be reported.
 	statementReports statementReports
+	streamVersions   streamVersions
 	inFlight         atomic.Int64
 	draining         atomic.Bool
 	refusing         atomic.Bool
 
-	vars     *vars
-	placer   Placer
-	permits  SendPermits
-	setPools func(services []string)
+	vars    *vars
+	placer  Placer
+	permits SendPermits
+	// versionSource may be nil.
+	versionSource StreamVersionSource
+	setPools      func(services []string)
 
 	mu           sync.Mutex
 	retryBudgets map[string]*policy.RetryBudget
@@ -80,6 +83,7 @@
 		callerConns: callerConns{conns: map[net.Conn]waitingConn{}},
 		promptParts: newPromptParts(reportNow), reportNow: reportNow,
 		statementReports: statementReports{targets: map[*target]bool{}},
+		streamVersions:   streamVersions{history: map[string]*policy.VersionHistory{}},
 		retryBudgets:     map[string]*policy.RetryBudget{}, prefillRejectedAt: map[string]time.Duration{}, requestSizes: map[string]*policy.MeanSize{}, stop: make(chan struct{}),
 	}
 	s.vars = newVars(s)
@@ -134,6 +138,7 @@
 
 // SetUpstreams applies changed upstream records.
 func (s *Server) SetUpstreams(records []*pb.UpstreamRecord) {
+	s.seeVersions(records)
 	s.upstreams.update(records)
 	for _, r := range records {
 		s.opts.Logger.Info().Str("event", "upstream.changed").Str("upstream", r.Id).Str("phase", r.Phase.String()).
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -51,6 +51,9 @@
 	if x.service.Engine != nil {
 		x.s.addRequestSize(x.service.Name, x.info.PromptTokens, x.info.ExpectedOutputTokens)
 	}
+	if !x.pinVersion() {
+		return
+	}
 	runs, rejections := 0, 0
 	for attempt := 1; ; attempt++ {
 		if x.quarantined(st) {
@@ -205,6 +208,7 @@
 	if st.prompt != nil {
 		opts.Source = st.prompt.source
 	}
+	x.recordVersion(t)
 	res, err := x.send(t, opts, ch, timeout)
 	if err != nil {
 		return x.handleSendError(t, err)
@@ -269,6 +273,7 @@
 		}
 		now := time.Now()
 		if st.events == 0 {
+			x.pinVersionOf(t)
 			st.firstEventAt = now
 			x.s.promptParts.recordAnswer(x.parts, x.s.now())
 			x.firstEventTime = now.Sub(x.receivedAt)
--- a/internal/forward/target.go
+++ b/internal/forward/target.go
@@ -45,14 +45,17 @@
 	permit      permitState
 }
 
-// softwareVersion returns the version of the software that the process runs; empty if it
-// is not known.
-func (t *target) softwareVersion() string {
+// currentRecord returns the newest record of the process.
+func (t *target) currentRecord() *pb.UpstreamRecord {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.record.SoftwareVersion
+	return t.record
 }
 
+// softwareVersion returns the version of the software that the process runs; empty if it
+// is not known.
+func (t *target) softwareVersion() string { return t.currentRecord().SoftwareVersion }
+
 // beginRequest adds a request to the entry's own load at the target.
 func (t *target) beginRequest(w policy.Work) {
 	t.mu.Lock()
--- a/internal/forward/upstreams.go
+++ b/internal/forward/upstreams.go
@@ -123,6 +123,8 @@
 	service string
 	stage   pb.EngineStage
 	tried   map[*target]bool
+	// version is the software version that upstreams must have; nil if any will do.
+	version *string
 	// excluded holds upstreams that are not used.
 	excluded map[*target]bool
 }
@@ -142,7 +144,8 @@
 			errorShare = t.globalErrorShare
 		}
 		t.mu.Unlock()
-		if filter.excluded[t] || misdirected || refusesWork || record.Phase != pb.UpstreamPhase_UPSTREAM_READY || record.Stage != filter.stage {
+		if filter.excluded[t] || misdirected || refusesWork || record.Phase != pb.UpstreamPhase_UPSTREAM_READY || record.Stage != filter.stage ||
+			filter.version != nil && record.SoftwareVersion != *filter.version {
 			continue
 		}
 		usable = append(usable, t)
--- a/internal/transport/method.go
+++ b/internal/transport/method.go
@@ -40,4 +40,5 @@
 	MethodGetDocument
 	MethodJoin
 	MethodSendPermit
+	MethodStreamVersion
 )
