scheduler: streams that are taken up go ahead of new drafts, to engines of their version

Cause: takings up queued behind new drafts, and the forecast of their wait counted the room and the queue of all versions.

They have a lane of their own after urgent requests, their forecast counts the engines of their version, and while one waits, new drafts leave the engines of its version to it if another version serves.

--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -148,7 +148,7 @@
 		TPOTTarget:      fromMillis(req.TpotTargetMs),
 		Weights:         policy.Weights{Goodput: req.Weights.GetGoodput(), WastedPrefill: req.Weights.GetWastedPrefill()},
 	}
-	w.lane = firstLane(w.spec.Class, w.returned)
+	w.lane = firstLane(w.spec.Class, w.returned, w.spec.GeneratedTokens > 0)
 	if w.spec.TTFTTarget == 0 {
 		w.spec.TTFTTarget = defaultTTFT
 	}
@@ -200,7 +200,7 @@
 // is never overdue: its caller may have received part of the answer and waits
 // for the rest. Neither is a returned draft, which has a lane of its own.
 func (p *Pool) overdue(w *queuedRequest, now time.Duration) bool {
-	if w.spec.Class != policy.Draft || w.req.Attempt > 1 || w.returned || w.firstTokenDeadline == 0 {
+	if w.spec.Class != policy.Draft || w.req.Attempt > 1 || w.returned || w.lane == resumedLane || w.firstTokenDeadline == 0 {
 		return false
 	}
 	return now+w.idleTTFT+p.holds.ttftExcess.Bound() >= w.firstTokenDeadline
@@ -265,10 +265,18 @@
 	// Memory that is free now need not be waited for. Soon after a start none
 	// has been released yet, and the release rate alone would forecast a long
 	// wait although engines are idle.
+	forecast := p.queueForecast(now, w.req.Model)
 	if c := p.upstreams.byModel[w.req.Model]; c != nil {
-		ahead = max(0, ahead-c.freePieces())
+		usable := func(*policy.Engine) bool { return true }
+		if version := w.req.SoftwareVersion; version != "" {
+			usable = func(e *policy.Engine) bool { return p.upstreams.byID[e.ID].state.SoftwareVersion == version }
+		}
+		ahead = max(0, ahead-c.freePieces(usable))
+		if all := c.usablePieces(nil); all > 0 {
+			forecast.ReleaseRate *= float64(c.usablePieces(usable)) / float64(all)
+		}
 	}
-	return wait + p.queueForecast(now, w.req.Model).Wait(ahead, w.lane.yields())
+	return wait + forecast.Wait(ahead, w.lane.yields())
 }
 
 func (p *Pool) enqueue(w *queuedRequest) {
--- a/internal/scheduler/forecast.go
+++ b/internal/scheduler/forecast.go
@@ -98,7 +98,7 @@
 	q := p.query(w, now)
 	var list []futureCapacity
 	for _, e := range q.Decode {
-		if !e.Usable || policy.Fits(&q, e) || slices.Contains(w.req.Exclude, e.ID) {
+		if !e.Usable || policy.Fits(&q, e) || slices.Contains(q.Exclude, e.ID) {
 			continue
 		}
 		if free, ok := p.freeAt(p.upstreams.byID[e.ID], w, ends, now); ok {
--- a/internal/scheduler/lanes.go
+++ b/internal/scheduler/lanes.go
@@ -14,10 +14,12 @@
 const lastChanceTime = 600 * time.Millisecond
 
 // firstLane returns the lane in which a request is queued unless it is overdue.
-func firstLane(class policy.Class, wasRefused bool) lane {
+func firstLane(class policy.Class, wasRefused, resumes bool) lane {
 	switch {
 	case class == policy.Urgent:
 		return urgentLane
+	case resumes:
+		return resumedLane
 	case wasRefused:
 		return returnedLane
 	}
@@ -25,7 +27,7 @@
 }
 
 var laneNames = [laneCount]string{
-	urgentLane: "urgent", lastChanceLane: "last_chance", draftLane: "draft", returnedLane: "returned", overdueLane: "overdue",
+	urgentLane: "urgent", resumedLane: "resumed", lastChanceLane: "last_chance", draftLane: "draft", returnedLane: "returned", overdueLane: "overdue",
 }
 
 // String implements fmt.Stringer.
@@ -123,7 +125,7 @@
 func (p *Pool) queueForecast(now time.Duration, model string) policy.QueueForecast {
 	release := p.holds.releaseRate(now)
 	if c := p.upstreams.byModel[model]; c != nil && p.holds.meanHoldTime > 0 {
-		release = max(release, fullMemoryShare*float64(c.usablePieces())/p.holds.meanHoldTime.Seconds())
+		release = max(release, fullMemoryShare*float64(c.usablePieces(nil))/p.holds.meanHoldTime.Seconds())
 	}
 	return policy.QueueForecast{
 		ReleaseRate: release,
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -164,7 +164,7 @@
 func (p *Pool) query(w *queuedRequest, now time.Duration) policy.Query {
 	c := p.upstreams.candidatesFor(w.req.Model)
 	q := policy.Query{
-		Request: &w.spec, Prefill: c.prefill, Decode: c.decode, Exclude: p.upstreams.excludeLimited(w.req.Exclude, now), Reserve: p.urgentReserve(),
+		Request: &w.spec, Prefill: c.prefill, Decode: c.decode, Exclude: p.excluded(w, c, now), Reserve: p.urgentReserve(),
 		ReservedPrefill: p.reservedPrefill(c), Now: now,
 		Random: [2]float64{p.random.Float64(), p.random.Float64()},
 	}
@@ -305,7 +305,7 @@
 		return nil
 	}
 	var oldest *queuedRequest
-	for _, l := range []lane{returnedLane, draftLane, overdueLane} {
+	for _, l := range []lane{resumedLane, returnedLane, draftLane, overdueLane} {
 		q.lanes[l].Each(func(w *queuedRequest) bool {
 			if oldest == nil || w.queuedAt < oldest.queuedAt || (w.queuedAt == oldest.queuedAt && w.ticket < oldest.ticket) {
 				oldest = w
@@ -330,8 +330,10 @@
 // that are large enough for the request.
 func (p *Pool) earmarkEngine(w *queuedRequest) *upstreamRecord {
 	var out *policy.Engine
-	for _, e := range p.upstreams.candidatesFor(w.req.Model).decode {
-		fits := e.TotalPieces-e.ForeignPieces >= w.spec.Pieces && !slices.Contains(w.req.Exclude, e.ID)
+	c := p.upstreams.candidatesFor(w.req.Model)
+	excluded := p.excluded(w, c, p.placementTime)
+	for _, e := range c.decode {
+		fits := e.TotalPieces-e.ForeignPieces >= w.spec.Pieces && !slices.Contains(excluded, e.ID)
 		if !e.Usable || !fits {
 			continue
 		}
--- a/internal/scheduler/tables.go
+++ b/internal/scheduler/tables.go
@@ -209,6 +209,9 @@
 
 const (
 	urgentLane lane = iota
+	// resumedLane contains drafts that resume a stream. Their callers have part of the
+	// answer, and often only some of the engines may serve them.
+	resumedLane
 	// lastChanceLane contains drafts whose caller would otherwise soon be refused
 	// for the second time.
 	lastChanceLane
--- a/internal/scheduler/upstreams.go
+++ b/internal/scheduler/upstreams.go
@@ -269,22 +269,24 @@
 	return (localPrefill || slices.ContainsFunc(c.prefill, usable)) && slices.ContainsFunc(c.decode, usable)
 }
 
-// freePieces returns the memory that drafts could take now, in pieces.
-func (c *candidates) freePieces() int {
+// freePieces returns the memory that drafts could take now on the engines that match, in
+// pieces.
+func (c *candidates) freePieces(match func(*policy.Engine) bool) int {
 	free := 0
 	for _, e := range c.decode {
-		if e.Usable && e.FreeSlots(policy.Draft, 0) > 0 {
+		if e.Usable && match(e) && e.FreeSlots(policy.Draft, 0) > 0 {
 			free += max(0, e.FreePieces(policy.Draft, 0))
 		}
 	}
 	return free
 }
 
-// usablePieces returns the memory of the usable decode engines, in pieces.
-func (c *candidates) usablePieces() int {
+// usablePieces returns the memory of the usable decode engines that match, in pieces; of
+// all if match is nil.
+func (c *candidates) usablePieces(match func(*policy.Engine) bool) int {
 	total := 0
 	for _, e := range c.decode {
-		if e.Usable && e.TotalPieces < unlimitedPieces {
+		if e.Usable && (match == nil || match(e)) && e.TotalPieces < unlimitedPieces {
 			total += e.TotalPieces
 		}
 	}
