policy: the retry budget holds in each window, also while load falls

Cause: a retry was compared with the requests of the window that ends now. A window that begins later, when the load has fallen, holds the same retry and fewer requests.

Now a retry must fit each window that includes now.

--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -39,7 +39,7 @@
 	b := s.retryBudgets[service]
 	limits := s.opts.RetryLimits()
 	if b == nil {
-		b = &policy.RetryBudget{}
+		b = &policy.RetryBudget{Partial: true}
 		s.retryBudgets[service] = b
 	}
 	b.Ratio, b.Slack, b.Window = limits.RetryRatio, limits.RetrySlack*limits.slackFraction(), limits.RetryWindow
--- a/policy/retry_budget.go
+++ b/policy/retry_budget.go
@@ -1,26 +1,39 @@
 package policy
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
-// RetryBudget limits retries. All entries together may retry a share of the
-// requests in each window, plus a fixed number. Each entry spends the share of
-// its own requests and its part of the fixed number, so that entries need not
-// coordinate.
+// RetryBudget limits retries. In any window, all holders of the budget together may retry
+// a share of the requests plus a fixed number. Each holder spends the share of its own
+// requests and its part of the fixed number, so that holders need not coordinate. The
+// requests for a window are those in it, or those of a window of the same length that
+// begins half a window or a window before it.
+//
+// It answers bursts in which many requests fail: what a burst allows must not be spent
+// when the load has fallen, and what one window has spent is gone for each that overlaps
+// it.
 type RetryBudget struct {
 	// Ratio of retries to requests.
 	Ratio float64
-	// Slack is this entry's part of the fixed number of retries per window.
+	// Slack is this holder's part of the fixed number of retries per window.
 	Slack  float64
 	Window time.Duration
+	// Partial is set if this holder sees only a part of the requests. All such holders
+	// count the same window's requests at a time, because the sum of the most that each
+	// has seen could be more than the most that all have seen together.
+	Partial bool
 
-	buckets [budgetBuckets + 1]budgetBucket
+	buckets [budgetBuckets + budgetBuckets/2]budgetBucket
 	// held is the number of retries that are held.
 	held int
 }
 
-// budgetBuckets is the number of buckets per window. Counts expire by whole buckets.
-// Requests are counted over at most a window and retries over at least one, so that the
-// budget holds in every window, whichever way it lies to the buckets.
+// budgetBuckets is the number of buckets per window. A window that begins within a bucket
+// has all retries from that bucket on, and only the requests of the buckets that lie in it
+// as a whole, so that the budget holds in every window, whichever way it lies to the
+// buckets.
 const budgetBuckets = 40
 
 type budgetBucket struct {
@@ -76,21 +89,60 @@
 	k.retries += retries
 }
 
-// Remaining returns the number of retries that remain. It is negative while the
-// budget is overdrawn.
+// Remaining returns the number of retries that remain: the fewest that any window allows
+// which includes now. It is negative while the budget is overdrawn.
 func (b *RetryBudget) Remaining(now time.Duration) float64 {
+	// before[i] is the number of requests in the oldest i slots, of which the last is that
+	// of now.
+	var before [len(b.buckets) + 1]int
 	current := b.slot(now)
-	requests, retries := 0, 0
+	oldest := current - int64(len(b.buckets)) + 1
 	for i := range b.buckets {
-		k := &b.buckets[i]
-		if current-k.slot < budgetBuckets {
-			requests += k.requests
+		before[i+1] = before[i]
+		if k := b.at(oldest + int64(i)); k != nil {
+			before[i+1] += k.requests
 		}
-		if current-k.slot <= budgetBuckets {
+	}
+	// requests returns the number in the slots from one to another, both included.
+	requests := func(from, to int64) int {
+		to = min(to, current)
+		return before[to-oldest+1] - before[min(max(from, oldest), to+1)-oldest]
+	}
+	least, retries := math.Inf(1), 0
+	for age := int64(0); age <= budgetBuckets; age++ {
+		// The windows that begin in this slot.
+		start := current - age
+		if k := b.at(start); k != nil {
 			retries += k.retries
 		}
+		var counted int
+		windowBefore, halfBefore, window := requests(start-budgetBuckets+1, start-1), requests(start-budgetBuckets/2+1, start+budgetBuckets/2-1), requests(start+1, current)
+		switch {
+		case age >= 3*budgetBuckets/4:
+			// Most of the window is over, and its own requests tell the load.
+			counted = window
+		case !b.Partial:
+			counted = max(windowBefore, halfBefore, window)
+		case age < budgetBuckets/4:
+			counted = windowBefore
+		default:
+			counted = halfBefore
+		}
+		least = min(least, b.Ratio*float64(counted)-float64(retries))
+	}
+	return least + b.Slack - float64(b.held)
+}
+
+// at returns the bucket of a slot, or nil if it holds the counts of another one.
+func (b *RetryBudget) at(slot int64) *budgetBucket {
+	if slot < 0 {
+		return nil
 	}
-	return b.Ratio*float64(requests) + b.Slack - float64(retries+b.held)
+	k := &b.buckets[slot%int64(len(b.buckets))]
+	if k.slot != slot {
+		return nil
+	}
+	return k
 }
 
 func (b *RetryBudget) slot(now time.Duration) int64 {
