forward: an entry that starts does not spend the retry budget of its predecessor again

After a crash of many entries a service may get twice the fixed number of retries in a window.

Cause: an entry starts with its whole part, whatever its predecessor has spent. For windows that begin before the process, only the share of its own requests counts.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -104,7 +104,7 @@
 	s := e.file.Current()
 	server := forward.NewServer(forward.Options{
 		Protocol: platform.Headers{}, Place: s.Place, Logger: e.logger,
-		MaxBufferedBodyBytes: int64(bodyMemoryShare * float64(s.MemoryBytes)), RetryLimits: e.retryLimits,
+		MaxBufferedBodyBytes: int64(bodyMemoryShare * float64(s.MemoryBytes)), RetryLimits: e.retryLimits, Restartable: true,
 	})
 	schedulerClients := entry.NewSchedulerClients(entry.SchedulerClientOptions{
 		EntryID: s.VM, SkipUpstreamList: true, Transport: transport.Options{Self: e.self, Logger: e.logger}, Lease: e.poolLease,
--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -39,7 +39,7 @@
 	b := s.retryBudgets[service]
 	limits := s.opts.RetryLimits()
 	if b == nil {
-		b = &policy.RetryBudget{Partial: true}
+		b = &policy.RetryBudget{Partial: true, Inherited: s.opts.Restartable}
 		s.retryBudgets[service] = b
 	}
 	b.Ratio, b.Slack, b.Window = limits.RetryRatio, limits.RetrySlack*limits.slackFraction(), limits.RetryWindow
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -22,6 +22,9 @@
 	Logger   *log.Logger
 	// MaxBufferedBodyBytes limits the total size of request bodies held in memory.
 	MaxBufferedBodyBytes int64
+	// Restartable is set if an earlier process of this entry may have spent its part of the
+	// retry budgets just before.
+	Restartable bool
 	// RetryLimits returns the current limits; they may change at run time.
 	RetryLimits func() RetryLimits
 }
--- a/policy/retry_budget.go
+++ b/policy/retry_budget.go
@@ -24,6 +24,9 @@
 	// count the same window's requests at a time, because the sum of the most that each
 	// has seen could be more than the most that all have seen together.
 	Partial bool
+	// Inherited is set if an earlier process may have held the budget until time 0. What it
+	// has spent is not known, so Slack counts only for windows that begin after it.
+	Inherited bool
 
 	buckets [budgetBuckets + budgetBuckets/2]budgetBucket
 	// held is the number of retries that are held.
@@ -128,9 +131,13 @@
 		default:
 			counted = halfBefore
 		}
-		least = min(least, b.Ratio*float64(counted)-float64(retries))
+		slack := b.Slack
+		if b.Inherited && start < 0 {
+			slack = 0
+		}
+		least = min(least, b.Ratio*float64(counted)+slack-float64(retries))
 	}
-	return least + b.Slack - float64(b.held)
+	return least - float64(b.held)
 }
 
 // at returns the bucket of a slot, or nil if it holds the counts of another one.
--- a/policy/retry_budget_test.go
+++ b/policy/retry_budget_test.go
@@ -102,3 +102,23 @@
 	}
 	require.LessOrEqual(t, worst, 0.0, "retries beyond the budget of a window")
 }
+
+// Guards against processes that start anew and spend again what their predecessors have
+// spent within the window.
+func TestRetryBudgetHoldsWhenHoldersStartAnew(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	r := newBudgetRun(5, random)
+	now := 20 * time.Second
+	for range 6 {
+		r.run(now, now+3*time.Second, 30, func() bool { return true }, random)
+		now += 3 * time.Second
+		next := newBudgetRun(5, random)
+		for _, h := range next.holders {
+			h.Inherited, h.offset = true, -now
+		}
+		r.holders = next.holders
+	}
+	r.run(now, now+25*time.Second, 30, func() bool { return true }, random)
+	require.LessOrEqual(t, r.worst(), 0.0)
+	require.Greater(t, countBetween(r.retries, now+15*time.Second, now+25*time.Second), 60, "the budget of 100 in a window is used again")
+}
