--- a/internal/forward/versions.go
+++ b/internal/forward/versions.go
@@ -20,6 +20,9 @@
 // streamVersionTimeout limits the wait for the answer of a StreamVersionSource.
 const streamVersionTimeout = 250 * time.Millisecond
 
+// maxUnreported limits the versions that wait for a report.
+const maxUnreported = 4096
+
 // streamVersions is what the entry knows about the versions of streams. Each is reported
 // when the request is sent that may bring the first event, so that others know it before
 // the caller has an event.
@@ -43,6 +46,10 @@
 	l.mu.Lock()
 	v := policy.StreamVersion{ID: id, Version: version, Sends: sends, RecordedAt: s.now()}
 	l.known.Record(v, s.now())
+	if len(l.unreported) >= maxUnreported {
+		// No hub is attached. The next one is sent all that is known.
+		l.unreported = nil
+	}
 	l.unreported = append(l.unreported, v)
 	l.mu.Unlock()
 	s.reportNow.signal()
