soak: runners of two software versions, callers who take their streams up

Streams that break off are taken up at another entry with the id of the attempt that brought the first event; events of two versions in one stream are a finding.

--- a/internal/edge/version_test.go
+++ b/internal/edge/version_test.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -59,8 +58,7 @@
 	req, err := standin.NewRequest(context.Background(), entry, "/draft/x", id, 4*time.Second)
 	require.NoError(t, err)
 	if s.events > 0 {
-		req.Header.Set("Last-Event-Id", strconv.Itoa(s.events))
-		req.Header.Set("Resumes", s.began)
+		standin.SetTakeUp(req, s.began, s.events)
 	}
 	s.status = 0
 	resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
@@ -74,7 +72,7 @@
 	}
 	lines := bufio.NewScanner(resp.Body)
 	for lines.Scan() {
-		if version, ok := strings.CutPrefix(lines.Text(), ": version "); ok {
+		if version, ok := standin.VersionOf(lines.Text()); ok {
 			s.versions[version] = true
 		}
 		if strings.HasPrefix(lines.Text(), "data: ") {
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -131,8 +131,19 @@
 	}
 }
 
-// checkStream checks the events of a stream.
-func (c *checker) checkStream(id string, o outcome, events []string, want int) {
+// checkVersions checks that all events of a stream, over its caller's attempts, come from
+// runners of one software version.
+func (c *checker) checkVersions(id string, versions map[string]bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(versions) > 1 {
+		c.addFinding("order: stream of request %s has events of %d software versions", id, len(versions))
+	}
+}
+
+// checkStream checks the events of one attempt of a stream of want events, of which the
+// caller had some already.
+func (c *checker) checkStream(id string, o outcome, events []string, delivered, want int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.outcomes[id] = o
@@ -141,13 +152,13 @@
 		return
 	}
 	for i, e := range events {
-		if e != fmt.Sprintf("%s %d", id, i+1) {
-			c.addFinding("order: event %d of request %s is %q", i+1, id, e)
+		if e != fmt.Sprintf("%s %d", id, delivered+i+1) {
+			c.addFinding("order: event %d of request %s is %q", delivered+i+1, id, e)
 			return
 		}
 	}
-	if o.complete && len(events) != want {
-		c.addFinding("order: stream of request %s looks complete after %d of %d events", id, len(events), want)
+	if o.complete && delivered+len(events) != want {
+		c.addFinding("order: stream of request %s looks complete after %d of %d events", id, delivered+len(events), want)
 	}
 }
 
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -65,35 +65,75 @@
 	o = outcome{status: resp.StatusCode, complete: err == nil, body: string(body), truncated: err != nil}
 }
 
+// sendStream sends a request for a stream. If the stream breaks off after its first event,
+// the caller takes it up again at another entry.
 func (s *system) sendStream(ctx context.Context, client *http.Client, entry, id string, disconnects bool) {
-	s.check.requestSent(id, false)
-	var events []string
-	o := outcome{truncated: true}
-	defer func() { s.check.checkStream(id, o, events, streamEvents) }()
+	versions := map[string]bool{}
+	o, events := s.readStream(ctx, client, entry, streamAttempt{id: id, leaves: disconnects}, versions)
+	delivered := len(events)
+	for n := 1; n <= maxTakeUps && delivered > 0 && delivered < streamEvents && !o.left && ctx.Err() == nil; n++ {
+		sleep(ctx, takeUpDelay)
+		attempt := streamAttempt{id: fmt.Sprintf("%s-%d", id, n), stream: id, delivered: delivered}
+		_, events := s.readStream(ctx, client, s.entryAddress(rand.IntN(len(s.entries))), attempt, versions)
+		delivered += len(events)
+	}
+	s.check.checkVersions(id, versions)
+}
+
+const (
+	// maxTakeUps is the number of times that a caller takes a stream up, after takeUpDelay.
+	maxTakeUps  = 3
+	takeUpDelay = 150 * time.Millisecond
+)
+
+// streamAttempt is one request for a stream.
+type streamAttempt struct {
+	id string
+	// stream is the id of the request that brought the first event, and delivered the
+	// number of events that the caller has; unset for a new stream.
+	stream    string
+	delivered int
+	// leaves is set if the caller disconnects after two events.
+	leaves bool
+}
+
+// readStream sends one request for a stream and checks its events. It adds the software
+// versions of the runners to versions.
+func (s *system) readStream(ctx context.Context, client *http.Client, entry string, a streamAttempt, versions map[string]bool) (o outcome, events []string) {
+	s.check.requestSent(a.id, false)
+	o = outcome{truncated: true}
+	defer func() { s.check.checkStream(a.id, o, events, a.delivered, streamEvents) }()
 	reqCtx, cancel := context.WithTimeout(ctx, callerTimeout)
 	defer cancel()
-	req, err := standin.NewRequest(reqCtx, entry, "/draft/x", id, callerTimeout)
+	req, err := standin.NewRequest(reqCtx, entry, "/draft/x", a.id, callerTimeout)
 	if err != nil {
-		return
+		return o, nil
+	}
+	if a.delivered > 0 {
+		standin.SetTakeUp(req, a.stream, a.delivered)
 	}
 	resp, err := client.Do(req)
 	if err != nil {
-		return
+		return o, nil
 	}
 	defer resp.Body.Close()
 	o = outcome{status: resp.StatusCode, truncated: true}
 	scanner := bufio.NewScanner(resp.Body)
 	for scanner.Scan() {
+		if version, ok := standin.VersionOf(scanner.Text()); ok {
+			versions[version] = true
+		}
 		if data, ok := strings.CutPrefix(scanner.Text(), "data: "); ok {
 			events = append(events, data)
 		}
-		if disconnects && len(events) == 2 {
+		if a.leaves && len(events) == 2 {
 			o.left = true
-			return
+			return o, events
 		}
 	}
 	o.complete = scanner.Err() == nil
 	o.truncated = !o.complete
+	return o, events
 }
 
 // readConfig reads the configuration from the core daemons in turn until ctx
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -20,7 +20,9 @@
 	// faultTolerance is the number of core daemons that may fail at once.
 	faultTolerance = 2
 	// streamEvents and eventInterval give streams of half a second.
-	streamEvents     = 10
+	streamEvents = 10
+	// softwareVersions is the number of software versions that runners have.
+	softwareVersions = 2
 	eventInterval    = 50 * time.Millisecond
 	plainServiceTime = 10 * time.Millisecond
 	// reportInterval is the time between two reports of a runner.
@@ -191,8 +193,9 @@
 	if err != nil {
 		return errors.Wrap(err, "starting a proxy")
 	}
+	n := s.lastRunnerID.Add(1)
 	r := &standin.Runner{
-		ID: fmt.Sprintf("i-%d", s.lastRunnerID.Add(1)), Service: service, Stage: stage, ServiceTime: plainServiceTime, Events: streamEvents,
+		ID: fmt.Sprintf("i-%d", n), Version: fmt.Sprintf("v%d", n%softwareVersions), Service: service, Stage: stage, ServiceTime: plainServiceTime, Events: streamEvents,
 		OnStart: s.check.requestRan, OnArrival: s.check.requestArrived,
 	}
 	if stage == standin.StageDecode {
