scheduler: a retry stays charged until it has reached its engine

A retry that waits in the queue reached its engine up to 2.9 s after its charge, which left the window before it.

Cause: charged when submitted. Now it is set aside then, spent with the first token or the end of the hold, and returned if it is not granted. TestQueuedRetryIsChargedUntilItIsSent failed.

--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -31,7 +31,7 @@
 	defer p.lock(placementBits)()
 	w, refusal := p.admit(ticket, req, now)
 	if refusal == nil {
-		refusal = p.chargeRetryBudget(req, now)
+		refusal = p.chargeRetryBudget(w, now)
 	}
 	if refusal != nil {
 		p.queue.refused.add(req, now)
@@ -44,23 +44,40 @@
 	return nil
 }
 
-// chargeRetryBudget counts a first attempt, or takes the requests of a further one
-// from the pool's retry budget and refuses it when the budget is spent. What a predecessor
-// has spent is restored from what entries restate.
-func (p *Pool) chargeRetryBudget(req *pb.SubmitRequest, now time.Duration) *pb.Refusal {
+// chargeRetryBudget counts a first attempt, or sets the requests of a further one aside
+// in the pool's retry budget and refuses it when the budget is spent. They are spent when
+// they have reached the engines, which may be seconds later, and returned if the attempt
+// is not granted. What a predecessor has spent is restored from what entries restate.
+func (p *Pool) chargeRetryBudget(w *queuedRequest, now time.Duration) *pb.Refusal {
 	if p.retryBudget.Window == 0 {
 		return nil
 	}
-	if req.Attempt <= 1 {
+	if w.req.Attempt <= 1 {
 		p.retryBudget.RecordRequest(now)
 		return nil
 	}
-	if p.retryBudget.TakeN(now, max(1, int(req.RetrySends))) {
+	n := max(1, int(w.req.RetrySends))
+	if p.retryBudget.HoldN(now, n) {
+		w.heldRetries = n
 		return nil
 	}
 	return newRefusal(pb.Refusal_REPEAT_BUDGET, p.retryBudget.Window/retryAfterDivisor, "the pool's repeat budget is spent")
 }
 
+// returnRetries returns what a queued attempt has set aside that is not granted.
+func (p *Pool) returnRetries(w *queuedRequest) {
+	for ; w.heldRetries > 0; w.heldRetries-- {
+		p.retryBudget.Release()
+	}
+}
+
+// spendRetries spends what a hold's attempt has set aside.
+func (p *Pool) spendRetries(h *hold, now time.Duration) {
+	for ; h.heldRetries > 0; h.heldRetries-- {
+		p.retryBudget.Spend(now)
+	}
+}
+
 // restoreRetryBudget counts what an entry's submissions to earlier schedulers have used
 // of the retry budget, once for each entry.
 func (p *Pool) restoreRetryBudget(r *pb.RestateRequest, now time.Duration) {
@@ -338,5 +355,6 @@
 		return false
 	}
 	p.dequeue(w)
+	p.returnRetries(w)
 	return true
 }
--- a/internal/scheduler/expiry.go
+++ b/internal/scheduler/expiry.go
@@ -47,6 +47,7 @@
 	var out []Action
 	for _, w := range due {
 		p.dequeue(w)
+		p.returnRetries(w)
 		p.queue.refused.add(w.req, now)
 		wait := p.forecastWait(w, now)
 		r := newRefusal(w.timeoutCode, max(wait, minRetryAfter), "no capacity within %v", (now - w.queuedAt).Round(time.Millisecond))
--- a/internal/scheduler/holds.go
+++ b/internal/scheduler/holds.go
@@ -30,7 +30,10 @@
 	idleTTFT  time.Duration
 	linkBytes float64
 	attempt   uint32
-	pieces    int32
+	// heldRetries is what the attempt has set aside in the retry budget until its requests
+	// have reached the engines.
+	heldRetries int
+	pieces      int32
 	// promptPieces are reserved on the prefill engine until the transfer is
 	// done.
 	promptPieces int32
@@ -158,6 +161,7 @@
 	h.releasePrefill()
 	h.endLocalPrefill(now)
 	h.releaseLink()
+	p.spendRetries(h, now)
 	delete(p.holds.byID, h.id)
 	delete(h.entry.holds, h.id)
 	p.pruneEntry(h.entry)
@@ -334,6 +338,9 @@
 		h.endLocalPrefill(now)
 		p.unblockQueue()
 	}
+	if r.Stage >= pb.ProgressRequest_FIRST_TOKEN {
+		p.spendRetries(h, now)
+	}
 	if r.Stage >= pb.ProgressRequest_FIRST_TOKEN && h.firstTokenAt == 0 {
 		if !h.localPrefill {
 			h.prefill.lostHandles = 0
--- a/internal/scheduler/lanes.go
+++ b/internal/scheduler/lanes.go
@@ -105,6 +105,7 @@
 	var out []Action
 	for _, w := range due {
 		p.dequeue(w)
+		p.returnRetries(w)
 		p.queue.refused.add(w.req, now)
 		// Those refused at the same time return one after the other.
 		ahead += w.spec.Pieces
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -209,7 +209,7 @@
 	req := w.req
 	h := &hold{
 		id: p.newHoldID(), requestID: req.RequestId, model: req.Model, entry: p.getOrCreateEntry(req.EntryId),
-		prefill: pre, decode: dec, prefixHashes: slices.Clone(req.PrefixHashes), grantedAt: now, idleTTFT: w.idleTTFT,
+		prefill: pre, decode: dec, prefixHashes: slices.Clone(req.PrefixHashes), grantedAt: now, idleTTFT: w.idleTTFT, heldRetries: w.heldRetries,
 		expiresAt: w.deadline + p.params.DeadlineMargin, startDeadline: now + delay + p.params.HoldGrace + startTimeoutFactor*pl.TTFT(), attempt: req.Attempt,
 		pieces: int32(w.spec.Pieces), promptPieces: int32(w.spec.PromptPieces),
 		promptTokens: int32(req.PromptTokens), outputTokens: int32(req.MaxOutputTokens),
@@ -218,6 +218,7 @@
 		prefillsGenerated: w.spec.GeneratedTokens >= policy.MinLocalPrefillTokens,
 		linkBytes:         policy.KVBytes(&pre.view, &dec.view, w.spec.PromptTokens),
 	}
+	w.heldRetries = 0
 	p.afterDequeue(w)
 	p.addHold(h, now)
 	dec.countSend(now)
--- a/internal/scheduler/platform_test.go
+++ b/internal/scheduler/platform_test.go
@@ -323,6 +323,40 @@
 	require.Equal(t, uint32(3), spend(next, 31*time.Second), "the first five are over")
 }
 
+// Guards against a retry that waits in the queue and reaches its engine when its charge has
+// left the window, and against charges of attempts that are never granted.
+func TestQueuedRetryIsChargedUntilItIsSent(t *testing.T) {
+	p := platformPool(Params{OnDemandMemory: true, RetryRatio: 0.2, RetrySlack: 3, RetryWindow: 10 * time.Second})
+	now := 20 * time.Second
+	p.Announce(platformEngines(1, 1), now)
+	grants := submitAll(p, now, 40, 5000, 700)
+	require.NotEmpty(t, grants)
+	left := p.retryBudget.Remaining(now)
+	retry := platformRequest("retry", 5000, 700)
+	retry.Attempt = 2
+	p.Submit(1, retry, now)
+	withdrawn := platformRequest("withdrawn", 5000, 700)
+	withdrawn.Attempt = 2
+	p.Submit(2, withdrawn, now)
+	require.Equal(t, left-2, p.retryBudget.Remaining(now))
+	require.True(t, p.Withdraw(2))
+	require.Equal(t, left-1, p.retryBudget.Remaining(now))
+
+	now += 2500 * time.Millisecond
+	for ticket := range uint64(40) {
+		p.Withdraw(1000 + ticket)
+	}
+	for _, g := range grants {
+		p.Release(&pb.ReleaseRequest{HoldId: g.HoldId, Outcome: pb.ReleaseRequest_COMPLETED, OutputTokens: 700}, now)
+	}
+	require.Contains(t, grantedTickets(p.Run(Placement, now)), uint64(1))
+	for id := range p.holds.byID {
+		p.Progress(&pb.ProgressRequest{HoldId: id, Stage: pb.ProgressRequest_FIRST_TOKEN}, now)
+	}
+	require.Equal(t, 2.0, p.retryBudget.Remaining(now+9*time.Second), "the request reached its engine 9 s ago")
+	require.Equal(t, 3.0, p.retryBudget.Remaining(now+11*time.Second))
+}
+
 // Guards against retries that cost the upstreams more than the budget shows: one
 // that prefills the prompt again sends two requests.
 func TestRepeatedPrefillIsCharged(t *testing.T) {
--- a/internal/scheduler/tables.go
+++ b/internal/scheduler/tables.go
@@ -238,6 +238,8 @@
 	queueDeadline time.Duration
 	// returned is set when the request was refused before.
 	returned bool
+	// heldRetries is what the attempt has set aside in the retry budget.
+	heldRetries int
 	// firstTokenDeadline is when the TTFT target is missed, idleTTFT the
 	// forecast TTFT on idle engines.
 	firstTokenDeadline time.Duration
--- a/policy/retry_budget.go
+++ b/policy/retry_budget.go
@@ -64,11 +64,14 @@
 
 // Hold sets a retry aside for a request that may turn out to count, and reports whether
 // the budget allowed it. Spend or Release ends the hold.
-func (b *RetryBudget) Hold(now time.Duration) bool {
-	if b.Remaining(now) < 1 {
+func (b *RetryBudget) Hold(now time.Duration) bool { return b.HoldN(now, 1) }
+
+// HoldN sets n retries aside, or none.
+func (b *RetryBudget) HoldN(now time.Duration, n int) bool {
+	if b.Remaining(now) < float64(n) {
 		return false
 	}
-	b.held++
+	b.held += n
 	return true
 }
 
