forward: an attempt that was not sent does not keep its version for a stream

Found while reading the change: a stream whose first upstream refuses the connection and which begins at another version right after is recorded twice under the same number of sends, and a hub keeps the first when both reports have the same age in milliseconds. A stream taken up would be joined. Attempts are numbered now.

--- a/internal/feed/stream_versions.go
+++ b/internal/feed/stream_versions.go
@@ -19,7 +19,7 @@
 	now := h.now()
 	var changed []policy.StreamVersion
 	for _, m := range list {
-		v := policy.StreamVersion{ID: m.Id, Version: m.Version, Sends: int(m.Sends), RecordedAt: now - milliseconds(m.AgeMs)}
+		v := policy.StreamVersion{ID: m.Id, Version: m.Version, Attempt: int(m.Attempt), RecordedAt: now - milliseconds(m.AgeMs)}
 		if h.streamVersions.Record(v, now) {
 			changed = append(changed, v)
 		}
@@ -45,7 +45,7 @@
 	s.streamVersions, s.allStreamVersions = nil, false
 	var out []*pb.StreamVersion
 	for _, v := range list {
-		out = append(out, &pb.StreamVersion{Id: v.ID, Version: v.Version, Sends: uint32(v.Sends), AgeMs: remainingMs(h.now(), v.RecordedAt)})
+		out = append(out, &pb.StreamVersion{Id: v.ID, Version: v.Version, Attempt: uint32(v.Attempt), AgeMs: remainingMs(h.now(), v.RecordedAt)})
 	}
 	return out
 }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -40,6 +40,9 @@
 	prefilled bool
 	// version is the software version at which the stream began; nil while it has no event.
 	version *string
+	// versionsRecorded counts the attempts whose version was recorded. Unlike sends it
+	// never decreases.
+	versionsRecorded int
 	// freeUsed is set while the one request that does not count against the retry budget
 	// is used, see charge.
 	freeUsed bool
--- a/internal/forward/versions.go
+++ b/internal/forward/versions.go
@@ -41,10 +41,10 @@
 
 // recordStreamVersion records that a request is about to be sent that may bring the first
 // event of a stream.
-func (s *Server) recordStreamVersion(id, version string, sends int) {
+func (s *Server) recordStreamVersion(id, version string, attempt int) {
 	l := &s.streamVersions
 	l.mu.Lock()
-	v := policy.StreamVersion{ID: id, Version: version, Sends: sends, RecordedAt: s.now()}
+	v := policy.StreamVersion{ID: id, Version: version, Attempt: attempt, RecordedAt: s.now()}
 	l.known.Record(v, s.now())
 	if len(l.unreported) >= maxUnreported {
 		// No hub is attached. The next one is sent all that is known.
@@ -75,7 +75,7 @@
 func (s *Server) encodeStreamVersions(list []policy.StreamVersion) []*pb.StreamVersion {
 	var out []*pb.StreamVersion
 	for _, v := range list {
-		out = append(out, &pb.StreamVersion{Id: v.ID, Version: v.Version, Sends: uint32(v.Sends), AgeMs: uint32((s.now() - v.RecordedAt).Milliseconds())})
+		out = append(out, &pb.StreamVersion{Id: v.ID, Version: v.Version, Attempt: uint32(v.Attempt), AgeMs: uint32((s.now() - v.RecordedAt).Milliseconds())})
 	}
 	return out
 }
@@ -192,12 +192,13 @@
 func (x *exchange) recordVersion(t *target) {
 	switch {
 	case x.version == nil:
-		x.s.recordStreamVersion(x.info.ID, t.softwareVersion(), x.sends+1)
+		x.versionsRecorded++
+		x.s.recordStreamVersion(x.info.ID, t.softwareVersion(), x.versionsRecorded)
 	case x.info.StreamID != "":
 		// The caller may take the stream up again.
-		x.s.recordStreamVersion(x.info.StreamID, *x.version, maxSends)
+		x.s.recordStreamVersion(x.info.StreamID, *x.version, finalAttempt)
 	}
 }
 
-// maxSends is the number of sends of a stream whose version cannot change any more.
-const maxSends = 1 << 20
+// finalAttempt is the attempt of a stream whose version cannot change any more.
+const finalAttempt = 1 << 20
--- a/policy/stream_versions.go
+++ b/policy/stream_versions.go
@@ -15,9 +15,9 @@
 	// ID is the id of the caller's request that brings the first event.
 	ID      string
 	Version string
-	// Sends is the number of requests that the entry had sent for the caller's request. A
-	// later one replaces the earlier ones, which brought no event.
-	Sends int
+	// Attempt is the number of the entry's attempt at the caller's request. A later one
+	// replaces the earlier ones, which brought no event.
+	Attempt int
 	// RecordedAt is when the stream was last known to be in use.
 	RecordedAt time.Duration
 }
@@ -38,7 +38,7 @@
 		return false
 	}
 	known, ok := s.byID[v.ID]
-	if ok && (v.Sends < known.Sends || v.Sends == known.Sends && v.RecordedAt <= known.RecordedAt) {
+	if ok && (v.Attempt < known.Attempt || v.Attempt == known.Attempt && v.RecordedAt <= known.RecordedAt) {
 		return false
 	}
 	if s.byID == nil {
--- a/policy/stream_versions_test.go
+++ b/policy/stream_versions_test.go
@@ -12,12 +12,12 @@
 // the stream began, and against records that grow without bound.
 func TestStreamVersionsKeepTheLatestAttempt(t *testing.T) {
 	var s StreamVersions
-	require.True(t, s.Record(StreamVersion{ID: "a", Version: "v2", Sends: 2, RecordedAt: 2 * time.Second}, 2*time.Second))
-	require.False(t, s.Record(StreamVersion{ID: "a", Version: "v1", Sends: 1, RecordedAt: 3 * time.Second}, 3*time.Second), "a late report of an earlier attempt")
+	require.True(t, s.Record(StreamVersion{ID: "a", Version: "v2", Attempt: 2, RecordedAt: 2 * time.Second}, 2*time.Second))
+	require.False(t, s.Record(StreamVersion{ID: "a", Version: "v1", Attempt: 1, RecordedAt: 3 * time.Second}, 3*time.Second), "a late report of an earlier attempt")
 	v, known := s.Get("a", 3*time.Second)
 	require.True(t, known)
 	require.Equal(t, "v2", v.Version)
-	require.True(t, s.Record(StreamVersion{ID: "a", Version: "v3", Sends: 3, RecordedAt: 3 * time.Second}, 3*time.Second))
+	require.True(t, s.Record(StreamVersion{ID: "a", Version: "v3", Attempt: 3, RecordedAt: 3 * time.Second}, 3*time.Second))
 	_, known = s.Get("a", 3*time.Second+streamVersionTTL)
 	require.True(t, known)
 	_, known = s.Get("a", 4*time.Second+streamVersionTTL)
