feed: versions of streams for a hub that is out of reach are bounded

Found while reading the change: a core daemon keeps what it has to tell another one, and one that is gone for long would make the list grow with each stream (some 60 KB/s at 600 streams a second, by count).

--- a/internal/feed/stream_versions.go
+++ b/internal/feed/stream_versions.go
@@ -29,12 +29,22 @@
 	}
 	for s := range h.subscriptions {
 		if s.allReports {
-			s.streamVersions = append(s.streamVersions, changed...)
+			s.addStreamVersions(changed)
 			h.signalLater(s)
 		}
 	}
 }
 
+// addStreamVersions queues versions for the next message to another hub, which may be out
+// of reach for long.
+func (s *subscription) addStreamVersions(list []policy.StreamVersion) {
+	if len(s.streamVersions)+len(list) > maxPending {
+		s.streamVersions, s.allStreamVersions = nil, true
+	} else if !s.allStreamVersions {
+		s.streamVersions = append(s.streamVersions, list...)
+	}
+}
+
 // streamVersionsForHub returns the versions that are due on a stream to another hub. The
 // caller holds mu.
 func (h *Hub) streamVersionsForHub(s *subscription) []*pb.StreamVersion {
--- a/internal/scheduler/versions.go
+++ b/internal/scheduler/versions.go
@@ -43,15 +43,15 @@
 // severalVersions reports whether usable decode engines run more than one software
 // version.
 func (t *upstreamTable) severalVersions() bool {
-	version, any := "", false
+	version, found := "", false
 	for _, m := range t.byID {
 		if !m.view.Usable || m.state.Role != pb.EngineRole_ENGINE_ROLE_DECODE {
 			continue
 		}
-		if any && m.state.SoftwareVersion != version {
+		if found && m.state.SoftwareVersion != version {
 			return true
 		}
-		version, any = m.state.SoftwareVersion, true
+		version, found = m.state.SoftwareVersion, true
 	}
 	return false
 }
