soak: a connection that lost data delivers nothing that comes after it

The proxy dropped the runner's events 2 to 9 at their boundaries and passed the tenth on, which TCP never does, and no entry can tell.

--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -27,6 +27,9 @@
 	// blackholed discards the data of both directions and keeps the connection
 	// open.
 	blackholed atomic.Bool
+	// responsesLost is set once data from the runner was discarded. A TCP connection that
+	// lost data delivers nothing that comes after it.
+	responsesLost atomic.Bool
 }
 
 func newProxy(listen, target string) (*proxy, error) {
@@ -84,7 +87,9 @@
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buf)
-		if n > 0 && !c.blackholed.Load() && !(fromRunner && p.dropResponses.Load()) {
+		if n > 0 && (c.blackholed.Load() || fromRunner && p.dropResponses.Load()) {
+			c.responsesLost.Store(c.responsesLost.Load() || fromRunner)
+		} else if n > 0 && !(fromRunner && c.responsesLost.Load()) {
 			time.Sleep(time.Duration(p.delayNanos.Load()))
 			if _, err := to.Write(buf[:n]); err != nil {
 				return
