corestore: the test cluster reserves its port at the addresses of all members

By the trace the test listens at 127.0.0.1, closes the listener and uses the port at three addresses; tests of other packages run at the same time. The first listeners are now kept until the members start.

--- a/internal/corestore/store_test.go
+++ b/internal/corestore/store_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -29,16 +30,16 @@
 	servers        map[int]*transport.Server
 	peers          map[int]*Peers
 	dirs           map[int]string
+	// listeners are those of members that have not started yet.
+	listeners map[int]net.Listener
 }
 
 func newTestCluster(t *testing.T, members, faultTolerance int) *testCluster {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
 	c := &testCluster{
-		t: t, port: l.Addr().(*net.TCPAddr).Port, faultTolerance: faultTolerance,
+		t: t, faultTolerance: faultTolerance, listeners: map[int]net.Listener{},
 		stores: map[int]*Store{}, servers: map[int]*transport.Server{}, peers: map[int]*Peers{}, dirs: map[int]string{},
 	}
-	require.NoError(t, l.Close())
+	c.reservePort(members)
 	for i := 1; i <= 3; i++ {
 		c.seeds = append(c.seeds, c.address(i))
 	}
@@ -54,12 +55,40 @@
 	return c
 }
 
+// reservePort listens at a port that is free at the addresses of all members. Another
+// process may use a port that is free at one address only.
+func (c *testCluster) reservePort(members int) {
+	for {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(c.t, err)
+		c.port, c.listeners[1] = l.Addr().(*net.TCPAddr).Port, l
+		for i := 2; i <= members && err == nil; i++ {
+			if l, err = net.Listen("tcp", c.address(i)); err == nil {
+				c.listeners[i] = l
+			}
+		}
+		if err == nil {
+			return
+		}
+		require.ErrorIs(c.t, err, syscall.EADDRINUSE)
+		for i, l := range c.listeners {
+			_ = l.Close()
+			delete(c.listeners, i)
+		}
+	}
+}
+
 func (c *testCluster) address(i int) string { return fmt.Sprintf("127.0.0.%d:%d", i, c.port) }
 
 func (c *testCluster) start(i int, bootstrap bool) {
 	c.t.Helper()
-	l, err := net.Listen("tcp", c.address(i))
-	require.NoError(c.t, err)
+	l := c.listeners[i]
+	delete(c.listeners, i)
+	var err error
+	if l == nil {
+		l, err = net.Listen("tcp", c.address(i))
+		require.NoError(c.t, err)
+	}
 	c.servers[i] = transport.NewServer(transport.Options{})
 	c.peers[i] = NewPeers(c.address(i), uint16(c.port), transport.Options{})
 	c.stores[i], err = Start(Options{
