--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -20,7 +20,7 @@
 // what broke the rule.
 type caseFunc func(s *system, trouble bool) (broken []string, err error)
 
-var cases = map[string]caseFunc{"replaced-core": replacedCore}
+var cases = map[string]caseFunc{"replaced-core": replacedCore, "lost-notice": lostNotice}
 
 func main() { os.Exit(run()) }
 
