--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-driver ] || exit 2
-exec target/review-driver lost-notice review/2
+exec target/review-driver replaced-core review/2
--- a/review/driver/harness.go
+++ b/review/driver/harness.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -10,8 +12,10 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
+	"text/template"
 	"time"
 
 	"godwitward.example/godwitward/platform/standin"
@@ -214,10 +218,10 @@
 	engineService = "draftwell"
 )
 
-// put sends a version of the configuration to each of some core daemons in turn until
-// one acknowledges it, as an operator does.
-func (s *system) put(version int, cores []*daemon, within time.Duration) error {
-	c := standin.Config{Version: version, PlainService: plainService, EngineService: engineService}
+// put sends a version of the configuration, in which a service has the plain routes, to
+// some core daemons in turn until one acknowledges it, as an operator does.
+func (s *system) put(version int, service string, cores []*daemon, within time.Duration) error {
+	c := standin.Config{Version: version, PlainService: service, EngineService: engineService}
 	last := errors.New("no core daemon was asked")
 	for until := time.Now().Add(within); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
 		for _, d := range cores {
@@ -256,16 +260,16 @@
 	stop    context.CancelFunc
 }
 
-// addRunner starts a runner of the plain service and sends its reports to a core daemon,
-// and to the next one after a report without an acknowledgement.
-func (s *system) addRunner(id string, first int, serviceTime time.Duration, onRun func(standin.Run)) (*runner, error) {
+// addRunner starts a runner of a plain service and sends its reports to a core daemon, and
+// to the next one after a report without an acknowledgement.
+func (s *system) addRunner(id, service string, first int, serviceTime time.Duration, onRun func(standin.Run)) (*runner, error) {
 	l, err := net.Listen("tcp", s.ip(200)+":0")
 	if err != nil {
 		return nil, err
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	r := &runner{Runner: &standin.Runner{
-		ID: id, Service: plainService, ServiceTime: serviceTime, OnStart: onRun, OnArrival: func(standin.Run) {},
+		ID: id, Service: service, ServiceTime: serviceTime, OnStart: onRun, OnArrival: func(standin.Run) {},
 	}, address: l.Addr().String(), stop: stop}
 	r.Start(l)
 	go func() {
@@ -286,6 +290,53 @@
 	return r, nil
 }
 
+// message is the text of a call to a core daemon, as a file holds it: method and path, and
+// the body.
+type message struct{ line, body string }
+
+// readMessage reads a message from the case's folder and fills in its values.
+func readMessage(file string, values any) (message, error) {
+	t, err := template.ParseFiles(filepath.Join(os.Args[2], file))
+	if err != nil {
+		return message{}, err
+	}
+	var filled bytes.Buffer
+	if err := t.Execute(&filled, values); err != nil {
+		return message{}, err
+	}
+	line, body, _ := strings.Cut(strings.TrimSpace(filled.String()), "\n")
+	return message{line, body}, nil
+}
+
+// pendingCall is a call to a core daemon on a connection that is open already.
+type pendingCall struct {
+	conn net.Conn
+	text string
+}
+
+func (s *system) prepareCall(core *daemon, m message) (*pendingCall, error) {
+	address := s.controlAddress(core)
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &pendingCall{conn, fmt.Sprintf("%s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", m.line, address, len(m.body), m.body)}, nil
+}
+
+// send returns the status of the answer.
+func (c *pendingCall) send() (int, error) {
+	defer c.conn.Close()
+	_ = c.conn.SetDeadline(time.Now().Add(time.Second))
+	if _, err := io.WriteString(c.conn, c.text); err != nil {
+		return 0, err
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c.conn), nil)
+	if err != nil {
+		return 0, err
+	}
+	return resp.StatusCode, resp.Body.Close()
+}
+
 // answer is what a caller got.
 type answer struct {
 	status int
@@ -323,5 +374,5 @@
 			return err
 		}
 	}
-	return s.put(1, s.cores, 20*time.Second)
+	return s.put(1, plainService, s.cores, 20*time.Second)
 }
--- a/review/driver/lost_notice.go
+++ b/review/driver/lost_notice.go
@@ -1,21 +1,15 @@
 package main
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
-	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
-	"text/template"
 	"time"
 
 	"github.com/pkg/errors"
@@ -52,7 +46,7 @@
 		if i >= 2 {
 			first = i - 2
 		}
-		r, err := s.addRunner(fmt.Sprintf("i-%d", i+1), first, 50*time.Millisecond, load.ran)
+		r, err := s.addRunner(fmt.Sprintf("i-%d", i+1), plainService, first, 50*time.Millisecond, load.ran)
 		if err != nil {
 			return nil, err
 		}
@@ -66,7 +60,7 @@
 	time.Sleep(4 * time.Second)
 
 	leaving := runners[:2]
-	var notices []*notice
+	var notices []*pendingCall
 	for _, r := range leaving {
 		n, err := s.prepareNotice(r, witness)
 		if err != nil {
@@ -78,11 +72,11 @@
 			return nil, err
 		}
 	}
-	if err := notices[0].send(); err != nil {
+	if err := s.sendNotice(leaving[0], notices[0]); err != nil {
 		return nil, err
 	}
 	time.Sleep(noticeGap)
-	if err := notices[1].send(); err != nil {
+	if err := s.sendNotice(leaving[1], notices[1]); err != nil {
 		return nil, err
 	}
 	ackedAt := time.Now()
@@ -197,55 +191,27 @@
 	return []string{fmt.Sprintf("DRAIN: %d requests that were sent more than drainMs after the acknowledged notices reached the runners that had left, from machines in touch", late)}
 }
 
-// notice is a runner's notice that it leaves, ready to be sent on an open connection.
-type notice struct {
-	runner string
-	conn   net.Conn
-	text   []byte
-	rec    *recorder
-}
-
-// prepareNotice connects to a core daemon. The text of the message is in notice.txt of
-// the case's folder: method and path, and the body.
-func (s *system) prepareNotice(r *runner, core *daemon) (*notice, error) {
+// prepareNotice connects a runner to a core daemon, for its notice that it leaves.
+func (s *system) prepareNotice(r *runner, core *daemon) (*pendingCall, error) {
 	startMs, err := reportedStart(r)
 	if err != nil {
 		return nil, err
 	}
-	t, err := template.ParseFiles(filepath.Join(os.Args[2], "notice.txt"))
-	if err != nil {
-		return nil, err
-	}
-	var filled bytes.Buffer
-	if err := t.Execute(&filled, map[string]any{"ID": r.ID, "StartMs": startMs}); err != nil {
-		return nil, err
-	}
-	line, body, _ := strings.Cut(strings.TrimSpace(filled.String()), "\n")
-	conn, err := net.Dial("tcp", s.controlAddress(core))
+	m, err := readMessage("notice.txt", map[string]any{"ID": r.ID, "StartMs": startMs})
 	if err != nil {
 		return nil, err
 	}
-	text := fmt.Sprintf("%s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", line, s.controlAddress(core), len(body), body)
-	return &notice{runner: r.ID, conn: conn, text: []byte(text), rec: s.rec}, nil
+	return s.prepareCall(core, m)
 }
 
-// send sends the notice and waits for its acknowledgement.
-func (n *notice) send() error {
-	defer n.conn.Close()
-	_ = n.conn.SetDeadline(time.Now().Add(time.Second))
-	if _, err := n.conn.Write(n.text); err != nil {
-		return err
-	}
-	resp, err := http.ReadResponse(bufio.NewReader(n.conn), nil)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode/100 != 2 {
-		return errors.Errorf("the notice of %s was answered %d", n.runner, resp.StatusCode)
+// sendNotice sends a notice and waits for its acknowledgement.
+func (s *system) sendNotice(r *runner, n *pendingCall) error {
+	status, err := n.send()
+	s.rec.logf("runner %s: notice answered %d, error %v", r.ID, status, err)
+	if err == nil && status/100 != 2 {
+		err = errors.Errorf("the notice of %s was answered %d", r.ID, status)
 	}
-	n.rec.logf("runner %s: notice acknowledged", n.runner)
-	return nil
+	return err
 }
 
 // reportedStart returns the start time that a runner states in its reports.
--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -20,7 +20,9 @@
 // what broke the rule.
 type caseFunc func(s *system, trouble bool) (broken []string, err error)
 
-var cases = map[string]caseFunc{"replaced-core": replacedCore, "lost-notice": lostNotice}
+var cases = map[string]caseFunc{
+	"unreadable-report": unreadableReport, "replaced-core": replacedCore, "lost-notice": lostNotice,
+}
 
 func main() { os.Exit(run()) }
 
--- a/review/driver/replaced_core.go
+++ b/review/driver/replaced_core.go
@@ -11,15 +11,15 @@
 )
 
 // replacedCore replaces a core machine by a planned change: the new one first, then
-// SIGTERM for the old one once the new one has had catchUpS. A second after that, two of the five
-// machines lose their disks right after an acknowledgement, which is what
-// faultTolerance allows. The operator must be able to read the configuration again.
+// SIGTERM for the old one once the new one has had catchUpS. A second after that one's
+// end, two of the five machines lose their disks right after an acknowledgement, which is
+// what faultTolerance allows. The operator must be able to read the configuration again.
 func replacedCore(s *system, trouble bool) ([]string, error) {
 	if err := s.startUp(2); err != nil {
 		return nil, err
 	}
 	for i := range 3 {
-		r, err := s.addRunner(fmt.Sprintf("i-%d", i+1), i, 10*time.Millisecond, func(standin.Run) {})
+		r, err := s.addRunner(fmt.Sprintf("i-%d", i+1), plainService, i, 10*time.Millisecond, func(standin.Run) {})
 		if err != nil {
 			return nil, err
 		}
@@ -43,7 +43,7 @@
 	s.rec.logf("%s has ended", old.node.Name)
 	time.Sleep(time.Second)
 	cores := []*daemon{s.cores[0], s.cores[1], s.cores[2], s.cores[3], s.cores[5]}
-	if err := s.put(2, cores, 4*time.Second); err != nil {
+	if err := s.put(2, plainService, cores, 4*time.Second); err != nil {
 		return nil, err
 	}
 	if trouble {
@@ -56,7 +56,7 @@
 	for until := time.Now().Add(20 * time.Second); time.Now().Before(until) && newest < 2; time.Sleep(500 * time.Millisecond) {
 		newest = max(newest, s.read(cores))
 	}
-	putErr := s.put(3, cores, 4*time.Second)
+	putErr := s.put(3, plainService, cores, 4*time.Second)
 	// A machine of the edge that starts now has to learn the configuration.
 	s.kill(s.edges[1])
 	if err := s.startDaemon(s.edges[1]); err != nil {
