--- a/review/driver/harness.go
+++ b/review/driver/harness.go
@@ -257,7 +257,8 @@
 type runner struct {
 	*standin.Runner
 	address string
-	stop    context.CancelFunc
+	// stop ends the runner's reports.
+	stop func()
 }
 
 // addRunner starts a runner of a plain service and sends its reports to a core daemon, and
@@ -267,11 +268,18 @@
 	if err != nil {
 		return nil, err
 	}
-	ctx, stop := context.WithCancel(context.Background())
 	r := &runner{Runner: &standin.Runner{
 		ID: id, Service: service, ServiceTime: serviceTime, OnStart: onRun, OnArrival: func(standin.Run) {},
-	}, address: l.Addr().String(), stop: stop}
+	}, address: l.Addr().String()}
 	r.Start(l)
+	r.stop = s.sendReports(r, first)
+	return r, nil
+}
+
+// sendReports sends a runner's reports to a core daemon, and to the next one after a
+// report without an acknowledgement, until the returned function is called.
+func (s *system) sendReports(r *runner, first int) (stop func()) {
+	ctx, stop := context.WithCancel(context.Background())
 	go func() {
 		for core := first; ctx.Err() == nil; {
 			reportCtx, cancel := context.WithTimeout(ctx, time.Second)
@@ -287,7 +295,7 @@
 			}
 		}
 	}()
-	return r, nil
+	return stop
 }
 
 // message is the text of a call to a core daemon, as a file holds it: method and path, and
