--- a/review/driver/joined_versions.go
+++ b/review/driver/joined_versions.go
@@ -153,7 +153,9 @@
 	delivered int
 	versions  map[string]int
 	complete  bool
-	tries     []string
+	// wentOn is set if the stream went on after it was taken up.
+	wentOn bool
+	tries  []string
 	// firstID is the id of the try that brought the first event.
 	firstID string
 }
@@ -163,7 +165,7 @@
 func (c *callerStream) run() {
 	until := time.Now().Add(takeUpBudget)
 	for try := 0; time.Now().Before(until) && !c.complete; try++ {
-		result := c.try(fmt.Sprintf("s-%d-%d", c.number, try), c.sys.edges[(c.number+try)%len(c.sys.edges)], time.Until(until))
+		result := c.try(context.Background(), fmt.Sprintf("s-%d-%d", c.number, try), c.sys.edges[(c.number+try)%len(c.sys.edges)], time.Until(until))
 		c.tries = append(c.tries, result)
 		if !c.complete {
 			time.Sleep(400 * time.Millisecond)
@@ -171,8 +173,8 @@
 	}
 }
 
-func (c *callerStream) try(id string, edge *daemon, left time.Duration) string {
-	ctx, cancel := context.WithTimeout(context.Background(), left)
+func (c *callerStream) try(parent context.Context, id string, edge *daemon, left time.Duration) string {
+	ctx, cancel := context.WithTimeout(parent, left)
 	defer cancel()
 	req, err := standin.NewRequest(ctx, c.sys.frontAddress(edge), "/draft/x", id, left)
 	if err != nil {
