reports and request ids that are not valid UTF-8 no longer end the feeds

Request ids that are not text ended the feeds of their entry.

Cause: text from outside was put into protobuf strings unchecked. Encoding the whole message failed, which ended the stream; each new stream began with the same table and failed again.

--- a/internal/edge/version_test.go
+++ b/internal/edge/version_test.go
@@ -24,7 +24,11 @@
 )
 
 // versionTest is a system with engines of several software versions.
-type versionTest struct{ *testSystem }
+type versionTest struct {
+	*testSystem
+	// idPrefix begins the ids of callers' requests.
+	idPrefix string
+}
 
 // startEngines starts engines of a software version and returns their ids.
 func (v *versionTest) startEngines(version string, first, n int) []string {
@@ -94,7 +98,7 @@
 		s := &versionStream{versions: map[string]bool{}}
 		list = append(list, s)
 		entry := v.entries[i%len(v.entries)].Listener.Addr().String()
-		wg.Go(func() { s.read(v.t, entry, fmt.Sprint("first-", i)) })
+		wg.Go(func() { s.read(v.t, entry, v.idPrefix+fmt.Sprint("first-", i)) })
 	}
 	time.Sleep(versionEvents / 2 * versionInterval)
 	for _, stop := range v.stopEntry {
@@ -108,7 +112,7 @@
 	time.Sleep(200 * time.Millisecond)
 	for i, s := range list {
 		entry := v.entries[rand.N(len(v.entries))].Listener.Addr().String()
-		wg.Go(func() { s.read(v.t, entry, fmt.Sprint("second-", i)) })
+		wg.Go(func() { s.read(v.t, entry, v.idPrefix+fmt.Sprint("second-", i)) })
 	}
 	wg.Wait()
 	return list
@@ -130,7 +134,7 @@
 // that go on at another software version than they began at; and against refusing them
 // although engines of their version serve.
 func TestStreamsTakenUpGoOnAtTheirVersion(t *testing.T) {
-	v := &versionTest{newTestSystem(t, 3, 4)}
+	v := &versionTest{testSystem: newTestSystem(t, 3, 4)}
 	v.startEngines("v1", 0, 3)
 	v.startEngines("v2", 3, 3)
 	time.Sleep(200 * time.Millisecond)
@@ -142,10 +146,22 @@
 	require.Equal(t, begun, countStreams(list, func(s *versionStream) bool { return s.complete }))
 }
 
+// Guards against a request id that is not text and that ends the entry's feed, so that the
+// stream's version is lost with the entry.
+func TestStreamsWithUnreadableIDsAreTakenUp(t *testing.T) {
+	v := &versionTest{testSystem: newTestSystem(t, 3, 4), idPrefix: "\xff\xfe"}
+	v.startEngines("v1", 0, 3)
+	v.startEngines("v2", 3, 3)
+	time.Sleep(200 * time.Millisecond)
+	list := v.runBroken(20, func() {})
+	require.Zero(t, countStreams(list, (*versionStream).joined))
+	require.Equal(t, len(list), countStreams(list, func(s *versionStream) bool { return s.complete }))
+}
+
 // Guards against streams whose version no engine runs any more and that go on at another
 // one, or wait for it.
 func TestStreamsOfAVersionThatHasLeftAreRefused(t *testing.T) {
-	v := &versionTest{newTestSystem(t, 3, 4)}
+	v := &versionTest{testSystem: newTestSystem(t, 3, 4)}
 	old := v.startEngines("v1", 0, 3)
 	time.Sleep(200 * time.Millisecond)
 	list := v.runBroken(20, func() {
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
 	"godwitward.example/godwitward/internal/request"
@@ -78,6 +79,9 @@
 	if len(values) > 1 || values[0] == "" || len(values[0]) > maxIdempotencyKeyBytes {
 		return "", newFailure(http.StatusBadRequest, CodeInvalidKey, "there must be one %s of 1 to %d bytes", headerIdempotency, maxIdempotencyKeyBytes)
 	}
+	if !utf8.ValidString(values[0]) {
+		return "", newFailure(http.StatusBadRequest, CodeInvalidKey, "%s must be valid UTF-8", headerIdempotency)
+	}
 	return values[0], nil
 }
 
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"google.golang.org/protobuf/proto"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
 	"godwitward.example/godwitward/internal/corestore"
@@ -355,7 +356,7 @@
 	h.mergeStreamVersions(req.StreamVersions, true)
 	s := h.subscribe(false)
 	defer h.unsubscribe(s)
-	go h.receiveOutcomes(st)
+	go h.receiveOutcomes(ctx, st)
 	haveVersion := req.HaveVersion
 	var haveEvidence uint64
 	var sentMembers []string
@@ -416,7 +417,7 @@
 func (h *Hub) serveGossip(ctx context.Context, st *transport.Stream) error {
 	for {
 		g := &pb.Gossip{}
-		if err := st.Recv(g); err != nil {
+		if err := h.recvWhole(ctx, st, g); err != nil {
 			return nil
 		}
 		h.gossipReceived.Add(1)
@@ -433,6 +434,19 @@
 	}
 }
 
+// recvWhole receives the next message that can be decoded. Others are logged and left out:
+// a stream that ended would be opened again and send the same message first.
+func (h *Hub) recvWhole(ctx context.Context, st *transport.Stream, m proto.Message) error {
+	for {
+		err := st.Recv(m)
+		if !transport.IsUndecodable(err) {
+			return err
+		}
+		proto.Reset(m)
+		h.opts.Logger.Warn().Str("event", "message.undecodable").Str("sender", transport.PeerFromContext(ctx).Vm).Err(err).Msg("")
+	}
+}
+
 // announcedVersion returns the highest version that another hub has announced. This
 // daemon may be behind it although it is in contact with the leader: a member that
 // needs a snapshot receives heartbeats but no entries.
--- a/internal/feed/outcomes.go
+++ b/internal/feed/outcomes.go
@@ -51,10 +51,10 @@
 }
 
 // receiveOutcomes adds an entry's reports to the counts until its stream ends.
-func (h *Hub) receiveOutcomes(st *transport.Stream) {
+func (h *Hub) receiveOutcomes(ctx context.Context, st *transport.Stream) {
 	for {
 		report := &pb.OutcomeReport{}
-		if st.Recv(report) != nil {
+		if h.recvWhole(ctx, st, report) != nil {
 			return
 		}
 		h.mu.Lock()
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -79,7 +79,7 @@
 		_ = sess.Close()
 		return nil, notSentError(err, "opening stream to "+c.addr)
 	}
-	st := newStream(conn, c.opts.Clock)
+	st := newStream(conn, &c.opts)
 	st.method = m
 	return st, nil
 }
@@ -177,7 +177,7 @@
 	if err != nil {
 		return err
 	}
-	st := newStream(conn, c.opts.Clock)
+	st := newStream(conn, &c.opts)
 	st.method = MethodHello
 	defer st.Close()
 	stop := st.closeOnDone(ctx)
--- a/internal/transport/error.go
+++ b/internal/transport/error.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"github.com/pkg/errors"
 
@@ -16,6 +17,9 @@
 	Redirect string
 	// Sent is false when the request provably never left this process.
 	Sent bool
+	// Undecodable is set if a message was received whole and cannot be decoded. The
+	// messages after it can still be received.
+	Undecodable bool
 }
 
 func (e *Error) Error() string {
@@ -40,16 +44,26 @@
 	return pb.Status_UNKNOWN
 }
 
+// IsUndecodable reports whether err concerns a single received message, so that the stream
+// can go on with the next one.
+func IsUndecodable(err error) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Undecodable
+}
+
 func notSentError(err error, action string) *Error {
 	return &Error{Code: pb.Status_UNAVAILABLE, Message: action + ": " + err.Error()}
 }
 
+// validText replaces what cannot be encoded: an error may quote bytes from outside.
+func validText(s string) string { return strings.ToValidUTF8(s, "\uFFFD") }
+
 func statusFromError(err error) *pb.Status {
 	var e *Error
 	if errors.As(err, &e) {
-		return &pb.Status{Code: e.Code, Message: e.Message, Redirect: e.Redirect}
+		return &pb.Status{Code: e.Code, Message: validText(e.Message), Redirect: e.Redirect}
 	}
-	return &pb.Status{Code: pb.Status_UNKNOWN, Message: err.Error()}
+	return &pb.Status{Code: pb.Status_UNKNOWN, Message: validText(err.Error())}
 }
 
 func errorFromStatus(s *pb.Status) *Error {
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -233,7 +233,7 @@
 	if err != nil {
 		return nil, err
 	}
-	st := newStream(conn, s.opts.Clock)
+	st := newStream(conn, &s.opts)
 	defer st.Close()
 	peer := &pb.Hello{}
 	if err := st.Recv(peer); err != nil {
@@ -243,7 +243,7 @@
 }
 
 func (s *Server) serveStream(ctx context.Context, conn net.Conn) {
-	st := newStream(conn, s.opts.Clock)
+	st := newStream(conn, &s.opts)
 	defer st.Close()
 	h, err := st.readHeader()
 	if err != nil {
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -4,11 +4,13 @@
 	"bufio"
 	"context"
 	"encoding/binary"
+	"fmt"
 	"io"
 	"net"
 	"sync"
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
@@ -26,6 +28,7 @@
 	conn   net.Conn
 	reader *bufio.Reader
 	clock  *timeline.Clock
+	logger *log.Logger
 	// pendingHeader is the first frame header, which the server has read to
 	// select the handler. The next Recv uses it.
 	pendingHeader *pb.FrameHeader
@@ -37,11 +40,13 @@
 	methodSent bool
 }
 
-func newStream(conn net.Conn, clock *timeline.Clock) *Stream {
-	return &Stream{conn: conn, reader: bufio.NewReaderSize(conn, 512), clock: clock}
+func newStream(conn net.Conn, opts *Options) *Stream {
+	return &Stream{conn: conn, reader: bufio.NewReaderSize(conn, 512), clock: opts.Clock, logger: opts.Logger}
 }
 
-// Send sends one message in a frame.
+// Send sends one message in a frame. Elements of its lists that cannot be encoded are left
+// out and logged, so that one record does not hold up the others. If the rest cannot be
+// encoded either, or is too long, nothing is sent, and the stream remains usable.
 func (s *Stream) Send(m proto.Message) error {
 	return s.writeFrame(&pb.FrameHeader{}, m)
 }
@@ -73,7 +78,7 @@
 		return &Error{Code: pb.Status_UNAVAILABLE, Message: "reading message: " + err.Error(), Sent: true}
 	}
 	if err := proto.Unmarshal(body, m); err != nil {
-		return Errorf(pb.Status_INVALID, "decoding %s: %v", m.ProtoReflect().Descriptor().Name(), err)
+		return &Error{Code: pb.Status_INVALID, Message: fmt.Sprintf("decoding %s: %v", messageName(m), err), Sent: true, Undecodable: true}
 	}
 	return nil
 }
@@ -98,7 +103,6 @@
 	defer s.sendMu.Unlock()
 	if !s.methodSent {
 		h.Method = uint32(s.method)
-		s.methodSent = true
 	}
 	h.Time = s.clock.Now()
 	buf, err := appendDelimited(make([]byte, 0, 256), h)
@@ -106,23 +110,46 @@
 		return err
 	}
 	if m != nil {
-		if buf, err = appendDelimited(buf, m); err != nil {
+		if buf, err = s.appendMessage(buf, m); err != nil {
 			return err
 		}
 	}
+	s.methodSent = true
 	if _, err := s.conn.Write(buf); err != nil {
 		return &Error{Code: pb.Status_UNAVAILABLE, Message: "writing frame: " + err.Error(), Sent: true}
 	}
 	return nil
 }
 
+// appendMessage appends a message, without the elements of its lists that cannot be encoded.
+func (s *Stream) appendMessage(buf []byte, m proto.Message) ([]byte, error) {
+	out, err := appendDelimited(buf, m)
+	if err == nil {
+		return out, nil
+	}
+	encodable, dropped := withoutInvalidElements(m)
+	if dropped == 0 {
+		return nil, err
+	}
+	s.logger.Warn().Str("event", "message.records_dropped").Str("message", messageName(m)).Int("records", dropped).Err(err).Msg("")
+	return appendDelimited(buf, encodable)
+}
+
 // appendDelimited appends a message with a varint length prefix.
 func appendDelimited(buf []byte, m proto.Message) ([]byte, error) {
-	buf = binary.AppendUvarint(buf, uint64(proto.Size(m)))
-	out, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(buf, m)
-	return out, errors.Wrapf(err, "encoding %s", m.ProtoReflect().Descriptor().Name())
+	size := proto.Size(m)
+	if size > MaxMessageBytes {
+		return nil, &Error{Code: pb.Status_INVALID, Message: fmt.Sprintf("encoding %s: %d bytes are over the limit of %d", messageName(m), size, MaxMessageBytes)}
+	}
+	out, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(binary.AppendUvarint(buf, uint64(size)), m)
+	if err != nil {
+		return nil, &Error{Code: pb.Status_INVALID, Message: fmt.Sprintf("encoding %s: %v", messageName(m), err)}
+	}
+	return out, nil
 }
 
+func messageName(m proto.Message) string { return string(m.ProtoReflect().Descriptor().Name()) }
+
 func (s *Stream) readHeader() (*pb.FrameHeader, error) {
 	encoded, err := s.readDelimited()
 	if err != nil {
