a process that has just started does not take the only version it has seen for all

Cause: VersionHistory.Only took 'no other version was seen' for 'there was none'. A process that has just started, and an entry that is cut off, has seen too little.

Change: hubs state for how long they have known of all upstreams, to entries and to each other. The only version counts if that covers the life of streams, up to now; otherwise the stream is refused. At the first start of the system nothing was before.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -126,7 +126,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d.hub = feed.NewHub(feed.HubOptions{Store: d.store, Peers: d.peers, Self: s.SessionAddress, Logger: logger, OnReport: d.pools.announce, OnStatement: d.pools.setStatement}, d.sessions)
+	d.hub = feed.NewHub(feed.HubOptions{Store: d.store, Peers: d.peers, Self: s.SessionAddress, Logger: logger, OnReport: d.pools.announce, OnStatement: d.pools.setStatement, FirstStart: d.store.FirstStart()}, d.sessions)
 	d.pools.records, d.pools.statements = d.hub.Records, d.hub.Statements
 	d.publishDocument(logger)
 	go func() {
--- a/internal/corestore/store.go
+++ b/internal/corestore/store.go
@@ -105,6 +105,9 @@
 	// leaderChanged wakes the monitor.
 	leaderChanged chan struct{}
 
+	// firstStart is set if the system starts for the first time and the disk was empty.
+	firstStart bool
+
 	joinMu       sync.Mutex
 	joinRequests map[replica.MemberID]time.Time
 
@@ -163,6 +166,7 @@
 		Seed: uint64(time.Now().UnixNano()), KeepEntries: keepEntries,
 		OnFatal: s.opts.OnFatal, OnLeader: s.wakeMonitor, Logger: s.opts.Logger,
 	}
+	s.firstStart = bootstrap && !hasState
 	seeds := s.seedMembers()
 	mode := "restored"
 	switch {
@@ -216,6 +220,10 @@
 	_ = node.Campaign(documentGroup)
 }
 
+// FirstStart reports whether the whole system starts for the first time, and this daemon
+// with an empty disk.
+func (s *Store) FirstStart() bool { return s.firstStart }
+
 func (s *Store) seedMembers() []replica.MemberID {
 	var members []replica.MemberID
 	for _, seed := range s.opts.Seeds() {
--- a/internal/edge/system_test.go
+++ b/internal/edge/system_test.go
@@ -50,6 +50,9 @@
 	t       *testing.T
 	hubs    []*feed.Hub
 	members []string
+	config  []byte
+	// stopHub ends the process of each hub.
+	stopHub []func()
 	entries []*httptest.Server
 	// stopEntry ends the process of each entry.
 	stopEntry []func()
@@ -59,7 +62,6 @@
 
 func newTestSystem(t *testing.T, hubs, entries int) *testSystem {
 	s := &testSystem{t: t}
-	discard := &log.Logger{Level: log.PanicLevel}
 	config, err := (&standin.Config{Version: 1, PlainService: "plain", EngineService: "llm"}).Encode()
 	require.NoError(t, err)
 	var listeners []net.Listener
@@ -69,18 +71,10 @@
 		listeners = append(listeners, l)
 		s.members = append(s.members, l.Addr().String())
 	}
+	s.config = config
 	for i, l := range listeners {
-		server := transport.NewServer(transport.Options{})
-		peers := corestore.NewPeers(s.members[i], netip.MustParseAddrPort(s.members[i]).Port(), transport.Options{Self: &pb.Hello{Vm: s.members[i]}})
-		store := &documentStore{system: s, index: i, document: corestore.Document{Version: 1, Body: config}}
-		hub := feed.NewHub(feed.HubOptions{Store: store, Peers: peers, Self: s.members[i], Logger: discard, OnReport: func(*pb.UpstreamRecord) {}}, server)
-		go func() { _ = server.Serve(l) }()
-		s.hubs = append(s.hubs, hub)
-		t.Cleanup(func() {
-			hub.Stop()
-			peers.Close()
-			server.Close()
-		})
+		s.hubs, s.stopHub = append(s.hubs, nil), append(s.stopHub, nil)
+		s.startHub(i, l, true)
 	}
 	for i := range entries {
 		s.entries = append(s.entries, nil)
@@ -90,6 +84,37 @@
 	return s
 }
 
+// startHub starts a hub, again after its process has ended.
+func (s *testSystem) startHub(i int, l net.Listener, firstStart bool) {
+	server := transport.NewServer(transport.Options{})
+	peers := corestore.NewPeers(s.members[i], netip.MustParseAddrPort(s.members[i]).Port(), transport.Options{Self: &pb.Hello{Vm: s.members[i]}})
+	store := &documentStore{system: s, index: i, document: corestore.Document{Version: 1, Body: s.config}}
+	hub := feed.NewHub(feed.HubOptions{Store: store, Peers: peers, Self: s.members[i], Logger: &log.Logger{Level: log.PanicLevel}, OnReport: func(*pb.UpstreamRecord) {}, FirstStart: firstStart}, server)
+	go func() { _ = server.Serve(l) }()
+	s.hubs[i] = hub
+	var once sync.Once
+	s.stopHub[i] = func() {
+		once.Do(func() {
+			hub.Stop()
+			peers.Close()
+			server.Close()
+		})
+	}
+	s.t.Cleanup(s.stopHub[i])
+}
+
+// restartHubs ends all hubs and starts them again. What they knew in memory is lost.
+func (s *testSystem) restartHubs() {
+	for _, stop := range s.stopHub {
+		stop()
+	}
+	for i, address := range s.members {
+		l, err := net.Listen("tcp", address)
+		require.NoError(s.t, err)
+		s.startHub(i, l, false)
+	}
+}
+
 // startEntry starts an entry, again after its process has ended.
 func (s *testSystem) startEntry(i int) {
 	discard := &log.Logger{Level: log.PanicLevel}
--- a/internal/edge/version_test.go
+++ b/internal/edge/version_test.go
@@ -146,6 +146,26 @@
 	require.Equal(t, begun, countStreams(list, func(s *versionStream) bool { return s.complete }))
 }
 
+// Guards against streams that go on at another software version after all processes have
+// ended: one that has just started has seen one version only, whatever was there before.
+func TestStreamsAreNotJoinedAfterAllProcessesEnded(t *testing.T) {
+	v := &versionTest{testSystem: newTestSystem(t, 3, 4)}
+	old := v.startEngines("v1", 0, 3)
+	time.Sleep(200 * time.Millisecond)
+	list := v.runBroken(20, func() {
+		for i, id := range old {
+			v.hubs[i%len(v.hubs)].Leave(id, 1)
+		}
+		v.restartHubs()
+		v.startEngines("v2", 3, 3)
+		time.Sleep(100 * time.Millisecond)
+	})
+	require.Zero(t, countStreams(list, (*versionStream).joined))
+	for _, s := range list {
+		require.Equal(t, http.StatusServiceUnavailable, s.status)
+	}
+}
+
 // Guards against a request id that is not text and that ends the entry's feed, so that the
 // stream's version is lost with the entry.
 func TestStreamsWithUnreadableIDsAreTakenUp(t *testing.T) {
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -43,6 +43,9 @@
 	// maxPending bounds the records queued for one subscription. A subscription
 	// that falls further behind is sent the whole table.
 	maxPending = 4096
+	// maxObserved limits the time for which a hub states that it has known of all
+	// upstreams. Streams and the records of ended upstreams are kept for less.
+	maxObserved = 10 * time.Minute
 )
 
 // Store is the part of corestore.Store that the hub uses.
@@ -67,6 +70,9 @@
 	// OnStatement is called when what an upstream says about the requests that it takes
 	// changes. It may be nil.
 	OnStatement func(*pb.UpstreamStatement)
+	// FirstStart is set when the whole system starts for the first time, so that there
+	// were no upstreams before.
+	FirstStart bool
 }
 
 // Hub distributes records and documents from one core daemon. mu guards the
@@ -99,6 +105,8 @@
 	schedules  map[processKey]*sendSchedule
 
 	streamVersions policy.StreamVersions
+	// observedSince is the time since which the table has held all upstreams.
+	observedSince time.Duration
 
 	// gossipReceived counts the messages from other hubs.
 	gossipReceived atomic.Int64
@@ -145,6 +153,9 @@
 		subscriptions: map[*subscription]struct{}{}, remoteAttachments: map[string]attachmentCount{}, outcomes: outcomeTable{}, ctx: ctx, stop: cancel,
 		evidence: promptEvidence{quarantine: policy.NewPromptQuarantine()}, statements: map[processKey]*hubStatement{}, schedules: map[processKey]*sendSchedule{},
 	}
+	if opts.FirstStart {
+		h.observedSince = -maxObserved
+	}
 	server.Handle(transport.MethodFeed, h.serveFeed)
 	server.Handle(transport.MethodGossip, h.serveGossip)
 	transport.HandleUnary(server, transport.MethodSendPermit, h.serveSendPermit)
@@ -376,7 +387,7 @@
 			return nil
 		}
 		lastSent = time.Now()
-		u := &pb.FeedUpdate{Upstreams: h.takePending(s), Quorate: h.opts.Store.HasQuorum(), Entries: h.entryCount(), ErrorShares: h.errorShares(), Statements: h.Statements()}
+		u := &pb.FeedUpdate{Upstreams: h.takePending(s), Quorate: h.opts.Store.HasQuorum(), Entries: h.entryCount(), ErrorShares: h.errorShares(), Statements: h.Statements(), ObservedMs: h.observedMs()}
 		u.Leader, u.Term, _ = h.opts.Store.Leader()
 		d := h.opts.Store.Current()
 		u.Version, u.NewestVersion = d.Version, max(d.Version, h.announcedVersion())
@@ -430,6 +441,7 @@
 		h.mu.Lock()
 		h.remoteAttachments[transport.PeerFromContext(ctx).Vm] = attachmentCount{int(g.Attached), h.now()}
 		h.newestVersion = max(h.newestVersion, g.Version)
+		h.observedSince = min(h.observedSince, h.now()-milliseconds(g.ObservedMs))
 		h.mu.Unlock()
 	}
 }
@@ -447,6 +459,17 @@
 	}
 }
 
+// observedMs returns the time for which the table has held all upstreams. Without contact
+// with the leader some may be reporting to other hubs only.
+func (h *Hub) observedMs() uint32 {
+	if !h.opts.Store.HasQuorum() {
+		return 0
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return uint32(min(h.now()-h.observedSince, maxObserved).Milliseconds())
+}
+
 // announcedVersion returns the highest version that another hub has announced. This
 // daemon may be behind it although it is in contact with the leader: a member that
 // needs a snapshot receives heartbeats but no entries.
@@ -571,7 +594,7 @@
 		attached, evidence, statements := uint32(h.localAttachments()), h.evidenceForHub(s), h.statementsForHub(s)
 		versions := h.streamVersionsForHub(s)
 		h.mu.Unlock()
-		if err := st.Send(&pb.Gossip{Upstreams: records, Attached: attached, Version: h.opts.Store.Current().Version, Evidence: evidence, Statements: statements, StreamVersions: versions}); err != nil {
+		if err := st.Send(&pb.Gossip{Upstreams: records, Attached: attached, Version: h.opts.Store.Current().Version, Evidence: evidence, Statements: statements, StreamVersions: versions, ObservedMs: h.observedMs()}); err != nil {
 			return
 		}
 	}
--- a/internal/feed/subscriber.go
+++ b/internal/feed/subscriber.go
@@ -95,6 +95,8 @@
 	// lastContact is when the last update arrived from a hub that was in contact
 	// with the leader.
 	lastContact time.Time
+	// observedSince is the time since which records of all upstreams have been received.
+	observedSince time.Time
 	// leader and term are those of the newest known leader of the core.
 	leader string
 	term   uint64
@@ -250,7 +252,7 @@
 		s.coreMembers = u.Core
 	}
 	if u.Quorate {
-		s.lastContact = time.Now()
+		s.recordContact(time.Now(), milliseconds(u.ObservedMs))
 	}
 	if u.Leader != "" && u.Term >= s.term {
 		s.leader, s.term = u.Leader, u.Term
@@ -284,6 +286,34 @@
 	s.mu.Unlock()
 }
 
+// maxObservationGap is the longest time without contact after which the first update still
+// lists all upstreams that a stream may have begun at: hubs keep them for 90 s after their
+// end, and streams are remembered for 60 s.
+const maxObservationGap = 30 * time.Second
+
+// recordContact records an update of a hub that is in contact with the leader and has known
+// of all upstreams for some time. The caller holds mu.
+func (s *Subscriber) recordContact(now time.Time, observed time.Duration) {
+	if now.Sub(s.lastContact) > maxObservationGap {
+		s.observedSince = now
+	}
+	if since := now.Add(-observed); since.Before(s.observedSince) {
+		s.observedSince = since
+	}
+	s.lastContact = now
+}
+
+// VersionsObserved returns the time for which the records of all upstreams have been
+// received, 0 without contact with a hub.
+func (s *Subscriber) VersionsObserved() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if time.Since(s.lastContact) > heartbeatTimeout {
+		return 0
+	}
+	return time.Since(s.observedSince)
+}
+
 // behind reports whether the subscriber has lacked the newest document for
 // behindTimeout and a hub with the given version cannot send it.
 func (s *Subscriber) behind(hubVersion uint64) bool {
--- a/internal/forward/versions.go
+++ b/internal/forward/versions.go
@@ -15,6 +15,9 @@
 	// StreamVersion returns the version for the id of the request that brought the first
 	// event. known is false if nobody who could be asked knows it.
 	StreamVersion(ctx context.Context, id string) (version string, known bool)
+	// VersionsObserved returns the time for which the records of all upstreams have been
+	// received, up to now; 0 if they are not being received.
+	VersionsObserved() time.Duration
 }
 
 // streamVersionTimeout limits the wait for the answer of a StreamVersionSource.
@@ -96,8 +99,12 @@
 }
 
 // onlyVersion returns the version of a service's upstreams if there has been no other one
-// for as long as a stream may last.
+// for as long as a stream may last, as far as is known for sure.
 func (s *Server) onlyVersion(service string) (string, bool) {
+	if s.versionSource == nil {
+		return "", false
+	}
+	observed := s.versionSource.VersionsObserved()
 	for _, t := range s.upstreams.list(service) {
 		s.seeVersions([]*pb.UpstreamRecord{t.currentRecord()})
 	}
@@ -108,7 +115,7 @@
 	if h == nil {
 		return "", false
 	}
-	return h.Only(s.now())
+	return h.Only(s.now(), observed)
 }
 
 // streamVersion returns the version at which the stream began that the caller takes up.
--- a/policy/stream_versions.go
+++ b/policy/stream_versions.go
@@ -92,8 +92,12 @@
 }
 
 // Only returns the version if no other one has been in use for as long as a stream may
-// last.
-func (h *VersionHistory) Only(now time.Duration) (version string, ok bool) {
+// last. observed is the time for which all versions in use have been seen: a process that
+// has just started may have missed some.
+func (h *VersionHistory) Only(now, observed time.Duration) (version string, ok bool) {
+	if observed < streamVersionTTL {
+		return "", false
+	}
 	for v, at := range h.seenAt {
 		if now-at > streamVersionTTL {
 			continue
--- a/policy/stream_versions_test.go
+++ b/policy/stream_versions_test.go
@@ -35,17 +35,19 @@
 // only version in use.
 func TestOnlyVersionCoversTheLifeOfStreams(t *testing.T) {
 	var h VersionHistory
-	_, ok := h.Only(0)
+	_, ok := h.Only(0, time.Hour)
 	require.False(t, ok)
 	h.Seen("v1", 10*time.Second)
-	version, ok := h.Only(10 * time.Second)
+	version, ok := h.Only(10*time.Second, streamVersionTTL)
 	require.True(t, ok)
 	require.Equal(t, "v1", version)
+	_, ok = h.Only(10*time.Second, streamVersionTTL-1)
+	require.False(t, ok, "another version may have been missed")
 	h.Seen("v2", 20*time.Second)
-	_, ok = h.Only(20 * time.Second)
+	_, ok = h.Only(20*time.Second, streamVersionTTL)
 	require.False(t, ok)
 	h.Seen("v2", 80*time.Second)
-	version, ok = h.Only(80 * time.Second)
+	version, ok = h.Only(80*time.Second, streamVersionTTL)
 	require.True(t, ok)
 	require.Equal(t, "v2", version)
 }
