--- a/internal/feed/stream_versions_test.go
+++ b/internal/feed/stream_versions_test.go
@@ -32,6 +32,8 @@
 	h.hubs[0].observedSince = -time.Minute
 	h.hubs[0].mu.Unlock()
 	require.Eventually(t, func() bool { return subscriber.VersionsObserved() > time.Minute }, 5*time.Second, 5*time.Millisecond)
-	h.stores[1].set(1, false)
+	for _, store := range h.stores {
+		store.set(1, false)
+	}
 	require.Eventually(t, func() bool { return subscriber.VersionsObserved() == 0 }, 2*heartbeatTimeout, 5*time.Millisecond)
 }
