a core daemon that is replaced gives up its vote in time

Cause: the successor voted as a sixth member beside the old one, whose vote ended by a time-out only: 4 s of silence, counted anew by each new leader. Four votes were then needed, and two lost disks left three.

A daemon that gets SIGTERM tells the leader, and its successor votes before it ends; a voter that is silent for a second is replaced by a learner that has caught up.

--- a/internal/corestore/join.go
+++ b/internal/corestore/join.go
@@ -37,7 +37,7 @@
 		case <-ticker.C:
 		}
 		st := s.status.Load()
-		if st.Leader != raft.None {
+		if st.Leader != raft.None || s.leaves.Load() {
 			continue
 		}
 		addresses := slices.Concat(s.opts.Seeds(), s.Members(), discovered)
--- a/internal/corestore/repair.go
+++ b/internal/corestore/repair.go
@@ -12,9 +12,17 @@
 	// replace a voter, a learner is removed, and a voter no longer counts towards
 	// the majority that a removal must leave.
 	replaceAfter = 2 * time.Second
+	// swapAfter is the time of inactivity after which a learner that has caught up
+	// takes the place of a voter. A voter that was only paused rejoins as a learner.
+	swapAfter = time.Second
 	// removeSurplusAfter is the time of inactivity after which a voter is removed
-	// if there are more voters than required. A restart takes less time.
-	removeSurplusAfter = 4 * time.Second
+	// if there are more voters than required.
+	removeSurplusAfter = 2 * time.Second
+	// standbyPeriod is how long a learner that is not needed waits for a voter to
+	// leave. A planned replacement starts the new daemon before it stops the old one;
+	// if both voted, the death of the old one would leave a larger group with the
+	// majority of the larger one.
+	standbyPeriod = 20 * time.Second
 )
 
 // groupView is the state of the group from which the leader plans a change.
@@ -24,6 +32,14 @@
 	learners []replica.MemberID
 	// inactiveFor is the time since each member was last active.
 	inactiveFor map[replica.MemberID]time.Duration
+	// caughtUp holds the learners that can be promoted at once, learnerFor how long this
+	// leader has known each learner.
+	caughtUp   map[replica.MemberID]bool
+	learnerFor map[replica.MemberID]time.Duration
+	// leaving holds the voters that are about to stop.
+	leaving map[replica.MemberID]bool
+	// forming is set while the system starts for the first time.
+	forming bool
 	// joining lists ids that have asked to join and are not members.
 	joining []replica.MemberID
 	// requiredVoters is the number of voters that the fault tolerance needs.
@@ -42,8 +58,15 @@
 			return v.safeRemoval(old)
 		}
 	}
-	if len(v.learners) > 0 {
-		return v.admitLearner(v.learners[0])
+	if len(v.voters) > v.requiredVoters {
+		if c := v.removeSurplus(); c != nil {
+			return c
+		}
+	}
+	if standby := v.standby(); standby != raft.None {
+		if c := v.admitLearner(standby); c != nil {
+			return c
+		}
 	}
 	if len(v.joining) > 0 {
 		if inactive := v.longestInactive(replaceAfter); inactive != raft.None && len(v.voters) >= v.requiredVoters {
@@ -51,23 +74,52 @@
 		}
 		return change(raft.AddLearner, v.joining[0])
 	}
-	if len(v.voters) > v.requiredVoters {
-		if inactive := v.longestInactive(removeSurplusAfter); inactive != raft.None {
-			return v.safeRemoval(inactive)
+	return nil
+}
+
+// removeSurplus removes a voter that leaves or is gone, of more than are required.
+func (v *groupView) removeSurplus() *raft.MembershipChange {
+	for _, id := range v.voters {
+		if v.leaving[id] && id != v.self {
+			return v.safeRemoval(id)
 		}
 	}
+	if inactive := v.longestInactive(removeSurplusAfter); inactive != raft.None {
+		return v.safeRemoval(inactive)
+	}
 	return nil
 }
 
-// admitLearner promotes a learner. If the learner can replace an inactive voter,
-// that voter is removed first, unless too few of the remaining voters are active.
-func (v *groupView) admitLearner(id replica.MemberID) *raft.MembershipChange {
-	if inactive := v.longestInactive(replaceAfter); inactive != raft.None && len(v.voters) >= v.requiredVoters {
-		if c := v.safeRemoval(inactive); c != nil {
-			return c
+// standby returns an active learner, if possible one that has caught up, or raft.None.
+func (v *groupView) standby() replica.MemberID {
+	best := raft.None
+	for _, id := range v.learners {
+		if v.inactiveFor[id] < swapAfter && (best == raft.None || v.caughtUp[id] && !v.caughtUp[best]) {
+			best = id
 		}
 	}
-	return change(raft.PromoteLearner, id)
+	return best
+}
+
+// admitLearner promotes a learner that is needed. While there are enough voters it stays
+// a learner until one of them leaves or is gone, so that the death of a daemon that is
+// being replaced does not raise the number of votes that a majority needs. A voter that
+// leaves is still there, so the learner votes first and the voter is removed then. One
+// that is gone is removed first, unless too few of the remaining voters are active.
+func (v *groupView) admitLearner(id replica.MemberID) *raft.MembershipChange {
+	switch {
+	case len(v.voters) < v.requiredVoters || v.forming || len(v.leaving) > 0:
+		return change(raft.PromoteLearner, id)
+	case !v.caughtUp[id]:
+		return nil
+	}
+	if inactive := v.longestInactive(swapAfter); inactive != raft.None {
+		return v.safeRemoval(inactive)
+	}
+	if v.learnerFor[id] >= standbyPeriod {
+		return change(raft.PromoteLearner, id)
+	}
+	return nil
 }
 
 // memberOnSameVM returns an earlier member on the VM of a joining one, or
--- a/internal/corestore/repairer.go
+++ b/internal/corestore/repairer.go
@@ -18,12 +18,12 @@
 type repairer struct {
 	store *Store
 	term  uint64
-	// lastActive is when each member was last known to be active.
-	lastActive map[replica.MemberID]time.Time
+	// learnerSince is when this leader first knew each learner.
+	learnerSince map[replica.MemberID]time.Time
 }
 
 func newRepairer(s *Store) *repairer {
-	return &repairer{store: s, lastActive: map[replica.MemberID]time.Time{}}
+	return &repairer{store: s, learnerSince: map[replica.MemberID]time.Time{}}
 }
 
 // step plans the next membership change and proposes it, if there is one. It
@@ -34,7 +34,7 @@
 		return false
 	}
 	now := time.Now()
-	r.recordActivity(st, now)
+	r.recordLearners(st, now)
 	c := plan(r.groupView(st, now))
 	if c == nil {
 		return false
@@ -60,29 +60,34 @@
 	return "remove"
 }
 
-// recordActivity updates lastActive. A member of which this leader has no record
-// yet, as after an election, counts as active.
-func (r *repairer) recordActivity(st *raft.Status, now time.Time) {
+// recordLearners updates learnerSince, which begins anew with each term.
+func (r *repairer) recordLearners(st *raft.Status, now time.Time) {
 	if r.term != st.Term {
 		r.term = st.Term
-		clear(r.lastActive)
+		clear(r.learnerSince)
 	}
-	for _, p := range st.Progress {
-		if _, known := r.lastActive[p.Member]; p.Active || !known {
-			r.lastActive[p.Member] = now
+	for _, id := range st.Membership.Learners {
+		if r.learnerSince[id].IsZero() {
+			r.learnerSince[id] = now
 		}
 	}
 }
 
 func (r *repairer) groupView(st *raft.Status, now time.Time) *groupView {
 	v := &groupView{
-		self: st.ID, voters: st.Membership.Voters, learners: st.Membership.Learners,
-		inactiveFor: map[replica.MemberID]time.Duration{}, requiredVoters: r.store.requiredVoters(),
+		self: st.ID, voters: st.Membership.Voters, learners: st.Membership.Learners, requiredVoters: r.store.requiredVoters(),
+		inactiveFor: map[replica.MemberID]time.Duration{}, caughtUp: map[replica.MemberID]bool{}, learnerFor: map[replica.MemberID]time.Duration{},
+		forming: r.store.firstStart && now.Sub(r.store.started) < formationTimeout,
+	}
+	for _, p := range st.Progress {
+		v.inactiveFor[p.Member] = time.Duration(p.SilentTicks) * tick
+		v.caughtUp[p.Member] = p.CaughtUp
 	}
-	for id, at := range r.lastActive {
-		v.inactiveFor[id] = now.Sub(at)
+	for id, since := range r.learnerSince {
+		v.learnerFor[id] = now.Sub(since)
 	}
 	v.joining = r.store.pendingJoins(st, now)
+	v.leaving = r.store.leavingVoters(st, now)
 	return v
 }
 
--- a/internal/corestore/store.go
+++ b/internal/corestore/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -110,6 +111,10 @@
 
 	joinMu       sync.Mutex
 	joinRequests map[replica.MemberID]time.Time
+	// leaveRequests holds the voters that are about to stop; joinMu guards it as well.
+	leaveRequests map[replica.MemberID]time.Time
+	// leaves is set while this member is about to stop.
+	leaves atomic.Bool
 
 	stop chan struct{}
 	done sync.WaitGroup
@@ -138,7 +143,7 @@
 	}
 	s := &Store{
 		opts: opts, self: self, started: time.Now(), stop: make(chan struct{}),
-		joinRequests: map[replica.MemberID]time.Time{}, leaderChanged: make(chan struct{}, 1),
+		joinRequests: map[replica.MemberID]time.Time{}, leaveRequests: map[replica.MemberID]time.Time{}, leaderChanged: make(chan struct{}, 1),
 		state: &stateMachine{onChange: opts.OnDocument},
 	}
 	s.status.Store(&timedStatus{})
@@ -265,6 +270,7 @@
 	transport.HandleUnary(server, transport.MethodPutDocument, s.handlePut)
 	transport.HandleUnary(server, transport.MethodGetDocument, s.handleGet)
 	transport.HandleUnary(server, transport.MethodJoin, s.handleJoin)
+	transport.HandleUnary(server, transport.MethodLeave, s.handleLeave)
 }
 
 // Current returns the newest document on this daemon. The group may have a newer
@@ -314,6 +320,7 @@
 	timer := time.NewTimer(statusPollInterval)
 	defer timer.Stop()
 	r := newRepairer(s)
+	leaderless := leaderlessLog{store: s}
 	for {
 		select {
 		case <-s.stop:
@@ -331,6 +338,7 @@
 		if s.opts.OnLeader != nil && (previous.Leader != st.Leader || previous.Term != st.Term) {
 			s.opts.OnLeader()
 		}
+		leaderless.update(&st, time.Now())
 		s.opts.Peers.Retain(append(s.Members(), s.opts.Seeds()...))
 		if r.step(node, &st) {
 			timer.Reset(repairPollInterval)
@@ -338,6 +346,35 @@
 	}
 }
 
+// leaderlessInterval is the time without a leader after which that is logged, and then
+// between log lines.
+const leaderlessInterval = 10 * time.Second
+
+// leaderlessLog tells operators of a group that has had no leader for long: with too many
+// of its voters lost for good it does not recover by itself.
+type leaderlessLog struct {
+	store *Store
+	// since is when there was last a leader or a log line.
+	since time.Time
+}
+
+func (l *leaderlessLog) update(st *raft.Status, now time.Time) {
+	if st.Leader != raft.None || l.since.IsZero() {
+		l.since = now
+		return
+	}
+	if now.Sub(l.since) < leaderlessInterval {
+		return
+	}
+	l.since = now
+	var voters []string
+	for _, id := range st.Membership.Voters {
+		voters = append(voters, fmt.Sprintf("%d@%s", id, memberAddress(id, l.store.self.Port())))
+	}
+	l.store.opts.Logger.Warn().Str("event", "store.no_leader").Uint64("member", uint64(st.ID)).Strs("voters", voters).
+		Uint64("version", l.store.Current().Version).Msg("")
+}
+
 // wakeMonitor makes the monitor read the status at once.
 func (s *Store) wakeMonitor(replica.GroupID) {
 	select {
@@ -346,9 +383,14 @@
 	}
 }
 
-// StepDown transfers the leadership to another member before a planned stop.
+// StepDown prepares a planned stop: it transfers the leadership to another member and
+// then, if another daemon has joined to replace one, waits until that one votes in place
+// of this member.
 func (s *Store) StepDown(ctx context.Context) error {
-	return s.currentNode().StepDown(ctx)
+	if err := s.currentNode().StepDown(ctx); err != nil {
+		return err
+	}
+	return s.leave(ctx)
 }
 
 // Stop stops the replica. Its state stays on disk.
--- a/internal/transport/method.go
+++ b/internal/transport/method.go
@@ -41,4 +41,5 @@
 	MethodJoin
 	MethodSendPermit
 	MethodStreamVersion
+	MethodLeave
 )
--- a/raft/core.go
+++ b/raft/core.go
@@ -368,6 +368,7 @@
 	}
 	for _, id := range c.peers() {
 		p := c.progress[id]
+		p.silentTicks++
 		if p.state != installing {
 			continue
 		}
--- a/raft/membership.go
+++ b/raft/membership.go
@@ -115,6 +115,11 @@
 	Next   uint64
 	State  string
 	Active bool
+	// CaughtUp is set for a member that may be promoted.
+	CaughtUp bool
+	// SilentTicks is the number of ticks since the member last responded, or since the
+	// leader was elected.
+	SilentTicks int
 }
 
 // Status is a snapshot of a member's Raft state.
@@ -151,7 +156,7 @@
 	}
 	for _, id := range c.peers() {
 		p := c.progress[id]
-		s.Progress = append(s.Progress, MemberProgress{Member: id, Match: p.match, Next: p.next, State: p.state.String(), Active: p.active})
+		s.Progress = append(s.Progress, MemberProgress{Member: id, Match: p.match, Next: p.next, State: p.state.String(), Active: p.active, CaughtUp: c.caughtUp(id), SilentTicks: p.silentTicks})
 	}
 	return s
 }
--- a/raft/progress.go
+++ b/raft/progress.go
@@ -42,6 +42,8 @@
 	snapshotTicks int
 	// active means that the member responded since the last quorum check.
 	active bool
+	// silentTicks counts the ticks since the member last responded, or since the election.
+	silentTicks int
 	// readAck is the highest read round that the member has confirmed.
 	readAck uint64
 }
--- a/raft/step.go
+++ b/raft/step.go
@@ -109,7 +109,7 @@
 	if p == nil {
 		return
 	}
-	p.active = true
+	p.active, p.silentTicks = true, 0
 	if m.Type == MsgHeartbeatResponse {
 		c.handleHeartbeatResponse(m, p)
 		return
