hubs store the versions of streams, so that they can be taken up after all processes ended

Cause: the version at which a stream began was kept in memory only.

Change: each hub appends the versions that it learns to a log on its own disk (internal/streamlog), in synced batches of 0.1 s with checksums, and reads it before it serves. Hubs exchange what they have read. What a lost or torn batch held is refused, as before. Files are bounded in time and size; a full disk costs records only.

Ruled out: the replicated store (a majority's disks for each stream, nothing without a leader), a wait for the disk before each request.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -21,6 +21,7 @@
 	"godwitward.example/godwitward/internal/httpdrain"
 	"godwitward.example/godwitward/internal/metrics"
 	"godwitward.example/godwitward/internal/scheduler"
+	"godwitward.example/godwitward/internal/streamlog"
 	"godwitward.example/godwitward/internal/transport"
 	"godwitward.example/godwitward/platform"
 	"godwitward.example/godwitward/wal"
@@ -38,7 +39,10 @@
 	// httpShutdownTimeout the wait for HTTP calls in flight.
 	stepDownTimeout     = time.Second
 	httpShutdownTimeout = 2 * time.Second
-	storeDir            = "/store"
+	// storeDir holds the configuration and streamLogDir the versions of streams, below the
+	// data folder.
+	storeDir     = "/store"
+	streamLogDir = "/streams"
 )
 
 // OpenSettings reads the settings file and adds a finding for each setting that
@@ -87,11 +91,13 @@
 
 // daemon is one running core daemon.
 type daemon struct {
-	store       *corestore.Store
-	hub         *feed.Hub
-	peers       *corestore.Peers
-	sessions    *transport.Server
-	pools       *pools
+	store    *corestore.Store
+	hub      *feed.Hub
+	peers    *corestore.Peers
+	sessions *transport.Server
+	pools    *pools
+	// streamLog is nil if the disk could not be read.
+	streamLog   *streamlog.Log
 	http        *http.Server
 	drainer     httpdrain.Drainer
 	fatalErrors chan error
@@ -126,7 +132,9 @@
 	if err != nil {
 		return nil, err
 	}
-	d.hub = feed.NewHub(feed.HubOptions{Store: d.store, Peers: d.peers, Self: s.SessionAddress, Logger: logger, OnReport: d.pools.announce, OnStatement: d.pools.setStatement, FirstStart: d.store.FirstStart()}, d.sessions)
+	hubOptions := feed.HubOptions{Store: d.store, Peers: d.peers, Self: s.SessionAddress, Logger: logger, OnReport: d.pools.announce, OnStatement: d.pools.setStatement, FirstStart: d.store.FirstStart()}
+	d.openStreamLog(&hubOptions, streamlog.Options{Dir: s.DataDir + streamLogDir, FS: timedFS{wal.OS{}, d.syncTime}, Logger: logger})
+	d.hub = feed.NewHub(hubOptions, d.sessions)
 	d.pools.records, d.pools.statements = d.hub.Records, d.hub.Statements
 	d.publishDocument(logger)
 	go func() {
@@ -148,6 +156,18 @@
 	return d, d.listen(s, logger)
 }
 
+// openStreamLog opens the log of stream versions. Without one the daemon works as well:
+// streams cannot be taken up then after all processes have ended.
+func (d *daemon) openStreamLog(hub *feed.HubOptions, opts streamlog.Options) {
+	l, stored, err := streamlog.Open(opts)
+	if err != nil {
+		opts.Logger.Error().Str("event", "stream_versions.unavailable").Err(err).Msg("")
+		return
+	}
+	opts.Logger.Info().Str("event", "stream_versions.restored").Int("streams", len(stored)).Msg("")
+	d.streamLog, hub.StreamLog, hub.StreamVersions = l, l, stored
+}
+
 // newEngineFactory returns a function that creates the scheduler's client of an
 // engine. Each call to an engine uses a connection of its own.
 func newEngineFactory(s *platform.Settings) func(*pb.UpstreamState) scheduler.Engine {
@@ -218,6 +238,9 @@
 	if err := d.store.Stop(); err != nil {
 		logger.Error().Str("event", "store.stop_failed").Err(err).Msg("")
 	}
+	if d.streamLog != nil {
+		d.streamLog.Close()
+	}
 	d.peers.Close()
 	logger.Info().Str("event", "process.stopped").Msg("")
 }
--- a/internal/edge/system_test.go
+++ b/internal/edge/system_test.go
@@ -17,9 +17,11 @@
 	"godwitward.example/godwitward/internal/corestore"
 	"godwitward.example/godwitward/internal/feed"
 	"godwitward.example/godwitward/internal/forward"
+	"godwitward.example/godwitward/internal/streamlog"
 	"godwitward.example/godwitward/internal/transport"
 	"godwitward.example/godwitward/platform"
 	"godwitward.example/godwitward/platform/standin"
+	"godwitward.example/godwitward/wal"
 )
 
 // noLeader is the value of testSystem.leader while no core daemon leads.
@@ -51,6 +53,8 @@
 	hubs    []*feed.Hub
 	members []string
 	config  []byte
+	// disks holds the folder of each hub.
+	disks []string
 	// stopHub ends the process of each hub.
 	stopHub []func()
 	entries []*httptest.Server
@@ -73,7 +77,7 @@
 	}
 	s.config = config
 	for i, l := range listeners {
-		s.hubs, s.stopHub = append(s.hubs, nil), append(s.stopHub, nil)
+		s.hubs, s.stopHub, s.disks = append(s.hubs, nil), append(s.stopHub, nil), append(s.disks, t.TempDir())
 		s.startHub(i, l, true)
 	}
 	for i := range entries {
@@ -89,7 +93,13 @@
 	server := transport.NewServer(transport.Options{})
 	peers := corestore.NewPeers(s.members[i], netip.MustParseAddrPort(s.members[i]).Port(), transport.Options{Self: &pb.Hello{Vm: s.members[i]}})
 	store := &documentStore{system: s, index: i, document: corestore.Document{Version: 1, Body: s.config}}
-	hub := feed.NewHub(feed.HubOptions{Store: store, Peers: peers, Self: s.members[i], Logger: &log.Logger{Level: log.PanicLevel}, OnReport: func(*pb.UpstreamRecord) {}, FirstStart: firstStart}, server)
+	discard := &log.Logger{Level: log.PanicLevel}
+	streamLog, stored, err := streamlog.Open(streamlog.Options{Dir: s.disks[i], FS: wal.OS{}, Logger: discard})
+	require.NoError(s.t, err)
+	hub := feed.NewHub(feed.HubOptions{
+		Store: store, Peers: peers, Self: s.members[i], Logger: discard, OnReport: func(*pb.UpstreamRecord) {}, FirstStart: firstStart,
+		StreamLog: streamLog, StreamVersions: stored,
+	}, server)
 	go func() { _ = server.Serve(l) }()
 	s.hubs[i] = hub
 	var once sync.Once
@@ -98,16 +108,21 @@
 			hub.Stop()
 			peers.Close()
 			server.Close()
+			streamLog.Close()
 		})
 	}
 	s.t.Cleanup(s.stopHub[i])
 }
 
-// restartHubs ends all hubs and starts them again. What they knew in memory is lost.
-func (s *testSystem) restartHubs() {
+// restartHubs ends all hubs and starts them again, some with empty disks. What they knew in
+// memory is lost.
+func (s *testSystem) restartHubs(wiped ...int) {
 	for _, stop := range s.stopHub {
 		stop()
 	}
+	for _, i := range wiped {
+		s.disks[i] = s.t.TempDir()
+	}
 	for i, address := range s.members {
 		l, err := net.Listen("tcp", address)
 		require.NoError(s.t, err)
--- a/internal/edge/version_test.go
+++ b/internal/edge/version_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
 	"godwitward.example/godwitward/platform/standin"
@@ -28,6 +29,8 @@
 	*testSystem
 	// idPrefix begins the ids of callers' requests.
 	idPrefix string
+	// engines are the first reports of the engines.
+	engines []*pb.UpstreamRecord
 }
 
 // startEngines starts engines of a software version and returns their ids.
@@ -41,12 +44,22 @@
 		r.Start(l)
 		v.t.Cleanup(r.Stop)
 		ids = append(ids, r.ID)
-		v.hubs[i%len(v.hubs)].Report(&pb.UpstreamRecord{Id: r.ID, Service: "llm", Address: l.Addr().String(), SoftwareVersion: version,
+		v.engines = append(v.engines, &pb.UpstreamRecord{Id: r.ID, Service: "llm", Address: l.Addr().String(), SoftwareVersion: version,
 			Phase: pb.UpstreamPhase_UPSTREAM_READY, Stage: pb.EngineStage_ENGINE_STAGE_DECODE, BornMs: 1, Sequence: 1, Slots: 8})
+		v.hubs[i%len(v.hubs)].Report(proto.CloneOf(v.engines[len(v.engines)-1]))
 	}
 	return ids
 }
 
+// reportEngines repeats the reports of all engines.
+func (v *versionTest) reportEngines(sequence uint64) {
+	for i, r := range v.engines {
+		r = proto.CloneOf(r)
+		r.Sequence = sequence
+		v.hubs[i%len(v.hubs)].Report(r)
+	}
+}
+
 // versionStream is a stream as its caller sees it, over all its attempts.
 type versionStream struct {
 	// began is the id of the attempt that brought the first event.
@@ -166,6 +179,22 @@
 	}
 }
 
+// Guards against streams that nobody can take up after all processes have ended, while
+// engines of their version serve beside others, also if some disks are lost.
+func TestStreamsAreTakenUpAfterAllProcessesEnded(t *testing.T) {
+	v := &versionTest{testSystem: newTestSystem(t, 3, 4)}
+	v.startEngines("v1", 0, 3)
+	v.startEngines("v2", 3, 3)
+	time.Sleep(200 * time.Millisecond)
+	list := v.runBroken(40, func() {
+		v.restartHubs(0)
+		v.reportEngines(2)
+		time.Sleep(400 * time.Millisecond)
+	})
+	require.Zero(t, countStreams(list, (*versionStream).joined))
+	require.Equal(t, len(list), countStreams(list, func(s *versionStream) bool { return s.complete }))
+}
+
 // Guards against a request id that is not text and that ends the entry's feed, so that the
 // stream's version is lost with the entry.
 func TestStreamsWithUnreadableIDsAreTakenUp(t *testing.T) {
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -73,6 +73,15 @@
 	// FirstStart is set when the whole system starts for the first time, so that there
 	// were no upstreams before.
 	FirstStart bool
+	// StreamLog stores the versions of streams on the VM's disk. It may be nil.
+	StreamLog StreamLog
+	// StreamVersions are those that were stored before the daemon started.
+	StreamVersions []*pb.StreamVersion
+}
+
+// StreamLog stores the versions of streams. Append must not block.
+type StreamLog interface {
+	Append([]*pb.StreamVersion)
 }
 
 // Hub distributes records and documents from one core daemon. mu guards the
@@ -156,6 +165,9 @@
 	if opts.FirstStart {
 		h.observedSince = -maxObserved
 	}
+	for _, m := range opts.StreamVersions {
+		h.streamVersions.Record(h.decodeStreamVersion(m), h.now())
+	}
 	server.Handle(transport.MethodFeed, h.serveFeed)
 	server.Handle(transport.MethodGossip, h.serveGossip)
 	transport.HandleUnary(server, transport.MethodSendPermit, h.serveSendPermit)
--- a/internal/feed/stream_versions.go
+++ b/internal/feed/stream_versions.go
@@ -9,7 +9,8 @@
 )
 
 // mergeStreamVersions applies the versions of streams that an entry or, unless fromEntry
-// is set, another hub reported. What is new from an entry is passed on to the other hubs.
+// is set, another hub reported. What is new is stored and, from an entry, passed on to the
+// other hubs.
 func (h *Hub) mergeStreamVersions(list []*pb.StreamVersion, fromEntry bool) {
 	if len(list) == 0 {
 		return
@@ -18,13 +19,20 @@
 	defer h.mu.Unlock()
 	now := h.now()
 	var changed []policy.StreamVersion
+	var stored []*pb.StreamVersion
 	for _, m := range list {
-		v := policy.StreamVersion{ID: m.Id, Version: m.Version, Attempt: int(m.Attempt), RecordedAt: now - milliseconds(m.AgeMs)}
+		v := h.decodeStreamVersion(m)
 		if h.streamVersions.Record(v, now) {
-			changed = append(changed, v)
+			changed, stored = append(changed, v), append(stored, m)
 		}
 	}
-	if !fromEntry || len(changed) == 0 {
+	if len(changed) == 0 {
+		return
+	}
+	if h.opts.StreamLog != nil {
+		h.opts.StreamLog.Append(stored)
+	}
+	if !fromEntry {
 		return
 	}
 	for s := range h.subscriptions {
@@ -35,6 +43,10 @@
 	}
 }
 
+func (h *Hub) decodeStreamVersion(m *pb.StreamVersion) policy.StreamVersion {
+	return policy.StreamVersion{ID: m.Id, Version: m.Version, Attempt: int(m.Attempt), RecordedAt: h.now() - milliseconds(m.AgeMs)}
+}
+
 // addStreamVersions queues versions for the next message to another hub, which may be out
 // of reach for long.
 func (s *subscription) addStreamVersions(list []policy.StreamVersion) {
--- /dev/null
+++ b/internal/streamlog/log.go
@@ -0,0 +1,250 @@
+package streamlog
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/wal"
+)
+
+const (
+	// flushInterval is the time for which records wait for others to be written with. It
+	// is below the time from sending a request to its first event.
+	flushInterval = 100 * time.Millisecond
+	// maxQueued limits the records that wait for a stalled disk. The oldest are dropped.
+	maxQueued = 16384
+	// retention is how long a segment is kept after its last write: the time for which
+	// streams are remembered, and a margin for steps of the clock.
+	retention = 75 * time.Second
+	// A segment ends after segmentPeriod or segmentBytes, whichever comes first, and
+	// maxSegments of them are kept.
+	segmentPeriod = 30 * time.Second
+	segmentBytes  = 4 << 20
+	maxSegments   = 5
+
+	segmentPrefix = "versions-"
+)
+
+// Options configure a Log.
+type Options struct {
+	Dir    string
+	FS     wal.FS
+	Logger *log.Logger
+	// Now returns the VM's time of day; nil selects time.Now.
+	Now func() time.Time
+}
+
+// Log stores records. It is safe for concurrent use.
+type Log struct {
+	opts Options
+	wake chan struct{}
+	stop context.CancelFunc
+	done chan struct{}
+
+	mu      sync.Mutex
+	queued  []*pb.StreamVersion
+	dropped int
+
+	// The fields below belong to the flushing goroutine.
+	current     wal.File
+	currentName string
+	openedAt    time.Time
+	bytes       int
+	// segments lists the other files, oldest first, with the time of their last write.
+	segments []segment
+	next     uint64
+	// failed is set after a write that failed.
+	failed bool
+}
+
+type segment struct {
+	name      string
+	writtenAt time.Time
+}
+
+// Open reads the records that have not expired, with their ages, and starts a log. Its
+// first write stores them again, so that older files can be removed.
+func Open(opts Options) (*Log, []*pb.StreamVersion, error) {
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
+	if err := opts.FS.MkdirAll(opts.Dir); err != nil {
+		return nil, nil, errors.Wrap(err, "creating the folder of stream versions")
+	}
+	names, err := opts.FS.ReadDir(opts.Dir)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "listing stream versions")
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	l := &Log{opts: opts, wake: make(chan struct{}, 1), stop: stop, done: make(chan struct{})}
+	var records []*pb.StreamVersion
+	for _, name := range names {
+		var n uint64
+		if _, err := fmt.Sscanf(name, segmentPrefix+"%d", &n); err != nil || !strings.HasPrefix(name, segmentPrefix) {
+			continue
+		}
+		l.next = max(l.next, n+1)
+		l.segments = append(l.segments, segment{name: name})
+		records = append(records, l.readSegment(name)...)
+	}
+	if len(records) > 0 {
+		l.Append(records)
+	}
+	go l.run(ctx)
+	return l, records, nil
+}
+
+func (l *Log) readSegment(name string) []*pb.StreamVersion {
+	data, err := l.opts.FS.ReadFile(l.path(name))
+	if err != nil {
+		l.opts.Logger.Error().Str("event", "stream_versions.unreadable").Str("file", name).Err(err).Msg("")
+		return nil
+	}
+	batches, rest := decodeBatches(data)
+	if rest > 0 {
+		l.opts.Logger.Warn().Str("event", "stream_versions.torn").Str("file", name).Int("bytes", rest).Msg("")
+	}
+	now := l.opts.Now().UnixMilli()
+	var records []*pb.StreamVersion
+	for _, b := range batches {
+		for _, r := range b.StreamVersions {
+			age := max(0, now-b.WrittenMs) + int64(r.AgeMs)
+			if age < retention.Milliseconds() {
+				r.AgeMs = uint32(age)
+				records = append(records, r)
+			}
+		}
+	}
+	return records
+}
+
+// Append queues records for the next write. It does not wait.
+func (l *Log) Append(records []*pb.StreamVersion) {
+	l.mu.Lock()
+	l.queued = append(l.queued, records...)
+	if excess := len(l.queued) - maxQueued; excess > 0 {
+		l.queued = l.queued[excess:]
+		l.dropped += excess
+	}
+	l.mu.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Close writes what is queued and stops the log.
+func (l *Log) Close() {
+	l.stop()
+	<-l.done
+}
+
+func (l *Log) run(ctx context.Context) {
+	defer close(l.done)
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-l.wake:
+			select {
+			case <-ctx.Done():
+			case <-time.After(flushInterval):
+			}
+			l.flush()
+		}
+	}
+	l.flush()
+	l.closeSegment()
+}
+
+// flush writes what is queued. After a failure the records are dropped, and the next ones
+// go to a new file.
+func (l *Log) flush() {
+	l.mu.Lock()
+	records, dropped := l.queued, l.dropped
+	l.queued, l.dropped = nil, 0
+	l.mu.Unlock()
+	if dropped > 0 {
+		l.opts.Logger.Warn().Str("event", "stream_versions.dropped").Int("records", dropped).Msg("")
+	}
+	if len(records) == 0 {
+		return
+	}
+	err := l.write(records)
+	if err != nil {
+		l.closeSegment()
+	}
+	// One line for each series of failures, which a full disk may make long.
+	if err != nil && !l.failed {
+		l.opts.Logger.Error().Str("event", "stream_versions.not_stored").Int("records", len(records)).Err(err).Msg("")
+	}
+	l.failed = err != nil
+	l.removeExpired()
+}
+
+func (l *Log) write(records []*pb.StreamVersion) error {
+	now := l.opts.Now()
+	frame, err := encodeBatch(&pb.StreamVersionBatch{WrittenMs: now.UnixMilli(), StreamVersions: records})
+	if err != nil {
+		return err
+	}
+	if l.current != nil && (now.Sub(l.openedAt).Abs() > segmentPeriod || l.bytes+len(frame) > segmentBytes) {
+		l.closeSegment()
+	}
+	if l.current == nil {
+		if err := l.openSegment(now); err != nil {
+			return err
+		}
+	}
+	if _, err := l.current.Write(frame); err != nil {
+		return errors.Wrap(err, "writing stream versions")
+	}
+	l.bytes += len(frame)
+	return errors.Wrap(l.current.Sync(), "syncing stream versions")
+}
+
+func (l *Log) openSegment(now time.Time) error {
+	name := fmt.Sprintf("%s%016d", segmentPrefix, l.next)
+	l.next++
+	f, err := l.opts.FS.Create(l.path(name))
+	if err != nil {
+		return errors.Wrap(err, "creating a file of stream versions")
+	}
+	l.current, l.currentName, l.openedAt, l.bytes = f, name, now, 0
+	return errors.Wrap(l.opts.FS.SyncDir(l.opts.Dir), "syncing the folder of stream versions")
+}
+
+func (l *Log) closeSegment() {
+	if l.current == nil {
+		return
+	}
+	_ = l.current.Close()
+	l.segments = append(l.segments, segment{l.currentName, l.opts.Now()})
+	l.current = nil
+}
+
+// removeExpired removes files whose records have all expired, and the oldest ones beyond
+// maxSegments. Those found at the start were written again by the first flush; unless that
+// failed, they can go.
+func (l *Log) removeExpired() {
+	var kept []segment
+	for i, s := range l.segments {
+		expired := s.writtenAt.IsZero() && !l.failed || !s.writtenAt.IsZero() && l.opts.Now().Sub(s.writtenAt).Abs() > retention
+		if !expired && len(l.segments)-i < maxSegments {
+			kept = append(kept, s)
+			continue
+		}
+		if err := l.opts.FS.Remove(l.path(s.name)); err != nil {
+			l.opts.Logger.Warn().Str("event", "stream_versions.not_removed").Str("file", s.name).Err(err).Msg("")
+		}
+	}
+	l.segments = kept
+}
+
+func (l *Log) path(name string) string { return l.opts.Dir + "/" + name }
