events that go back or come twice are not relayed

Cause: relayEvents relayed events with any id, and noted the last one only.

Change: an event must have a higher id than the one before, that of the caller's Last-Event-Id included. Otherwise the attempt has failed, and the stream goes on at another upstream or breaks off, so that the caller can take it up. After an event with text and no id no upstream can be asked to go on, so the answer breaks off instead of beginning anew.

Evidence: TestEventsThatGoBackAreNotRelayed had 1 2 1 2 3 4, 1 2 2 3 and, taken up after event 4, 1 2 3 4; TestEventsWithoutIDsAreNotRepeated had the event twice. Both pass now.

--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"strconv"
 
 	"github.com/pkg/errors"
 )
@@ -18,6 +19,23 @@
 	raw []byte
 	// id is the value of the id field; empty if there is none.
 	id string
+	// hasData is set if the event carries text, unlike a comment.
+	hasData bool
+}
+
+// follows reports whether an event may be relayed after the one with the id last. Ids
+// increase. An engine that was asked to go on after an event and sends it again, or an
+// earlier one, has begun a run of its own, whose text may differ.
+func follows(id, last string) bool {
+	if id == "" || last == "" {
+		return true
+	}
+	n, err := strconv.ParseUint(id, 10, 64)
+	m, lastErr := strconv.ParseUint(last, 10, 64)
+	if err != nil || lastErr != nil {
+		return id != last
+	}
+	return n > m
 }
 
 // eventReader splits a response body into events.
@@ -57,5 +75,6 @@
 		if id, ok := bytes.CutPrefix(trimmed, []byte("id:")); ok {
 			ev.id = string(bytes.TrimPrefix(id, []byte(" ")))
 		}
+		ev.hasData = ev.hasData || bytes.HasPrefix(trimmed, []byte("data:"))
 	}
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -31,6 +31,9 @@
 	lastEventID string
 	// headWritten is set once the response header was sent to the caller.
 	headWritten bool
+	// unnumbered is set once an event without an id was relayed, after which no upstream
+	// can be asked to go on.
+	unnumbered bool
 	// events is the number of events that were relayed.
 	events int
 	// firstEventAt and lastEventAt are the times when the first and the last event
@@ -104,7 +107,7 @@
 			if x.brokeBeforeFirstEvent(st) {
 				x.reportCrash(p.decode)
 			}
-			if runs++; runs >= x.route.MaxAttempts || !x.route.Repeatable() || x.suspect(st) {
+			if runs++; runs >= x.route.MaxAttempts || !x.route.Repeatable() || x.suspect(st) || st.unnumbered {
 				x.endStream(st, "lost")
 				return
 			}
@@ -259,6 +262,12 @@
 		if err != nil {
 			return x.handleStreamError(t, res, err)
 		}
+		if !follows(ev.id, st.lastEventID) {
+			res.close(false)
+			t.recordFailure(x.s.now(), policy.FaultError)
+			x.reason = "event_out_of_order"
+			return sendOutcomeUnknown
+		}
 		if !st.headWritten {
 			x.startStream(res, st)
 		}
@@ -285,6 +294,8 @@
 		st.events++
 		if ev.id != "" {
 			st.lastEventID = ev.id
+		} else if ev.hasData {
+			st.unnumbered = true
 		}
 	}
 }
