events of a process that restarted under its id are not joined to a stream

Cause: calls name a process by its id only, and the version of a stream was that of the last report, also if the new process had answered.

Change: if another process has reported under the id since the request, its first event is not relayed. Without contact with a hub that knows of all upstreams, a stream does not go on at an engine whose connections broke in the last minute; a hub that has just started counts only after a report period, or with the table of another one.

--- a/internal/feed/subscriber.go
+++ b/internal/feed/subscriber.go
@@ -95,8 +95,9 @@
 	// lastContact is when the last update arrived from a hub that was in contact
 	// with the leader.
 	lastContact time.Time
-	// observedSince is the time since which records of all upstreams have been received.
-	observedSince time.Time
+	// observedSince is the time since which records of all upstreams have been received, and
+	// completeAt when the last update arrived from a hub that knows of all that run.
+	observedSince, completeAt time.Time
 	// leader and term are those of the newest known leader of the core.
 	leader string
 	term   uint64
@@ -300,15 +301,23 @@
 	if since := now.Add(-observed); since.Before(s.observedSince) {
 		s.observedSince = since
 	}
+	if observed >= reportPeriod {
+		s.completeAt = now
+	}
 	s.lastContact = now
 }
 
+// reportPeriod is the time in which every upstream reports: a report interval of 1.2 s, and
+// 1 s in which it may retry at the next hub. A hub that has started later, and has no table
+// of another one, does not know of a process that has replaced one meanwhile.
+const reportPeriod = 2200 * time.Millisecond
+
 // VersionsObserved returns the time for which the records of all upstreams have been
-// received, 0 without contact with a hub.
+// received, 0 without contact with a hub that knows of all.
 func (s *Subscriber) VersionsObserved() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if time.Since(s.lastContact) > heartbeatTimeout {
+	if len(s.streams) == 0 || time.Since(s.completeAt) > heartbeatTimeout {
 		return 0
 	}
 	return time.Since(s.observedSince)
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -94,7 +94,7 @@
 			reservation.Release(Result{Outcome: OutcomeNotStarted})
 		}
 	}
-	filter := upstreamFilter{service: x.service.Name, stage: engineStage(x.service), tried: x.tried, version: x.version}
+	filter := upstreamFilter{service: x.service.Name, stage: engineStage(x.service), tried: x.tried, version: x.version, unbroken: x.version != nil && x.outOfContact()}
 	decode := x.pickUnscheduled(filter, true)
 	if decode == nil {
 		return nil, nil
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -253,7 +253,7 @@
 func (x *exchange) relayEvents(t *target, res *upstreamResponse, st *streamState) sendResult {
 	flusher := http.NewResponseController(x.w)
 	rd := &eventReader{rd: bufio.NewReaderSize(res.resp.Body, readBufferBytes)}
-	for {
+	for first := true; ; first = false {
 		_ = res.conn.SetReadDeadline(time.Now().Add(x.eventTimeout(st)))
 		ev, err := rd.next()
 		if err == io.EOF {
@@ -268,6 +268,12 @@
 			x.reason = "event_out_of_order"
 			return sendOutcomeUnknown
 		}
+		if first && t.replaced.Load() {
+			// The answer may be that of the new process, whose software may be another.
+			res.close(false)
+			x.reason = "upstream_replaced"
+			return sendOutcomeUnknown
+		}
 		if !st.headWritten {
 			x.startStream(res, st)
 		}
@@ -344,6 +350,7 @@
 	default:
 		x.reason = "stream_broke"
 		t.recordFailure(x.s.now(), policy.FaultError)
+		t.recordBreak(x.s.now())
 	}
 	if errors.Is(err, errEventTooLong) {
 		x.reason = "event_too_long"
--- a/internal/forward/target.go
+++ b/internal/forward/target.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -22,9 +23,15 @@
 	// outcomes counts ended calls until they are reported to the core.
 	outcomes *callOutcomes
 
+	// replaced is set once another process reports under the id.
+	replaced atomic.Bool
+
 	// mu guards the fields below. A record is replaced, never modified.
 	mu     sync.Mutex
 	record *pb.UpstreamRecord
+	// brokeAt is when a connection last broke, or could not be opened: the process may have
+	// ended, and another one may answer at its address, under its id. Zero if none has.
+	brokeAt time.Duration
 	// silentSince is when the record was marked silent.
 	silentSince time.Time
 	// misdirected is set when another process answered at the address.
@@ -89,6 +96,9 @@
 func (t *target) recordFailure(now time.Duration, fault policy.Fault) {
 	t.mu.Lock()
 	t.health.Failed(now, fault)
+	if fault == policy.FaultUnreachable {
+		t.brokeAt = now
+	}
 	t.mu.Unlock()
 	// Only error responses and invalid ones are reported to the core as failures:
 	// other entries may be able to reach an upstream that this one cannot.
@@ -97,6 +107,24 @@
 	}
 }
 
+// recordBreak records that a connection broke in the middle of a response.
+func (t *target) recordBreak(now time.Duration) {
+	t.mu.Lock()
+	t.brokeAt = now
+	t.mu.Unlock()
+}
+
+// mayHaveRestarted reports whether a connection has broken of late.
+func (t *target) mayHaveRestarted(now time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.brokeAt > 0 && now-t.brokeAt < breakMemory
+}
+
+// breakMemory is how long a broken connection counts as a sign that the process may have
+// ended, if no reports arrive that would tell.
+const breakMemory = time.Minute
+
 // inBackoff reports whether the target is avoided while others are available.
 func (t *target) inBackoff(now time.Duration) bool {
 	t.mu.Lock()
--- a/internal/forward/upstreams.go
+++ b/internal/forward/upstreams.go
@@ -66,6 +66,7 @@
 
 func (u *upstreams) replace(old *target, r *pb.UpstreamRecord) {
 	if old != nil {
+		old.replaced.Store(true)
 		u.remove(r.Id)
 	}
 	t := &target{id: r.Id, address: r.Address, bornMs: r.BornMs, outcomes: &u.outcomes, record: r, silentSince: time.Now()}
@@ -125,6 +126,8 @@
 	tried   map[*target]bool
 	// version is the software version that upstreams must have; nil if any will do.
 	version *string
+	// unbroken excludes upstreams that may have restarted.
+	unbroken bool
 	// excluded holds upstreams that are not used.
 	excluded map[*target]bool
 }
@@ -145,7 +148,7 @@
 		}
 		t.mu.Unlock()
 		if filter.excluded[t] || misdirected || refusesWork || record.Phase != pb.UpstreamPhase_UPSTREAM_READY || record.Stage != filter.stage ||
-			filter.version != nil && record.SoftwareVersion != *filter.version {
+			filter.version != nil && record.SoftwareVersion != *filter.version || filter.unbroken && t.mayHaveRestarted(now) {
 			continue
 		}
 		usable = append(usable, t)
--- a/internal/forward/versions.go
+++ b/internal/forward/versions.go
@@ -181,9 +181,15 @@
 	return false
 }
 
-// fitsVersion reports whether a target may serve the stream.
+// fitsVersion reports whether a target may serve the stream. A process that starts again
+// under its id may run other software; without contact with a hub nobody tells.
 func (x *exchange) fitsVersion(t *target) bool {
-	return x.version == nil || t.softwareVersion() == *x.version
+	return x.version == nil || t.softwareVersion() == *x.version && !(t.mayHaveRestarted(x.s.now()) && x.outOfContact())
+}
+
+// outOfContact reports whether no reports of upstreams arrive.
+func (x *exchange) outOfContact() bool {
+	return x.s.versionSource == nil || x.s.versionSource.VersionsObserved() == 0
 }
 
 // pinVersionOf keeps the rest of a stream, whose first event a target has sent, at the
