an upstream that states a limit gets its requests however it ranks

Cause: pickAdmitted met an upstream with a limit only while it ranked best. One that ranks low, by latency, place or load, was neither asked a permit for nor sent a request for which it had one.

Change: permits are used and asked for for all sound upstreams of the service that state limits, with each request.

--- a/internal/forward/permits.go
+++ b/internal/forward/permits.go
@@ -167,30 +167,36 @@
 }
 
 // pickAdmitted returns the upstream to which to send a request that is not for engines,
-// nil if there is none. Those that state a limit need a permit: while others can take
-// the request, one is only asked for; otherwise the request waits for it.
+// nil if there is none. One that states a limit needs a permit, and gets the request as
+// soon as there is one, however it ranks: a permit that is not used is lost to the
+// upstream. While others can take the request, permits are only asked for; otherwise the
+// request waits for one.
 func (x *exchange) pickAdmitted() *target {
 	x.permitRetryAfter = 0
+	now := x.s.now()
 	filter := upstreamFilter{service: x.service.Name, tried: x.tried, excluded: map[*target]bool{}}
 	var limited []*target
-	var other *target
-	for {
-		t := x.s.upstreams.pick(filter, x.s.now(), rand.Float64())
-		if t == nil || !t.limited() {
-			other = t
-			break
-		}
-		if t.takePermit(x.s.now()) {
-			return t
+	for _, t := range x.s.upstreams.usable(filter, now) {
+		if !t.limited() {
+			continue
 		}
 		filter.excluded[t] = true
 		if !x.tried[t] {
 			limited = append(limited, t)
 		}
 	}
-	if len(limited) == 0 || other != nil && !x.tried[other] && other.sound(x.s.now()) {
+	rand.Shuffle(len(limited), func(i, j int) { limited[i], limited[j] = limited[j], limited[i] })
+	for _, t := range limited {
+		if t.sound(now) && t.takePermit(now) {
+			return t
+		}
+	}
+	other := x.s.upstreams.pick(filter, now, rand.Float64())
+	if len(limited) == 0 || other != nil && !x.tried[other] && other.sound(now) {
 		for _, t := range limited {
-			x.s.askForPermit(t)
+			if t.sound(now) {
+				x.s.askForPermit(t)
+			}
 		}
 		return other
 	}
--- a/internal/forward/upstreams.go
+++ b/internal/forward/upstreams.go
@@ -132,26 +132,39 @@
 	excluded map[*target]bool
 }
 
+// admits reports whether a target passes the filter.
+func (f *upstreamFilter) admits(t *target, now time.Duration) bool {
+	t.mu.Lock()
+	record, refusesWork := t.record, t.misdirected || t.stated.Leaving || now < t.pausedUntil
+	t.mu.Unlock()
+	return !f.excluded[t] && !refusesWork && record.Phase == pb.UpstreamPhase_UPSTREAM_READY && record.Stage == f.stage &&
+		(f.version == nil || record.SoftwareVersion == *f.version) && !(f.unbroken && t.mayHaveRestarted(now))
+}
+
+// usable returns the upstreams that pass the filter.
+func (u *upstreams) usable(filter upstreamFilter, now time.Duration) []*target {
+	var list []*target
+	for _, t := range u.list(filter.service) {
+		if filter.admits(t, now) {
+			list = append(list, t)
+		}
+	}
+	return list
+}
+
 // pick returns the best upstream that passes the filter, or nil. r is a random
 // number, uniform in [0, 1), that breaks ties.
 func (u *upstreams) pick(filter upstreamFilter, now time.Duration, r float64) *target {
-	list := u.list(filter.service)
-	usable := make([]*target, 0, len(list))
-	candidates := make([]policy.Candidate, 0, len(list))
-	for _, t := range list {
+	usable := u.usable(filter, now)
+	candidates := make([]policy.Candidate, 0, len(usable))
+	for _, t := range usable {
 		t.mu.Lock()
-		record, misdirected, refusesWork := t.record, t.misdirected, t.stated.Leaving || now < t.pausedUntil
-		health, load := t.health, t.load
+		record, health, load := t.record, t.health, t.load
 		errorShare := 0.0
 		if now < t.errorShareExpires {
 			errorShare = t.globalErrorShare
 		}
 		t.mu.Unlock()
-		if filter.excluded[t] || misdirected || refusesWork || record.Phase != pb.UpstreamPhase_UPSTREAM_READY || record.Stage != filter.stage ||
-			filter.version != nil && record.SoftwareVersion != *filter.version || filter.unbroken && t.mayHaveRestarted(now) {
-			continue
-		}
-		usable = append(usable, t)
 		candidates = append(candidates, policy.Candidate{
 			Health: &health, Load: &load, SamePlace: record.Place == u.place,
 			Suspect: record.Silent, Tried: filter.tried[t], GlobalErrorShare: errorShare,
