soak: all processes killed at once, releases, engines that restart under their id

The soak lacked these faults, and callers who take a stream up while its first answer goes on. A wiped core daemon loses all of its disk, the versions of streams included.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"os"
 	"path/filepath"
 	"slices"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -19,7 +22,7 @@
 // entry, a reload, configuration changes and a runner's leave must not disturb
 // the service, so they are not counted as faults.
 func (s *system) inject(ctx context.Context, f fault) {
-	if f.kind != stopEntry && f.kind != reloadSettings && f.kind != changeConfig && f.kind != raceConfigChanges && f.kind != leaveRunner {
+	if f.kind != stopEntry && f.kind != reloadSettings && f.kind != changeConfig && f.kind != raceConfigChanges && f.kind != leaveRunner && f.kind != releaseEngines {
 		s.check.faultStarted()
 		defer s.check.faultEnded()
 	}
@@ -41,7 +44,7 @@
 	case wipeCore:
 		s.stopAndRestart(ctx, core, f.duration, func() {
 			core.kill()
-			_ = os.RemoveAll(filepath.Join(core.node.DataDir, "store"))
+			s.emptyDisk(core)
 		})
 	case killAllCores:
 		for _, p := range s.cores {
@@ -50,6 +53,14 @@
 		for _, p := range s.cores {
 			s.stopAndRestart(ctx, p, 0, func() {})
 		}
+	case killAll:
+		all := slices.Concat(s.cores, s.entries)
+		for _, p := range all {
+			p.kill()
+		}
+		for _, p := range all {
+			s.stopAndRestart(ctx, p, 0, func() {})
+		}
 	case reloadSettings:
 		for _, p := range []*process{entry, core} {
 			if err := p.hangUp(); err != nil {
@@ -87,6 +98,19 @@
 	}
 }
 
+// emptyDisk removes what a core daemon has stored.
+func (s *system) emptyDisk(core *process) {
+	entries, err := os.ReadDir(core.node.DataDir)
+	for _, e := range entries {
+		err = errors.Join(err, os.RemoveAll(filepath.Join(core.node.DataDir, e.Name())))
+	}
+	if err != nil {
+		s.check.mu.Lock()
+		defer s.check.mu.Unlock()
+		s.check.addFinding("emptying the disk of %s: %v", core.node.Name, err)
+	}
+}
+
 // stopSignals follow the first SIGTERM of a process, stopSignalInterval apart, which
 // spreads them over the time in which an entry completes its requests. Before each
 // SIGHUP the settings change.
@@ -160,9 +184,65 @@
 			runner.SetLeaving()
 		}
 		s.replaceRunner(ctx, f.target%len(s.runners), func() { s.drainRunner(ctx, runner) }, 0)
+	case releaseEngines:
+		s.release(ctx)
+	case restartRunner:
+		s.restartRunner(ctx, f.target%len(s.runners), runner)
+	case strayEvents:
+		runner.SetStartsAnew(true)
+		sleep(ctx, f.duration)
+		runner.SetStartsAnew(false)
 	}
 }
 
+// release replaces all engines, one after the other, by ones of a new software version.
+func (s *system) release(ctx context.Context) {
+	s.releases.Add(1)
+	s.mu.Lock()
+	runners := slices.Clone(s.runners)
+	s.mu.Unlock()
+	var wg sync.WaitGroup
+	for i, r := range runners {
+		if r.Service != engineService {
+			continue
+		}
+		// A runner is added at the end of the list before it takes the old one's place.
+		wg.Go(func() {
+			s.drainRunner(ctx, r)
+			s.replacing.Lock()
+			defer s.replacing.Unlock()
+			s.replaceRunner(ctx, i, func() {}, 0)
+		})
+		sleep(ctx, releaseInterval)
+	}
+	wg.Wait()
+}
+
+// releaseInterval is the time between the replacements of two engines of a release.
+const releaseInterval = 300 * time.Millisecond
+
+// restartRunner starts a runner anew, under its id and at its address, with other software.
+func (s *system) restartRunner(ctx context.Context, i int, old *proxiedRunner) {
+	old.Stop()
+	old.stopReports()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		s.check.mu.Lock()
+		defer s.check.mu.Unlock()
+		s.check.addFinding("restarting runner %s: %v", old.ID, err)
+		return
+	}
+	old.proxy.target.Store(l.Addr().String())
+	version := "v0"
+	if old.Version == version {
+		version = "v1"
+	}
+	runner := s.startRunner(ctx, l, old.proxy, old.ID, version, old.Service, old.Stage)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runners[i] = runner
+}
+
 // replaceRunner stops a runner and starts another one in its place.
 func (s *system) replaceRunner(ctx context.Context, i int, stop func(), downtime time.Duration) {
 	s.mu.Lock()
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -66,12 +66,15 @@
 }
 
 // sendStream sends a request for a stream. If the stream breaks off after its first event,
-// the caller takes it up again at another entry.
+// the caller takes it up again at another entry. Some callers do so while their first
+// connection is still open.
 func (s *system) sendStream(ctx context.Context, client *http.Client, entry, id string, disconnects bool) {
 	versions := map[string]bool{}
-	o, events := s.readStream(ctx, client, entry, streamAttempt{id: id, leaves: disconnects}, versions)
+	overlaps := !disconnects && rand.Float64() < overlapShare
+	o, events := s.readStream(ctx, client, entry, streamAttempt{id: id, leaves: disconnects, overlaps: overlaps}, versions)
 	delivered := len(events)
-	for n := 1; n <= maxTakeUps && delivered > 0 && delivered < streamEvents && !o.left && ctx.Err() == nil; n++ {
+	until := time.Now().Add(takeUpTime)
+	for n := 1; time.Now().Before(until) && delivered > 0 && delivered < streamEvents && (overlaps || !o.left) && ctx.Err() == nil; n++ {
 		sleep(ctx, takeUpDelay)
 		attempt := streamAttempt{id: fmt.Sprintf("%s-%d", id, n), stream: id, delivered: delivered}
 		_, events := s.readStream(ctx, client, s.entryAddress(rand.IntN(len(s.entries))), attempt, versions)
@@ -81,9 +84,14 @@
 }
 
 const (
-	// maxTakeUps is the number of times that a caller takes a stream up, after takeUpDelay.
-	maxTakeUps  = 3
+	// takeUpTime is the time for which a caller tries to take its stream up, every
+	// takeUpDelay.
+	takeUpTime  = 3 * time.Second
 	takeUpDelay = 150 * time.Millisecond
+	// overlapShare is the share of streams whose caller takes them up while the first
+	// answer goes on, for overlapTime.
+	overlapShare = 0.1
+	overlapTime  = 300 * time.Millisecond
 )
 
 // streamAttempt is one request for a stream.
@@ -93,8 +101,9 @@
 	// number of events that the caller has; unset for a new stream.
 	stream    string
 	delivered int
-	// leaves is set if the caller disconnects after two events.
-	leaves bool
+	// leaves is set if the caller disconnects after two events, overlaps if it stops reading
+	// then and leaves its connection open for a while.
+	leaves, overlaps bool
 }
 
 // readStream sends one request for a stream and checks its events. It adds the software
@@ -104,7 +113,8 @@
 	o = outcome{truncated: true}
 	defer func() { s.check.checkStream(a.id, o, events, a.delivered, streamEvents) }()
 	reqCtx, cancel := context.WithTimeout(ctx, callerTimeout)
-	defer cancel()
+	end := cancel
+	defer func() { end() }()
 	req, err := standin.NewRequest(reqCtx, entry, "/draft/x", a.id, callerTimeout)
 	if err != nil {
 		return o, nil
@@ -116,7 +126,10 @@
 	if err != nil {
 		return o, nil
 	}
-	defer resp.Body.Close()
+	end = func() {
+		cancel()
+		_ = resp.Body.Close()
+	}
 	o = outcome{status: resp.StatusCode, truncated: true}
 	scanner := bufio.NewScanner(resp.Body)
 	for scanner.Scan() {
@@ -130,6 +143,12 @@
 			o.left = true
 			return o, events
 		}
+		if a.overlaps && len(events) == 2 {
+			o.left = true
+			closeNow := end
+			end = func() { time.AfterFunc(overlapTime, closeNow) }
+			return o, events
+		}
 	}
 	o.complete = scanner.Err() == nil
 	o.truncated = !o.complete
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -11,7 +11,8 @@
 // proxy forwards TCP connections to one runner and injects network faults.
 type proxy struct {
 	listener net.Listener
-	target   string
+	// target is the address of the runner, a string.
+	target atomic.Value
 	// delayNanos is the delay of each forwarded chunk, in nanoseconds.
 	delayNanos atomic.Int64
 	// dropResponses discards all data sent by the runner.
@@ -37,7 +38,8 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, target: target, conns: map[*proxyConn]struct{}{}}
+	p := &proxy{listener: l, conns: map[*proxyConn]struct{}{}}
+	p.target.Store(target)
 	go p.accept()
 	return p, nil
 }
@@ -60,7 +62,7 @@
 }
 
 func (p *proxy) serve(client net.Conn) {
-	runner, err := net.DialTimeout("tcp", p.target, time.Second)
+	runner, err := net.DialTimeout("tcp", p.target.Load().(string), time.Second)
 	if err != nil {
 		_ = client.(*net.TCPConn).SetLinger(0)
 		_ = client.Close()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
@@ -80,7 +81,7 @@
 	var kinds []faultKind
 	for _, n := range names {
 		found := false
-		for _, k := range allFaultKinds {
+		for _, k := range slices.Concat(allFaultKinds, namedFaultKinds) {
 			if string(k) == n {
 				kinds = append(kinds, k)
 				found = true
@@ -106,33 +107,44 @@
 		if ctx.Err() != nil {
 			break
 		}
-		lock := locks[s.targetLock(f)]
-		if lock == nil {
-			lock = &sync.Mutex{}
-			locks[s.targetLock(f)] = lock
+		var held []*sync.Mutex
+		for _, key := range s.targetLocks(f) {
+			if locks[key] == nil {
+				locks[key] = &sync.Mutex{}
+			}
+			held = append(held, locks[key])
 		}
 		wg.Go(func() {
-			lock.Lock()
-			defer lock.Unlock()
+			for _, lock := range held {
+				lock.Lock()
+				defer lock.Unlock()
+			}
 			s.inject(ctx, f)
 		})
 	}
 	wg.Wait()
 }
 
-// targetLock returns the key of the lock that serialises faults of one target:
-// one per entry, one for all core daemons, one for the configuration and one for
-// all runners.
-func (s *system) targetLock(f fault) int {
+// targetLocks returns the keys of the locks that serialise faults of one target, in the
+// order in which they are taken: one per entry, one for all core daemons, one for the
+// configuration and one for all runners.
+func (s *system) targetLocks(f fault) []int {
+	const entryLock, coreLock, configLock, runnerLock = 1000, 2000, 3000, 4000
 	switch f.kind {
 	case killEntry, stopEntry, pauseEntry, reloadSettings:
-		return 1000 + f.target%len(s.entries)
+		return []int{entryLock + f.target%len(s.entries)}
 	case killCore, stopCore, pauseCore, wipeCore, killAllCores:
-		return 2000
+		return []int{coreLock}
+	case killAll:
+		var keys []int
+		for i := range s.entries {
+			keys = append(keys, entryLock+i)
+		}
+		return append(keys, coreLock)
 	case changeConfig, raceConfigChanges:
-		return 3000
+		return []int{configLock}
 	}
-	return 4000
+	return []int{runnerLock}
 }
 
 // checkRecovery requires that at least minServedShare of the requests are served
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -29,22 +29,31 @@
 	reloadSettings    faultKind = "hang-up"
 	changeConfig      faultKind = "change-config"
 	raceConfigChanges faultKind = "race-config"
+	// The kinds below are injected only when they are named.
+	killAll        faultKind = "kill-all"
+	releaseEngines faultKind = "release"
+	restartRunner  faultKind = "restart-runner"
+	strayEvents    faultKind = "stray-events"
 )
 
 // FaultKinds returns the names of all kinds of faults.
 func FaultKinds() []string {
 	var names []string
-	for _, k := range allFaultKinds {
+	for _, k := range slices.Concat(allFaultKinds, namedFaultKinds) {
 		names = append(names, string(k))
 	}
 	return names
 }
 
+// allFaultKinds is the default. The schedule of a seed depends on it, so that kinds that
+// came later are in namedFaultKinds.
 var allFaultKinds = []faultKind{
 	killEntry, stopEntry, pauseEntry, killCore, stopCore, pauseCore, wipeCore, killAllCores, crashRunner, leaveRunner,
 	resetLinks, silentLinks, delayLinks, oneWayLink, reloadSettings, changeConfig, raceConfigChanges,
 }
 
+var namedFaultKinds = []faultKind{killAll, releaseEngines, restartRunner, strayEvents}
+
 // fault is one entry of the schedule. Its start time is relative to the start of
 // the run; the target is reduced modulo the number of possible targets.
 type fault struct {
@@ -54,6 +63,9 @@
 	duration time.Duration
 }
 
+// endsAllCores reports whether the fault ends all core daemons at one moment.
+func (f fault) endsAllCores() bool { return f.kind == killAllCores || f.kind == killAll }
+
 func (f fault) String() string {
 	return fmt.Sprintf("%6.2fs %s target %d for %.2fs", f.startAt.Seconds(), f.kind, f.target, f.duration.Seconds())
 }
@@ -90,14 +102,14 @@
 	const catchUpTime = 4 * time.Second
 	var kept []fault
 	return slices.DeleteFunc(faults, func(f fault) bool {
-		if !slices.Contains([]faultKind{killCore, stopCore, pauseCore, wipeCore, killAllCores}, f.kind) {
+		if !slices.Contains([]faultKind{killCore, stopCore, pauseCore, wipeCore, killAllCores, killAll}, f.kind) {
 			return false
 		}
 		down := 0
 		for _, other := range kept {
 			if f.startAt < other.startAt+other.duration+catchUpTime {
 				down++
-				if other.kind == killAllCores || f.kind == killAllCores {
+				if other.endsAllCores() || f.endsAllCores() {
 					return true
 				}
 			}
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -29,6 +29,7 @@
 	reportInterval = 500 * time.Millisecond
 	// reportTimeout is the time limit of one report.
 	reportTimeout = time.Second
+	engineService = "engines"
 )
 
 // system is the set of processes under test, with the runners and proxies that
@@ -41,6 +42,10 @@
 	entries      []*process
 	lastVersion  atomic.Int64
 	lastRunnerID atomic.Int64
+	// releases counts the releases of engines, each of which brings a new software version.
+	releases atomic.Int64
+	// replacing serialises the replacements of a release.
+	replacing sync.Mutex
 
 	mu      sync.Mutex
 	runners []*proxiedRunner
@@ -132,7 +137,7 @@
 		if i%3 == 2 {
 			stage = standin.StagePrefill
 		}
-		if err := s.addRunner(ctx, "engines", stage); err != nil {
+		if err := s.addRunner(ctx, engineService, stage); err != nil {
 			return err
 		}
 	}
@@ -167,7 +172,7 @@
 // starting with the given one, until one acknowledges it.
 func (s *system) putConfig(ctx context.Context, first int) error {
 	version := int(s.lastVersion.Add(1))
-	c := standin.Config{Version: version, PlainService: "plain", EngineService: "engines"}
+	c := standin.Config{Version: version, PlainService: "plain", EngineService: engineService}
 	err := errors.New("no core daemon was asked")
 	for i := range coreCount {
 		putCtx, cancel := context.WithTimeout(ctx, time.Second)
@@ -194,8 +199,21 @@
 		return errors.Wrap(err, "starting a proxy")
 	}
 	n := s.lastRunnerID.Add(1)
+	version := fmt.Sprintf("v%d", n%softwareVersions)
+	if release := s.releases.Load(); release > 0 && service == engineService {
+		version = fmt.Sprintf("v%d", softwareVersions-1+release)
+	}
+	runner := s.startRunner(ctx, l, p, fmt.Sprintf("i-%d", n), version, service, stage)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runners = append(s.runners, runner)
+	return nil
+}
+
+// startRunner starts a runner that listens at l, and starts sending its reports.
+func (s *system) startRunner(ctx context.Context, l net.Listener, p *proxy, id, version, service, stage string) *proxiedRunner {
 	r := &standin.Runner{
-		ID: fmt.Sprintf("i-%d", n), Version: fmt.Sprintf("v%d", n%softwareVersions), Service: service, Stage: stage, ServiceTime: plainServiceTime, Events: streamEvents,
+		ID: id, Version: version, Service: service, Stage: stage, ServiceTime: plainServiceTime, Events: streamEvents,
 		OnStart: s.check.requestRan, OnArrival: s.check.requestArrived,
 	}
 	if stage == standin.StageDecode {
@@ -204,11 +222,8 @@
 	r.Start(l)
 	runCtx, stop := context.WithCancel(ctx)
 	runner := &proxiedRunner{Runner: r, proxy: p, stopReports: stop}
-	s.mu.Lock()
-	s.runners = append(s.runners, runner)
-	s.mu.Unlock()
 	go s.sendReports(runCtx, runner)
-	return nil
+	return runner
 }
 
 // sendReports sends a runner's reports to one core daemon until ctx ends, and
