versions in use are stored, so that streams of the only one go on after a kill of all processes

Change: each batch of the stream log holds the versions in use and the time for which all are known. Hubs pass both on. A hub that has read them first waits for the table of another one, and an entry that has just started waits for such a hub for as long as for its first configuration.

--- a/api/godwitward/v1/text_fields_test.go
+++ b/api/godwitward/v1/text_fields_test.go
@@ -25,7 +25,7 @@
 	"upstreams and other writers: reports are refused by platform (checkReportedTexts), announcements by their decoder": `SubmitRequest.exclude SubmitRequest.software_version
 		UpstreamAddress.id UpstreamAddress.url Hold.prefill_id Hold.decode_id UpstreamState.id UpstreamState.url UpstreamState.place UpstreamState.region UpstreamState.service
 		UpstreamState.models UpstreamState.software_version UpstreamRecord.id UpstreamRecord.service UpstreamRecord.address UpstreamRecord.place UpstreamRecord.models
-		UpstreamRecord.software_version UpstreamStatement.id SendPermitResponse.id ErrorShare.id StreamVersion.version StreamVersionResponse.version CrashedPrompt.engine_id
+		UpstreamRecord.software_version UpstreamStatement.id SendPermitResponse.id ErrorShare.id StreamVersion.version StreamVersionResponse.version ServiceVersion.service ServiceVersion.version CrashedPrompt.engine_id
 		UpstreamOutcomes.id Event.upstream`,
 	"upstreams: a response header that cannot be encoded is left out by transport": `Attribute.value`,
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -164,8 +164,8 @@
 		opts.Logger.Error().Str("event", "stream_versions.unavailable").Err(err).Msg("")
 		return
 	}
-	opts.Logger.Info().Str("event", "stream_versions.restored").Int("streams", len(stored)).Msg("")
-	d.streamLog, hub.StreamLog, hub.StreamVersions = l, l, stored
+	opts.Logger.Info().Str("event", "stream_versions.restored").Int("streams", len(stored.Streams)).Dur("observed", stored.Observed).Msg("")
+	d.streamLog, hub.StreamLog, hub.Stored = l, l, stored
 }
 
 // newEngineFactory returns a function that creates the scheduler's client of an
--- a/internal/edge/system_test.go
+++ b/internal/edge/system_test.go
@@ -98,7 +98,7 @@
 	require.NoError(s.t, err)
 	hub := feed.NewHub(feed.HubOptions{
 		Store: store, Peers: peers, Self: s.members[i], Logger: discard, OnReport: func(*pb.UpstreamRecord) {}, FirstStart: firstStart,
-		StreamLog: streamLog, StreamVersions: stored,
+		StreamLog: streamLog, Stored: stored,
 	}, server)
 	go func() { _ = server.Serve(l) }()
 	s.hubs[i] = hub
--- a/internal/edge/version_test.go
+++ b/internal/edge/version_test.go
@@ -29,6 +29,8 @@
 	*testSystem
 	// idPrefix begins the ids of callers' requests.
 	idPrefix string
+	// anonymous callers do not name the request that brought the first event.
+	anonymous bool
 	// engines are the first reports of the engines.
 	engines []*pb.UpstreamRecord
 }
@@ -68,13 +70,17 @@
 	versions map[string]bool
 	status   int
 	complete bool
+	// anonymous is that of the test.
+	anonymous bool
 }
 
 // read sends one attempt to an entry and reads events until the answer ends.
 func (s *versionStream) read(t *testing.T, entry, id string) {
 	req, err := standin.NewRequest(context.Background(), entry, "/draft/x", id, 4*time.Second)
 	require.NoError(t, err)
-	if s.events > 0 {
+	if s.events > 0 && s.anonymous {
+		standin.SetTakeUp(req, "", s.events)
+	} else if s.events > 0 {
 		standin.SetTakeUp(req, s.began, s.events)
 	}
 	s.status = 0
@@ -108,7 +114,7 @@
 	var list []*versionStream
 	var wg sync.WaitGroup
 	for i := range streams {
-		s := &versionStream{versions: map[string]bool{}}
+		s := &versionStream{versions: map[string]bool{}, anonymous: v.anonymous}
 		list = append(list, s)
 		entry := v.entries[i%len(v.entries)].Listener.Addr().String()
 		wg.Go(func() { s.read(v.t, entry, v.idPrefix+fmt.Sprint("first-", i)) })
@@ -162,21 +168,42 @@
 // Guards against streams that go on at another software version after all processes have
 // ended: one that has just started has seen one version only, whatever was there before.
 func TestStreamsAreNotJoinedAfterAllProcessesEnded(t *testing.T) {
-	v := &versionTest{testSystem: newTestSystem(t, 3, 4)}
-	old := v.startEngines("v1", 0, 3)
+	for _, c := range []struct {
+		name      string
+		anonymous bool
+		wiped     []int
+	}{{name: "disks kept"}, {name: "disks lost", wiped: []int{0, 1, 2}}, {name: "streams not named", anonymous: true}} {
+		t.Run(c.name, func(t *testing.T) {
+			v := &versionTest{testSystem: newTestSystem(t, 3, 4), anonymous: c.anonymous}
+			old := v.startEngines("v1", 0, 3)
+			time.Sleep(200 * time.Millisecond)
+			list := v.runBroken(20, func() {
+				for i, id := range old {
+					v.hubs[i%len(v.hubs)].Leave(id, 1)
+				}
+				v.restartHubs(c.wiped...)
+				v.startEngines("v2", 3, 3)
+				time.Sleep(100 * time.Millisecond)
+			})
+			require.Zero(t, countStreams(list, (*versionStream).joined))
+			for _, s := range list {
+				require.Equal(t, http.StatusServiceUnavailable, s.status)
+			}
+		})
+	}
+}
+
+// Guards against streams that are refused after all processes have ended although there has
+// been one version only: nobody needs to know at which they began.
+func TestStreamsOfTheOnlyVersionAreTakenUpAfterAllProcessesEnded(t *testing.T) {
+	v := &versionTest{testSystem: newTestSystem(t, 3, 4), anonymous: true}
+	v.startEngines("v1", 0, 3)
 	time.Sleep(200 * time.Millisecond)
 	list := v.runBroken(20, func() {
-		for i, id := range old {
-			v.hubs[i%len(v.hubs)].Leave(id, 1)
-		}
-		v.restartHubs()
-		v.startEngines("v2", 3, 3)
-		time.Sleep(100 * time.Millisecond)
+		v.restartHubs(0)
+		v.reportEngines(2)
 	})
-	require.Zero(t, countStreams(list, (*versionStream).joined))
-	for _, s := range list {
-		require.Equal(t, http.StatusServiceUnavailable, s.status)
-	}
+	require.Equal(t, len(list), countStreams(list, func(s *versionStream) bool { return s.complete }))
 }
 
 // Guards against streams that nobody can take up after all processes have ended, while
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -13,6 +13,7 @@
 	pb "godwitward.example/godwitward/api/godwitward/v1"
 	"godwitward.example/godwitward/internal/corestore"
 	"godwitward.example/godwitward/internal/fleet"
+	"godwitward.example/godwitward/internal/streamlog"
 	"godwitward.example/godwitward/internal/transport"
 	"godwitward.example/godwitward/policy"
 )
@@ -43,9 +44,6 @@
 	// maxPending bounds the records queued for one subscription. A subscription
 	// that falls further behind is sent the whole table.
 	maxPending = 4096
-	// maxObserved limits the time for which a hub states that it has known of all
-	// upstreams. Streams and the records of ended upstreams are kept for less.
-	maxObserved = 10 * time.Minute
 )
 
 // Store is the part of corestore.Store that the hub uses.
@@ -73,15 +71,10 @@
 	// FirstStart is set when the whole system starts for the first time, so that there
 	// were no upstreams before.
 	FirstStart bool
-	// StreamLog stores the versions of streams on the VM's disk. It may be nil.
-	StreamLog StreamLog
-	// StreamVersions are those that were stored before the daemon started.
-	StreamVersions []*pb.StreamVersion
-}
-
-// StreamLog stores the versions of streams. Append must not block.
-type StreamLog interface {
-	Append([]*pb.StreamVersion)
+	// StreamLog stores the versions of streams on the VM's disk, and Stored is what it held
+	// when the daemon started. Both may be nil.
+	StreamLog *streamlog.Log
+	Stored    *streamlog.Stored
 }
 
 // Hub distributes records and documents from one core daemon. mu guards the
@@ -114,8 +107,7 @@
 	schedules  map[processKey]*sendSchedule
 
 	streamVersions policy.StreamVersions
-	// observedSince is the time since which the table has held all upstreams.
-	observedSince time.Duration
+	versionHistory
 
 	// gossipReceived counts the messages from other hubs.
 	gossipReceived atomic.Int64
@@ -162,12 +154,7 @@
 		subscriptions: map[*subscription]struct{}{}, remoteAttachments: map[string]attachmentCount{}, outcomes: outcomeTable{}, ctx: ctx, stop: cancel,
 		evidence: promptEvidence{quarantine: policy.NewPromptQuarantine()}, statements: map[processKey]*hubStatement{}, schedules: map[processKey]*sendSchedule{},
 	}
-	if opts.FirstStart {
-		h.observedSince = -maxObserved
-	}
-	for _, m := range opts.StreamVersions {
-		h.streamVersions.Record(h.decodeStreamVersion(m), h.now())
-	}
+	h.restoreVersions()
 	server.Handle(transport.MethodFeed, h.serveFeed)
 	server.Handle(transport.MethodGossip, h.serveGossip)
 	transport.HandleUnary(server, transport.MethodSendPermit, h.serveSendPermit)
@@ -216,6 +203,7 @@
 	h.mu.Lock()
 	changed, accepted := h.table.Observe(r, h.now())
 	if accepted {
+		h.seeVersion(r.Service, r.SoftwareVersion, h.now())
 		h.enqueueUpdates(changed, false)
 		h.enqueueGossip(r, len(changed) > 0)
 	}
@@ -399,7 +387,8 @@
 			return nil
 		}
 		lastSent = time.Now()
-		u := &pb.FeedUpdate{Upstreams: h.takePending(s), Quorate: h.opts.Store.HasQuorum(), Entries: h.entryCount(), ErrorShares: h.errorShares(), Statements: h.Statements(), ObservedMs: h.observedMs()}
+		u := &pb.FeedUpdate{Upstreams: h.takePending(s), Quorate: h.opts.Store.HasQuorum(), Entries: h.entryCount(), ErrorShares: h.errorShares(), Statements: h.Statements()}
+		u.ServiceVersions, u.ObservedMs, u.ReportsMs = h.encodeHistory()
 		u.Leader, u.Term, _ = h.opts.Store.Leader()
 		d := h.opts.Store.Current()
 		u.Version, u.NewestVersion = d.Version, max(d.Version, h.announcedVersion())
@@ -453,7 +442,7 @@
 		h.mu.Lock()
 		h.remoteAttachments[transport.PeerFromContext(ctx).Vm] = attachmentCount{int(g.Attached), h.now()}
 		h.newestVersion = max(h.newestVersion, g.Version)
-		h.observedSince = min(h.observedSince, h.now()-milliseconds(g.ObservedMs))
+		h.mergeHistory(g)
 		h.mu.Unlock()
 	}
 }
@@ -471,17 +460,6 @@
 	}
 }
 
-// observedMs returns the time for which the table has held all upstreams. Without contact
-// with the leader some may be reporting to other hubs only.
-func (h *Hub) observedMs() uint32 {
-	if !h.opts.Store.HasQuorum() {
-		return 0
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return uint32(min(h.now()-h.observedSince, maxObserved).Milliseconds())
-}
-
 // announcedVersion returns the highest version that another hub has announced. This
 // daemon may be behind it although it is in contact with the leader: a member that
 // needs a snapshot receives heartbeats but no entries.
@@ -494,6 +472,7 @@
 func (h *Hub) applyGossip(r *pb.UpstreamRecord) {
 	h.mu.Lock()
 	changed, accepted := h.table.Observe(r, h.now())
+	h.seeVersion(r.Service, r.SoftwareVersion, h.now()-milliseconds(r.AgeMs))
 	h.enqueueUpdates(changed, false)
 	h.mu.Unlock()
 	h.notifyChanged(changed, r, accepted)
@@ -606,7 +585,9 @@
 		attached, evidence, statements := uint32(h.localAttachments()), h.evidenceForHub(s), h.statementsForHub(s)
 		versions := h.streamVersionsForHub(s)
 		h.mu.Unlock()
-		if err := st.Send(&pb.Gossip{Upstreams: records, Attached: attached, Version: h.opts.Store.Current().Version, Evidence: evidence, Statements: statements, StreamVersions: versions, ObservedMs: h.observedMs()}); err != nil {
+		g := &pb.Gossip{Upstreams: records, Attached: attached, Version: h.opts.Store.Current().Version, Evidence: evidence, Statements: statements, StreamVersions: versions}
+		g.ServiceVersions, g.ObservedMs, g.ReportsMs = h.encodeHistory()
+		if err := st.Send(g); err != nil {
 			return
 		}
 	}
--- a/internal/feed/stream_versions_test.go
+++ b/internal/feed/stream_versions_test.go
@@ -35,5 +35,5 @@
 	for _, store := range h.stores {
 		store.set(1, false)
 	}
-	require.Eventually(t, func() bool { return subscriber.VersionsObserved() == 0 }, 2*heartbeatTimeout, 5*time.Millisecond)
+	require.Eventually(t, func() bool { return subscriber.VersionsObserved() == 0 }, electionPeriod+2*heartbeatTimeout, 5*time.Millisecond)
 }
--- a/internal/feed/subscriber.go
+++ b/internal/feed/subscriber.go
@@ -67,6 +67,8 @@
 	// StreamVersions returns the versions of the streams that the entry has begun of late.
 	// It may be nil.
 	StreamVersions func() []*pb.StreamVersion
+	// OnServiceVersions is called with the software versions in use of late. It may be nil.
+	OnServiceVersions func([]*pb.ServiceVersion)
 	// OnStatements is called with what upstreams say about the requests that they take.
 	// It may be nil.
 	OnStatements func([]*pb.UpstreamStatement)
@@ -95,9 +97,10 @@
 	// lastContact is when the last update arrived from a hub that was in contact
 	// with the leader.
 	lastContact time.Time
-	// observedSince is the time since which records of all upstreams have been received, and
-	// completeAt when the last update arrived from a hub that knows of all that run.
-	observedSince, completeAt time.Time
+	// observedSince is the time since which all software versions in use are known,
+	// observedAt when an update last said so, and reportsAt when one last came from a hub
+	// that receives the reports of all upstreams.
+	observedSince, observedAt, reportsAt time.Time
 	// leader and term are those of the newest known leader of the core.
 	leader string
 	term   uint64
@@ -253,8 +256,9 @@
 		s.coreMembers = u.Core
 	}
 	if u.Quorate {
-		s.recordContact(time.Now(), milliseconds(u.ObservedMs))
+		s.lastContact = time.Now()
 	}
+	s.recordObservation(time.Now(), u)
 	if u.Leader != "" && u.Term >= s.term {
 		s.leader, s.term = u.Leader, u.Term
 	}
@@ -288,41 +292,58 @@
 }
 
 // maxObservationGap is the longest time without contact after which the first update still
-// lists all upstreams that a stream may have begun at: hubs keep them for 90 s after their
-// end, and streams are remembered for 60 s.
+// lists all versions that a stream may have begun at: hubs keep those of the last 60 s.
 const maxObservationGap = 30 * time.Second
 
-// recordContact records an update of a hub that is in contact with the leader and has known
-// of all upstreams for some time. The caller holds mu.
-func (s *Subscriber) recordContact(now time.Time, observed time.Duration) {
-	if now.Sub(s.lastContact) > maxObservationGap {
-		s.observedSince = now
-	}
-	if since := now.Add(-observed); since.Before(s.observedSince) {
-		s.observedSince = since
-	}
-	if observed >= reportPeriod {
-		s.completeAt = now
-	}
-	s.lastContact = now
-}
-
 // reportPeriod is the time in which every upstream reports: a report interval of 1.2 s, and
 // 1 s in which it may retry at the next hub. A hub that has started later, and has no table
 // of another one, does not know of a process that has replaced one meanwhile.
 const reportPeriod = 2200 * time.Millisecond
 
-// VersionsObserved returns the time for which the records of all upstreams have been
-// received, 0 without contact with a hub that knows of all.
+// recordObservation records for how long versions and upstreams have been observed, by an
+// update. The caller holds mu.
+func (s *Subscriber) recordObservation(now time.Time, u *pb.FeedUpdate) {
+	if u.ObservedMs > 0 {
+		if now.Sub(s.observedAt) > maxObservationGap {
+			s.observedSince = now
+		}
+		if since := now.Add(-milliseconds(u.ObservedMs)); since.Before(s.observedSince) {
+			s.observedSince = since
+		}
+		s.observedAt = now
+	}
+	if milliseconds(u.ReportsMs) >= reportPeriod {
+		s.reportsAt = now
+	}
+	if s.opts.OnServiceVersions != nil {
+		s.opts.OnServiceVersions(u.ServiceVersions)
+	}
+}
+
+// VersionsObserved returns the time for which all software versions in use are known, 0
+// without contact with a hub that knows them.
 func (s *Subscriber) VersionsObserved() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.streams) == 0 || time.Since(s.completeAt) > heartbeatTimeout {
+	if !s.updatedBy(s.observedAt) {
 		return 0
 	}
 	return time.Since(s.observedSince)
 }
 
+// ReportsArrive reports whether the reports of all upstreams arrive.
+func (s *Subscriber) ReportsArrive() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.updatedBy(s.reportsAt)
+}
+
+// updatedBy reports whether an update at a time is recent enough and its hub is still
+// attached. The caller holds mu.
+func (s *Subscriber) updatedBy(at time.Time) bool {
+	return len(s.streams) > 0 && time.Since(at) <= heartbeatTimeout
+}
+
 // behind reports whether the subscriber has lacked the newest document for
 // behindTimeout and a hub with the given version cannot send it.
 func (s *Subscriber) behind(hubVersion uint64) bool {
--- /dev/null
+++ b/internal/feed/version_history.go
@@ -0,0 +1,108 @@
+package feed
+
+import (
+	"time"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/policy"
+)
+
+// maxObserved limits the time for which a hub states that it knows all software versions.
+// Streams are remembered for less.
+const maxObserved = 10 * time.Minute
+
+// versionHistory is what a hub knows of the software versions that have been in use. The
+// hub's mu guards it.
+type versionHistory struct {
+	// byService holds the versions of each service.
+	byService map[string]*policy.VersionHistory
+	// observedSince is the time since which all versions are known, from this hub's own
+	// table, that of another hub, or its disk.
+	observedSince time.Duration
+	// reportsSince is the time since which the table has held all upstreams.
+	reportsSince time.Duration
+}
+
+// restoreVersions applies what was stored before the daemon started.
+func (h *Hub) restoreVersions() {
+	h.byService = map[string]*policy.VersionHistory{}
+	if h.opts.FirstStart {
+		h.observedSince, h.reportsSince = -maxObserved, -maxObserved
+	}
+	if h.opts.Stored != nil {
+		h.observedSince = min(h.observedSince, -h.opts.Stored.Observed)
+		h.seeVersions(h.opts.Stored.Services)
+		for _, m := range h.opts.Stored.Streams {
+			h.streamVersions.Record(h.decodeStreamVersion(m), h.now())
+		}
+	}
+	if h.opts.StreamLog != nil {
+		h.opts.StreamLog.SetHistory(func() ([]*pb.ServiceVersion, time.Duration) {
+			versions, observedMs, _ := h.encodeHistory()
+			return versions, milliseconds(observedMs)
+		})
+	}
+}
+
+// seeVersion records that a process of a version was in use. The caller holds mu.
+func (h *Hub) seeVersion(service, version string, at time.Duration) {
+	if h.byService[service] == nil {
+		h.byService[service] = &policy.VersionHistory{}
+	}
+	h.byService[service].Seen(version, at)
+}
+
+func (h *Hub) seeVersions(list []*pb.ServiceVersion) {
+	for _, v := range list {
+		h.seeVersion(v.Service, v.Version, h.now()-milliseconds(v.AgeMs))
+	}
+}
+
+// mergeHistory applies what another hub knows. The caller holds mu.
+func (h *Hub) mergeHistory(g *pb.Gossip) {
+	h.seeVersions(g.ServiceVersions)
+	h.observedSince = min(h.observedSince, h.now()-milliseconds(g.ObservedMs))
+	h.reportsSince = min(h.reportsSince, h.now()-milliseconds(g.ReportsMs))
+}
+
+// encodeHistory returns the versions in use of late, the time for which all are known, and
+// the time for which all upstreams are. Out of contact both times are 0: some upstreams may
+// report to other hubs only.
+func (h *Hub) encodeHistory() (versions []*pb.ServiceVersion, observedMs, reportsMs uint32) {
+	quorate, members := h.opts.Store.HasQuorum(), len(h.opts.Store.Members())
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.now()
+	for service, history := range h.byService {
+		for version, at := range history.Versions(now) {
+			versions = append(versions, &pb.ServiceVersion{Service: service, Version: version, AgeMs: remainingMs(now, at)})
+		}
+		if len(history.Versions(now)) == 0 {
+			delete(h.byService, service)
+		}
+	}
+	if !h.inContact(quorate, members) {
+		return versions, 0, 0
+	}
+	return versions, uint32(min(now-h.observedSince, maxObserved).Milliseconds()), uint32(min(now-h.reportsSince, maxObserved).Milliseconds())
+}
+
+// electionPeriod is the time after the start of a hub in which the core may have no leader
+// although a majority of it runs.
+const electionPeriod = 5 * time.Second
+
+// inContact reports whether the hub knows what a majority of the hubs does. One that has
+// just started needs the table of another one for that, also if it knows a leader; those of
+// a majority do without one. The caller holds mu.
+func (h *Hub) inContact(quorate bool, members int) bool {
+	heard := 0
+	for _, c := range h.remoteAttachments {
+		if h.now()-c.at < attachmentCountTTL {
+			heard++
+		}
+	}
+	if quorate {
+		return heard > 0 || members == 1
+	}
+	return h.now() < electionPeriod && heard+1 > members/2
+}
--- a/internal/forward/versions.go
+++ b/internal/forward/versions.go
@@ -15,9 +15,11 @@
 	// StreamVersion returns the version for the id of the request that brought the first
 	// event. known is false if nobody who could be asked knows it.
 	StreamVersion(ctx context.Context, id string) (version string, known bool)
-	// VersionsObserved returns the time for which the records of all upstreams have been
-	// received, up to now; 0 if they are not being received.
+	// VersionsObserved returns the time for which all software versions in use are known, up
+	// to now; 0 if they are not.
 	VersionsObserved() time.Duration
+	// ReportsArrive reports whether the reports of all upstreams arrive.
+	ReportsArrive() bool
 }
 
 // streamVersionTimeout limits the wait for the answer of a StreamVersionSource.
@@ -89,13 +91,26 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, r := range records {
-		h := l.history[r.Service]
-		if h == nil {
-			h = &policy.VersionHistory{}
-			l.history[r.Service] = h
-		}
-		h.Seen(r.SoftwareVersion, s.now())
+		l.seen(r.Service, r.SoftwareVersion, s.now())
+	}
+}
+
+// SetServiceVersions adds versions that hubs know to have been in use.
+func (s *Server) SetServiceVersions(list []*pb.ServiceVersion) {
+	l := &s.streamVersions
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, v := range list {
+		l.seen(v.Service, v.Version, s.now()-time.Duration(v.AgeMs)*time.Millisecond)
+	}
+}
+
+// seen adds a version to the history of a service. The caller holds mu.
+func (l *streamVersions) seen(service, version string, at time.Duration) {
+	if l.history[service] == nil {
+		l.history[service] = &policy.VersionHistory{}
 	}
+	l.history[service].Seen(version, at)
 }
 
 // onlyVersion returns the version of a service's upstreams if there has been no other one
@@ -140,6 +155,31 @@
 	return x.s.onlyVersion(x.service.Name)
 }
 
+const (
+	// settleTime is the time after its start in which an entry may not know yet what the
+	// hubs do, and settleInterval the time between its attempts to learn it.
+	settleTime     = 5 * time.Second
+	settleInterval = 25 * time.Millisecond
+)
+
+// awaitStreamVersion returns the version at which the stream began that the caller takes
+// up. An entry that has just started waits for contact with the hubs, as it does for its
+// first configuration.
+func (x *exchange) awaitStreamVersion() (version string, known bool) {
+	until := time.Now().Add(x.remaining() / configWaitDivisor)
+	for {
+		version, known = x.streamVersion()
+		if known || x.s.versionSource == nil || x.s.versionSource.VersionsObserved() > 0 || x.s.now() > settleTime || time.Now().After(until) {
+			return version, known
+		}
+		select {
+		case <-x.ctx.Done():
+			return "", false
+		case <-time.After(settleInterval):
+		}
+	}
+}
+
 // pinVersion finds the version at which a stream began that the caller takes up. If it
 // returns false it has refused the request: the version is not known, so the stream might
 // go on at another one, or no upstream has it.
@@ -147,7 +187,7 @@
 	if x.info.LastEventID == "" {
 		return true
 	}
-	version, known := x.streamVersion()
+	version, known := x.awaitStreamVersion()
 	if !known {
 		x.respondUnavailable("stream_version_unknown", x.retryAfter())
 		return false
@@ -189,7 +229,7 @@
 
 // outOfContact reports whether no reports of upstreams arrive.
 func (x *exchange) outOfContact() bool {
-	return x.s.versionSource == nil || x.s.versionSource.VersionsObserved() == 0
+	return x.s.versionSource == nil || !x.s.versionSource.ReportsArrive()
 }
 
 // pinVersionOf keeps the rest of a stream, whose first event a target has sent, at the
--- a/internal/streamlog/log.go
+++ b/internal/streamlog/log.go
@@ -41,6 +41,16 @@
 	Now func() time.Time
 }
 
+// Stored is what a log held when it was opened, with ages as of then.
+type Stored struct {
+	Streams []*pb.StreamVersion
+	// Services lists the software versions in use when the last batch was written, and
+	// Observed the time for which all of them are known, up to now: no stream began after
+	// the last batch.
+	Services []*pb.ServiceVersion
+	Observed time.Duration
+}
+
 // Log stores records. It is safe for concurrent use.
 type Log struct {
 	opts Options
@@ -51,6 +61,8 @@
 	mu      sync.Mutex
 	queued  []*pb.StreamVersion
 	dropped int
+	// history returns what is stored with each batch; nil if nothing is.
+	history func() ([]*pb.ServiceVersion, time.Duration)
 
 	// The fields below belong to the flushing goroutine.
 	current     wal.File
@@ -71,7 +83,7 @@
 
 // Open reads the records that have not expired, with their ages, and starts a log. Its
 // first write stores them again, so that older files can be removed.
-func Open(opts Options) (*Log, []*pb.StreamVersion, error) {
+func Open(opts Options) (*Log, *Stored, error) {
 	if opts.Now == nil {
 		opts.Now = time.Now
 	}
@@ -84,7 +96,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	l := &Log{opts: opts, wake: make(chan struct{}, 1), stop: stop, done: make(chan struct{})}
-	var records []*pb.StreamVersion
+	stored := &Stored{}
 	for _, name := range names {
 		var n uint64
 		if _, err := fmt.Sscanf(name, segmentPrefix+"%d", &n); err != nil || !strings.HasPrefix(name, segmentPrefix) {
@@ -92,37 +104,55 @@
 		}
 		l.next = max(l.next, n+1)
 		l.segments = append(l.segments, segment{name: name})
-		records = append(records, l.readSegment(name)...)
+		l.readSegment(name, stored)
 	}
-	if len(records) > 0 {
-		l.Append(records)
+	if len(stored.Streams) > 0 {
+		l.Append(stored.Streams)
 	}
 	go l.run(ctx)
-	return l, records, nil
+	return l, stored, nil
+}
+
+// SetHistory sets the function that returns the software versions in use and the time for
+// which all are known. Each batch holds them.
+func (l *Log) SetHistory(history func() ([]*pb.ServiceVersion, time.Duration)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.history = history
 }
 
-func (l *Log) readSegment(name string) []*pb.StreamVersion {
+// readSegment adds what a segment holds to stored. Segments are read oldest first.
+func (l *Log) readSegment(name string, stored *Stored) {
 	data, err := l.opts.FS.ReadFile(l.path(name))
 	if err != nil {
 		l.opts.Logger.Error().Str("event", "stream_versions.unreadable").Str("file", name).Err(err).Msg("")
-		return nil
+		return
 	}
 	batches, rest := decodeBatches(data)
 	if rest > 0 {
 		l.opts.Logger.Warn().Str("event", "stream_versions.torn").Str("file", name).Int("bytes", rest).Msg("")
 	}
 	now := l.opts.Now().UnixMilli()
-	var records []*pb.StreamVersion
 	for _, b := range batches {
+		since := max(0, now-b.WrittenMs)
 		for _, r := range b.StreamVersions {
-			age := max(0, now-b.WrittenMs) + int64(r.AgeMs)
-			if age < retention.Milliseconds() {
+			if age := since + int64(r.AgeMs); age < retention.Milliseconds() {
 				r.AgeMs = uint32(age)
-				records = append(records, r)
+				stored.Streams = append(stored.Streams, r)
+			}
+		}
+		stored.Services, stored.Observed = nil, 0
+		if b.ObservedMs == 0 {
+			continue
+		}
+		stored.Observed = time.Duration(since+int64(b.ObservedMs)) * time.Millisecond
+		for _, v := range b.ServiceVersions {
+			if age := since + int64(v.AgeMs); age < retention.Milliseconds() {
+				v.AgeMs = uint32(age)
+				stored.Services = append(stored.Services, v)
 			}
 		}
 	}
-	return records
 }
 
 // Append queues records for the next write. It does not wait.
@@ -167,7 +197,7 @@
 // go to a new file.
 func (l *Log) flush() {
 	l.mu.Lock()
-	records, dropped := l.queued, l.dropped
+	records, dropped, history := l.queued, l.dropped, l.history
 	l.queued, l.dropped = nil, 0
 	l.mu.Unlock()
 	if dropped > 0 {
@@ -176,7 +206,13 @@
 	if len(records) == 0 {
 		return
 	}
-	err := l.write(records)
+	batch := &pb.StreamVersionBatch{StreamVersions: records}
+	if history != nil {
+		var observed time.Duration
+		batch.ServiceVersions, observed = history()
+		batch.ObservedMs = uint32(observed.Milliseconds())
+	}
+	err := l.write(batch)
 	if err != nil {
 		l.closeSegment()
 	}
@@ -188,9 +224,10 @@
 	l.removeExpired()
 }
 
-func (l *Log) write(records []*pb.StreamVersion) error {
+func (l *Log) write(batch *pb.StreamVersionBatch) error {
 	now := l.opts.Now()
-	frame, err := encodeBatch(&pb.StreamVersionBatch{WrittenMs: now.UnixMilli(), StreamVersions: records})
+	batch.WrittenMs = now.UnixMilli()
+	frame, err := encodeBatch(batch)
 	if err != nil {
 		return err
 	}
--- a/internal/streamlog/log_test.go
+++ b/internal/streamlog/log_test.go
@@ -17,10 +17,10 @@
 )
 
 func open(t require.TestingT, dir string, fs wal.FS, now func() time.Time) (*Log, map[string]*pb.StreamVersion) {
-	l, records, err := Open(Options{Dir: dir, FS: fs, Logger: &log.Logger{Level: log.PanicLevel}, Now: now})
+	l, stored, err := Open(Options{Dir: dir, FS: fs, Logger: &log.Logger{Level: log.PanicLevel}, Now: now})
 	require.NoError(t, err)
 	byID := map[string]*pb.StreamVersion{}
-	for _, r := range records {
+	for _, r := range stored.Streams {
 		byID[r.Id] = r
 	}
 	return l, byID
@@ -157,3 +157,30 @@
 	require.Len(t, l.queued, maxQueued)
 	require.Equal(t, 1, l.dropped)
 }
+
+// Guards against versions in use that are forgotten with the process, and against an
+// observed time that a torn batch or an older one has.
+func TestVersionsInUseAreThoseOfTheLastBatch(t *testing.T) {
+	dir, now := t.TempDir(), time.Unix(1000, 0)
+	opts := Options{Dir: dir, FS: wal.OS{}, Logger: &log.Logger{Level: log.PanicLevel}, Now: func() time.Time { return now }}
+	l, _, err := Open(opts)
+	require.NoError(t, err)
+	l.SetHistory(func() ([]*pb.ServiceVersion, time.Duration) {
+		return []*pb.ServiceVersion{{Service: "s", Version: "v1", AgeMs: 300}}, time.Minute
+	})
+	l.Append(batch(0))
+	l.Close()
+	now = now.Add(2 * time.Second)
+	l, stored, err := Open(opts)
+	require.NoError(t, err)
+	require.Equal(t, time.Minute+2*time.Second, stored.Observed)
+	require.Len(t, stored.Services, 1)
+	require.Equal(t, uint32(2300), stored.Services[0].AgeMs)
+	l.SetHistory(func() ([]*pb.ServiceVersion, time.Duration) { return nil, 0 })
+	l.Append(batch(1))
+	l.Close()
+	l, stored, err = Open(opts)
+	require.NoError(t, err)
+	require.Zero(t, stored.Observed, "the last batch was written without contact")
+	l.Close()
+}
--- a/policy/stream_versions.go
+++ b/policy/stream_versions.go
@@ -83,12 +83,25 @@
 	seenAt map[string]time.Duration
 }
 
-// Seen records that a process of a version is or was in use.
-func (h *VersionHistory) Seen(version string, now time.Duration) {
+// Seen records that a process of a version was in use at a time.
+func (h *VersionHistory) Seen(version string, at time.Duration) {
 	if h.seenAt == nil {
 		h.seenAt = map[string]time.Duration{}
 	}
-	h.seenAt[version] = now
+	if known, ok := h.seenAt[version]; !ok || at > known {
+		h.seenAt[version] = at
+	}
+}
+
+// Versions returns the versions that have been in use for as long as a stream may last, and
+// when each was last seen.
+func (h *VersionHistory) Versions(now time.Duration) map[string]time.Duration {
+	for v, at := range h.seenAt {
+		if now-at > streamVersionTTL {
+			delete(h.seenAt, v)
+		}
+	}
+	return h.seenAt
 }
 
 // Only returns the version if no other one has been in use for as long as a stream may
@@ -98,10 +111,7 @@
 	if observed < streamVersionTTL {
 		return "", false
 	}
-	for v, at := range h.seenAt {
-		if now-at > streamVersionTTL {
-			continue
-		}
+	for v := range h.Versions(now) {
 		if ok {
 			return "", false
 		}
