tests: restarts in turn while a core daemon waits; ports that can be used again

Hubs and core members that start again listen at their port a second time. A port that the system may give to an outgoing connection can be taken meanwhile.

--- a/internal/corestore/replacement_test.go
+++ b/internal/corestore/replacement_test.go
@@ -52,6 +52,30 @@
 	require.Equal(t, "seven", string(d.Body))
 }
 
+// Guards against a group that loses votes when its daemons are stopped and started in turn
+// while another one waits to replace one of them.
+func TestRestartsInTurnWhileADaemonWaits(t *testing.T) {
+	c := newTestCluster(t, 5, 2)
+	c.waitVoters(5)
+	c.dirs[6] = t.TempDir()
+	c.start(6, false)
+	time.Sleep(time.Second)
+	for i := 1; i <= 5; i++ {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		require.NoError(t, c.stores[i].StepDown(ctx))
+		cancel()
+		c.stop(i)
+		_, err := c.put(6, uint64(i), "value")
+		require.NoError(t, err)
+		c.start(i, false)
+		time.Sleep(catchUpTime)
+	}
+	st := c.stores[c.leader()].status.Load()
+	require.Len(t, st.Membership.Voters, 5)
+	c.loseDisks(2, 4)
+	require.Eventually(t, func() bool { d, err := c.get(6); return err == nil && d.Version == 5 }, repairTimeout, 100*time.Millisecond)
+}
+
 // Guards against a leader that is gone for good and keeps its vote although another daemon
 // has joined, over a further change of the leader.
 func TestTwoDisksLostAfterTheLeaderIsReplaced(t *testing.T) {
--- a/internal/corestore/store_test.go
+++ b/internal/corestore/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"syscall"
@@ -56,13 +57,14 @@
 }
 
 // reservePort listens at a port that is free at the addresses of all members. Another
-// process may use a port that is free at one address only.
+// process may use a port that is free at one address only. Members that start again need
+// the port as well, so it is none that the system gives to outgoing connections.
 func (c *testCluster) reservePort(members int) {
 	for {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(c.t, err)
-		c.port, c.listeners[1] = l.Addr().(*net.TCPAddr).Port, l
-		for i := 2; i <= members && err == nil; i++ {
+		c.port = 20000 + rand.N(10000)
+		var err error
+		for i := 1; i <= members && err == nil; i++ {
+			var l net.Listener
 			if l, err = net.Listen("tcp", c.address(i)); err == nil {
 				c.listeners[i] = l
 			}
--- a/internal/edge/system_test.go
+++ b/internal/edge/system_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http/httptest"
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -70,8 +72,7 @@
 	require.NoError(t, err)
 	var listeners []net.Listener
 	for range hubs {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
+		l := listenAgain(t)
 		listeners = append(listeners, l)
 		s.members = append(s.members, l.Addr().String())
 	}
@@ -88,6 +89,18 @@
 	return s
 }
 
+// listenAgain listens at a port that can be used again later: none that the system gives to
+// outgoing connections.
+func listenAgain(t *testing.T) net.Listener {
+	for {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 20000+rand.N(10000)))
+		if err == nil {
+			return l
+		}
+		require.ErrorIs(t, err, syscall.EADDRINUSE)
+	}
+}
+
 // startHub starts a hub, again after its process has ended.
 func (s *testSystem) startHub(i int, l net.Listener, firstStart bool) {
 	server := transport.NewServer(transport.Options{})
