--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -8,6 +8,7 @@
 	"math"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -58,7 +59,9 @@
 // conn is one connection to an upstream. It carries one request at a time.
 type conn struct {
 	net.Conn
-	rd *bufio.Reader
+	// number tells the connections of this process apart in the log.
+	number uint64
+	rd     *bufio.Reader
 	// limit bounds what rd reads from the connection.
 	limit *byteLimit
 	// requests is the number of requests sent on the connection.
@@ -83,9 +86,12 @@
 		return nil, err
 	}
 	limit := &byteLimit{rd: c, remaining: unlimitedBytes}
-	return &conn{Conn: c, rd: bufio.NewReaderSize(limit, readBufferBytes), limit: limit}, nil
+	return &conn{Conn: c, number: connCount.Add(1), rd: bufio.NewReaderSize(limit, readBufferBytes), limit: limit}, nil
 }
 
+// connCount is the number of connections that this process has opened to upstreams.
+var connCount atomic.Uint64
+
 // byteLimit is a reader that fails after a number of bytes.
 type byteLimit struct {
 	rd        io.Reader
@@ -225,7 +231,7 @@
 			info.ConnectionClose = info.ConnectionClose || resp.Close
 			return resp, info, nil
 		}
-		if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		if resp.Close || endsWithConnection(resp) {
 			break
 		}
 		if err := c.skipBody(resp); err != nil {
@@ -235,6 +241,12 @@
 	return nil, ResponseInfo{}, errMismatched
 }
 
+// endsWithConnection reports whether the body of a response has neither a length nor
+// chunks, so that only the end of the connection ends it.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+}
+
 // skipBody reads the body of a response to another request.
 func (c *conn) skipBody(resp *http.Response) error {
 	c.limit.remaining = unlimitedBytes
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -83,7 +84,7 @@
 func (x *exchange) sendOnConn(c *conn, t *target, opts *SendOptions, firstByteTimeout time.Duration) (*upstreamResponse, error) {
 	stop := context.AfterFunc(x.ctx, func() { _ = c.Close() })
 	fail := func(err error) (*upstreamResponse, error) {
-		x.appendTrail(t, opts, "lost", nil)
+		x.appendTrail(t, opts, c, "lost", nil, "")
 		stop()
 		_ = c.Close()
 		return nil, err
@@ -107,7 +108,7 @@
 	}
 	t.recordLoad(info.Load, x.s.now())
 	x.s.recordStatement(t, opts, resp, &info, sentAt)
-	x.appendTrail(t, opts, itoa(resp.StatusCode), info.Load)
+	x.appendTrail(t, opts, c, itoa(resp.StatusCode), info.Load, responseFlags(resp, &info))
 	return &upstreamResponse{target: t, conn: c, resp: resp, info: info, stop: stop}, nil
 }
 
@@ -115,9 +116,9 @@
 const maxTrailEntries = 12
 
 // appendTrail adds an upstream request to the trail: upstream, stage, outcome, the
-// reported load as running/waiting/slots, and the milliseconds since the
-// caller's request arrived.
-func (x *exchange) appendTrail(t *target, opts *SendOptions, outcome string, load *Load) {
+// reported load as running/waiting/slots, the milliseconds since the caller's request
+// arrived, the connection with the number of requests that it has carried, and flags.
+func (x *exchange) appendTrail(t *target, opts *SendOptions, c *conn, outcome string, load *Load, flags string) {
 	if len(x.trail) >= maxTrailEntries {
 		return
 	}
@@ -129,7 +130,21 @@
 	if load != nil {
 		item += ":" + itoa(load.Running) + "/" + itoa(load.Waiting) + "/" + itoa(load.Slots)
 	}
-	x.trail = append(x.trail, item+"@"+itoa(int(time.Since(x.receivedAt).Milliseconds())))
+	item += "@" + itoa(int(time.Since(x.receivedAt).Milliseconds()))
+	x.trail = append(x.trail, item+"#"+strconv.FormatUint(c.number, 10)+"."+itoa(c.requests)+flags)
+}
+
+// responseFlags tells, for the trail, whether the upstream states that it did not run the
+// request, and whether the response ends with its connection.
+func responseFlags(resp *http.Response, info *ResponseInfo) string {
+	flags := ""
+	if info.NotRun {
+		flags += "/not-run"
+	}
+	if endsWithConnection(resp) {
+		flags += "/until-close"
+	}
+	return flags
 }
 
 func isTimeout(err error) bool {
