forward: a connection carries each request at most once

Callers saw a request that must run once run up to three times, and end with 503, which promises that it never ran: an upstream rejected it, the entry kept the connection and sent the next attempt on it, and the upstream's second copy of the rejection was taken for the answer to that attempt while it ran.

Cause: a response names the request, not the attempt, and the entry matched it by the request alone. Class: an answer matched by a name that several askers share.

A connection now knows the requests that it has carried (hashes of their ids) and is not chosen for one of them again, whichever path asks: retries after a rejection, resends on a reused connection, prefill and decode of one request at one engine, the same id sent by two callers. An answer that arrives on a connection with the id of the request can then only belong to the one attempt that was sent there.

--- a/internal/forward/charge_test.go
+++ b/internal/forward/charge_test.go
@@ -12,7 +12,7 @@
 
 // Guards against a request to an upstream on a path that does not charge it.
 func TestNothingIsSentWithoutACharge(t *testing.T) {
-	_, err := (&target{id: "i-1", address: "127.0.0.1:1"}).connect(context.Background(), charge{})
+	_, err := (&target{id: "i-1", address: "127.0.0.1:1"}).connect(context.Background(), charge{}, "a")
 	require.ErrorContains(t, err, `request to upstream "i-1" has no charge`)
 }
 
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -66,6 +66,8 @@
 	limit *byteLimit
 	// requests is the number of requests sent on the connection.
 	requests int
+	// carried holds the ids of the requests sent on the connection.
+	carried requestIDs
 	// expires is the time after which the idle connection is not reused.
 	expires time.Time
 	// writeDone receives the result of writing a long body in the background; nil
@@ -150,6 +152,8 @@
 	body   []byte
 	// hasBody distinguishes an empty body from no body.
 	hasBody bool
+	// id is the id by which a response is matched; empty for none.
+	id string
 }
 
 // writeRequest writes a request. A body longer than maxSingleWriteBytes is written in
@@ -167,6 +171,7 @@
 	b.WriteString("\r\n")
 	c.writeDone = nil
 	c.requests++
+	c.carried.add(req.id)
 	if len(req.body) <= maxSingleWriteBytes {
 		b.Write(req.body)
 		_, err := c.Write(b.Bytes())
@@ -213,7 +218,8 @@
 
 // readResponse reads the header of the response to the request with the given id.
 // Responses with another request id are skipped. One without an id is accepted
-// only for the first request of the connection.
+// only for the first request of the connection. The connection must not have carried a
+// request with the id before: the response might be that of an earlier attempt.
 func (c *conn) readResponse(p Protocol, method, id string) (*http.Response, ResponseInfo, error) {
 	req := &http.Request{Method: method}
 	c.limit.remaining = maxResponseHeadBytes
@@ -275,7 +281,7 @@
 // reusable reports whether the connection can carry another request, after
 // resp was read to its end.
 func (c *conn) reusable(resp *http.Response, info *ResponseInfo) bool {
-	return !info.ConnectionClose && !resp.Close && c.rd.Buffered() == 0 && c.fullyWritten()
+	return !info.ConnectionClose && !resp.Close && c.rd.Buffered() == 0 && c.fullyWritten() && !c.carried.full()
 }
 
 // setIdleExpiry sets the time after which the idle connection is not reused.
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -246,7 +246,7 @@
 	return &outboundRequest{
 		method: x.r.Method, uri: x.r.RequestURI, host: x.r.Host,
 		header: x.s.opts.Protocol.RequestHeader(x.r.Header, opts),
-		body:   x.body, hasBody: x.r.ContentLength != 0,
+		body:   x.body, hasBody: x.r.ContentLength != 0, id: x.info.ID,
 	}
 }
 
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -148,7 +148,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 		defer cancel()
-		c, err := t.connect(ctx, freeCharge())
+		c, err := t.connect(ctx, freeCharge(), "")
 		if err != nil {
 			// The handle expires anyway.
 			return
--- a/internal/forward/target.go
+++ b/internal/forward/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -132,10 +133,11 @@
 	return t.health.InBackoff(now)
 }
 
-// takeIdle removes and returns a working idle connection, or nil.
-func (t *target) takeIdle(now time.Time) *conn {
+// takeIdle removes and returns a working idle connection that has not carried the request
+// with the id, or nil.
+func (t *target) takeIdle(now time.Time, id string) *conn {
 	for {
-		c := t.popIdle()
+		c := t.popIdle(id)
 		if c == nil || c.alive(now) {
 			return c
 		}
@@ -143,16 +145,16 @@
 	}
 }
 
-func (t *target) popIdle() *conn {
+func (t *target) popIdle(id string) *conn {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	n := len(t.idleConns)
-	if n == 0 {
-		return nil
+	for i, c := range slices.Backward(t.idleConns) {
+		if !c.carried.contains(id) {
+			t.idleConns = slices.Delete(t.idleConns, i, i+1)
+			return c
+		}
 	}
-	c := t.idleConns[n-1]
-	t.idleConns = t.idleConns[:n-1]
-	return c
+	return nil
 }
 
 // maxIdleConns limits the idle connections to one upstream.
@@ -192,12 +194,14 @@
 }
 
 // connect returns an idle connection, or a new one if there is none, for the one request
-// that ch pays for.
-func (t *target) connect(ctx context.Context, ch charge) (*conn, error) {
+// that ch pays for. A response names the request that it belongs to, not the attempt, so
+// the connection has not carried the request with the id before; id is empty for a request
+// without one.
+func (t *target) connect(ctx context.Context, ch charge, id string) (*conn, error) {
 	if ch.payer == payerNone {
 		return nil, errors.Errorf("request to upstream %q has no charge", t.id)
 	}
-	if c := t.takeIdle(time.Now()); c != nil {
+	if c := t.takeIdle(time.Now(), id); c != nil {
 		return c, nil
 	}
 	return dial(ctx, t.address)
