forward: only a request that has not run is refused with a promise

Callers were told by 503, 429 or 408 that a request that must run once had not run, although the upstream had not said so: the entry passed on any answer with these statuses. Such a caller may send the request again, so that it runs twice through us. Contradictory answers (200 or 500 with the statement "not run") were believed, and so were statements without the id of the request.

Cause: whether a request may have run was a flag that each path set after the fact. Class: a promise derived from an assumption, not from a record. An exchange now counts an attempt as possibly run from just before its first byte leaves, until the upstream states for this request (its id echoed, status 400, 408, 429 or 503 with the statement, or 421) that it did not run. One function, refuse, gives 503 after that, and only if no attempt is left; otherwise it says 502, or 504 at the deadline. An answer with a promising status and no valid statement is never relayed.

TestRejectionAfterALostAttemptIsNoPromise guards what held before.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -56,8 +56,8 @@
 	parts   []uint64
 	whole   bool
 	onTrial bool
-	// mayHaveRun is set once an attempt may have run without a usable response.
-	mayHaveRun bool
+	// unresolved is the number of attempts that may have run, see mayHaveRun.
+	unresolved int
 	// reason is the cause of the latest failure, for the log and error responses.
 	reason string
 	// firstEventTime is the time to the first event, maxGap the longest pause
@@ -108,12 +108,12 @@
 	info, parseErr := x.s.opts.Protocol.ParseRequest(x.r.Header)
 	x.info = info
 	if x.s.refusing.Load() {
-		x.respondUnavailable("stopping", stoppingRetryAfter)
+		x.refuse("stopping", stoppingRetryAfter)
 		return false
 	}
 	x.config = x.s.waitForConfig(x.ctx, min(maxConfigWait, info.Timeout/configWaitDivisor))
 	if x.config == nil {
-		x.respondUnavailable("no_config", noConfigRetryAfter)
+		x.refuse("no_config", noConfigRetryAfter)
 		return false
 	}
 	path := x.r.URL.EscapedPath()
@@ -210,7 +210,7 @@
 	x.w.Header().Set("Connection", "close")
 	switch {
 	case errors.Is(err, errBodyMemory):
-		x.respondUnavailable("body_memory", bodyMemoryRetryAfter)
+		x.refuse("body_memory", bodyMemoryRetryAfter)
 	case errors.Is(err, errBodyTooLarge):
 		x.respondError(http.StatusRequestEntityTooLarge, "body_too_large")
 	case isTimeout(err):
@@ -250,13 +250,6 @@
 	}
 }
 
-// respondUnavailable responds with 503, which means that the request has not run,
-// and a Retry-After header.
-func (x *exchange) respondUnavailable(reason string, retryAfter time.Duration) {
-	x.w.Header().Set("Retry-After", formatSeconds(retryAfter))
-	x.respondError(http.StatusServiceUnavailable, reason)
-}
-
 // formatSeconds formats a duration as seconds with three decimals.
 func formatSeconds(d time.Duration) string {
 	return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -49,7 +49,7 @@
 			x.giveUp("limited")
 			return
 		}
-		if t == nil || x.tried[t] && !x.route.Repeatable() && x.mayHaveRun {
+		if t == nil || x.tried[t] && !x.route.Repeatable() && x.mayHaveRun() {
 			x.giveUp("no_upstream")
 			return
 		}
@@ -76,7 +76,6 @@
 				return
 			}
 		case sendOutcomeUnknown:
-			x.mayHaveRun = true
 			if x.callerGone() {
 				x.abortCancelled()
 				return
@@ -111,7 +110,7 @@
 	sendDone sendResult = iota + 1
 	// sendNotSent: no byte of the request was sent.
 	sendNotSent
-	// sendRejected: the upstream states that it did not run the request.
+	// sendRejected: the upstream states that it did not run the request, see statesNotRun.
 	sendRejected
 	// sendOutcomeUnknown: the request may have run, but there is no usable response.
 	sendOutcomeUnknown
@@ -130,7 +129,7 @@
 	if err != nil {
 		return x.handleSendError(t, err)
 	}
-	if result := x.handleNotRun(t, res); result != 0 {
+	if result := x.checkStatement(t, res); result != 0 {
 		return result
 	}
 	_ = res.conn.SetDeadline(time.Now().Add(x.remaining() + x.responseGrace()))
@@ -196,25 +195,6 @@
 	return sendOutcomeUnknown
 }
 
-// handleNotRun handles a response that states that the request did not run. It
-// returns 0 for any other response.
-func (x *exchange) handleNotRun(t *target, res *upstreamResponse) sendResult {
-	if !res.info.NotRun && res.resp.StatusCode != http.StatusMisdirectedRequest {
-		return 0
-	}
-	_ = res.conn.SetDeadline(time.Now().Add(minResponseTimeout))
-	res.close(discardBody(res.resp, maxBufferedBytes) == nil)
-	if res.resp.StatusCode == http.StatusMisdirectedRequest {
-		t.mu.Lock()
-		t.misdirected = true
-		t.mu.Unlock()
-		x.reason = "misdirected"
-		return sendRejected
-	}
-	x.reason = "upstream_full"
-	return sendRejected
-}
-
 // relay sends the upstream's response to the caller. body is the whole response
 // body or, if it is longer than maxBufferedBytes, its beginning; the rest is
 // copied as it arrives.
@@ -257,21 +237,12 @@
 	panic(http.ErrAbortHandler)
 }
 
-// giveUp sends the error response of a request for which no upstream response is
-// available: 503 if it has not run, otherwise 504 at the deadline or 502.
+// giveUp ends a request for which no upstream response is available.
 func (x *exchange) giveUp(reason string) {
 	if x.reason != "" {
 		reason += "_after_" + x.reason
 	}
-	if !x.mayHaveRun {
-		x.respondUnavailable(reason, x.capRetryAfter(max(x.permitRetryAfter, x.afterPause())))
-		return
-	}
-	if x.remaining() <= deadlineMargin {
-		x.respondError(http.StatusGatewayTimeout, reason)
-		return
-	}
-	x.respondError(http.StatusBadGateway, reason)
+	x.refuse(reason, x.capRetryAfter(max(x.permitRetryAfter, x.afterPause())))
 }
 
 // afterPause returns a time after which a paused upstream of the service takes requests
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -88,7 +88,7 @@
 		x.sends = sends
 		return nil
 	}
-	if x.handleNotRun(t, res) != 0 {
+	if x.checkStatement(t, res) != 0 {
 		ch.spend()
 		x.s.recordPrefillRejection(x.service.Name)
 		if l := res.info.Load; l != nil && l.Running+l.Waiting < l.Slots {
--- a/internal/forward/prompt_parts.go
+++ b/internal/forward/prompt_parts.go
@@ -249,11 +249,11 @@
 }
 
 func (x *exchange) refuseQuarantined(st *streamState) {
-	if x.mayHaveRun {
+	if x.mayHaveRun() {
 		x.endStream(st, x.quarantineReason())
 		return
 	}
-	x.respondUnavailable(x.quarantineReason(), x.capRetryAfter(quarantineRetryAfter))
+	x.refuse(x.quarantineReason(), x.capRetryAfter(quarantineRetryAfter))
 }
 
 func (x *exchange) quarantineReason() string {
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -15,6 +15,8 @@
 	conn   *conn
 	resp   *http.Response
 	info   ResponseInfo
+	// notRun is set if the response states that the request did not run.
+	notRun bool
 	// stop disables closing the connection when the caller disconnects. It returns
 	// false if that has happened already.
 	stop func() bool
@@ -93,6 +95,7 @@
 	sentAt := x.s.now()
 	t.countSend(sentAt)
 	_ = c.SetDeadline(time.Now().Add(firstByteTimeout))
+	x.attemptSent(opts)
 	if err := c.writeRequest(x.outboundRequest(opts)); err != nil {
 		return fail(errors.Wrap(errConnLost, err.Error()))
 	}
@@ -109,7 +112,11 @@
 	t.recordLoad(info.Load, x.s.now())
 	x.s.recordStatement(t, opts, resp, &info, sentAt)
 	x.appendTrail(t, opts, c, itoa(resp.StatusCode), info.Load, responseFlags(resp, &info))
-	return &upstreamResponse{target: t, conn: c, resp: resp, info: info, stop: stop}, nil
+	res := &upstreamResponse{target: t, conn: c, resp: resp, info: info, stop: stop, notRun: statesNotRun(resp.StatusCode, &info, x.info.ID)}
+	if res.notRun {
+		x.attemptNotRun(opts)
+	}
+	return res, nil
 }
 
 // maxTrailEntries limits the upstream requests listed in a log line.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -72,8 +72,8 @@
 			x.abortCancelled()
 			return
 		}
-		if refusal != nil && !st.headWritten && !x.mayHaveRun {
-			x.respondUnavailable("scheduler_"+refusal.Reason, x.capRetryAfter(refusal.RetryAfter))
+		if refusal != nil && !st.headWritten && !x.mayHaveRun() {
+			x.refuse("scheduler_"+refusal.Reason, x.capRetryAfter(refusal.RetryAfter))
 			return
 		}
 		if p == nil {
@@ -99,7 +99,6 @@
 			}
 		case sendOutcomeUnknown:
 			st.prompt = nil
-			x.mayHaveRun = true
 			if x.callerGone() {
 				x.abortCancelled()
 				return
@@ -216,7 +215,7 @@
 	if err != nil {
 		return x.handleSendError(t, err)
 	}
-	if result := x.handleNotRun(t, res); result != 0 {
+	if result := x.checkStatement(t, res); result != 0 {
 		p.rejectionLoad = res.info.Load
 		return result
 	}
--- a/internal/forward/versions.go
+++ b/internal/forward/versions.go
@@ -189,12 +189,12 @@
 	}
 	version, known := x.awaitStreamVersion()
 	if !known {
-		x.respondUnavailable("stream_version_unknown", x.retryAfter())
+		x.refuse("stream_version_unknown", x.retryAfter())
 		return false
 	}
 	x.version = &version
 	if !x.versionServed() {
-		x.respondUnavailable("stream_version_gone", x.capRetryAfter(streamGoneRetryAfter))
+		x.refuse("stream_version_gone", x.capRetryAfter(streamGoneRetryAfter))
 		return false
 	}
 	return true
