a response without a length is complete only if its process outlives it

Cause: a response with neither a length nor chunks ends with its connection.

Change: unframedBody, set where the head of a response is read, finds out at the end whether the process is alive: other connections to it that are still open, or a new one that is accepted and stays open. What that proves is decided in policy.ResponseEnd. If it can't be told the response is not complete, as after a reset. The new connection is kept for the next request; so is that of the crash check, which had no expiry and was never used.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -68,8 +68,14 @@
 	requests int
 	// carried holds the ids of the requests sent on the connection.
 	carried requestIDs
-	// expires is the time after which the idle connection is not reused.
+	// expires is the time after which the idle connection is not reused, and wasIdle is set
+	// once it was kept for reuse.
 	expires time.Time
+	wasIdle bool
+	// processAt is a time at which the process ran that accepted the connection.
+	processAt time.Time
+	// closed is called when the connection is closed; nil for nothing.
+	closed func(*conn)
 	// writeDone receives the result of writing a long body in the background; nil
 	// if nothing is being written.
 	writeDone chan error
@@ -87,8 +93,19 @@
 	if err != nil {
 		return nil, err
 	}
-	limit := &byteLimit{rd: c, remaining: unlimitedBytes}
-	return &conn{Conn: c, number: connCount.Add(1), rd: bufio.NewReaderSize(limit, readBufferBytes), limit: limit}, nil
+	limit, now := &byteLimit{rd: c, remaining: unlimitedBytes}, time.Now()
+	return &conn{
+		Conn: c, number: connCount.Add(1), rd: bufio.NewReaderSize(limit, readBufferBytes), limit: limit,
+		expires: now.Add(defaultIdleTimeout), processAt: now,
+	}, nil
+}
+
+// Close closes the connection.
+func (c *conn) Close() error {
+	if c.closed != nil {
+		c.closed(c)
+	}
+	return c.Conn.Close()
 }
 
 // connCount is the number of connections that this process has opened to upstreams.
--- a/internal/forward/prompt_parts.go
+++ b/internal/forward/prompt_parts.go
@@ -3,16 +3,15 @@
 import (
 	"context"
 	"encoding/binary"
-	"errors"
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/policy"
 )
 
 const (
@@ -306,10 +305,5 @@
 func (t *target) refusesConnections() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
-	c, err := dial(ctx, t.address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	t.putIdle(c)
-	return false
+	return t.tryConnection(ctx) == policy.ConnectRefused
 }
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -52,7 +52,7 @@
 			ch.giveBack()
 			return nil, &SendError{MaybeSent: maybeSent, Err: err}
 		}
-		reused := c.requests > 0
+		reused := c.wasIdle
 		res, err := x.sendOnConn(c, t, opts, firstByteTimeout)
 		if err == nil {
 			if !opts.Prefill {
@@ -115,6 +115,9 @@
 	res := &upstreamResponse{target: t, conn: c, resp: resp, info: info, stop: stop, notRun: statesNotRun(resp.StatusCode, &info, x.info.ID)}
 	if res.notRun {
 		x.attemptNotRun(opts)
+	} else if !opts.Prefill {
+		// The result of a prefill shows by itself whether it is complete.
+		x.checkEnd(res)
 	}
 	return res, nil
 }
--- a/internal/forward/target.go
+++ b/internal/forward/target.go
@@ -40,6 +40,8 @@
 	health      policy.Health
 	load        policy.EngineLoad
 	idleConns   []*conn
+	// conns holds all connections to the process that this entry has not closed.
+	conns map[*conn]struct{}
 	// globalErrorShare is the share of failed calls over all entries; it is valid
 	// until errorShareExpires, counted from the start of the server.
 	globalErrorShare  float64
@@ -165,6 +167,7 @@
 	t.mu.Lock()
 	keep := len(t.idleConns) < maxIdleConns && t.record.Phase != pb.UpstreamPhase_UPSTREAM_GONE
 	if keep {
+		c.wasIdle = true
 		t.idleConns = append(t.idleConns, c)
 	}
 	t.mu.Unlock()
@@ -204,5 +207,27 @@
 	if c := t.takeIdle(time.Now(), id); c != nil {
 		return c, nil
 	}
-	return dial(ctx, t.address)
+	return t.dial(ctx)
+}
+
+// dial opens a connection to the target.
+func (t *target) dial(ctx context.Context) (*conn, error) {
+	c, err := dial(ctx, t.address)
+	if err != nil {
+		return nil, err
+	}
+	c.closed = t.dropConn
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conns == nil {
+		t.conns = map[*conn]struct{}{}
+	}
+	t.conns[c] = struct{}{}
+	return c, nil
+}
+
+func (t *target) dropConn(c *conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.conns, c)
 }
