edge: requests in flight at the end of a stop get their final response

Cause: at the end of the grace period the process exited with requests in flight.

Change: 0.7 s before the end of the grace period, when the process exited before, the server ends its requests: one that may have run gets 502 or 504, one of which nothing was sent 503, streams that have begun break off. The process exits when these responses are written, at most 0.25 s later. Nothing is sent to an upstream for a request that has been cancelled. An upstream whose response is given up for the stop or the caller is not recorded as failing.

Evidence: internal/edge TestRequestsInFlightAreAnsweredAtTheEndOfAStop failed before (unexpected EOF instead of 502 for a request that ran), passes with -race. Tests of forward, edge, httpdrain, platform pass with -race.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -45,9 +45,10 @@
 	// balancerNoticeTime is how long the load balancer takes to detect that an
 	// entry is not ready: two checks 1 s apart, plus their response times.
 	balancerNoticeTime = 2800 * time.Millisecond
-	// shutdownMargin is how long before the end of the grace period an entry
-	// exits.
-	shutdownMargin = 700 * time.Millisecond
+	// shutdownMargin is how long before the end of the grace period the requests in
+	// flight are ended, and finalResponseTime how long their responses may take.
+	shutdownMargin    = 700 * time.Millisecond
+	finalResponseTime = 250 * time.Millisecond
 )
 
 // OpenSettings opens the settings file and checks the settings that an entry
@@ -175,11 +176,7 @@
 	s := file.Current()
 	ready := &http.Server{Handler: platform.Readiness(server.Ready), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	drainer := &httpdrain.Drainer{}
-	callers := &http.Server{Handler: drainer.Handler(server), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
-	callers.ConnState = func(c net.Conn, state http.ConnState) {
-		server.ConnState(c, state)
-		drainer.ConnState(c, state)
-	}
+	callers := callersServer(server, drainer)
 	failed := make(chan error, 2)
 	for address, srv := range map[string]*http.Server{s.ReadinessAddress: ready, s.CallerAddress: callers} {
 		l, err := net.Listen("tcp", address)
@@ -200,8 +197,20 @@
 	return drain(callers, ready, drainer, server, s.GracePeriod, logger)
 }
 
+// callersServer returns the HTTP server for callers.
+func callersServer(server *forward.Server, drainer *httpdrain.Drainer) *http.Server {
+	return &http.Server{
+		Handler: drainer.Handler(server), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: func(c net.Conn, state http.ConnState) {
+			server.ConnState(c, state)
+			drainer.ConnState(c, state)
+		},
+	}
+}
+
 // drain reports the entry as not ready, keeps serving until the load balancer has
-// detected that, and then waits for the requests in flight.
+// detected that, and then waits for the requests in flight. Those that last too long get
+// error responses before the process exits.
 func drain(callers, ready *http.Server, drainer *httpdrain.Drainer, server *forward.Server, gracePeriod time.Duration, logger *log.Logger) error {
 	began := time.Now()
 	server.Drain()
@@ -214,6 +223,13 @@
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(gracePeriod-shutdownMargin))
 	defer cancel()
 	err := drainer.Shutdown(ctx, callers)
+	if err != nil {
+		logger.Warn().Str("event", "process.ends_requests").Int64("in_flight", server.InFlight()).Msg("")
+		server.EndRequests()
+		finalCtx, cancelFinal := context.WithTimeout(context.Background(), finalResponseTime)
+		defer cancelFinal()
+		err = drainer.Shutdown(finalCtx, callers)
+	}
 	_ = ready.Close()
 	logger.Info().Str("event", "process.stopped").Int64("in_flight", server.InFlight()).
 		Int64("ms", time.Since(began).Milliseconds()).Err(err).Msg("")
--- /dev/null
+++ b/internal/edge/stop_test.go
@@ -0,0 +1,121 @@
+package edge
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/stretchr/testify/require"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/forward"
+	"godwitward.example/godwitward/internal/httpdrain"
+	"godwitward.example/godwitward/platform"
+	"godwitward.example/godwitward/platform/standin"
+)
+
+// stoppingEntry is an entry with the listener for callers of a daemon.
+type stoppingEntry struct {
+	t       *testing.T
+	server  *forward.Server
+	callers *http.Server
+	drainer httpdrain.Drainer
+	address string
+	started chan standin.Run
+}
+
+func newStoppingEntry(t *testing.T, runners ...*standin.Runner) *stoppingEntry {
+	e := &stoppingEntry{t: t, started: make(chan standin.Run, 16)}
+	e.server = forward.NewServer(forward.Options{
+		Protocol: platform.Headers{}, MaxBufferedBodyBytes: 1 << 20, Logger: &log.Logger{Level: log.PanicLevel},
+		RetryLimits: func() forward.RetryLimits {
+			return forward.RetryLimits{RetryRatio: 0.2, RetrySlack: 20, RetryWindow: 10 * time.Second, Entries: 1}
+		},
+	})
+	t.Cleanup(e.server.Stop)
+	body, err := (&standin.Config{Version: 1, PlainService: "plain", EngineService: "llm"}).Encode()
+	require.NoError(t, err)
+	config, err := platform.DecodeConfig(body)
+	require.NoError(t, err)
+	e.server.SetConfig(config)
+	for _, r := range runners {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		r.OnStart, r.OnArrival = func(run standin.Run) { e.started <- run }, func(standin.Run) {}
+		r.Start(l)
+		t.Cleanup(r.Stop)
+		record := &pb.UpstreamRecord{Id: r.ID, Service: r.Service, Address: l.Addr().String(), Phase: pb.UpstreamPhase_UPSTREAM_READY, BornMs: 1, Sequence: 1, Slots: 8}
+		if r.Stage == standin.StageDecode {
+			record.Stage, record.Models = pb.EngineStage_ENGINE_STAGE_DECODE, []string{"m"}
+		}
+		e.server.SetUpstreams([]*pb.UpstreamRecord{record})
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	e.address = l.Addr().String()
+	e.callers = callersServer(e.server, &e.drainer)
+	l = e.drainer.Listener(l)
+	go func() { _ = e.callers.Serve(l) }()
+	t.Cleanup(func() { _ = e.callers.Close() })
+	return e
+}
+
+// send sends a request, without the last byte of its body if cut is set, and returns the
+// connection.
+func (e *stoppingEntry) send(path, id string, cut bool) *bufio.Reader {
+	c, err := net.Dial("tcp", e.address)
+	require.NoError(e.t, err)
+	e.t.Cleanup(func() { _ = c.Close() })
+	req, err := standin.NewRequest(e.t.Context(), e.address, path, id, 4*time.Second)
+	require.NoError(e.t, err)
+	var b bytes.Buffer
+	require.NoError(e.t, req.Write(&b))
+	if cut {
+		b.Truncate(b.Len() - 1)
+	}
+	_, err = c.Write(b.Bytes())
+	require.NoError(e.t, err)
+	_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	return bufio.NewReader(c)
+}
+
+// Guards against a stop that ends requests in flight with a closed connection at the end of
+// the grace period: a caller may take that for a request that was not read.
+func TestRequestsInFlightAreAnsweredAtTheEndOfAStop(t *testing.T) {
+	const gracePeriod = 3 * time.Second
+	plain := &standin.Runner{ID: "i-1", Service: "plain", ServiceTime: time.Minute}
+	engine := &standin.Runner{ID: "i-2", Service: "llm", Stage: standin.StageDecode, ServiceTime: 200 * time.Millisecond, Events: 1000}
+	e := newStoppingEntry(t, plain, engine)
+	ran := e.send("/commit/x", "ran", false)
+	<-e.started
+	stream := e.send("/draft/x", "stream", false)
+	<-e.started
+	arriving := e.send("/commit/x", "arriving", true)
+	require.Eventually(t, func() bool { return e.server.InFlight() == 3 }, 2*time.Second, time.Millisecond)
+
+	began := time.Now()
+	require.NoError(t, drain(e.callers, &http.Server{}, &e.drainer, e.server, gracePeriod, &log.Logger{Level: log.PanicLevel}))
+	require.Less(t, time.Since(began), gracePeriod-shutdownMargin/2)
+	// The process exits.
+	_ = e.callers.Close()
+
+	status := func(rd *bufio.Reader) int {
+		resp, err := http.ReadResponse(rd, nil)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		require.NoError(t, err)
+		return resp.StatusCode
+	}
+	require.Equal(t, http.StatusBadGateway, status(ran), "it may have run")
+	require.Equal(t, http.StatusServiceUnavailable, status(arriving), "it has not been sent")
+	resp, err := http.ReadResponse(stream, nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	_, err = io.Copy(io.Discard, resp.Body)
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF, "the stream is not complete")
+}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -14,9 +14,10 @@
 
 // exchange is the state of one caller's request.
 type exchange struct {
-	s          *Server
-	w          http.ResponseWriter
-	r          *http.Request
+	s *Server
+	w http.ResponseWriter
+	r *http.Request
+	// ctx ends when the caller has disconnected or the server ends its requests.
 	ctx        context.Context
 	receivedAt time.Time
 	route      *Route
@@ -82,7 +83,10 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	x := &exchange{s: s, w: w, r: r, ctx: r.Context(), receivedAt: time.Now(), tried: map[*target]bool{}}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	defer context.AfterFunc(s.ended, cancel)()
+	x := &exchange{s: s, w: w, r: r, ctx: ctx, receivedAt: time.Now(), tried: map[*target]bool{}}
 	defer x.finish()
 	if !x.accept() {
 		return
@@ -198,7 +202,9 @@
 	// would take a timeout for a caller that has disconnected.
 	rc := http.NewResponseController(x.w)
 	hasDeadline := rc.SetReadDeadline(x.deadline) == nil
+	stopEnd := context.AfterFunc(x.s.ended, func() { _ = rc.SetReadDeadline(time.Now()) })
 	body, err := x.s.bodies.read(x.r.Body, x.r.ContentLength, limit)
+	stopEnd()
 	if err == nil {
 		if hasDeadline {
 			_ = rc.SetReadDeadline(time.Time{})
@@ -213,6 +219,8 @@
 		x.refuse("body_memory", bodyMemoryRetryAfter)
 	case errors.Is(err, errBodyTooLarge):
 		x.respondError(http.StatusRequestEntityTooLarge, "body_too_large")
+	case x.s.ended.Err() != nil:
+		x.refuse("stopping", stoppingRetryAfter)
 	case isTimeout(err):
 		x.respondError(http.StatusRequestTimeout, "body_too_slow")
 	default:
@@ -268,7 +276,32 @@
 }
 
 // callerGone reports whether the caller has disconnected.
-func (x *exchange) callerGone() bool { return x.ctx.Err() != nil }
+func (x *exchange) callerGone() bool { return x.r.Context().Err() != nil }
+
+// cancelled reports whether the request is to end without an upstream's response. It
+// then sets the reason.
+func (x *exchange) cancelled() bool {
+	switch {
+	case x.callerGone():
+		x.reason = "caller_left"
+	case x.s.ended.Err() != nil:
+		x.reason = "entry_stopping"
+	default:
+		return false
+	}
+	return true
+}
+
+// timeIsUp returns why no further attempt is made; empty if one may be made.
+func (x *exchange) timeIsUp() string {
+	switch {
+	case x.s.ended.Err() != nil:
+		return "cancelled"
+	case x.remaining() < deadlineMargin:
+		return "deadline"
+	}
+	return ""
+}
 
 // copyResponseHeaders copies an upstream's response headers to the caller's
 // response.
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -92,8 +92,8 @@
 			x.abortCancelled()
 			return
 		}
-		if x.remaining() < deadlineMargin {
-			x.giveUp("deadline")
+		if reason := x.timeIsUp(); reason != "" {
+			x.giveUp(reason)
 			return
 		}
 	}
@@ -136,6 +136,9 @@
 	body, err := io.ReadAll(io.LimitReader(res.resp.Body, maxBufferedBytes+1))
 	if err != nil {
 		res.close(false)
+		if x.cancelled() {
+			return sendOutcomeUnknown
+		}
 		t.recordFailure(x.s.now(), policy.FaultError)
 		x.reason = "answer_cut_off"
 		return sendOutcomeUnknown
@@ -174,8 +177,7 @@
 
 // handleSendError records a failed send and classifies it.
 func (x *exchange) handleSendError(t *target, err error) sendResult {
-	if x.callerGone() {
-		x.reason = "caller_left"
+	if x.cancelled() {
 		return sendOutcomeUnknown
 	}
 	var sendErr *SendError
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"net"
 	"strconv"
 	"sync"
@@ -58,6 +59,9 @@
 	inFlight         atomic.Int64
 	draining         atomic.Bool
 	refusing         atomic.Bool
+	// ended is cancelled when the requests in flight are to end.
+	ended       context.Context
+	endRequests context.CancelFunc
 
 	vars    *vars
 	placer  Placer
@@ -89,6 +93,7 @@
 		streamVersions:   streamVersions{history: map[string]*policy.VersionHistory{}},
 		retryBudgets:     map[string]*policy.RetryBudget{}, prefillRejectedAt: map[string]time.Duration{}, requestSizes: map[string]*policy.MeanSize{}, stop: make(chan struct{}),
 	}
+	s.ended, s.endRequests = context.WithCancel(context.Background())
 	s.vars = newVars(s)
 	s.done.Add(1)
 	go s.sweepLoop()
@@ -159,6 +164,13 @@
 // on.
 func (s *Server) Refuse() { s.refusing.Store(true) }
 
+// EndRequests ends the requests in flight: each one that has no response yet gets an error
+// response at once, and a response that has begun is cut off. What follows is refused.
+func (s *Server) EndRequests() {
+	s.Refuse()
+	s.endRequests()
+}
+
 // InFlight returns the number of requests in progress.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -115,8 +115,8 @@
 			x.abortCancelled()
 			return
 		}
-		if x.remaining() < deadlineMargin {
-			x.endStream(st, "deadline")
+		if reason := x.timeIsUp(); reason != "" {
+			x.endStream(st, reason)
 			return
 		}
 	}
@@ -154,7 +154,7 @@
 	switch {
 	case result == sendDone:
 		outcome = OutcomeCompleted
-	case x.callerGone():
+	case x.ctx.Err() != nil:
 		outcome = OutcomeCancelled
 	case result == sendRejected && x.detectLostHandle(p, st):
 		outcome = OutcomeHandleLost
@@ -341,8 +341,7 @@
 func (x *exchange) handleStreamError(t *target, res *upstreamResponse, err error) sendResult {
 	res.close(false)
 	switch {
-	case x.callerGone():
-		x.reason = "caller_left"
+	case x.cancelled():
 	case isTimeout(err):
 		x.reason = "stream_silent"
 		t.recordFailure(x.s.now(), policy.FaultTimeout)
--- a/internal/forward/target.go
+++ b/internal/forward/target.go
@@ -201,6 +201,9 @@
 	if ch.payer == payerNone {
 		return nil, errors.Errorf("request to upstream %q has no charge", t.id)
 	}
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
 	if c := t.takeIdle(time.Now(), id); c != nil {
 		return c, nil
 	}
