httpdrain: a request that crosses the close of its connection is served

Cause: bytes that arrived while a stop closed an idle connection were read from the kernel and dropped. The caller saw a connection that had been closed after the request was read, without a response, although nothing had run.

Change: a connection is closed by making the server's pending read fail. What has been read is served; what has not been read stays unread. A connection counts as closed when the server has closed it.

--- a/internal/httpdrain/drain.go
+++ b/internal/httpdrain/drain.go
@@ -25,8 +25,8 @@
 	listener *listener
 
 	mu sync.Mutex
-	// idleSince contains the connections on which no request is in progress,
-	// active counts the others.
+	// idleSince contains the connections on which no request is in progress, until the
+	// server has closed them; active counts the others.
 	idleSince map[net.Conn]time.Time
 	active    int
 }
@@ -34,8 +34,13 @@
 // ConnState must be called for every change of a connection's state, as
 // http.Server.ConnState.
 func (d *Drainer) ConnState(c net.Conn, state http.ConnState) {
-	if t, tracked := c.(*trackedConn); tracked && state == http.StateIdle {
-		t.requestEnded()
+	if t, tracked := c.(*trackedConn); tracked {
+		switch state {
+		case http.StateActive:
+			t.requestBegan()
+		case http.StateIdle:
+			t.requestEnded()
+		}
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -63,6 +68,7 @@
 
 // Listener returns l as the listener of the server. Shutdown stops it first. Only
 // connections that it has accepted are safe from being closed while a request arrives.
+// They have the methods CloseIfIdle and CloseUnlessServing.
 func (d *Drainer) Listener(l net.Listener) net.Listener {
 	d.listener = &listener{Listener: l, stopped: make(chan struct{}), closed: make(chan struct{})}
 	return d.listener
@@ -127,11 +133,11 @@
 			closing = append(closing, c)
 		}
 	}
-	empty := len(closing) == len(d.idleSince) && d.active <= 0
+	empty := len(d.idleSince) == 0 && d.active <= 0
 	d.mu.Unlock()
 	for _, c := range closing {
 		if t, tracked := c.(*trackedConn); tracked {
-			empty = t.closeIfIdle() && empty
+			t.CloseIfIdle()
 			continue
 		}
 		// The caller may have closed it at the same time.
