forward: idle limits do not close a connection on which a request arrives

Cause: connections beyond the configured header and idle times were closed unless http.Server had reported a request, which it does only when the whole header was read.

Change: idle connections are closed unless a byte of a request has arrived, new ones unless their first header is complete, see httpdrain.

Evidence: TestRequestThatArrivesAtTheIdleLimitIsServed failed before (unexpected EOF). Tests of forward, httpdrain, daemon, core pass with -race.

--- a/internal/forward/callers.go
+++ b/internal/forward/callers.go
@@ -36,12 +36,41 @@
 	}
 }
 
+// requestAware is a connection that can be closed without losing a request that arrives
+// meanwhile.
+type requestAware interface {
+	// CloseIfIdle closes the connection unless a byte of a request has arrived,
+	// CloseUnlessServing unless a whole header has. They report whether they do.
+	CloseIfIdle() bool
+	CloseUnlessServing() bool
+}
+
+// expiredConn is a connection that has waited too long for a request.
+type expiredConn struct {
+	net.Conn
+	isNew bool
+}
+
+// end closes the connection unless a request has arrived, and reports whether it does.
+func (c expiredConn) end() bool {
+	aware, ok := c.Conn.(requestAware)
+	switch {
+	case !ok:
+		// The caller may have closed the connection at the same time.
+		_ = c.Close()
+		return true
+	case c.isNew:
+		return aware.CloseUnlessServing()
+	}
+	return aware.CloseIfIdle()
+}
+
 // takeExpired removes and returns the connections that have waited longer than the
 // limits allow.
-func (l *callerConns) takeExpired(limits *Limits, now time.Time) []net.Conn {
+func (l *callerConns) takeExpired(limits *Limits, now time.Time) []expiredConn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var out []net.Conn
+	var out []expiredConn
 	for c, w := range l.conns {
 		limit := limits.IdleTimeout
 		if w.isNew {
@@ -49,7 +78,7 @@
 		}
 		if limit > 0 && now.Sub(w.since) > limit {
 			delete(l.conns, c)
-			out = append(out, c)
+			out = append(out, expiredConn{c, w.isNew})
 		}
 	}
 	return out
@@ -62,10 +91,9 @@
 	if config == nil {
 		return
 	}
-	expired := s.callerConns.takeExpired(&config.Limits, now)
-	for _, c := range expired {
-		// The caller may have closed the connection at the same time.
-		_ = c.Close()
+	for _, c := range s.callerConns.takeExpired(&config.Limits, now) {
+		if c.end() {
+			s.vars.callersClosed.Add(1)
+		}
 	}
-	s.vars.callersClosed.Add(int64(len(expired)))
 }
--- a/internal/forward/callers_test.go
+++ b/internal/forward/callers_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -10,6 +11,8 @@
 
 	"github.com/phuslu/log"
 	"github.com/stretchr/testify/require"
+
+	"godwitward.example/godwitward/internal/httpdrain"
 )
 
 // Guards against callers that occupy file descriptors for longer than the
@@ -79,3 +82,51 @@
 	require.ErrorIs(t, err, io.EOF)
 	require.EqualValues(t, 1, s.vars.callersClosed.Value())
 }
+
+// Guards against an idle connection that is closed for its limit while a request arrives:
+// the request was passed on and its response could not be sent.
+func TestRequestThatArrivesAtTheIdleLimitIsServed(t *testing.T) {
+	s := NewServer(Options{Logger: &log.Logger{Level: log.PanicLevel}, RetryLimits: func() RetryLimits { return RetryLimits{} }})
+	t.Cleanup(s.Stop)
+	s.SetConfig(&Config{Version: 1, Limits: Limits{HeaderTimeout: time.Minute, IdleTimeout: time.Minute}})
+	var d httpdrain.Drainer
+	srv := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }))
+	srv.Listener = d.Listener(srv.Listener)
+	srv.Config.ConnState = func(c net.Conn, state http.ConnState) {
+		s.ConnState(c, state)
+		d.ConnState(c, state)
+	}
+	srv.Start()
+	t.Cleanup(srv.Close)
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", srv.Listener.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+		return c
+	}
+	send := func(c net.Conn, text string) {
+		_, err := io.WriteString(c, text)
+		require.NoError(t, err)
+	}
+	receive := func(c net.Conn) error {
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err == nil {
+			_, err = io.Copy(io.Discard, resp.Body)
+		}
+		return err
+	}
+	kept, idle, silent := dial(), dial(), dial()
+	for _, c := range []net.Conn{kept, idle} {
+		send(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		require.NoError(t, receive(c))
+	}
+	send(kept, "GET / HTTP/1.1\r\n")
+	send(silent, "GET / HTTP/1.1\r\n")
+	time.Sleep(50 * time.Millisecond)
+	s.closeExpiredCallers(time.Now().Add(time.Hour))
+	require.Error(t, receive(idle))
+	require.Error(t, receive(silent), "its first header is late")
+	send(kept, "Host: a\r\n\r\n")
+	require.NoError(t, receive(kept))
+}
