forward: a caller that has closed its sending side gets a response

Cause: the end of a caller's sending side cancels its request, since a caller that has left sends the same. Its connection was closed without a response, although the request had been read and passed on, which a caller that still reads may take for a request that was not read.

A response that has begun is cut off as before.

--- a/internal/forward/doc.go
+++ b/internal/forward/doc.go
@@ -15,5 +15,7 @@
 //     request. If relaying has begun and the response cannot be completed, the
 //     caller's connection is closed, so that the caller cannot take a partial
 //     response for a complete one.
-//   - When the caller disconnects, all its upstream requests are cancelled.
+//   - When the caller disconnects, all its upstream requests are cancelled. One that
+//     has closed only its sending side cannot be told from it, and gets an error
+//     response.
 package forward
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -233,10 +233,20 @@
 	panic(http.ErrAbortHandler)
 }
 
-// abortCancelled ends a request whose caller has disconnected.
+// abortCancelled ends a request whose caller has disconnected. A caller that has closed
+// only its sending side looks the same, and still learns that there is no response.
 func (x *exchange) abortCancelled() {
+	begun := x.status != 0
+	if !begun {
+		x.w.Header().Set("Connection", "close")
+		x.refuse("caller_left", x.retryAfter())
+		// Few callers are there to see it.
+		x.status = 0
+	}
 	x.outcome, x.reason = "cancelled", "caller_left"
-	panic(http.ErrAbortHandler)
+	if begun {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // giveUp ends a request for which no upstream response is available.
