forward: a cut off response of an HTTP/1.0 caller ends with a reset

Cause: a response to an HTTP/1.0 caller that has no length ends with its connection. One that was cut off was closed in the same way and looked complete.

Change: the connection of an HTTP/1.0 caller is reset if its response is cut off, also at the end of a stop. The end of a killed process cannot be marked so.

--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -65,9 +66,8 @@
 	return e
 }
 
-// send sends a request, without the last byte of its body if cut is set, and returns the
-// connection.
-func (e *stoppingEntry) send(path, id string, cut bool) *bufio.Reader {
+// send sends a request as edited and returns the connection.
+func (e *stoppingEntry) send(path, id string, edit func([]byte) []byte) *bufio.Reader {
 	c, err := net.Dial("tcp", e.address)
 	require.NoError(e.t, err)
 	e.t.Cleanup(func() { _ = c.Close() })
@@ -75,15 +75,14 @@
 	require.NoError(e.t, err)
 	var b bytes.Buffer
 	require.NoError(e.t, req.Write(&b))
-	if cut {
-		b.Truncate(b.Len() - 1)
-	}
-	_, err = c.Write(b.Bytes())
+	_, err = c.Write(edit(b.Bytes()))
 	require.NoError(e.t, err)
 	_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
 	return bufio.NewReader(c)
 }
 
+func unchanged(b []byte) []byte { return b }
+
 // Guards against a stop that ends requests in flight with a closed connection at the end of
 // the grace period: a caller may take that for a request that was not read.
 func TestRequestsInFlightAreAnsweredAtTheEndOfAStop(t *testing.T) {
@@ -91,12 +90,14 @@
 	plain := &standin.Runner{ID: "i-1", Service: "plain", ServiceTime: time.Minute}
 	engine := &standin.Runner{ID: "i-2", Service: "llm", Stage: standin.StageDecode, ServiceTime: 200 * time.Millisecond, Events: 1000}
 	e := newStoppingEntry(t, plain, engine)
-	ran := e.send("/commit/x", "ran", false)
+	ran := e.send("/commit/x", "ran", unchanged)
+	<-e.started
+	stream := e.send("/draft/x", "stream", unchanged)
 	<-e.started
-	stream := e.send("/draft/x", "stream", false)
+	oldStream := e.send("/draft/x", "old", func(b []byte) []byte { return bytes.Replace(b, []byte("HTTP/1.1"), []byte("HTTP/1.0"), 1) })
 	<-e.started
-	arriving := e.send("/commit/x", "arriving", true)
-	require.Eventually(t, func() bool { return e.server.InFlight() == 3 }, 2*time.Second, time.Millisecond)
+	arriving := e.send("/commit/x", "arriving", func(b []byte) []byte { return b[:len(b)-1] })
+	require.Eventually(t, func() bool { return e.server.InFlight() == 4 }, 2*time.Second, time.Millisecond)
 
 	began := time.Now()
 	require.NoError(t, drain(e.callers, &http.Server{}, &e.drainer, e.server, gracePeriod, &log.Logger{Level: log.PanicLevel}))
@@ -118,4 +119,6 @@
 	require.Equal(t, http.StatusOK, resp.StatusCode)
 	_, err = io.Copy(io.Discard, resp.Body)
 	require.ErrorIs(t, err, io.ErrUnexpectedEOF, "the stream is not complete")
+	_, err = io.ReadAll(oldStream)
+	require.ErrorIs(t, err, syscall.ECONNRESET, "a closed connection would end it as complete")
 }
--- a/internal/forward/callers.go
+++ b/internal/forward/callers.go
@@ -65,6 +65,19 @@
 	return aware.CloseIfIdle()
 }
 
+// resetCaller resets the connection of an HTTP/1.0 caller, for which a closed one marks the
+// end of a complete response.
+func (x *exchange) resetCaller() {
+	c, _, err := http.NewResponseController(x.w).Hijack()
+	if err != nil {
+		return
+	}
+	if l, ok := c.(interface{ SetLinger(sec int) error }); ok {
+		_ = l.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // takeExpired removes and returns the connections that have waited longer than the
 // limits allow.
 func (l *callerConns) takeExpired(limits *Limits, now time.Time) []expiredConn {
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -230,6 +230,9 @@
 // response is incomplete.
 func (x *exchange) abort(reason string) {
 	x.outcome, x.reason = "cut_off", reason
+	if !x.r.ProtoAtLeast(1, 1) {
+		x.resetCaller()
+	}
 	panic(http.ErrAbortHandler)
 }
 
--- a/internal/httpdrain/conn.go
+++ b/internal/httpdrain/conn.go
@@ -64,6 +64,14 @@
 	_ = c.Conn.SetReadDeadline(c.readDeadline)
 }
 
+// SetLinger is that of net.TCPConn; it does nothing on another connection.
+func (c *trackedConn) SetLinger(sec int) error {
+	if l, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		return l.SetLinger(sec)
+	}
+	return nil
+}
+
 // Read implements net.Conn.
 func (c *trackedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
