edge: requests that arrive as a stop ends are refused, not dropped

Cause: when the time of a stop had ended, http.Server was shut down before the last responses were written. From then on it dropped requests whose header was complete, and closed their connections without a response.

Change: the requests in flight are ended by a timer while the drain goes on; the server is shut down only when no connection is left, or with the process. A request that arrives meanwhile gets 503.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -220,16 +220,15 @@
 	stop()
 	// A request that came from now on might not end in time.
 	server.Refuse()
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(gracePeriod-shutdownMargin))
-	defer cancel()
-	err := drainer.Shutdown(ctx, callers)
-	if err != nil {
+	end := began.Add(gracePeriod - shutdownMargin)
+	timer := time.AfterFunc(time.Until(end), func() {
 		logger.Warn().Str("event", "process.ends_requests").Int64("in_flight", server.InFlight()).Msg("")
 		server.EndRequests()
-		finalCtx, cancelFinal := context.WithTimeout(context.Background(), finalResponseTime)
-		defer cancelFinal()
-		err = drainer.Shutdown(finalCtx, callers)
-	}
+	})
+	defer timer.Stop()
+	ctx, cancel := context.WithDeadline(context.Background(), end.Add(finalResponseTime))
+	defer cancel()
+	err := drainer.Shutdown(ctx, callers)
 	_ = ready.Close()
 	logger.Info().Str("event", "process.stopped").Int64("in_flight", server.InFlight()).
 		Int64("ms", time.Since(began).Milliseconds()).Err(err).Msg("")
--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -66,19 +66,28 @@
 	return e
 }
 
-// send sends a request as edited and returns the connection.
-func (e *stoppingEntry) send(path, id string, edit func([]byte) []byte) *bufio.Reader {
+func (e *stoppingEntry) dial() (net.Conn, *bufio.Reader) {
 	c, err := net.Dial("tcp", e.address)
 	require.NoError(e.t, err)
 	e.t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	return c, bufio.NewReader(c)
+}
+
+// send sends a request as edited on a new connection.
+func (e *stoppingEntry) send(path, id string, edit func([]byte) []byte) *bufio.Reader {
+	c, rd := e.dial()
+	e.write(c, path, id, edit)
+	return rd
+}
+
+func (e *stoppingEntry) write(c net.Conn, path, id string, edit func([]byte) []byte) {
 	req, err := standin.NewRequest(e.t.Context(), e.address, path, id, 4*time.Second)
 	require.NoError(e.t, err)
 	var b bytes.Buffer
 	require.NoError(e.t, req.Write(&b))
 	_, err = c.Write(edit(b.Bytes()))
 	require.NoError(e.t, err)
-	_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
-	return bufio.NewReader(c)
 }
 
 func unchanged(b []byte) []byte { return b }
@@ -97,14 +106,19 @@
 	oldStream := e.send("/draft/x", "old", func(b []byte) []byte { return bytes.Replace(b, []byte("HTTP/1.1"), []byte("HTTP/1.0"), 1) })
 	<-e.started
 	arriving := e.send("/commit/x", "arriving", func(b []byte) []byte { return b[:len(b)-1] })
+	var rest []byte
+	c, lateHeader := e.dial()
+	e.write(c, "/commit/x", "late", func(b []byte) []byte {
+		rest = b[20:]
+		return b[:20]
+	})
 	require.Eventually(t, func() bool { return e.server.InFlight() == 4 }, 2*time.Second, time.Millisecond)
 
 	began := time.Now()
-	require.NoError(t, drain(e.callers, &http.Server{}, &e.drainer, e.server, gracePeriod, &log.Logger{Level: log.PanicLevel}))
-	require.Less(t, time.Since(began), gracePeriod-shutdownMargin/2)
-	// The process exits.
-	_ = e.callers.Close()
-
+	stopped := make(chan error, 1)
+	go func() {
+		stopped <- drain(e.callers, &http.Server{}, &e.drainer, e.server, gracePeriod, &log.Logger{Level: log.PanicLevel})
+	}()
 	status := func(rd *bufio.Reader) int {
 		resp, err := http.ReadResponse(rd, nil)
 		require.NoError(t, err)
@@ -113,6 +127,13 @@
 		return resp.StatusCode
 	}
 	require.Equal(t, http.StatusBadGateway, status(ran), "it may have run")
+	_, err := c.Write(rest)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, status(lateHeader), "it has arrived since")
+	require.NoError(t, <-stopped)
+	require.Less(t, time.Since(began), gracePeriod-shutdownMargin/2)
+	// The process exits.
+	_ = e.callers.Close()
 	require.Equal(t, http.StatusServiceUnavailable, status(arriving), "it has not been sent")
 	resp, err := http.ReadResponse(stream, nil)
 	require.NoError(t, err)
