forward: a panic of the entry does not end a request without a response

Cause: net/http closes the connection of a request whose handler panics. The caller saw no response to a request that had been passed on.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"time"
@@ -88,6 +89,7 @@
 	defer context.AfterFunc(s.ended, cancel)()
 	x := &exchange{s: s, w: w, r: r, ctx: ctx, receivedAt: time.Now(), tried: map[*target]bool{}}
 	defer x.finish()
+	defer x.recoverPanic()
 	if !x.accept() {
 		return
 	}
@@ -102,6 +104,24 @@
 	x.serve()
 }
 
+// recoverPanic answers the caller after a fault of the entry, and logs it. It must be
+// deferred.
+func (x *exchange) recoverPanic() {
+	v := recover()
+	switch {
+	case v == nil:
+		return
+	case v == http.ErrAbortHandler:
+		panic(v)
+	}
+	x.s.opts.Logger.Error().Str("event", "request.panicked").Str("id", x.info.ID).Interface("panic", v).Bytes("stack", debug.Stack()).Msg("")
+	if x.status != 0 {
+		x.abort("internal_error")
+	}
+	x.w.Header().Set("Connection", "close")
+	x.refuse("internal_error", x.retryAfter())
+}
+
 // writeGrace is how long after a request's deadline its response may still be
 // written. A response that is ready is delivered even if it is late.
 const writeGrace = time.Second
