--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"time"
@@ -14,9 +15,10 @@
 
 // exchange is the state of one caller's request.
 type exchange struct {
-	s          *Server
-	w          http.ResponseWriter
-	r          *http.Request
+	s *Server
+	w http.ResponseWriter
+	r *http.Request
+	// ctx ends when the caller has disconnected or the server ends its requests.
 	ctx        context.Context
 	receivedAt time.Time
 	route      *Route
@@ -82,8 +84,12 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	x := &exchange{s: s, w: w, r: r, ctx: r.Context(), receivedAt: time.Now(), tried: map[*target]bool{}}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	defer context.AfterFunc(s.ended, cancel)()
+	x := &exchange{s: s, w: w, r: r, ctx: ctx, receivedAt: time.Now(), tried: map[*target]bool{}}
 	defer x.finish()
+	defer x.recoverPanic()
 	if !x.accept() {
 		return
 	}
@@ -98,6 +104,24 @@
 	x.serve()
 }
 
+// recoverPanic answers the caller after a fault of the entry, and logs it. It must be
+// deferred.
+func (x *exchange) recoverPanic() {
+	v := recover()
+	switch {
+	case v == nil:
+		return
+	case v == http.ErrAbortHandler:
+		panic(v)
+	}
+	x.s.opts.Logger.Error().Str("event", "request.panicked").Str("id", x.info.ID).Interface("panic", v).Bytes("stack", debug.Stack()).Msg("")
+	if x.status != 0 {
+		x.abort("internal_error")
+	}
+	x.w.Header().Set("Connection", "close")
+	x.refuse("internal_error", x.retryAfter())
+}
+
 // writeGrace is how long after a request's deadline its response may still be
 // written. A response that is ready is delivered even if it is late.
 const writeGrace = time.Second
@@ -198,7 +222,9 @@
 	// would take a timeout for a caller that has disconnected.
 	rc := http.NewResponseController(x.w)
 	hasDeadline := rc.SetReadDeadline(x.deadline) == nil
+	stopEnd := context.AfterFunc(x.s.ended, func() { _ = rc.SetReadDeadline(time.Now()) })
 	body, err := x.s.bodies.read(x.r.Body, x.r.ContentLength, limit)
+	stopEnd()
 	if err == nil {
 		if hasDeadline {
 			_ = rc.SetReadDeadline(time.Time{})
@@ -213,6 +239,8 @@
 		x.refuse("body_memory", bodyMemoryRetryAfter)
 	case errors.Is(err, errBodyTooLarge):
 		x.respondError(http.StatusRequestEntityTooLarge, "body_too_large")
+	case x.s.ended.Err() != nil:
+		x.refuse("stopping", stoppingRetryAfter)
 	case isTimeout(err):
 		x.respondError(http.StatusRequestTimeout, "body_too_slow")
 	default:
@@ -268,7 +296,32 @@
 }
 
 // callerGone reports whether the caller has disconnected.
-func (x *exchange) callerGone() bool { return x.ctx.Err() != nil }
+func (x *exchange) callerGone() bool { return x.r.Context().Err() != nil }
+
+// cancelled reports whether the request is to end without an upstream's response. It
+// then sets the reason.
+func (x *exchange) cancelled() bool {
+	switch {
+	case x.callerGone():
+		x.reason = "caller_left"
+	case x.s.ended.Err() != nil:
+		x.reason = "entry_stopping"
+	default:
+		return false
+	}
+	return true
+}
+
+// timeIsUp returns why no further attempt is made; empty if one may be made.
+func (x *exchange) timeIsUp() string {
+	switch {
+	case x.s.ended.Err() != nil:
+		return "cancelled"
+	case x.remaining() < deadlineMargin:
+		return "deadline"
+	}
+	return ""
+}
 
 // copyResponseHeaders copies an upstream's response headers to the caller's
 // response.
