upstream: a response belongs to the call whose id it carries

Cause: net/http matches the responses on a kept connection to calls by their order. An engine that sent an answer once more, after the next call had been written, gave that call the answer of another request: a caller got the KV cache, and so the output, of another caller's request. The same holds for second or late answers of prefill, import, decode, cancel and orders.

Change: every engine call carries Router-Call-Id, which engines repeat. A response with another id is discarded with its connection and the outcome is unknown. Engines that don't repeat it get one call on each connection.

--- a/internal/daemon/engines.go
+++ b/internal/daemon/engines.go
@@ -4,15 +4,20 @@
 	"net"
 	"net/http"
 	"time"
+
+	"godwitward.example/godwitward/internal/upstream"
 )
 
 // newEngineClient returns the HTTP client for engines. It has no total timeout,
 // because a decode stream may be long; progress deadlines bound it instead.
 func newEngineClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	keepAlive := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: engineDialTimeout}).DialContext,
 		MaxIdleConnsPerHost: maxIdleConnsPerEngine,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
-	}}
+	}
+	singleUse := keepAlive.Clone()
+	singleUse.DisableKeepAlives = true
+	return &http.Client{Transport: upstream.NewTransport(keepAlive, singleUse)}
 }
--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -210,11 +210,22 @@
 
 func (h *host) router(current incarnation) http.Handler {
 	r := chi.NewRouter()
+	r.Use(echoCallID)
 	r.Post("/fault", h.serveFault)
 	current.register(r)
 	return r
 }
 
+// echoCallID repeats the id of the call in the response.
+func echoCallID(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if id := r.Header.Get(upstream.HeaderCallID); id != "" {
+			w.Header().Set(upstream.HeaderCallID, id)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 func (h *host) serveFault(w http.ResponseWriter, r *http.Request) {
 	var f Fault
 	if !readJSON(w, r, &f) {
