entry: a plain answer belongs to the call whose id it carries

Cause: on a kept connection to a plain service, a second copy of an earlier answer was taken for that to the next call. A rejection made the entry tell another caller "ran":"no" for a call that ran; other answers reached the wrong caller.

Change: plain calls carry Router-Call-Id too, which services may repeat. A service that doesn't gets a connection for each call. Calls that must run once still have their own connection, and check the id when it is there. TestKeyedCallIsNotRetriedOnReusedConnection repeats the id, because its connection would not be kept otherwise; it still fails without singleUse.

Evidence: TestSecondPlainAnswerIsNotTheAnswerToTheNextCall failed before in both variants ("ran":"no" for a call that had reached the service).

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -38,7 +38,7 @@
 // forwarder sends calls to plain upstreams.
 type forwarder struct {
 	picker *picker
-	// keepAlive reuses connections.
+	// keepAlive reuses connections to upstreams that repeat the id of each call.
 	keepAlive http.RoundTripper
 	// singleUse opens a connection for each call. net/http retries a request with
 	// an Idempotency-Key when a reused connection breaks, although the upstream
@@ -49,8 +49,12 @@
 func newForwarder(o *Options) *forwarder {
 	f := &forwarder{picker: newPicker(), keepAlive: o.Transport, singleUse: o.Transport}
 	if o.Transport == nil {
-		f.keepAlive = newTransport(o, false)
-		f.singleUse = newTransport(o, true)
+		// "Connection: close" would change how some upstreams answer.
+		notKept := newTransport(o, false)
+		notKept.MaxIdleConnsPerHost = -1
+		f.keepAlive = upstream.NewTransport(newTransport(o, false), notKept)
+		singleUse := newTransport(o, true)
+		f.singleUse = upstream.NewTransport(singleUse, singleUse)
 	}
 	return f
 }
@@ -144,11 +148,12 @@
 }
 
 // copyResponseHeader copies an upstream's response headers, except hop-by-hop
-// headers and the request ID, which the entry sets itself.
+// headers, the id of the call and the request ID, which the entry sets itself.
 func copyResponseHeader(dst, src http.Header) {
 	src = src.Clone()
 	removeHopByHop(src)
 	src.Del(headerRequestID)
+	src.Del(upstream.HeaderCallID)
 	for name, values := range src {
 		dst[name] = values
 	}
--- a/internal/entry/plain_test.go
+++ b/internal/entry/plain_test.go
@@ -161,6 +161,8 @@
 func TestKeyedCallIsNotRetriedOnReusedConnection(t *testing.T) {
 	var runs atomic.Int32
 	f := plainFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		// Keeps the connection.
+		w.Header().Set("Router-Call-Id", r.Header.Get("Router-Call-Id"))
 		if r.Method == "POST" {
 			crashHandler(&runs)(w, r)
 		}
