--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -23,6 +24,7 @@
 	maxUpstreamHeaderBytes  = 1 << 20
 	headerIdempotency       = "Idempotency-Key"
 	headerReplayed          = "Idempotency-Replayed"
+	headerXIdempotency      = "X-Idempotency-Key"
 	headerRequestID         = "X-Request-Id"
 	headerForwardedFor      = "X-Forwarded-For"
 	copyBufferBytes         = 32 << 10
@@ -99,6 +101,13 @@
 	return nil, &upstream.Error{Kind: upstream.KindOutcomeUnknown, Err: errors.Wrap(err, "waiting for the upstream's answer")}
 }
 
+// clientMayResend reports whether net/http would send a call again by itself after a
+// reused connection broke, although its method is not idempotent.
+func clientMayResend(r *http.Request) bool {
+	_, keyed := r.Header[headerXIdempotency]
+	return keyed && !slices.Contains(idempotentMethods, r.Method)
+}
+
 // reportsNotRun reports whether the upstream states that it did not run the call.
 func reportsNotRun(resp *http.Response) bool {
 	rejected := resp.StatusCode == http.StatusTooManyRequests || resp.StatusCode == http.StatusServiceUnavailable
--- a/internal/entry/second_answer_test.go
+++ b/internal/entry/second_answer_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -87,3 +88,26 @@
 		})
 	}
 }
+
+// Guards against net/http running a call again by itself when a kept connection breaks,
+// because the caller sent a header that net/http takes for an idempotency key.
+func TestCallWithForeignKeyHeaderIsNotResentByTheClient(t *testing.T) {
+	var runs atomic.Int32
+	f := plainFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Router-Call-Id", r.Header.Get("Router-Call-Id"))
+		if r.Method == "POST" {
+			crashHandler(&runs)(w, r)
+		}
+	})
+	for range 3 {
+		f.do(t, "GET", "/orders/stock", "", "")
+	}
+	r, err := http.NewRequest("POST", f.url+"/orders/x", strings.NewReader("b"))
+	require.NoError(t, err)
+	r.Header.Set("X-Idempotency-Key", "k")
+	resp, err := http.DefaultClient.Do(r)
+	require.NoError(t, err)
+	resp.Body.Close()
+	require.Equal(t, 502, resp.StatusCode)
+	require.EqualValues(t, 1, runs.Load())
+}
