daemon: engine calls follow no redirects

Cause: the engine client followed redirects. A prefill ran at a host that no hold names and no cancel reaches; after a 302 the answer to a GET there was taken for the prefill's result.

Change: a redirect ends the call like any other unexpected status.

Evidence: TestEngineCallsFollowNoRedirect failed before: the call succeeded with the other host's handle.

--- a/internal/daemon/engines.go
+++ b/internal/daemon/engines.go
@@ -19,5 +19,9 @@
 	}
 	singleUse := keepAlive.Clone()
 	singleUse.DisableKeepAlives = true
-	return &http.Client{Transport: upstream.NewTransport(keepAlive, singleUse)}
+	return &http.Client{
+		Transport: upstream.NewTransport(keepAlive, singleUse),
+		// Another host would not be cancelled at, and a GET would replace the call.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
 }
--- a/internal/daemon/second_answer_test.go
+++ b/internal/daemon/second_answer_test.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -35,6 +37,24 @@
 	}
 }
 
+// Guards against a prefill that runs at a host that no hold names, where no cancel reaches
+// it, and against the answer of that host.
+func TestEngineCallsFollowNoRedirect(t *testing.T) {
+	var runs atomic.Int32
+	other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		_, _ = w.Write([]byte(`{"handle":"other"}`))
+	}))
+	defer other.Close()
+	for _, status := range []int{http.StatusFound, http.StatusTemporaryRedirect} {
+		engine := httptest.NewServer(http.RedirectHandler(other.URL, status))
+		defer engine.Close()
+		_, err := upstream.NewHTTPEngine(engine.URL, newEngineClient()).Prefill(context.Background(), &upstream.PrefillRequest{RequestID: "r", Attempt: 1})
+		require.Equal(t, upstream.KindFailed, upstream.KindOf(err), "status %d: %v", status, err)
+	}
+	require.Zero(t, runs.Load())
+}
+
 // startRepeatingEngine starts an engine that sends each answer once more when the next
 // request has arrived on the connection. The handle of a prefill is its request id.
 func startRepeatingEngine(t *testing.T, echo bool) string {
--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -67,8 +67,8 @@
 }
 
 // NewHTTPEngine returns the engine at baseURL, for example
-// "http://10.0.0.7:8000". The client must not follow redirects to other hosts, and
-// its total timeout must not be shorter than a decode.
+// "http://10.0.0.7:8000". The client must not follow redirects, and its total timeout
+// must not be shorter than a decode.
 func NewHTTPEngine(baseURL string, client *http.Client, opts ...HTTPOption) Engine {
 	e := &httpEngine{
 		baseURL:      strings.TrimRight(baseURL, "/"),
