entry: an upstream's rejection counts only with its statement

Cause: 503, 429, 408 and 421 of a plain service were passed on to callers of calls that must run once, and recorded in the ledger for ever, although the service had not stated that the call did not run. 200 or 500 with Run-State: not-run were passed on with the header.

Change: checkStatement decides. A call that must run once ends as outcome_unknown after a rejection without the statement, and every call after a statement that the status contradicts. Run-State is not passed on.

Evidence: TestUnstatedRejectionIsNotPassedOn failed before (503 passed on).

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -74,9 +74,9 @@
 }
 
 // send sends a call to the upstream at baseURL and returns the response once its
-// header has arrived. singleUse selects a new connection. Errors are of type
+// header has arrived. With runOnce the call must run at most once. Errors are of type
 // *upstream.Error.
-func (f *forwarder) send(ctx context.Context, baseURL string, r *http.Request, body []byte, requestID string, singleUse bool) (*http.Response, error) {
+func (f *forwarder) send(ctx context.Context, baseURL string, r *http.Request, body []byte, requestID string, runOnce bool) (*http.Response, error) {
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
 	out, err := newUpstreamRequest(ctx, baseURL, r, body, requestID)
@@ -84,15 +84,15 @@
 		return nil, &upstream.Error{Kind: upstream.KindNotSent, Err: err}
 	}
 	transport := f.keepAlive
-	if singleUse {
+	if runOnce || clientMayResend(r) {
 		transport = f.singleUse
 	}
 	resp, err := transport.RoundTrip(out)
-	if err == nil && reportsNotRun(resp) {
-		_ = resp.Body.Close()
-		return nil, &upstream.Error{Kind: upstream.KindNotRun, Status: resp.StatusCode, Err: errors.New("the upstream refused the call: " + resp.Status)}
-	}
 	if err == nil {
+		if err = checkStatement(resp, runOnce); err != nil {
+			_ = resp.Body.Close()
+			return nil, err
+		}
 		return resp, nil
 	}
 	if !connected.Load() {
@@ -108,12 +108,6 @@
 	return keyed && !slices.Contains(idempotentMethods, r.Method)
 }
 
-// reportsNotRun reports whether the upstream states that it did not run the call.
-func reportsNotRun(resp *http.Response) bool {
-	rejected := resp.StatusCode == http.StatusTooManyRequests || resp.StatusCode == http.StatusServiceUnavailable
-	return rejected && resp.Header.Get(upstream.HeaderRunState) == upstream.RunStateNotRun
-}
-
 // newUpstreamRequest returns the caller's request r as it is sent to the upstream.
 func newUpstreamRequest(ctx context.Context, baseURL string, r *http.Request, body []byte, requestID string) (*http.Request, error) {
 	target := strings.TrimSuffix(baseURL, "/") + r.URL.EscapedPath()
@@ -157,12 +151,13 @@
 }
 
 // copyResponseHeader copies an upstream's response headers, except hop-by-hop
-// headers, the id of the call and the request ID, which the entry sets itself.
+// headers, statements to the entry and the request ID, which the entry sets itself.
 func copyResponseHeader(dst, src http.Header) {
 	src = src.Clone()
 	removeHopByHop(src)
 	src.Del(headerRequestID)
 	src.Del(upstream.HeaderCallID)
+	src.Del(upstream.HeaderRunState)
 	for name, values := range src {
 		dst[name] = values
 	}
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -212,8 +212,8 @@
 // exchange sends the call to one upstream and handles the response.
 func (x *plainCall) exchange(ctx context.Context, cancel context.CancelFunc, attempt uint32, u *pb.UpstreamState) {
 	x.recordEvent("request.sent", attempt, u.Id)
-	singleUse := x.nonRepeatable || x.key != "" || clientMayResend(x.r)
-	resp, err := x.srv.forwarder.send(ctx, u.Url, x.r, x.body, x.id, singleUse)
+	runOnce := x.nonRepeatable || x.key != ""
+	resp, err := x.srv.forwarder.send(ctx, u.Url, x.r, x.body, x.id, runOnce)
 	picker := x.srv.forwarder.picker
 	if err != nil {
 		cancel()
--- a/internal/entry/second_answer_test.go
+++ b/internal/entry/second_answer_test.go
@@ -111,3 +111,33 @@
 	require.Equal(t, 502, resp.StatusCode)
 	require.EqualValues(t, 1, runs.Load())
 }
+
+// Guards against a promise to a caller, or a recorded answer, that says "not run" in the
+// name of a service that has not stated it, or has contradicted itself.
+func TestUnstatedRejectionIsNotPassedOn(t *testing.T) {
+	for _, c := range []struct {
+		status int
+		header string
+	}{
+		{503, ""}, {429, ""}, {408, ""}, {421, ""}, {503, "Run-State: run\r\n"},
+		{200, "Run-State: not-run\r\n"}, {201, "Run-State: not-run\r\n"}, {500, "Run-State: not-run\r\n"},
+	} {
+		for _, key := range []string{"", "k"} {
+			f := plainFixture(t)
+			f.rawUpstream(t, func(*http.Request, string) string {
+				return fmt.Sprintf("HTTP/1.1 %d Status\r\n%sRetry-After: 1\r\nContent-Length: 0\r\n\r\n", c.status, c.header)
+			})
+			resp, body := f.do(t, "POST", "/orders/reserve", key, "b")
+			name := fmt.Sprintf("%d %q %q", c.status, c.header, key)
+			require.Equal(t, 502, resp.StatusCode, name)
+			require.Contains(t, body, `"code":"outcome_unknown"`, name)
+			require.Contains(t, body, `"ran":"unknown"`, name)
+			require.Empty(t, resp.Header.Get("Run-State"), name)
+			require.Empty(t, resp.Header.Get("Retry-After"), name)
+			for _, r := range f.control.recorded() {
+				require.False(t, r.NotRun || r.Answer != nil, name)
+			}
+			f.requireFreed(t)
+		}
+	}
+}
