entry: 429 and 503 only for requests that have not run

Cause: a request whose earlier attempt ran, or may have run, and whose next one was refused or found no upstream ended with 429 or 503 and Retry-After, while its body said "ran":"unknown" or "yes".

Change: failureOf replaces such a status by 502 without Retry-After; the code still names the reason.

--- a/internal/entry/codes.go
+++ b/internal/entry/codes.go
@@ -101,7 +101,9 @@
 	if !ok {
 		f.status, f.code = http.StatusInternalServerError, CodeInternal
 	}
-	return &Failure{Status: f.status, Code: f.code, Message: o.Message, Ran: o.Ran, RetryAfter: o.RetryAfter}
+	failure := &Failure{Status: f.status, Code: f.code, Message: o.Message, Ran: o.Ran, RetryAfter: o.RetryAfter}
+	failure.withdrawPromise()
+	return failure
 }
 
 type errorBody struct {
--- a/internal/entry/not_run.go
+++ b/internal/entry/not_run.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"godwitward.example/godwitward/internal/request"
 	"godwitward.example/godwitward/internal/upstream"
 )
 
@@ -15,6 +16,15 @@
 
 func promisesNotRun(status int) bool { return slices.Contains(promiseStatuses, status) }
 
+// withdrawPromise replaces a status that promises "not run" unless the request has not
+// run: an earlier attempt may have.
+func (f *Failure) withdrawPromise() {
+	if f.Ran != request.RanNo && promisesNotRun(f.Status) {
+		f.Status = http.StatusBadGateway
+		f.RetryAfter = 0
+	}
+}
+
 // checkStatement returns an error for a plain upstream's response that is not passed on:
 // a rejection whose call has not run, by the upstream's own statement; a statement that
 // the status contradicts; and, when the call must run once, a rejection without one.
