upstream: status 409 rejects only orders

Cause: an engine's 409 to a prefill, which the protocol doesn't give a meaning, counted as "invalid, not run": the caller got 400 "ran":"no".

Change: 409 to anything but an order is a failure that may have run.

Evidence: TestConflictRejectsOnlyOrders failed before (KindRejected).

--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -197,8 +197,12 @@
 		body.Message = strconv.QuoteToASCII(string(data))
 	}
 	notRun := resp.Header.Get(HeaderRunState) == RunStateNotRun
+	kind := kindOfStatus(resp.StatusCode, notRun)
+	if resp.StatusCode == http.StatusConflict && path != PathOrder {
+		kind = KindFailed
+	}
 	return &Error{
-		Kind:         kindOfStatus(resp.StatusCode, notRun),
+		Kind:         kind,
 		Status:       resp.StatusCode,
 		FencingToken: body.FencingToken,
 		Err:          errors.Errorf("%s answered %d: %s", path, resp.StatusCode, body.Message),
--- a/internal/upstream/http_test.go
+++ b/internal/upstream/http_test.go
@@ -31,6 +31,15 @@
 	}
 }
 
+// Guards against a "not run" for a prefill that was answered with the status for outdated
+// orders, which says nothing about a prefill.
+func TestConflictRejectsOnlyOrders(t *testing.T) {
+	e := testEngine(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusConflict) })
+	_, err := e.Prefill(context.Background(), &PrefillRequest{})
+	require.Equal(t, KindFailed, KindOf(err))
+	require.Equal(t, KindRejected, KindOf(e.Order(context.Background(), &Order{})))
+}
+
 // Guards against retrying a request that may have run, and against not retrying one
 // that provably has not. Retry rules depend on the kind.
 func TestErrorKindOfStatus(t *testing.T) {
