entry: an answer that breaks off after its header is reported

Cause: a service that broke its connection between header and body of an answer made the entry close the caller's connection without a byte. That looks as if the call had not been read, so a client may send a call again that must run once.

Change: the header is sent with the first part of the body. Until then a broken answer ends with 502 and whether the call ran.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -163,32 +163,36 @@
 	}
 }
 
-// streamBody streams a response body to the caller and flushes after each read, so
-// that a stream of the upstream is not delayed. It calls cancel when the upstream
-// sends nothing for Timeouts.UpstreamStall.
-func (s *Server) streamBody(w http.ResponseWriter, body io.Reader, cancel func()) (callerErr, upstreamErr error) {
+// streamBody streams a response to the caller and flushes after each read, so that a
+// stream of the upstream is not delayed. It calls cancel when the upstream sends nothing
+// for Timeouts.UpstreamStall. started is false as long as another response may be written.
+func (s *Server) streamBody(w http.ResponseWriter, resp *http.Response, cancel func()) (started bool, callerErr, upstreamErr error) {
 	rc := http.NewResponseController(w)
 	stallTimer := time.AfterFunc(s.opts.Timeouts.UpstreamStall, cancel)
 	defer stallTimer.Stop()
 	buf := make([]byte, copyBufferBytes)
 	for {
-		n, err := body.Read(buf)
+		n, err := resp.Body.Read(buf)
+		if !started && (n > 0 || err == io.EOF) {
+			started = true
+			writeHeader(w, resp)
+		}
 		if n > 0 {
 			stallTimer.Stop()
 			_ = rc.SetWriteDeadline(time.Now().Add(s.opts.Timeouts.CallerStall))
 			if _, werr := w.Write(buf[:n]); werr != nil {
-				return werr, nil
+				return started, werr, nil
 			}
 			if werr := rc.Flush(); werr != nil {
-				return werr, nil
+				return started, werr, nil
 			}
 			stallTimer.Reset(s.opts.Timeouts.UpstreamStall)
 		}
 		if err == io.EOF {
-			return nil, nil
+			return started, nil, nil
 		}
 		if err != nil {
-			return nil, err
+			return started, nil, err
 		}
 	}
 }
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -322,11 +322,11 @@
 }
 
 // streamResponse streams a response to the caller. It aborts the connection when
-// the response is truncated, because the header has already been sent.
+// the response is truncated after its header has been sent. Before that it reports the
+// outcome: a closed connection would look as if the call had not been read.
 func (x *plainCall) streamResponse(w http.ResponseWriter, up upstreamResponse) {
 	defer up.close()
-	writeHeader(w, up.resp)
-	callerErr, upstreamErr := x.srv.streamBody(w, up.resp.Body, up.cancel)
+	started, callerErr, upstreamErr := x.srv.streamBody(w, up.resp, up.cancel)
 	switch {
 	case callerErr != nil:
 		x.apply(&request.CallerGone{})
@@ -337,6 +337,10 @@
 		return
 	}
 	<-x.done
+	if !started {
+		x.writeOutcome(w)
+		return
+	}
 	panic(http.ErrAbortHandler)
 }
 
@@ -368,8 +372,7 @@
 		w.Header().Set(headerReplayed, "true")
 		x.writeRecorded(w, replayed)
 	case oversized != nil:
-		writeHeader(w, oversized.resp)
-		if callerErr, upstreamErr := x.srv.streamBody(w, oversized.resp.Body, oversized.cancel); callerErr != nil || upstreamErr != nil {
+		if _, callerErr, upstreamErr := x.srv.streamBody(w, oversized.resp, oversized.cancel); callerErr != nil || upstreamErr != nil {
 			panic(http.ErrAbortHandler)
 		}
 	case ledgerAnswer != nil:
