entry: a drain that is cut off tells callers whether their calls ran

A client takes that for a call that was not read: Go's client sent a call with an Idempotency-Key again by itself.

Change: Stop ends the requests in flight with an outcome (502 with ran, or 503 if nothing was sent), cancels them at engines, records claimed calls and waits up to 3 s for that before the connections are closed.

Evidence: TestDrainThatIsCutOffTellsCallersWhetherTheirCallsRan failed before (EOF for a call that must run once and for a completion; a keyed call was sent again by the client and found the listener closed). The event is part of the property tests of both state machines.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -23,6 +23,9 @@
 	// engineDialTimeout bounds the dial to an upstream. Places are only 0.5 ms
 	// apart, so a longer wait means that packets are lost.
 	engineDialTimeout = time.Second
+	// stopTimeout bounds the wait for requests that Shutdown ends: their cancels at
+	// engines and their records in the ledger.
+	stopTimeout = 3 * time.Second
 )
 
 // EntryConfig holds the settings of an entry process.
@@ -134,10 +137,17 @@
 
 // Shutdown makes the entry report not ready, still accepts requests for
 // DrainDelay, waits for those in flight and stops the entry. When ctx ends first,
-// the remaining requests are aborted.
+// the callers of the remaining requests are told whether those ran.
 func (e *Entry) Shutdown(ctx context.Context) error {
 	e.callerServer.drainer.Start()
 	err := e.server.Drain(ctx)
+	if err != nil {
+		// The requests are ended whatever the state of ctx.
+		stopCtx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+		defer cancel()
+		ctx = stopCtx
+		_ = e.server.Stop(stopCtx)
+	}
 	e.base.Recorder.Record(&pb.Event{Kind: "process.drained"})
 	if shutdownErr := e.callerServer.Shutdown(ctx); err == nil {
 		err = shutdownErr
--- a/internal/dev/system_test.go
+++ b/internal/dev/system_test.go
@@ -224,6 +224,47 @@
 	}
 }
 
+// Guards against callers that find their connections closed without a word, as if their
+// calls had not been read, because the time to drain is over.
+func TestDrainThatIsCutOffTellsCallersWhetherTheirCallsRan(t *testing.T) {
+	upstreams := DefaultUpstreams(1, 2, 2)
+	for i := range upstreams {
+		if upstreams[i].Role == standin.RolePlain {
+			upstreams[i].ServiceDelay = 5 * time.Second
+		}
+	}
+	s := startSystem(t, Config{Upstreams: upstreams})
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	url := "http://" + s.Entry.Addr
+	var wg sync.WaitGroup
+	call := func(url string, body any, key string) {
+		wg.Go(func() {
+			header := http.Header{}
+			if key != "" {
+				header.Set("Idempotency-Key", key)
+			}
+			status, answer, err := post(ctx, url, body, header)
+			for strings.Contains(string(answer), `"no_upstream"`) {
+				// The entry has no list of the plain services yet.
+				time.Sleep(20 * time.Millisecond)
+				status, answer, err = post(ctx, url, body, header)
+			}
+			if err != nil || status != http.StatusBadGateway || strings.Contains(string(answer), `"ran":"no"`) {
+				t.Errorf("%s %q: status %d, %s, %v", url, key, status, answer, err)
+			}
+		})
+	}
+	call(url+"/orders/commits", "b", "")
+	call(url+"/orders/commits", "b", "k")
+	call(url+"/draft/v1/completions", completion{Prompt: "report", MaxTokens: 4000}, "")
+	time.Sleep(time.Second)
+	drainCtx, cancelDrain := context.WithTimeout(ctx, 200*time.Millisecond)
+	defer cancelDrain()
+	require.ErrorIs(t, s.Shutdown(drainCtx), context.DeadlineExceeded)
+	wg.Wait()
+}
+
 // Guards against running requests that fail because the scheduler was killed, and
 // against new requests that are lost while its successor takes over.
 func TestSchedulerKilledUnderLoad(t *testing.T) {
--- a/internal/entry/codes.go
+++ b/internal/entry/codes.go
@@ -94,6 +94,7 @@
 	request.FailureKeyExpired:     {http.StatusGone, CodeKeyExpired},
 	request.FailureLedgerFull:     {http.StatusServiceUnavailable, CodeLedgerFull},
 	request.FailureNoControl:      {http.StatusServiceUnavailable, CodeNoControl},
+	request.FailureStopped:        {http.StatusServiceUnavailable, CodeShuttingDown},
 }
 
 func failureOf(o request.Outcome) *Failure {
--- a/internal/entry/engine.go
+++ b/internal/entry/engine.go
@@ -87,8 +87,7 @@
 func (s *Server) serveCompletion(w http.ResponseWriter, r *http.Request, c *call, in *completionParams) {
 	c.recordEvent("request.accepted", 0, "", "route", c.route.Name, "organisation", c.organisation)
 	x := newCompletion(c, in)
-	stop := context.AfterFunc(r.Context(), func() { x.apply(&request.CallerGone{}) })
-	defer stop()
+	defer s.notifyEnd(r, x.apply)()
 	x.apply(&request.Start{})
 	out := &completionWriter{srv: s, call: c, params: in, w: w, rc: http.NewResponseController(w)}
 	if err := out.writeFrom(x.output); err != nil {
@@ -97,6 +96,17 @@
 	}
 }
 
+// notifyEnd passes an event to apply when the caller disconnects and when Stop ends the
+// requests in flight, until the returned function is called.
+func (s *Server) notifyEnd(r *http.Request, apply func(request.Event)) (stop func()) {
+	stopCaller := context.AfterFunc(r.Context(), func() { apply(&request.CallerGone{}) })
+	stopServer := context.AfterFunc(s.stopped, func() { apply(&request.Stopped{}) })
+	return func() {
+		stopCaller()
+		stopServer()
+	}
+}
+
 // readBody reads a body within the limits of the route and the process. release
 // returns the size of the body to the quota of the process.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request, c *call) (body []byte, release func(), f *Failure) {
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -63,8 +63,7 @@
 	}
 	c.recordEvent("request.accepted", 0, "", "route", c.route.Name, "organisation", c.organisation, "non_repeatable", strconv.FormatBool(nonRepeatable))
 	x := newPlainCall(c, r, body, key, nonRepeatable)
-	stop := context.AfterFunc(r.Context(), func() { x.apply(&request.CallerGone{}) })
-	defer stop()
+	defer s.notifyEnd(r, x.apply)()
 	x.apply(&request.Start{})
 	x.respond(w)
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -41,8 +41,11 @@
 
 	draining     atomic.Bool
 	rejectingNew atomic.Bool
-	compileMu    sync.Mutex
-	compiled     atomic.Pointer[compiledConfig]
+	// stopped ends when Stop ends the requests in flight.
+	stopped     context.Context
+	endRequests context.CancelFunc
+	compileMu   sync.Mutex
+	compiled    atomic.Pointer[compiledConfig]
 }
 
 // compiledConfig is a configuration with the route table built from it.
@@ -65,6 +68,7 @@
 		inFlight:       newInFlightCounter(),
 		backgroundWork: newInFlightCounter(),
 	}
+	s.stopped, s.endRequests = context.WithCancel(context.Background())
 	s.forwarder = newForwarder(&s.opts)
 	s.vars = newVars(s)
 	s.compiled.Store(&compiledConfig{table: route.NewTable(nil)})
@@ -122,6 +126,18 @@
 	case <-time.After(s.opts.DrainDelay):
 	}
 	s.rejectingNew.Store(true)
+	return s.awaitEnd(ctx)
+}
+
+// Stop ends the requests that are still in flight, each with a response that tells whether
+// it ran, and waits until every submission, claim, cancel, release and record is finished.
+func (s *Server) Stop(ctx context.Context) error {
+	s.rejectingNew.Store(true)
+	s.endRequests()
+	return s.awaitEnd(ctx)
+}
+
+func (s *Server) awaitEnd(ctx context.Context) error {
 	for _, work := range []*inFlightCounter{s.inFlight, s.backgroundWork} {
 		select {
 		case <-ctx.Done():
--- a/internal/request/call.go
+++ b/internal/request/call.go
@@ -131,6 +131,8 @@
 		c.tick(now)
 	case *CallerGone:
 		c.callerGone()
+	case *Stopped:
+		c.stopped()
 	case *ClaimAnswered:
 		c.claimAnswered(ev.Response)
 	case *ClaimFailed:
@@ -263,6 +265,21 @@
 	}
 }
 
+func (c *Call) stopped() {
+	o := Outcome{Failure: FailureStopped, Message: stoppedMessage, RetryAfter: time.Second}
+	switch c.state {
+	case Accepted:
+		c.finish(o)
+	case Claiming:
+		c.addAction(&RecordOutcome{NotRun: true})
+		c.finish(o)
+	case Sending:
+		c.markPossiblyRun()
+		o.Ran = c.ran
+		c.end(o)
+	}
+}
+
 func (c *Call) complete(ev *ResponseComplete) {
 	if c.state != Sending || ev.Attempt != c.attempt {
 		return
--- a/internal/request/call_test.go
+++ b/internal/request/call_test.go
@@ -77,9 +77,11 @@
 		}
 		step(&Start{})
 		for range rapid.IntRange(0, 30).Draw(t, "steps") {
-			switch n := rapid.IntRange(0, 11).Draw(t, "op"); {
+			switch n := rapid.IntRange(0, 12).Draw(t, "op"); {
 			case n == 0:
 				step(&CallerGone{})
+			case n == 12:
+				step(&Stopped{})
 			case n <= 2:
 				now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
 				step(&Tick{})
@@ -112,7 +114,7 @@
 		if o.Ran == RanNo {
 			require.Zero(t, runs, "outcome %+v says not run", o)
 		}
-		if o.Failure == FailureDeadline || o.Failure == FailureUpstream {
+		if o.Failure == FailureDeadline || o.Failure == FailureUpstream || o.Failure == FailureStopped {
 			require.False(t, o.Ran != RanNo && (spec.NonRepeatable || spec.Keyed), "a lost outcome must be reported as unknown")
 		}
 		if recordsAtClaim >= 0 {
--- a/internal/request/completion.go
+++ b/internal/request/completion.go
@@ -144,6 +144,8 @@
 		c.tick(now)
 	case *CallerGone:
 		c.finish(now, Outcome{Failure: FailureCallerGone, Message: "the caller disconnected"}, pb.ReleaseRequest_CANCELLED)
+	case *Stopped:
+		c.finish(now, Outcome{Failure: FailureStopped, Message: stoppedMessage, RetryAfter: time.Second}, pb.ReleaseRequest_CANCELLED)
 	case *Granted:
 		c.granted(now, ev)
 	case *Refused:
--- a/internal/request/completion_test.go
+++ b/internal/request/completion_test.go
@@ -205,9 +205,11 @@
 func (s *simulation) run() {
 	s.step(&Start{})
 	for range rapid.IntRange(0, 60).Draw(s.t, "steps") {
-		switch n := rapid.IntRange(0, 19).Draw(s.t, "op"); {
+		switch n := rapid.IntRange(0, 20).Draw(s.t, "op"); {
 		case n == 0:
 			s.step(&CallerGone{})
+		case n == 20:
+			s.step(&Stopped{})
 		case n <= 3:
 			s.now = s.now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(s.t, "ms")) * time.Millisecond)
 			s.step(&Tick{})
--- a/internal/request/event.go
+++ b/internal/request/event.go
@@ -21,6 +21,8 @@
 	Tick struct{}
 	// CallerGone reports that the caller disconnected.
 	CallerGone struct{}
+	// Stopped reports that the process stops and can't wait for the request.
+	Stopped struct{}
 )
 
 // Events of a Completion.
@@ -140,6 +142,7 @@
 func (*Start) event()           {}
 func (*Tick) event()            {}
 func (*CallerGone) event()      {}
+func (*Stopped) event()         {}
 func (*Granted) event()         {}
 func (*Refused) event()         {}
 func (*Prefilled) event()       {}
--- a/internal/request/outcome.go
+++ b/internal/request/outcome.go
@@ -89,8 +89,12 @@
 	FailureLedgerFull
 	// FailureNoControl: the control store could not be reached for the claim.
 	FailureNoControl
+	// FailureStopped: this process stopped before the request was complete.
+	FailureStopped
 )
 
+const stoppedMessage = "this entry stopped before the request was complete"
+
 // Outcome is the single result of a request.
 type Outcome struct {
 	Failure Failure
