upstream: an engine's answer is complete only with its JSON

Cause: 200 without a length whose connection ended right after the header, as a killed process leaves it, counted as a finished import, cancel or order. A prefill answered with {} or null, as another kind of call is, counted as a result without a handle, and its import was sent to the decode engine.

Change: an answer that ends with its connection needs its JSON object; a prefill's result needs a handle. The outcome is unknown otherwise.

Evidence: TestAnswerWithoutItsJSONIsNotComplete failed before (no error for an empty import answer).

--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -83,7 +83,13 @@
 
 func (e *httpEngine) Prefill(ctx context.Context, req *PrefillRequest) (*PrefillResult, error) {
 	result := &PrefillResult{}
-	return result, e.call(ctx, http.MethodPost, PathPrefill, req, result)
+	if err := e.call(ctx, http.MethodPost, PathPrefill, req, result); err != nil {
+		return nil, err
+	}
+	if result.Handle == "" {
+		return nil, incompleteAnswer(PathPrefill, "it has no handle")
+	}
+	return result, nil
 }
 
 func (e *httpEngine) Import(ctx context.Context, req *ImportRequest) error {
@@ -103,6 +109,10 @@
 	return list, e.call(ctx, http.MethodGet, PathRunning, nil, &list)
 }
 
+func incompleteAnswer(path, reason string) error {
+	return &Error{Kind: KindOutcomeUnknown, Status: http.StatusOK, Err: errors.Errorf("answer of %s is incomplete: %s", path, reason)}
+}
+
 // call sends one request with a JSON body and decodes the JSON response into
 // result unless that is nil.
 func (e *httpEngine) call(ctx context.Context, method, path string, body, result any) error {
@@ -111,11 +121,18 @@
 		return err
 	}
 	defer resp.Body.Close()
-	if result == nil {
+	content := io.LimitReader(resp.Body, maxResponseBytes)
+	switch {
+	case result != nil:
+		err = json.NewDecoder(content).Decode(result)
+	case endsWithConnection(resp):
+		var object *struct{}
+		if err = json.NewDecoder(content).Decode(&object); err == nil && object == nil {
+			return incompleteAnswer(path, "it has no object")
+		}
+	default:
 		// A truncated response is detected only by reading to its end.
-		_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseBytes))
-	} else {
-		err = json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(result)
+		_, err = io.Copy(io.Discard, content)
 	}
 	if err != nil {
 		return &Error{Kind: afterSend(ctx, err), Status: resp.StatusCode,
@@ -124,6 +141,12 @@
 	return nil
 }
 
+// endsWithConnection reports whether the end of the connection is the end of the body, so
+// that a truncated body looks complete.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // send returns the response when its status is 2xx, else an *Error.
 func (e *httpEngine) send(ctx context.Context, method, path string, body any) (*http.Response, error) {
 	var gotConn atomic.Bool
--- a/internal/upstream/http_test.go
+++ b/internal/upstream/http_test.go
@@ -181,3 +181,33 @@
 		})
 	}
 }
+
+// Guards against an answer that was cut off, or that of another kind of call, that counts
+// as a complete one. An engine that is killed closes its connections without a reset, and
+// an answer without a length ends there.
+func TestAnswerWithoutItsJSONIsNotComplete(t *testing.T) {
+	prefill := func(e Engine) error { _, err := e.Prefill(context.Background(), &PrefillRequest{}); return err }
+	importCache := func(e Engine) error { return e.Import(context.Background(), &ImportRequest{}) }
+	cancel := func(e Engine) error { return e.Cancel(context.Background(), &CancelRequest{}) }
+	order := func(e Engine) error { return e.Order(context.Background(), &Order{}) }
+	running := func(e Engine) error { _, err := e.Running(context.Background()); return err }
+	for _, c := range []struct {
+		name, body string
+		call       func(Engine) error
+	}{
+		{"import", "", importCache}, {"import", "{", importCache}, {"import", "null", importCache},
+		{"cancel", "", cancel}, {"order", "", order}, {"order", "{\"a\":", order},
+		{"prefill", "", prefill}, {"prefill", "{}", prefill}, {"prefill", "null", prefill}, {"prefill", `{"handle":"h"`, prefill},
+		{"running", "", running}, {"running", "[{}", running},
+	} {
+		e := testEngine(t, func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err == nil {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n"+c.body)
+				_ = conn.Close()
+			}
+		})
+		require.Equal(t, KindOutcomeUnknown, KindOf(c.call(e)), "%s %q", c.name, c.body)
+		require.Error(t, c.call(e), "%s %q", c.name, c.body)
+	}
+}
