--- a/internal/entry/codes.go
+++ b/internal/entry/codes.go
@@ -94,6 +94,7 @@
 	request.FailureKeyExpired:     {http.StatusGone, CodeKeyExpired},
 	request.FailureLedgerFull:     {http.StatusServiceUnavailable, CodeLedgerFull},
 	request.FailureNoControl:      {http.StatusServiceUnavailable, CodeNoControl},
+	request.FailureStopped:        {http.StatusServiceUnavailable, CodeShuttingDown},
 }
 
 func failureOf(o request.Outcome) *Failure {
@@ -101,7 +102,9 @@
 	if !ok {
 		f.status, f.code = http.StatusInternalServerError, CodeInternal
 	}
-	return &Failure{Status: f.status, Code: f.code, Message: o.Message, Ran: o.Ran, RetryAfter: o.RetryAfter}
+	failure := &Failure{Status: f.status, Code: f.code, Message: o.Message, Ran: o.Ran, RetryAfter: o.RetryAfter}
+	failure.withdrawPromise()
+	return failure
 }
 
 type errorBody struct {
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -23,6 +24,7 @@
 	maxUpstreamHeaderBytes  = 1 << 20
 	headerIdempotency       = "Idempotency-Key"
 	headerReplayed          = "Idempotency-Replayed"
+	headerXIdempotency      = "X-Idempotency-Key"
 	headerRequestID         = "X-Request-Id"
 	headerForwardedFor      = "X-Forwarded-For"
 	copyBufferBytes         = 32 << 10
@@ -38,7 +40,7 @@
 // forwarder sends calls to plain upstreams.
 type forwarder struct {
 	picker *picker
-	// keepAlive reuses connections.
+	// keepAlive reuses connections to upstreams that repeat the id of each call.
 	keepAlive http.RoundTripper
 	// singleUse opens a connection for each call. net/http retries a request with
 	// an Idempotency-Key when a reused connection breaks, although the upstream
@@ -49,8 +51,12 @@
 func newForwarder(o *Options) *forwarder {
 	f := &forwarder{picker: newPicker(), keepAlive: o.Transport, singleUse: o.Transport}
 	if o.Transport == nil {
-		f.keepAlive = newTransport(o, false)
-		f.singleUse = newTransport(o, true)
+		// "Connection: close" would change how some upstreams answer.
+		notKept := newTransport(o, false)
+		notKept.MaxIdleConnsPerHost = -1
+		f.keepAlive = upstream.NewTransport(newTransport(o, false), notKept)
+		singleUse := newTransport(o, true)
+		f.singleUse = upstream.NewTransport(singleUse, singleUse)
 	}
 	return f
 }
@@ -68,9 +74,9 @@
 }
 
 // send sends a call to the upstream at baseURL and returns the response once its
-// header has arrived. singleUse selects a new connection. Errors are of type
+// header has arrived. With runOnce the call must run at most once. Errors are of type
 // *upstream.Error.
-func (f *forwarder) send(ctx context.Context, baseURL string, r *http.Request, body []byte, requestID string, singleUse bool) (*http.Response, error) {
+func (f *forwarder) send(ctx context.Context, baseURL string, r *http.Request, body []byte, requestID string, runOnce bool) (*http.Response, error) {
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
 	out, err := newUpstreamRequest(ctx, baseURL, r, body, requestID)
@@ -78,15 +84,15 @@
 		return nil, &upstream.Error{Kind: upstream.KindNotSent, Err: err}
 	}
 	transport := f.keepAlive
-	if singleUse {
+	if runOnce || clientMayResend(r) {
 		transport = f.singleUse
 	}
 	resp, err := transport.RoundTrip(out)
-	if err == nil && reportsNotRun(resp) {
-		_ = resp.Body.Close()
-		return nil, &upstream.Error{Kind: upstream.KindNotRun, Status: resp.StatusCode, Err: errors.New("the upstream refused the call: " + resp.Status)}
-	}
 	if err == nil {
+		if err = checkStatement(resp, runOnce); err != nil {
+			_ = resp.Body.Close()
+			return nil, err
+		}
 		return resp, nil
 	}
 	if !connected.Load() {
@@ -95,10 +101,11 @@
 	return nil, &upstream.Error{Kind: upstream.KindOutcomeUnknown, Err: errors.Wrap(err, "waiting for the upstream's answer")}
 }
 
-// reportsNotRun reports whether the upstream states that it did not run the call.
-func reportsNotRun(resp *http.Response) bool {
-	rejected := resp.StatusCode == http.StatusTooManyRequests || resp.StatusCode == http.StatusServiceUnavailable
-	return rejected && resp.Header.Get(upstream.HeaderRunState) == upstream.RunStateNotRun
+// clientMayResend reports whether net/http would send a call again by itself after a
+// reused connection broke, although its method is not idempotent.
+func clientMayResend(r *http.Request) bool {
+	_, keyed := r.Header[headerXIdempotency]
+	return keyed && !slices.Contains(idempotentMethods, r.Method)
 }
 
 // newUpstreamRequest returns the caller's request r as it is sent to the upstream.
@@ -144,42 +151,48 @@
 }
 
 // copyResponseHeader copies an upstream's response headers, except hop-by-hop
-// headers and the request ID, which the entry sets itself.
+// headers, statements to the entry and the request ID, which the entry sets itself.
 func copyResponseHeader(dst, src http.Header) {
 	src = src.Clone()
 	removeHopByHop(src)
 	src.Del(headerRequestID)
+	src.Del(upstream.HeaderCallID)
+	src.Del(upstream.HeaderRunState)
 	for name, values := range src {
 		dst[name] = values
 	}
 }
 
-// streamBody streams a response body to the caller and flushes after each read, so
-// that a stream of the upstream is not delayed. It calls cancel when the upstream
-// sends nothing for Timeouts.UpstreamStall.
-func (s *Server) streamBody(w http.ResponseWriter, body io.Reader, cancel func()) (callerErr, upstreamErr error) {
+// streamBody streams a response to the caller and flushes after each read, so that a
+// stream of the upstream is not delayed. It calls cancel when the upstream sends nothing
+// for Timeouts.UpstreamStall. started is false as long as another response may be written.
+func (s *Server) streamBody(w http.ResponseWriter, resp *http.Response, cancel func()) (started bool, callerErr, upstreamErr error) {
 	rc := http.NewResponseController(w)
 	stallTimer := time.AfterFunc(s.opts.Timeouts.UpstreamStall, cancel)
 	defer stallTimer.Stop()
 	buf := make([]byte, copyBufferBytes)
 	for {
-		n, err := body.Read(buf)
+		n, err := resp.Body.Read(buf)
+		if !started && (n > 0 || err == io.EOF) {
+			started = true
+			writeHeader(w, resp)
+		}
 		if n > 0 {
 			stallTimer.Stop()
 			_ = rc.SetWriteDeadline(time.Now().Add(s.opts.Timeouts.CallerStall))
 			if _, werr := w.Write(buf[:n]); werr != nil {
-				return werr, nil
+				return started, werr, nil
 			}
 			if werr := rc.Flush(); werr != nil {
-				return werr, nil
+				return started, werr, nil
 			}
 			stallTimer.Reset(s.opts.Timeouts.UpstreamStall)
 		}
 		if err == io.EOF {
-			return nil, nil
+			return started, nil, nil
 		}
 		if err != nil {
-			return nil, err
+			return started, nil, err
 		}
 	}
 }
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -63,8 +63,7 @@
 	}
 	c.recordEvent("request.accepted", 0, "", "route", c.route.Name, "organisation", c.organisation, "non_repeatable", strconv.FormatBool(nonRepeatable))
 	x := newPlainCall(c, r, body, key, nonRepeatable)
-	stop := context.AfterFunc(r.Context(), func() { x.apply(&request.CallerGone{}) })
-	defer stop()
+	defer s.notifyEnd(r, x.apply)()
 	x.apply(&request.Start{})
 	x.respond(w)
 }
@@ -212,8 +211,8 @@
 // exchange sends the call to one upstream and handles the response.
 func (x *plainCall) exchange(ctx context.Context, cancel context.CancelFunc, attempt uint32, u *pb.UpstreamState) {
 	x.recordEvent("request.sent", attempt, u.Id)
-	singleUse := x.nonRepeatable || x.key != ""
-	resp, err := x.srv.forwarder.send(ctx, u.Url, x.r, x.body, x.id, singleUse)
+	runOnce := x.nonRepeatable || x.key != ""
+	resp, err := x.srv.forwarder.send(ctx, u.Url, x.r, x.body, x.id, runOnce)
 	picker := x.srv.forwarder.picker
 	if err != nil {
 		cancel()
@@ -322,11 +321,11 @@
 }
 
 // streamResponse streams a response to the caller. It aborts the connection when
-// the response is truncated, because the header has already been sent.
+// the response is truncated after its header has been sent. Before that it reports the
+// outcome: a closed connection would look as if the call had not been read.
 func (x *plainCall) streamResponse(w http.ResponseWriter, up upstreamResponse) {
 	defer up.close()
-	writeHeader(w, up.resp)
-	callerErr, upstreamErr := x.srv.streamBody(w, up.resp.Body, up.cancel)
+	started, callerErr, upstreamErr := x.srv.streamBody(w, up.resp, up.cancel)
 	switch {
 	case callerErr != nil:
 		x.apply(&request.CallerGone{})
@@ -337,6 +336,10 @@
 		return
 	}
 	<-x.done
+	if !started {
+		x.writeOutcome(w)
+		return
+	}
 	panic(http.ErrAbortHandler)
 }
 
@@ -368,8 +371,7 @@
 		w.Header().Set(headerReplayed, "true")
 		x.writeRecorded(w, replayed)
 	case oversized != nil:
-		writeHeader(w, oversized.resp)
-		if callerErr, upstreamErr := x.srv.streamBody(w, oversized.resp.Body, oversized.cancel); callerErr != nil || upstreamErr != nil {
+		if _, callerErr, upstreamErr := x.srv.streamBody(w, oversized.resp, oversized.cancel); callerErr != nil || upstreamErr != nil {
 			panic(http.ErrAbortHandler)
 		}
 	case ledgerAnswer != nil:
