a gap between events is not relayed where events are numbered one by one

Change: policy.EventNumbering learns for each service and software version whether events are numbered one by one, and whether streams begin with 1: from 50 streams without a gap, of two upstreams. From then on a gap is handled like an event out of order, with the reason event_gap. One upstream neither teaches nor unteaches that; two whose streams have gaps do. Until it has learned, and at services that number otherwise, an entry relays gaps as before.

--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -55,6 +55,7 @@
 	// statementReports are the statements of upstreams that are to be reported.
 	statementReports statementReports
 	streamVersions   streamVersions
+	numbering        eventNumbering
 	inFlight         atomic.Int64
 	draining         atomic.Bool
 	refusing         atomic.Bool
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -252,6 +252,8 @@
 func (x *exchange) relayEvents(t *target, res *upstreamResponse, st *streamState) sendResult {
 	flusher := http.NewResponseController(x.w)
 	rd := &eventReader{rd: bufio.NewReaderSize(res.resp.Body, readBufferBytes)}
+	numbers := x.s.newAttemptEvents(t, x.service.Name, st.lastEventID)
+	defer numbers.end()
 	for first := true; ; first = false {
 		_ = res.conn.SetReadDeadline(time.Now().Add(x.eventTimeout(st)))
 		ev, err := rd.next()
@@ -273,6 +275,12 @@
 			x.reason = "upstream_replaced"
 			return sendOutcomeUnknown
 		}
+		if numbers.leavesGap(ev.id) {
+			res.close(false)
+			t.recordFailure(x.s.now(), policy.FaultError)
+			x.reason = "event_gap"
+			return sendOutcomeUnknown
+		}
 		if !st.headWritten {
 			x.startStream(res, st)
 		}
--- /dev/null
+++ b/policy/event_numbering_test.go
@@ -0,0 +1,97 @@
+package policy
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// playStreams records streams of several upstreams, 20 a second, and returns how many
+// gaps were held against a stream. gapShare returns the share of an upstream's streams that
+// have one.
+func playStreams(n *EventNumbering, start time.Duration, upstreams, streams int, gapShare func(upstream int) float64) (heldAgainst int) {
+	r := rand.New(rand.NewPCG(1, uint64(upstreams)))
+	for i := range streams {
+		now := start + time.Duration(i)*50*time.Millisecond
+		u := r.IntN(upstreams)
+		name := fmt.Sprintf("u-%d", u)
+		if r.Float64() >= gapShare(u) {
+			n.RecordStream(name, now)
+			continue
+		}
+		if n.OneByOne() {
+			heldAgainst++
+		}
+		n.RecordGap(name, now)
+	}
+	return heldAgainst
+}
+
+// Guards against a faulty upstream that teaches how a service numbers its events, or makes
+// it forgotten.
+func TestOneUpstreamDoesNotTeachTheNumbering(t *testing.T) {
+	sound := func(int) float64 { return 0 }
+	firstFaulty := func(share float64) func(int) float64 {
+		return func(u int) float64 { return map[bool]float64{true: share}[u == 0] }
+	}
+	othersStep := func(u int) float64 { return map[bool]float64{true: 1}[u > 0] }
+	for name, c := range map[string]struct {
+		upstreams int
+		gapShare  func(int) float64
+		oneByOne  bool
+	}{
+		"all one by one":                        {4, sound, true},
+		"single upstream":                       {1, sound, false},
+		"one faulty, rarely":                    {4, firstFaulty(0.05), true},
+		"one faulty, always":                    {4, firstFaulty(1), true},
+		"one faulty of two":                     {2, firstFaulty(1), false},
+		"only one numbers one by one, of two":   {2, othersStep, false},
+		"only one numbers one by one, of eight": {8, othersStep, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var n EventNumbering
+			playStreams(&n, 0, c.upstreams, 2000, c.gapShare)
+			require.Equal(t, c.oneByOne, n.OneByOne())
+			if c.oneByOne {
+				require.Positive(t, playStreams(&n, time.Hour, c.upstreams, 2000, firstFaulty(0.5)))
+				require.True(t, n.OneByOne())
+			}
+		})
+	}
+}
+
+// Guards against streams that are refused because their service numbers its events
+// otherwise, always or now and then, or begins to.
+func TestServicesThatStepOtherwiseAreNotRefused(t *testing.T) {
+	for _, share := range []float64{1, 0.5, 0.2} {
+		var n EventNumbering
+		require.Zero(t, playStreams(&n, 0, 4, 20_000, func(int) float64 { return share }), "share %v", share)
+	}
+	// Ten hours with one gap in fifty streams.
+	var n EventNumbering
+	require.Less(t, playStreams(&n, 0, 4, 720_000, func(int) float64 { return 0.02 }), 5)
+
+	n = EventNumbering{}
+	playStreams(&n, 0, 4, 1000, func(int) float64 { return 0 })
+	require.True(t, n.OneByOne())
+	require.Less(t, playStreams(&n, time.Hour, 4, 20_000, func(int) float64 { return 1 }), 10)
+	require.False(t, n.OneByOne())
+}
+
+// Guards against gaps that are forgotten for good after they were seen at two upstreams.
+func TestNumberingIsLearnedAnew(t *testing.T) {
+	var n EventNumbering
+	sound := func(int) float64 { return 0 }
+	playStreams(&n, 0, 4, 200, sound)
+	n.RecordGap("u-0", time.Minute)
+	require.True(t, n.OneByOne())
+	n.RecordGap("u-1", 2*time.Minute)
+	require.False(t, n.OneByOne())
+	playStreams(&n, 3*time.Minute, 4, 200, sound)
+	require.False(t, n.OneByOne())
+	playStreams(&n, 20*time.Minute, 4, 200, sound)
+	require.True(t, n.OneByOne())
+}
