--- a/internal/corestore/store_test.go
+++ b/internal/corestore/store_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"godwitward.example/godwitward/internal/transport"
+	"godwitward.example/godwitward/wal"
 )
 
 // repairTimeout is the time in which a VM that restarted with an empty disk must
@@ -31,13 +32,20 @@
 	servers        map[int]*transport.Server
 	peers          map[int]*Peers
 	dirs           map[int]string
+	// newDisk returns the empty disk of a member that starts for the first time.
+	newDisk func() wal.FS
+	disks   map[int]wal.FS
 	// listeners are those of members that have not started yet.
 	listeners map[int]net.Listener
 }
 
 func newTestCluster(t *testing.T, members, faultTolerance int) *testCluster {
+	return newTestClusterOn(t, members, faultTolerance, func() wal.FS { return wal.OS{} })
+}
+
+func newTestClusterOn(t *testing.T, members, faultTolerance int, newDisk func() wal.FS) *testCluster {
 	c := &testCluster{
-		t: t, faultTolerance: faultTolerance, listeners: map[int]net.Listener{},
+		t: t, faultTolerance: faultTolerance, listeners: map[int]net.Listener{}, newDisk: newDisk, disks: map[int]wal.FS{},
 		stores: map[int]*Store{}, servers: map[int]*transport.Server{}, peers: map[int]*Peers{}, dirs: map[int]string{},
 	}
 	c.reservePort(members)
@@ -86,19 +94,23 @@
 	c.t.Helper()
 	l := c.listeners[i]
 	delete(c.listeners, i)
-	var err error
 	if l == nil {
+		var err error
 		l, err = net.Listen("tcp", c.address(i))
 		require.NoError(c.t, err)
 	}
+	if c.disks[i] == nil {
+		c.disks[i] = c.newDisk()
+	}
 	c.servers[i] = transport.NewServer(transport.Options{})
 	c.peers[i] = NewPeers(c.address(i), uint16(c.port), transport.Options{})
-	c.stores[i], err = Start(Options{
-		Dir: c.dirs[i] + "/store", Address: c.address(i), Seeds: func() []string { return c.seeds }, Bootstrap: bootstrap,
+	store, err := Start(Options{
+		Dir: c.dirs[i] + "/store", FS: c.disks[i], Address: c.address(i), Seeds: func() []string { return c.seeds }, Bootstrap: bootstrap,
 		FaultTolerance: c.faultTolerance, Peers: c.peers[i], Logger: testLogger(i),
 		OnDocument: func(Document) {}, OnFatal: func(err error) { c.t.Errorf("member %d: %v", i, err) },
 	}, c.servers[i])
 	require.NoError(c.t, err)
+	c.stores[i] = store
 	server := c.servers[i]
 	go func() { _ = server.Serve(l) }()
 }
