corestore: a daemon starts again after a loss of power while it rejoined

Cause: a removed voter deletes its files and joins under a new id. The deletions reach the disk in any order.

Change: a marker file is synced before the first file is removed and goes last. A start that finds it clears the rest first.

Evidence: TestPowerLostWhileAMembersFilesAreRemoved failed before at the first start: "--.snap: no such file or directory". It passes for each file whose removal alone survives.

--- a/internal/corestore/store.go
+++ b/internal/corestore/store.go
@@ -160,6 +160,9 @@
 // startNode starts the replica. The state on disk and the settings decide
 // whether it is restored, bootstraps the group or joins.
 func (s *Store) startNode(bootstrap bool) error {
+	if err := s.finishClearing(); err != nil {
+		return err
+	}
 	hasState, err := replica.HasState(s.opts.FS, s.opts.Dir)
 	if err != nil {
 		return err
@@ -239,19 +242,6 @@
 	return members
 }
 
-func (s *Store) clearDir() error {
-	names, err := s.opts.FS.ReadDir(s.opts.Dir)
-	if err != nil {
-		return errors.Wrap(err, "listing the store directory")
-	}
-	for _, name := range names {
-		if err := s.opts.FS.Remove(s.opts.Dir + "/" + name); err != nil {
-			return errors.Wrap(err, "clearing the store directory")
-		}
-	}
-	return errors.Wrap(s.opts.FS.SyncDir(s.opts.Dir), "syncing the cleared store directory")
-}
-
 func (s *Store) currentNode() *replica.Node {
 	s.mu.Lock()
 	defer s.mu.Unlock()
