corestore: empty daemons join although none of their seeds is a member

Cause: a daemon with an empty disk asks its seeds only. If the settings name a seed that was replaced, and the other two lose their disks, these two know each other and the one that is gone: they ask each other for good. The group is left with three of five votes, all of which it needs, until somebody edits settings.

Change: the leader still sends to the old ids at the addresses of the empty daemons. A daemon that knows no leader remembers who sends to it and asks that one as well.

--- a/internal/corestore/join.go
+++ b/internal/corestore/join.go
@@ -41,6 +41,9 @@
 			continue
 		}
 		addresses := slices.Concat(s.opts.Seeds(), s.Members(), discovered)
+		if sender := s.sender.Load(); sender != nil {
+			addresses = append(addresses, *sender)
+		}
 		slices.Sort(addresses)
 		addresses = slices.Compact(addresses)
 		reply := s.requestJoin(addresses)
@@ -51,6 +54,18 @@
 	}
 }
 
+// learnSender remembers who sends to this daemon while it knows no leader: the group still
+// sends to a member that lost its disk, at its old id, and none of its seeds may be left.
+func (s *Store) learnSender(message []byte) {
+	if s.status.Load().Leader != raft.None {
+		return
+	}
+	if m, err := raft.DecodeMessage(message); err == nil {
+		address := memberAddress(m.From, s.self.Port())
+		s.sender.Store(&address)
+	}
+}
+
 // requestJoin asks the daemons in turn until the leader has answered. A daemon
 // that knows no leader, such as one that is joining itself, may still name
 // further daemons.
--- a/internal/corestore/replacement_test.go
+++ b/internal/corestore/replacement_test.go
@@ -272,3 +272,21 @@
 		}
 	})
 }
+
+// Guards against daemons that lost their disks and stay out of the group because none of
+// their seeds belongs to it: one was replaced and the settings still name it.
+func TestEmptyDaemonsJoinWithoutASeedOfTheGroup(t *testing.T) {
+	c := newTestCluster(t, 5, 2)
+	c.waitVoters(5)
+	c.stop(3)
+	c.dirs[6] = t.TempDir()
+	c.start(6, false)
+	c.waitVoters(5)
+	_, err := c.put(6, 7, "seven")
+	require.NoError(t, err)
+	c.loseDisks(1, 2)
+	c.waitVoters(5)
+	d, err := c.get(1)
+	require.NoError(t, err)
+	require.Equal(t, "seven", string(d.Body))
+}
--- a/internal/corestore/store.go
+++ b/internal/corestore/store.go
@@ -109,6 +109,10 @@
 	// firstStart is set if the system starts for the first time and the disk was empty.
 	firstStart bool
 
+	// sender is the session address of a member that has sent to this daemon while it knew
+	// no leader.
+	sender atomic.Pointer[string]
+
 	joinMu       sync.Mutex
 	joinRequests map[replica.MemberID]time.Time
 	// leaveRequests holds the voters that are about to stop; joinMu guards it as well.
@@ -255,6 +259,7 @@
 		return raftlink.Receive(st, func(group uint32, message []byte) {
 			// Raft tolerates lost messages, so a rejected one is dropped.
 			_ = s.currentNode().Step(replica.GroupID(group), message)
+			s.learnSender(message)
 		})
 	})
 	transport.HandleUnary(server, transport.MethodPutDocument, s.handlePut)
