--- a/internal/corestore/store.go
+++ b/internal/corestore/store.go
@@ -109,6 +109,10 @@
 	// firstStart is set if the system starts for the first time and the disk was empty.
 	firstStart bool
 
+	// sender is the session address of a member that has sent to this daemon while it knew
+	// no leader.
+	sender atomic.Pointer[string]
+
 	joinMu       sync.Mutex
 	joinRequests map[replica.MemberID]time.Time
 	// leaveRequests holds the voters that are about to stop; joinMu guards it as well.
@@ -160,6 +164,9 @@
 // startNode starts the replica. The state on disk and the settings decide
 // whether it is restored, bootstraps the group or joins.
 func (s *Store) startNode(bootstrap bool) error {
+	if err := s.finishClearing(); err != nil {
+		return err
+	}
 	hasState, err := replica.HasState(s.opts.FS, s.opts.Dir)
 	if err != nil {
 		return err
@@ -239,19 +246,6 @@
 	return members
 }
 
-func (s *Store) clearDir() error {
-	names, err := s.opts.FS.ReadDir(s.opts.Dir)
-	if err != nil {
-		return errors.Wrap(err, "listing the store directory")
-	}
-	for _, name := range names {
-		if err := s.opts.FS.Remove(s.opts.Dir + "/" + name); err != nil {
-			return errors.Wrap(err, "clearing the store directory")
-		}
-	}
-	return errors.Wrap(s.opts.FS.SyncDir(s.opts.Dir), "syncing the cleared store directory")
-}
-
 func (s *Store) currentNode() *replica.Node {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -265,6 +259,7 @@
 		return raftlink.Receive(st, func(group uint32, message []byte) {
 			// Raft tolerates lost messages, so a rejected one is dropped.
 			_ = s.currentNode().Step(replica.GroupID(group), message)
+			s.learnSender(message)
 		})
 	})
 	transport.HandleUnary(server, transport.MethodPutDocument, s.handlePut)
