forward: a complete response is delivered after a pause of the process

Cause: the write deadline of a caller's connection was set once, a second after the deadline of the request.

Change: the write deadline is set again when a response is complete.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -97,9 +97,8 @@
 	// A caller that stops reading must not occupy an engine beyond the deadline
 	// of its request. The write deadline belongs to the connection and is
 	// cleared for the next request.
-	rc := http.NewResponseController(w)
-	if rc.SetWriteDeadline(x.deadline.Add(writeGrace)) == nil {
-		defer func() { _ = rc.SetWriteDeadline(time.Time{}) }()
+	if x.setWriteDeadline() == nil {
+		defer func() { _ = http.NewResponseController(w).SetWriteDeadline(time.Time{}) }()
 	}
 	x.serve()
 }
@@ -126,6 +125,16 @@
 // written. A response that is ready is delivered even if it is late.
 const writeGrace = time.Second
 
+// setWriteDeadline sets until when the response may be written. It is set again before a
+// complete response, since the process may have been paused.
+func (x *exchange) setWriteDeadline() error {
+	until := x.deadline
+	if now := time.Now(); now.After(until) {
+		until = now
+	}
+	return http.NewResponseController(x.w).SetWriteDeadline(until.Add(writeGrace))
+}
+
 // accept validates the request, finds its route and service, and reads the body.
 // If it returns false, it has sent an error response.
 func (x *exchange) accept() bool {
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -204,6 +204,7 @@
 	x.status, x.outcome = res.resp.StatusCode, "answered"
 	x.copyResponseHeaders(res.resp.Header)
 	if len(body) <= maxBufferedBytes {
+		_ = x.setWriteDeadline()
 		x.w.Header().Set("Content-Length", itoa(len(body)))
 		x.w.WriteHeader(x.status)
 		if _, err := x.w.Write(body); err != nil {
