settings: a log reader that ends does not end the daemon

Cause: a write to a standard output whose reader has ended raises SIGPIPE, which ends a Go process. All callers' connections were closed without responses.

Change: daemons ignore SIGPIPE from their first line on, as SIGHUP. Lines that cannot be written are lost. IgnoreHangup is named IgnoreSignals.

--- a/cmd/gw-control/main.go
+++ b/cmd/gw-control/main.go
@@ -11,7 +11,7 @@
 const program = "gw-control"
 
 func main() {
-	settings.IgnoreHangup()
+	settings.IgnoreSignals()
 	app := settings.NewApp(program, "One member of the control store: configuration, leases and the ledger of non-repeatable calls.")
 	o := &options{}
 	o.addFlags(app)
--- a/cmd/gw-core/main.go
+++ b/cmd/gw-core/main.go
@@ -15,7 +15,7 @@
 const program = "gw-core"
 
 func main() {
-	settings.IgnoreHangup()
+	settings.IgnoreSignals()
 	ctx := settings.FirstSignalContext()
 	app := settings.NewApp(program, "Serves operators and upstreams, and replicates the configuration.")
 	var path string
--- a/cmd/gw-edge/main.go
+++ b/cmd/gw-edge/main.go
@@ -14,7 +14,7 @@
 const program = "gw-edge"
 
 func main() {
-	settings.IgnoreHangup()
+	settings.IgnoreSignals()
 	ctx := settings.FirstSignalContext()
 	app := settings.NewApp(program, "Forwards callers' requests on one entry VM.")
 	var path string
--- a/cmd/gw-entry/main.go
+++ b/cmd/gw-entry/main.go
@@ -84,7 +84,7 @@
 }
 
 func main() {
-	settings.IgnoreHangup()
+	settings.IgnoreSignals()
 	app := settings.NewApp(program, "Accepts callers' requests and forwards them to upstreams.")
 	o := &options{}
 	o.addFlags(app)
--- a/cmd/gw-scheduler/main.go
+++ b/cmd/gw-scheduler/main.go
@@ -57,7 +57,7 @@
 }
 
 func main() {
-	settings.IgnoreHangup()
+	settings.IgnoreSignals()
 	app := settings.NewApp(program, "Admits and places the requests of the pools whose leases it holds.")
 	o := &options{}
 	o.addFlags(app)
--- a/internal/settings/process.go
+++ b/internal/settings/process.go
@@ -76,10 +76,10 @@
 	return strings.FieldsFunc(s, func(r rune) bool { return r == ',' || r == ' ' })
 }
 
-// IgnoreHangup makes SIGHUP harmless for a daemon, from its first line on: the default
-// action is to end the process. Daemons that reload their settings on SIGHUP subscribe
-// to it later.
-func IgnoreHangup() { signal.Ignore(syscall.SIGHUP) }
+// IgnoreSignals makes signals harmless for a daemon, from its first line on, whose default
+// action is to end the process: SIGHUP, and SIGPIPE, which a write to a log output without
+// a reader causes. Daemons that reload their settings on SIGHUP subscribe to it later.
+func IgnoreSignals() { signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE) }
 
 // SignalContext returns a context that ends at SIGTERM or SIGINT. A second
 // signal terminates the process.
