forward: a request rejected before its body arrived is answered in time

Cause: net/http reads up to 256 KB of a body before it sends a response on a kept connection, without a time limit. A caller that sent no more of its body got no 404, 413 or 503, and kept its connection for ever.

Change: the rest of the body may take 0.5 s; then the response is sent and the connection closed.

Evidence: platform TestRejectedRequestWithASlowBodyIsAnswered failed before (no response within 2 s); tests of platform and forward pass with -race.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -26,6 +26,8 @@
 	service    *Service
 	info       RequestInfo
 	body       []byte
+	// bodyRead is set once the caller's body has been read to its end.
+	bodyRead bool
 	// deadline is the earlier of the route's and the caller's time limit.
 	deadline time.Time
 	// callerDeadline is the caller's time limit, or the route's if the caller set
@@ -224,6 +226,7 @@
 		return false
 	}
 	if x.r.ContentLength == 0 {
+		x.bodyRead = true
 		return true
 	}
 	// A caller that sends slowly must not occupy memory beyond the time limit of its
@@ -238,7 +241,7 @@
 		if hasDeadline {
 			_ = rc.SetReadDeadline(time.Time{})
 		}
-		x.body = body
+		x.body, x.bodyRead = body, true
 		return true
 	}
 	// What is left of the body is not read.
@@ -292,9 +295,17 @@
 	return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
 }
 
+// rejectedBodyTime is how long the body of a request may take to arrive that is rejected
+// before its body was read.
+const rejectedBodyTime = 500 * time.Millisecond
+
 // respondError sends an error response with the reason as its body.
 func (x *exchange) respondError(status int, reason string) {
 	x.status, x.reason, x.outcome = status, reason, "failed"
+	if x.r.ContentLength != 0 && !x.bodyRead {
+		// net/http reads the body before it sends the response, or closes the connection.
+		_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(rejectedBodyTime))
+	}
 	h := x.w.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	body := reason + "\n"
