entry: an answer without a length counts only if its process outlives it

Cause: an answer of a plain service with neither a length nor chunks ends with its connection. A process that is killed leaves the same end, so an answer that was cut off was passed on as complete with 200, and recorded in the ledger for ever.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -40,6 +40,7 @@
 // forwarder sends calls to plain upstreams.
 type forwarder struct {
 	picker *picker
+	conns  *connTable
 	// keepAlive reuses connections to upstreams that repeat the id of each call.
 	keepAlive http.RoundTripper
 	// singleUse opens a connection for each call. net/http retries a request with
@@ -49,21 +50,21 @@
 }
 
 func newForwarder(o *Options) *forwarder {
-	f := &forwarder{picker: newPicker(), keepAlive: o.Transport, singleUse: o.Transport}
+	f := &forwarder{picker: newPicker(), conns: newConnTable(o.Timeouts.Dial), keepAlive: o.Transport, singleUse: o.Transport}
 	if o.Transport == nil {
 		// "Connection: close" would change how some upstreams answer.
-		notKept := newTransport(o, false)
+		notKept := f.newTransport(o, false)
 		notKept.MaxIdleConnsPerHost = -1
-		f.keepAlive = upstream.NewTransport(newTransport(o, false), notKept)
-		singleUse := newTransport(o, true)
+		f.keepAlive = upstream.NewTransport(f.newTransport(o, false), notKept)
+		singleUse := f.newTransport(o, true)
 		f.singleUse = upstream.NewTransport(singleUse, singleUse)
 	}
 	return f
 }
 
-func newTransport(o *Options, singleUse bool) *http.Transport {
+func (f *forwarder) newTransport(o *Options, singleUse bool) *http.Transport {
 	return &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: o.Timeouts.Dial}).DialContext,
+		DialContext:            f.conns.DialContext,
 		TLSHandshakeTimeout:    o.Timeouts.Dial,
 		DisableCompression:     true,
 		DisableKeepAlives:      singleUse,
@@ -74,11 +75,11 @@
 }
 
 // send sends a call to the upstream at baseURL and returns the response once its
-// header has arrived. With runOnce the call must run at most once. Errors are of type
-// *upstream.Error.
-func (f *forwarder) send(ctx context.Context, baseURL string, r *http.Request, body []byte, requestID string, runOnce bool) (*http.Response, error) {
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
+// header has arrived. With runOnce the call must run at most once. state tells at the end
+// of a response what became of the upstream's process. Errors are of type *upstream.Error.
+func (f *forwarder) send(ctx context.Context, baseURL string, r *http.Request, body []byte, requestID string, runOnce bool, state func() processState) (*http.Response, error) {
+	var conn atomic.Pointer[net.Conn]
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn.Store(&info.Conn) }})
 	out, err := newUpstreamRequest(ctx, baseURL, r, body, requestID)
 	if err != nil {
 		return nil, &upstream.Error{Kind: upstream.KindNotSent, Err: err}
@@ -93,9 +94,12 @@
 			_ = resp.Body.Close()
 			return nil, err
 		}
+		if c := conn.Load(); c != nil {
+			checkEnd(resp, *c, state)
+		}
 		return resp, nil
 	}
-	if !connected.Load() {
+	if conn.Load() == nil {
 		return nil, &upstream.Error{Kind: upstream.KindNotSent, Err: errors.Wrap(err, "connecting to the upstream")}
 	}
 	return nil, &upstream.Error{Kind: upstream.KindOutcomeUnknown, Err: errors.Wrap(err, "waiting for the upstream's answer")}
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -205,7 +205,8 @@
 func (x *plainCall) exchange(ctx context.Context, cancel context.CancelFunc, attempt uint32, u *pb.UpstreamState) {
 	x.recordEvent("request.sent", attempt, u.Id)
 	runOnce := x.nonRepeatable || x.key != ""
-	resp, err := x.srv.forwarder.send(ctx, u.Url, x.r, x.body, x.id, runOnce)
+	state := func() processState { return x.srv.processState(x.route.Pool, u) }
+	resp, err := x.srv.forwarder.send(ctx, u.Url, x.r, x.body, x.id, runOnce, state)
 	picker := x.srv.forwarder.picker
 	if err != nil {
 		cancel()
@@ -228,6 +229,20 @@
 	x.deliver(up)
 }
 
+// processState returns what the pool's upstreams tell about the process that was sent a
+// call. One that is no longer listed, or silent, tells nothing.
+func (s *Server) processState(pool string, sent *pb.UpstreamState) processState {
+	for _, u := range s.opts.Schedulers.Upstreams(pool) {
+		if u.GetState().GetId() == sent.Id {
+			return processState{
+				replaced: u.State.Generation != sent.Generation || u.State.Url != sent.Url,
+				leaving:  u.State.Leaving || u.Health == pb.UpstreamStatus_LEAVING,
+			}
+		}
+	}
+	return processState{}
+}
+
 // deliver passes a response to the handler that streams it to the caller, unless
 // the request has ended. It holds mu so that writeOutcome finds every response
 // that was passed on and not streamed.
