entry: a panic does not end a request without a response

Cause: net/http closes the connection of a request whose handler panics, as if it had not been read, although its call may have been passed on.

Change: serve answers 500 with "ran":"unknown", cuts off a response that has begun, and logs the panic with its stack.

Evidence: TestCallerIsAnsweredAfterAPanic failed before (EOF).

--- a/internal/entry/caller_end_test.go
+++ b/internal/entry/caller_end_test.go
@@ -1,10 +1,13 @@
 package entry
 
 import (
+	"io"
 	"net/http"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
 )
 
 // Guards against a caller that finds its connection closed without a word, as if its call
@@ -29,3 +32,46 @@
 		f.requireFreed(t)
 	}
 }
+
+// panicBody is a response body whose first or second read panics.
+type panicBody struct{ first string }
+
+func (b *panicBody) Read(p []byte) (int, error) {
+	if b.first == "" {
+		panic("planted")
+	}
+	n := copy(p, b.first)
+	b.first = ""
+	return n, nil
+}
+
+func (b *panicBody) Close() error { return nil }
+
+type panicTransport struct{ first string }
+
+func (p panicTransport) RoundTrip(*http.Request) (*http.Response, error) {
+	return &http.Response{Status: "200 OK", StatusCode: 200, Header: http.Header{}, ContentLength: 10, Body: &panicBody{first: p.first}}, nil
+}
+
+// Guards against a caller that finds its connection closed without a word after a fault of
+// the entry, although its call was passed on.
+func TestCallerIsAnsweredAfterAPanic(t *testing.T) {
+	upstreams := []*pb.UpstreamStatus{{State: &pb.UpstreamState{Id: "u", Url: "http://u"}, Health: pb.UpstreamStatus_LIVE}}
+	f := newFixture(t, func(o *Options) { o.Transport = panicTransport{} }, ordersRoute())
+	f.schedulers.upstreams = upstreams
+	resp, body := f.do(t, "POST", "/orders/reserve", "", "b")
+	require.Equal(t, 500, resp.StatusCode)
+	require.Contains(t, body, `"code":"internal_error"`)
+	require.Contains(t, body, `"ran":"unknown"`)
+	f.requireFreed(t)
+
+	// A response that has begun is cut off.
+	f = newFixture(t, func(o *Options) { o.Transport = panicTransport{first: "part"} }, ordersRoute())
+	f.schedulers.upstreams = upstreams
+	resp, err := http.Post(f.url+"/orders/reserve", "", nil)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	_, err = io.ReadAll(resp.Body)
+	require.Error(t, err)
+	f.requireFreed(t)
+}
--- /dev/null
+++ b/internal/entry/panics.go
@@ -0,0 +1,49 @@
+package entry
+
+import (
+	"net/http"
+	"runtime/debug"
+
+	"godwitward.example/godwitward/internal/request"
+)
+
+// trackingWriter records whether the header of a response has been written.
+type trackingWriter struct {
+	http.ResponseWriter
+	started bool
+}
+
+// Unwrap is used by http.ResponseController.
+func (w *trackingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *trackingWriter) WriteHeader(status int) {
+	w.started = w.started || status >= http.StatusOK
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements io.Writer.
+func (w *trackingWriter) Write(b []byte) (int, error) {
+	w.started = true
+	return w.ResponseWriter.Write(b)
+}
+
+// recoverPanic answers the caller after a fault of the entry, and logs it: net/http would
+// close the connection as if the request had not been read. It must be deferred.
+func (s *Server) recoverPanic(w *trackingWriter, id string) {
+	v := recover()
+	switch {
+	case v == nil:
+		return
+	case v == http.ErrAbortHandler:
+		panic(v)
+	}
+	s.opts.Logger.Error().Str("event", "request.panicked").Str("request", id).Interface("panic", v).Bytes("stack", debug.Stack()).Msg("")
+	if w.started {
+		panic(http.ErrAbortHandler)
+	}
+	f := newFailure(http.StatusInternalServerError, CodeInternal, "a fault of this entry ended the request")
+	f.Ran = request.RanUnknown
+	w.Header().Set("Connection", "close")
+	s.fail(w, id, f)
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -220,8 +220,10 @@
 
 // serve handles requests of callers: every path except health checks and
 // announcements.
-func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+func (s *Server) serve(rw http.ResponseWriter, r *http.Request) {
 	id := newRequestID()
+	w := &trackingWriter{ResponseWriter: rw}
+	defer s.recoverPanic(w, id)
 	w.Header().Set("X-Request-Id", id)
 	// Clears the write deadline that an earlier request on this connection set.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
