--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -92,8 +92,8 @@
 			x.abortCancelled()
 			return
 		}
-		if x.remaining() < deadlineMargin {
-			x.giveUp("deadline")
+		if reason := x.timeIsUp(); reason != "" {
+			x.giveUp(reason)
 			return
 		}
 	}
@@ -136,6 +136,9 @@
 	body, err := io.ReadAll(io.LimitReader(res.resp.Body, maxBufferedBytes+1))
 	if err != nil {
 		res.close(false)
+		if x.cancelled() {
+			return sendOutcomeUnknown
+		}
 		t.recordFailure(x.s.now(), policy.FaultError)
 		x.reason = "answer_cut_off"
 		return sendOutcomeUnknown
@@ -174,8 +177,7 @@
 
 // handleSendError records a failed send and classifies it.
 func (x *exchange) handleSendError(t *target, err error) sendResult {
-	if x.callerGone() {
-		x.reason = "caller_left"
+	if x.cancelled() {
 		return sendOutcomeUnknown
 	}
 	var sendErr *SendError
@@ -228,13 +230,26 @@
 // response is incomplete.
 func (x *exchange) abort(reason string) {
 	x.outcome, x.reason = "cut_off", reason
+	if !x.r.ProtoAtLeast(1, 1) {
+		x.resetCaller()
+	}
 	panic(http.ErrAbortHandler)
 }
 
-// abortCancelled ends a request whose caller has disconnected.
+// abortCancelled ends a request whose caller has disconnected. A caller that has closed
+// only its sending side looks the same, and still learns that there is no response.
 func (x *exchange) abortCancelled() {
+	begun := x.status != 0
+	if !begun {
+		x.w.Header().Set("Connection", "close")
+		x.refuse("caller_left", x.retryAfter())
+		// Few callers are there to see it.
+		x.status = 0
+	}
 	x.outcome, x.reason = "cancelled", "caller_left"
-	panic(http.ErrAbortHandler)
+	if begun {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // giveUp ends a request for which no upstream response is available.
