soak: runners that are processes and give faulty answers, work that may run once

Change: kinds of faults that are injected only when named: rejections, second-answers, unstated-refusals, contradictory-answers, unframed-answers, early-answers, event-gaps and kill-runner. With one of them each runner is a process of gw-soak itself, which writes the start of a run before it runs it and ends by SIGKILL; its proxy stops listening when it does. Callers of work that may run once send it again only after a promise, or when the connection ended before the request was read, under a new request id; runs are counted by request and by work.

--- a/cmd/gw-soak/main.go
+++ b/cmd/gw-soak/main.go
@@ -15,6 +15,7 @@
 	"godwitward.example/godwitward/internal/finding"
 	"godwitward.example/godwitward/internal/settings"
 	"godwitward.example/godwitward/internal/soak"
+	"godwitward.example/godwitward/platform/standin"
 )
 
 const program = "gw-soak"
@@ -24,6 +25,7 @@
 	seeds       int
 	faults      []string
 	keepDir     string
+	binaries    string
 	soakOptions soak.Options
 }
 
@@ -32,8 +34,10 @@
 	app.Flag("seeds", "Number of seeds to run, one after the other.").Default("1").IntVar(&o.seeds)
 	app.Flag("duration", "Time span in which faults start.").Default("30s").DurationVar(&o.soakOptions.Duration)
 	app.Flag("entries", "Number of entry processes (gw-edge).").Default("4").IntVar(&o.soakOptions.Entries)
-	app.Flag("runners", "Number of runners (stand-in upstreams) of each service.").Default("5").IntVar(&o.soakOptions.Runners)
+	app.Flag("runners", "Number of runners (stand-in upstreams) of the plain service.").Default("5").IntVar(&o.soakOptions.Runners)
+	app.Flag("engines", "Number of runners of the service with model engines; default: as many as --runners.").IntVar(&o.soakOptions.Engines)
 	app.Flag("faults", "Kinds of faults; may be repeated. Default: all.").EnumsVar(&o.faults, soak.FaultKinds()...)
+	app.Flag("binaries", "Folder with gw-edge and gw-core of another commit; default: they are built from the current folder.").StringVar(&o.binaries)
 	app.Flag("keep", "Folder for logs and data, which are kept; default: a temporary folder, kept only after a failure.").StringVar(&o.keepDir)
 }
 
@@ -44,8 +48,11 @@
 	if o.soakOptions.Entries < 1 || o.soakOptions.Entries > 200 {
 		l.Addf("--entries", "%d is not between 1 and 200", o.soakOptions.Entries)
 	}
-	if o.soakOptions.Runners < 3 || o.soakOptions.Runners > 100 {
-		l.Addf("--runners", "%d is not between 3 and 100", o.soakOptions.Runners)
+	if o.soakOptions.Runners < 1 || o.soakOptions.Runners > 100 {
+		l.Addf("--runners", "%d is not between 1 and 100", o.soakOptions.Runners)
+	}
+	if o.soakOptions.Engines < 0 || o.soakOptions.Engines > 100 {
+		l.Addf("--engines", "%d is not between 0 and 100", o.soakOptions.Engines)
 	}
 	if o.soakOptions.Duration < 5*time.Second {
 		l.Addf("--duration", "%v is shorter than 5s", o.soakOptions.Duration)
@@ -53,6 +60,12 @@
 }
 
 func main() {
+	if served, err := standin.ServeProcess(); served {
+		if err != nil {
+			settings.Fatal(settings.NewLogger(os.Stderr), "serving as a runner", err)
+		}
+		return
+	}
 	app := settings.NewApp(program, "Runs the real programs, injects faults and checks the system's guarantees from outside.")
 	o := &options{}
 	o.addFlags(app)
@@ -64,12 +77,18 @@
 		settings.Fatal(logger, "creating a folder", err)
 	}
 	defer os.RemoveAll(binaries)
-	build := exec.CommandContext(ctx, "go", "build", "-o", binaries, "./cmd/gw-edge", "./cmd/gw-core")
-	build.Stderr = os.Stderr
-	if err := build.Run(); err != nil {
-		settings.Fatal(logger, "building the programs", err)
+	o.soakOptions.Binaries, o.soakOptions.Out, o.soakOptions.Faults = o.binaries, os.Stdout, o.faults
+	if o.binaries == "" {
+		build := exec.CommandContext(ctx, "go", "build", "-o", binaries, "./cmd/gw-edge", "./cmd/gw-core")
+		build.Stderr = os.Stderr
+		if err := build.Run(); err != nil {
+			settings.Fatal(logger, "building the programs", err)
+		}
+		o.soakOptions.Binaries = binaries
+	}
+	if o.soakOptions.Engines == 0 {
+		o.soakOptions.Engines = o.soakOptions.Runners
 	}
-	o.soakOptions.Binaries, o.soakOptions.Out, o.soakOptions.Faults = binaries, os.Stdout, o.faults
 	failed := 0
 	for i := range uint64(o.seeds) {
 		if ctx.Err() != nil {
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -37,14 +37,18 @@
 	truncated bool
 	// left is set when the caller disconnected on purpose.
 	left bool
+	// unstamped is set when the response has no stamp of a runner.
+	unstamped bool
 }
 
 // checker records what callers, runners and operators observe, and collects
 // violations of the system's guarantees. Its maps are keyed by request id unless
 // stated otherwise.
 type checker struct {
-	mu         sync.Mutex
-	runCounts  map[string]int
+	mu        sync.Mutex
+	runCounts map[string]int
+	// workRuns holds the ids of the requests that ran, by their work.
+	workRuns   map[string][]string
 	atMostOnce map[string]bool
 	outcomes   map[string]outcome
 	findings   []string
@@ -63,7 +67,7 @@
 
 func newChecker() *checker {
 	return &checker{
-		runCounts: map[string]int{}, atMostOnce: map[string]bool{}, outcomes: map[string]outcome{},
+		runCounts: map[string]int{}, workRuns: map[string][]string{}, atMostOnce: map[string]bool{}, outcomes: map[string]outcome{},
 		leaveAckedAt: map[string]time.Time{}, statusCounts: map[string]int{},
 	}
 }
@@ -111,6 +115,27 @@
 	if c.atMostOnce[r.ID] && c.runCounts[r.ID] > 1 {
 		c.addFinding("twice: request %s may run once and ran %d times, now at %s", r.ID, c.runCounts[r.ID], r.Runner)
 	}
+	if r.Work == "" {
+		return
+	}
+	c.workRuns[r.Work] = append(c.workRuns[r.Work], r.ID)
+	if ids := c.workRuns[r.Work]; slices.Index(ids, r.ID) != 0 {
+		c.addFinding("twice: work %s may run once and ran as requests %v, now at %s", r.Work, ids, r.Runner)
+	}
+}
+
+// workSentAgain counts the requests after which their caller sent its work again.
+func (c *checker) workSentAgain(o outcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.statusCounts[fmt.Sprintf("again after %d", o.status)]++
+}
+
+// report adds a finding.
+func (c *checker) report(format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.addFinding(format, args...)
 }
 
 // requestSent registers a request before it is sent.
@@ -129,6 +154,7 @@
 	if o.status == 200 && o.complete && o.body != "answer "+id {
 		c.addFinding("mixed: request %s got the response %q", id, o.body)
 	}
+	c.checkStamp(id, o)
 }
 
 // checkVersions checks that all events of a stream, over its caller's attempts, come from
@@ -151,6 +177,7 @@
 	if o.status != 200 {
 		return
 	}
+	c.checkStamp(id, o)
 	for i, e := range events {
 		if e != fmt.Sprintf("%s %d", id, delivered+i+1) {
 			c.addFinding("order: event %d of request %s is %q", delivered+i+1, id, e)
@@ -162,13 +189,20 @@
 	}
 }
 
-// checkRefusals checks that no at-most-once request that was refused (status 429
-// or 503) has run.
+// checkStamp checks that a success has the stamp of a runner. The caller holds mu.
+func (c *checker) checkStamp(id string, o outcome) {
+	if o.status == 200 && o.unstamped {
+		c.addFinding("mixed: request %s got a success without a stamp", id)
+	}
+}
+
+// checkRefusals checks that no at-most-once request that was promised not to run has
+// run, before or after the promise. It is called when all runs have ended.
 func (c *checker) checkRefusals() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for id, o := range c.outcomes {
-		if c.atMostOnce[id] && (o.status == 503 || o.status == 429) && c.runCounts[id] > 0 {
+		if c.atMostOnce[id] && promisesNotRun(o.status) && c.runCounts[id] > 0 {
 			c.addFinding("refused: request %s was answered %d and ran", id, o.status)
 		}
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -10,6 +10,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"godwitward.example/godwitward/platform/standin"
 )
 
 const resumeSignal = syscall.SIGCONT
@@ -176,7 +178,7 @@
 		runner.proxy.dropResponses.Store(true)
 		sleep(ctx, f.duration)
 		runner.proxy.dropResponses.Store(false)
-	case crashRunner:
+	case crashRunner, killRunner:
 		s.replaceRunner(ctx, f.target%len(s.runners), func() { runner.Stop() }, f.duration)
 	case leaveRunner:
 		if f.target%2 == 0 {
@@ -192,6 +194,10 @@
 		runner.SetStartsAnew(true)
 		sleep(ctx, f.duration)
 		runner.SetStartsAnew(false)
+	default:
+		s.setAnswerFault(standin.WireFault(f.kind), true)
+		sleep(ctx, f.duration)
+		s.setAnswerFault(standin.WireFault(f.kind), false)
 	}
 }
 
@@ -227,17 +233,27 @@
 	old.stopReports()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		s.check.mu.Lock()
-		defer s.check.mu.Unlock()
-		s.check.addFinding("restarting runner %s: %v", old.ID, err)
+		s.check.report("restarting runner %s: %v", old.ID, err)
 		return
 	}
-	old.proxy.target.Store(l.Addr().String())
+	proxy := old.proxy
+	if s.processes {
+		proxy.close()
+		if proxy, err = newProxy(proxy.address(), l.Addr().String(), true); err != nil {
+			s.check.report("restarting runner %s: %v", old.ID, err)
+			return
+		}
+	}
+	proxy.target.Store(l.Addr().String())
 	version := "v0"
 	if old.Version == version {
 		version = "v1"
 	}
-	runner := s.startRunner(ctx, l, old.proxy, old.ID, version, old.Service, old.Stage)
+	runner, err := s.startRunner(ctx, l, proxy, old.ID, version, old.Service, old.Stage)
+	if err != nil {
+		s.check.report("restarting runner %s: %v", old.ID, err)
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.runners[i] = runner
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -33,6 +33,13 @@
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}
 	for n := 0; ctx.Err() == nil; n++ {
 		id := fmt.Sprintf("c%d-%d", caller, n)
+		if s.processes {
+			if w := drawOnceWork(random, id); w.path != "" {
+				s.sendOnce(ctx, client, random, w)
+				sleep(ctx, time.Duration(random.ExpFloat64()*float64(meanThinkTime)))
+				continue
+			}
+		}
 		entry := s.entryAddress(random.IntN(len(s.entries)))
 		switch draw := random.Float64(); {
 		case draw < 0.4:
@@ -62,7 +69,7 @@
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
-	o = outcome{status: resp.StatusCode, complete: err == nil, body: string(body), truncated: err != nil}
+	o = outcome{status: resp.StatusCode, complete: err == nil, body: string(body), truncated: err != nil, unstamped: !standin.IsStamped(resp)}
 }
 
 // sendStream sends a request for a stream. If the stream breaks off after its first event,
@@ -130,7 +137,7 @@
 		cancel()
 		_ = resp.Body.Close()
 	}
-	o = outcome{status: resp.StatusCode, truncated: true}
+	o = outcome{status: resp.StatusCode, truncated: true, unstamped: !standin.IsStamped(resp)}
 	scanner := bufio.NewScanner(resp.Body)
 	for scanner.Scan() {
 		if version, ok := standin.VersionOf(scanner.Text()); ok {
@@ -155,6 +162,17 @@
 	return o, events
 }
 
+// readEvents reads the data of the events of a stream.
+func readEvents(body io.Reader) (events []string, err error) {
+	scanner := bufio.NewScanner(body)
+	for scanner.Scan() {
+		if data, ok := strings.CutPrefix(scanner.Text(), "data: "); ok {
+			events = append(events, data)
+		}
+	}
+	return events, scanner.Err()
+}
+
 // readConfig reads the configuration from the core daemons in turn until ctx
 // ends, and checks each version that it gets.
 func (s *system) readConfig(ctx context.Context) {
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -5,7 +5,10 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // proxy forwards TCP connections to one runner and injects network faults.
@@ -17,6 +20,8 @@
 	delayNanos atomic.Int64
 	// dropResponses discards all data sent by the runner.
 	dropResponses atomic.Bool
+	// endsWithTarget closes the listener once the runner no longer listens.
+	endsWithTarget bool
 
 	mu    sync.Mutex
 	conns map[*proxyConn]struct{}
@@ -33,12 +38,12 @@
 	responsesLost atomic.Bool
 }
 
-func newProxy(listen, target string) (*proxy, error) {
+func newProxy(listen, target string, endsWithTarget bool) (*proxy, error) {
 	l, err := net.Listen("tcp", listen)
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, conns: map[*proxyConn]struct{}{}}
+	p := &proxy{listener: l, endsWithTarget: endsWithTarget, conns: map[*proxyConn]struct{}{}}
 	p.target.Store(target)
 	go p.accept()
 	return p, nil
@@ -64,6 +69,7 @@
 func (p *proxy) serve(client net.Conn) {
 	runner, err := net.DialTimeout("tcp", p.target.Load().(string), time.Second)
 	if err != nil {
+		p.endWithTarget()
 		_ = client.(*net.TCPConn).SetLinger(0)
 		_ = client.Close()
 		return
@@ -76,6 +82,7 @@
 	go p.copy(c, runner, client, false, done)
 	go p.copy(c, client, runner, true, done)
 	<-done
+	p.endWithTarget()
 	_ = client.Close()
 	_ = runner.Close()
 	<-done
@@ -84,6 +91,20 @@
 	p.mu.Unlock()
 }
 
+// endWithTarget closes the listener if the runner has ended. It is called before a
+// connection is closed, since a process that is killed loses its listener first.
+func (p *proxy) endWithTarget() {
+	if !p.endsWithTarget {
+		return
+	}
+	conn, err := net.DialTimeout("tcp", p.target.Load().(string), time.Second)
+	if err != nil {
+		_ = p.listener.Close()
+		return
+	}
+	_ = conn.Close()
+}
+
 func (p *proxy) copy(c *proxyConn, to io.Writer, from io.Reader, fromRunner bool, done chan<- struct{}) {
 	defer func() { done <- struct{}{} }()
 	buf := make([]byte, 16<<10)
@@ -98,6 +119,9 @@
 			}
 		}
 		if err != nil {
+			if fromRunner && errors.Is(err, syscall.ECONNRESET) {
+				_ = c.client.(*net.TCPConn).SetLinger(0)
+			}
 			return
 		}
 	}
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -15,7 +15,7 @@
 	runner, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer runner.Close()
-	p, err := newProxy("127.0.0.1:0", runner.Addr().String())
+	p, err := newProxy("127.0.0.1:0", runner.Addr().String(), false)
 	require.NoError(t, err)
 	defer p.close()
 	client, err := net.Dial("tcp", p.address())
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -16,9 +16,9 @@
 	Seed uint64
 	// Duration is the time span in which faults start.
 	Duration time.Duration
-	// Entries is the number of entry processes, Runners the number of runners
-	// (stand-in upstreams) of each of the two services.
-	Entries, Runners int
+	// Entries is the number of entry processes, Runners and Engines the numbers of
+	// runners (stand-in upstreams) of the plain service and of that with model engines.
+	Entries, Runners, Engines int
 	// Faults lists the kinds of faults to inject; empty means all.
 	Faults []string
 	// Binaries is the folder with gw-edge and gw-core, Dir the folder for logs
@@ -43,7 +43,7 @@
 		return nil, err
 	}
 	check := newChecker()
-	s, err := newSystem(opts, check)
+	s, err := newSystem(opts, check, slices.ContainsFunc(kinds, needsProcesses))
 	if err != nil {
 		return nil, err
 	}
@@ -127,9 +127,12 @@
 
 // targetLocks returns the keys of the locks that serialise faults of one target, in the
 // order in which they are taken: one per entry, one for all core daemons, one for the
-// configuration and one for all runners.
+// configuration, one for all runners and one for each kind of faulty answers.
 func (s *system) targetLocks(f fault) []int {
-	const entryLock, coreLock, configLock, runnerLock = 1000, 2000, 3000, 4000
+	const entryLock, coreLock, configLock, runnerLock, answersLock = 1000, 2000, 3000, 4000, 5000
+	if i := slices.Index(wireFaultKinds(), f.kind); i >= 0 {
+		return []int{answersLock + i}
+	}
 	switch f.kind {
 	case killEntry, stopEntry, pauseEntry, reloadSettings:
 		return []int{entryLock + f.target%len(s.entries)}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"godwitward.example/godwitward/platform/standin"
 )
 
 // faultKind is the name of a kind of fault, as used on the command line.
@@ -34,6 +36,7 @@
 	releaseEngines faultKind = "release"
 	restartRunner  faultKind = "restart-runner"
 	strayEvents    faultKind = "stray-events"
+	killRunner     faultKind = "kill-runner"
 )
 
 // FaultKinds returns the names of all kinds of faults.
@@ -52,7 +55,19 @@
 	resetLinks, silentLinks, delayLinks, oneWayLink, reloadSettings, changeConfig, raceConfigChanges,
 }
 
-var namedFaultKinds = []faultKind{killAll, releaseEngines, restartRunner, strayEvents}
+var namedFaultKinds = append([]faultKind{killAll, releaseEngines, restartRunner, strayEvents, killRunner}, wireFaultKinds()...)
+
+// wireFaultKinds are faults of the answers of all runners.
+func wireFaultKinds() []faultKind {
+	var kinds []faultKind
+	for _, f := range standin.WireFaults {
+		kinds = append(kinds, faultKind(f))
+	}
+	return kinds
+}
+
+// needsProcesses reports whether a fault of a kind needs runners that are processes.
+func needsProcesses(k faultKind) bool { return k == killRunner || slices.Contains(wireFaultKinds(), k) }
 
 // fault is one entry of the schedule. Its start time is relative to the start of
 // the run; the target is reduced modulo the number of possible targets.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -15,6 +15,17 @@
 	"godwitward.example/godwitward/platform/standin"
 )
 
+// The runners of a run may be processes of this program.
+func TestMain(m *testing.M) {
+	if served, err := standin.ServeProcess(); served {
+		if err != nil {
+			panic(err)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
 // A run must be repeatable from its seed.
 func TestScheduleDependsOnSeedAlone(t *testing.T) {
 	a, b := planFaults(7, time.Minute, allFaultKinds), planFaults(7, time.Minute, allFaultKinds)
@@ -31,16 +42,34 @@
 			c.requestRan(standin.Run{ID: "a"})
 			c.requestRan(standin.Run{ID: "a"})
 		},
+		"twice, by work": func(c *checker) {
+			c.requestSent("a", true)
+			c.requestRan(standin.Run{ID: "a", Work: "a"})
+			c.requestSent("a.1", true)
+			c.requestRan(standin.Run{ID: "a.1", Work: "a"})
+		},
 		"refused": func(c *checker) {
 			c.requestSent("a", true)
 			c.requestRan(standin.Run{ID: "a"})
 			c.checkPlain("a", outcome{status: 503, complete: true})
 			c.checkRefusals()
 		},
-		"mixed":           func(c *checker) { c.checkPlain("a", outcome{status: 200, complete: true, body: "answer b"}) },
-		"order, twice":    func(c *checker) { c.checkStream("a", outcome{status: 200}, []string{"a 1", "a 1"}, 0, 3) },
-		"order, gap":      func(c *checker) { c.checkStream("a", outcome{status: 200}, []string{"a 1", "a 3"}, 0, 3) },
-		"order, short":    func(c *checker) { c.checkStream("a", outcome{status: 200, complete: true}, []string{"a 1"}, 0, 3) },
+		"refused, runs later": func(c *checker) {
+			c.requestSent("a", true)
+			c.checkStream("a", outcome{status: 408, complete: true}, nil, 0, 3)
+			c.requestRan(standin.Run{ID: "a"})
+			c.checkRefusals()
+		},
+		"mixed, no stamp": func(c *checker) {
+			c.checkPlain("a", outcome{status: 200, complete: true, body: "answer a", unstamped: true})
+		},
+		"mixed":        func(c *checker) { c.checkPlain("a", outcome{status: 200, complete: true, body: "answer b"}) },
+		"order, twice": func(c *checker) { c.checkStream("a", outcome{status: 200}, []string{"a 1", "a 1"}, 0, 3) },
+		"order, gap":   func(c *checker) { c.checkStream("a", outcome{status: 200}, []string{"a 1", "a 3"}, 0, 3) },
+		"order, short": func(c *checker) { c.checkStream("a", outcome{status: 200, complete: true}, []string{"a 1"}, 0, 3) },
+		"order, missing piece": func(c *checker) {
+			c.checkStream("a", outcome{status: 200, complete: true}, []string{"a 1", "a 3"}, 0, 3)
+		},
 		"order, taken up": func(c *checker) { c.checkStream("a", outcome{status: 200}, []string{"a 1"}, 2, 3) },
 		"order, versions": func(c *checker) { c.checkVersions("a", map[string]bool{"v1": true, "v2": true}) },
 		"drain": func(c *checker) {
@@ -101,7 +130,7 @@
 	output, err := build.CombinedOutput()
 	require.NoError(t, err, string(output))
 	findings, err := Run(context.Background(), Options{
-		Seed: 31, Duration: 8 * time.Second, Entries: 3, Runners: 4, Binaries: dir, Dir: dir, Out: io.Discard,
+		Seed: 31, Duration: 8 * time.Second, Entries: 3, Runners: 4, Engines: 4, Binaries: dir, Dir: dir, Out: io.Discard,
 		Faults: []string{string(stopEntry), string(stopCore), string(reloadSettings)},
 	})
 	require.NoError(t, err)
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -47,8 +47,13 @@
 	// replacing serialises the replacements of a release.
 	replacing sync.Mutex
 
+	// processes is set if each runner is a process of its own.
+	processes bool
+
 	mu      sync.Mutex
 	runners []*proxiedRunner
+	// answerFaults are the faults of the runners' answers that are in progress.
+	answerFaults []standin.WireFault
 }
 
 // ports are the TCP ports of a run. All processes use the same ports, each on its
@@ -60,6 +65,8 @@
 	*standin.Runner
 	proxy       *proxy
 	stopReports context.CancelFunc
+	// process serves the requests, nil if the runner does.
+	process *runnerProcess
 }
 
 // ip returns the loopback address of a process. The address contains the seed, so
@@ -81,8 +88,8 @@
 	return p, nil
 }
 
-func newSystem(opts Options, check *checker) (*system, error) {
-	s := &system{opts: opts, check: check}
+func newSystem(opts Options, check *checker, processes bool) (*system, error) {
+	s := &system{opts: opts, check: check, processes: processes}
 	var err error
 	if s.ports, err = freePorts(); err != nil {
 		return nil, err
@@ -129,9 +136,14 @@
 			return err
 		}
 	}
-	for i := range s.opts.Runners {
-		if err := s.addRunner(ctx, "plain", standin.StagePlain); err != nil {
-			return err
+	for i := range max(s.opts.Runners, s.opts.Engines) {
+		if i < s.opts.Runners {
+			if err := s.addRunner(ctx, "plain", standin.StagePlain); err != nil {
+				return err
+			}
+		}
+		if i >= s.opts.Engines {
+			continue
 		}
 		stage := standin.StageDecode
 		if i%3 == 2 {
@@ -194,7 +206,7 @@
 	if err != nil {
 		return errors.Wrap(err, "starting a runner")
 	}
-	p, err := newProxy("127.0.0.1:0", l.Addr().String())
+	p, err := newProxy("127.0.0.1:0", l.Addr().String(), s.processes)
 	if err != nil {
 		return errors.Wrap(err, "starting a proxy")
 	}
@@ -203,7 +215,10 @@
 	if release := s.releases.Load(); release > 0 && service == engineService {
 		version = fmt.Sprintf("v%d", softwareVersions-1+release)
 	}
-	runner := s.startRunner(ctx, l, p, fmt.Sprintf("i-%d", n), version, service, stage)
+	runner, err := s.startRunner(ctx, l, p, fmt.Sprintf("i-%d", n), version, service, stage)
+	if err != nil {
+		return err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.runners = append(s.runners, runner)
@@ -211,7 +226,7 @@
 }
 
 // startRunner starts a runner that listens at l, and starts sending its reports.
-func (s *system) startRunner(ctx context.Context, l net.Listener, p *proxy, id, version, service, stage string) *proxiedRunner {
+func (s *system) startRunner(ctx context.Context, l net.Listener, p *proxy, id, version, service, stage string) (*proxiedRunner, error) {
 	r := &standin.Runner{
 		ID: id, Version: version, Service: service, Stage: stage, ServiceTime: plainServiceTime, Events: streamEvents,
 		OnStart: s.check.requestRan, OnArrival: s.check.requestArrived,
@@ -219,11 +234,18 @@
 	if stage == standin.StageDecode {
 		r.ServiceTime = eventInterval
 	}
-	r.Start(l)
 	runCtx, stop := context.WithCancel(ctx)
 	runner := &proxiedRunner{Runner: r, proxy: p, stopReports: stop}
+	if s.processes {
+		if err := s.startRunnerProcess(runner, l); err != nil {
+			stop()
+			return nil, err
+		}
+	} else {
+		r.Start(l)
+	}
 	go s.sendReports(runCtx, runner)
-	return runner
+	return runner, nil
 }
 
 // sendReports sends a runner's reports to one core daemon until ctx ends, and
