--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -174,10 +174,10 @@
 	defer c.mu.Unlock()
 	c.outcomes[id] = o
 	c.statusCounts[fmt.Sprintf("stream %d", o.status)]++
+	c.checkStamp(id, o)
 	if o.status != 200 {
 		return
 	}
-	c.checkStamp(id, o)
 	for i, e := range events {
 		if e != fmt.Sprintf("%s %d", id, delivered+i+1) {
 			c.addFinding("order: event %d of request %s is %q", delivered+i+1, id, e)
@@ -189,10 +189,14 @@
 	}
 }
 
-// checkStamp checks that a success has the stamp of a runner. The caller holds mu.
+// checkStamp checks that a success has the stamp of a runner, and that a failure that no
+// runner gives has none. The caller holds mu.
 func (c *checker) checkStamp(id string, o outcome) {
-	if o.status == 200 && o.unstamped {
+	switch {
+	case o.status == 200 && o.unstamped:
 		c.addFinding("mixed: request %s got a success without a stamp", id)
+	case !o.unstamped && (o.status == 502 || o.status == 504):
+		c.addFinding("mixed: request %s got the status %d with a stamp", id, o.status)
 	}
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -60,6 +60,7 @@
 			c.requestRan(standin.Run{ID: "a"})
 			c.checkRefusals()
 		},
+		"mixed, stamp": func(c *checker) { c.checkPlain("a", outcome{status: 502, complete: true}) },
 		"mixed, no stamp": func(c *checker) {
 			c.checkPlain("a", outcome{status: 200, complete: true, body: "answer a", unstamped: true})
 		},
