scheduler: a stream that fits nowhere does not hold up the others to resume

Cause: all streams to resume of an organisation shared one flow of the fair queue, and the head of a flow that fits nowhere holds up the rest. A stream to resume is larger the more of it the caller has, and may run only at engines of its version and not at those that it has tried; while it waited for memory, 50 others behind it were not tried, and the memory that became free went to the drafts of the later lane. Each stream to resume has a flow of its own now.

TestStreamThatFitsNowhereDoesNotHoldUpOthers: both variants failed before.

--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -276,7 +276,7 @@
 	ahead := p.piecesBefore(w.lane)
 	if w.lane != urgentLane {
 		laneQueue := q.lanes[w.lane]
-		fairAhead := (laneQueue.FlowLen(w.req.Organisation) + 1) * w.spec.Pieces * max(1, laneQueue.Flows())
+		fairAhead := (laneQueue.FlowLen(w.flow()) + 1) * w.spec.Pieces * max(1, laneQueue.Flows())
 		ahead += min(q.queuedPieces[w.lane], fairAhead)
 	}
 	// Memory that is free now need not be waited for. Soon after a start none
@@ -305,16 +305,26 @@
 	q.byTicket[w.ticket] = w
 	q.queuedPieces[w.lane] += w.spec.Pieces
 	cost := float64(w.spec.PromptTokens + w.spec.MaxOutput)
-	head := q.lanes[w.lane].Push(w.req.Organisation, cost, policy.Bucket{Group: w.req.Model, Size: w.spec.Pieces}, w)
+	head := q.lanes[w.lane].Push(w.flow(), cost, policy.Bucket{Group: w.req.Model, Size: w.spec.Pieces}, w)
 	if head {
 		q.blocked[w.lane] = false
 	}
 }
 
+// flow returns the flow in which the request is queued. The head of a flow holds up the
+// rest. A stream to resume needs the more memory the more of it the caller has, and may
+// run only on engines of its version, so that each has a flow of its own.
+func (w *queuedRequest) flow() string {
+	if w.lane == resumedLane {
+		return w.req.Organisation + "\x00" + fmt.Sprintf("%016x", w.ticket)
+	}
+	return w.req.Organisation
+}
+
 // dequeue removes a request that is not granted.
 func (p *Pool) dequeue(w *queuedRequest) {
 	q := &p.queue
-	q.lanes[w.lane].Remove(w.req.Organisation, func(o *queuedRequest) bool { return o == w })
+	q.lanes[w.lane].Remove(w.flow(), func(o *queuedRequest) bool { return o == w })
 	p.afterDequeue(w)
 }
 
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -28,6 +28,9 @@
 	// maxSkipped bounds the requests that one run skips because they fit
 	// nowhere for a reason of their own, such as excluded engines.
 	maxSkipped = 64
+	// maxSkippedStreams is the same for streams to resume, of which each may fit nowhere
+	// for a reason of its own. Later lanes go on after that.
+	maxSkippedStreams = 16
 )
 
 // class returns the request class of a lane's requests.
@@ -63,6 +66,9 @@
 		}
 		var complete bool
 		out, complete = p.placeLane(lane(i), out, now)
+		if !complete && lane(i) == resumedLane {
+			continue
+		}
 		if !complete {
 			// The lane has requests that were not tried. They go ahead of the
 			// later lanes.
@@ -112,8 +118,14 @@
 			return policy.Taken
 		}
 		skipped++
+		if l == resumedLane && skipped >= maxSkippedStreams {
+			return policy.Stop
+		}
 		return p.verdict(&q, skipped)
 	})
+	if l == resumedLane {
+		return out, skipped < maxSkippedStreams
+	}
 	return out, skipped < maxSkipped
 }
 
@@ -290,7 +302,7 @@
 		m.view.EarmarkedPieces = earmarkedPieces
 		return out
 	}
-	p.queue.lanes[w.lane].Remove(w.req.Organisation, func(o *queuedRequest) bool { return o == w })
+	p.queue.lanes[w.lane].Remove(w.flow(), func(o *queuedRequest) bool { return o == w })
 	return append(out, p.grant(w, &pl, 0, now)...)
 }
 
--- a/internal/scheduler/versions_test.go
+++ b/internal/scheduler/versions_test.go
@@ -72,3 +72,29 @@
 		require.Less(t, ticket, uint64(100), "a new draft went ahead of a stream")
 	}
 }
+
+// Guards against a stream to resume that waits for the only engine of its version, or for
+// memory, and holds up those behind it while new drafts are served.
+func TestStreamThatFitsNowhereDoesNotHoldUpOthers(t *testing.T) {
+	t.Run("version", func(t *testing.T) {
+		p := versionPool()
+		now := 3 * time.Second
+		ticket := uint64(1)
+		for ; p.Queued() == 0; ticket++ {
+			p.Submit(ticket, resumedRequest(fmt.Sprint("r", ticket), "v1"), now)
+			p.Run(Placement, now)
+		}
+		out := append(p.Submit(ticket, resumedRequest("other", "v2"), now), p.Run(Placement, now)...)
+		require.Contains(t, []string{"d1", "d2"}, decodeEngines(out)[ticket])
+	})
+	t.Run("excluded engines", func(t *testing.T) {
+		p := versionPool()
+		now := 3 * time.Second
+		excluding := resumedRequest("excluding", "v2")
+		excluding.Exclude = []string{"d1", "d2"}
+		require.Empty(t, decodeEngines(append(p.Submit(1, excluding, now), p.Run(Placement, now)...)))
+		require.Equal(t, 1, p.Queued())
+		out := append(p.Submit(2, resumedRequest("other", "v2"), now), p.Run(Placement, now)...)
+		require.Contains(t, []string{"d1", "d2"}, decodeEngines(out)[2])
+	})
+}
