scheduler: short streams are resumed together at an engine

Cause: an engine took one stream to resume at a time, from its grant to its first event, and none for 120 ms after that, because the tokens generated so far are read again between the decode steps of the others. The limit counted streams, although what pauses the others is the time that the reading takes, most of a grant's time is the prefill of the prompt elsewhere, and most streams have far fewer tokens than the longest local prefill allows.

An engine now takes several if the tokens that they read again take no longer than the longest local prefill (0.18 s); whole prompts are still read one at a time.

TestShortStreamsAreResumedTogether is new; TestResumedRequestsPrefillOneAtATime, with streams of 4,200 tokens, passes unchanged.

--- a/internal/scheduler/holds.go
+++ b/internal/scheduler/holds.go
@@ -53,11 +53,12 @@
 	// share and the memory on the prefill engine are reserved.
 	prefillReserved bool
 	linkReserved    bool
-	// localPrefill: the decode engine prefills the prompt. prefillsGenerated:
-	// it prefills the tokens that an earlier attempt generated.
+	// localPrefill: the decode engine prefills the prompt. regeneratedTokens: it
+	// prefills those that an earlier attempt generated, if there are enough to
+	// matter.
 	// localPrefillActive: it does either and has not reached the first token.
 	localPrefill       bool
-	prefillsGenerated  bool
+	regeneratedTokens  int32
 	localPrefillActive bool
 	// cancelling: the hold is dropped once the engines in unconfirmed have
 	// confirmed the cancellation.
@@ -98,9 +99,13 @@
 		dec.Batch++
 		h.decode.held.add(now, dec.HeldPieces, dec.Batch)
 	}
-	if h.localPrefill || h.prefillsGenerated {
+	switch {
+	case h.localPrefill:
 		h.localPrefillActive = true
 		dec.LocalPrefills++
+	case h.regeneratedTokens > 0:
+		h.localPrefillActive = true
+		dec.GeneratedTokens += int(h.regeneratedTokens)
 	}
 	if h.prefillReserved {
 		pre := &h.prefill.view
@@ -138,7 +143,11 @@
 		return
 	}
 	h.localPrefillActive = false
-	h.decode.view.LocalPrefills--
+	if h.localPrefill {
+		h.decode.view.LocalPrefills--
+	} else {
+		h.decode.view.GeneratedTokens -= int(h.regeneratedTokens)
+	}
 	h.decode.view.NextLocalPrefill = now + policy.LocalPrefillCooldown
 }
 
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -227,8 +227,10 @@
 		promptTokens: int32(req.PromptTokens), outputTokens: int32(req.MaxOutputTokens),
 		prefillTokens: int32(w.spec.PromptTokens - pl.CachedTokens), class: w.spec.Class,
 		promised: promised, prefillReserved: !local, linkReserved: !local, localPrefill: local,
-		prefillsGenerated: w.spec.GeneratedTokens >= policy.MinLocalPrefillTokens,
-		linkBytes:         policy.KVBytes(&pre.view, &dec.view, w.spec.PromptTokens),
+		linkBytes: policy.KVBytes(&pre.view, &dec.view, w.spec.PromptTokens),
+	}
+	if w.spec.GeneratedTokens >= policy.MinLocalPrefillTokens {
+		h.regeneratedTokens = int32(w.spec.GeneratedTokens)
 	}
 	w.heldRetries = 0
 	p.afterDequeue(w)
--- a/internal/scheduler/versions_test.go
+++ b/internal/scheduler/versions_test.go
@@ -98,3 +98,21 @@
 		require.Contains(t, []string{"d1", "d2"}, decodeEngines(out)[2])
 	})
 }
+
+// Guards against streams that are resumed one after the other on each engine, although
+// together they would pause the others for less time than one long one.
+func TestShortStreamsAreResumedTogether(t *testing.T) {
+	p := platformPool(Params{OnDemandMemory: true, LocalPrefill: true})
+	now := 3 * time.Second
+	p.Announce([]*pb.UpstreamState{platformEngine("p1", rolePrefill), platformEngine("d1", roleDecode)}, now)
+	var together int
+	for ticket := uint64(1); ticket <= 20; ticket++ {
+		req := platformRequest(fmt.Sprint("r", ticket), 1000+1400, 700)
+		req.MadeTokens = 1400
+		together += len(grantedTickets(append(p.Submit(ticket, req, now), p.Run(Placement, now)...)))
+	}
+	require.Greater(t, together, 1)
+	e := p.upstreams.byID["d1"].view
+	require.Equal(t, together*1400, e.GeneratedTokens)
+	require.LessOrEqual(t, float64(e.GeneratedTokens)/(0.5*e.PrefillRate), 0.18, "their pause is that of the longest local prefill")
+}
--- a/policy/engine.go
+++ b/policy/engine.go
@@ -57,6 +57,9 @@
 	// Query.Now.
 	LocalPrefills    int
 	NextLocalPrefill time.Duration
+	// GeneratedTokens are the tokens of earlier attempts that this decode engine reads
+	// again, for the streams that it resumes and that have no event yet.
+	GeneratedTokens int
 	// BacklogTokens are the prompt tokens granted to this prefill engine whose
 	// prefill has not finished. UrgentTokens are those of urgent requests.
 	BacklogTokens int
--- a/policy/local_prefill.go
+++ b/policy/local_prefill.go
@@ -35,7 +35,18 @@
 // CanPrefillLocally reports whether a decode engine may start a local prefill
 // now: none is in progress and the cooldown has ended.
 func CanPrefillLocally(q *Query, e *Engine) bool {
-	return e.LocalPrefills == 0 && q.Now >= e.NextLocalPrefill
+	return e.LocalPrefills == 0 && e.GeneratedTokens == 0 && q.Now >= e.NextLocalPrefill
+}
+
+// CanResume reports whether a decode engine may take a stream to resume, whose generated
+// tokens it prefills itself after it has fetched the prompt. Several may do so at a time if
+// together they take no longer than the longest local prefill.
+func CanResume(r *Request, e *Engine) bool {
+	if r.GeneratedTokens < MinLocalPrefillTokens {
+		return true
+	}
+	seconds := float64(e.GeneratedTokens+r.GeneratedTokens) / (localPrefillSpeedRatio * e.PrefillRate) * e.decodeSlowdown()
+	return e.LocalPrefills == 0 && (e.GeneratedTokens == 0 || seconds <= maxLocalPrefillSeconds)
 }
 
 // PlaceLocalPrefill selects a decode engine that prefills the prompt itself. It
--- a/policy/place.go
+++ b/policy/place.go
@@ -187,7 +187,7 @@
 // Fits reports whether a decode engine can take the request now.
 func Fits(q *Query, e *Engine) bool {
 	r := q.Request
-	if r.GeneratedTokens >= MinLocalPrefillTokens && !CanPrefillLocally(q, e) {
+	if !CanResume(r, e) {
 		return false
 	}
 	return e.Usable && e.FreePieces(r.Class, q.Reserve) >= r.Pieces && e.FreeSlots(r.Class, q.Reserve) >= 1 &&
