ends of responses are watched for longer, those of streams for 100 ms

Cause: a process that is killed on a busy machine may be paused between two of its sockets, so a new connection was accepted and open 5 ms after the end of its response, which counted as complete.

Change: 10 ms for plain answers, 100 ms for streams, whose end has no latency target.

--- a/internal/forward/prompt_parts.go
+++ b/internal/forward/prompt_parts.go
@@ -305,5 +305,5 @@
 func (t *target) refusesConnections() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
-	return t.tryConnection(ctx) == policy.ConnectRefused
+	return t.tryConnection(ctx, 0) == policy.ConnectRefused
 }
--- a/internal/forward/response_end.go
+++ b/internal/forward/response_end.go
@@ -14,14 +14,19 @@
 )
 
 const (
-	// connSettleTime is how long after the first connections of a killed process all others
-	// are closed, and connectPause the time between two new connections that tell.
-	connSettleTime = 5 * time.Millisecond
+	// A killed process closes its sockets one after the other, on a busy machine with pauses.
+	// connSettleTime is how long connections are watched for that. The end of a stream has no
+	// latency target, so those of streams are watched for streamSettleTime.
+	connSettleTime   = 10 * time.Millisecond
+	streamSettleTime = 100 * time.Millisecond
+	// connPollInterval is the time between two looks at a connection that is watched.
+	connPollInterval = 10 * time.Millisecond
+	// connectPause is the time between two new connections that tell, and connectTimeout
+	// limits each of them.
 	connectPause   = 10 * time.Millisecond
-	// connectTimeout limits each of them.
 	connectTimeout = 150 * time.Millisecond
 	// endCheckTimeout limits the check at the end of a response.
-	endCheckTimeout = 400 * time.Millisecond
+	endCheckTimeout = 600 * time.Millisecond
 	// A body that comes faster than bulkBytesPerSecond, by bulkBytes, may wait in the memory
 	// of a kernel whose process has ended.
 	bulkBytesPerSecond = 256 << 10
@@ -104,6 +109,10 @@
 func (b *unframedBody) processAlive() bool {
 	ctx, cancel := context.WithTimeout(b.x.ctx, min(endCheckTimeout, b.x.remaining()+b.x.responseGrace()))
 	defer cancel()
+	settle := connSettleTime
+	if b.x.route.Kind == Stream {
+		settle = streamSettleTime
+	}
 	end := policy.ResponseEnd{Age: time.Since(b.aliveAt)}
 	for ctx.Err() == nil {
 		end.Replaced, end.Leaving = b.t.replaced.Load(), b.t.leaves()
@@ -112,10 +121,10 @@
 		case policy.EndComplete:
 			return true
 		case policy.EndSettle:
-			sleep(ctx, connSettleTime)
+			sleep(ctx, settle)
 			end.Settled = true
 		case policy.EndConnect:
-			result := b.t.tryConnection(ctx)
+			result := b.t.tryConnection(ctx, settle)
 			end.Connects = append(end.Connects, result)
 			if result != policy.ConnectOpen && (result != policy.ConnectRefused || end.Leaving) {
 				sleep(ctx, connectPause)
@@ -171,12 +180,12 @@
 	return all, open
 }
 
-// tryConnection opens a connection to the target and tells whether it stays open. If it
-// does, it is kept for a later request.
-func (t *target) tryConnection(ctx context.Context) policy.ConnectResult {
-	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+// tryConnection opens a connection to the target and tells whether it stays open for the
+// settle time. If it does, it is kept for a later request.
+func (t *target) tryConnection(ctx context.Context, settle time.Duration) policy.ConnectResult {
+	dialCtx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	c, err := t.dial(ctx)
+	c, err := t.dial(dialCtx)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return policy.ConnectRefused
@@ -185,7 +194,9 @@
 	case err != nil:
 		return policy.ConnectFailed
 	}
-	sleep(ctx, connSettleTime)
+	for until := time.Now().Add(settle); c.state() == connOpen && ctx.Err() == nil && time.Now().Before(until); {
+		sleep(ctx, connPollInterval)
+	}
 	switch c.state() {
 	case connOpen:
 		t.putIdle(c)
