entry: a request rejected before its body arrived is answered in time

Cause: net/http reads up to 256 KB of a body before it sends a response on a kept connection, without a time limit. A caller that sent no more of its body got no 400, 404 or 503, and kept its connection and its place among the requests in flight, for which a drain waits, for ever.

Change: after a rejection the rest of the body may take 0.5 s.

Evidence: TestRejectedRequestWithASlowBodyIsAnswered failed before (no response within 3 s).

--- a/internal/entry/panics.go
+++ b/internal/entry/caller_end.go
@@ -7,10 +7,13 @@
 	"godwitward.example/godwitward/internal/request"
 )
 
-// trackingWriter records whether the header of a response has been written.
+// trackingWriter records how far the exchange with a caller has come.
 type trackingWriter struct {
 	http.ResponseWriter
+	// started is set once the header of the response has been written.
 	started bool
+	// bodyPending is set until the request's body has been read.
+	bodyPending bool
 }
 
 // Unwrap is used by http.ResponseController.
--- a/internal/entry/caller_end_test.go
+++ b/internal/entry/caller_end_test.go
@@ -1,9 +1,14 @@
 package entry
 
 import (
+	"bufio"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -75,3 +80,35 @@
 	require.Error(t, err)
 	f.requireFreed(t)
 }
+
+// Guards against a rejected request whose caller sends no more of its body: it got no
+// response, and its connection and request were kept for ever.
+func TestRejectedRequestWithASlowBodyIsAnswered(t *testing.T) {
+	f := newFixture(t, func(o *Options) { o.Timeouts.CallerRead = 100 * time.Millisecond }, ordersRoute())
+	for path, status := range map[string]int{"/nowhere": 404, "/orders/x": 400} {
+		conn, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+		require.NoError(t, err)
+		defer conn.Close()
+		_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h.example\r\nContent-Length: 150000\r\n\r\nx", path)
+		require.NoError(t, err)
+		_ = conn.SetReadDeadline(time.Now().Add(3 * time.Second))
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err, path)
+		require.Equal(t, status, resp.StatusCode)
+	}
+	f.requireFreed(t)
+	// The connection is kept if the body arrives.
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	require.NoError(t, err)
+	defer conn.Close()
+	br := bufio.NewReader(conn)
+	for range 2 {
+		_, err := io.WriteString(conn, "POST /nowhere HTTP/1.1\r\nHost: h.example\r\nContent-Length: 5\r\n\r\nhello")
+		require.NoError(t, err)
+		resp, err := http.ReadResponse(br, nil)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		require.NoError(t, err)
+		require.False(t, resp.Close)
+	}
+}
--- a/internal/entry/engine.go
+++ b/internal/entry/engine.go
@@ -124,7 +124,6 @@
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(s.opts.Timeouts.CallerRead))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	_ = rc.SetReadDeadline(time.Time{})
 	if err != nil {
 		s.bodyQuota.release(size)
 		var tooLarge *http.MaxBytesError
@@ -133,6 +132,10 @@
 		}
 		return nil, nil, newFailure(http.StatusBadRequest, CodeBodyIncomplete, "reading the body: %v", err)
 	}
+	_ = rc.SetReadDeadline(time.Time{})
+	if t, ok := w.(*trackingWriter); ok {
+		t.bodyPending = false
+	}
 	n := int64(len(body))
 	s.bodyQuota.release(size - n)
 	return body, func() { s.bodyQuota.release(n) }, nil
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -222,7 +222,7 @@
 // announcements.
 func (s *Server) serve(rw http.ResponseWriter, r *http.Request) {
 	id := newRequestID()
-	w := &trackingWriter{ResponseWriter: rw}
+	w := &trackingWriter{ResponseWriter: rw, bodyPending: r.ContentLength != 0}
 	defer s.recoverPanic(w, id)
 	w.Header().Set("X-Request-Id", id)
 	// Clears the write deadline that an earlier request on this connection set.
@@ -299,8 +299,16 @@
 	return nil
 }
 
+// rejectedBodyTime is how long the body of a request may take to arrive that is rejected
+// before its body was read.
+const rejectedBodyTime = 500 * time.Millisecond
+
 // fail counts a failure and writes it as the response.
 func (s *Server) fail(w http.ResponseWriter, id string, f *Failure) {
+	if t, ok := w.(*trackingWriter); ok && t.bodyPending {
+		// net/http reads the body before it sends the response, or closes the connection.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(rejectedBodyTime))
+	}
 	s.vars.failures.Add(string(f.Code), 1)
 	f.write(w, id)
 }
