entry: a cut-off answer is reset for callers of HTTP/1.0

Cause: an answer without a length ends for a caller of HTTP/1.0 with its connection. When the service broke off, the entry closed it in the same way, so a part looked like the whole.

Change: such a connection is reset.

--- a/internal/entry/caller_end.go
+++ b/internal/entry/caller_end.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"crypto/tls"
 	"net/http"
 	"runtime/debug"
 
@@ -31,9 +32,34 @@
 	return w.ResponseWriter.Write(b)
 }
 
+// abort ends a response that has begun and can't be completed. It panics.
+func abort(w http.ResponseWriter, r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		resetCaller(w)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// resetCaller resets the connection of an HTTP/1.0 caller, for which a closed one marks the
+// end of a complete response.
+func resetCaller(w http.ResponseWriter) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	if t, ok := c.(*tls.Conn); ok {
+		// Without the alert that marks a complete end.
+		c = t.NetConn()
+	}
+	if l, ok := c.(interface{ SetLinger(sec int) error }); ok {
+		_ = l.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // recoverPanic answers the caller after a fault of the entry, and logs it: net/http would
 // close the connection as if the request had not been read. It must be deferred.
-func (s *Server) recoverPanic(w *trackingWriter, id string) {
+func (s *Server) recoverPanic(w *trackingWriter, r *http.Request, id string) {
 	v := recover()
 	switch {
 	case v == nil:
@@ -43,7 +69,7 @@
 	}
 	s.opts.Logger.Error().Str("event", "request.panicked").Str("request", id).Interface("panic", v).Bytes("stack", debug.Stack()).Msg("")
 	if w.started {
-		panic(http.ErrAbortHandler)
+		abort(w, r)
 	}
 	f := newFailure(http.StatusInternalServerError, CodeInternal, "a fault of this entry ended the request")
 	f.Ran = request.RanUnknown
--- a/internal/entry/caller_end_test.go
+++ b/internal/entry/caller_end_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -112,3 +113,22 @@
 		require.False(t, resp.Close)
 	}
 }
+
+// Guards against an answer that was cut off and looks complete to a caller of HTTP/1.0, for
+// whom a closed connection is the end of the answer.
+func TestCutOffAnswerLooksCutOffToHTTP10(t *testing.T) {
+	f := plainFixture(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "part")
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(20 * time.Millisecond)
+		panic(http.ErrAbortHandler)
+	})
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "GET /orders/x HTTP/1.0\r\nHost: h.example\r\n\r\n")
+	require.NoError(t, err)
+	_ = conn.SetReadDeadline(time.Now().Add(3 * time.Second))
+	body, err := io.ReadAll(conn)
+	require.ErrorIs(t, err, syscall.ECONNRESET, "%q", body)
+}
--- a/internal/entry/plain_response.go
+++ b/internal/entry/plain_response.go
@@ -49,7 +49,7 @@
 		x.writeOutcome(w)
 		return
 	}
-	panic(http.ErrAbortHandler)
+	abort(w, x.r)
 }
 
 // writeOutcome writes the response to a call that was not streamed: a failure, a
@@ -81,7 +81,7 @@
 		x.writeRecorded(w, replayed)
 	case oversized != nil:
 		if _, callerErr, upstreamErr := x.srv.streamBody(w, oversized.resp, oversized.cancel); callerErr != nil || upstreamErr != nil {
-			panic(http.ErrAbortHandler)
+			abort(w, x.r)
 		}
 	case ledgerAnswer != nil:
 		x.writeRecorded(w, ledgerAnswer)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -223,7 +223,7 @@
 func (s *Server) serve(rw http.ResponseWriter, r *http.Request) {
 	id := newRequestID()
 	w := &trackingWriter{ResponseWriter: rw, bodyPending: r.ContentLength != 0}
-	defer s.recoverPanic(w, id)
+	defer s.recoverPanic(w, r, id)
 	w.Header().Set("X-Request-Id", id)
 	// Clears the write deadline that an earlier request on this connection set.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
