streamlog: records that were read are stored before their files go

Cause: a hub that starts writes the records that it has read once more, so that the old files can go. They went through the queue for a stalled disk, which keeps the newest 16384; 600 streams a second are 36000 a minute. And if that write failed, on a full disk, the next one that succeeded let the old files go all the same. A second loss of power then found streams unknown, and their callers were refused.

Change: what was read is kept until it is stored, apart from the queue.

--- a/internal/streamlog/log.go
+++ b/internal/streamlog/log.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -65,6 +66,9 @@
 	history func() ([]*pb.ServiceVersion, time.Duration)
 
 	// The fields below belong to the flushing goroutine.
+
+	// restored holds the records that were read at the start, until they are stored again.
+	restored    []*pb.StreamVersion
 	current     wal.File
 	currentName string
 	openedAt    time.Time
@@ -107,7 +111,8 @@
 		l.readSegment(name, stored)
 	}
 	if len(stored.Streams) > 0 {
-		l.Append(stored.Streams)
+		l.restored = slices.Clone(stored.Streams)
+		l.wake <- struct{}{}
 	}
 	go l.run(ctx)
 	return l, stored, nil
@@ -193,8 +198,8 @@
 	l.closeSegment()
 }
 
-// flush writes what is queued. After a failure the records are dropped, and the next ones
-// go to a new file.
+// flush writes what is queued, and before it what was read at the start. After a failure the
+// queued records are dropped, and the next ones go to a new file.
 func (l *Log) flush() {
 	l.mu.Lock()
 	records, dropped, history := l.queued, l.dropped, l.history
@@ -203,6 +208,7 @@
 	if dropped > 0 {
 		l.opts.Logger.Warn().Str("event", "stream_versions.dropped").Int("records", dropped).Msg("")
 	}
+	records = slices.Concat(l.restored, records)
 	if len(records) == 0 {
 		return
 	}
@@ -215,6 +221,8 @@
 	err := l.write(batch)
 	if err != nil {
 		l.closeSegment()
+	} else {
+		l.restored = nil
 	}
 	// One line for each series of failures, which a full disk may make long.
 	if err != nil && !l.failed {
@@ -267,12 +275,11 @@
 }
 
 // removeExpired removes files whose records have all expired, and the oldest ones beyond
-// maxSegments. Those found at the start were written again by the first flush; unless that
-// failed, they can go.
+// maxSegments. Those found at the start can go once their records are stored again.
 func (l *Log) removeExpired() {
 	var kept []segment
 	for i, s := range l.segments {
-		expired := s.writtenAt.IsZero() && !l.failed || !s.writtenAt.IsZero() && l.opts.Now().Sub(s.writtenAt).Abs() > retention
+		expired := s.writtenAt.IsZero() && l.restored == nil && !l.failed || !s.writtenAt.IsZero() && l.opts.Now().Sub(s.writtenAt).Abs() > retention
 		if !expired && len(l.segments)-i < maxSegments {
 			kept = append(kept, s)
 			continue
--- a/internal/streamlog/log_test.go
+++ b/internal/streamlog/log_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -97,11 +98,11 @@
 // fullFS is a disk that is full while full is set.
 type fullFS struct {
 	wal.OS
-	full bool
+	full atomic.Bool
 }
 
 func (f *fullFS) Create(name string) (wal.File, error) {
-	if f.full {
+	if f.full.Load() {
 		return nil, errors.New("no space left on device")
 	}
 	return f.OS.Create(name)
@@ -113,12 +114,12 @@
 	l, _ := open(t, dir, fs, nil)
 	l.Append(batch(0))
 	l.Close()
-	fs.full = true
+	fs.full.Store(true)
 	l, _ = open(t, dir, fs, nil)
 	l.Append(batch(1))
 	l.Close()
 	require.Len(t, files(t, dir), 1)
-	fs.full = false
+	fs.full.Store(false)
 	l, records := open(t, dir, fs, nil)
 	require.Len(t, records, 1)
 	l.Append(batch(2))
@@ -128,6 +129,30 @@
 	l.Close()
 }
 
+// Guards against records that are read, and are lost with the files from which they come:
+// more than wait for a disk, and those of a disk that is full at the start.
+func TestRecordsThatWereReadAreStoredBeforeTheirFilesGo(t *testing.T) {
+	dir, fs := t.TempDir(), &fullFS{}
+	const count = maxQueued + 1000
+	var list []*pb.StreamVersion
+	for n := range count {
+		list = append(list, batch(n)...)
+	}
+	frame, err := encodeBatch(&pb.StreamVersionBatch{WrittenMs: time.Now().UnixMilli(), StreamVersions: list})
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(filepath.Join(dir, segmentPrefix+"7"), frame, 0o600))
+	for _, full := range []bool{true, false, false} {
+		fs.full.Store(full)
+		l, records := open(t, dir, fs, nil)
+		require.GreaterOrEqual(t, len(records), count)
+		time.Sleep(2 * flushInterval)
+		fs.full.Store(false)
+		l.Append(batch(count))
+		l.Close()
+	}
+	require.Len(t, files(t, dir), 1)
+}
+
 // Guards against files that grow without bound at the highest rate of streams.
 func TestFilesAreBounded(t *testing.T) {
 	dir, now := t.TempDir(), time.Unix(1000, 0)
