streamlog: a full disk does not cost what was stored before

Cause: each write to a full disk that failed left a file of its own, without a record, ten a second. Five files are kept, so within about half a second the empty ones had taken the place of all that held records.

Change: a file of which no batch was stored is removed.

Evidence: TestFullDiskDoesNotCostEarlierRecords failed before: of 15 flushes, all but the first on a full disk, the files of 10 to 13 were left, and not the one with the record.

--- a/internal/streamlog/log.go
+++ b/internal/streamlog/log.go
@@ -250,8 +250,11 @@
 	if _, err := l.current.Write(frame); err != nil {
 		return errors.Wrap(err, "writing stream versions")
 	}
+	if err := l.current.Sync(); err != nil {
+		return errors.Wrap(err, "syncing stream versions")
+	}
 	l.bytes += len(frame)
-	return errors.Wrap(l.current.Sync(), "syncing stream versions")
+	return nil
 }
 
 func (l *Log) openSegment(now time.Time) error {
@@ -265,11 +268,18 @@
 	return errors.Wrap(l.opts.FS.SyncDir(l.opts.Dir), "syncing the folder of stream versions")
 }
 
+// closeSegment ends the current file. One of which no batch was stored is removed: on a full
+// disk such files would take the place of those with records.
 func (l *Log) closeSegment() {
 	if l.current == nil {
 		return
 	}
 	_ = l.current.Close()
+	if l.bytes == 0 {
+		l.remove(l.currentName)
+		l.current = nil
+		return
+	}
 	l.segments = append(l.segments, segment{l.currentName, l.opts.Now()})
 	l.current = nil
 }
@@ -284,11 +294,15 @@
 			kept = append(kept, s)
 			continue
 		}
-		if err := l.opts.FS.Remove(l.path(s.name)); err != nil {
-			l.opts.Logger.Warn().Str("event", "stream_versions.not_removed").Str("file", s.name).Err(err).Msg("")
-		}
+		l.remove(s.name)
 	}
 	l.segments = kept
 }
 
+func (l *Log) remove(name string) {
+	if err := l.opts.FS.Remove(l.path(name)); err != nil {
+		l.opts.Logger.Warn().Str("event", "stream_versions.not_removed").Str("file", name).Err(err).Msg("")
+	}
+}
+
 func (l *Log) path(name string) string { return l.opts.Dir + "/" + name }
--- a/internal/streamlog/log_test.go
+++ b/internal/streamlog/log_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -129,6 +130,46 @@
 	l.Close()
 }
 
+// fullFile is a file to which nothing can be added while its disk is full.
+type fullFile struct {
+	wal.File
+	full *atomic.Bool
+}
+
+func (f *fullFile) Write(p []byte) (int, error) {
+	if f.full.Load() {
+		return 0, syscall.ENOSPC
+	}
+	return f.File.Write(p)
+}
+
+// fullOnWriteFS is a disk that, while it is full, takes new files but no bytes.
+type fullOnWriteFS struct {
+	wal.OS
+	full atomic.Bool
+}
+
+func (f *fullOnWriteFS) Create(name string) (wal.File, error) {
+	file, err := f.OS.Create(name)
+	return &fullFile{file, &f.full}, err
+}
+
+// Guards against empty files of a full disk that take the place of those with records.
+func TestFullDiskDoesNotCostEarlierRecords(t *testing.T) {
+	dir, fs := t.TempDir(), &fullOnWriteFS{}
+	l := &Log{opts: Options{Dir: dir, FS: fs, Logger: &log.Logger{Level: log.PanicLevel}, Now: time.Now}, wake: make(chan struct{}, 1)}
+	for n := range 3 * maxSegments {
+		fs.full.Store(n > 0)
+		l.Append(batch(n))
+		l.flush()
+	}
+	l.closeSegment()
+	require.Len(t, files(t, dir), 1)
+	l, records := open(t, dir, fs, nil)
+	require.NotNil(t, records["s-0"])
+	l.Close()
+}
+
 // Guards against records that are read, and are lost with the files from which they come:
 // more than wait for a disk, and those of a disk that is full at the start.
 func TestRecordsThatWereReadAreStoredBeforeTheirFilesGo(t *testing.T) {
