forward: an intermediary's answer does not take an upstream out

Cause: 421 marked the process as replaced for as long as it is known, and 503 with Retry-After paused it for up to a minute, also when the response had no id, stamp or statement. Callers of a service with one upstream got 503 no_upstream from then on.

Change: 421 counts only as the upstream's statement, Retry-After only in a response that the upstream itself has sent.

Evidence: TestAnswerOfAnIntermediaryDoesNotTakeTheUpstreamOut, both cases: the next request got 503 before, 200 now.

--- a/internal/forward/not_run.go
+++ b/internal/forward/not_run.go
@@ -72,7 +72,7 @@
 	}
 	_ = res.conn.SetDeadline(time.Now().Add(minResponseTimeout))
 	res.close(res.notRun && discardBody(res.resp, maxBufferedBytes) == nil)
-	if status == http.StatusMisdirectedRequest {
+	if res.notRun && status == http.StatusMisdirectedRequest {
 		t.mu.Lock()
 		t.misdirected = true
 		t.mu.Unlock()
--- a/internal/forward/statements.go
+++ b/internal/forward/statements.go
@@ -16,7 +16,9 @@
 		// Another process or an intermediary has answered.
 		return
 	}
-	s.pause(t, info.Pause)
+	if fromProcess(opts, resp, info) {
+		s.pause(t, info.Pause)
+	}
 	stated := policy.UpstreamStatement{Leaving: info.Leaving, SentAt: sentAt}
 	switch limit := info.RateLimit; {
 	case limit == nil && !info.Leaving && !fromProcess(opts, resp, info):
