forward: interim responses do not count as skipped ones

Cause: after three interim responses (1xx) the final one was not read; a request that must run once ended with 502 though it was answered.

Change: only responses to other requests are counted. The heads of all are still limited to 64 KiB together.

Evidence: TestInterimResponsesDoNotEndTheWait: 502 before, 200 now.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -221,11 +221,11 @@
 }
 
 const (
-	// maxSkippedResponses limits the responses that are skipped before the expected
-	// one: interim (1xx) responses and those to other requests.
+	// maxSkippedResponses limits the responses to other requests that are skipped before
+	// the expected one.
 	maxSkippedResponses = 2
-	// maxResponseHeadBytes limits the heads of a response and of those skipped
-	// before it, maxSkippedBytes the body of each skipped one.
+	// maxResponseHeadBytes limits the heads of a response and of those before it, interim
+	// (1xx) ones and skipped ones, maxSkippedBytes the body of each skipped one.
 	maxResponseHeadBytes = 64 << 10
 	maxSkippedBytes      = maxBufferedBytes
 )
@@ -241,7 +241,7 @@
 	req := &http.Request{Method: method}
 	c.limit.remaining = maxResponseHeadBytes
 	defer func() { c.limit.remaining = unlimitedBytes }()
-	for range maxSkippedResponses + 1 {
+	for skipped := 0; skipped <= maxSkippedResponses; {
 		resp, err := http.ReadResponse(c.rd, req)
 		if err != nil {
 			return nil, ResponseInfo{}, err
@@ -257,6 +257,7 @@
 		if resp.Close || endsWithConnection(resp) {
 			break
 		}
+		skipped++
 		if err := c.skipBody(resp); err != nil {
 			return nil, ResponseInfo{}, err
 		}
