forward: connections to a removed process are not kept

Cause: a request in flight while its process was replaced, or removed as silent, left its connection among the idle ones of a target that is no longer swept. It stayed open until it was garbage-collected.

Change: a target that was removed keeps no connections.

Evidence: TestConnectionToAReplacedProcessIsClosed: the connection was open after 0.5 s before, is closed now.

--- a/internal/forward/target.go
+++ b/internal/forward/target.go
@@ -40,6 +40,9 @@
 	health      policy.Health
 	load        policy.EngineLoad
 	idleConns   []*conn
+	// removed is set once the entry no longer knows the process, so that nobody closes its
+	// idle connections.
+	removed bool
 	// conns holds all connections to the process that this entry has not closed.
 	conns map[*conn]struct{}
 	// globalErrorShare is the share of failed calls over all entries; it is valid
@@ -165,7 +168,7 @@
 // putIdle keeps a connection for a later request, or closes it.
 func (t *target) putIdle(c *conn) {
 	t.mu.Lock()
-	keep := len(t.idleConns) < maxIdleConns && t.record.Phase != pb.UpstreamPhase_UPSTREAM_GONE
+	keep := len(t.idleConns) < maxIdleConns && !t.removed && t.record.Phase != pb.UpstreamPhase_UPSTREAM_GONE
 	if keep {
 		c.wasIdle = true
 		t.idleConns = append(t.idleConns, c)
--- a/internal/forward/upstreams.go
+++ b/internal/forward/upstreams.go
@@ -89,6 +89,9 @@
 		}
 	}
 	u.byService[service] = kept
+	t.mu.Lock()
+	t.removed = true
+	t.mu.Unlock()
 	go t.closeIdle(time.Time{}, true)
 }
 
