forward: connections that ended before a response do not disprove its end

Cause: a response without a length at a process that takes no more connections counted as cut off if an idle connection had been closed by the process long before: all older connections had ended. A call that must run once got 502 instead of its response.

Change: when the header of such a response has arrived and its connection is open, idle connections that have ended are closed, so that they are not counted at its end.

Evidence: TestUnframedResponseOfAFullProcessThatHasClosedAnIdleConnection: 502 in three of three runs before, 200 now (three runs with -race).

--- a/internal/forward/response_end.go
+++ b/internal/forward/response_end.go
@@ -54,6 +54,10 @@
 // checkEnd makes the end of a response be checked if only the end of its connection ends it.
 func (x *exchange) checkEnd(res *upstreamResponse) {
 	if endsWithConnection(res.resp) {
+		if res.conn.state() == connOpen {
+			// What has ended by now has not ended with the response.
+			res.target.closeEnded()
+		}
 		res.resp.Body = &unframedBody{ReadCloser: res.resp.Body, x: x, t: res.target, conn: res.conn, aliveAt: time.Now()}
 	}
 }
--- a/internal/forward/target.go
+++ b/internal/forward/target.go
@@ -182,11 +182,20 @@
 // closeIdle closes the idle connections that have expired, or every one if all is
 // set.
 func (t *target) closeIdle(now time.Time, all bool) {
+	t.closeIdleIf(func(c *conn) bool { return all || now.After(c.expires) })
+}
+
+// closeEnded closes the idle connections that the other side has ended.
+func (t *target) closeEnded() {
+	t.closeIdleIf(func(c *conn) bool { return c.state() != connOpen })
+}
+
+func (t *target) closeIdleIf(closes func(*conn) bool) {
 	t.mu.Lock()
 	var closing []*conn
 	kept := t.idleConns[:0]
 	for _, c := range t.idleConns {
-		if all || now.After(c.expires) {
+		if closes(c) {
 			closing = append(closing, c)
 		} else {
 			kept = append(kept, c)
