entry: an answer without a length of a full process is passed on

Cause: a new connection that the process resets, since it takes no more of them, counted as one that was closed.

Change: the state of the connection tells a reset from a close, as in internal/forward.

--- a/internal/entry/response_end.go
+++ b/internal/entry/response_end.go
@@ -32,8 +32,12 @@
 	slowCallerTime = 20 * time.Millisecond
 )
 
-// tcpEstablished is the state of an open connection in the kernel, as in TCP_INFO.
-const tcpEstablished = 1
+// States of a connection in the kernel, as in TCP_INFO.
+const (
+	tcpEstablished = 1
+	// tcpClose follows a reset.
+	tcpClose = 7
+)
 
 var errEndUnproved = errors.New("the upstream may have ended before its answer did")
 
@@ -233,8 +237,11 @@
 	}
 	defer c.Close()
 	sleep(ctx, connSettleTime)
-	if c.open() {
+	switch c.state() {
+	case tcpEstablished:
 		return policy.ConnectOpen
+	case tcpClose:
+		return policy.ConnectReset
 	}
 	return policy.ConnectFailed
 }
@@ -258,18 +265,21 @@
 	return c.Conn.Close()
 }
 
-// open reports whether the other side has not ended the connection. Unlike a read it takes
-// nothing, neither data nor the error of a reset, from the user of the connection.
-func (c *upstreamConn) open() bool {
+// open reports whether the other side has not ended the connection.
+func (c *upstreamConn) open() bool { return c.state() == tcpEstablished }
+
+// state returns the state of the connection in the kernel, or 0 if this side has closed it.
+// Unlike a read it takes nothing, neither data nor the error of a reset, from the user of
+// the connection.
+func (c *upstreamConn) state() (state byte) {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return false
+		return 0
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return 0
 	}
-	open := false
 	// It fails if this side has closed the connection.
 	_ = raw.Control(func(fd uintptr) {
 		info, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_INFO)
@@ -279,7 +289,7 @@
 		// The first byte of the information is the state.
 		var b [4]byte
 		binary.NativeEndian.PutUint32(b[:], uint32(info))
-		open = b[0] == tcpEstablished
+		state = b[0]
 	})
-	return open
+	return state
 }
--- a/internal/entry/response_end_test.go
+++ b/internal/entry/response_end_test.go
@@ -94,3 +94,33 @@
 		}
 	}
 }
+
+// Guards against a complete answer without a length that is refused because its process
+// takes no more connections, which it resets.
+func TestUnframedAnswerOfAFullProcessIsPassedOn(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for full := false; ; full = true {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if full {
+				_ = conn.(*net.TCPConn).SetLinger(0)
+			} else if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nwhole")
+			}
+			_ = conn.Close()
+		}
+	}()
+	f := plainFixture(t)
+	f.schedulers.upstreams = append(f.schedulers.upstreams, &pb.UpstreamStatus{
+		State: &pb.UpstreamState{Id: "u", Url: "http://" + l.Addr().String()}, Health: pb.UpstreamStatus_LIVE, Weight: 1,
+	})
+	resp, body := f.do(t, "POST", "/orders/reserve", "", "b")
+	require.Equal(t, 200, resp.StatusCode, body)
+	require.Equal(t, "whole", body)
+}
