--- a/internal/streamlog/log.go
+++ b/internal/streamlog/log.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -65,6 +66,9 @@
 	history func() ([]*pb.ServiceVersion, time.Duration)
 
 	// The fields below belong to the flushing goroutine.
+
+	// restored holds the records that were read at the start, until they are stored again.
+	restored    []*pb.StreamVersion
 	current     wal.File
 	currentName string
 	openedAt    time.Time
@@ -107,7 +111,8 @@
 		l.readSegment(name, stored)
 	}
 	if len(stored.Streams) > 0 {
-		l.Append(stored.Streams)
+		l.restored = slices.Clone(stored.Streams)
+		l.wake <- struct{}{}
 	}
 	go l.run(ctx)
 	return l, stored, nil
@@ -193,8 +198,8 @@
 	l.closeSegment()
 }
 
-// flush writes what is queued. After a failure the records are dropped, and the next ones
-// go to a new file.
+// flush writes what is queued, and before it what was read at the start. After a failure the
+// queued records are dropped, and the next ones go to a new file.
 func (l *Log) flush() {
 	l.mu.Lock()
 	records, dropped, history := l.queued, l.dropped, l.history
@@ -203,6 +208,7 @@
 	if dropped > 0 {
 		l.opts.Logger.Warn().Str("event", "stream_versions.dropped").Int("records", dropped).Msg("")
 	}
+	records = slices.Concat(l.restored, records)
 	if len(records) == 0 {
 		return
 	}
@@ -215,6 +221,8 @@
 	err := l.write(batch)
 	if err != nil {
 		l.closeSegment()
+	} else {
+		l.restored = nil
 	}
 	// One line for each series of failures, which a full disk may make long.
 	if err != nil && !l.failed {
@@ -242,8 +250,11 @@
 	if _, err := l.current.Write(frame); err != nil {
 		return errors.Wrap(err, "writing stream versions")
 	}
+	if err := l.current.Sync(); err != nil {
+		return errors.Wrap(err, "syncing stream versions")
+	}
 	l.bytes += len(frame)
-	return errors.Wrap(l.current.Sync(), "syncing stream versions")
+	return nil
 }
 
 func (l *Log) openSegment(now time.Time) error {
@@ -257,31 +268,41 @@
 	return errors.Wrap(l.opts.FS.SyncDir(l.opts.Dir), "syncing the folder of stream versions")
 }
 
+// closeSegment ends the current file. One of which no batch was stored is removed: on a full
+// disk such files would take the place of those with records.
 func (l *Log) closeSegment() {
 	if l.current == nil {
 		return
 	}
 	_ = l.current.Close()
+	if l.bytes == 0 {
+		l.remove(l.currentName)
+		l.current = nil
+		return
+	}
 	l.segments = append(l.segments, segment{l.currentName, l.opts.Now()})
 	l.current = nil
 }
 
 // removeExpired removes files whose records have all expired, and the oldest ones beyond
-// maxSegments. Those found at the start were written again by the first flush; unless that
-// failed, they can go.
+// maxSegments. Those found at the start can go once their records are stored again.
 func (l *Log) removeExpired() {
 	var kept []segment
 	for i, s := range l.segments {
-		expired := s.writtenAt.IsZero() && !l.failed || !s.writtenAt.IsZero() && l.opts.Now().Sub(s.writtenAt).Abs() > retention
+		expired := s.writtenAt.IsZero() && l.restored == nil && !l.failed || !s.writtenAt.IsZero() && l.opts.Now().Sub(s.writtenAt).Abs() > retention
 		if !expired && len(l.segments)-i < maxSegments {
 			kept = append(kept, s)
 			continue
 		}
-		if err := l.opts.FS.Remove(l.path(s.name)); err != nil {
-			l.opts.Logger.Warn().Str("event", "stream_versions.not_removed").Str("file", s.name).Err(err).Msg("")
-		}
+		l.remove(s.name)
 	}
 	l.segments = kept
 }
 
+func (l *Log) remove(name string) {
+	if err := l.opts.FS.Remove(l.path(name)); err != nil {
+		l.opts.Logger.Warn().Str("event", "stream_versions.not_removed").Str("file", name).Err(err).Msg("")
+	}
+}
+
 func (l *Log) path(name string) string { return l.opts.Dir + "/" + name }
