policy: a single upstream that is left may number its events otherwise

One upstream never untaught.

Eight streams with a gap in a row, without a sound one of any upstream between them, unteach now. A faulty upstream beside sound ones does not get there.

TestOnlyUpstreamLeftMayNumberOtherwise: 200 streams were held against it before, at most 8 now.

--- a/policy/event_numbering.go
+++ b/policy/event_numbering.go
@@ -15,6 +15,9 @@
 	// gapMemory.
 	contradictingUpstreams = 2
 	gapMemory              = 10 * time.Minute
+	// contradictingStreams is the number of streams with a gap, without a sound one of any
+	// upstream between them, that show the same: a single upstream may be left.
+	contradictingStreams = 8
 	// maxTeachers limits the upstreams that are counted.
 	maxTeachers = 256
 )
@@ -29,8 +32,10 @@
 	// streams counts the streams without a gap by upstream, and total all of them.
 	streams map[string]int
 	total   int
-	// gaps is when an upstream last sent a stream with a gap.
-	gaps map[string]time.Duration
+	// gaps is when an upstream last sent a stream with a gap, and gapsInARow the number of
+	// such streams since the last one without.
+	gaps       map[string]time.Duration
+	gapsInARow int
 }
 
 // OneByOne reports whether the events are known to be numbered one by one.
@@ -39,6 +44,7 @@
 // RecordStream records a stream of an upstream, or a part of one, without a gap.
 func (n *EventNumbering) RecordStream(upstream string, now time.Duration) {
 	n.prune(now)
+	n.gapsInARow = 0
 	if _, gaps := n.gaps[upstream]; gaps || n.oneByOne || len(n.gaps) >= contradictingUpstreams {
 		return
 	}
@@ -64,6 +70,7 @@
 // RecordGap records that an upstream has sent a stream with a gap between two events.
 func (n *EventNumbering) RecordGap(upstream string, now time.Duration) {
 	n.prune(now)
+	n.gapsInARow++
 	if n.gaps == nil {
 		n.gaps = map[string]time.Duration{}
 	}
@@ -72,7 +79,7 @@
 	}
 	n.total -= n.streams[upstream]
 	delete(n.streams, upstream)
-	if len(n.gaps) < contradictingUpstreams {
+	if len(n.gaps) < contradictingUpstreams && n.gapsInARow < contradictingStreams {
 		return
 	}
 	if n.oneByOne {
--- a/policy/event_numbering_test.go
+++ b/policy/event_numbering_test.go
@@ -95,3 +95,13 @@
 	playStreams(&n, 20*time.Minute, 4, 200, sound)
 	require.True(t, n.OneByOne())
 }
+
+// Guards against a single upstream that is left, numbers its events otherwise and is cut
+// off in each stream without end.
+func TestOnlyUpstreamLeftMayNumberOtherwise(t *testing.T) {
+	var n EventNumbering
+	playStreams(&n, 0, 4, 200, func(int) float64 { return 0 })
+	require.True(t, n.OneByOne())
+	require.LessOrEqual(t, playStreams(&n, time.Hour, 1, 200, func(int) float64 { return 1 }), contradictingStreams)
+	require.False(t, n.OneByOne())
+}
