corestore: a replaced daemon ends once its removal is synced

Cause: a daemon that is told to stop waits until another votes in its place. The leader answered as soon as it had written the removal itself, before a majority had synced it. If the daemon then ended, and the leader's disk and another one were lost while all others lost power, three of six votes were left, of which four are needed: no leader, and every core daemon answers 503 for good.

Change: the leader answers once an entry after the removal is committed, as it does for a daemon that rejoins.

--- a/internal/corestore/join.go
+++ b/internal/corestore/join.go
@@ -119,12 +119,7 @@
 	id := replica.MemberID(req.Member)
 	st := s.status.Load()
 	if slices.Contains(st.Membership.Removed, id) {
-		// Committing an empty command proves that the removal, which precedes
-		// it in the log, is committed.
-		ctx, cancel := context.WithTimeout(ctx, joinTimeout)
-		defer cancel()
-		_, err := node.Propose(ctx, documentGroup, nil)
-		reply.Removed = err == nil
+		reply.Removed = changesCommitted(ctx, node)
 		return reply, nil
 	}
 	if !st.Membership.Contains(id) {
@@ -135,6 +130,15 @@
 	return reply, nil
 }
 
+// changesCommitted reports whether all changes that this leader knows of are committed.
+// Committing an empty command, which they precede in the log, proves that.
+func changesCommitted(ctx context.Context, node *replica.Node) bool {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	_, err := node.Propose(ctx, documentGroup, nil)
+	return err == nil
+}
+
 // rejoin clears the store directory of a removed member and joins under a new
 // id.
 func (s *Store) rejoin() {
--- a/internal/corestore/leave.go
+++ b/internal/corestore/leave.go
@@ -45,7 +45,7 @@
 }
 
 // handleLeave answers a member that is about to stop.
-func (s *Store) handleLeave(_ context.Context, req *pb.LeaveRequest) (*pb.LeaveReply, error) {
+func (s *Store) handleLeave(ctx context.Context, req *pb.LeaveRequest) (*pb.LeaveReply, error) {
 	node := s.currentNode()
 	if _, leads := node.Leads(documentGroup); !leads {
 		return nil, transport.Errorf(pb.Status_NOT_LEADER, "this daemon does not lead")
@@ -55,6 +55,11 @@
 		return nil, err
 	}
 	id := replica.MemberID(req.Member)
+	if slices.Contains(st.Membership.Removed, id) {
+		// It must not end before that is on the disks of a majority: its vote would still
+		// be needed if others were lost.
+		return &pb.LeaveReply{Pending: !changesCommitted(ctx, node)}, nil
+	}
 	replaceable := len(st.Membership.Learners) > 0 || len(st.Membership.Voters) > s.requiredVoters()
 	if id == node.ID() || !st.Membership.IsVoter(id) || !replaceable {
 		return &pb.LeaveReply{}, nil
--- a/internal/corestore/power_test.go
+++ b/internal/corestore/power_test.go
@@ -26,6 +26,8 @@
 	// visible holds the files that processes see, durable the directory entries that
 	// survive.
 	visible, durable map[string]*memoryFile
+	// slow is set while a sync takes long.
+	slow atomic.Bool
 }
 
 type memoryFile struct {
@@ -123,11 +125,17 @@
 	return len(p), nil
 }
 
+// slowSync is how long a sync of a slow disk takes.
+const slowSync = 100 * time.Millisecond
+
 // Sync takes as long as that of a disk, so that the power often fails before its end.
 func (f *memoryFile) Sync() error {
 	f.disk.mu.Lock()
 	length := len(f.data)
 	f.disk.mu.Unlock()
+	if f.disk.slow.Load() {
+		time.Sleep(slowSync)
+	}
 	time.Sleep(time.Duration(1+rand.N(5)) * time.Millisecond)
 	f.disk.mu.Lock()
 	defer f.disk.mu.Unlock()
@@ -292,6 +300,24 @@
 	}
 }
 
+// Guards against a daemon that is told to stop, and ends before the disks of a majority hold
+// that it no longer votes: two lost disks then end the majority.
+func TestReplacedDaemonEndsOnceItsRemovalIsSynced(t *testing.T) {
+	c := newPowerCluster(t)
+	c.add(6)
+	time.Sleep(2 * time.Second)
+	leader := c.leader()
+	leaving, lost := leader%5+1, (leader+1)%5+1
+	for i, disk := range c.disks {
+		disk.(*memoryDisk).slow.Store(i != leader)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	require.NoError(t, c.stores[leaving].StepDown(ctx))
+	c.losePower([]int{leader, lost}, []int{leaving})
+	c.requireRecovered(0)
+}
+
 // holds reports whether text would be on the disk after a loss of power now.
 func (d *memoryDisk) holds(text string) bool {
 	d.mu.Lock()
