the numbering of events is learned from 10 streams instead of 50

Cause: an entry relays gaps until it has learned how events are numbered.

Change: 10 streams without a gap, three each from two upstreams. A service that numbers otherwise loses a stream or two if that is too few, and two of its upstreams unteach it; a gap that is relayed breaks a promise.

--- a/policy/event_numbering.go
+++ b/policy/event_numbering.go
@@ -6,10 +6,10 @@
 	// numberedStreams is the number of streams without a gap after which a service numbers
 	// its events one by one; teachingUpstreams upstreams must each have sent
 	// streamsPerTeacher of them. It doubles each time that it turns out wrong.
-	numberedStreams    = 50
+	numberedStreams    = 10
 	maxNumberedStreams = 1 << 20
 	teachingUpstreams  = 2
-	streamsPerTeacher  = 5
+	streamsPerTeacher  = 3
 	// contradictingUpstreams is the number of upstreams whose streams have gaps that
 	// together show that the service does not number its events one by one. Each counts for
 	// gapMemory.
