--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -30,6 +30,9 @@
 	// reportTimeout is the time limit of one report.
 	reportTimeout = time.Second
 	engineService = "engines"
+	// proxySubnet is the first subnet of the runners' addresses.
+	proxySubnet      = 3
+	proxiesPerSubnet = 200
 )
 
 // system is the set of processes under test, with the runners and proxies that
@@ -206,11 +209,13 @@
 	if err != nil {
 		return errors.Wrap(err, "starting a runner")
 	}
-	p, err := newProxy("127.0.0.1:0", l.Addr().String(), s.processes)
+	n := s.lastRunnerID.Add(1)
+	// A port of an address of its own is still free when the runner starts again there.
+	address := s.ip(proxySubnet+int(n)/proxiesPerSubnet, int(n)%proxiesPerSubnet)
+	p, err := newProxy(address+":0", l.Addr().String(), s.processes)
 	if err != nil {
 		return errors.Wrap(err, "starting a proxy")
 	}
-	n := s.lastRunnerID.Add(1)
 	version := fmt.Sprintf("v%d", n%softwareVersions)
 	if release := s.releases.Load(); release > 0 && service == engineService {
 		version = fmt.Sprintf("v%d", softwareVersions-1+release)
