soak: a killed runner's proxy stops listening before its connections end

Cause: the proxy found out by connecting to the runner, and the kernel may end the connections of a killed process before its listener.

--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -22,6 +22,9 @@
 	dropResponses atomic.Bool
 	// endsWithTarget closes the listener once the runner no longer listens.
 	endsWithTarget bool
+	// targetKilled is set before the runner is killed. The kernel may end the connections of
+	// a killed process before its listener.
+	targetKilled atomic.Bool
 
 	mu    sync.Mutex
 	conns map[*proxyConn]struct{}
@@ -92,11 +95,15 @@
 }
 
 // endWithTarget closes the listener if the runner has ended. It is called before a
-// connection is closed, since a process that is killed loses its listener first.
+// connection is closed, so that what the runner's connections tell is in time.
 func (p *proxy) endWithTarget() {
 	if !p.endsWithTarget {
 		return
 	}
+	if p.targetKilled.Load() {
+		_ = p.listener.Close()
+		return
+	}
 	conn, err := net.DialTimeout("tcp", p.target.Load().(string), time.Second)
 	if err != nil {
 		_ = p.listener.Close()
--- a/internal/soak/runner_process.go
+++ b/internal/soak/runner_process.go
@@ -136,6 +136,7 @@
 		r.Runner.Stop()
 		return
 	}
+	r.proxy.targetKilled.Store(true)
 	_ = r.process.cmd.Process.Kill()
 	<-r.process.ended
 }
