--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -122,7 +122,7 @@
 		Logger:      e.logger,
 		OnDocument:  func(version uint64, body []byte) { applyConfig(server, e.logger, version, body) },
 		OnUpstreams: server.SetUpstreams,
-		Outcomes:    server.Outcomes, ReportNow: server.ReportNow(), OnErrorShares: server.SetErrorShares,
+		Outcomes:    server.Outcomes, Reported: server.Reported, ReportNow: server.ReportNow(), OnErrorShares: server.SetErrorShares,
 		OnEvidence: server.SetEvidence, Quarantined: server.Quarantined, StreamVersions: server.StreamVersions, OnStatements: server.SetStatements, OnServiceVersions: server.SetServiceVersions,
 	})
 	server.SetStreamVersionSource(subscriber)
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -203,7 +203,7 @@
 	h.mu.Lock()
 	changed, accepted := h.table.Observe(r, h.now())
 	if accepted {
-		h.seeVersion(r.Service, r.SoftwareVersion, h.now())
+		h.seeVersions(fleet.AllRunVersions(r), h.now())
 		h.enqueueUpdates(changed, false)
 		h.enqueueGossip(r, len(changed) > 0)
 	}
@@ -324,7 +324,7 @@
 func (h *Hub) logRecord(r *pb.UpstreamRecord) {
 	h.opts.Logger.Info().Str("event", "upstream.changed").Str("upstream", r.Id).Str("service", r.Service).
 		Str("address", r.Address).Str("phase", r.Phase.String()).Bool("silent", r.Silent).
-		Str("version", r.SoftwareVersion).Int64("born_ms", r.BornMs).Uint64("sequence", r.Sequence).Msg("")
+		Str("version", r.SoftwareVersion).Strs("weights", r.Weights).Int64("born_ms", r.BornMs).Uint64("sequence", r.Sequence).Msg("")
 }
 
 func (h *Hub) subscribe(allReports bool) *subscription {
@@ -472,7 +472,7 @@
 func (h *Hub) applyGossip(r *pb.UpstreamRecord) {
 	h.mu.Lock()
 	changed, accepted := h.table.Observe(r, h.now())
-	h.seeVersion(r.Service, r.SoftwareVersion, h.now()-milliseconds(r.AgeMs))
+	h.seeVersions(fleet.AllRunVersions(r), h.now()-milliseconds(r.AgeMs))
 	h.enqueueUpdates(changed, false)
 	h.mu.Unlock()
 	h.notifyChanged(changed, r, accepted)
--- a/internal/feed/outcomes.go
+++ b/internal/feed/outcomes.go
@@ -106,6 +106,9 @@
 			// If the stream has failed, attach sees the error and ends.
 			_ = st.Send(report)
 		}
+		if s.opts.Reported != nil {
+			s.opts.Reported()
+		}
 	}
 }
 
--- a/internal/feed/stream_versions.go
+++ b/internal/feed/stream_versions.go
@@ -4,6 +4,7 @@
 	"context"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/fleet"
 	"godwitward.example/godwitward/internal/transport"
 	"godwitward.example/godwitward/policy"
 )
@@ -21,8 +22,8 @@
 	var changed []policy.StreamVersion
 	var stored []*pb.StreamVersion
 	for _, m := range list {
-		v := h.decodeStreamVersion(m)
-		if h.streamVersions.Record(v, now) {
+		v, known := fleet.DecodeStreamVersion(m, now)
+		if known && h.streamVersions.Record(v, now) {
 			changed, stored = append(changed, v), append(stored, m)
 		}
 	}
@@ -43,10 +44,6 @@
 	}
 }
 
-func (h *Hub) decodeStreamVersion(m *pb.StreamVersion) policy.StreamVersion {
-	return policy.StreamVersion{ID: m.Id, Version: m.Version, Attempt: int(m.Attempt), RecordedAt: h.now() - milliseconds(m.AgeMs)}
-}
-
 // addStreamVersions queues versions for the next message to another hub, which may be out
 // of reach for long.
 func (s *subscription) addStreamVersions(list []policy.StreamVersion) {
@@ -67,42 +64,50 @@
 	s.streamVersions, s.allStreamVersions = nil, false
 	var out []*pb.StreamVersion
 	for _, v := range list {
-		out = append(out, &pb.StreamVersion{Id: v.ID, Version: v.Version, Attempt: uint32(v.Attempt), AgeMs: remainingMs(h.now(), v.RecordedAt)})
+		out = append(out, fleet.EncodeStreamVersion(v, h.now()))
 	}
 	return out
 }
 
-// serveStreamVersion tells an entry at which version a stream began.
+// serveStreamVersion tells an entry at which versions a stream may go on.
 func (h *Hub) serveStreamVersion(_ context.Context, req *pb.StreamVersionRequest) (*pb.StreamVersionResponse, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	v, known := h.streamVersions.Get(req.Id, h.now())
-	return &pb.StreamVersionResponse{Known: known, Version: v.Version}, nil
+	if !known {
+		return &pb.StreamVersionResponse{}, nil
+	}
+	return &pb.StreamVersionResponse{Stream: fleet.EncodeStreamVersion(v, h.now())}, nil
 }
 
-// StreamVersion asks the hubs to which the subscriber is attached at which version a
-// stream began.
-func (s *Subscriber) StreamVersion(ctx context.Context, id string) (version string, known bool) {
+// StreamVersion asks the hubs to which the subscriber is attached at which versions a
+// stream may go on, and returns the newest record. The time in the record is the age.
+func (s *Subscriber) StreamVersion(ctx context.Context, id string) (newest policy.StreamVersion, known bool) {
 	s.mu.Lock()
 	clients := make([]*transport.Client, 0, len(s.streams))
 	for _, c := range s.streams {
 		clients = append(clients, c)
 	}
 	s.mu.Unlock()
-	answers := make(chan *pb.StreamVersionResponse, len(clients))
+	answers := make(chan *pb.StreamVersion, len(clients))
 	for _, c := range clients {
 		go func() {
 			resp := &pb.StreamVersionResponse{}
-			if c.Call(ctx, transport.MethodStreamVersion, &pb.StreamVersionRequest{Id: id}, resp) != nil {
-				resp.Known = false
+			if err := c.Call(ctx, transport.MethodStreamVersion, &pb.StreamVersionRequest{Id: id}, resp); err != nil {
+				// A hub out of reach knows no stream.
+				resp.Stream = nil
 			}
-			answers <- resp
+			answers <- resp.Stream
 		}()
 	}
 	for range clients {
-		if resp := <-answers; resp.Known {
-			return resp.Version, true
+		m := <-answers
+		if m == nil {
+			continue
+		}
+		if v, complete := fleet.DecodeStreamVersion(m, 0); complete && (!known || v.Attempt > newest.Attempt) {
+			newest, known = v, true
 		}
 	}
-	return "", false
+	return newest, known
 }
--- a/internal/feed/subscriber.go
+++ b/internal/feed/subscriber.go
@@ -53,10 +53,12 @@
 	// OnUpstreams is called with the records that changed.
 	OnUpstreams func([]*pb.UpstreamRecord)
 	// Outcomes returns the outcomes of the entry's calls since the last time it
-	// was called. A receive from ReportNow makes the subscriber send them at once.
+	// was called, and Reported is called once they have been sent to all hubs in use. A
+	// receive from ReportNow makes the subscriber send them at once.
 	// OnErrorShares is called with the error shares of upstreams over all entries
-	// attached to the hub. All three may be nil.
+	// attached to the hub. All four may be nil.
 	Outcomes      func() *pb.OutcomeReport
+	Reported      func()
 	ReportNow     <-chan struct{}
 	OnErrorShares func([]*pb.ErrorShare)
 	// OnEvidence is called with changes of what is known about parts of prompts that
--- a/internal/feed/version_history.go
+++ b/internal/feed/version_history.go
@@ -4,6 +4,7 @@
 	"time"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/fleet"
 	"godwitward.example/godwitward/policy"
 )
 
@@ -31,9 +32,11 @@
 	}
 	if h.opts.Stored != nil {
 		h.observedSince = min(h.observedSince, -h.opts.Stored.Observed)
-		h.seeVersions(h.opts.Stored.Services)
+		h.seeServiceVersions(h.opts.Stored.Services)
 		for _, m := range h.opts.Stored.Streams {
-			h.streamVersions.Record(h.decodeStreamVersion(m), h.now())
+			if v, known := fleet.DecodeStreamVersion(m, h.now()); known {
+				h.streamVersions.Record(v, h.now())
+			}
 		}
 	}
 	if h.opts.StreamLog != nil {
@@ -44,23 +47,26 @@
 	}
 }
 
-// seeVersion records that a process of a version was in use. The caller holds mu.
-func (h *Hub) seeVersion(service, version string, at time.Duration) {
-	if h.byService[service] == nil {
-		h.byService[service] = &policy.VersionHistory{}
+// seeVersions records that a process with some versions was in use. The caller holds mu.
+func (h *Hub) seeVersions(versions []policy.RunVersions, at time.Duration) {
+	for _, v := range versions {
+		if h.byService[v.Service] == nil {
+			h.byService[v.Service] = &policy.VersionHistory{}
+		}
+		h.byService[v.Service].Seen(v, at)
 	}
-	h.byService[service].Seen(version, at)
 }
 
-func (h *Hub) seeVersions(list []*pb.ServiceVersion) {
-	for _, v := range list {
-		h.seeVersion(v.Service, v.Version, h.now()-milliseconds(v.AgeMs))
+func (h *Hub) seeServiceVersions(list []*pb.ServiceVersion) {
+	for _, m := range list {
+		v, at := fleet.DecodeServiceVersion(m, h.now())
+		h.seeVersions([]policy.RunVersions{v}, at)
 	}
 }
 
 // mergeHistory applies what another hub knows. The caller holds mu.
 func (h *Hub) mergeHistory(g *pb.Gossip) {
-	h.seeVersions(g.ServiceVersions)
+	h.seeServiceVersions(g.ServiceVersions)
 	h.observedSince = min(h.observedSince, h.now()-milliseconds(g.ObservedMs))
 	h.reportsSince = min(h.reportsSince, h.now()-milliseconds(g.ReportsMs))
 }
@@ -75,7 +81,7 @@
 	now := h.now()
 	for service, history := range h.byService {
 		for version, at := range history.Versions(now) {
-			versions = append(versions, &pb.ServiceVersion{Service: service, Version: version, AgeMs: remainingMs(now, at)})
+			versions = append(versions, fleet.EncodeServiceVersion(version, at, now))
 		}
 		if len(history.Versions(now)) == 0 {
 			delete(h.byService, service)
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
@@ -79,7 +80,8 @@
 // differs reports whether b, a newer report, changes what subscribers see of a.
 func differs(a, b *pb.UpstreamRecord) bool {
 	return a.Phase != b.Phase || a.Address != b.Address || a.Service != b.Service ||
-		a.Stage != b.Stage || a.BornMs != b.BornMs || a.Silent || a.Slots != b.Slots || a.Place != b.Place || a.SoftwareVersion != b.SoftwareVersion
+		a.Stage != b.Stage || a.BornMs != b.BornMs || a.Silent || a.Slots != b.Slots || a.Place != b.Place || a.SoftwareVersion != b.SoftwareVersion ||
+		!slices.Equal(a.Models, b.Models) || !slices.Equal(a.Weights, b.Weights)
 }
 
 // superseded reports whether a process that started later has claimed the
@@ -176,6 +178,6 @@
 func clone(r *pb.UpstreamRecord) *pb.UpstreamRecord {
 	return &pb.UpstreamRecord{
 		Id: r.Id, Service: r.Service, Address: r.Address, Place: r.Place, Phase: r.Phase, Stage: r.Stage,
-		BornMs: r.BornMs, Sequence: r.Sequence, Slots: r.Slots, Silent: r.Silent, AgeMs: r.AgeMs, Models: r.Models, SoftwareVersion: r.SoftwareVersion,
+		BornMs: r.BornMs, Sequence: r.Sequence, Slots: r.Slots, Silent: r.Silent, AgeMs: r.AgeMs, Models: r.Models, Weights: r.Weights, SoftwareVersion: r.SoftwareVersion,
 	}
 }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"godwitward.example/godwitward/policy"
 )
 
 // exchange is the state of one caller's request.
@@ -42,11 +44,12 @@
 	// prefilled is set once a prefill engine has accepted the prompt. Each further
 	// prefill counts against the retry budget.
 	prefilled bool
-	// version is the software version at which the stream began; nil while it has no event.
-	version *string
-	// versionsRecorded counts the attempts whose version was recorded. Unlike sends it
-	// never decreases.
-	versionsRecorded int
+	// run holds the versions at which the stream goes on; nil while a new one has no event.
+	// recordNumber is the number of the newest record of them, and versionsFrom tells, for
+	// a stream that is taken up, how they were found.
+	run          *policy.RunVersions
+	recordNumber int
+	versionsFrom string
 	// freeUsed is set while the one request that does not count against the retry budget
 	// is used, see charge.
 	freeUsed bool
@@ -269,6 +272,9 @@
 const defaultBodyBytes = 4 << 20
 
 func (x *exchange) serve() {
+	if x.route.Kind == Stream && !x.pinStream() {
+		return
+	}
 	x.s.retryBudget(x.service.Name).recordRequest(x.s.now())
 	x.identify()
 	if x.route.Kind == Stream {
--- a/internal/forward/not_run.go
+++ b/internal/forward/not_run.go
@@ -72,12 +72,15 @@
 	}
 	_ = res.conn.SetDeadline(time.Now().Add(minResponseTimeout))
 	res.close(res.notRun && discardBody(res.resp, maxBufferedBytes) == nil)
-	if res.notRun && status == http.StatusMisdirectedRequest {
+	otherWeights := res.notRun && status == http.StatusMisdirectedRequest && x.hasOtherWeights(res)
+	if res.notRun && status == http.StatusMisdirectedRequest && !otherWeights {
 		t.mu.Lock()
 		t.misdirected = true
 		t.mu.Unlock()
 	}
 	switch {
+	case otherWeights:
+		x.reason = "other_weights"
 	case !res.notRun:
 		t.recordFailure(x.s.now(), policy.FaultError)
 		x.reason = "unstated_rejection"
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -94,22 +94,25 @@
 			reservation.Release(Result{Outcome: OutcomeNotStarted})
 		}
 	}
-	filter := upstreamFilter{service: x.service.Name, stage: engineStage(x.service), tried: x.tried, version: x.version, unbroken: x.version != nil && x.outOfContact()}
+	filter := upstreamFilter{service: x.service.Name, stage: engineStage(x.service), tried: x.tried, run: x.run, unbroken: x.run != nil && x.outOfContact()}
 	decode := x.pickUnscheduled(filter, true)
 	if decode == nil {
 		return nil, nil
 	}
 	x.placedBy = "entry"
-	return &placement{decode: decode, work: work, prefill: x.pickPrefill(x.lostHandleEngines, true)}, nil
+	return &placement{decode: decode, work: work, prefill: x.pickPrefill(decode, x.lostHandleEngines, true)}, nil
 }
 
 // pickPrefill chooses a prefill engine without the scheduler; nil if there is none.
-// noScheduler is set if none can place requests.
-func (x *exchange) pickPrefill(tried map[*target]bool, noScheduler bool) *target {
+// Its weights may be those of the decode engine. noScheduler is set if none can place
+// requests.
+func (x *exchange) pickPrefill(decode *target, tried map[*target]bool, noScheduler bool) *target {
 	if x.service.Engine == nil {
 		return nil
 	}
-	filter := upstreamFilter{service: x.service.Name, stage: pb.EngineStage_ENGINE_STAGE_PREFILL, tried: tried}
+	filter := upstreamFilter{
+		service: x.service.Name, stage: pb.EngineStage_ENGINE_STAGE_PREFILL, tried: tried, model: x.info.Model, weights: x.decodeWeights(decode),
+	}
 	return x.pickUnscheduled(filter, noScheduler)
 }
 
@@ -138,8 +141,8 @@
 		PromptTokens: prefillTokens, OutputTokens: max(x.service.Engine.TokensPerEvent, work.MemoryTokens-prefillTokens), GeneratedTokens: x.generatedTokens(st),
 		ContentHash: x.contentHash(), MaxWait: min(maxWait, x.remaining()), RemainingTime: x.remaining(), TTFTTarget: x.route.LatencyTarget, Age: age,
 	}
-	if x.version != nil {
-		req.Version = *x.version
+	if x.run != nil {
+		req.Version, req.Weights = x.run.Software, x.run.Weights
 	}
 	if attempt > 1 {
 		req.RetrySends = 1
--- a/internal/forward/placer.go
+++ b/internal/forward/placer.go
@@ -35,9 +35,10 @@
 	// ContentHash identifies the content of the caller's request, by which one that
 	// returns after a refusal is recognised.
 	ContentHash uint64
-	// Version is the software version that the decode engine must have; empty if any may
-	// serve the request.
+	// Version is the software version that the decode engine must have, and Weights the
+	// version of its model's weights; empty if any may serve the request.
 	Version string
+	Weights string
 	// Exclude lists engines that have failed the request.
 	Exclude []string
 }
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"godwitward.example/godwitward/internal/fleet"
 	"godwitward.example/godwitward/policy"
 )
 
@@ -44,7 +45,10 @@
 	tried := map[*target]bool{}
 	t := p.prefill
 	if t != nil && (t.inBackoff(x.s.now()) || t.refusesWork(x.s.now())) {
-		t = x.pickPrefill(x.lostHandleEngines, p.reservation == nil)
+		t = nil
+	}
+	if t == nil && p.prefill != nil || t != nil && !policy.SameWeights(x.decodeWeights(p.decode), fleet.RunVersions(t.currentRecord(), x.info.Model).Weights) {
+		t = x.pickPrefill(p.decode, x.lostHandleEngines, p.reservation == nil)
 	}
 	for len(tried) < maxPrefillAttempts {
 		if t == nil || tried[t] || x.callerGone() {
@@ -57,13 +61,13 @@
 			return nil
 		}
 		tried[t] = true
-		if prompt := x.prefillAt(t, p.work, lastEventID, &ch); prompt != nil {
+		if prompt := x.promptFor(p.decode, x.prefillAt(t, p.work, lastEventID, &ch)); prompt != nil {
 			return prompt
 		}
 		if !x.canPayRun(p) {
 			return nil
 		}
-		t = x.pickPrefill(tried, p.reservation == nil)
+		t = x.pickPrefill(p.decode, tried, p.reservation == nil)
 	}
 	return nil
 }
@@ -81,7 +85,7 @@
 	start := time.Now()
 	sends := x.sends
 	x.s.vars.prefills.Add(1)
-	res, err := x.send(t, &SendOptions{Priority: -1, Prefill: true, LastEventID: lastEventID}, ch, min(x.remaining(), max(minPrefillTimeout, prefillTimeoutFactor*expected)))
+	res, err := x.send(t, x.prefillOptions(lastEventID), ch, min(x.remaining(), max(minPrefillTimeout, prefillTimeoutFactor*expected)))
 	x.sends = sends
 	if err != nil {
 		x.handleSendError(t, err)
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -48,6 +48,9 @@
 	// LastEventID is the id of the event after which the stream is resumed; empty
 	// to start from the beginning.
 	LastEventID string
+	// Weights is the version of the model's weights that the upstream must have; empty if
+	// any will do. An upstream with another one rejects the request.
+	Weights string
 	// Prefill requests only the prefill of the prompt.
 	Prefill bool
 	// Source is where the prefill result is to be fetched, as returned by
@@ -60,6 +63,8 @@
 // ResponseInfo holds the values parsed from an upstream's response headers.
 type ResponseInfo struct {
 	RequestID string
+	// Weights is the version of the weights that the upstream has; empty if it states none.
+	Weights string
 	// NotRun is set when the upstream states that it did not run the request.
 	NotRun bool
 	// FromUpstream is set when the response carries the upstream's own stamp,
@@ -100,6 +105,8 @@
 type Handle struct {
 	ID     string
 	Tokens int
+	// Weights is the version of the weights that computed it; empty if it is not known.
+	Weights string
 }
 
 // Protocol translates between headers and the types of this package.
@@ -112,6 +119,9 @@
 	RequestHeader(caller http.Header, s *SendOptions) http.Header
 	// ParseResponse parses the headers of an upstream's response.
 	ParseResponse(status int, h http.Header) ResponseInfo
+	// EventWeights returns the version of the model's weights from which on an event was
+	// generated. changed is false if the event names none, which is the rule.
+	EventWeights(event []byte) (weights string, changed bool)
 	// ResponseHeader returns the headers of an upstream's response without
 	// hop-by-hop headers.
 	ResponseHeader(h http.Header) http.Header
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -15,6 +15,8 @@
 	conn   *conn
 	resp   *http.Response
 	info   ResponseInfo
+	// expectedWeights is the version of the weights that the request asked for.
+	expectedWeights string
 	// notRun is set if the response states that the request did not run.
 	notRun bool
 	// stop disables closing the connection when the caller disconnects. It returns
@@ -110,9 +112,12 @@
 		return fail(err)
 	}
 	t.recordLoad(info.Load, x.s.now())
+	if info.RequestID == x.info.ID {
+		t.observeWeights(x.info.Model, info.Weights)
+	}
 	x.s.recordStatement(t, opts, resp, &info, sentAt)
 	x.appendTrail(t, opts, c, itoa(resp.StatusCode), info.Load, responseFlags(resp, &info))
-	res := &upstreamResponse{target: t, conn: c, resp: resp, info: info, stop: stop, notRun: statesNotRun(resp.StatusCode, &info, x.info.ID)}
+	res := &upstreamResponse{target: t, conn: c, resp: resp, info: info, stop: stop, expectedWeights: opts.Weights, notRun: statesNotRun(resp.StatusCode, &info, x.info.ID)}
 	if res.notRun {
 		x.attemptNotRun(opts)
 	} else if !opts.Prefill {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -54,9 +54,6 @@
 	if x.service.Engine != nil {
 		x.s.addRequestSize(x.service.Name, x.info.PromptTokens, x.info.ExpectedOutputTokens)
 	}
-	if !x.pinVersion() {
-		return
-	}
 	runs, rejections := 0, 0
 	for attempt := 1; ; attempt++ {
 		if x.quarantined(st) {
@@ -131,6 +128,7 @@
 		p.release(OutcomeNotStarted, st)
 		return sendNotPaid
 	}
+	st.prompt = x.promptFor(p.decode, st.prompt)
 	if st.prompt == nil {
 		p.reportProgress(StagePrefilling, 0, nil)
 		start := time.Now()
@@ -208,9 +206,11 @@
 	}
 	opts := &SendOptions{Priority: -1, LastEventID: st.lastEventID}
 	if st.prompt != nil {
-		opts.Source = st.prompt.source
+		opts.Source, opts.Weights = st.prompt.source, st.prompt.handle.Weights
+	}
+	if x.run != nil {
+		opts.Weights = x.run.Weights
 	}
-	x.recordVersion(t)
 	res, err := x.send(t, opts, ch, timeout)
 	if err != nil {
 		return x.handleSendError(t, err)
@@ -254,6 +254,7 @@
 	rd := &eventReader{rd: bufio.NewReaderSize(res.resp.Body, readBufferBytes)}
 	numbers := x.s.newAttemptEvents(t, x.service.Name, st.lastEventID)
 	defer numbers.end()
+	versions := x.versionsOf(res)
 	for first := true; ; first = false {
 		_ = res.conn.SetReadDeadline(time.Now().Add(x.eventTimeout(st)))
 		ev, err := rd.next()
@@ -281,6 +282,17 @@
 			x.reason = "event_gap"
 			return sendOutcomeUnknown
 		}
+		if weights, changed := x.s.opts.Protocol.EventWeights(ev.raw); changed {
+			versions.Weights = weights
+			t.observeWeights(x.info.Model, weights)
+		}
+		if !x.admitVersions(versions, first) {
+			res.close(false)
+			return sendOutcomeUnknown
+		}
+		if first {
+			x.logRun(res, versions, st)
+		}
 		if !st.headWritten {
 			x.startStream(res, st)
 		}
@@ -295,7 +307,6 @@
 		}
 		now := time.Now()
 		if st.events == 0 {
-			x.pinVersionOf(t)
 			st.firstEventAt = now
 			x.s.promptParts.recordAnswer(x.parts, x.s.now())
 			x.firstEventTime = now.Sub(x.receivedAt)
--- a/internal/forward/target.go
+++ b/internal/forward/target.go
@@ -30,6 +30,8 @@
 	// mu guards the fields below. A record is replaced, never modified.
 	mu     sync.Mutex
 	record *pb.UpstreamRecord
+	// recordAt is when the record arrived.
+	recordAt time.Time
 	// brokeAt is when a connection last broke, or could not be opened: the process may have
 	// ended, and another one may answer at its address, under its id. Zero if none has.
 	brokeAt time.Duration
--- a/internal/forward/upstreams.go
+++ b/internal/forward/upstreams.go
@@ -5,6 +5,7 @@
 	"time"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/fleet"
 	"godwitward.example/godwitward/policy"
 )
 
@@ -53,7 +54,7 @@
 			if r.Silent && !known.record.Silent {
 				known.silentSince = time.Now()
 			}
-			known.record = r
+			known.setRecord(r)
 			known.mu.Unlock()
 		} else {
 			u.replace(known, r)
@@ -69,7 +70,7 @@
 		old.replaced.Store(true)
 		u.remove(r.Id)
 	}
-	t := &target{id: r.Id, address: r.Address, bornMs: r.BornMs, outcomes: &u.outcomes, record: r, silentSince: time.Now()}
+	t := &target{id: r.Id, address: r.Address, bornMs: r.BornMs, outcomes: &u.outcomes, record: r, recordAt: time.Now(), silentSince: time.Now()}
 	u.byID[r.Id] = t
 	u.byService[r.Service] = append(u.byService[r.Service], t)
 }
@@ -127,8 +128,11 @@
 	service string
 	stage   pb.EngineStage
 	tried   map[*target]bool
-	// version is the software version that upstreams must have; nil if any will do.
-	version *string
+	// run holds the versions at which a stream goes on; nil if any will do.
+	run *policy.RunVersions
+	// weights is the version of the weights of model that upstreams must have as far as
+	// they report one; empty if any will do.
+	model, weights string
 	// unbroken excludes upstreams that may have restarted.
 	unbroken bool
 	// excluded holds upstreams that are not used.
@@ -141,7 +145,8 @@
 	record, refusesWork := t.record, t.misdirected || t.stated.Leaving || now < t.pausedUntil
 	t.mu.Unlock()
 	return !f.excluded[t] && !refusesWork && record.Phase == pb.UpstreamPhase_UPSTREAM_READY && record.Stage == f.stage &&
-		(f.version == nil || record.SoftwareVersion == *f.version) && !(f.unbroken && t.mayHaveRestarted(now))
+		(f.run == nil || f.run.MayGoOnAt(fleet.RunVersions(record, f.run.Model))) &&
+		policy.SameWeights(f.weights, fleet.RunVersions(record, f.model).Weights) && !(f.unbroken && t.mayHaveRestarted(now))
 }
 
 // usable returns the upstreams that pass the filter.
--- a/internal/forward/versions.go
+++ b/internal/forward/versions.go
@@ -2,62 +2,128 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/fleet"
 	"godwitward.example/godwitward/policy"
 )
 
-// StreamVersionSource tells at which software version a stream began that another entry
-// served.
+// StreamVersionSource tells at which versions a stream may go on that another entry served.
 type StreamVersionSource interface {
-	// StreamVersion returns the version for the id of the request that brought the first
-	// event. known is false if nobody who could be asked knows it.
-	StreamVersion(ctx context.Context, id string) (version string, known bool)
-	// VersionsObserved returns the time for which all software versions in use are known, up
-	// to now; 0 if they are not.
+	// StreamVersion returns the newest record for the id of a request that brought events
+	// of the stream, without its time. known is false if nobody who could be asked knows
+	// it.
+	StreamVersion(ctx context.Context, id string) (v policy.StreamVersion, known bool)
+	// VersionsObserved returns the time for which all versions in use are known, up to now;
+	// 0 if they are not.
 	VersionsObserved() time.Duration
 	// ReportsArrive reports whether the reports of all upstreams arrive.
 	ReportsArrive() bool
 }
 
-// streamVersionTimeout limits the wait for the answer of a StreamVersionSource.
-const streamVersionTimeout = 250 * time.Millisecond
-
-// maxUnreported limits the versions that wait for a report.
-const maxUnreported = 4096
+const (
+	// streamVersionTimeout limits the wait for the answer of a StreamVersionSource.
+	streamVersionTimeout = 250 * time.Millisecond
+	// reportTimeout limits the time for which the first event of a stream waits until its
+	// record was sent.
+	reportTimeout = 20 * time.Millisecond
+	// confirmInterval is the time between two questions whether a hub has a record.
+	confirmInterval = 5 * time.Millisecond
+	// maxUnreported limits the records that wait for a report.
+	maxUnreported = 4096
+	// takeUpStep is added to the number of a stream's record by each request that takes the
+	// stream up, so that an earlier answer that goes on does not replace its records.
+	takeUpStep = 1 << 10
+)
 
-// streamVersions is what the entry knows about the versions of streams. Each is reported
-// when the request is sent that may bring the first event, so that others know it before
-// the caller has an event.
+// streamVersions is what the entry knows about the versions of streams. A stream is recorded
+// when its first event has arrived, and the record is sent before the event is passed on.
 type streamVersions struct {
 	mu    sync.Mutex
 	known policy.StreamVersions
 	// unreported waits for the next report to the hubs.
 	unreported []policy.StreamVersion
+	// recorded, taken and reported count the records that were made, were taken for a
+	// report, and were sent. sent is closed when reported increases. dueSince is the time
+	// since which there have been records that were not sent.
+	recorded, taken, reported uint64
+	sent                      chan struct{}
+	dueSince                  time.Duration
 	// history is kept by service.
 	history map[string]*policy.VersionHistory
 }
 
-// SetStreamVersionSource makes the server ask src at which version a stream began. It must
-// be called before the first request.
+// SetStreamVersionSource makes the server ask src at which versions a stream may go on. It
+// must be called before the first request.
 func (s *Server) SetStreamVersionSource(src StreamVersionSource) { s.versionSource = src }
 
-// recordStreamVersion records that a request is about to be sent that may bring the first
-// event of a stream.
-func (s *Server) recordStreamVersion(id, version string, attempt int) {
+// recordStream records the versions of a stream under the ids of requests that bring its
+// events. It returns the number to wait for with awaitReport.
+func (s *Server) recordStream(ids []string, versions policy.RunVersions, number int) uint64 {
 	l := &s.streamVersions
 	l.mu.Lock()
-	v := policy.StreamVersion{ID: id, Version: version, Attempt: attempt, RecordedAt: s.now()}
-	l.known.Record(v, s.now())
+	if l.recorded == l.reported {
+		l.dueSince = s.now()
+	}
 	if len(l.unreported) >= maxUnreported {
 		// No hub is attached. The next one is sent all that is known.
 		l.unreported = nil
 	}
-	l.unreported = append(l.unreported, v)
+	for _, id := range ids {
+		v := policy.StreamVersion{ID: id, Versions: versions, Attempt: number, RecordedAt: s.now()}
+		l.known.Record(v, s.now())
+		l.unreported = append(l.unreported, v)
+		l.recorded++
+	}
+	n := l.recorded
 	l.mu.Unlock()
 	s.reportNow.signal()
+	return n
+}
+
+// awaitReport waits until a record was sent to the hubs, but not for long, and not while
+// no records are being sent.
+func (s *Server) awaitReport(ctx context.Context, n uint64) {
+	if s.versionSource == nil || !s.versionSource.ReportsArrive() {
+		return
+	}
+	timeout := time.NewTimer(reportTimeout)
+	defer timeout.Stop()
+	l := &s.streamVersions
+	for {
+		l.mu.Lock()
+		if l.reported >= n || s.now()-l.dueSince > reportTimeout {
+			l.mu.Unlock()
+			return
+		}
+		if l.sent == nil {
+			l.sent = make(chan struct{})
+		}
+		sent := l.sent
+		l.mu.Unlock()
+		select {
+		case <-sent:
+		case <-timeout.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Reported is called when what Outcomes returned has been sent to all hubs.
+func (s *Server) Reported() {
+	l := &s.streamVersions
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reported, l.dueSince = l.taken, s.now()
+	if l.sent != nil {
+		close(l.sent)
+		l.sent = nil
+	}
 }
 
 func (s *Server) takeStreamVersions() []*pb.StreamVersion {
@@ -65,11 +131,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	list := s.encodeStreamVersions(l.unreported)
-	l.unreported = nil
+	l.unreported, l.taken = nil, l.recorded
 	return list
 }
 
-// StreamVersions returns the versions of the streams that the entry has begun of late.
+// StreamVersions returns the versions of the streams that the entry has served of late.
 func (s *Server) StreamVersions() []*pb.StreamVersion {
 	l := &s.streamVersions
 	l.mu.Lock()
@@ -80,7 +146,7 @@
 func (s *Server) encodeStreamVersions(list []policy.StreamVersion) []*pb.StreamVersion {
 	var out []*pb.StreamVersion
 	for _, v := range list {
-		out = append(out, &pb.StreamVersion{Id: v.ID, Version: v.Version, Attempt: uint32(v.Attempt), AgeMs: uint32((s.now() - v.RecordedAt).Milliseconds())})
+		out = append(out, fleet.EncodeStreamVersion(v, s.now()))
 	}
 	return out
 }
@@ -91,7 +157,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, r := range records {
-		l.seen(r.Service, r.SoftwareVersion, s.now())
+		for _, v := range fleet.AllRunVersions(r) {
+			l.seen(v, s.now())
+		}
 	}
 }
 
@@ -100,24 +168,24 @@
 	l := &s.streamVersions
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, v := range list {
-		l.seen(v.Service, v.Version, s.now()-time.Duration(v.AgeMs)*time.Millisecond)
+	for _, m := range list {
+		l.seen(fleet.DecodeServiceVersion(m, s.now()))
 	}
 }
 
-// seen adds a version to the history of a service. The caller holds mu.
-func (l *streamVersions) seen(service, version string, at time.Duration) {
-	if l.history[service] == nil {
-		l.history[service] = &policy.VersionHistory{}
+// seen adds versions to the history of their service. The caller holds mu.
+func (l *streamVersions) seen(v policy.RunVersions, at time.Duration) {
+	if l.history[v.Service] == nil {
+		l.history[v.Service] = &policy.VersionHistory{}
 	}
-	l.history[service].Seen(version, at)
+	l.history[v.Service].Seen(v, at)
 }
 
-// onlyVersion returns the version of a service's upstreams if there has been no other one
-// for as long as a stream may last, as far as is known for sure.
-func (s *Server) onlyVersion(service string) (string, bool) {
+// onlyVersions returns the versions for a model at a service's upstreams if there have been
+// no others for as long as a stream may last, as far as is known for sure.
+func (s *Server) onlyVersions(service, model string) (policy.RunVersions, bool) {
 	if s.versionSource == nil {
-		return "", false
+		return policy.RunVersions{}, false
 	}
 	observed := s.versionSource.VersionsObserved()
 	for _, t := range s.upstreams.list(service) {
@@ -128,31 +196,55 @@
 	defer l.mu.Unlock()
 	h := l.history[service]
 	if h == nil {
-		return "", false
+		return policy.RunVersions{}, false
 	}
-	return h.Only(s.now(), observed)
+	return h.Only(model, s.now(), observed)
 }
 
-// streamVersion returns the version at which the stream began that the caller takes up.
-func (x *exchange) streamVersion() (string, bool) {
+// possibleServices returns the services at which a stream of the route may have begun.
+// known is false if there may be others.
+func (s *Server) possibleServices(route *Route) (services []string, known bool) {
+	for _, split := range route.Split {
+		if split.Weight > 0 && !slices.Contains(services, split.Service) {
+			services = append(services, split.Service)
+		}
+	}
+	return services, true
+}
+
+// versionSources for the log line of a run.
+const (
+	versionsFromOwnRecord = "own"
+	versionsFromHubs      = "hubs"
+	versionsOfOnly        = "only"
+)
+
+// findStream returns the record of the stream that the caller takes up. If nobody knows it,
+// but it can have begun at one service and its only versions, it has these.
+func (x *exchange) findStream() (v policy.StreamVersion, known bool) {
 	if id := x.info.StreamID; id != "" {
 		l := &x.s.streamVersions
 		l.mu.Lock()
-		v, known := l.known.Get(id, x.s.now())
+		v, known = l.known.Get(id, x.s.now())
 		l.mu.Unlock()
-		if known {
-			return v.Version, true
-		}
-		if x.s.versionSource != nil {
+		x.versionsFrom = versionsFromOwnRecord
+		if !known && x.s.versionSource != nil {
 			ctx, cancel := context.WithTimeout(x.ctx, streamVersionTimeout)
-			version, known := x.s.versionSource.StreamVersion(ctx, id)
+			v, known = x.s.versionSource.StreamVersion(ctx, id)
 			cancel()
-			if known {
-				return version, true
-			}
+			x.versionsFrom = versionsFromHubs
+		}
+		if known {
+			return v, true
 		}
 	}
-	return x.s.onlyVersion(x.service.Name)
+	services, known := x.s.possibleServices(x.route)
+	if !known || len(services) != 1 {
+		return policy.StreamVersion{}, false
+	}
+	v.Versions, known = x.s.onlyVersions(services[0], x.info.Model)
+	x.versionsFrom = versionsOfOnly
+	return v, known
 }
 
 const (
@@ -162,56 +254,67 @@
 	settleInterval = 25 * time.Millisecond
 )
 
-// awaitStreamVersion returns the version at which the stream began that the caller takes
-// up. An entry that has just started waits for contact with the hubs, as it does for its
-// first configuration.
-func (x *exchange) awaitStreamVersion() (version string, known bool) {
+// awaitStream returns the record of the stream that the caller takes up. An entry that has
+// just started waits for contact with the hubs, as it does for its first configuration.
+func (x *exchange) awaitStream() (v policy.StreamVersion, known bool) {
 	until := time.Now().Add(x.remaining() / configWaitDivisor)
 	for {
-		version, known = x.streamVersion()
+		v, known = x.findStream()
 		if known || x.s.versionSource == nil || x.s.versionSource.VersionsObserved() > 0 || x.s.now() > settleTime || time.Now().After(until) {
-			return version, known
+			return v, known
 		}
 		select {
 		case <-x.ctx.Done():
-			return "", false
+			return v, false
 		case <-time.After(settleInterval):
 		}
 	}
 }
 
-// pinVersion finds the version at which a stream began that the caller takes up. If it
-// returns false it has refused the request: the version is not known, so the stream might
-// go on at another one, or no upstream has it.
-func (x *exchange) pinVersion() bool {
+// pinStream finds the service and the versions at which a stream goes on that the caller
+// takes up. If it returns false it has refused the request: they are not known, or no
+// upstream has them.
+func (x *exchange) pinStream() bool {
 	if x.info.LastEventID == "" {
 		return true
 	}
-	version, known := x.awaitStreamVersion()
+	v, known := x.awaitStream()
 	if !known {
 		x.refuse("stream_version_unknown", x.retryAfter())
 		return false
 	}
-	x.version = &version
-	if !x.versionServed() {
+	if !x.route.leadsTo(v.Versions.Service) {
+		x.refuse("stream_service_gone", x.capRetryAfter(streamGoneRetryAfter))
+		return false
+	}
+	x.service = x.config.Services[v.Versions.Service]
+	x.run = &v.Versions
+	if v.Versions.Model != x.info.Model || !x.versionServed() {
 		x.refuse("stream_version_gone", x.capRetryAfter(streamGoneRetryAfter))
 		return false
 	}
+	x.recordNumber = v.Attempt + takeUpStep
+	x.recordRun()
 	return true
 }
 
 // streamGoneRetryAfter is the Retry-After of a stream that no upstream can go on with: its
-// version has left, and comes back at best with a new process.
+// versions have left, and come back at best with a new process.
 const streamGoneRetryAfter = 5 * time.Second
 
-// versionServed reports whether an upstream of the request's version takes requests.
+// leadsTo reports whether requests of the route may be sent to a service.
+func (r *Route) leadsTo(service string) bool {
+	return slices.ContainsFunc(r.Split, func(s Share) bool { return s.Service == service && s.Weight > 0 })
+}
+
+// versionServed reports whether an upstream with the versions of the stream takes requests.
 func (x *exchange) versionServed() bool {
-	if x.version == nil {
+	if x.run == nil {
 		return true
 	}
 	for _, t := range x.s.upstreams.list(x.service.Name) {
 		t.mu.Lock()
-		serves := t.record.SoftwareVersion == *x.version && t.record.Phase == pb.UpstreamPhase_UPSTREAM_READY && t.record.Stage == engineStage(x.service) &&
+		serves := x.run.MayGoOnAt(fleet.RunVersions(t.record, x.info.Model)) && t.record.Phase == pb.UpstreamPhase_UPSTREAM_READY && t.record.Stage == engineStage(x.service) &&
 			!t.misdirected && !t.stated.Leaving
 		t.mu.Unlock()
 		if serves {
@@ -224,7 +327,7 @@
 // fitsVersion reports whether a target may serve the stream. A process that starts again
 // under its id may run other software; without contact with a hub nobody tells.
 func (x *exchange) fitsVersion(t *target) bool {
-	return x.version == nil || t.softwareVersion() == *x.version && !(t.mayHaveRestarted(x.s.now()) && x.outOfContact())
+	return x.run == nil || x.run.MayGoOnAt(fleet.RunVersions(t.currentRecord(), x.info.Model)) && !(t.mayHaveRestarted(x.s.now()) && x.outOfContact())
 }
 
 // outOfContact reports whether no reports of upstreams arrive.
@@ -232,26 +335,76 @@
 	return x.s.versionSource == nil || !x.s.versionSource.ReportsArrive()
 }
 
-// pinVersionOf keeps the rest of a stream, whose first event a target has sent, at the
-// target's version.
-func (x *exchange) pinVersionOf(t *target) {
-	if x.version == nil {
-		version := t.softwareVersion()
-		x.version = &version
+// versionsOf returns the versions of the run that a response comes from. An upstream that
+// was asked for a version of its weights rejects the request if it has another one.
+func (x *exchange) versionsOf(res *upstreamResponse) policy.RunVersions {
+	v := fleet.RunVersions(res.target.currentRecord(), x.info.Model)
+	switch {
+	case res.info.Weights != "":
+		v.Weights = res.info.Weights
+	case res.expectedWeights != "":
+		v.Weights = res.expectedWeights
+	}
+	return v
+}
+
+// recordRun records the versions of the stream, under the ids of this request and of the one
+// that the caller takes up, and returns the number to wait for.
+func (x *exchange) recordRun() uint64 {
+	ids := []string{x.info.ID}
+	if id := x.info.StreamID; id != "" && id != x.info.ID {
+		ids = append(ids, id)
 	}
+	return x.s.recordStream(ids, *x.run, x.recordNumber)
 }
 
-// recordVersion records the version of a stream before it is sent to a target.
-func (x *exchange) recordVersion(t *target) {
+// admitVersions reports whether an event of a run with the versions v may be relayed, and
+// ties the rest of the stream to them. first is set for the first event of the run. Weights
+// may change later in a run: the engine itself goes on with the text that it has written.
+// Nobody else must go back to the weights that it has left, so the event waits until a hub
+// knows the change.
+func (x *exchange) admitVersions(v policy.RunVersions, first bool) bool {
 	switch {
-	case x.version == nil:
-		x.versionsRecorded++
-		x.s.recordStreamVersion(x.info.ID, t.softwareVersion(), x.versionsRecorded)
-	case x.info.StreamID != "":
-		// The caller may take the stream up again.
-		x.s.recordStreamVersion(x.info.StreamID, *x.version, finalAttempt)
+	case x.run == nil:
+		x.run, x.recordNumber = &v, 1
+		x.s.awaitReport(x.ctx, x.recordRun())
+		return true
+	case v == *x.run:
+		return true
+	case first:
+		x.reason = "other_versions"
+		return false
 	}
+	before := *x.run
+	x.run = &v
+	x.recordNumber++
+	x.recordRun()
+	if !x.route.Repeatable() || x.recordConfirmed() {
+		return true
+	}
+	x.run = &before
+	x.recordNumber++
+	x.recordRun()
+	x.reason = "weights_not_recorded"
+	return false
 }
 
-// finalAttempt is the attempt of a stream whose version cannot change any more.
-const finalAttempt = 1 << 20
+// recordConfirmed reports whether a hub has the newest record of the stream.
+func (x *exchange) recordConfirmed() bool {
+	if x.s.versionSource == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(x.ctx, streamVersionTimeout)
+	defer cancel()
+	for {
+		v, known := x.s.versionSource.StreamVersion(ctx, x.info.ID)
+		if known && v.Attempt >= x.recordNumber {
+			return v.Versions == *x.run
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(confirmInterval):
+		}
+	}
+}
--- a/policy/stream_versions.go
+++ b/policy/stream_versions.go
@@ -3,28 +3,26 @@
 import "time"
 
 const (
-	// streamVersionTTL is how long it is remembered at which version a stream began.
+	// streamVersionTTL is how long the versions of a stream are remembered.
 	// Callers wait for the end of a stream for less.
 	streamVersionTTL = time.Minute
 	// maxStreamVersions limits the streams that are remembered. The oldest are dropped.
 	maxStreamVersions = 100_000
 )
 
-// StreamVersion is the software version at which a stream began.
+// StreamVersion tells at which versions a stream may go on.
 type StreamVersion struct {
-	// ID is the id of the caller's request that brings the first event.
-	ID      string
-	Version string
-	// Attempt is the number of the entry's attempt at the caller's request. A later one
-	// replaces the earlier ones, which brought no event.
+	// ID is the id of a request of the caller that brought events of the stream.
+	ID       string
+	Versions RunVersions
+	// Attempt is the number of the record. A later one replaces the earlier ones.
 	Attempt int
 	// RecordedAt is when the stream was last known to be in use.
 	RecordedAt time.Duration
 }
 
-// StreamVersions remembers at which software version streams began. What engines of two
-// versions write does not fit together, so a stream that broke off goes on at its own. It
-// is not safe for concurrent use.
+// StreamVersions remembers at which versions streams may go on. It is not safe for
+// concurrent use.
 type StreamVersions struct {
 	byID map[string]StreamVersion
 	// order lists the records from the oldest to the newest, with those that were
@@ -47,10 +45,10 @@
 	s.byID[v.ID] = v
 	s.order = append(s.order, v)
 	s.prune(now)
-	return !ok || known.Version != v.Version
+	return !ok || known.Versions != v.Versions
 }
 
-// Get returns the version at which a stream began, if that is known.
+// Get returns the record of a stream, if there is one.
 func (s *StreamVersions) Get(id string, now time.Duration) (StreamVersion, bool) {
 	s.prune(now)
 	v, ok := s.byID[id]
@@ -78,24 +76,24 @@
 	s.order = s.order[n:]
 }
 
-// VersionHistory tells which software versions of a service have been in use.
+// VersionHistory tells which versions the upstreams of a service have had.
 type VersionHistory struct {
-	seenAt map[string]time.Duration
+	seenAt map[RunVersions]time.Duration
 }
 
-// Seen records that a process of a version was in use at a time.
-func (h *VersionHistory) Seen(version string, at time.Duration) {
+// Seen records that a process with the versions was in use at a time.
+func (h *VersionHistory) Seen(v RunVersions, at time.Duration) {
 	if h.seenAt == nil {
-		h.seenAt = map[string]time.Duration{}
+		h.seenAt = map[RunVersions]time.Duration{}
 	}
-	if known, ok := h.seenAt[version]; !ok || at > known {
-		h.seenAt[version] = at
+	if known, ok := h.seenAt[v]; !ok || at > known {
+		h.seenAt[v] = at
 	}
 }
 
 // Versions returns the versions that have been in use for as long as a stream may last, and
 // when each was last seen.
-func (h *VersionHistory) Versions(now time.Duration) map[string]time.Duration {
+func (h *VersionHistory) Versions(now time.Duration) map[RunVersions]time.Duration {
 	for v, at := range h.seenAt {
 		if now-at > streamVersionTTL {
 			delete(h.seenAt, v)
@@ -104,18 +102,22 @@
 	return h.seenAt
 }
 
-// Only returns the version if no other one has been in use for as long as a stream may
-// last. observed is the time for which all versions in use have been seen: a process that
-// has just started may have missed some.
-func (h *VersionHistory) Only(now, observed time.Duration) (version string, ok bool) {
+// Only returns the versions for a model if no others have been in use for as long as a
+// stream may last. observed is the time for which all versions in use have been seen: a
+// process that has just started may have missed some.
+func (h *VersionHistory) Only(model string, now, observed time.Duration) (only RunVersions, ok bool) {
 	if observed < streamVersionTTL {
-		return "", false
+		return RunVersions{}, false
 	}
 	for v := range h.Versions(now) {
+		v, serves := v.WithModel(model)
+		if !serves || ok && v == only {
+			continue
+		}
 		if ok {
-			return "", false
+			return RunVersions{}, false
 		}
-		version, ok = v, true
+		only, ok = v, true
 	}
-	return version, ok
+	return only, ok
 }
