--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -132,7 +132,7 @@
 	if err != nil {
 		return nil, err
 	}
-	hubOptions := feed.HubOptions{Store: d.store, Peers: d.peers, Self: s.SessionAddress, Logger: logger, OnReport: d.pools.announce, OnStatement: d.pools.setStatement, FirstStart: d.store.FirstStart()}
+	hubOptions := feed.HubOptions{Store: d.store, Peers: d.peers, Self: s.SessionAddress, Logger: logger, OnReport: d.pools.announce, OnStatement: d.pools.setStatement, FirstStart: d.store.FirstStart(), DecodeRoutes: platform.DecodeRoutes}
 	d.openStreamLog(&hubOptions, streamlog.Options{Dir: s.DataDir + streamLogDir, FS: timedFS{wal.OS{}, d.syncTime}, Logger: logger})
 	d.hub = feed.NewHub(hubOptions, d.sessions)
 	d.pools.records, d.pools.statements = d.hub.Records, d.hub.Statements
--- a/internal/edge/system_test.go
+++ b/internal/edge/system_test.go
@@ -29,14 +29,14 @@
 // noLeader is the value of testSystem.leader while no core daemon leads.
 const noLeader = -1
 
-// documentStore is a feed.Store with a fixed document.
+// documentStore is a feed.Store with a document that a test sets.
 type documentStore struct {
 	system   *testSystem
 	index    int
-	document corestore.Document
+	document atomic.Pointer[corestore.Document]
 }
 
-func (s *documentStore) Current() corestore.Document { return s.document }
+func (s *documentStore) Current() corestore.Document { return *s.document.Load() }
 func (s *documentStore) HasQuorum() bool             { return true }
 func (s *documentStore) Members() []string           { return s.system.members }
 
@@ -54,12 +54,17 @@
 	t       *testing.T
 	hubs    []*feed.Hub
 	members []string
-	config  []byte
+	// document is the one that hubs start with, and stores are those of the hubs.
+	document corestore.Document
+	stores   []*documentStore
 	// disks holds the folder of each hub.
 	disks []string
 	// stopHub ends the process of each hub.
 	stopHub []func()
 	entries []*httptest.Server
+	// servers and subscribers are those of the entries.
+	servers     []*forward.Server
+	subscribers []*feed.Subscriber
 	// stopEntry ends the process of each entry.
 	stopEntry []func()
 	// leader is the index of the hub that leads, or noLeader.
@@ -67,28 +72,32 @@
 }
 
 func newTestSystem(t *testing.T, hubs, entries int) *testSystem {
-	s := &testSystem{t: t}
-	config, err := (&standin.Config{Version: 1, PlainService: "plain", EngineService: "llm"}).Encode()
-	require.NoError(t, err)
+	s := &testSystem{t: t, document: testDocument(t, 1, "llm")}
 	var listeners []net.Listener
 	for range hubs {
 		l := listenAgain(t)
 		listeners = append(listeners, l)
 		s.members = append(s.members, l.Addr().String())
 	}
-	s.config = config
 	for i, l := range listeners {
-		s.hubs, s.stopHub, s.disks = append(s.hubs, nil), append(s.stopHub, nil), append(s.disks, t.TempDir())
+		s.hubs, s.stores, s.stopHub, s.disks = append(s.hubs, nil), append(s.stores, nil), append(s.stopHub, nil), append(s.disks, t.TempDir())
 		s.startHub(i, l, true)
 	}
 	for i := range entries {
-		s.entries = append(s.entries, nil)
+		s.entries, s.servers, s.subscribers = append(s.entries, nil), append(s.servers, nil), append(s.subscribers, nil)
 		s.stopEntry = append(s.stopEntry, nil)
 		s.startEntry(i)
 	}
 	return s
 }
 
+// testDocument returns a configuration whose streams go to a service.
+func testDocument(t *testing.T, version int, service string) corestore.Document {
+	config, err := (&standin.Config{Version: version, PlainService: "plain", EngineService: service}).Encode()
+	require.NoError(t, err)
+	return corestore.Document{Version: uint64(version), Body: config}
+}
+
 // listenAgain listens at a port that can be used again later: none that the system gives to
 // outgoing connections.
 func listenAgain(t *testing.T) net.Listener {
@@ -105,16 +114,18 @@
 func (s *testSystem) startHub(i int, l net.Listener, firstStart bool) {
 	server := transport.NewServer(transport.Options{})
 	peers := corestore.NewPeers(s.members[i], netip.MustParseAddrPort(s.members[i]).Port(), transport.Options{Self: &pb.Hello{Vm: s.members[i]}})
-	store := &documentStore{system: s, index: i, document: corestore.Document{Version: 1, Body: s.config}}
+	store := &documentStore{system: s, index: i}
+	document := s.document
+	store.document.Store(&document)
 	discard := &log.Logger{Level: log.PanicLevel}
 	streamLog, stored, err := streamlog.Open(streamlog.Options{Dir: s.disks[i], FS: wal.OS{}, Logger: discard})
 	require.NoError(s.t, err)
 	hub := feed.NewHub(feed.HubOptions{
 		Store: store, Peers: peers, Self: s.members[i], Logger: discard, OnReport: func(*pb.UpstreamRecord) {}, FirstStart: firstStart,
-		StreamLog: streamLog, Stored: stored,
+		StreamLog: streamLog, Stored: stored, DecodeRoutes: platform.DecodeRoutes,
 	}, server)
 	go func() { _ = server.Serve(l) }()
-	s.hubs[i] = hub
+	s.hubs[i], s.stores[i] = hub, store
 	var once sync.Once
 	s.stopHub[i] = func() {
 		once.Do(func() {
@@ -155,7 +166,7 @@
 	})
 	subscriber := e.subscribe(server, func() []string { return s.members })
 	front := httptest.NewServer(server)
-	s.entries[i] = front
+	s.entries[i], s.servers[i], s.subscribers[i] = front, server, subscriber
 	var once sync.Once
 	s.stopEntry[i] = func() {
 		once.Do(func() {
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -75,6 +75,8 @@
 	// when the daemon started. Both may be nil.
 	StreamLog *streamlog.Log
 	Stored    *streamlog.Stored
+	// DecodeRoutes returns the routes of a document; nil if it has none.
+	DecodeRoutes func(body []byte) (policy.ResumableRoutes, error)
 }
 
 // Hub distributes records and documents from one core daemon. mu guards the
@@ -108,6 +110,7 @@
 
 	streamVersions policy.StreamVersions
 	versionHistory
+	routes routeHistory
 
 	// gossipReceived counts the messages from other hubs.
 	gossipReceived atomic.Int64
@@ -144,6 +147,8 @@
 	// streamVersions are due in the next message to another hub, or all of them.
 	streamVersions    []policy.StreamVersion
 	allStreamVersions bool
+	// haveRoutes is the generation of the hub's routeHistory that the receiver has.
+	haveRoutes uint64
 }
 
 // NewHub starts a hub and registers its streams. Stop ends it.
@@ -155,6 +160,7 @@
 		evidence: promptEvidence{quarantine: policy.NewPromptQuarantine()}, statements: map[processKey]*hubStatement{}, schedules: map[processKey]*sendSchedule{},
 	}
 	h.restoreVersions()
+	h.learnRoutes(opts.Store.Current(), false)
 	server.Handle(transport.MethodFeed, h.serveFeed)
 	server.Handle(transport.MethodGossip, h.serveGossip)
 	transport.HandleUnary(server, transport.MethodSendPermit, h.serveSendPermit)
@@ -192,6 +198,7 @@
 // StoreChanged wakes all streams, so that those to entries send the newest document
 // and leader.
 func (h *Hub) StoreChanged() {
+	h.learnRoutes(h.opts.Store.Current(), false)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for s := range h.subscriptions {
@@ -365,6 +372,7 @@
 	h.evidenceChanged(h.mergeQuarantined(req.Quarantined), false)
 	h.mu.Unlock()
 	h.mergeStreamVersions(req.StreamVersions, true)
+	h.mergeReportedRoutes(req.RouteServices)
 	s := h.subscribe(false)
 	defer h.unsubscribe(s)
 	go h.receiveOutcomes(ctx, st)
@@ -388,9 +396,10 @@
 		}
 		lastSent = time.Now()
 		u := &pb.FeedUpdate{Upstreams: h.takePending(s), Quorate: h.opts.Store.HasQuorum(), Entries: h.entryCount(), ErrorShares: h.errorShares(), Statements: h.Statements()}
-		u.ServiceVersions, u.ObservedMs, u.ReportsMs = h.encodeHistory()
-		u.Leader, u.Term, _ = h.opts.Store.Leader()
 		d := h.opts.Store.Current()
+		h.learnRoutes(d, d.Version > haveVersion)
+		h.stateHistory(s).addToUpdate(u)
+		u.Leader, u.Term, _ = h.opts.Store.Leader()
 		u.Version, u.NewestVersion = d.Version, max(d.Version, h.announcedVersion())
 		if d.Version > haveVersion {
 			u.Document = &pb.Document{Version: d.Version, Body: d.Body}
@@ -460,15 +469,6 @@
 	}
 }
 
-// announcedVersion returns the highest version that another hub has announced. This
-// daemon may be behind it although it is in contact with the leader: a member that
-// needs a snapshot receives heartbeats but no entries.
-func (h *Hub) announcedVersion() uint64 {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.newestVersion
-}
-
 func (h *Hub) applyGossip(r *pb.UpstreamRecord) {
 	h.mu.Lock()
 	changed, accepted := h.table.Observe(r, h.now())
@@ -563,7 +563,7 @@
 	}
 	defer st.Close()
 	h.mu.Lock()
-	s.sendAll, s.evidenceDue, s.statementsDue, s.allStreamVersions = true, true, true, true
+	s.sendAll, s.evidenceDue, s.statementsDue, s.allStreamVersions, s.haveRoutes = true, true, true, true, 0
 	h.mu.Unlock()
 	s.signal()
 	ticker := time.NewTicker(attachmentCountTTL / 3)
@@ -586,7 +586,7 @@
 		versions := h.streamVersionsForHub(s)
 		h.mu.Unlock()
 		g := &pb.Gossip{Upstreams: records, Attached: attached, Version: h.opts.Store.Current().Version, Evidence: evidence, Statements: statements, StreamVersions: versions}
-		g.ServiceVersions, g.ObservedMs, g.ReportsMs = h.encodeHistory()
+		h.stateHistory(s).addToGossip(g)
 		if err := st.Send(g); err != nil {
 			return
 		}
--- a/internal/feed/subscriber.go
+++ b/internal/feed/subscriber.go
@@ -69,6 +69,11 @@
 	StreamVersions func() []*pb.StreamVersion
 	// OnServiceVersions is called with the software versions in use of late. It may be nil.
 	OnServiceVersions func([]*pb.ServiceVersion)
+	// RouteServices returns the services that the entry knows routes to have left, and
+	// OnRouteServices is called with those that a hub knows, before the document that comes
+	// with them. Both may be nil.
+	RouteServices   func() []*pb.RouteService
+	OnRouteServices func([]*pb.RouteService)
 	// OnStatements is called with what upstreams say about the requests that they take.
 	// It may be nil.
 	OnStatements func([]*pb.UpstreamStatement)
@@ -90,6 +95,8 @@
 	// silent is the silent mark last passed to OnUpstreams, by upstream id.
 	silent  map[string]bool
 	version uint64
+	// firstVersion is that of the first document. Only hubs tell what was in force before.
+	firstVersion uint64
 	// newestVersion is the highest version that a hub announced, and behindSince
 	// when it first exceeded version; zero if it does not.
 	newestVersion uint64
@@ -225,6 +232,9 @@
 	if s.opts.StreamVersions != nil {
 		req.StreamVersions = s.opts.StreamVersions()
 	}
+	if s.opts.RouteServices != nil {
+		req.RouteServices = s.opts.RouteServices()
+	}
 	if err := st.Send(req); err != nil {
 		return err
 	}
@@ -258,6 +268,9 @@
 	if u.Quorate {
 		s.lastContact = time.Now()
 	}
+	if s.firstVersion == 0 && u.Document != nil {
+		s.firstVersion, s.observedSince = u.Document.Version, time.Now()
+	}
 	s.recordObservation(time.Now(), u)
 	if u.Leader != "" && u.Term >= s.term {
 		s.leader, s.term = u.Leader, u.Term
@@ -303,7 +316,7 @@
 // recordObservation records for how long versions and upstreams have been observed, by an
 // update. The caller holds mu.
 func (s *Subscriber) recordObservation(now time.Time, u *pb.FeedUpdate) {
-	if u.ObservedMs > 0 {
+	if u.ObservedMs > 0 && u.RoutesVersion >= s.firstVersion {
 		if now.Sub(s.observedAt) > maxObservationGap {
 			s.observedSince = now
 		}
@@ -318,14 +331,18 @@
 	if s.opts.OnServiceVersions != nil {
 		s.opts.OnServiceVersions(u.ServiceVersions)
 	}
+	if s.opts.OnRouteServices != nil && len(u.RouteServices) > 0 {
+		s.opts.OnRouteServices(u.RouteServices)
+	}
 }
 
-// VersionsObserved returns the time for which all software versions in use are known, 0
-// without contact with a hub that knows them.
+// VersionsObserved returns the time for which all software versions in use and all services
+// of routes are known, 0 without contact with a hub that knows them, and while other daemons
+// may use a newer document.
 func (s *Subscriber) VersionsObserved() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.updatedBy(s.observedAt) {
+	if !s.updatedBy(s.observedAt) || s.version < s.newestVersion {
 		return 0
 	}
 	return time.Since(s.observedSince)
--- a/internal/feed/version_history.go
+++ b/internal/feed/version_history.go
@@ -26,6 +26,7 @@
 // restoreVersions applies what was stored before the daemon started.
 func (h *Hub) restoreVersions() {
 	h.byService = map[string]*policy.VersionHistory{}
+	h.restoreRoutes()
 	if h.opts.FirstStart {
 		h.observedSince, h.reportsSince = -maxObserved, -maxObserved
 	}
@@ -37,10 +38,7 @@
 		}
 	}
 	if h.opts.StreamLog != nil {
-		h.opts.StreamLog.SetHistory(func() ([]*pb.ServiceVersion, time.Duration) {
-			versions, observedMs, _ := h.encodeHistory()
-			return versions, milliseconds(observedMs)
-		})
+		h.opts.StreamLog.SetHistory(h.addHistory)
 	}
 }
 
@@ -61,7 +59,10 @@
 // mergeHistory applies what another hub knows. The caller holds mu.
 func (h *Hub) mergeHistory(g *pb.Gossip) {
 	h.seeVersions(g.ServiceVersions)
-	h.observedSince = min(h.observedSince, h.now()-milliseconds(g.ObservedMs))
+	h.mergeRouteServices(g.RouteServices)
+	if h.routes.covers(g.RoutesVersion) {
+		h.observedSince = min(h.observedSince, h.now()-milliseconds(g.ObservedMs))
+	}
 	h.reportsSince = min(h.reportsSince, h.now()-milliseconds(g.ReportsMs))
 }
 
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -56,6 +56,7 @@
 	// statementReports are the statements of upstreams that are to be reported.
 	statementReports statementReports
 	streamVersions   streamVersions
+	routeServices    routeServices
 	numbering        eventNumbering
 	inFlight         atomic.Int64
 	draining         atomic.Bool
@@ -111,6 +112,7 @@
 		if old != nil && old.Version >= c.Version {
 			return
 		}
+		s.endRoutes(old, c)
 		if s.config.CompareAndSwap(old, c) {
 			s.updatePools()
 			s.opts.Logger.Info().Str("event", "config.applied").Uint64("version", c.Version).Int("routes", len(c.Routes)).Msg("")
--- a/internal/streamlog/log.go
+++ b/internal/streamlog/log.go
@@ -50,6 +50,10 @@
 	// the last batch.
 	Services []*pb.ServiceVersion
 	Observed time.Duration
+	// Routes lists the services that routes had left of late, up to the document with
+	// RoutesVersion.
+	Routes        []*pb.RouteService
+	RoutesVersion uint64
 }
 
 // Log stores records. It is safe for concurrent use.
@@ -62,8 +66,10 @@
 	mu      sync.Mutex
 	queued  []*pb.StreamVersion
 	dropped int
-	// history returns what is stored with each batch; nil if nothing is.
-	history func() ([]*pb.ServiceVersion, time.Duration)
+	// addHistory adds to a batch what is stored with each one; nil if nothing is.
+	addHistory func(*pb.StreamVersionBatch)
+	// historyChanged is set when a batch is due although it may have no records.
+	historyChanged bool
 
 	// The fields below belong to the flushing goroutine.
 
@@ -118,12 +124,27 @@
 	return l, stored, nil
 }
 
-// SetHistory sets the function that returns the software versions in use and the time for
-// which all are known. Each batch holds them.
-func (l *Log) SetHistory(history func() ([]*pb.ServiceVersion, time.Duration)) {
+// SetHistory sets the function that adds to a batch the software versions in use, the
+// services that routes have left, and the time for which all are known.
+func (l *Log) SetHistory(add func(*pb.StreamVersionBatch)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.history = history
+	l.addHistory = add
+}
+
+// HistoryChanged makes the log write a batch also if there are no records. It does not wait.
+func (l *Log) HistoryChanged() {
+	l.mu.Lock()
+	l.historyChanged = true
+	l.mu.Unlock()
+	l.signal()
+}
+
+func (l *Log) signal() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
 }
 
 // readSegment adds what a segment holds to stored. Segments are read oldest first.
@@ -147,6 +168,13 @@
 			}
 		}
 		stored.Services, stored.Observed = nil, 0
+		stored.Routes, stored.RoutesVersion = nil, b.RoutesVersion
+		for _, r := range b.RouteServices {
+			if age := since + int64(r.AgeMs); age < retention.Milliseconds() {
+				r.AgeMs = uint32(age)
+				stored.Routes = append(stored.Routes, r)
+			}
+		}
 		if b.ObservedMs == 0 {
 			continue
 		}
@@ -169,10 +197,7 @@
 		l.dropped += excess
 	}
 	l.mu.Unlock()
-	select {
-	case l.wake <- struct{}{}:
-	default:
-	}
+	l.signal()
 }
 
 // Close writes what is queued and stops the log.
@@ -202,21 +227,19 @@
 // queued records are dropped, and the next ones go to a new file.
 func (l *Log) flush() {
 	l.mu.Lock()
-	records, dropped, history := l.queued, l.dropped, l.history
-	l.queued, l.dropped = nil, 0
+	records, dropped, addHistory, historyChanged := l.queued, l.dropped, l.addHistory, l.historyChanged
+	l.queued, l.dropped, l.historyChanged = nil, 0, false
 	l.mu.Unlock()
 	if dropped > 0 {
 		l.opts.Logger.Warn().Str("event", "stream_versions.dropped").Int("records", dropped).Msg("")
 	}
 	records = slices.Concat(l.restored, records)
-	if len(records) == 0 {
+	if len(records) == 0 && !historyChanged {
 		return
 	}
 	batch := &pb.StreamVersionBatch{StreamVersions: records}
-	if history != nil {
-		var observed time.Duration
-		batch.ServiceVersions, observed = history()
-		batch.ObservedMs = uint32(observed.Milliseconds())
+	if addHistory != nil {
+		addHistory(batch)
 	}
 	err := l.write(batch)
 	if err != nil {
--- a/internal/streamlog/log_test.go
+++ b/internal/streamlog/log_test.go
@@ -231,8 +231,8 @@
 	opts := Options{Dir: dir, FS: wal.OS{}, Logger: &log.Logger{Level: log.PanicLevel}, Now: func() time.Time { return now }}
 	l, _, err := Open(opts)
 	require.NoError(t, err)
-	l.SetHistory(func() ([]*pb.ServiceVersion, time.Duration) {
-		return []*pb.ServiceVersion{{Service: "s", Version: "v1", AgeMs: 300}}, time.Minute
+	l.SetHistory(func(b *pb.StreamVersionBatch) {
+		b.ServiceVersions, b.ObservedMs = []*pb.ServiceVersion{{Service: "s", Version: "v1", AgeMs: 300}}, uint32(time.Minute.Milliseconds())
 	})
 	l.Append(batch(0))
 	l.Close()
@@ -242,7 +242,7 @@
 	require.Equal(t, time.Minute+2*time.Second, stored.Observed)
 	require.Len(t, stored.Services, 1)
 	require.Equal(t, uint32(2300), stored.Services[0].AgeMs)
-	l.SetHistory(func() ([]*pb.ServiceVersion, time.Duration) { return nil, 0 })
+	l.SetHistory(func(*pb.StreamVersionBatch) {})
 	l.Append(batch(1))
 	l.Close()
 	l, stored, err = Open(opts)
@@ -250,3 +250,33 @@
 	require.Zero(t, stored.Observed, "the last batch was written without contact")
 	l.Close()
 }
+
+// Guards against services of routes that are forgotten with the process because no stream
+// began after a change, and against those of an earlier batch.
+func TestServicesOfRoutesAreStoredWithoutStreams(t *testing.T) {
+	dir, now := t.TempDir(), time.Unix(1000, 0)
+	opts := Options{Dir: dir, FS: wal.OS{}, Logger: &log.Logger{Level: log.PanicLevel}, Now: func() time.Time { return now }}
+	l, _, err := Open(opts)
+	require.NoError(t, err)
+	l.SetHistory(func(b *pb.StreamVersionBatch) {
+		b.RouteServices, b.RoutesVersion = []*pb.RouteService{{Host: "h", Prefix: "/a/", Service: "old", AgeMs: 300}, {Host: "h", Prefix: "/a/", Service: "older", AgeMs: 74_000}}, 7
+	})
+	l.HistoryChanged()
+	l.Close()
+	now = now.Add(2 * time.Second)
+	l, stored, err := Open(opts)
+	require.NoError(t, err)
+	require.Equal(t, uint64(7), stored.RoutesVersion)
+	require.Len(t, stored.Routes, 1)
+	require.Equal(t, "old", stored.Routes[0].Service)
+	require.Equal(t, uint32(2300), stored.Routes[0].AgeMs)
+	l.SetHistory(func(b *pb.StreamVersionBatch) { b.RoutesVersion = 9 })
+	l.HistoryChanged()
+	l.Close()
+	l, stored, err = Open(opts)
+	require.NoError(t, err)
+	require.Equal(t, uint64(9), stored.RoutesVersion)
+	require.Empty(t, stored.Routes)
+	l.Close()
+	require.Len(t, files(t, dir), 1)
+}
