--- a/internal/forward/versions.go
+++ b/internal/forward/versions.go
@@ -201,17 +201,6 @@
 	return h.Only(model, s.now(), observed)
 }
 
-// possibleServices returns the services at which a stream of the route may have begun.
-// known is false if there may be others.
-func (s *Server) possibleServices(route *Route) (services []string, known bool) {
-	for _, split := range route.Split {
-		if split.Weight > 0 && !slices.Contains(services, split.Service) {
-			services = append(services, split.Service)
-		}
-	}
-	return services, true
-}
-
 // versionSources for the log line of a run.
 const (
 	versionsFromOwnRecord = "own"
@@ -283,7 +272,7 @@
 		x.refuse("stream_version_unknown", x.retryAfter())
 		return false
 	}
-	if !x.route.leadsTo(v.Versions.Service) {
+	if !slices.Contains(x.route.services(), v.Versions.Service) {
 		x.refuse("stream_service_gone", x.capRetryAfter(streamGoneRetryAfter))
 		return false
 	}
@@ -302,11 +291,6 @@
 // versions have left, and come back at best with a new process.
 const streamGoneRetryAfter = 5 * time.Second
 
-// leadsTo reports whether requests of the route may be sent to a service.
-func (r *Route) leadsTo(service string) bool {
-	return slices.ContainsFunc(r.Split, func(s Share) bool { return s.Service == service && s.Weight > 0 })
-}
-
 // versionServed reports whether an upstream with the versions of the stream takes requests.
 func (x *exchange) versionServed() bool {
 	if x.run == nil {
