scheduler: streams and prefills are placed by the weights of their model

Callers saw streams that took longer to go on, or were refused, while engines had room: the scheduler told engines apart by their software only.

A version is now the software and the weights of the request's model, one type for placement, for the forecast of a stream's wait and for the room that new drafts leave. Weights that are not known fit all. An engine is kept for a queued stream if another engine of the model does not fit it. Prefill and decode engines of a placement have the same weights: the cheapest pair is found for each version of the weights.

Role changes left a version of software or weights without its last decode engine, and weights without their last prefill engine; engines whose order to change waits for the end of an earlier lease still counted as left. The engines that keep their role are now counted by version, once for each run.

The pools pass the weights from an engine's record, the entry's placer passes those of a stream (forward.ReserveRequest.Weights, not filled yet). internal/fleet does not copy or compare weights yet, so that they reach the scheduler only with that.

--- a/internal/core/pools.go
+++ b/internal/core/pools.go
@@ -215,8 +215,8 @@
 	return &pb.UpstreamState{
 		Id: r.Id, Generation: uint64(r.BornMs), Url: r.Address, Place: r.Place, Service: r.Service, Role: roles[r.Stage],
 		Models: r.Models, TotalPieces: uint32(e.MemoryTokens / pieceTokens), MaxBatch: uint32(e.Slots),
-		SoftwareVersion: r.SoftwareVersion,
-		PieceTokens:     pieceTokens, LinkBytesPerS: linkBytesPerS, KvBytesPerToken: 1,
+		SoftwareVersion: r.SoftwareVersion, Weights: r.Weights,
+		PieceTokens: pieceTokens, LinkBytesPerS: linkBytesPerS, KvBytesPerToken: 1,
 		Leaving: r.Phase != pb.UpstreamPhase_UPSTREAM_READY,
 	}
 }
--- a/internal/core/pools_test.go
+++ b/internal/core/pools_test.go
@@ -70,3 +70,22 @@
 	p.announce(earlier)
 	require.Equal(t, pb.UpstreamStatus_LIVE, healthOf(t, p, "silent"), "the silence of an earlier process does not affect the current one")
 }
+
+// Guards against a scheduler that is not told the weights of an engine's models, and places
+// streams on engines of other weights, which the entry then refuses.
+func TestSchedulerLearnsOfTheWeights(t *testing.T) {
+	p := leadingPools(t)
+	weights := func() []string {
+		list := p.scheduler.Statuses("draft")
+		require.Len(t, list, 1)
+		return list[0].State.Weights
+	}
+	r := engineRecord("a", 1)
+	r.Models, r.Weights = []string{"m", "n"}, []string{"1", ""}
+	p.announce(r)
+	require.Equal(t, []string{"1", ""}, weights())
+	r = engineRecord("a", 1)
+	r.Models, r.Weights = []string{"m", "n"}, []string{"2", ""}
+	p.announce(r)
+	require.Equal(t, []string{"2", ""}, weights(), "the weights of an engine may change while it runs")
+}
--- a/internal/edge/placer.go
+++ b/internal/edge/placer.go
@@ -36,13 +36,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, req.MaxWait+responseMargin)
 	defer cancel()
-	resp, err := p.schedulerClients.TrySubmit(ctx, &pb.SubmitRequest{
-		RequestId: req.ID, Attempt: uint32(req.Attempt), Pool: req.Service, Model: req.Model,
-		RequestClass: pb.RequestClass_REQUEST_CLASS_DRAFT,
-		PromptTokens: uint32(req.PromptTokens), MaxOutputTokens: uint32(req.OutputTokens), MadeTokens: uint32(req.GeneratedTokens),
-		MaxWaitMs: millis(req.MaxWait), DeadlineMs: millis(req.RemainingTime), TtftTargetMs: millis(req.TTFTTarget), AgeMs: millis(req.Age),
-		Exclude: req.Exclude, RetrySends: uint32(req.RetrySends), SoftwareVersion: req.Version, ContentHash: req.ContentHash,
-	})
+	resp, err := p.schedulerClients.TrySubmit(ctx, submission(req))
 	if err != nil {
 		p.logger.Warn().Str("event", "scheduler.unanswered").Str("id", req.ID).Str("pool", req.Service).
 			Int64("wait_ms", req.MaxWait.Milliseconds()).Err(err).Msg("")
@@ -64,6 +58,18 @@
 	return &reservation{schedulerClients: p.schedulerClients, pool: req.Service, grant: resp.GetGrant()}, nil
 }
 
+// submission returns the message to the scheduler that asks for a reservation.
+func submission(req *forward.ReserveRequest) *pb.SubmitRequest {
+	return &pb.SubmitRequest{
+		RequestId: req.ID, Attempt: uint32(req.Attempt), Pool: req.Service, Model: req.Model,
+		RequestClass: pb.RequestClass_REQUEST_CLASS_DRAFT,
+		PromptTokens: uint32(req.PromptTokens), MaxOutputTokens: uint32(req.OutputTokens), MadeTokens: uint32(req.GeneratedTokens),
+		MaxWaitMs: millis(req.MaxWait), DeadlineMs: millis(req.RemainingTime), TtftTargetMs: millis(req.TTFTTarget), AgeMs: millis(req.Age),
+		Exclude: req.Exclude, RetrySends: uint32(req.RetrySends), ContentHash: req.ContentHash,
+		SoftwareVersion: req.Version, WeightsVersion: req.Weights,
+	}
+}
+
 func millis(d time.Duration) uint32 { return uint32(max(0, d.Milliseconds())) }
 
 // reservation implements forward.Reservation with a hold granted by the scheduler.
--- /dev/null
+++ b/internal/edge/placer_test.go
@@ -0,0 +1,17 @@
+package edge
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitward.example/godwitward/internal/forward"
+)
+
+// Guards against a scheduler that is not told at which software and weights a stream began,
+// and places it on an engine that the entry then refuses.
+func TestSchedulerIsToldTheVersionOfAStream(t *testing.T) {
+	s := submission(&forward.ReserveRequest{ID: "r", Service: "draft", Model: "m", Version: "v1", Weights: "7"})
+	require.Equal(t, "v1", s.SoftwareVersion)
+	require.Equal(t, "7", s.WeightsVersion)
+}
--- a/internal/forward/placer.go
+++ b/internal/forward/placer.go
@@ -38,6 +38,9 @@
 	// Version is the software version that the decode engine must have; empty if any may
 	// serve the request.
 	Version string
+	// Weights is the version of the model's weights that the engines must have; empty if any
+	// may serve the request, or it is not known.
+	Weights string
 	// Exclude lists engines that have failed the request.
 	Exclude []string
 }
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -285,8 +285,8 @@
 	forecast := p.queueForecast(now, w.req.Model)
 	if c := p.upstreams.byModel[w.req.Model]; c != nil {
 		usable := func(*policy.Engine) bool { return true }
-		if version := w.req.SoftwareVersion; version != "" {
-			usable = func(e *policy.Engine) bool { return p.upstreams.byID[e.ID].state.SoftwareVersion == version }
+		if began := w.version(); began != (version{}) {
+			usable = func(e *policy.Engine) bool { return began.fits(p.upstreams.versionOf(e, w.req.Model)) }
 		}
 		ahead = max(0, ahead-c.freePieces(usable))
 		if all := c.usablePieces(nil); all > 0 {
--- a/internal/scheduler/roles.go
+++ b/internal/scheduler/roles.go
@@ -111,15 +111,22 @@
 }
 
 // underusedEngines returns up to n engines that can change to the needed role, the
-// least busy first. Each model keeps an engine of each role.
+// least busy first. Each model keeps engines of each role.
 func (p *Pool) underusedEngines(needed pb.EngineRole, n int, now time.Duration) []*upstreamRecord {
 	pending := p.pendingRoles(now)
 	var list []*upstreamRecord
+	remaining := map[string]*roleEngines{}
 	for _, m := range p.upstreams.byID {
-		if !m.isEngine() || m.state.Role == needed || !m.view.Usable || pending[m] != unspecifiedRole {
+		if !m.isEngine() || !m.view.Usable {
 			continue
 		}
-		list = append(list, m)
+		if m.state.Role != needed && pending[m] == unspecifiedRole {
+			list = append(list, m)
+			addRemaining(remaining, m, 1)
+		}
+		if m.state.Role == pb.EngineRole_ENGINE_ROLE_DECODE {
+			addPaired(remaining, m)
+		}
 	}
 	slices.SortFunc(list, compareBusy)
 	var out []*upstreamRecord
@@ -127,8 +134,9 @@
 		if len(out) == n {
 			break
 		}
-		if p.canChangeRole(m, out) {
+		if canChangeRole(remaining, m) {
 			out = append(out, m)
+			addRemaining(remaining, m, -1)
 		}
 	}
 	return out
@@ -139,27 +147,59 @@
 	return cmp.Or(cmp.Compare(a.view.Batch, b.view.Batch), strings.Compare(a.view.ID, b.view.ID))
 }
 
-// canChangeRole reports whether enough other engines of the role remain for each
-// model of the engine when those in changing leave it, too.
-func (p *Pool) canChangeRole(m *upstreamRecord, changing []*upstreamRecord) bool {
+// roleEngines are the usable engines of a model and role that keep the role, by version.
+type roleEngines struct {
+	byVersion map[version]int
+	// paired are the weights of the usable decode engines.
+	paired map[string]bool
+}
+
+func roleEnginesOf(byModel map[string]*roleEngines, model string) *roleEngines {
+	r := byModel[model]
+	if r == nil {
+		r = &roleEngines{byVersion: map[version]int{}, paired: map[string]bool{}}
+		byModel[model] = r
+	}
+	return r
+}
+
+func addRemaining(byModel map[string]*roleEngines, m *upstreamRecord, n int) {
 	for _, model := range m.state.Models {
-		c := p.upstreams.candidatesFor(model)
-		list := c.decode
-		if m.state.Role == pb.EngineRole_ENGINE_ROLE_PREFILL {
-			list = c.prefill
-		}
-		others := 0
-		for _, e := range list {
-			if e.Usable && e != &m.view {
-				others++
-			}
+		roleEnginesOf(byModel, model).byVersion[m.versionOf(model)] += n
+	}
+}
+
+func addPaired(byModel map[string]*roleEngines, m *upstreamRecord) {
+	for _, model := range m.state.Models {
+		roleEnginesOf(byModel, model).paired[m.versionOf(model).weights] = true
+	}
+}
+
+// count returns the number of engines that fit a version.
+func (r *roleEngines) count(v version) int {
+	n := 0
+	for engine, engines := range r.byVersion {
+		if v.fits(engine) {
+			n += engines
 		}
-		for _, o := range changing {
-			if slices.Contains(o.state.Models, model) {
-				others--
+	}
+	return n
+}
+
+// canChangeRole reports whether enough other engines of the role remain for each model of
+// the engine. A decode engine leaves another one to the streams of its version, a prefill
+// engine another one to the decode engines of its weights.
+func canChangeRole(remaining map[string]*roleEngines, m *upstreamRecord) bool {
+	for _, model := range m.state.Models {
+		r, needed := remaining[model], m.versionOf(model)
+		if m.state.Role == pb.EngineRole_ENGINE_ROLE_PREFILL {
+			needed.software = ""
+			if !r.paired[needed.weights] {
+				needed.weights = ""
 			}
 		}
-		if others < minEnginesPerRole {
+		// The engine itself counts too.
+		if min(r.count(version{}), r.count(needed))-1 < minEnginesPerRole {
 			return false
 		}
 	}
--- a/internal/scheduler/tables.go
+++ b/internal/scheduler/tables.go
@@ -81,6 +81,8 @@
 	maxPieces int
 	// pieceTokens is the smallest piece size among the decode engines.
 	pieceTokens int
+	// weights are the versions of the model's weights that its engines announce.
+	weights []string
 	// best contains the best rates of the usable engines, computed at
 	// bestUpdatedAt.
 	best          bestRates
--- a/internal/scheduler/upstreams.go
+++ b/internal/scheduler/upstreams.go
@@ -231,7 +231,9 @@
 			continue
 		}
 		for _, model := range m.state.Models {
-			t.candidatesFor(model).add(m)
+			c := t.candidatesFor(model)
+			c.add(m)
+			c.addWeights(weightsOf(m.state, model))
 		}
 	}
 	t.revision++
@@ -345,7 +347,7 @@
 // same candidate lists.
 func sameCandidateLists(a, b *pb.UpstreamState) bool {
 	return a.Role == b.Role && a.TotalPieces == b.TotalPieces && a.PieceTokens == b.PieceTokens &&
-		slices.Equal(a.Models, b.Models)
+		slices.Equal(a.Models, b.Models) && slices.Equal(a.Weights, b.Weights)
 }
 
 // Announce applies announcements of upstreams. The pool keeps the messages.
--- a/internal/scheduler/versions.go
+++ b/internal/scheduler/versions.go
@@ -5,53 +5,170 @@
 	"time"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/policy"
 )
 
+// version is what the engines have in common between which a stream may move: the software
+// and the weights of its model. An empty text means not known.
+type version struct {
+	software, weights string
+}
+
+// fits reports whether an engine may serve a stream of the version. One whose weights are
+// not known may: the entry asks it.
+func (v version) fits(engine version) bool {
+	return (v.software == "" || v.software == engine.software) && sameWeights(v.weights, engine.weights)
+}
+
+// sameWeights reports whether two versions of weights are the same as far as both are known.
+func sameWeights(a, b string) bool { return a == "" || b == "" || a == b }
+
+// weightsOf returns the weights of a model, empty if the upstream does not announce them.
+func weightsOf(s *pb.UpstreamState, model string) string {
+	if i := slices.Index(s.Models, model); i >= 0 && i < len(s.Weights) {
+		return s.Weights[i]
+	}
+	return ""
+}
+
+// versionOf returns the version of an engine for requests of a model.
+func (m *upstreamRecord) versionOf(model string) version {
+	return version{software: m.state.SoftwareVersion, weights: weightsOf(m.state, model)}
+}
+
+// versionOf returns the version of the engine with an id for requests of a model.
+func (t *upstreamTable) versionOf(e *policy.Engine, model string) version {
+	return t.byID[e.ID].versionOf(model)
+}
+
+// version returns the version at which the request's stream began, empty for a new one.
+func (w *queuedRequest) version() version {
+	return version{software: w.req.SoftwareVersion, weights: w.req.WeightsVersion}
+}
+
 // excluded returns the ids of the engines that a request must not use.
 func (p *Pool) excluded(w *queuedRequest, c *candidates, now time.Duration) []string {
 	list := p.upstreams.excludeLimited(w.req.Exclude, now)
-	kept := p.keptVersions(w)
-	if w.req.SoftwareVersion == "" && len(kept) == 0 {
+	kept, began := p.keptEngines(w), w.version()
+	if began == (version{}) && len(kept) == 0 {
 		return list
 	}
 	list = slices.Clone(list)
 	for _, e := range c.decode {
-		version := p.upstreams.byID[e.ID].state.SoftwareVersion
-		if w.req.SoftwareVersion != "" && version != w.req.SoftwareVersion || kept[version] {
+		if kept[e.ID] || !began.fits(p.upstreams.versionOf(e, w.req.Model)) {
+			list = append(list, e.ID)
+		}
+	}
+	for _, e := range c.prefill {
+		if !sameWeights(began.weights, p.upstreams.versionOf(e, w.req.Model).weights) {
 			list = append(list, e.ID)
 		}
 	}
 	return list
 }
 
-// keptVersions returns the software versions whose engines a new draft leaves to queued
-// streams that only these may resume; none while the pool has only one version.
-func (p *Pool) keptVersions(w *queuedRequest) map[string]bool {
-	if w.lane == resumedLane || w.lane == urgentLane || p.queue.lanes[resumedLane].Len() == 0 || !p.upstreams.severalVersions() {
+// keptEngines returns the ids of the decode engines that a new draft leaves to queued
+// streams which only these may resume; none for streams that all engines may resume.
+func (p *Pool) keptEngines(w *queuedRequest) map[string]bool {
+	if w.lane == resumedLane || w.lane == urgentLane || p.queue.lanes[resumedLane].Len() == 0 {
 		return nil
 	}
-	kept := map[string]bool{}
+	type stream struct {
+		model string
+		began version
+	}
+	queued := map[stream]bool{}
 	p.queue.lanes[resumedLane].Each(func(r *queuedRequest) bool {
-		if r.req.SoftwareVersion != "" {
-			kept[r.req.SoftwareVersion] = true
+		if began := r.version(); began != (version{}) {
+			queued[stream{r.req.Model, began}] = true
 		}
 		return true
 	})
+	kept := map[string]bool{}
+	for s := range queued {
+		if fitting, all := p.upstreams.fittingDecode(s.model, s.began); !all {
+			for _, e := range fitting {
+				kept[e.ID] = true
+			}
+		}
+	}
 	return kept
 }
 
-// severalVersions reports whether usable decode engines run more than one software
-// version.
-func (t *upstreamTable) severalVersions() bool {
-	version, found := "", false
-	for _, m := range t.byID {
-		if !m.view.Usable || m.state.Role != pb.EngineRole_ENGINE_ROLE_DECODE {
-			continue
+// fittingDecode returns the usable decode engines of a model that fit a version, and
+// whether these are all usable ones.
+func (t *upstreamTable) fittingDecode(model string, v version) (fitting []*policy.Engine, all bool) {
+	c, all := t.byModel[model], true
+	if c == nil {
+		return nil, true
+	}
+	for _, e := range c.decode {
+		switch {
+		case !e.Usable:
+		case v.fits(t.versionOf(e, model)):
+			fitting = append(fitting, e)
+		default:
+			all = false
 		}
-		if found && m.state.SoftwareVersion != version {
-			return true
+	}
+	return fitting, all
+}
+
+// addWeights notes the weights of the model at one of its engines.
+func (c *candidates) addWeights(weights string) {
+	if weights != "" && !slices.Contains(c.weights, weights) {
+		c.weights = append(c.weights, weights)
+	}
+}
+
+// placePair places a request on a prefill and a decode engine. They have the same weights
+// as far as these are known: a KV cache is of no use to other weights.
+func (p *Pool) placePair(q *policy.Query, model string) (policy.Placement, bool) {
+	c := p.upstreams.candidatesFor(model)
+	if len(c.weights) < 2 {
+		return p.policy.Place(q)
+	}
+	var best policy.Placement
+	found := false
+	for _, weights := range c.weights {
+		narrowed := *q
+		narrowed.Exclude = p.upstreams.excludeWeights(q.Exclude, c, model, func(w string) bool { return !sameWeights(w, weights) })
+		if pl, ok := p.policy.Place(&narrowed); ok && (!found || pl.Cost < best.Cost) {
+			best, found = pl, true
 		}
-		version, found = m.state.SoftwareVersion, true
 	}
-	return false
+	return best, found
+}
+
+// placeUnpaired places a request on a decode engine that prefills the prompt itself because
+// no usable prefill engine has its weights.
+func (p *Pool) placeUnpaired(q *policy.Query, model string) (policy.Placement, bool) {
+	c := p.upstreams.candidatesFor(model)
+	if len(c.weights) < 2 {
+		return policy.Placement{}, false
+	}
+	var prefill []string
+	for _, e := range c.prefill {
+		if e.Usable {
+			prefill = append(prefill, p.upstreams.versionOf(e, model).weights)
+		}
+	}
+	narrowed := *q
+	narrowed.Exclude = p.upstreams.excludeWeights(q.Exclude, c, model, func(w string) bool {
+		return slices.ContainsFunc(prefill, func(other string) bool { return sameWeights(w, other) })
+	})
+	return policy.PlaceLocalPrefill(&narrowed)
+}
+
+// excludeWeights adds to a list of excluded engines those of a model whose weights match.
+func (t *upstreamTable) excludeWeights(excluded []string, c *candidates, model string, match func(weights string) bool) []string {
+	list := slices.Clone(excluded)
+	for _, engines := range [][]*policy.Engine{c.prefill, c.decode} {
+		for _, e := range engines {
+			if match(t.versionOf(e, model).weights) {
+				list = append(list, e.ID)
+			}
+		}
+	}
+	return list
 }
