--- a/internal/forward/not_run.go
+++ b/internal/forward/not_run.go
@@ -80,7 +80,7 @@
 	}
 	switch {
 	case otherWeights:
-		x.reason = "other_weights"
+		x.reason = reasonOtherWeights
 	case !res.notRun:
 		t.recordFailure(x.s.now(), policy.FaultError)
 		x.reason = "unstated_rejection"
--- a/internal/forward/placement_test.go
+++ b/internal/forward/placement_test.go
@@ -55,7 +55,7 @@
 func TestReservationExcludesEnginesThatRefuseWork(t *testing.T) {
 	s := &Server{start: time.Now(), upstreams: newUpstreams("")}
 	for _, id := range []string{"leaving", "paused", "ready"} {
-		s.upstreams.update([]*pb.UpstreamRecord{{Id: id, Service: "llm", Phase: pb.UpstreamPhase_UPSTREAM_READY, BornMs: 1}})
+		s.upstreams.update([]*pb.UpstreamRecord{{Id: id, Service: "llm", Phase: pb.UpstreamPhase_UPSTREAM_READY, BornMs: 1}}, 0)
 	}
 	s.upstreams.get("leaving").stated.Leaving = true
 	s.upstreams.get("paused").pausedUntil = time.Minute
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -112,8 +112,8 @@
 		return fail(err)
 	}
 	t.recordLoad(info.Load, x.s.now())
-	if info.RequestID == x.info.ID {
-		t.observeWeights(x.info.Model, info.Weights)
+	if info.RequestID == x.info.ID && resp.StatusCode < 300 {
+		t.observeWeights(x.info.Model, info.Weights, x.s.now())
 	}
 	x.s.recordStatement(t, opts, resp, &info, sentAt)
 	x.appendTrail(t, opts, c, itoa(resp.StatusCode), info.Load, responseFlags(resp, &info))
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -150,7 +150,7 @@
 // SetUpstreams applies changed upstream records.
 func (s *Server) SetUpstreams(records []*pb.UpstreamRecord) {
 	s.seeVersions(records)
-	s.upstreams.update(records)
+	s.upstreams.update(records, s.now())
 	for _, r := range records {
 		s.opts.Logger.Info().Str("event", "upstream.changed").Str("upstream", r.Id).Str("phase", r.Phase.String()).
 			Bool("silent", r.Silent).Uint64("sequence", r.Sequence).Msg("")
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -82,7 +82,7 @@
 			x.endStream(st, "repeat_budget")
 			return
 		}
-		if result != sendRejected || st.prompt != nil {
+		if result != sendRejected || st.prompt != nil || x.reason == reasonOtherWeights {
 			x.tried[p.decode] = true
 		}
 		switch result {
@@ -170,7 +170,7 @@
 // full, so a rejection by an engine that has room is taken for a lost handle. In
 // that case the prompt is dropped, so that another engine prefills it.
 func (x *exchange) detectLostHandle(p *placement, st *streamState) bool {
-	if st.prompt == nil || p.rejectionLoad == nil || x.service.Engine == nil {
+	if st.prompt == nil || p.rejectionLoad == nil || x.service.Engine == nil || x.reason == reasonOtherWeights {
 		return false
 	}
 	capacity := policy.Capacity{Slots: x.service.Engine.Slots, MemoryTokens: x.service.Engine.MemoryTokens}
@@ -255,9 +255,16 @@
 	numbers := x.s.newAttemptEvents(t, x.service.Name, st.lastEventID)
 	defer numbers.end()
 	versions := x.versionsOf(res)
-	for first := true; ; first = false {
+	// first is set until the run has sent text or an id. Comments belong to no run.
+	for first := true; ; {
 		_ = res.conn.SetReadDeadline(time.Now().Add(x.eventTimeout(st)))
 		ev, err := rd.next()
+		if first && err == io.EOF && x.run != nil && (t.replaced.Load() || versions != *x.run) {
+			// Another run has nothing to add, which tells nothing about this stream.
+			res.close(false)
+			x.reason = "other_versions"
+			return sendOutcomeUnknown
+		}
 		if err == io.EOF {
 			return x.completeStream(t, res, st, flusher)
 		}
@@ -284,14 +291,17 @@
 		}
 		if weights, changed := x.s.opts.Protocol.EventWeights(ev.raw); changed {
 			versions.Weights = weights
-			t.observeWeights(x.info.Model, weights)
-		}
-		if !x.admitVersions(versions, first) {
-			res.close(false)
-			return sendOutcomeUnknown
+			t.observeWeights(x.info.Model, weights, x.s.now())
 		}
-		if first {
-			x.logRun(res, versions, st)
+		if ev.hasData || ev.id != "" {
+			if !x.admitVersions(versions, first) {
+				res.close(false)
+				return sendOutcomeUnknown
+			}
+			if first {
+				x.logRun(res, versions, st)
+			}
+			first = false
 		}
 		if !st.headWritten {
 			x.startStream(res, st)
--- a/internal/forward/target.go
+++ b/internal/forward/target.go
@@ -32,6 +32,8 @@
 	record *pb.UpstreamRecord
 	// recordAt is when the record arrived.
 	recordAt time.Time
+	// statedWeights holds what responses have stated, by model.
+	statedWeights map[string]statedWeights
 	// brokeAt is when a connection last broke, or could not be opened: the process may have
 	// ended, and another one may answer at its address, under its id. Zero if none has.
 	brokeAt time.Duration
--- a/internal/forward/upstreams.go
+++ b/internal/forward/upstreams.go
@@ -43,18 +43,18 @@
 	}
 }
 
-// update applies changed records.
-func (u *upstreams) update(records []*pb.UpstreamRecord) {
+// update applies changed records. now is the time since the start of the server.
+func (u *upstreams) update(records []*pb.UpstreamRecord, now time.Duration) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for _, r := range records {
 		known := u.byID[r.Id]
-		if known != nil && known.record.BornMs == r.BornMs && known.address == r.Address && known.record.Service == r.Service {
+		if known != nil && known.bornMs == r.BornMs && known.address == r.Address && known.currentRecord().Service == r.Service {
 			known.mu.Lock()
 			if r.Silent && !known.record.Silent {
 				known.silentSince = time.Now()
 			}
-			known.setRecord(r)
+			known.setRecord(r, now)
 			known.mu.Unlock()
 		} else {
 			u.replace(known, r)
@@ -81,7 +81,7 @@
 		return
 	}
 	delete(u.byID, id)
-	service := t.record.Service
+	service := t.currentRecord().Service
 	list := u.byService[service]
 	kept := make([]*target, 0, len(list))
 	for _, other := range list {
--- a/internal/forward/upstreams_test.go
+++ b/internal/forward/upstreams_test.go
@@ -18,8 +18,8 @@
 func TestSilentUpstreamsArePruned(t *testing.T) {
 	u := newUpstreams("zone-a")
 	for i := range 100 {
-		u.update([]*pb.UpstreamRecord{upstreamRecord(i, false)})
-		u.update([]*pb.UpstreamRecord{upstreamRecord(i, i > 0)})
+		u.update([]*pb.UpstreamRecord{upstreamRecord(i, false)}, 0)
+		u.update([]*pb.UpstreamRecord{upstreamRecord(i, i > 0)}, 0)
 	}
 	u.prune(time.Now())
 	require.Len(t, u.all(), 100)
@@ -33,14 +33,14 @@
 func TestReplacedUpstreamsAreRemoved(t *testing.T) {
 	u := newUpstreams("zone-a")
 	r := upstreamRecord(1, false)
-	u.update([]*pb.UpstreamRecord{r})
+	u.update([]*pb.UpstreamRecord{r}, 0)
 	moved := upstreamRecord(1, false)
 	moved.Service, moved.BornMs = "other", 2
-	u.update([]*pb.UpstreamRecord{moved})
+	u.update([]*pb.UpstreamRecord{moved}, 0)
 	require.Empty(t, u.list("s"))
 	require.Len(t, u.list("other"), 1)
 	ended := upstreamRecord(1, false)
 	ended.Service, ended.BornMs, ended.Phase = "other", 2, pb.UpstreamPhase_UPSTREAM_GONE
-	u.update([]*pb.UpstreamRecord{ended})
+	u.update([]*pb.UpstreamRecord{ended}, 0)
 	require.Empty(t, u.all())
 }
--- a/internal/forward/weights.go
+++ b/internal/forward/weights.go
@@ -10,24 +10,52 @@
 	"google.golang.org/protobuf/proto"
 )
 
+// statedWeights is the version of a model's weights that a response stated.
+type statedWeights struct {
+	version string
+	at      time.Duration
+}
+
+// statedWeightsTTL is the time for which a response counts more than the reports that arrive
+// after it. They may have been made before it.
+const statedWeightsTTL = 3 * time.Second
+
 // setRecord replaces the record of the process. The caller holds mu.
-func (t *target) setRecord(r *pb.UpstreamRecord) { t.record, t.recordAt = r, time.Now() }
+func (t *target) setRecord(r *pb.UpstreamRecord, now time.Duration) {
+	t.record, t.recordAt = r, time.Now()
+	for model, stated := range t.statedWeights {
+		if now-stated.at < statedWeightsTTL {
+			t.applyWeights(model, stated.version)
+		}
+	}
+}
 
-// observeWeights applies the version of the weights that the process states in a response,
-// which is newer than its report.
-func (t *target) observeWeights(model, weights string) {
-	if weights == "" {
+// observeWeights applies the version of the weights that the process states in a response.
+func (t *target) observeWeights(model, version string, now time.Duration) {
+	if version == "" {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.applyWeights(model, version) || t.statedWeights[model].version == version {
+		if t.statedWeights == nil {
+			t.statedWeights = map[string]statedWeights{}
+		}
+		t.statedWeights[model] = statedWeights{version, now}
+	}
+}
+
+// applyWeights replaces the version of a model's weights in the record, and reports whether
+// it was another one. The caller holds mu.
+func (t *target) applyWeights(model, version string) bool {
 	i := slices.Index(t.record.Models, model)
-	if i < 0 || i >= len(t.record.Weights) || t.record.Weights[i] == weights {
-		return
+	if i < 0 || i >= len(t.record.Weights) || t.record.Weights[i] == version {
+		return false
 	}
 	r := proto.CloneOf(t.record)
-	r.Weights[i] = weights
-	t.setRecord(r)
+	r.Weights[i] = version
+	t.record = r
+	return true
 }
 
 // decodeWeights returns the version of the weights that a prefill result for a decode engine
@@ -60,16 +88,14 @@
 	return nil
 }
 
-// hasOtherWeights reports whether an upstream rejects a request because of its weights and
-// not because it is another process than the intended one.
+// reasonOtherWeights is the reason of an attempt that an upstream rejected because of its
+// weights.
+const reasonOtherWeights = "other_weights"
+
+// hasOtherWeights reports whether an upstream may have rejected a request because of its
+// weights, and not because it is another process than the intended one.
 func (x *exchange) hasOtherWeights(res *upstreamResponse) bool {
-	if res.expectedWeights == "" {
-		return false
-	}
-	if res.info.Weights != "" {
-		return res.info.Weights != res.expectedWeights
-	}
-	return fleet.RunVersions(res.target.currentRecord(), x.info.Model).Weights != res.expectedWeights
+	return res.expectedWeights != "" && res.info.Weights != res.expectedWeights
 }
 
 // logRun writes the log line of a run of which the first event has arrived.
