--- a/api/godwitward/v1/text_fields_test.go
+++ b/api/godwitward/v1/text_fields_test.go
@@ -20,7 +20,7 @@
 		RestateRequest.pool WatchUpstreamsRequest.pool WatchUpstreamsUpdate.pool SchedulerStateRequest.pool SchedulerState.pool EngineOrder.upstream_id EngineOrder.load_model
 		EngineOrder.unload_model EngineOrder.load_adapter EngineOrder.request_id EventsRequest.request_id EventsRequest.upstream EventsRequest.lease`,
 	"callers: ids get a text form in platform (textID); internal/entry makes its own": `ClaimRequest.request_id RecordRequest.request_id SubmitRequest.request_id SubmitRequest.model
-		Hold.request_id Hold.model StreamVersion.id StreamVersion.model StreamVersionRequest.id Event.request_id`,
+		Hold.request_id Hold.model StreamVersion.id StreamVersion.first_id StreamVersion.model StreamVersionRequest.id Event.request_id`,
 	"callers: idempotency keys are refused by internal/entry": `ClaimRequest.key RecordRequest.key`,
 	"upstreams and other writers: reports are refused by platform (checkReportedTexts), announcements by their decoder": `SubmitRequest.exclude SubmitRequest.software_version SubmitRequest.weights_version
 		UpstreamAddress.id UpstreamAddress.url Hold.prefill_id Hold.decode_id UpstreamState.id UpstreamState.url UpstreamState.place UpstreamState.region UpstreamState.service
--- a/internal/feed/stream_versions.go
+++ b/internal/feed/stream_versions.go
@@ -23,6 +23,10 @@
 	var stored []*pb.StreamVersion
 	for _, m := range list {
 		v, known := fleet.DecodeStreamVersion(m, now)
+		if known {
+			// A response may state weights that no report has named.
+			h.seeVersions([]policy.RunVersions{v.Versions}, v.RecordedAt)
+		}
 		if known && h.streamVersions.Record(v, now) {
 			changed, stored = append(changed, v), append(stored, m)
 		}
--- a/internal/feed/version_history.go
+++ b/internal/feed/version_history.go
@@ -37,6 +37,7 @@
 		for _, m := range h.opts.Stored.Streams {
 			if v, known := fleet.DecodeStreamVersion(m, h.now()); known {
 				h.streamVersions.Record(v, h.now())
+				h.seeVersions([]policy.RunVersions{v.Versions}, v.RecordedAt)
 			}
 		}
 	}
@@ -51,7 +52,9 @@
 		if h.byService[v.Service] == nil {
 			h.byService[v.Service] = &policy.VersionHistory{}
 		}
-		h.byService[v.Service].Seen(v, at)
+		if h.byService[v.Service].Seen(v, at) && h.opts.StreamLog != nil {
+			h.opts.StreamLog.HistoryChanged()
+		}
 	}
 }
 
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -46,10 +46,12 @@
 	prefilled bool
 	// run holds the versions at which the stream goes on; nil while a new one has no event.
 	// recordNumber is the number of the newest record of them, and versionsFrom tells, for
-	// a stream that is taken up, how they were found.
+	// a stream that is taken up, how they were found. firstID is the id of the first request
+	// for the stream; empty if it is not known.
 	run          *policy.RunVersions
 	recordNumber int
 	versionsFrom string
+	firstID      string
 	// freeUsed is set while the one request that does not count against the retry budget
 	// is used, see charge.
 	freeUsed bool
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -92,7 +92,6 @@
 		callerConns: callerConns{conns: map[net.Conn]waitingConn{}},
 		promptParts: newPromptParts(reportNow), reportNow: reportNow,
 		statementReports: statementReports{targets: map[*target]bool{}},
-		streamVersions:   streamVersions{history: map[string]*policy.VersionHistory{}},
 		retryBudgets:     map[string]*policy.RetryBudget{}, prefillRejectedAt: map[string]time.Duration{}, requestSizes: map[string]*policy.MeanSize{}, stop: make(chan struct{}),
 	}
 	s.ended, s.endRequests = context.WithCancel(context.Background())
--- a/internal/forward/versions.go
+++ b/internal/forward/versions.go
@@ -61,8 +61,9 @@
 func (s *Server) SetStreamVersionSource(src StreamVersionSource) { s.versionSource = src }
 
 // recordStream records the versions of a stream under the ids of requests that bring its
-// events. It returns the number to wait for with awaitReport.
-func (s *Server) recordStream(ids []string, versions policy.RunVersions, number int) uint64 {
+// events, the first of which is named if it is known. It returns the number to wait for with
+// awaitReport.
+func (s *Server) recordStream(ids []string, first string, versions policy.RunVersions, number int) uint64 {
 	l := &s.streamVersions
 	l.mu.Lock()
 	if l.recorded == l.reported {
@@ -74,10 +75,15 @@
 	}
 	for _, id := range ids {
 		v := policy.StreamVersion{ID: id, Versions: versions, Attempt: number, RecordedAt: s.now()}
+		if id != first {
+			v.First = first
+		}
 		l.known.Record(v, s.now())
 		l.unreported = append(l.unreported, v)
 		l.recorded++
 	}
+	// A response may state weights that no report has named.
+	l.seen(versions, s.now())
 	n := l.recorded
 	l.mu.Unlock()
 	s.reportNow.signal()
@@ -175,6 +181,9 @@
 
 // seen adds versions to the history of their service. The caller holds mu.
 func (l *streamVersions) seen(v policy.RunVersions, at time.Duration) {
+	if l.history == nil {
+		l.history = map[string]*policy.VersionHistory{}
+	}
 	if l.history[v.Service] == nil {
 		l.history[v.Service] = &policy.VersionHistory{}
 	}
@@ -208,20 +217,16 @@
 	versionsOfOnly        = "only"
 )
 
-// findStream returns the record of the stream that the caller takes up. If nobody knows it,
-// but it can have begun at one service and its only versions, it has these.
+// findStream returns the newest record of the stream that the caller takes up. If nobody
+// knows it, but it can have begun at one service and its only versions, it has these.
 func (x *exchange) findStream() (v policy.StreamVersion, known bool) {
 	if id := x.info.StreamID; id != "" {
-		l := &x.s.streamVersions
-		l.mu.Lock()
-		v, known = l.known.Get(id, x.s.now())
-		l.mu.Unlock()
-		x.versionsFrom = versionsFromOwnRecord
-		if !known && x.s.versionSource != nil {
-			ctx, cancel := context.WithTimeout(x.ctx, streamVersionTimeout)
-			v, known = x.s.versionSource.StreamVersion(ctx, id)
-			cancel()
-			x.versionsFrom = versionsFromHubs
+		v, known = x.findRecord(id)
+		if known && v.First != "" {
+			if first, knownFirst := x.findRecord(v.First); knownFirst && first.Attempt > v.Attempt {
+				first.First = v.First
+				v = first
+			}
 		}
 		if known {
 			return v, true
@@ -236,6 +241,25 @@
 	return v, known
 }
 
+// findRecord returns the newest record under an id, which the entry or a hub has.
+func (x *exchange) findRecord(id string) (v policy.StreamVersion, known bool) {
+	l := &x.s.streamVersions
+	l.mu.Lock()
+	v, known = l.known.Get(id, x.s.now())
+	l.mu.Unlock()
+	x.versionsFrom = versionsFromOwnRecord
+	if x.s.versionSource == nil {
+		return v, known
+	}
+	ctx, cancel := context.WithTimeout(x.ctx, streamVersionTimeout)
+	defer cancel()
+	if newest, knownToHub := x.s.versionSource.StreamVersion(ctx, id); knownToHub && (!known || newest.Attempt > v.Attempt) {
+		v, known = newest, true
+		x.versionsFrom = versionsFromHubs
+	}
+	return v, known
+}
+
 const (
 	// settleTime is the time after its start in which an entry may not know yet what the
 	// hubs do, and settleInterval the time between its attempts to learn it.
@@ -282,7 +306,10 @@
 		x.refuse("stream_version_gone", x.capRetryAfter(streamGoneRetryAfter))
 		return false
 	}
-	x.recordNumber = v.Attempt + takeUpStep
+	x.recordNumber, x.firstID = v.Attempt+takeUpStep, v.First
+	if x.firstID == "" && x.versionsFrom != versionsOfOnly {
+		x.firstID = v.ID
+	}
 	x.recordRun()
 	return true
 }
@@ -332,14 +359,18 @@
 	return v
 }
 
-// recordRun records the versions of the stream, under the ids of this request and of the one
-// that the caller takes up, and returns the number to wait for.
+// recordRun records the versions of the stream under the ids of this request, of the one
+// that the caller takes up and of the first one, and returns the number to wait for.
 func (x *exchange) recordRun() uint64 {
 	ids := []string{x.info.ID}
-	if id := x.info.StreamID; id != "" && id != x.info.ID {
-		ids = append(ids, id)
+	// A new stream, and versions that were not found under the id, tell nothing about what the
+	// id names.
+	if x.info.LastEventID != "" && x.versionsFrom != versionsOfOnly {
+		ids = append(ids, x.info.StreamID, x.firstID)
 	}
-	return x.s.recordStream(ids, *x.run, x.recordNumber)
+	slices.Sort(ids)
+	ids = slices.Compact(ids)
+	return x.s.recordStream(ids, x.firstID, *x.run, x.recordNumber)
 }
 
 // admitVersions reports whether an event of a run with the versions v may be relayed, and
@@ -350,8 +381,11 @@
 func (x *exchange) admitVersions(v policy.RunVersions, first bool) bool {
 	switch {
 	case x.run == nil:
-		x.run, x.recordNumber = &v, 1
-		x.s.awaitReport(x.ctx, x.recordRun())
+		x.run, x.recordNumber, x.firstID = &v, 1, x.info.ID
+		n := x.recordRun()
+		if x.route.Repeatable() {
+			x.s.awaitReport(x.ctx, n)
+		}
 		return true
 	case v == *x.run:
 		return true
--- a/internal/streamlog/log.go
+++ b/internal/streamlog/log.go
@@ -16,8 +16,7 @@
 )
 
 const (
-	// flushInterval is the time for which records wait for others to be written with. It
-	// is below the time from sending a request to its first event.
+	// flushInterval is the time for which records wait for others to be written with.
 	flushInterval = 100 * time.Millisecond
 	// maxQueued limits the records that wait for a stalled disk. The oldest are dropped.
 	maxQueued = 16384
--- a/policy/stream_versions.go
+++ b/policy/stream_versions.go
@@ -13,7 +13,10 @@
 // StreamVersion tells at which versions a stream may go on.
 type StreamVersion struct {
 	// ID is the id of a request of the caller that brought events of the stream.
-	ID       string
+	ID string
+	// First is the id of the first of these requests, as far as is known; empty for the
+	// first one. The newest record of a stream is kept under it too.
+	First    string
 	Versions RunVersions
 	// Attempt is the number of the record. A later one replaces the earlier ones.
 	Attempt int
@@ -45,7 +48,7 @@
 	s.byID[v.ID] = v
 	s.order = append(s.order, v)
 	s.prune(now)
-	return !ok || known.Versions != v.Versions
+	return !ok || known.Versions != v.Versions || known.Attempt != v.Attempt
 }
 
 // Get returns the record of a stream, if there is one.
@@ -81,14 +84,17 @@
 	seenAt map[RunVersions]time.Duration
 }
 
-// Seen records that a process with the versions was in use at a time.
-func (h *VersionHistory) Seen(v RunVersions, at time.Duration) {
+// Seen records that a process with the versions was in use at a time, and reports whether
+// they were new.
+func (h *VersionHistory) Seen(v RunVersions, at time.Duration) bool {
 	if h.seenAt == nil {
 		h.seenAt = map[RunVersions]time.Duration{}
 	}
-	if known, ok := h.seenAt[v]; !ok || at > known {
+	known, ok := h.seenAt[v]
+	if !ok || at > known {
 		h.seenAt[v] = at
 	}
+	return !ok
 }
 
 // Versions returns the versions that have been in use for as long as a stream may last, and
