--- a/internal/edge/route_services_test.go
+++ b/internal/edge/route_services_test.go
@@ -1,12 +1,15 @@
 package edge
 
 import (
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/platform/standin"
 )
 
 // streamLifetime is the time for which streams are remembered.
@@ -114,3 +117,35 @@
 	}
 	require.Positive(t, s.subscribers[0].VersionsObserved(), "the time begins with the first configuration")
 }
+
+// startServiceEngine starts an engine of a service whose events name the service. All engines
+// have the same software version.
+func (v *versionTest) startServiceEngine(service string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(v.t, err)
+	r := &standin.Runner{ID: "i-" + service, Service: service, Stage: standin.StageDecode, Version: service, ServiceTime: versionInterval, Events: versionEvents,
+		OnArrival: func(standin.Run) {}, OnStart: func(standin.Run) {}}
+	r.Start(l)
+	v.t.Cleanup(r.Stop)
+	v.hubs[0].Report(&pb.UpstreamRecord{Id: r.ID, Service: service, Address: l.Addr().String(), SoftwareVersion: "v1",
+		Phase: pb.UpstreamPhase_UPSTREAM_READY, Stage: pb.EngineStage_ENGINE_STAGE_DECODE, BornMs: 1, Sequence: 1, Slots: 8})
+}
+
+// Guards against streams that their callers do not name and that go on at the service to
+// which their route was moved, at entries that have started since.
+func TestUnnamedStreamsOfAMovedRouteAreNotJoinedAtNewEntries(t *testing.T) {
+	v := &versionTest{testSystem: newTestSystem(t, 3, 4), anonymous: true}
+	v.startServiceEngine("llm")
+	v.startServiceEngine("llm2")
+	time.Sleep(200 * time.Millisecond)
+	list := v.runBroken(8, func() {
+		for i := range v.hubs {
+			v.store(i, 3, "llm2")
+		}
+	})
+	require.Equal(t, len(list), countStreams(list, func(s *versionStream) bool { return s.began != "" }))
+	require.Zero(t, countStreams(list, (*versionStream).joined), "of %d streams", len(list))
+	for _, s := range list {
+		require.Equal(t, http.StatusServiceUnavailable, s.status)
+	}
+}
--- a/internal/feed/route_services.go
+++ b/internal/feed/route_services.go
@@ -30,7 +30,8 @@
 	h.routes.unknown = h.opts.DecodeRoutes != nil && !h.opts.FirstStart
 	if h.opts.Stored != nil {
 		h.routes.restored = h.opts.Stored.RoutesVersion
-		h.mergeRouteServices(h.opts.Stored.Routes)
+		h.addRouteServices(h.opts.Stored.Routes)
+		h.routes.generation++
 	}
 }
 
@@ -54,12 +55,15 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.routes.concerns(d.Version, sent) {
-		if !h.routes.apply(d.Version, routes, err == nil, h.now()) {
-			h.observedSince = h.now()
-		}
-		h.routesChanged()
+	if !h.routes.concerns(d.Version, sent) {
+		return
 	}
+	stored := h.routes.version == 0 && d.Version == h.routes.restored
+	if !h.routes.apply(d.Version, routes, err == nil, h.now()) {
+		h.observedSince = h.now()
+		h.opts.Logger.Warn().Str("event", "routes.unknown_before").Uint64("version", d.Version).Msg("")
+	}
+	h.routesChanged(!stored)
 }
 
 // concerns reports whether a document tells something about routes.
@@ -95,17 +99,20 @@
 // hub has learned itself, leave no routes out.
 func (r *routeHistory) covers(version uint64) bool { return !r.unknown && version >= r.from }
 
-// mergeRouteServices applies what another daemon knows. The caller holds mu, or has not
-// started the hub yet.
+// mergeRouteServices applies what another daemon knows. The caller holds mu.
 func (h *Hub) mergeRouteServices(list []*pb.RouteService) {
-	changed := false
-	for _, m := range list {
-		e := policy.RouteService{Route: policy.RouteKey{Host: m.Host, Prefix: m.Prefix}, Service: m.Service, EndedAt: h.now() - milliseconds(m.AgeMs)}
-		changed = h.routes.services.Ended(e, h.now()) || changed
+	if h.addRouteServices(list) {
+		h.routesChanged(true)
 	}
-	if changed {
-		h.routesChanged()
+}
+
+func (h *Hub) addRouteServices(list []*pb.RouteService) (changed bool) {
+	now := h.now()
+	for _, m := range list {
+		e := policy.RouteService{Route: policy.RouteKey{Host: m.Host, Prefix: m.Prefix}, Service: m.Service, EndedAt: now - milliseconds(m.AgeMs)}
+		changed = h.routes.services.Ended(e, now) || changed
 	}
+	return changed
 }
 
 // mergeReportedRoutes applies what an entry knows.
@@ -118,14 +125,15 @@
 	h.mergeRouteServices(list)
 }
 
-// routesChanged passes the services of routes on to hubs, entries and the disk. The caller
-// holds mu.
-func (h *Hub) routesChanged() {
+// routesChanged passes what is known of routes on to hubs and entries and, if store is set, to
+// the disk. A batch at the start of a daemon would replace a time that it does not know again
+// before it is in contact. The caller holds mu.
+func (h *Hub) routesChanged(store bool) {
 	h.routes.generation++
 	for s := range h.subscriptions {
 		h.signalLater(s)
 	}
-	if h.opts.StreamLog != nil {
+	if store && h.opts.StreamLog != nil {
 		h.opts.StreamLog.HistoryChanged()
 	}
 }
--- a/internal/feed/route_services_test.go
+++ b/internal/feed/route_services_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"math/rand/v2"
+	"path/filepath"
 	"slices"
 	"testing"
 	"time"
@@ -227,6 +228,13 @@
 	store.setDocument(routesDocument(5, "y"))
 	h.StoreChanged()
 	stop()
+	before, err := filepath.Glob(dir + "/*")
+	require.NoError(t, err)
+	_, _, stop = start(false, routesDocument(5, "y"))
+	stop()
+	after, err := filepath.Glob(dir + "/*")
+	require.NoError(t, err)
+	require.Equal(t, before, after, "a daemon that learns nothing does not replace what it has stored")
 	h, _, stop = start(false, routesDocument(5, "y"))
 	services, observed, version := statedServices(h)
 	require.Equal(t, []string{"x"}, services)
@@ -284,6 +292,6 @@
 	case <-time.After(5 * time.Second):
 		t.Fatal("the entry did not learn of the service")
 	}
-	time.Sleep(3 * gossipDelay)
+	time.Sleep(5 * heartbeatInterval)
 	require.LessOrEqual(t, len(learned), 2, "a list that has not changed is not sent again")
 }
--- a/internal/forward/route_services_test.go
+++ b/internal/forward/route_services_test.go
@@ -10,10 +10,15 @@
 	pb "godwitward.example/godwitward/api/godwitward/v1"
 )
 
-// routesConfig returns a configuration with one streaming route below host.
+// routesConfig returns a configuration with one streaming route. Versions spell its host
+// differently.
 func routesConfig(t *testing.T, version uint64, prefix string, resumable bool, split ...Share) *Config {
+	host := "H.example"
+	if version%2 == 0 {
+		host = "h.Example"
+	}
 	c := &Config{Version: version, Services: map[string]*Service{}, Routes: []Route{{
-		Name: "r", Host: "H.example", Prefix: prefix, Kind: Stream, Resumable: resumable, Timeout: time.Second, MaxAttempts: 1, Split: split,
+		Name: "r", Host: host, Prefix: prefix, Kind: Stream, Resumable: resumable, Timeout: time.Second, MaxAttempts: 1, Split: split,
 	}}}
 	for _, s := range split {
 		c.Services[s.Service] = &Service{Name: s.Service}
@@ -35,14 +40,16 @@
 	s.SetConfig(routesConfig(t, 1, "/a/", true, Share{"x", 1}, Share{"y", 2}, Share{"unused", 0}))
 	require.Equal(t, []string{"x", "y"}, possible())
 	require.Empty(t, s.Outcomes().RouteServices)
-	s.SetConfig(routesConfig(t, 2, "/", true, Share{"z", 1}))
+	s.SetConfig(routesConfig(t, 2, "/a/", true, Share{"x", 1}, Share{"y", 1}))
+	require.Empty(t, s.Outcomes().RouteServices, "nothing has changed")
+	s.SetConfig(routesConfig(t, 3, "/", true, Share{"z", 1}))
 	require.Equal(t, []string{"x", "y", "z"}, possible())
 	require.Len(t, s.Outcomes().RouteServices, 2, "reported to the hubs")
 	require.Empty(t, s.Outcomes().RouteServices, "once")
 	require.Len(t, s.RouteServices(), 2)
-	s.SetConfig(routesConfig(t, 3, "/a/", false, Share{"z", 1}))
-	s.SetConfig(routesConfig(t, 4, "/a/", false, Share{"once", 1}))
-	s.SetConfig(routesConfig(t, 5, "/a/", true, Share{"z", 1}))
+	s.SetConfig(routesConfig(t, 4, "/a/", false, Share{"z", 1}))
+	s.SetConfig(routesConfig(t, 5, "/a/", false, Share{"once", 1}))
+	s.SetConfig(routesConfig(t, 6, "/a/", true, Share{"z", 1}))
 	require.Equal(t, []string{"x", "y", "z"}, possible(), "streams of other routes are not taken up")
 
 	started := NewServer(Options{Logger: &log.Logger{Level: log.PanicLevel}})
