--- a/internal/forward/weights.go
+++ b/internal/forward/weights.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
@@ -104,7 +105,15 @@
 	t.mu.Lock()
 	recordAge := time.Since(t.recordAt)
 	t.mu.Unlock()
-	x.s.opts.Logger.Info().Str("event", "stream.run").Str("id", x.info.ID).Str("stream", x.info.StreamID).Str("after", st.lastEventID).Str("versions_from", x.versionsFrom).
+	x.s.opts.Logger.Info().Str("event", "stream.run").Str("id", x.info.ID).Str("stream", x.info.StreamID).Str("first", x.firstID).Str("after", st.lastEventID).Str("versions_from", x.versionsFrom).
 		Str("upstream", t.id).Int64("born_ms", t.bornMs).Str("service", v.Service).Str("software", v.Software).Str("model", v.Model).Str("weights", v.Weights).
 		Str("stated_weights", res.info.Weights).Int64("record_age_ms", recordAge.Milliseconds()).Str("placed_by", x.placedBy).Int("record", x.recordNumber).Msg("")
 }
+
+// runText returns the versions of the stream for the log; empty for requests without any.
+func (x *exchange) runText() string {
+	if x.run == nil {
+		return ""
+	}
+	return strings.Join([]string{x.run.Service, x.run.Software, x.run.Model, x.run.Weights}, "/")
+}
