--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -63,12 +63,19 @@
 	ackedVersion int
 	// statusCounts counts responses by request kind and HTTP status.
 	statusCounts map[string]int
+	// longEvents is set if streams have long events.
+	longEvents bool
+	// runs holds the runs of each request as its runners told of them, streams the complete
+	// events of all streams.
+	runs    map[string][]standin.Origin
+	streams map[string][]receivedEvent
 }
 
 func newChecker() *checker {
 	return &checker{
 		runCounts: map[string]int{}, workRuns: map[string][]string{}, atMostOnce: map[string]bool{}, outcomes: map[string]outcome{},
 		leaveAckedAt: map[string]time.Time{}, statusCounts: map[string]int{},
+		runs: map[string][]standin.Origin{}, streams: map[string][]receivedEvent{},
 	}
 }
 
@@ -112,6 +119,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.runCounts[r.ID]++
+	c.runs[r.ID] = append(c.runs[r.ID], r.Origin)
 	if c.atMostOnce[r.ID] && c.runCounts[r.ID] > 1 {
 		c.addFinding("twice: request %s may run once and ran %d times, now at %s", r.ID, c.runCounts[r.ID], r.Runner)
 	}
@@ -157,38 +165,6 @@
 	c.checkStamp(id, o)
 }
 
-// checkVersions checks that all events of a stream, over its caller's attempts, come from
-// runners of one software version.
-func (c *checker) checkVersions(id string, versions map[string]bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(versions) > 1 {
-		c.addFinding("order: stream of request %s has events of %d software versions", id, len(versions))
-	}
-}
-
-// checkStream checks the events of one attempt of a stream of want events, of which the
-// caller had some already.
-func (c *checker) checkStream(id string, o outcome, events []string, delivered, want int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.outcomes[id] = o
-	c.statusCounts[fmt.Sprintf("stream %d", o.status)]++
-	c.checkStamp(id, o)
-	if o.status != 200 {
-		return
-	}
-	for i, e := range events {
-		if e != fmt.Sprintf("%s %d", id, delivered+i+1) {
-			c.addFinding("order: event %d of request %s is %q", delivered+i+1, id, e)
-			return
-		}
-	}
-	if o.complete && delivered+len(events) != want {
-		c.addFinding("order: stream of request %s looks complete after %d of %d events", id, delivered+len(events), want)
-	}
-}
-
 // checkStamp checks that a success has the stamp of a runner, and that a failure that no
 // runner gives has none. The caller holds mu.
 func (c *checker) checkStamp(id string, o outcome) {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -24,7 +24,7 @@
 // entry, a reload, configuration changes and a runner's leave must not disturb
 // the service, so they are not counted as faults.
 func (s *system) inject(ctx context.Context, f fault) {
-	if f.kind != stopEntry && f.kind != reloadSettings && f.kind != changeConfig && f.kind != raceConfigChanges && f.kind != leaveRunner && f.kind != releaseEngines {
+	if f.kind != stopEntry && f.kind != reloadSettings && f.kind != changeConfig && f.kind != raceConfigChanges && f.kind != leaveRunner && f.kind != releaseEngines && f.kind != changeWeights {
 		s.check.faultStarted()
 		defer s.check.faultEnded()
 	}
@@ -188,6 +188,10 @@
 		s.replaceRunner(ctx, f.target%len(s.runners), func() { s.drainRunner(ctx, runner) }, 0)
 	case releaseEngines:
 		s.release(ctx)
+	case changeWeights:
+		if runner.Stage != standin.StagePlain {
+			runner.SetWeights(runner.Weights() + 1)
+		}
 	case restartRunner:
 		s.restartRunner(ctx, f.target%len(s.runners), runner)
 	case strayEvents:
@@ -209,7 +213,7 @@
 	s.mu.Unlock()
 	var wg sync.WaitGroup
 	for i, r := range runners {
-		if r.Service != engineService {
+		if r.Stage == standin.StagePlain {
 			continue
 		}
 		// A runner is added at the end of the list before it takes the old one's place.
@@ -249,7 +253,7 @@
 	if old.Version == version {
 		version = "v1"
 	}
-	runner, err := s.startRunner(ctx, l, proxy, old.ID, version, old.Service, old.Stage)
+	runner, err := s.startRunner(ctx, l, proxy, old.ID, version, old.engine)
 	if err != nil {
 		s.check.report("restarting runner %s: %v", old.ID, err)
 		return
@@ -267,7 +271,7 @@
 	stop()
 	old.stopReports()
 	sleep(ctx, downtime)
-	if ctx.Err() != nil || s.addRunner(ctx, old.Service, old.Stage) != nil {
+	if ctx.Err() != nil || s.addRunner(ctx, old.engine) != nil {
 		return
 	}
 	s.mu.Lock()
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -1,13 +1,11 @@
 package soak
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"time"
 
 	"godwitward.example/godwitward/platform/standin"
@@ -31,6 +29,7 @@
 func (s *system) runCaller(ctx context.Context, caller int) {
 	random := rand.New(rand.NewPCG(s.opts.Seed, uint64(caller)+100))
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}
+	streams := float64(s.shape.streamShare) / 100
 	for n := 0; ctx.Err() == nil; n++ {
 		id := fmt.Sprintf("c%d-%d", caller, n)
 		if s.processes {
@@ -42,12 +41,12 @@
 		}
 		entry := s.entryAddress(random.IntN(len(s.entries)))
 		switch draw := random.Float64(); {
-		case draw < 0.4:
+		case draw < streams:
+			s.sendStream(ctx, client, entry, id)
+		case draw < streams+0.57*(1-streams):
 			s.sendPlain(ctx, client, entry, "/commit/x", id, true)
-		case draw < 0.7:
-			s.sendPlain(ctx, client, entry, "/peek/x", id, false)
 		default:
-			s.sendStream(ctx, client, entry, id, random.Float64() < disconnectShare)
+			s.sendPlain(ctx, client, entry, "/peek/x", id, false)
 		}
 		sleep(ctx, time.Duration(random.ExpFloat64()*float64(meanThinkTime)))
 	}
@@ -57,9 +56,9 @@
 	s.check.requestSent(id, atMostOnce)
 	o := outcome{truncated: true}
 	defer func() { s.check.checkPlain(id, o) }()
-	reqCtx, cancel := context.WithTimeout(ctx, callerTimeout)
+	reqCtx, cancel := context.WithTimeout(ctx, s.shape.callerTimeout)
 	defer cancel()
-	req, err := standin.NewRequest(reqCtx, entry, path, id, callerTimeout)
+	req, err := standin.NewRequest(reqCtx, entry, path, id, s.shape.callerTimeout)
 	if err != nil {
 		return
 	}
@@ -73,21 +72,33 @@
 }
 
 // sendStream sends a request for a stream. If the stream breaks off after its first event,
-// the caller takes it up again at another entry. Some callers do so while their first
-// connection is still open.
-func (s *system) sendStream(ctx context.Context, client *http.Client, entry, id string, disconnects bool) {
-	versions := map[string]bool{}
-	overlaps := !disconnects && rand.Float64() < overlapShare
-	o, events := s.readStream(ctx, client, entry, streamAttempt{id: id, leaves: disconnects, overlaps: overlaps}, versions)
-	delivered := len(events)
-	until := time.Now().Add(takeUpTime)
-	for n := 1; time.Now().Before(until) && delivered > 0 && delivered < streamEvents && (overlaps || !o.left) && ctx.Err() == nil; n++ {
-		sleep(ctx, takeUpDelay)
-		attempt := streamAttempt{id: fmt.Sprintf("%s-%d", id, n), stream: id, delivered: delivered}
-		_, events := s.readStream(ctx, client, s.entryAddress(rand.IntN(len(s.entries))), attempt, versions)
-		delivered += len(events)
+// the caller takes it up again, mostly at another entry. Some callers do so while their
+// first connection is still open.
+func (s *system) sendStream(ctx context.Context, client *http.Client, entry, id string) {
+	want := s.shape.drawEvents()
+	h := s.shape.drawHabit(want)
+	a := streamAttempt{id: id, path: s.shape.drawPath(), want: want, leavesAfter: h.leavesAfter, overlaps: h.overlaps}
+	losses := h.losses
+	o, events := s.readStream(ctx, client, entry, id, a)
+	stays := !o.left || losses > 0
+	until := time.Now().Add(s.shape.takeUpTime)
+	last := id
+	for n := 1; time.Now().Before(until) && (n > 1 || len(events) > 0) && a.delivered+len(events) < want && stays && ctx.Err() == nil; n++ {
+		if len(events) > 0 {
+			last = a.id
+		}
+		a.delivered += len(events)
+		sleep(ctx, h.pause)
+		if losses--; losses <= 0 {
+			a.leavesAfter = 0
+		}
+		a.id, a.overlaps = fmt.Sprintf("%s-%d", id, n), false
+		a.stream = map[naming]string{firstAttempt: id, lastAttempt: last}[h.names]
+		if !h.sameEntry {
+			entry = s.entryAddress(rand.IntN(len(s.entries)))
+		}
+		_, events = s.readStream(ctx, client, entry, id, a)
 	}
-	s.check.checkVersions(id, versions)
 }
 
 const (
@@ -101,31 +112,40 @@
 	overlapTime  = 300 * time.Millisecond
 )
 
-// streamAttempt is one request for a stream.
+// streamAttempt is one request for a stream of want events.
 type streamAttempt struct {
-	id string
-	// stream is the id of the request that brought the first event, and delivered the
-	// number of events that the caller has; unset for a new stream.
+	id, path string
+	want     int
+	// stream is the id of an earlier request for it, empty if the caller does not name it,
+	// and delivered the number of events that the caller has; unset for a new stream.
 	stream    string
 	delivered int
-	// leaves is set if the caller disconnects after two events, overlaps if it stops reading
-	// then and leaves its connection open for a while.
-	leaves, overlaps bool
+	// leavesAfter is the number of events after which the caller disconnects, 0 for never. If
+	// overlaps is set it stops reading then and leaves its connection open for a while.
+	leavesAfter int
+	overlaps    bool
 }
 
-// readStream sends one request for a stream and checks its events. It adds the software
-// versions of the runners to versions.
-func (s *system) readStream(ctx context.Context, client *http.Client, entry string, a streamAttempt, versions map[string]bool) (o outcome, events []string) {
+// readStream sends one request for a stream and checks its events.
+func (s *system) readStream(ctx context.Context, client *http.Client, entry, stream string, a streamAttempt) (o outcome, events []standin.Event) {
 	s.check.requestSent(a.id, false)
 	o = outcome{truncated: true}
-	defer func() { s.check.checkStream(a.id, o, events, a.delivered, streamEvents) }()
-	reqCtx, cancel := context.WithTimeout(ctx, callerTimeout)
+	defer func() {
+		// What becomes of a stream that its caller does not name is open.
+		o.left = o.left || a.delivered > 0 && a.stream == ""
+		s.check.checkStream(a.id, o, events, a.delivered, a.want)
+		s.check.streamRead(stream, a.id, events)
+	}()
+	reqCtx, cancel := context.WithTimeout(ctx, s.shape.callerTimeout)
 	end := cancel
 	defer func() { end() }()
-	req, err := standin.NewRequest(reqCtx, entry, "/draft/x", a.id, callerTimeout)
+	req, err := standin.NewRequest(reqCtx, entry, a.path, a.id, s.shape.callerTimeout)
 	if err != nil {
 		return o, nil
 	}
+	if s.shape.longEvents {
+		standin.SetEvents(req, a.want)
+	}
 	if a.delivered > 0 {
 		standin.SetTakeUp(req, a.stream, a.delivered)
 	}
@@ -138,41 +158,20 @@
 		_ = resp.Body.Close()
 	}
 	o = outcome{status: resp.StatusCode, truncated: true, unstamped: !standin.IsStamped(resp)}
-	scanner := bufio.NewScanner(resp.Body)
-	for scanner.Scan() {
-		if version, ok := standin.VersionOf(scanner.Text()); ok {
-			versions[version] = true
-		}
-		if data, ok := strings.CutPrefix(scanner.Text(), "data: "); ok {
-			events = append(events, data)
-		}
-		if a.leaves && len(events) == 2 {
-			o.left = true
-			return o, events
-		}
-		if a.overlaps && len(events) == 2 {
-			o.left = true
-			closeNow := end
-			end = func() { time.AfterFunc(overlapTime, closeNow) }
-			return o, events
-		}
+	err = standin.ReadEvents(resp.Body, func(e standin.Event) bool {
+		events = append(events, e)
+		o.left = a.leavesAfter > 0 && len(events) == a.leavesAfter
+		return !o.left
+	})
+	if o.left && a.overlaps {
+		closeNow := end
+		end = func() { time.AfterFunc(overlapTime, closeNow) }
 	}
-	o.complete = scanner.Err() == nil
+	o.complete = err == nil && !o.left
 	o.truncated = !o.complete
 	return o, events
 }
 
-// readEvents reads the data of the events of a stream.
-func readEvents(body io.Reader) (events []string, err error) {
-	scanner := bufio.NewScanner(body)
-	for scanner.Scan() {
-		if data, ok := strings.CutPrefix(scanner.Text(), "data: "); ok {
-			events = append(events, data)
-		}
-	}
-	return events, scanner.Err()
-}
-
 // readConfig reads the configuration from the core daemons in turn until ctx
 // ends, and checks each version that it gets.
 func (s *system) readConfig(ctx context.Context) {
--- a/internal/soak/load_once.go
+++ b/internal/soak/load_once.go
@@ -79,24 +79,29 @@
 
 // tryOnce sends one request. It reports whether the daemon may have read it.
 func (s *system) tryOnce(ctx context.Context, client *http.Client, entry, id string, w onceWork) (o outcome, read bool) {
-	reqCtx, cancel := context.WithTimeout(ctx, callerTimeout)
+	reqCtx, cancel := context.WithTimeout(ctx, s.shape.callerTimeout)
 	defer cancel()
 	var connected atomic.Bool
 	reqCtx = httptrace.WithClientTrace(reqCtx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
 	o = outcome{truncated: true}
-	var events []string
+	var events []standin.Event
+	want := s.shape.drawEvents()
 	defer func() {
 		if w.stream {
-			s.check.checkStream(id, o, events, 0, streamEvents)
+			s.check.checkStream(id, o, events, 0, want)
+			s.check.streamRead(id, id, events)
 		} else {
 			s.check.checkPlain(id, o)
 		}
 	}()
-	req, err := standin.NewSizedRequest(reqCtx, entry, w.path, id, callerTimeout, w.bodyBytes)
+	req, err := standin.NewSizedRequest(reqCtx, entry, w.path, id, s.shape.callerTimeout, w.bodyBytes)
 	if err != nil {
 		return o, true
 	}
 	standin.SetWork(req, w.id)
+	if w.stream && s.shape.longEvents {
+		standin.SetEvents(req, want)
+	}
 	resp, err := client.Do(req)
 	if err != nil {
 		return o, !unread(err, connected.Load(), w.bodyBytes)
@@ -104,7 +109,10 @@
 	defer resp.Body.Close()
 	o = outcome{status: resp.StatusCode, unstamped: !standin.IsStamped(resp), truncated: true}
 	if w.stream {
-		events, err = readEvents(resp.Body)
+		err = standin.ReadEvents(resp.Body, func(e standin.Event) bool {
+			events = append(events, e)
+			return true
+		})
 	} else {
 		var body []byte
 		body, err = io.ReadAll(resp.Body)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -19,6 +19,9 @@
 	// Entries is the number of entry processes, Runners and Engines the numbers of
 	// runners (stand-in upstreams) of the plain service and of that with model engines.
 	Entries, Runners, Engines int
+	// Shape is the name of the shape; empty means the small one. That of Kiritani sets the
+	// numbers above.
+	Shape string
 	// Faults lists the kinds of faults to inject; empty means all.
 	Faults []string
 	// Binaries is the folder with gw-edge and gw-core, Dir the folder for logs
@@ -42,8 +45,13 @@
 	if err != nil {
 		return nil, err
 	}
+	sh, err := opts.setShape()
+	if err != nil {
+		return nil, err
+	}
 	check := newChecker()
-	s, err := newSystem(opts, check, slices.ContainsFunc(kinds, needsProcesses))
+	check.longEvents = sh.longEvents
+	s, err := newSystem(opts, sh, check, slices.ContainsFunc(kinds, needsProcesses))
 	if err != nil {
 		return nil, err
 	}
@@ -57,16 +65,20 @@
 	}
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	var load sync.WaitGroup
-	for i := range callerCount {
+	for i := range sh.callers {
 		load.Go(func() { s.runCaller(loadCtx, i) })
 	}
 	load.Go(func() { s.readConfig(loadCtx) })
+	changeCtx, stopChanges := context.WithCancel(ctx)
+	load.Go(func() { s.changeRoutes(changeCtx) })
 	s.injectFaults(ctx, schedule)
+	stopChanges()
 	s.checkRecovery(ctx)
 	stopLoad()
 	load.Wait()
 	s.checkNoOrphans()
 	check.checkRefusals()
+	check.checkRuns()
 	s.checkConfig(ctx)
 	check.checkLogs(opts.Dir)
 	served, total := check.countServed()
--- a/internal/soak/runner_process.go
+++ b/internal/soak/runner_process.go
@@ -32,7 +32,7 @@
 // startRunnerProcess starts the process that serves a runner's requests at l.
 func (s *system) startRunnerProcess(r *proxiedRunner, l net.Listener) error {
 	settings, err := json.Marshal(standin.ProcessSettings{
-		ID: r.ID, Version: r.Version, Service: r.Service, Stage: r.Stage, ServiceTime: r.ServiceTime, Events: r.Events,
+		ID: r.ID, Version: r.Version, Service: r.Service, Stage: r.Stage, ServiceTime: r.ServiceTime, Events: r.Events, Weights: r.Weights(),
 	})
 	if err != nil {
 		return err
@@ -98,6 +98,8 @@
 			p.mu.Lock()
 			delete(p.running, e.Run.ID)
 			p.mu.Unlock()
+		case standin.RequestOtherCache:
+			s.check.otherCacheUsed(e.Run, e.Handle)
 		case standin.RequestForeign:
 			s.check.report("unasked: request %s reached runner %s with bytes that are not its body", e.Run.ID, e.Run.Runner)
 		}
@@ -149,6 +151,14 @@
 	}
 }
 
+// SetWeights changes the weights, also of runs in progress.
+func (r *proxiedRunner) SetWeights(version int) {
+	r.Runner.SetWeights(version)
+	if r.process != nil {
+		r.process.command("%s %d", standin.CommandWeights, version)
+	}
+}
+
 // SetStartsAnew makes the runner begin each stream with its first event.
 func (r *proxiedRunner) SetStartsAnew(on bool) {
 	r.Runner.SetStartsAnew(on)
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -37,6 +37,7 @@
 	restartRunner  faultKind = "restart-runner"
 	strayEvents    faultKind = "stray-events"
 	killRunner     faultKind = "kill-runner"
+	changeWeights  faultKind = "change-weights"
 )
 
 // FaultKinds returns the names of all kinds of faults.
@@ -55,7 +56,7 @@
 	resetLinks, silentLinks, delayLinks, oneWayLink, reloadSettings, changeConfig, raceConfigChanges,
 }
 
-var namedFaultKinds = append([]faultKind{killAll, releaseEngines, restartRunner, strayEvents, killRunner}, wireFaultKinds()...)
+var namedFaultKinds = append([]faultKind{killAll, releaseEngines, restartRunner, strayEvents, killRunner, changeWeights}, wireFaultKinds()...)
 
 // wireFaultKinds are faults of the answers of all runners.
 func wireFaultKinds() []faultKind {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -65,14 +65,13 @@
 			c.checkPlain("a", outcome{status: 200, complete: true, body: "answer a", unstamped: true})
 		},
 		"mixed":        func(c *checker) { c.checkPlain("a", outcome{status: 200, complete: true, body: "answer b"}) },
-		"order, twice": func(c *checker) { c.checkStream("a", outcome{status: 200}, []string{"a 1", "a 1"}, 0, 3) },
-		"order, gap":   func(c *checker) { c.checkStream("a", outcome{status: 200}, []string{"a 1", "a 3"}, 0, 3) },
-		"order, short": func(c *checker) { c.checkStream("a", outcome{status: 200, complete: true}, []string{"a 1"}, 0, 3) },
+		"order, twice": func(c *checker) { c.checkStream("a", outcome{status: 200}, eventsOf("a 1", "a 1"), 0, 3) },
+		"order, gap":   func(c *checker) { c.checkStream("a", outcome{status: 200}, eventsOf("a 1", "a 3"), 0, 3) },
+		"order, short": func(c *checker) { c.checkStream("a", outcome{status: 200, complete: true}, eventsOf("a 1"), 0, 3) },
 		"order, missing piece": func(c *checker) {
-			c.checkStream("a", outcome{status: 200, complete: true}, []string{"a 1", "a 3"}, 0, 3)
+			c.checkStream("a", outcome{status: 200, complete: true}, eventsOf("a 1", "a 3"), 0, 3)
 		},
-		"order, taken up": func(c *checker) { c.checkStream("a", outcome{status: 200}, []string{"a 1"}, 2, 3) },
-		"order, versions": func(c *checker) { c.checkVersions("a", map[string]bool{"v1": true, "v2": true}) },
+		"order, taken up": func(c *checker) { c.checkStream("a", outcome{status: 200}, eventsOf("a 1"), 2, 3) },
 		"drain": func(c *checker) {
 			c.leaveAckedAt["i-1"] = time.Now().Add(-time.Minute)
 			c.requestArrived(standin.Run{ID: "a", Runner: "i-1", At: time.Now()})
@@ -97,8 +96,8 @@
 // any other request being left out.
 func TestOnlyCallersWhoStayAreCounted(t *testing.T) {
 	c := newChecker()
-	c.checkStream("left", outcome{status: 200, truncated: true, left: true}, []string{"left 1", "left 2"}, 0, 3)
-	c.checkStream("broken", outcome{status: 200, truncated: true}, []string{"broken 1", "broken 2"}, 0, 3)
+	c.checkStream("left", outcome{status: 200, truncated: true, left: true}, eventsOf("left 1", "left 2"), 0, 3)
+	c.checkStream("broken", outcome{status: 200, truncated: true}, eventsOf("broken 1", "broken 2"), 0, 3)
 	c.checkPlain("refused", outcome{status: 503, complete: true})
 	c.checkPlain("served", outcome{status: 200, complete: true, body: "answer served"})
 	served, total := c.countServed()
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -39,6 +39,7 @@
 // act as their upstreams.
 type system struct {
 	opts         Options
+	shape        shape
 	check        *checker
 	ports        ports
 	cores        []*process
@@ -66,6 +67,8 @@
 // proxiedRunner is a runner behind its proxy.
 type proxiedRunner struct {
 	*standin.Runner
+	// engine is what its replacement is like.
+	engine      engine
 	proxy       *proxy
 	stopReports context.CancelFunc
 	// process serves the requests, nil if the runner does.
@@ -91,8 +94,8 @@
 	return p, nil
 }
 
-func newSystem(opts Options, check *checker, processes bool) (*system, error) {
-	s := &system{opts: opts, check: check, processes: processes}
+func newSystem(opts Options, sh shape, check *checker, processes bool) (*system, error) {
+	s := &system{opts: opts, shape: sh, check: check, processes: processes}
 	var err error
 	if s.ports, err = freePorts(); err != nil {
 		return nil, err
@@ -141,18 +144,14 @@
 	}
 	for i := range max(s.opts.Runners, s.opts.Engines) {
 		if i < s.opts.Runners {
-			if err := s.addRunner(ctx, "plain", standin.StagePlain); err != nil {
+			if err := s.addRunner(ctx, engine{service: "plain", interval: plainServiceTime}); err != nil {
 				return err
 			}
 		}
 		if i >= s.opts.Engines {
 			continue
 		}
-		stage := standin.StageDecode
-		if i%3 == 2 {
-			stage = standin.StagePrefill
-		}
-		if err := s.addRunner(ctx, engineService, stage); err != nil {
+		if err := s.addRunner(ctx, s.shape.engine(i, s.opts.Engines)); err != nil {
 			return err
 		}
 	}
@@ -187,7 +186,7 @@
 // starting with the given one, until one acknowledges it.
 func (s *system) putConfig(ctx context.Context, first int) error {
 	version := int(s.lastVersion.Add(1))
-	c := standin.Config{Version: version, PlainService: "plain", EngineService: engineService}
+	c := s.shape.config(version)
 	err := errors.New("no core daemon was asked")
 	for i := range coreCount {
 		putCtx, cancel := context.WithTimeout(ctx, time.Second)
@@ -204,7 +203,7 @@
 }
 
 // addRunner starts a runner behind a proxy, and starts sending its reports.
-func (s *system) addRunner(ctx context.Context, service, stage string) error {
+func (s *system) addRunner(ctx context.Context, e engine) error {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return errors.Wrap(err, "starting a runner")
@@ -216,11 +215,11 @@
 	if err != nil {
 		return errors.Wrap(err, "starting a proxy")
 	}
-	version := fmt.Sprintf("v%d", n%softwareVersions)
-	if release := s.releases.Load(); release > 0 && service == engineService {
-		version = fmt.Sprintf("v%d", softwareVersions-1+release)
+	version := fmt.Sprintf("v%d", int(n)%s.shape.softwareVersions)
+	if release := s.releases.Load(); release > 0 && e.stage != standin.StagePlain {
+		version = fmt.Sprintf("v%d", int64(s.shape.softwareVersions)-1+release)
 	}
-	runner, err := s.startRunner(ctx, l, p, fmt.Sprintf("i-%d", n), version, service, stage)
+	runner, err := s.startRunner(ctx, l, p, fmt.Sprintf("i-%d", n), version, e)
 	if err != nil {
 		return err
 	}
@@ -231,16 +230,14 @@
 }
 
 // startRunner starts a runner that listens at l, and starts sending its reports.
-func (s *system) startRunner(ctx context.Context, l net.Listener, p *proxy, id, version, service, stage string) (*proxiedRunner, error) {
+func (s *system) startRunner(ctx context.Context, l net.Listener, p *proxy, id, version string, e engine) (*proxiedRunner, error) {
 	r := &standin.Runner{
-		ID: id, Version: version, Service: service, Stage: stage, ServiceTime: plainServiceTime, Events: streamEvents,
-		OnStart: s.check.requestRan, OnArrival: s.check.requestArrived,
-	}
-	if stage == standin.StageDecode {
-		r.ServiceTime = eventInterval
+		ID: id, Version: version, Service: e.service, Stage: e.stage, ServiceTime: e.interval, Events: streamEvents,
+		OnStart: s.check.requestRan, OnArrival: s.check.requestArrived, OnOtherCache: s.check.otherCacheUsed,
 	}
+	r.SetWeights(e.weights)
 	runCtx, stop := context.WithCancel(ctx)
-	runner := &proxiedRunner{Runner: r, proxy: p, stopReports: stop}
+	runner := &proxiedRunner{Runner: r, engine: e, proxy: p, stopReports: stop}
 	if s.processes {
 		if err := s.startRunnerProcess(runner, l); err != nil {
 			stop()
