--- a/internal/soak/shape.go
+++ b/internal/soak/shape.go
@@ -50,7 +50,7 @@
 }
 
 var kiritaniShape = shape{
-	callers: 24, streamShare: 60, callerTimeout: 8 * time.Second, takeUpTime: 5 * time.Second, eventInterval: 15 * time.Millisecond,
+	callers: 24, streamShare: 60, callerTimeout: 8 * time.Second, takeUpTime: takeUpTime, eventInterval: 15 * time.Millisecond,
 	eventGap: 300 * time.Millisecond, slowest: 1.6, softwareVersions: 1, weights: 2, services: []string{engineService, "other-engines"},
 	changeInterval: 2 * time.Second, longEvents: true, minEvents: 70, maxEvents: 130, habits: true,
 }
@@ -165,6 +165,7 @@
 	if !sh.habits {
 		return h
 	}
+	h.pause = 400 * time.Millisecond
 	h.sameEntry = rand.IntN(3) == 0
 	h.names = []naming{firstAttempt, firstAttempt, lastAttempt, noAttempt}[rand.IntN(4)]
 	if rand.IntN(5) == 0 {
