forward: lines of events are read alike, whatever their length or end

Callers saw an event twice: one without an id whose data line was longer than the reader's buffer of 4 KiB, when its engine broke off after it. With an event that ends its lines with CR alone they saw no event at all, since the reader waited for an LF.

Cause: eventReader looked at the fields of a line only if the line fitted into its buffer, only at LF, and only at "data:" with a colon. Such an event counted as one without text, so the stream was sent to another engine from its beginning.

Evidence: platform TestEventsWithoutAnIDAreNotRelayedTwice failed before, "times that the event came: expected 1, actual 2" for long, long with CR LF and data without a colon, actual 0 for CR. internal/forward TestLongLinesOfEventsAreReadLikeShortOnes failed in 13 of 20 cases, among them a long id that was not read; TestEventsAreReadWhenTheyAreComplete hung.

The reader now collects a whole line, up to the limit of an event, before it looks at the field, and takes LF, CR LF and CR for the end of a line, as the format of event streams says. An event that ends with CR alone is relayed at once where the lines before it ended so too; elsewhere the LF is waited for, so that CR LF is not torn.

--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -38,43 +38,112 @@
 	return n > m
 }
 
-// eventReader splits a response body into events.
+// eventReader splits a response body into events. Lines end with LF, CR LF or CR.
 type eventReader struct {
 	rd *bufio.Reader
+	// started is set after the first line, which may begin with a byte order mark.
+	started bool
+	// crEnds is set if the last line ended with a CR alone.
+	crEnds bool
 }
 
 // next returns the next complete event. At the end of the stream it returns
 // io.EOF, or io.ErrUnexpectedEOF if the stream ends within an event.
 func (e *eventReader) next() (event, error) {
 	var ev event
-	midLine := false
 	for {
-		line, err := e.rd.ReadSlice('\n')
-		ev.raw = append(ev.raw, line...)
-		if len(ev.raw) > maxEventBytes {
-			return ev, errEventTooLong
+		start := len(ev.raw)
+		end, err := e.appendLine(&ev)
+		if err != nil {
+			return ev, err
 		}
-		if errors.Is(err, bufio.ErrBufferFull) {
-			midLine = true
-			continue
+		line := ev.raw[start:end]
+		if !e.started {
+			e.started = true
+			line = bytes.TrimPrefix(line, []byte("\ufeff"))
 		}
-		if err == io.EOF && len(ev.raw) > 0 {
-			return ev, io.ErrUnexpectedEOF
+		if len(line) == 0 {
+			return ev, nil
 		}
+		ev.parseLine(line)
+	}
+}
+
+// parseLine applies one field of the event.
+func (ev *event) parseLine(line []byte) {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	switch string(name) {
+	case "id":
+		ev.id = string(bytes.TrimPrefix(value, []byte(" ")))
+	case "data":
+		ev.hasData = true
+	}
+}
+
+// appendLine appends the next line and its end to the event. It returns the index in raw at
+// which the line's text ends.
+func (e *eventReader) appendLine(ev *event) (end int, err error) {
+	start := len(ev.raw)
+	for {
+		buffered, err := e.peek(ev)
 		if err != nil {
-			return ev, err
+			return 0, err
 		}
-		if midLine {
-			midLine = false
+		i := bytes.IndexAny(buffered, "\r\n")
+		if i < 0 {
+			if err := e.take(ev, len(buffered)); err != nil {
+				return 0, err
+			}
 			continue
 		}
-		trimmed := bytes.TrimRight(line, "\r\n")
-		if len(trimmed) == 0 {
-			return ev, nil
+		isCR := buffered[i] == '\r'
+		if err := e.take(ev, i+1); err != nil {
+			return 0, err
 		}
-		if id, ok := bytes.CutPrefix(trimmed, []byte("id:")); ok {
-			ev.id = string(bytes.TrimPrefix(id, []byte(" ")))
+		end := len(ev.raw) - 1
+		if !isCR {
+			e.crEnds = false
+			return end, nil
 		}
-		ev.hasData = ev.hasData || bytes.HasPrefix(trimmed, []byte("data:"))
+		// An event is relayed when its blank line has arrived. Where lines end with CR alone,
+		// the LF that may follow belongs to no line and is not waited for.
+		if end == start && e.crEnds && e.rd.Buffered() == 0 {
+			return end, nil
+		}
+		next, err := e.rd.Peek(1)
+		if err != nil {
+			// The next read returns the error, as the line is complete.
+			return end, nil
+		}
+		e.crEnds = next[0] != '\n'
+		if e.crEnds {
+			return end, nil
+		}
+		return end, e.take(ev, 1)
+	}
+}
+
+// peek returns what has arrived, at least one byte.
+func (e *eventReader) peek(ev *event) ([]byte, error) {
+	if _, err := e.rd.Peek(1); err != nil {
+		if err == io.EOF && len(ev.raw) > 0 {
+			err = io.ErrUnexpectedEOF
+		}
+		return nil, err
+	}
+	return e.rd.Peek(e.rd.Buffered())
+}
+
+// take moves n bytes that have arrived to the event.
+func (e *eventReader) take(ev *event, n int) error {
+	b, err := e.rd.Peek(n)
+	if err != nil {
+		return err
+	}
+	ev.raw = append(ev.raw, b...)
+	if len(ev.raw) > maxEventBytes {
+		return errEventTooLong
 	}
+	_, err = e.rd.Discard(n)
+	return err
 }
