forward: callers of HTTP/1.0 get no answer without a length

A caller of HTTP/1.0 took a stream for complete that was cut off when its entry was killed, and so a plain answer of over 512 KiB that the runner sent in chunks: such an answer ends with its connection, which the kernel closes for a killed process as at a proper end.

A stream is now refused to such a caller with 505 before its body is read or anything is sent. A plain answer of unknown length is read whole, within 4 MiB and the memory for bodies, and sent with its length; a longer one, or one that is cut off, becomes 502.

Not changed: the completions path and the operator's interfaces.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -165,6 +165,9 @@
 		x.respondError(http.StatusBadRequest, "bad_headers")
 		return false
 	}
+	if x.refuseUnframed() {
+		return false
+	}
 	timeout := x.route.Timeout
 	x.callerDeadline = x.receivedAt.Add(timeout)
 	if info.Timeout > 0 {
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -201,6 +201,10 @@
 // body or, if it is longer than maxBufferedBytes, its beginning; the rest is
 // copied as it arrives.
 func (x *exchange) relay(res *upstreamResponse, body []byte) {
+	if len(body) > maxBufferedBytes && res.resp.ContentLength < 0 && x.needsLength() {
+		x.relayWhole(res, body)
+		return
+	}
 	x.status, x.outcome = res.resp.StatusCode, "answered"
 	x.copyResponseHeaders(res.resp.Header)
 	if len(body) <= maxBufferedBytes {
@@ -231,7 +235,7 @@
 // response is incomplete.
 func (x *exchange) abort(reason string) {
 	x.outcome, x.reason = "cut_off", reason
-	if !x.r.ProtoAtLeast(1, 1) {
+	if x.needsLength() {
 		x.resetCaller()
 	}
 	panic(http.ErrAbortHandler)
