feed: entries tell each other how events are numbered

Callers of an entry that had just started got streams with a piece missing, as if they were complete, until that entry had seen ten streams itself, though all others had refused such gaps for hours.

Cause: each entry learns alone whether the events of a service and software version are numbered one by one.

An entry now reports what it learns or unlearns to its hubs. They pass it on to each other and to all entries, when it changes and when one attaches, before the first configuration.

--- a/api/godwitward/v1/text_fields_test.go
+++ b/api/godwitward/v1/text_fields_test.go
@@ -16,7 +16,7 @@
 		RenewLeaseRequest.name RenewLeaseRequest.holder ReleaseLeaseRequest.name ReleaseLeaseRequest.holder SubmitRequest.entry_id Grant.hold_id Refusal.message
 		ProgressRequest.hold_id ReleaseRequest.hold_id Hold.hold_id RestateRequest.entry_id WatchUpstreamsRequest.entry_id FeedUpdate.core FeedUpdate.leader
 		JoinReply.leader JoinReply.core Event.vm Event.process Event.kind Event.lease Attribute.key`,
-	"operators: refused by the decoder of their calls": `StreamVersion.service StreamVersionResponse.service InFlight.route InFlight.service ClaimRequest.organisation RecordRequest.organisation SubmitRequest.organisation SubmitRequest.pool
+	"operators: refused by the decoder of their calls": `StreamVersion.service StreamVersionResponse.service EventNumbering.service InFlight.route InFlight.service ClaimRequest.organisation RecordRequest.organisation SubmitRequest.organisation SubmitRequest.pool
 		RestateRequest.pool WatchUpstreamsRequest.pool WatchUpstreamsUpdate.pool SchedulerStateRequest.pool SchedulerState.pool EngineOrder.upstream_id EngineOrder.load_model
 		EngineOrder.unload_model EngineOrder.load_adapter EngineOrder.request_id EventsRequest.request_id EventsRequest.upstream EventsRequest.lease`,
 	"callers: ids get a text form in platform (textID); internal/entry makes its own": `ClaimRequest.request_id RecordRequest.request_id SubmitRequest.request_id SubmitRequest.model
@@ -25,7 +25,7 @@
 	"upstreams and other writers: reports are refused by platform (checkReportedTexts), announcements by their decoder": `SubmitRequest.exclude SubmitRequest.software_version SubmitRequest.weights_version
 		UpstreamAddress.id UpstreamAddress.url Hold.prefill_id Hold.decode_id UpstreamState.id UpstreamState.url UpstreamState.place UpstreamState.region UpstreamState.service
 		UpstreamState.models UpstreamState.software_version UpstreamRecord.id UpstreamRecord.service UpstreamRecord.address UpstreamRecord.place UpstreamRecord.models
-		UpstreamRecord.software_version UpstreamStatement.id SendPermitResponse.id ErrorShare.id StreamVersion.version StreamVersionResponse.version ServiceVersion.service ServiceVersion.version ServiceVersion.model ServiceVersion.weights
+		UpstreamRecord.software_version UpstreamStatement.id SendPermitResponse.id ErrorShare.id StreamVersion.version StreamVersionResponse.version EventNumbering.version ServiceVersion.service ServiceVersion.version ServiceVersion.model ServiceVersion.weights
 		StreamVersion.weights StreamVersionResponse.weights UpstreamState.weights UpstreamRecord.weights CrashedPrompt.engine_id
 		UpstreamOutcomes.id Event.upstream`,
 	"upstreams: a response header that cannot be encoded is left out by transport": `Attribute.value`,
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -124,6 +124,7 @@
 		OnUpstreams: server.SetUpstreams,
 		Outcomes:    server.Outcomes, ReportNow: server.ReportNow(), OnErrorShares: server.SetErrorShares,
 		OnEvidence: server.SetEvidence, Quarantined: server.Quarantined, StreamVersions: server.StreamVersions, OnStatements: server.SetStatements, OnServiceVersions: server.SetServiceVersions,
+		EventNumberings: server.EventNumberings, OnEventNumberings: server.SetEventNumberings,
 	})
 	server.SetStreamVersionSource(subscriber)
 	server.SetPermits(&permits{subscriber: subscriber, logger: e.logger})
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -108,6 +108,7 @@
 
 	streamVersions policy.StreamVersions
 	versionHistory
+	eventNumberings
 
 	// gossipReceived counts the messages from other hubs.
 	gossipReceived atomic.Int64
@@ -144,6 +145,8 @@
 	// streamVersions are due in the next message to another hub, or all of them.
 	streamVersions    []policy.StreamVersion
 	allStreamVersions bool
+	// numberingRevision is that of the last event numbering sent to another hub.
+	numberingRevision uint64
 }
 
 // NewHub starts a hub and registers its streams. Stop ends it.
@@ -365,11 +368,12 @@
 	h.evidenceChanged(h.mergeQuarantined(req.Quarantined), false)
 	h.mu.Unlock()
 	h.mergeStreamVersions(req.StreamVersions, true)
+	h.mergeNumberings(req.EventNumberings, true)
 	s := h.subscribe(false)
 	defer h.unsubscribe(s)
 	go h.receiveOutcomes(ctx, st)
 	haveVersion := req.HaveVersion
-	var haveEvidence uint64
+	var haveEvidence, haveNumberings uint64
 	var sentMembers []string
 	var lastSent time.Time
 	ticker := time.NewTicker(heartbeatInterval)
@@ -397,6 +401,7 @@
 			haveVersion = d.Version
 		}
 		u.Evidence, haveEvidence = h.evidenceForEntry(haveEvidence)
+		u.EventNumberings, haveNumberings = h.numberingsSince(haveNumberings)
 		if members := h.opts.Store.Members(); !slices.Equal(members, sentMembers) {
 			sentMembers = members
 			u.Core = members
@@ -439,6 +444,7 @@
 		h.mergeEvidence(g.Evidence)
 		h.mergeStatements(g.Statements, false)
 		h.mergeStreamVersions(g.StreamVersions, false)
+		h.mergeNumberings(g.EventNumberings, false)
 		h.mu.Lock()
 		h.remoteAttachments[transport.PeerFromContext(ctx).Vm] = attachmentCount{int(g.Attached), h.now()}
 		h.newestVersion = max(h.newestVersion, g.Version)
@@ -563,7 +569,7 @@
 	}
 	defer st.Close()
 	h.mu.Lock()
-	s.sendAll, s.evidenceDue, s.statementsDue, s.allStreamVersions = true, true, true, true
+	s.sendAll, s.evidenceDue, s.statementsDue, s.allStreamVersions, s.numberingRevision = true, true, true, true, 0
 	h.mu.Unlock()
 	s.signal()
 	ticker := time.NewTicker(attachmentCountTTL / 3)
@@ -582,11 +588,11 @@
 		lastSent = time.Now()
 		records := h.takePending(s)
 		h.mu.Lock()
-		attached, evidence, statements := uint32(h.localAttachments()), h.evidenceForHub(s), h.statementsForHub(s)
-		versions := h.streamVersionsForHub(s)
+		attached, evidence, statements, versions := uint32(h.localAttachments()), h.evidenceForHub(s), h.statementsForHub(s), h.streamVersionsForHub(s)
 		h.mu.Unlock()
 		g := &pb.Gossip{Upstreams: records, Attached: attached, Version: h.opts.Store.Current().Version, Evidence: evidence, Statements: statements, StreamVersions: versions}
 		g.ServiceVersions, g.ObservedMs, g.ReportsMs = h.encodeHistory()
+		g.EventNumberings, s.numberingRevision = h.numberingsSince(s.numberingRevision)
 		if err := st.Send(g); err != nil {
 			return
 		}
--- a/internal/feed/outcomes.go
+++ b/internal/feed/outcomes.go
@@ -65,6 +65,7 @@
 		h.reportEvidence(report)
 		h.mergeStatements(report.Statements, true)
 		h.mergeStreamVersions(report.StreamVersions, true)
+		h.mergeNumberings(report.EventNumberings, true)
 	}
 }
 
@@ -99,7 +100,7 @@
 			continue
 		}
 		report := s.opts.Outcomes()
-		if len(report.Outcomes) == 0 && len(report.Crashes) == 0 && len(report.SoundParts) == 0 && len(report.Statements) == 0 && len(report.StreamVersions) == 0 {
+		if len(report.Outcomes) == 0 && len(report.Crashes) == 0 && len(report.SoundParts) == 0 && len(report.Statements) == 0 && len(report.StreamVersions) == 0 && len(report.EventNumberings) == 0 {
 			continue
 		}
 		for _, st := range streams {
--- a/internal/feed/subscriber.go
+++ b/internal/feed/subscriber.go
@@ -67,6 +67,10 @@
 	// StreamVersions returns the versions of the streams that the entry has begun of late.
 	// It may be nil.
 	StreamVersions func() []*pb.StreamVersion
+	// EventNumberings returns what the entry knows of how events are numbered, and
+	// OnEventNumberings is called with what other entries know. Both may be nil.
+	EventNumberings   func() []*pb.EventNumbering
+	OnEventNumberings func([]*pb.EventNumbering)
 	// OnServiceVersions is called with the software versions in use of late. It may be nil.
 	OnServiceVersions func([]*pb.ServiceVersion)
 	// OnStatements is called with what upstreams say about the requests that they take.
@@ -225,6 +229,9 @@
 	if s.opts.StreamVersions != nil {
 		req.StreamVersions = s.opts.StreamVersions()
 	}
+	if s.opts.EventNumberings != nil {
+		req.EventNumberings = s.opts.EventNumberings()
+	}
 	if err := st.Send(req); err != nil {
 		return err
 	}
@@ -263,6 +270,10 @@
 		s.leader, s.term = u.Leader, u.Term
 	}
 	s.updateEntryCount(u.Entries)
+	if s.opts.OnEventNumberings != nil {
+		// Before the first configuration, with which the entry begins to serve.
+		s.opts.OnEventNumberings(u.EventNumberings)
+	}
 	changed := s.merge(u.Upstreams, u.Quorate)
 	newDocument := u.Document != nil && u.Document.Version > s.version
 	if newDocument {
--- a/internal/forward/event_numbers.go
+++ b/internal/forward/event_numbers.go
@@ -18,6 +18,8 @@
 type eventNumbering struct {
 	mu    sync.Mutex
 	byKey map[numberingKey]*numbering
+	// unreported are those that have changed since the last report to the hubs.
+	unreported map[numberingKey]bool
 }
 
 // numbering tells whether each event follows the one before, and whether streams begin
@@ -90,6 +92,7 @@
 	}
 	follows, now := n == last+1, a.s.now()
 	learned := numbering.steps.OneByOne()
+	defer a.s.noteChanges(a.key, numbering, numbering.changes())
 	switch {
 	case fresh && a.begins:
 		learned = learned && numbering.starts.OneByOne()
@@ -119,6 +122,7 @@
 	a.s.numbering.mu.Lock()
 	defer a.s.numbering.mu.Unlock()
 	if numbering := a.s.numbering.get(a.key); numbering != nil {
+		defer a.s.noteChanges(a.key, numbering, numbering.changes())
 		numbering.steps.RecordStream(a.t.address, a.s.now())
 	}
 }
--- a/internal/forward/outcomes.go
+++ b/internal/forward/outcomes.go
@@ -33,7 +33,7 @@
 // was learned about parts of prompts, since the previous call of Outcomes.
 func (s *Server) Outcomes() *pb.OutcomeReport {
 	crashes, sound := s.promptParts.takeReport()
-	return &pb.OutcomeReport{Outcomes: s.takeCallOutcomes(), Crashes: crashes, SoundParts: sound, Statements: s.takeStatements(), StreamVersions: s.takeStreamVersions()}
+	return &pb.OutcomeReport{Outcomes: s.takeCallOutcomes(), Crashes: crashes, SoundParts: sound, Statements: s.takeStatements(), StreamVersions: s.takeStreamVersions(), EventNumberings: s.takeEventNumberings()}
 }
 
 func (s *Server) takeCallOutcomes() []*pb.UpstreamOutcomes {
--- /dev/null
+++ b/internal/forward/shared_numbering.go
@@ -0,0 +1,78 @@
+package forward
+
+import (
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+)
+
+// numberingChanges are the states of a numbering that entries compare.
+type numberingChanges struct{ steps, starts uint32 }
+
+func (n *numbering) changes() numberingChanges {
+	return numberingChanges{n.steps.Changes(), n.starts.Changes()}
+}
+
+// noteChanges reports a numbering to the hubs at once if it isn't as before. The caller
+// holds the mutex of s.numbering.
+func (s *Server) noteChanges(key numberingKey, n *numbering, before numberingChanges) {
+	if n.changes() == before {
+		return
+	}
+	if s.numbering.unreported == nil {
+		s.numbering.unreported = map[numberingKey]bool{}
+	}
+	s.numbering.unreported[key] = true
+	s.logNumbering(key, n, "own streams")
+	s.reportNow.signal()
+}
+
+func (s *Server) logNumbering(key numberingKey, n *numbering, source string) {
+	s.opts.Logger.Info().Str("event", "numbering.changed").Str("service", key.service).Str("version", key.version).
+		Bool("steps", n.steps.OneByOne()).Bool("starts", n.starts.OneByOne()).
+		Uint32("steps_changes", n.steps.Changes()).Uint32("starts_changes", n.starts.Changes()).Str("source", source).Msg("")
+}
+
+// takeEventNumberings returns what was learned or unlearned since the previous call.
+func (s *Server) takeEventNumberings() []*pb.EventNumbering {
+	s.numbering.mu.Lock()
+	defer s.numbering.mu.Unlock()
+	var list []*pb.EventNumbering
+	for key := range s.numbering.unreported {
+		list = append(list, encodeNumbering(key, s.numbering.byKey[key]))
+	}
+	s.numbering.unreported = nil
+	return list
+}
+
+// EventNumberings returns all that is known of how events are numbered.
+func (s *Server) EventNumberings() []*pb.EventNumbering {
+	s.numbering.mu.Lock()
+	defer s.numbering.mu.Unlock()
+	var list []*pb.EventNumbering
+	for key, n := range s.numbering.byKey {
+		if n.changes() != (numberingChanges{}) {
+			list = append(list, encodeNumbering(key, n))
+		}
+	}
+	return list
+}
+
+// SetEventNumberings applies what other entries have learned or unlearned.
+func (s *Server) SetEventNumberings(list []*pb.EventNumbering) {
+	s.numbering.mu.Lock()
+	defer s.numbering.mu.Unlock()
+	for _, m := range list {
+		key := numberingKey{m.Service, m.Version}
+		n := s.numbering.get(key)
+		if n == nil {
+			continue
+		}
+		steps, starts := n.steps.Merge(m.Steps), n.starts.Merge(m.Starts)
+		if steps || starts {
+			s.logNumbering(key, n, "hub")
+		}
+	}
+}
+
+func encodeNumbering(key numberingKey, n *numbering) *pb.EventNumbering {
+	return &pb.EventNumbering{Service: key.service, Version: key.version, Steps: n.steps.Changes(), Starts: n.starts.Changes()}
+}
--- a/policy/event_numbering.go
+++ b/policy/event_numbering.go
@@ -26,9 +26,9 @@
 // gap between two numbers is a piece that is missing. A single upstream with a fault
 // neither teaches that nor the opposite. It is not safe for concurrent use.
 type EventNumbering struct {
-	oneByOne bool
-	// required is the number of streams needed; 0 for numberedStreams.
-	required int
+	// changes counts how often it was learned or unlearned, by any entry: an odd number if
+	// the events are numbered one by one. The higher number of two entries holds.
+	changes uint32
 	// streams counts the streams without a gap by upstream, and total all of them.
 	streams map[string]int
 	total   int
@@ -39,13 +39,32 @@
 }
 
 // OneByOne reports whether the events are known to be numbered one by one.
-func (n *EventNumbering) OneByOne() bool { return n.oneByOne }
+func (n *EventNumbering) OneByOne() bool { return n.changes%2 == 1 }
+
+// Changes returns how often the numbering was learned or unlearned, for Merge at another
+// entry; 0 if nothing is known.
+func (n *EventNumbering) Changes() uint32 { return n.changes }
+
+// Merge applies what another entry knows, and reports whether that is newer. In any order
+// of merges the highest number remains.
+func (n *EventNumbering) Merge(changes uint32) bool {
+	if changes <= n.changes {
+		return false
+	}
+	n.changes, n.streams, n.total = changes, nil, 0
+	return true
+}
+
+// required returns the number of streams that are needed to learn it.
+func (n *EventNumbering) required() int {
+	return min(numberedStreams<<min(n.changes/2, 32), maxNumberedStreams)
+}
 
 // RecordStream records a stream of an upstream, or a part of one, without a gap.
 func (n *EventNumbering) RecordStream(upstream string, now time.Duration) {
 	n.prune(now)
 	n.gapsInARow = 0
-	if _, gaps := n.gaps[upstream]; gaps || n.oneByOne || len(n.gaps) >= contradictingUpstreams {
+	if _, gaps := n.gaps[upstream]; gaps || n.OneByOne() || len(n.gaps) >= contradictingUpstreams {
 		return
 	}
 	if n.streams == nil {
@@ -62,8 +81,8 @@
 			teachers++
 		}
 	}
-	if n.total >= max(n.required, numberedStreams) && teachers >= teachingUpstreams {
-		n.oneByOne, n.streams, n.total = true, nil, 0
+	if n.total >= n.required() && teachers >= teachingUpstreams {
+		n.changes, n.streams, n.total = n.changes+1, nil, 0
 	}
 }
 
@@ -82,10 +101,10 @@
 	if len(n.gaps) < contradictingUpstreams && n.gapsInARow < contradictingStreams {
 		return
 	}
-	if n.oneByOne {
-		n.required = min(2*max(n.required, numberedStreams), maxNumberedStreams)
+	if n.OneByOne() {
+		n.changes++
 	}
-	n.oneByOne, n.streams, n.total = false, nil, 0
+	n.streams, n.total = nil, 0
 }
 
 func (n *EventNumbering) prune(now time.Duration) {
--- a/policy/event_numbering_test.go
+++ b/policy/event_numbering_test.go
@@ -105,3 +105,75 @@
 	require.LessOrEqual(t, playStreams(&n, time.Hour, 1, 200, func(int) float64 { return 1 }), contradictingStreams)
 	require.False(t, n.OneByOne())
 }
+
+// Guards against entries that disagree on how events are numbered, or tell each other what
+// one of them has found wrong, whatever the order in which they hear of it.
+func TestEntriesAgreeOnTheNumbering(t *testing.T) {
+	sound := func(int) float64 { return 0 }
+	for seed := range uint64(50) {
+		r := rand.New(rand.NewPCG(2, seed))
+		entries := make([]EventNumbering, 5)
+		// The first ones have learned it; one has unlearned it, and one has learned it anew.
+		for i := range 3 {
+			playStreams(&entries[i], 0, 4, 200, sound)
+		}
+		for _, unlearned := range []*EventNumbering{&entries[1], &entries[2]} {
+			unlearned.RecordGap("u-0", time.Minute)
+			unlearned.RecordGap("u-1", time.Minute)
+			require.False(t, unlearned.OneByOne())
+		}
+		newest := &entries[1]
+		if seed%2 == 1 {
+			playStreams(&entries[2], time.Hour, 4, 200, sound)
+			newest = &entries[2]
+		}
+		want, learned := newest.Changes(), newest.OneByOne()
+		require.Equal(t, seed%2 == 1, learned)
+		// Messages arrive late, twice and in any order.
+		var messages []uint32
+		for i := range entries {
+			messages = append(messages, entries[i].Changes(), entries[i].Changes())
+		}
+		for i := range entries {
+			r.Shuffle(len(messages), func(a, b int) { messages[a], messages[b] = messages[b], messages[a] })
+			for _, m := range messages {
+				entries[i].Merge(m)
+				require.False(t, entries[i].Merge(m), "an old message is news")
+			}
+			require.Equal(t, want, entries[i].Changes())
+			require.Equal(t, learned, entries[i].OneByOne())
+		}
+	}
+}
+
+// Guards against entries that teach each other without end what is wrong: whoever learns it
+// anew needs more streams than the one before.
+func TestNumberingIsHarderToLearnForAllEntriesAfterItWasWrong(t *testing.T) {
+	var first, second EventNumbering
+	for wrong := range 4 {
+		required := numberedStreams << wrong
+		for n := range required {
+			require.False(t, first.OneByOne(), "%d streams after it was wrong %d times", n, wrong)
+			first.RecordStream(fmt.Sprintf("u-%d", n%2), 0)
+		}
+		require.True(t, first.OneByOne())
+		require.True(t, second.Merge(first.Changes()))
+		require.True(t, second.OneByOne())
+		second.RecordGap(fmt.Sprintf("v-%d", 2*wrong), 0)
+		second.RecordGap(fmt.Sprintf("v-%d", 2*wrong+1), 0)
+		require.False(t, second.OneByOne())
+		require.True(t, first.Merge(second.Changes()))
+		require.False(t, first.OneByOne())
+	}
+	// Streams that were recorded before do not count after it was found wrong elsewhere.
+	var counting EventNumbering
+	for n := range numberedStreams - 1 {
+		counting.RecordStream(fmt.Sprintf("u-%d", n%2), 0)
+	}
+	require.True(t, counting.Merge(2))
+	counting.RecordStream("u-1", 0)
+	require.False(t, counting.OneByOne())
+	// The number of streams is limited, also for numbers that no entry has reached.
+	require.True(t, counting.Merge(1<<31))
+	require.Equal(t, maxNumberedStreams, counting.required())
+}
