policy: a single upstream teaches how its events are numbered

Callers got streams with a piece missing, as if they were complete, from a software version with a single engine, however long it had served.

Cause: two upstreams had to teach the numbering.

An upstream now teaches alone with 30 streams without a gap, 10 if the events of another version of the service are numbered one by one, if no stream of any upstream had a gap in the last ten minutes. That is marked, also in what entries and hubs tell each other. While it is, two streams with a gap within ten minutes unlearn it; a second upstream with three such streams confirms it.

--- a/internal/feed/event_numberings.go
+++ b/internal/feed/event_numberings.go
@@ -2,6 +2,7 @@
 
 import (
 	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/policy"
 )
 
 // maxNumberings limits the services and versions whose numbering a hub keeps.
@@ -18,10 +19,9 @@
 	numberingsChanged uint64
 }
 
-// hubNumbering holds the highest numbers that were told. Numbers only rise, so hubs that
-// were told the same, in any order, agree.
+// hubNumbering holds the newest of what was told.
 type hubNumbering struct {
-	steps, starts uint32
+	steps, starts policy.NumberingState
 	// revision is numberingsChanged after the last change.
 	revision uint64
 }
@@ -51,9 +51,10 @@
 // mergeNumbering reports whether the numbering was not known. The caller holds mu.
 func (h *Hub) mergeNumbering(m *pb.EventNumbering) bool {
 	key := numberingKey{m.Service, m.Version}
-	known, exists := h.numberings[key]
-	next := hubNumbering{steps: max(known.steps, m.Steps), starts: max(known.starts, m.Starts)}
-	if next.steps == known.steps && next.starts == known.starts {
+	next, exists := h.numberings[key]
+	steps := next.steps.Merge(policy.NumberingState{Changes: m.Steps, Alone: m.StepsAlone})
+	starts := next.starts.Merge(policy.NumberingState{Changes: m.Starts, Alone: m.StartsAlone})
+	if !steps && !starts {
 		return false
 	}
 	if h.numberings == nil {
@@ -83,7 +84,10 @@
 	var list []*pb.EventNumbering
 	for key, n := range h.numberings {
 		if n.revision > revision {
-			list = append(list, &pb.EventNumbering{Service: key.service, Version: key.version, Steps: n.steps, Starts: n.starts})
+			list = append(list, &pb.EventNumbering{
+				Service: key.service, Version: key.version, Steps: n.steps.Changes, StepsAlone: n.steps.Alone,
+				Starts: n.starts.Changes, StartsAlone: n.starts.Alone,
+			})
 		}
 	}
 	return list, h.numberingsChanged
--- a/internal/feed/event_numberings_test.go
+++ b/internal/feed/event_numberings_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/phuslu/log"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
 )
@@ -143,3 +144,32 @@
 	list, _ := hub.numberingsSince(0)
 	require.Len(t, list, maxNumberings)
 }
+
+// Guards against hubs that forget whether one upstream or several have taught a numbering,
+// or that disagree because they heard it in another order.
+func TestHubsAgreeOnWhatASingleUpstreamTaught(t *testing.T) {
+	h := startHubs(t, 1)
+	told := []*pb.EventNumbering{
+		{Service: "llm", Steps: 1, StepsAlone: true, Starts: 3},
+		{Service: "llm", Steps: 1, Starts: 2},
+		{Service: "llm", Starts: 3, StartsAlone: true},
+	}
+	for i, order := range [][]int{{0, 1, 2}, {0, 2, 1}, {1, 0, 2}, {1, 2, 0}, {2, 0, 1}, {2, 1, 0}} {
+		version := fmt.Sprint("v", i)
+		for _, n := range append(order, order...) {
+			m := proto.CloneOf(told[n])
+			m.Version = version
+			h.hubs[0].mergeNumberings([]*pb.EventNumbering{m}, true)
+		}
+	}
+	list, revision := h.hubs[0].numberingsSince(0)
+	require.Len(t, list, 6)
+	for _, m := range list {
+		require.Equal(t, [2]uint32{1, 3}, [2]uint32{m.Steps, m.Starts})
+		require.False(t, m.StepsAlone || m.StartsAlone)
+	}
+	h.hubs[0].mergeNumberings([]*pb.EventNumbering{{Service: "llm", Version: "v9", Steps: 1, StepsAlone: true}}, false)
+	list, _ = h.hubs[0].numberingsSince(revision)
+	require.Len(t, list, 1)
+	require.True(t, list[0].StepsAlone)
+}
--- a/internal/forward/event_numbers.go
+++ b/internal/forward/event_numbers.go
@@ -92,12 +92,12 @@
 	}
 	follows, now := n == last+1, a.s.now()
 	learned := numbering.steps.OneByOne()
-	defer a.s.noteChanges(a.key, numbering, numbering.changes())
+	defer a.s.noteChanges(a.key, numbering, numbering.states())
 	switch {
 	case fresh && a.begins:
 		learned = learned && numbering.starts.OneByOne()
 		if follows {
-			numbering.starts.RecordStream(a.t.address, now)
+			numbering.starts.RecordStream(a.t.address, now, a.s.numbering.otherVersion(a.key).starts)
 		} else {
 			numbering.starts.RecordGap(a.t.address, now)
 		}
@@ -122,7 +122,7 @@
 	a.s.numbering.mu.Lock()
 	defer a.s.numbering.mu.Unlock()
 	if numbering := a.s.numbering.get(a.key); numbering != nil {
-		defer a.s.noteChanges(a.key, numbering, numbering.changes())
-		numbering.steps.RecordStream(a.t.address, a.s.now())
+		defer a.s.noteChanges(a.key, numbering, numbering.states())
+		numbering.steps.RecordStream(a.t.address, a.s.now(), a.s.numbering.otherVersion(a.key).steps)
 	}
 }
--- a/internal/forward/shared_numbering.go
+++ b/internal/forward/shared_numbering.go
@@ -2,19 +2,32 @@
 
 import (
 	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/policy"
 )
 
-// numberingChanges are the states of a numbering that entries compare.
-type numberingChanges struct{ steps, starts uint32 }
+// numberingStates are the states of a numbering that entries compare.
+type numberingStates struct{ steps, starts policy.NumberingState }
 
-func (n *numbering) changes() numberingChanges {
-	return numberingChanges{n.steps.Changes(), n.starts.Changes()}
+func (n *numbering) states() numberingStates {
+	return numberingStates{n.steps.State(), n.starts.State()}
+}
+
+// otherVersion tells how the events of other software versions of a service are numbered.
+// The caller holds mu.
+func (n *eventNumbering) otherVersion(key numberingKey) (known struct{ steps, starts bool }) {
+	for other, numbering := range n.byKey {
+		if other.service == key.service && other != key {
+			known.steps = known.steps || numbering.steps.OneByOne()
+			known.starts = known.starts || numbering.starts.OneByOne()
+		}
+	}
+	return known
 }
 
 // noteChanges reports a numbering to the hubs at once if it isn't as before. The caller
 // holds the mutex of s.numbering.
-func (s *Server) noteChanges(key numberingKey, n *numbering, before numberingChanges) {
-	if n.changes() == before {
+func (s *Server) noteChanges(key numberingKey, n *numbering, before numberingStates) {
+	if n.states() == before {
 		return
 	}
 	if s.numbering.unreported == nil {
@@ -28,7 +41,7 @@
 func (s *Server) logNumbering(key numberingKey, n *numbering, source string) {
 	s.opts.Logger.Info().Str("event", "numbering.changed").Str("service", key.service).Str("version", key.version).
 		Bool("steps", n.steps.OneByOne()).Bool("starts", n.starts.OneByOne()).
-		Uint32("steps_changes", n.steps.Changes()).Uint32("starts_changes", n.starts.Changes()).Str("source", source).Msg("")
+		Uint32("steps_changes", n.steps.State().Changes).Uint32("starts_changes", n.starts.State().Changes).Str("source", source).Msg("")
 }
 
 // takeEventNumberings returns what was learned or unlearned since the previous call.
@@ -49,7 +62,7 @@
 	defer s.numbering.mu.Unlock()
 	var list []*pb.EventNumbering
 	for key, n := range s.numbering.byKey {
-		if n.changes() != (numberingChanges{}) {
+		if n.states() != (numberingStates{}) {
 			list = append(list, encodeNumbering(key, n))
 		}
 	}
@@ -66,7 +79,8 @@
 		if n == nil {
 			continue
 		}
-		steps, starts := n.steps.Merge(m.Steps), n.starts.Merge(m.Starts)
+		steps, starts := n.steps.Merge(policy.NumberingState{Changes: m.Steps, Alone: m.StepsAlone}),
+			n.starts.Merge(policy.NumberingState{Changes: m.Starts, Alone: m.StartsAlone})
 		if steps || starts {
 			s.logNumbering(key, n, "hub")
 		}
@@ -74,5 +88,9 @@
 }
 
 func encodeNumbering(key numberingKey, n *numbering) *pb.EventNumbering {
-	return &pb.EventNumbering{Service: key.service, Version: key.version, Steps: n.steps.Changes(), Starts: n.starts.Changes()}
+	steps, starts := n.steps.State(), n.starts.State()
+	return &pb.EventNumbering{
+		Service: key.service, Version: key.version, Steps: steps.Changes, StepsAlone: steps.Alone,
+		Starts: starts.Changes, StartsAlone: starts.Alone,
+	}
 }
--- a/policy/event_numbering.go
+++ b/policy/event_numbering.go
@@ -10,6 +10,9 @@
 	maxNumberedStreams = 1 << 20
 	teachingUpstreams  = 2
 	streamsPerTeacher  = 3
+	// aloneFactor times as many streams are needed of an upstream that teaches alone, unless
+	// the events of another software version are numbered one by one.
+	aloneFactor = 3
 	// contradictingUpstreams is the number of upstreams whose streams have gaps that
 	// together show that the service does not number its events one by one. Each counts for
 	// gapMemory.
@@ -24,11 +27,9 @@
 
 // EventNumbering learns whether the events of a service are numbered one by one, so that a
 // gap between two numbers is a piece that is missing. A single upstream with a fault
-// neither teaches that nor the opposite. It is not safe for concurrent use.
+// neither teaches that nor the opposite if there are others. It is not safe for concurrent use.
 type EventNumbering struct {
-	// changes counts how often it was learned or unlearned, by any entry: an odd number if
-	// the events are numbered one by one. The higher number of two entries holds.
-	changes uint32
+	state NumberingState
 	// streams counts the streams without a gap by upstream, and total all of them.
 	streams map[string]int
 	total   int
@@ -39,32 +40,32 @@
 }
 
 // OneByOne reports whether the events are known to be numbered one by one.
-func (n *EventNumbering) OneByOne() bool { return n.changes%2 == 1 }
+func (n *EventNumbering) OneByOne() bool { return n.state.OneByOne() }
 
-// Changes returns how often the numbering was learned or unlearned, for Merge at another
-// entry; 0 if nothing is known.
-func (n *EventNumbering) Changes() uint32 { return n.changes }
+// State returns what is known, for Merge at another entry.
+func (n *EventNumbering) State() NumberingState { return n.state }
 
-// Merge applies what another entry knows, and reports whether that is newer. In any order
-// of merges the highest number remains.
-func (n *EventNumbering) Merge(changes uint32) bool {
-	if changes <= n.changes {
+// Merge applies what another entry knows, and reports whether that is newer.
+func (n *EventNumbering) Merge(state NumberingState) bool {
+	if !n.state.Merge(state) {
 		return false
 	}
-	n.changes, n.streams, n.total = changes, nil, 0
+	n.streams, n.total = nil, 0
 	return true
 }
 
 // required returns the number of streams that are needed to learn it.
 func (n *EventNumbering) required() int {
-	return min(numberedStreams<<min(n.changes/2, 32), maxNumberedStreams)
+	return min(numberedStreams<<min(n.state.Changes/2, 32), maxNumberedStreams)
 }
 
 // RecordStream records a stream of an upstream, or a part of one, without a gap.
-func (n *EventNumbering) RecordStream(upstream string, now time.Duration) {
+// otherVersion tells whether the events of another software version of the service are
+// numbered one by one.
+func (n *EventNumbering) RecordStream(upstream string, now time.Duration, otherVersion bool) {
 	n.prune(now)
 	n.gapsInARow = 0
-	if _, gaps := n.gaps[upstream]; gaps || n.OneByOne() || len(n.gaps) >= contradictingUpstreams {
+	if _, gaps := n.gaps[upstream]; gaps || n.OneByOne() && !n.state.Alone || len(n.gaps) >= contradictingUpstreams {
 		return
 	}
 	if n.streams == nil {
@@ -81,8 +82,18 @@
 			teachers++
 		}
 	}
-	if n.total >= n.required() && teachers >= teachingUpstreams {
-		n.changes, n.streams, n.total = n.changes+1, nil, 0
+	alone := n.required()
+	if !otherVersion {
+		alone *= aloneFactor
+	}
+	switch {
+	case n.state.Alone:
+		n.state.Alone = teachers < teachingUpstreams
+	case n.total >= n.required() && teachers >= teachingUpstreams:
+		n.state.Changes++
+		n.streams, n.total = nil, 0
+	case n.streams[upstream] >= alone && len(n.gaps) == 0:
+		n.state = NumberingState{Changes: n.state.Changes + 1, Alone: true}
 	}
 }
 
@@ -90,6 +101,7 @@
 func (n *EventNumbering) RecordGap(upstream string, now time.Duration) {
 	n.prune(now)
 	n.gapsInARow++
+	again := len(n.gaps) > 0
 	if n.gaps == nil {
 		n.gaps = map[string]time.Duration{}
 	}
@@ -98,11 +110,11 @@
 	}
 	n.total -= n.streams[upstream]
 	delete(n.streams, upstream)
-	if len(n.gaps) < contradictingUpstreams && n.gapsInARow < contradictingStreams {
+	if len(n.gaps) < contradictingUpstreams && n.gapsInARow < contradictingStreams && !(n.state.Alone && again) {
 		return
 	}
 	if n.OneByOne() {
-		n.changes++
+		n.state = NumberingState{Changes: n.state.Changes + 1}
 	}
 	n.streams, n.total = nil, 0
 }
