--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -111,6 +111,7 @@
 	streamVersions policy.StreamVersions
 	versionHistory
 	routes routeHistory
+	eventNumberings
 
 	// gossipReceived counts the messages from other hubs.
 	gossipReceived atomic.Int64
@@ -149,6 +150,8 @@
 	allStreamVersions bool
 	// haveRoutes is the generation of the hub's routeHistory that the receiver has.
 	haveRoutes uint64
+	// numberingRevision is that of the last event numbering sent to another hub.
+	numberingRevision uint64
 }
 
 // NewHub starts a hub and registers its streams. Stop ends it.
@@ -373,11 +376,12 @@
 	h.mu.Unlock()
 	h.mergeStreamVersions(req.StreamVersions, true)
 	h.mergeReportedRoutes(req.RouteServices)
+	h.mergeNumberings(req.EventNumberings, true)
 	s := h.subscribe(false)
 	defer h.unsubscribe(s)
 	go h.receiveOutcomes(ctx, st)
 	haveVersion := req.HaveVersion
-	var haveEvidence uint64
+	var haveEvidence, haveNumberings uint64
 	var sentMembers []string
 	var lastSent time.Time
 	ticker := time.NewTicker(heartbeatInterval)
@@ -406,6 +410,7 @@
 			haveVersion = d.Version
 		}
 		u.Evidence, haveEvidence = h.evidenceForEntry(haveEvidence)
+		u.EventNumberings, haveNumberings = h.numberingsSince(haveNumberings)
 		if members := h.opts.Store.Members(); !slices.Equal(members, sentMembers) {
 			sentMembers = members
 			u.Core = members
@@ -448,6 +453,7 @@
 		h.mergeEvidence(g.Evidence)
 		h.mergeStatements(g.Statements, false)
 		h.mergeStreamVersions(g.StreamVersions, false)
+		h.mergeNumberings(g.EventNumberings, false)
 		h.mu.Lock()
 		h.remoteAttachments[transport.PeerFromContext(ctx).Vm] = attachmentCount{int(g.Attached), h.now()}
 		h.newestVersion = max(h.newestVersion, g.Version)
@@ -563,7 +569,7 @@
 	}
 	defer st.Close()
 	h.mu.Lock()
-	s.sendAll, s.evidenceDue, s.statementsDue, s.allStreamVersions, s.haveRoutes = true, true, true, true, 0
+	s.sendAll, s.evidenceDue, s.statementsDue, s.allStreamVersions, s.haveRoutes, s.numberingRevision = true, true, true, true, 0, 0
 	h.mu.Unlock()
 	s.signal()
 	ticker := time.NewTicker(attachmentCountTTL / 3)
@@ -582,11 +588,11 @@
 		lastSent = time.Now()
 		records := h.takePending(s)
 		h.mu.Lock()
-		attached, evidence, statements := uint32(h.localAttachments()), h.evidenceForHub(s), h.statementsForHub(s)
-		versions := h.streamVersionsForHub(s)
+		attached, evidence, statements, versions := uint32(h.localAttachments()), h.evidenceForHub(s), h.statementsForHub(s), h.streamVersionsForHub(s)
 		h.mu.Unlock()
 		g := &pb.Gossip{Upstreams: records, Attached: attached, Version: h.opts.Store.Current().Version, Evidence: evidence, Statements: statements, StreamVersions: versions}
 		h.stateHistory(s).addToGossip(g)
+		g.EventNumberings, s.numberingRevision = h.numberingsSince(s.numberingRevision)
 		if err := st.Send(g); err != nil {
 			return
 		}
--- a/internal/forward/outcomes.go
+++ b/internal/forward/outcomes.go
@@ -35,7 +35,7 @@
 	crashes, sound := s.promptParts.takeReport()
 	return &pb.OutcomeReport{
 		Outcomes: s.takeCallOutcomes(), Crashes: crashes, SoundParts: sound, Statements: s.takeStatements(), StreamVersions: s.takeStreamVersions(),
-		RouteServices: s.takeRouteServices(),
+		RouteServices: s.takeRouteServices(), EventNumberings: s.takeEventNumberings(),
 	}
 }
 
--- a/policy/event_numbering.go
+++ b/policy/event_numbering.go
@@ -10,6 +10,9 @@
 	maxNumberedStreams = 1 << 20
 	teachingUpstreams  = 2
 	streamsPerTeacher  = 3
+	// aloneFactor times as many streams are needed of an upstream that teaches alone, unless
+	// the events of another software version are numbered one by one.
+	aloneFactor = 3
 	// contradictingUpstreams is the number of upstreams whose streams have gaps that
 	// together show that the service does not number its events one by one. Each counts for
 	// gapMemory.
@@ -24,11 +27,9 @@
 
 // EventNumbering learns whether the events of a service are numbered one by one, so that a
 // gap between two numbers is a piece that is missing. A single upstream with a fault
-// neither teaches that nor the opposite. It is not safe for concurrent use.
+// neither teaches that nor the opposite if there are others. It is not safe for concurrent use.
 type EventNumbering struct {
-	oneByOne bool
-	// required is the number of streams needed; 0 for numberedStreams.
-	required int
+	state NumberingState
 	// streams counts the streams without a gap by upstream, and total all of them.
 	streams map[string]int
 	total   int
@@ -39,13 +40,32 @@
 }
 
 // OneByOne reports whether the events are known to be numbered one by one.
-func (n *EventNumbering) OneByOne() bool { return n.oneByOne }
+func (n *EventNumbering) OneByOne() bool { return n.state.OneByOne() }
+
+// State returns what is known, for Merge at another entry.
+func (n *EventNumbering) State() NumberingState { return n.state }
+
+// Merge applies what another entry knows, and reports whether that is newer.
+func (n *EventNumbering) Merge(state NumberingState) bool {
+	if !n.state.Merge(state) {
+		return false
+	}
+	n.streams, n.total = nil, 0
+	return true
+}
+
+// required returns the number of streams that are needed to learn it.
+func (n *EventNumbering) required() int {
+	return min(numberedStreams<<min(n.state.Changes/2, 32), maxNumberedStreams)
+}
 
 // RecordStream records a stream of an upstream, or a part of one, without a gap.
-func (n *EventNumbering) RecordStream(upstream string, now time.Duration) {
+// otherVersion tells whether the events of another software version of the service are
+// numbered one by one.
+func (n *EventNumbering) RecordStream(upstream string, now time.Duration, otherVersion bool) {
 	n.prune(now)
 	n.gapsInARow = 0
-	if _, gaps := n.gaps[upstream]; gaps || n.oneByOne || len(n.gaps) >= contradictingUpstreams {
+	if _, gaps := n.gaps[upstream]; gaps || n.OneByOne() && !n.state.Alone || len(n.gaps) >= contradictingUpstreams {
 		return
 	}
 	if n.streams == nil {
@@ -62,8 +82,18 @@
 			teachers++
 		}
 	}
-	if n.total >= max(n.required, numberedStreams) && teachers >= teachingUpstreams {
-		n.oneByOne, n.streams, n.total = true, nil, 0
+	alone := n.required()
+	if !otherVersion {
+		alone *= aloneFactor
+	}
+	switch {
+	case n.state.Alone:
+		n.state.Alone = teachers < teachingUpstreams
+	case n.total >= n.required() && teachers >= teachingUpstreams:
+		n.state.Changes++
+		n.streams, n.total = nil, 0
+	case n.streams[upstream] >= alone && len(n.gaps) == 0:
+		n.state = NumberingState{Changes: n.state.Changes + 1, Alone: true}
 	}
 }
 
@@ -71,6 +101,7 @@
 func (n *EventNumbering) RecordGap(upstream string, now time.Duration) {
 	n.prune(now)
 	n.gapsInARow++
+	again := len(n.gaps) > 0
 	if n.gaps == nil {
 		n.gaps = map[string]time.Duration{}
 	}
@@ -79,13 +110,13 @@
 	}
 	n.total -= n.streams[upstream]
 	delete(n.streams, upstream)
-	if len(n.gaps) < contradictingUpstreams && n.gapsInARow < contradictingStreams {
+	if len(n.gaps) < contradictingUpstreams && n.gapsInARow < contradictingStreams && !(n.state.Alone && again) {
 		return
 	}
-	if n.oneByOne {
-		n.required = min(2*max(n.required, numberedStreams), maxNumberedStreams)
+	if n.OneByOne() {
+		n.state = NumberingState{Changes: n.state.Changes + 1}
 	}
-	n.oneByOne, n.streams, n.total = false, nil, 0
+	n.streams, n.total = nil, 0
 }
 
 func (n *EventNumbering) prune(now time.Duration) {
