policy: short prompts are prefilled together on a decode engine

Cause: the pool has two decode engines and no prefill engine, so each prompt is prefilled locally, one at a time on each engine and with a cooldown of 120 ms after the first event, whatever its length. With prompts of 100 tokens that is five requests a second for each engine. The limit protects the running answers from pauses of up to 180 ms, and such a prompt takes a few milliseconds.

They wait for a long local prefill and its cooldown as before, so that the pause grows by at most one short prefill.

--- a/internal/scheduler/holds.go
+++ b/internal/scheduler/holds.go
@@ -100,6 +100,9 @@
 		h.decode.held.add(now, dec.HeldPieces, dec.Batch)
 	}
 	switch {
+	case h.localPrefill && policy.IsShortPrompt(int(h.promptTokens)):
+		h.localPrefillActive = true
+		dec.ShortPromptTokens += int(h.promptTokens)
 	case h.localPrefill:
 		h.localPrefillActive = true
 		dec.LocalPrefills++
@@ -136,16 +139,20 @@
 	}
 }
 
-// endLocalPrefill ends a local prefill. The engine gets no other one for a
-// cooldown, in which it only decodes.
+// endLocalPrefill ends a local prefill. The engine gets no other one for a cooldown, in
+// which it only decodes, unless the prompt was short.
 func (h *hold) endLocalPrefill(now time.Duration) {
 	if !h.localPrefillActive {
 		return
 	}
 	h.localPrefillActive = false
-	if h.localPrefill {
+	switch {
+	case h.localPrefill && policy.IsShortPrompt(int(h.promptTokens)):
+		h.decode.view.ShortPromptTokens -= int(h.promptTokens)
+		return
+	case h.localPrefill:
 		h.decode.view.LocalPrefills--
-	} else {
+	default:
 		h.decode.view.GeneratedTokens -= int(h.regeneratedTokens)
 	}
 	h.decode.view.NextLocalPrefill = now + policy.LocalPrefillCooldown
--- a/policy/engine.go
+++ b/policy/engine.go
@@ -60,6 +60,9 @@
 	// GeneratedTokens are the tokens of earlier attempts that this decode engine reads
 	// again, for the streams that it resumes and that have no event yet.
 	GeneratedTokens int
+	// ShortPromptTokens are the prompt tokens of the short local prefills in progress on
+	// this decode engine, which LocalPrefills does not count.
+	ShortPromptTokens int
 	// BacklogTokens are the prompt tokens granted to this prefill engine whose
 	// prefill has not finished. UrgentTokens are those of urgent requests.
 	BacklogTokens int
--- a/policy/local_prefill.go
+++ b/policy/local_prefill.go
@@ -32,10 +32,19 @@
 // prefill this many in two chunks.
 const MinLocalPrefillTokens = 512
 
-// CanPrefillLocally reports whether a decode engine may start a local prefill
-// now: none is in progress and the cooldown has ended.
+// IsShortPrompt reports whether prefilling a prompt on a decode engine takes too short to
+// count as a local prefill by itself.
+func IsShortPrompt(promptTokens int) bool { return promptTokens < MinLocalPrefillTokens }
+
+// CanPrefillLocally reports whether a decode engine may start a local prefill now: none is
+// in progress and the cooldown has ended. Short prompts do not count, as long as those in
+// progress are together as long as a short one.
 func CanPrefillLocally(q *Query, e *Engine) bool {
-	return e.LocalPrefills == 0 && e.GeneratedTokens == 0 && q.Now >= e.NextLocalPrefill
+	if e.LocalPrefills > 0 || e.GeneratedTokens > 0 || q.Now < e.NextLocalPrefill {
+		return false
+	}
+	tokens := q.Request.PromptTokens
+	return !IsShortPrompt(tokens) || IsShortPrompt(e.ShortPromptTokens+tokens)
 }
 
 // CanResume reports whether a decode engine may take a stream to resume, whose generated
