forward: first streams of a new version go on with the next number

Cause: nothing is known of a version before ten streams, also if all other versions of the service number their events one by one.

A stream that has broken off, or is taken up, must now go on with the next number if another version of the service numbers one by one and no gap was seen in a stream of its own version within ten minutes.

--- a/internal/forward/event_numbers.go
+++ b/internal/forward/event_numbers.go
@@ -101,9 +101,11 @@
 		} else {
 			numbering.starts.RecordGap(a.t.address, now)
 		}
-	case !fresh && follows:
+	case fresh:
+		learned = learned || a.s.numbering.likelyOneByOne(a.key, numbering, now)
+	case follows:
 		a.steps++
-	case !fresh:
+	default:
 		numbering.steps.RecordGap(a.t.address, now)
 		a.steps = 0
 	}
--- a/internal/forward/shared_numbering.go
+++ b/internal/forward/shared_numbering.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"time"
+
 	pb "godwitward.example/godwitward/api/godwitward/v1"
 	"godwitward.example/godwitward/policy"
 )
@@ -24,6 +26,14 @@
 	return known
 }
 
+// likelyOneByOne reports whether a stream that has broken off should go on with the next
+// number, though too few streams of its software version were seen: another version of the
+// service numbers events one by one, and nothing says that this one does not. The caller
+// holds mu.
+func (n *eventNumbering) likelyOneByOne(key numberingKey, known *numbering, now time.Duration) bool {
+	return known.steps.Unknown(now) && known.starts.Unknown(now) && n.otherVersion(key).steps
+}
+
 // noteChanges reports a numbering to the hubs at once if it isn't as before. The caller
 // holds the mutex of s.numbering.
 func (s *Server) noteChanges(key numberingKey, n *numbering, before numberingStates) {
--- a/policy/event_numbering.go
+++ b/policy/event_numbering.go
@@ -42,6 +42,12 @@
 // OneByOne reports whether the events are known to be numbered one by one.
 func (n *EventNumbering) OneByOne() bool { return n.state.OneByOne() }
 
+// Unknown reports whether nothing speaks for or against events that are numbered one by one.
+func (n *EventNumbering) Unknown(now time.Duration) bool {
+	n.prune(now)
+	return n.state.Changes == 0 && len(n.gaps) == 0 && n.gapsInARow == 0
+}
+
 // State returns what is known, for Merge at another entry.
 func (n *EventNumbering) State() NumberingState { return n.state }
 
