--- a/internal/soak/check_stream_test.go
+++ b/internal/soak/check_stream_test.go
@@ -135,6 +135,18 @@
 	}
 }
 
+// Guards against engines that all have one software version: with as many runners of the
+// plain service, only the others of the small shape differed.
+func TestEnginesOfTheSmallShapeHaveTwoVersions(t *testing.T) {
+	versions := map[int]int{}
+	for i := range 5 {
+		if e := smallShape.engine(i, 5); e.stage == standin.StageDecode {
+			versions[e.version]++
+		}
+	}
+	require.Equal(t, map[int]int{0: 2, 1: 2}, versions)
+}
+
 // Guards against a shape in which a broken stream has no engine to go on at, or a prompt no
 // prefill engine.
 func TestKiritaniHasEnginesOfEachKind(t *testing.T) {
--- a/internal/soak/shape.go
+++ b/internal/soak/shape.go
@@ -67,19 +67,20 @@
 	return shape{}, errors.Errorf("unknown shape %q", o.Shape)
 }
 
-// engine is what a runner is like, apart from its software.
+// engine is what a runner, and each one that takes its place, is like.
 type engine struct {
 	service, stage string
-	weights        int
-	interval       time.Duration
+	// version is the number of its software version before any release.
+	version, weights int
+	interval         time.Duration
 }
 
-// engine returns the i-th of n engines. Each service has a prefill engine, and each version
+// engine returns the i-th of n engines. Versions of the software alternate. Each service has a prefill engine, and each version
 // of the weights at least one decode engine of each service.
 func (sh *shape) engine(i, n int) engine {
 	inService := i / len(sh.services)
 	e := engine{
-		service: sh.services[i%len(sh.services)], stage: standin.StageDecode,
+		service: sh.services[i%len(sh.services)], stage: standin.StageDecode, version: i % sh.softwareVersions,
 		weights:  1 + inService%sh.weights,
 		interval: time.Duration(float64(sh.eventInterval) * (1 + (sh.slowest-1)*float64(i)/float64(n))),
 	}
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -215,7 +215,7 @@
 	if err != nil {
 		return errors.Wrap(err, "starting a proxy")
 	}
-	version := fmt.Sprintf("v%d", int(n)%s.shape.softwareVersions)
+	version := fmt.Sprintf("v%d", e.version)
 	if release := s.releases.Load(); release > 0 && e.stage != standin.StagePlain {
 		version = fmt.Sprintf("v%d", int64(s.shape.softwareVersions)-1+release)
 	}
