--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -125,6 +125,7 @@
 		Outcomes:    server.Outcomes, Reported: server.Reported, ReportNow: server.ReportNow(), OnErrorShares: server.SetErrorShares,
 		OnEvidence: server.SetEvidence, Quarantined: server.Quarantined, StreamVersions: server.StreamVersions, OnStatements: server.SetStatements, OnServiceVersions: server.SetServiceVersions,
 		RouteServices: server.RouteServices, OnRouteServices: server.SetRouteServices,
+		EventNumberings: server.EventNumberings, OnEventNumberings: server.SetEventNumberings,
 	})
 	server.SetStreamVersionSource(subscriber)
 	server.SetPermits(&permits{subscriber: subscriber, logger: e.logger})
