--- a/internal/forward/versions.go
+++ b/internal/forward/versions.go
@@ -296,21 +296,22 @@
 		x.refuse("stream_version_unknown", x.retryAfter())
 		return false
 	}
+	x.run = &v.Versions
+	x.recordNumber, x.firstID = v.Attempt+takeUpStep, v.First
+	if x.firstID == "" && x.versionsFrom != versionsOfOnly {
+		x.firstID = v.ID
+	}
+	// The caller may name this request next, also if it is refused.
+	x.recordRun()
 	if !slices.Contains(x.route.services(), v.Versions.Service) {
 		x.refuse("stream_service_gone", x.capRetryAfter(streamGoneRetryAfter))
 		return false
 	}
 	x.service = x.config.Services[v.Versions.Service]
-	x.run = &v.Versions
 	if v.Versions.Model != x.info.Model || !x.versionServed() {
 		x.refuse("stream_version_gone", x.capRetryAfter(streamGoneRetryAfter))
 		return false
 	}
-	x.recordNumber, x.firstID = v.Attempt+takeUpStep, v.First
-	if x.firstID == "" && x.versionsFrom != versionsOfOnly {
-		x.firstID = v.ID
-	}
-	x.recordRun()
 	return true
 }
 
