--- a/api/godwitward/v1/text_fields_test.go
+++ b/api/godwitward/v1/text_fields_test.go
@@ -26,9 +26,10 @@
 		UpstreamAddress.id UpstreamAddress.url Hold.prefill_id Hold.decode_id UpstreamState.id UpstreamState.url UpstreamState.place UpstreamState.region UpstreamState.service
 		UpstreamState.models UpstreamState.software_version UpstreamRecord.id UpstreamRecord.service UpstreamRecord.address UpstreamRecord.place UpstreamRecord.models
 		UpstreamRecord.software_version UpstreamStatement.id SendPermitResponse.id ErrorShare.id StreamVersion.version ServiceVersion.service ServiceVersion.version ServiceVersion.model ServiceVersion.weights
-		EventNumbering.version StreamVersion.weights UpstreamState.weights UpstreamRecord.weights CrashedPrompt.engine_id
+		EventNumbering.version StreamVersion.earlier_weights StreamVersion.weights UpstreamState.weights UpstreamRecord.weights CrashedPrompt.engine_id
 		UpstreamOutcomes.id Event.upstream`,
-	"upstreams: a response header that cannot be encoded is left out by transport": `Attribute.value`,
+	"upstreams: ids of events that are not valid UTF-8 are left out by internal/forward": `StreamVersion.changed_after`,
+	"upstreams: a response header that cannot be encoded is left out by transport":       `Attribute.value`,
 }
 
 // Guards against a new text from outside that cannot be encoded and ends the streams
--- a/internal/feed/version_history.go
+++ b/internal/feed/version_history.go
@@ -22,6 +22,8 @@
 	observedSince time.Duration
 	// reportsSince is the time since which the table has held all upstreams.
 	reportsSince time.Duration
+	// restored is set once what was stored has been applied.
+	restored bool
 }
 
 // restoreVersions applies what was stored before the daemon started.
@@ -41,6 +43,7 @@
 			}
 		}
 	}
+	h.restored = true
 	if h.opts.StreamLog != nil {
 		h.opts.StreamLog.SetHistory(h.addHistory)
 	}
@@ -52,7 +55,7 @@
 		if h.byService[v.Service] == nil {
 			h.byService[v.Service] = &policy.VersionHistory{}
 		}
-		if h.byService[v.Service].Seen(v, at) && h.opts.StreamLog != nil {
+		if h.byService[v.Service].Seen(v, at) && h.restored && h.opts.StreamLog != nil {
 			h.opts.StreamLog.HistoryChanged()
 		}
 	}
--- a/internal/fleet/versions.go
+++ b/internal/fleet/versions.go
@@ -34,7 +34,7 @@
 // EncodeStreamVersion returns a record as it is sent at a time.
 func EncodeStreamVersion(v policy.StreamVersion, now time.Duration) *pb.StreamVersion {
 	return &pb.StreamVersion{
-		Id: v.ID, FirstId: v.First, Attempt: uint32(v.Attempt), AgeMs: uint32(max(0, now-v.RecordedAt).Milliseconds()),
+		Id: v.ID, FirstId: v.First, ChangedAfter: v.ChangedAfter, EarlierWeights: v.EarlierWeights, Attempt: uint32(v.Attempt), AgeMs: uint32(max(0, now-v.RecordedAt).Milliseconds()),
 		Service: v.Versions.Service, Version: v.Versions.Software, Model: v.Versions.Model, Weights: v.Versions.Weights,
 	}
 }
@@ -43,7 +43,7 @@
 // does not tell the service.
 func DecodeStreamVersion(m *pb.StreamVersion, now time.Duration) (v policy.StreamVersion, known bool) {
 	return policy.StreamVersion{
-		ID: m.Id, First: m.FirstId, Attempt: int(m.Attempt), RecordedAt: now - time.Duration(m.AgeMs)*time.Millisecond,
+		ID: m.Id, First: m.FirstId, ChangedAfter: m.ChangedAfter, EarlierWeights: m.EarlierWeights, Attempt: int(m.Attempt), RecordedAt: now - time.Duration(m.AgeMs)*time.Millisecond,
 		Versions: policy.RunVersions{Service: m.Service, Software: m.Version, Model: m.Model, Weights: m.Weights},
 	}, m.Service != ""
 }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -52,6 +52,9 @@
 	recordNumber int
 	versionsFrom string
 	firstID      string
+	// changedAfter is the id of the last event before the weights changed in the middle of a
+	// run, and earlierWeights those before; empty if they have not.
+	changedAfter, earlierWeights string
 	// freeUsed is set while the one request that does not count against the retry budget
 	// is used, see charge.
 	freeUsed bool
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -94,6 +94,9 @@
 	}
 	if x.checkStatement(t, res) != 0 {
 		ch.spend()
+		if x.reason == reasonOtherWeights {
+			return nil
+		}
 		x.s.recordPrefillRejection(x.service.Name)
 		if l := res.info.Load; l != nil && l.Running+l.Waiting < l.Slots {
 			t.recordFailure(x.s.now(), policy.FaultUnavailable)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -255,7 +255,9 @@
 	numbers := x.s.newAttemptEvents(t, x.service.Name, st.lastEventID)
 	defer numbers.end()
 	versions := x.versionsOf(res)
-	// first is set until the run has sent text or an id. Comments belong to no run.
+	// first is set until the run has sent text or an id. comments holds what came before:
+	// it is passed on with the text of the run, or with its end.
+	var comments []byte
 	for first := true; ; {
 		_ = res.conn.SetReadDeadline(time.Now().Add(x.eventTimeout(st)))
 		ev, err := rd.next()
@@ -266,7 +268,7 @@
 			return sendOutcomeUnknown
 		}
 		if err == io.EOF {
-			return x.completeStream(t, res, st, flusher)
+			return x.completeStream(t, res, st, flusher, comments)
 		}
 		if err != nil {
 			return x.handleStreamError(t, res, err)
@@ -294,14 +296,20 @@
 			t.observeWeights(x.info.Model, weights, x.s.now())
 		}
 		if ev.hasData || ev.id != "" {
-			if !x.admitVersions(versions, first) {
+			if !x.admitVersions(versions, first, st.lastEventID) {
 				res.close(false)
 				return sendOutcomeUnknown
 			}
 			if first {
 				x.logRun(res, versions, st)
 			}
-			first = false
+			ev.raw = append(comments, ev.raw...)
+			first, comments = false, nil
+		} else if first {
+			if comments = append(comments, ev.raw...); len(comments) > maxEventBytes {
+				return x.handleStreamError(t, res, errEventTooLong)
+			}
+			continue
 		}
 		if !st.headWritten {
 			x.startStream(res, st)
@@ -355,12 +363,13 @@
 	return min(remaining, max(minGapTimeout, gapTimeoutFactor*x.route.EventGapTarget))
 }
 
-func (x *exchange) completeStream(t *target, res *upstreamResponse, st *streamState, flusher *http.ResponseController) sendResult {
+func (x *exchange) completeStream(t *target, res *upstreamResponse, st *streamState, flusher *http.ResponseController, comments []byte) sendResult {
 	if !st.headWritten {
 		x.startStream(res, st)
-		// If the caller has disconnected, the request's context is cancelled.
-		_ = flusher.Flush()
 	}
+	// If the caller has disconnected, the request's context is cancelled.
+	_, _ = x.w.Write(comments)
+	_ = flusher.Flush()
 	res.close(true)
 	t.recordSuccess(x.s.now())
 	x.outcome = "answered"
--- a/internal/forward/versions.go
+++ b/internal/forward/versions.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
 	"godwitward.example/godwitward/internal/fleet"
@@ -34,6 +35,8 @@
 	confirmInterval = 5 * time.Millisecond
 	// maxUnreported limits the records that wait for a report.
 	maxUnreported = 4096
+	// maxRecordedEventID limits, in bytes, the ids of events in records.
+	maxRecordedEventID = 64
 	// takeUpStep is added to the number of a stream's record by each request that takes the
 	// stream up, so that an earlier answer that goes on does not replace its records.
 	takeUpStep = 1 << 10
@@ -60,10 +63,9 @@
 // must be called before the first request.
 func (s *Server) SetStreamVersionSource(src StreamVersionSource) { s.versionSource = src }
 
-// recordStream records the versions of a stream under the ids of requests that bring its
-// events, the first of which is named if it is known. It returns the number to wait for with
-// awaitReport.
-func (s *Server) recordStream(ids []string, first string, versions policy.RunVersions, number int) uint64 {
+// recordStream records v under the ids of requests that bring events of a stream. It returns
+// the number to wait for with awaitReport.
+func (s *Server) recordStream(ids []string, v policy.StreamVersion) uint64 {
 	l := &s.streamVersions
 	l.mu.Lock()
 	if l.recorded == l.reported {
@@ -73,8 +75,9 @@
 		// No hub is attached. The next one is sent all that is known.
 		l.unreported = nil
 	}
+	first := v.First
 	for _, id := range ids {
-		v := policy.StreamVersion{ID: id, Versions: versions, Attempt: number, RecordedAt: s.now()}
+		v.ID, v.First, v.RecordedAt = id, "", s.now()
 		if id != first {
 			v.First = first
 		}
@@ -83,7 +86,9 @@
 		l.recorded++
 	}
 	// A response may state weights that no report has named.
-	l.seen(versions, s.now())
+	if v.Versions.Model != "" || v.Versions.Weights != "" {
+		l.seen(v.Versions, s.now())
+	}
 	n := l.recorded
 	l.mu.Unlock()
 	s.reportNow.signal()
@@ -229,6 +234,10 @@
 			}
 		}
 		if known {
+			if v.ChangedAfter != "" && !follows(x.info.LastEventID, v.ChangedAfter) {
+				// The caller has no event with the newer weights.
+				v.Versions.Weights = v.EarlierWeights
+			}
 			return v, true
 		}
 	}
@@ -238,7 +247,9 @@
 	}
 	v.Versions, known = x.s.onlyVersions(services[0], x.info.Model)
 	x.versionsFrom = versionsOfOnly
-	return v, known
+	// What arrived after the services were read may be why all versions are known.
+	again, complete := x.s.possibleServices(x.route)
+	return v, known && complete && slices.Equal(again, services) && x.s.config.Load() == x.config
 }
 
 // findRecord returns the newest record under an id, which the entry or a hub has.
@@ -371,15 +382,18 @@
 	}
 	slices.Sort(ids)
 	ids = slices.Compact(ids)
-	return x.s.recordStream(ids, x.firstID, *x.run, x.recordNumber)
+	return x.s.recordStream(ids, policy.StreamVersion{
+		First: x.firstID, Versions: *x.run, Attempt: x.recordNumber, ChangedAfter: x.changedAfter, EarlierWeights: x.earlierWeights,
+	})
 }
 
 // admitVersions reports whether an event of a run with the versions v may be relayed, and
 // ties the rest of the stream to them. first is set for the first event of the run. Weights
 // may change later in a run: the engine itself goes on with the text that it has written.
 // Nobody else must go back to the weights that it has left, so the event waits until a hub
-// knows the change.
-func (x *exchange) admitVersions(v policy.RunVersions, first bool) bool {
+// knows the change. last is the id of the event before: a caller that has no later one can
+// go on at the earlier weights.
+func (x *exchange) admitVersions(v policy.RunVersions, first bool, last string) bool {
 	switch {
 	case x.run == nil:
 		x.run, x.recordNumber, x.firstID = &v, 1, x.info.ID
@@ -394,14 +408,17 @@
 		x.reason = "other_versions"
 		return false
 	}
-	before := *x.run
-	x.run = &v
+	before, changedAfter, earlier := *x.run, x.changedAfter, x.earlierWeights
+	x.run, x.changedAfter, x.earlierWeights = &v, "", ""
+	if utf8.ValidString(last) && len(last) <= maxRecordedEventID {
+		x.changedAfter, x.earlierWeights = last, before.Weights
+	}
 	x.recordNumber++
 	x.recordRun()
 	if !x.route.Repeatable() || x.recordConfirmed() {
 		return true
 	}
-	x.run = &before
+	x.run, x.changedAfter, x.earlierWeights = &before, changedAfter, earlier
 	x.recordNumber++
 	x.recordRun()
 	x.reason = "weights_not_recorded"
--- a/internal/forward/versions_test.go
+++ b/internal/forward/versions_test.go
@@ -57,7 +57,7 @@
 	hub.take(x.s)
 	_, known := hub.StreamVersion(x.ctx, "a")
 	require.False(t, known, "no event has arrived")
-	require.True(t, x.admitVersions(weightsOfRun("2"), true))
+	require.True(t, x.admitVersions(weightsOfRun("2"), true, "1"))
 	hub.take(x.s)
 	v, known := hub.StreamVersion(x.ctx, "a")
 	require.True(t, known)
@@ -70,12 +70,12 @@
 	for _, silent := range []bool{false, true} {
 		hub := &versionHub{}
 		x := versionExchange(hub)
-		require.True(t, x.admitVersions(weightsOfRun("1"), true))
+		require.True(t, x.admitVersions(weightsOfRun("1"), true, "1"))
 		<-x.s.reportNow
 		hub.take(x.s)
 		hub.silent.Store(silent)
 		admitted := make(chan bool)
-		go func() { admitted <- x.admitVersions(weightsOfRun("2"), false) }()
+		go func() { admitted <- x.admitVersions(weightsOfRun("2"), false, "1") }()
 		<-x.s.reportNow
 		hub.take(x.s)
 		require.Equal(t, !silent, <-admitted)
@@ -95,13 +95,13 @@
 func TestEarlierAnswersDoNotReplaceTheRecordOfATakeUp(t *testing.T) {
 	hub := &versionHub{}
 	first := versionExchange(hub)
-	require.True(t, first.admitVersions(weightsOfRun("1"), true))
+	require.True(t, first.admitVersions(weightsOfRun("1"), true, "1"))
 	<-first.s.reportNow
 	hub.take(first.s)
 	v, _ := hub.StreamVersion(first.ctx, "a")
 	hub.known.Record(policy.StreamVersion{ID: "a", Versions: v.Versions, Attempt: v.Attempt + takeUpStep, RecordedAt: time.Second}, time.Second)
 	admitted := make(chan bool)
-	go func() { admitted <- first.admitVersions(weightsOfRun("2"), false) }()
+	go func() { admitted <- first.admitVersions(weightsOfRun("2"), false, "1") }()
 	<-first.s.reportNow
 	hub.take(first.s)
 	require.False(t, <-admitted)
--- a/policy/stream_versions.go
+++ b/policy/stream_versions.go
@@ -18,6 +18,9 @@
 	// first one. The newest record of a stream is kept under it too.
 	First    string
 	Versions RunVersions
+	// ChangedAfter is the id of the last event before the weights changed in the middle of a
+	// run, and EarlierWeights those up to it; empty if they have not.
+	ChangedAfter, EarlierWeights string
 	// Attempt is the number of the record. A later one replaces the earlier ones.
 	Attempt int
 	// RecordedAt is when the stream was last known to be in use.
@@ -79,6 +82,10 @@
 	s.order = s.order[n:]
 }
 
+// seenTolerance is the difference up to which two times count as the same: a time that
+// daemons pass on to each other grows by the time of transfer.
+const seenTolerance = time.Second
+
 // VersionHistory tells which versions the upstreams of a service have had.
 type VersionHistory struct {
 	seenAt map[RunVersions]time.Duration
@@ -91,7 +98,7 @@
 		h.seenAt = map[RunVersions]time.Duration{}
 	}
 	known, ok := h.seenAt[v]
-	if !ok || at > known {
+	if !ok || at > known+seenTolerance {
 		h.seenAt[v] = at
 	}
 	return !ok
@@ -101,7 +108,7 @@
 // when each was last seen.
 func (h *VersionHistory) Versions(now time.Duration) map[RunVersions]time.Duration {
 	for v, at := range h.seenAt {
-		if now-at > streamVersionTTL {
+		if now-at > streamVersionTTL+seenTolerance {
 			delete(h.seenAt, v)
 		}
 	}
