--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -23,6 +23,10 @@
 	hasData bool
 }
 
+// belongsToRun reports whether the event is part of what an engine has generated. Comments
+// are not.
+func (ev *event) belongsToRun() bool { return ev.hasData || ev.id != "" }
+
 // follows reports whether an event may be relayed after the one with the id last. Ids
 // increase. An engine that was asked to go on after an event and sends it again, or an
 // earlier one, has begun a run of its own, whose text may differ.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -248,100 +248,126 @@
 	return sendDone
 }
 
+// streamRun is the part of a stream that one response brings.
+type streamRun struct {
+	t       *target
+	res     *upstreamResponse
+	numbers *attemptEvents
+	// versions are those of the newest event.
+	versions policy.RunVersions
+	// first is set until the run has sent text or an id. comments holds what came before: it
+	// is passed on with the text of the run, or with its end.
+	first    bool
+	comments []byte
+}
+
 // relayEvents relays events to the caller as they arrive, each only when complete.
 func (x *exchange) relayEvents(t *target, res *upstreamResponse, st *streamState) sendResult {
 	flusher := http.NewResponseController(x.w)
 	rd := &eventReader{rd: bufio.NewReaderSize(res.resp.Body, readBufferBytes)}
-	numbers := x.s.newAttemptEvents(t, x.service.Name, st.lastEventID)
-	defer numbers.end()
-	versions := x.versionsOf(res)
-	// first is set until the run has sent text or an id. comments holds what came before:
-	// it is passed on with the text of the run, or with its end.
-	var comments []byte
-	for first := true; ; {
+	run := &streamRun{t: t, res: res, numbers: x.s.newAttemptEvents(t, x.service.Name, st.lastEventID), versions: x.versionsOf(res), first: true}
+	defer run.numbers.end()
+	for {
 		_ = res.conn.SetReadDeadline(time.Now().Add(x.eventTimeout(st)))
 		ev, err := rd.next()
-		if first && err == io.EOF && x.run != nil && (t.replaced.Load() || versions != *x.run) {
-			// Another run has nothing to add, which tells nothing about this stream.
-			res.close(false)
-			x.reason = "other_versions"
-			return sendOutcomeUnknown
-		}
 		if err == io.EOF {
-			return x.completeStream(t, res, st, flusher, comments)
+			return x.endRun(run, st, flusher)
 		}
 		if err != nil {
 			return x.handleStreamError(t, res, err)
 		}
-		if !follows(ev.id, st.lastEventID) {
-			res.close(false)
-			t.recordFailure(x.s.now(), policy.FaultError)
-			x.reason = "event_out_of_order"
-			return sendOutcomeUnknown
-		}
-		if first && t.replaced.Load() {
-			// The answer may be that of the new process, whose software may be another.
-			res.close(false)
-			x.reason = "upstream_replaced"
-			return sendOutcomeUnknown
-		}
-		if numbers.leavesGap(ev.id) {
+		if !x.admitEvent(run, &ev, st) {
 			res.close(false)
-			t.recordFailure(x.s.now(), policy.FaultError)
-			x.reason = "event_gap"
 			return sendOutcomeUnknown
 		}
-		if weights, changed := x.s.opts.Protocol.EventWeights(ev.raw); changed {
-			versions.Weights = weights
-			t.observeWeights(x.info.Model, weights, x.s.now())
-		}
-		if ev.hasData || ev.id != "" {
-			if !x.admitVersions(versions, first, st.lastEventID) {
-				res.close(false)
-				return sendOutcomeUnknown
-			}
-			if first {
-				x.logRun(res, versions, st)
-			}
-			ev.raw = append(comments, ev.raw...)
-			first, comments = false, nil
-		} else if first {
-			if comments = append(comments, ev.raw...); len(comments) > maxEventBytes {
+		if run.first && !ev.belongsToRun() {
+			if run.comments = append(run.comments, ev.raw...); len(run.comments) > maxEventBytes {
 				return x.handleStreamError(t, res, errEventTooLong)
 			}
 			continue
 		}
-		if !st.headWritten {
-			x.startStream(res, st)
-		}
-		_, writeErr := x.w.Write(ev.raw)
-		if writeErr == nil {
-			writeErr = flusher.Flush()
-		}
-		if writeErr != nil {
+		ev.raw = append(run.comments, ev.raw...)
+		run.first, run.comments = false, nil
+		if !x.writeEvent(res, &ev, st, flusher) {
 			res.close(false)
 			x.reason = "caller_left"
 			return sendOutcomeUnknown
 		}
-		now := time.Now()
-		if st.events == 0 {
-			st.firstEventAt = now
-			x.s.promptParts.recordAnswer(x.parts, x.s.now())
-			x.firstEventTime = now.Sub(x.receivedAt)
-			x.s.vars.firstEventTime.Record(x.firstEventTime)
-		} else {
-			x.maxGap = max(x.maxGap, now.Sub(st.lastEventAt))
-		}
-		st.lastEventAt = now
-		st.events++
-		if ev.id != "" {
-			st.lastEventID = ev.id
-		} else if ev.hasData {
-			st.unnumbered = true
-		}
 	}
 }
 
+// endRun ends the stream with its last run. One that fits nothing before it and has sent
+// nothing tells nothing about the stream.
+func (x *exchange) endRun(run *streamRun, st *streamState, flusher *http.ResponseController) sendResult {
+	if run.first && x.run != nil && (run.t.replaced.Load() || run.versions != *x.run) {
+		run.res.close(false)
+		x.reason = "other_versions"
+		return sendOutcomeUnknown
+	}
+	return x.completeStream(run, st, flusher)
+}
+
+// admitEvent reports whether an event of a run may be passed on, and otherwise sets the
+// reason.
+func (x *exchange) admitEvent(run *streamRun, ev *event, st *streamState) bool {
+	switch {
+	case !follows(ev.id, st.lastEventID):
+		run.t.recordFailure(x.s.now(), policy.FaultError)
+		x.reason = "event_out_of_order"
+		return false
+	case run.first && run.t.replaced.Load():
+		// The answer may be that of the new process, whose software may be another.
+		x.reason = "upstream_replaced"
+		return false
+	case run.numbers.leavesGap(ev.id):
+		run.t.recordFailure(x.s.now(), policy.FaultError)
+		x.reason = "event_gap"
+		return false
+	}
+	if weights, changed := x.s.opts.Protocol.EventWeights(ev.raw); changed {
+		run.versions.Weights = weights
+		run.t.observeWeights(x.info.Model, weights, x.s.now())
+	}
+	if !ev.belongsToRun() {
+		return true
+	}
+	if !x.admitVersions(run.versions, run.first, st.lastEventID) {
+		return false
+	}
+	if run.first {
+		x.logRun(run.res, run.versions, st)
+	}
+	return true
+}
+
+// writeEvent passes an event on and updates the progress of the stream. It returns false if
+// the caller has left.
+func (x *exchange) writeEvent(res *upstreamResponse, ev *event, st *streamState, flusher *http.ResponseController) bool {
+	if !st.headWritten {
+		x.startStream(res, st)
+	}
+	if _, err := x.w.Write(ev.raw); err != nil || flusher.Flush() != nil {
+		return false
+	}
+	now := time.Now()
+	if st.events == 0 {
+		st.firstEventAt = now
+		x.s.promptParts.recordAnswer(x.parts, x.s.now())
+		x.firstEventTime = now.Sub(x.receivedAt)
+		x.s.vars.firstEventTime.Record(x.firstEventTime)
+	} else {
+		x.maxGap = max(x.maxGap, now.Sub(st.lastEventAt))
+	}
+	st.lastEventAt = now
+	st.events++
+	if ev.id != "" {
+		st.lastEventID = ev.id
+	} else if ev.hasData {
+		st.unnumbered = true
+	}
+	return true
+}
+
 func (x *exchange) startStream(res *upstreamResponse, st *streamState) {
 	st.headWritten = true
 	x.status = res.resp.StatusCode
@@ -363,15 +389,15 @@
 	return min(remaining, max(minGapTimeout, gapTimeoutFactor*x.route.EventGapTarget))
 }
 
-func (x *exchange) completeStream(t *target, res *upstreamResponse, st *streamState, flusher *http.ResponseController, comments []byte) sendResult {
+func (x *exchange) completeStream(run *streamRun, st *streamState, flusher *http.ResponseController) sendResult {
 	if !st.headWritten {
-		x.startStream(res, st)
+		x.startStream(run.res, st)
 	}
 	// If the caller has disconnected, the request's context is cancelled.
-	_, _ = x.w.Write(comments)
+	_, _ = x.w.Write(run.comments)
 	_ = flusher.Flush()
-	res.close(true)
-	t.recordSuccess(x.s.now())
+	run.res.close(true)
+	run.t.recordSuccess(x.s.now())
 	x.outcome = "answered"
 	return sendDone
 }
