--- a/api/godwitward/v1/text_fields_test.go
+++ b/api/godwitward/v1/text_fields_test.go
@@ -11,7 +11,7 @@
 // textFields lists every text in messages between daemons by where it enters, and so where
 // bytes that are not valid UTF-8 are dealt with.
 var textFields = map[string]string{
-	"made by daemons, or valid in their settings files": `Status.message Status.redirect Hello.daemon_id Hello.vm Hello.place Hello.process WatchRequest.daemon_id
+	"made by daemons, or valid in their settings files": `Status.message Status.redirect Hello.daemon_id Hello.vm Hello.place Hello.process Hello.build WatchRequest.daemon_id
 		PoolLease.name PoolLease.holder PoolLease.address RenewServingRequest.daemon_id AcquireLeaseRequest.name AcquireLeaseRequest.holder AcquireLeaseRequest.address
 		RenewLeaseRequest.name RenewLeaseRequest.holder ReleaseLeaseRequest.name ReleaseLeaseRequest.holder SubmitRequest.entry_id Grant.hold_id Refusal.message
 		ProgressRequest.hold_id ReleaseRequest.hold_id Hold.hold_id RestateRequest.entry_id WatchUpstreamsRequest.entry_id FeedUpdate.core FeedUpdate.leader
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -20,8 +20,10 @@
 	"godwitward.example/godwitward/internal/finding"
 	"godwitward.example/godwitward/internal/httpdrain"
 	"godwitward.example/godwitward/internal/metrics"
+	"godwitward.example/godwitward/internal/protocol"
 	"godwitward.example/godwitward/internal/relay"
 	"godwitward.example/godwitward/internal/scheduler"
+	"godwitward.example/godwitward/internal/settings"
 	"godwitward.example/godwitward/internal/streamlog"
 	"godwitward.example/godwitward/internal/transport"
 	"godwitward.example/godwitward/platform"
@@ -80,7 +82,7 @@
 		return err
 	}
 	metrics.Serve(s.SessionAddress, metricsPort, "core", d.vars(), logger)
-	logger.Info().Str("event", "process.started").Str("vm", s.VM).Str("operators", s.OperatorAddress).Msg("")
+	logger.Info().Str("event", "process.started").Str("build", settings.BuildVersion()).Uint32("level", uint32(protocol.Current)).Str("vm", s.VM).Str("operators", s.OperatorAddress).Msg("")
 	select {
 	case err := <-d.fatalErrors:
 		return err
@@ -117,7 +119,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "session address")
 	}
-	sessionOptions := transport.Options{Self: &pb.Hello{DaemonId: s.VM, Vm: s.VM, Place: s.Place, Process: "gw-core"}, Logger: logger}
+	sessionOptions := transport.Options{Self: &pb.Hello{DaemonId: s.VM, Vm: s.VM, Place: s.Place, Process: "gw-core", Build: settings.BuildVersion()}, Logger: logger}
 	d := &daemon{peers: corestore.NewPeers(s.SessionAddress, session.Port(), sessionOptions), fatalErrors: make(chan error, 4), gracePeriod: s.GracePeriod, commitTime: metrics.NewDurationHistogram(), syncTime: metrics.NewDurationHistogram()}
 	serverOptions := sessionOptions
 	serverOptions.OnSessionEnd = func(peer *pb.Hello) { d.pools.scheduler.EntrySessionEnded(peer.DaemonId) }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -23,6 +23,8 @@
 	"godwitward.example/godwitward/internal/forward"
 	"godwitward.example/godwitward/internal/httpdrain"
 	"godwitward.example/godwitward/internal/metrics"
+	"godwitward.example/godwitward/internal/protocol"
+	"godwitward.example/godwitward/internal/settings"
 	"godwitward.example/godwitward/internal/transport"
 	"godwitward.example/godwitward/platform"
 )
@@ -86,7 +88,7 @@
 	watchCtx, stopWatch := context.WithCancel(context.Background())
 	defer stopWatch()
 	go file.Watch(watchCtx)
-	e := &entryProcess{file: file, logger: logger, self: &pb.Hello{DaemonId: s.VM, Vm: s.VM, Place: s.Place, Process: "gw-edge"}}
+	e := &entryProcess{file: file, logger: logger, self: &pb.Hello{DaemonId: s.VM, Vm: s.VM, Place: s.Place, Process: "gw-edge", Build: settings.BuildVersion()}}
 	server := e.newServer(forward.NewDialFunc(opts.SourceAddress))
 	subscriber := e.subscribe(server, func() []string { return file.Current().SeedAddresses })
 	e.subscriber.Store(subscriber)
@@ -203,7 +205,7 @@
 		}
 		go func() { failed <- srv.Serve(l) }()
 	}
-	logger.Info().Str("event", "process.started").Str("vm", s.VM).Str("callers", s.CallerAddress).Msg("")
+	logger.Info().Str("event", "process.started").Str("build", settings.BuildVersion()).Uint32("level", uint32(protocol.Current)).Str("vm", s.VM).Str("callers", s.CallerAddress).Msg("")
 	select {
 	case err := <-failed:
 		return err
--- a/internal/settings/app.go
+++ b/internal/settings/app.go
@@ -48,10 +48,12 @@
 
 // VersionLine returns what --version prints for a program.
 func VersionLine(name string) string {
-	return name + " " + buildVersion()
+	return name + " " + BuildVersion()
 }
 
-func buildVersion() string {
+// BuildVersion returns the version of the program: the one set at link time, else the
+// commit from which it was built.
+func BuildVersion() string {
 	if Version != "" {
 		return Version
 	}
--- a/internal/settings/process.go
+++ b/internal/settings/process.go
@@ -68,7 +68,7 @@
 
 // Hello returns the message that identifies the process on its sessions.
 func (p *Process) Hello(program string) *pb.Hello {
-	return &pb.Hello{DaemonId: p.ID, Vm: p.VM, Place: p.Place, Process: program + "/" + p.ID}
+	return &pb.Hello{DaemonId: p.ID, Vm: p.VM, Place: p.Place, Process: program + "/" + p.ID, Build: BuildVersion()}
 }
 
 // SplitList splits a flag value at commas and spaces and drops empty parts.
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -97,6 +97,17 @@
 	return c.peer, sess.CloseChan(), nil
 }
 
+// Peer returns the hello of the daemon at the other end of the newest session, or an empty
+// one before the first session.
+func (c *Client) Peer() *pb.Hello {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.peer == nil {
+		return &pb.Hello{}
+	}
+	return c.peer
+}
+
 // Ping waits until the peer answers a ping on the open session, at most for the time after
 // which the session counts as lost.
 func (c *Client) Ping() error {
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/protocol"
 	"godwitward.example/godwitward/internal/timeline"
 )
 
@@ -52,6 +53,8 @@
 	Clock *timeline.Clock
 	// Logger receives warnings about rejected sessions. It may be nil.
 	Logger *log.Logger
+	// OmitLevel makes the daemon state no protocol level, as builds before levels do.
+	OmitLevel bool
 	// OnSessionEnd is called by a Server after a peer's session and its handlers
 	// have ended. It may be nil.
 	OnSessionEnd func(peer *pb.Hello)
@@ -64,6 +67,11 @@
 	if o.Self == nil {
 		o.Self = &pb.Hello{}
 	}
+	o.Self = proto.CloneOf(o.Self)
+	o.Self.Level = uint32(protocol.Current)
+	if o.OmitLevel {
+		o.Self.Level = uint32(protocol.Unstated)
+	}
 	if o.Logger == nil {
 		o.Logger = &log.Logger{Level: log.PanicLevel}
 	}
@@ -198,6 +206,7 @@
 		s.opts.Logger.Warn().Str("event", "session.rejected").Str("remote", conn.RemoteAddr().String()).Err(err).Msg("")
 		return
 	}
+	s.opts.Logger.Info().Str("event", "session.accepted").Str("vm", peer.Vm).Str("process", peer.Process).Str("build", peer.Build).Uint32("level", peer.Level).Msg("")
 	ctx = context.WithValue(ctx, peerKey{}, peer)
 	s.serveStreams(ctx, sess)
 	cancel()
