--- a/cmd/gw-soak/main.go
+++ b/cmd/gw-soak/main.go
@@ -6,7 +6,6 @@
 	"context"
 	"fmt"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"time"
 
@@ -26,6 +25,8 @@
 	faults      []string
 	keepDir     string
 	binaries    string
+	upgradeFrom string
+	upgrade     soak.Upgrade
 	soakOptions soak.Options
 }
 
@@ -39,6 +40,9 @@
 	app.Flag("engines", "Number of runners of the service with model engines; default: as many as --runners.").IntVar(&o.soakOptions.Engines)
 	app.Flag("faults", "Kinds of faults; may be repeated. Default: all.").EnumsVar(&o.faults, soak.FaultKinds()...)
 	app.Flag("binaries", "Folder with gw-edge and gw-core of another commit; default: they are built from the current folder.").StringVar(&o.binaries)
+	app.Flag("upgrade-from", "Build with which each run begins: a folder with gw-edge and gw-core, or a commit of this repository's history. All daemons change to the present build, one after the other, beside the faults.").StringVar(&o.upgradeFrom)
+	app.Flag("upgrade-order", "Order of an upgrade; default: drawn from the seed.").EnumVar(&o.upgrade.Order, soak.UpgradeOrders...)
+	app.Flag("upgrade-end", "forward: all daemons get the present build; back: some do and go back; again: some go back before all get it. Default: drawn from the seed.").EnumVar(&o.upgrade.End, soak.UpgradeEnds...)
 	app.Flag("keep", "Folder for logs and data, which are kept; default: a temporary folder, kept only after a failure.").StringVar(&o.keepDir)
 }
 
@@ -55,6 +59,9 @@
 	if o.soakOptions.Engines < 0 || o.soakOptions.Engines > 100 {
 		l.Addf("--engines", "%d is not between 0 and 100", o.soakOptions.Engines)
 	}
+	if o.upgradeFrom == "" && (o.upgrade.Order != "" || o.upgrade.End != "") {
+		l.Addf("--upgrade-order, --upgrade-end", "need --upgrade-from")
+	}
 	if o.soakOptions.Duration < 5*time.Second {
 		l.Addf("--duration", "%v is shorter than 5s", o.soakOptions.Duration)
 	}
@@ -79,14 +86,19 @@
 	}
 	defer os.RemoveAll(binaries)
 	o.soakOptions.Binaries, o.soakOptions.Out, o.soakOptions.Faults = o.binaries, os.Stdout, o.faults
+	o.soakOptions.BuildName = "present"
 	if o.binaries == "" {
-		build := exec.CommandContext(ctx, "go", "build", "-o", binaries, "./cmd/gw-edge", "./cmd/gw-core")
-		build.Stderr = os.Stderr
-		if err := build.Run(); err != nil {
+		if _, err := soak.BuildSource(ctx, ".", o.soakOptions.BuildName, binaries); err != nil {
 			settings.Fatal(logger, "building the programs", err)
 		}
 		o.soakOptions.Binaries = binaries
 	}
+	if o.upgradeFrom != "" {
+		if o.upgrade.From, err = soak.OpenBuild(ctx, o.upgradeFrom, binaries); err != nil {
+			settings.Fatal(logger, "--upgrade-from", err)
+		}
+		o.soakOptions.Upgrade = &o.upgrade
+	}
 	if o.soakOptions.Engines == 0 {
 		o.soakOptions.Engines = o.soakOptions.Runners
 	}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -69,13 +71,20 @@
 	// events of all streams.
 	runs    map[string][]standin.Origin
 	streams map[string][]receivedEvent
+	// servers holds what served each request, and its build, in runs with several builds.
+	servers map[string]server
+	// findingBuilds counts the findings of streams by the build of the entry.
+	findingBuilds map[string]int
 }
 
+// server is an entry that served a request.
+type server struct{ build, description string }
+
 func newChecker() *checker {
 	return &checker{
 		runCounts: map[string]int{}, workRuns: map[string][]string{}, atMostOnce: map[string]bool{}, outcomes: map[string]outcome{},
 		leaveAckedAt: map[string]time.Time{}, statusCounts: map[string]int{},
-		runs: map[string][]standin.Origin{}, streams: map[string][]receivedEvent{},
+		runs: map[string][]standin.Origin{}, streams: map[string][]receivedEvent{}, servers: map[string]server{}, findingBuilds: map[string]int{},
 	}
 }
 
@@ -83,6 +92,53 @@
 	c.findings = append(c.findings, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
 }
 
+// servedBy records the entry that a request is sent to.
+func (c *checker) servedBy(id, build, description string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.servers[id] = server{build, description}
+}
+
+// addRequestFinding adds a finding about a request, with the builds that served it and the
+// ones before it that the finding is about. The caller holds mu.
+func (c *checker) addRequestFinding(ids []string, format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	for i, id := range ids {
+		if s, known := c.servers[id]; known {
+			text += fmt.Sprintf("; %s at %s", id, s.description)
+			if i == 0 {
+				c.findingBuilds[s.build]++
+			}
+		}
+	}
+	c.addFinding("%s", text)
+}
+
+// printBuilds prints the findings about requests by the build of the entry that took the
+// step, and what each build served.
+func (c *checker) printBuilds(out io.Writer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	type count struct{ served, all int }
+	counts := map[string]*count{}
+	for id, o := range c.outcomes {
+		s, known := c.servers[id]
+		if !known || o.left {
+			continue
+		}
+		if counts[s.build] == nil {
+			counts[s.build] = &count{}
+		}
+		counts[s.build].all++
+		if o.status == 200 && o.complete {
+			counts[s.build].served++
+		}
+	}
+	for _, build := range slices.Sorted(maps.Keys(counts)) {
+		fmt.Fprintf(out, "entries of %s: %d of %d requests served, %d findings about requests\n", build, counts[build].served, counts[build].all, c.findingBuilds[build])
+	}
+}
+
 func (c *checker) faultStarted() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -110,7 +166,7 @@
 	defer c.mu.Unlock()
 	ackedAt, leaving := c.leaveAckedAt[r.Runner]
 	if leaving && r.At.Sub(ackedAt) > drainWindow && c.noFaultFor(staleWindow+drainWindow) {
-		c.addFinding("drain: request %s reached runner %s %v after its leave was acknowledged", r.ID, r.Runner, r.At.Sub(ackedAt))
+		c.addRequestFinding([]string{r.ID}, "drain: request %s reached runner %s %v after its leave was acknowledged", r.ID, r.Runner, r.At.Sub(ackedAt))
 	}
 }
 
@@ -121,14 +177,14 @@
 	c.runCounts[r.ID]++
 	c.runs[r.ID] = append(c.runs[r.ID], r.Origin)
 	if c.atMostOnce[r.ID] && c.runCounts[r.ID] > 1 {
-		c.addFinding("twice: request %s may run once and ran %d times, now at %s", r.ID, c.runCounts[r.ID], r.Runner)
+		c.addRequestFinding([]string{r.ID}, "twice: request %s may run once and ran %d times, now at %s", r.ID, c.runCounts[r.ID], r.Runner)
 	}
 	if r.Work == "" {
 		return
 	}
 	c.workRuns[r.Work] = append(c.workRuns[r.Work], r.ID)
 	if ids := c.workRuns[r.Work]; slices.Index(ids, r.ID) != 0 {
-		c.addFinding("twice: work %s may run once and ran as requests %v, now at %s", r.Work, ids, r.Runner)
+		c.addRequestFinding(ids, "twice: work %s may run once and ran as requests %v, now at %s", r.Work, ids, r.Runner)
 	}
 }
 
@@ -160,7 +216,7 @@
 	c.outcomes[id] = o
 	c.statusCounts[fmt.Sprintf("plain %d", o.status)]++
 	if o.status == 200 && o.complete && o.body != "answer "+id {
-		c.addFinding("mixed: request %s got the response %q", id, o.body)
+		c.addRequestFinding([]string{id}, "mixed: request %s got the response %q", id, o.body)
 	}
 	c.checkStamp(id, o)
 }
@@ -170,9 +226,9 @@
 func (c *checker) checkStamp(id string, o outcome) {
 	switch {
 	case o.status == 200 && o.unstamped:
-		c.addFinding("mixed: request %s got a success without a stamp", id)
+		c.addRequestFinding([]string{id}, "mixed: request %s got a success without a stamp", id)
 	case !o.unstamped && (o.status == 502 || o.status == 504):
-		c.addFinding("mixed: request %s got the status %d with a stamp", id, o.status)
+		c.addRequestFinding([]string{id}, "mixed: request %s got the status %d with a stamp", id, o.status)
 	}
 }
 
@@ -183,7 +239,7 @@
 	defer c.mu.Unlock()
 	for id, o := range c.outcomes {
 		if c.atMostOnce[id] && promisesNotRun(o.status) && c.runCounts[id] > 0 {
-			c.addFinding("refused: request %s was answered %d and ran", id, o.status)
+			c.addRequestFinding([]string{id}, "refused: request %s was answered %d and ran", id, o.status)
 		}
 	}
 }
--- a/internal/soak/check_stream.go
+++ b/internal/soak/check_stream.go
@@ -28,18 +28,18 @@
 		next := delivered + i + 1
 		switch {
 		case e.ID > next:
-			c.addFinding("order, gap: event %d of request %s is %d", next, id, e.ID)
+			c.addRequestFinding([]string{id}, "order, gap: event %d of request %s is %d", next, id, e.ID)
 		case e.ID < next:
-			c.addFinding("order, repeat: event %d of request %s is %d", next, id, e.ID)
+			c.addRequestFinding([]string{id}, "order, repeat: event %d of request %s is %d", next, id, e.ID)
 		case e.Data != standin.EventData(id, next, c.longEvents):
-			c.addFinding("order, damaged: event %d of request %s is %q", next, id, e.Data)
+			c.addRequestFinding([]string{id}, "order, damaged: event %d of request %s is %q", next, id, e.Data)
 		default:
 			continue
 		}
 		return
 	}
 	if o.complete && delivered+len(events) != want {
-		c.addFinding("order, early: stream of request %s looks complete after %d of %d events", id, delivered+len(events), want)
+		c.addRequestFinding([]string{id}, "order, early: stream of request %s looks complete after %d of %d events", id, delivered+len(events), want)
 	}
 }
 
@@ -54,7 +54,9 @@
 
 // otherCacheUsed records a request that was sent with a prefill result that does not fit.
 func (c *checker) otherCacheUsed(r standin.Run, handle string) {
-	c.report("order, cache: request %s reached %s with the prefill result %s", r.ID, r.Origin, handle)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.addRequestFinding([]string{r.ID}, "order, cache: request %s reached %s with the prefill result %s", r.ID, r.Origin, handle)
 }
 
 // checkRuns checks that the events of each stream come from runs of its requests that
@@ -69,11 +71,12 @@
 				return
 			}
 			found[kind] = true
-			before := "none"
+			before, ids := "none", []string{events[i].request}
 			if i > 0 {
+				ids = append(ids, events[i-1].request)
 				before = fmt.Sprintf("request %s, %s", events[i-1].request, events[i-1].origin)
 			}
-			c.addFinding("order, %s: event %d of stream %s comes from request %s, %s; the one before from %s",
+			c.addRequestFinding(ids, "order, %s: event %d of stream %s comes from request %s, %s; the one before from %s",
 				kind, i+1, stream, events[i].request, events[i].origin, before)
 		}
 		for i, e := range events {
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -54,6 +54,7 @@
 
 func (s *system) sendPlain(ctx context.Context, client *http.Client, entry, path, id string, atMostOnce bool) {
 	s.check.requestSent(id, atMostOnce)
+	s.noteEntry(id, entry)
 	o := outcome{truncated: true}
 	defer func() { s.check.checkPlain(id, o) }()
 	reqCtx, cancel := context.WithTimeout(ctx, s.shape.callerTimeout)
@@ -129,6 +130,7 @@
 // readStream sends one request for a stream and checks its events.
 func (s *system) readStream(ctx context.Context, client *http.Client, entry, stream string, a streamAttempt) (o outcome, events []standin.Event) {
 	s.check.requestSent(a.id, false)
+	s.noteEntry(a.id, entry)
 	o = outcome{truncated: true}
 	defer func() {
 		// What becomes of a stream that its caller does not name is open.
--- a/internal/soak/load_once.go
+++ b/internal/soak/load_once.go
@@ -82,6 +82,7 @@
 
 // tryOnce sends one request. It reports whether the daemon may have read it.
 func (s *system) tryOnce(ctx context.Context, client *http.Client, entry, id string, w onceWork) (o outcome, read bool) {
+	s.noteEntry(id, entry)
 	timeout := cmp.Or(w.timeout, s.shape.callerTimeout)
 	reqCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -5,6 +5,7 @@
 	"io"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"sync"
 	"syscall"
 	"time"
@@ -17,14 +18,16 @@
 // process is one daemon started by the soak test.
 type process struct {
 	node     standin.NodeFile
-	binary   string
+	program  string
 	nodeFile string
 	logFile  string
 	// args are further arguments of the program.
 	args []string
 
-	mu  sync.Mutex
-	cmd *exec.Cmd
+	mu sync.Mutex
+	// build is that of the next start.
+	build Build
+	cmd   *exec.Cmd
 	// exitError is the result of the current OS process, which is valid once ended is
 	// closed.
 	exitError error
@@ -47,10 +50,13 @@
 	if err != nil {
 		return errors.Wrap(err, "finding the end of the log")
 	}
-	cmd := exec.Command(p.binary, append([]string{"--node-file", p.nodeFile}, p.args...)...)
+	p.mu.Lock()
+	binary := filepath.Join(p.build.Dir, p.program)
+	p.mu.Unlock()
+	cmd := exec.Command(binary, append([]string{"--node-file", p.nodeFile}, p.args...)...)
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
-		return errors.Wrap(err, "starting "+p.binary)
+		return errors.Wrap(err, "starting "+binary)
 	}
 	ended := make(chan struct{})
 	p.mu.Lock()
@@ -66,6 +72,20 @@
 	return nil
 }
 
+// setBuild sets the build of the next start.
+func (p *process) setBuild(b Build) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.build = b
+}
+
+// currentBuild returns the name of the build.
+func (p *process) currentBuild() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.build.Name
+}
+
 // signal sends a signal to the process if it is still running.
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -24,9 +24,11 @@
 	Shape string
 	// Faults lists the kinds of faults to inject; empty means all.
 	Faults []string
-	// Binaries is the folder with gw-edge and gw-core, Dir the folder for logs
-	// and data.
-	Binaries, Dir string
+	// Binaries is the folder with gw-edge and gw-core, BuildName their name in findings, and
+	// Dir the folder for logs and data.
+	Binaries, BuildName, Dir string
+	// Upgrade makes the run begin with another build, which Binaries replaces; nil for none.
+	Upgrade *Upgrade
 	// Out receives the schedule and the summary.
 	Out io.Writer
 }
@@ -78,7 +80,13 @@
 	if cuts {
 		load.Go(func() { s.runStayingCallers(changeCtx) })
 	}
+	var upgrade sync.WaitGroup
+	if opts.Upgrade != nil {
+		steps := planUpgrade(opts.Seed, opts.Upgrade, len(s.entries), len(s.cores))
+		upgrade.Go(func() { s.runUpgrade(ctx, steps) })
+	}
 	s.injectFaults(ctx, schedule)
+	upgrade.Wait()
 	stopChanges()
 	s.checkRecovery(ctx)
 	stopLoad()
@@ -89,6 +97,7 @@
 	s.checkConfig(ctx)
 	check.checkLogs(opts.Dir)
 	s.cutCheck.check(check, opts.Out)
+	check.printBuilds(opts.Out)
 	served, total := check.countServed()
 	fmt.Fprintf(opts.Out, "seed %d: %d faults, %d of %d requests served, %v\n", opts.Seed, len(schedule), served, total, check.statusCounts)
 	return check.findings, ctx.Err()
@@ -119,32 +128,41 @@
 func (s *system) injectFaults(ctx context.Context, schedule []fault) {
 	start := time.Now()
 	var wg sync.WaitGroup
-	// Faults with the same target run one after the other: the restart by one
-	// would end the effect of another.
-	locks := map[int]*sync.Mutex{}
 	for _, f := range schedule {
 		sleep(ctx, f.startAt-time.Since(start))
 		if ctx.Err() != nil {
 			break
 		}
-		var held []*sync.Mutex
-		for _, key := range s.targetLocks(f) {
-			if locks[key] == nil {
-				locks[key] = &sync.Mutex{}
-			}
-			held = append(held, locks[key])
-		}
 		wg.Go(func() {
-			for _, lock := range held {
-				lock.Lock()
-				defer lock.Unlock()
-			}
+			defer s.lockTargets(f)()
 			s.inject(ctx, f)
 		})
 	}
 	wg.Wait()
 }
 
+// lockTargets waits until no other fault has a target of f, and returns the function that
+// lets others have them. Faults with the same target run one after the other: the restart
+// by one would end the effect of another.
+func (s *system) lockTargets(f fault) (unlock func()) {
+	var held []*sync.Mutex
+	for _, key := range s.targetLocks(f) {
+		s.targetsMu.Lock()
+		if s.targets[key] == nil {
+			s.targets[key] = &sync.Mutex{}
+		}
+		lock := s.targets[key]
+		s.targetsMu.Unlock()
+		lock.Lock()
+		held = append(held, lock)
+	}
+	return func() {
+		for _, lock := range held {
+			lock.Unlock()
+		}
+	}
+}
+
 // targetLocks returns the keys of the locks that serialise faults of one target, in the
 // order in which they are taken: one per entry, one for all core daemons, one for the
 // configuration, one for all runners and one for each kind of faulty answers.
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -50,6 +50,11 @@
 	releases atomic.Int64
 	// replacing serialises the replacements of a release.
 	replacing sync.Mutex
+	// newBuild is the build with which a run ends, unless it goes back.
+	newBuild Build
+	// targets are the locks that serialise the faults of one target.
+	targetsMu sync.Mutex
+	targets   map[int]*sync.Mutex
 
 	// processes is set if each runner is a process of its own.
 	processes bool
@@ -99,7 +104,7 @@
 }
 
 func newSystem(opts Options, sh shape, check *checker, processes bool) (*system, error) {
-	s := &system{opts: opts, shape: sh, check: check, processes: processes, cuts: map[string]faultKind{}}
+	s := &system{opts: opts, shape: sh, check: check, processes: processes, cuts: map[string]faultKind{}, newBuild: Build{Name: opts.BuildName, Dir: opts.Binaries}, targets: map[int]*sync.Mutex{}}
 	var err error
 	if s.ports, err = freePorts(); err != nil {
 		return nil, err
@@ -111,12 +116,12 @@
 	for i := range coreCount {
 		n := s.node("core", 1, i, seeds)
 		n.DataDir = filepath.Join(opts.Dir, n.Name)
-		s.cores = append(s.cores, s.process(n, "gw-core"))
+		s.cores = append(s.cores, s.process(n, coreProgram))
 	}
 	for i := range opts.Entries {
 		n := s.node("entry", 2, i, seeds)
 		n.CallerPort, n.ReadinessPort = s.ports.front, s.ports.ready
-		s.entries = append(s.entries, s.process(n, "gw-edge"))
+		s.entries = append(s.entries, s.process(n, edgeProgram))
 	}
 	return s, nil
 }
@@ -128,9 +133,13 @@
 	}
 }
 
-func (s *system) process(n standin.NodeFile, binary string) *process {
+func (s *system) process(n standin.NodeFile, program string) *process {
+	b := s.newBuild
+	if s.opts.Upgrade != nil {
+		b = s.opts.Upgrade.From
+	}
 	return &process{
-		node: n, binary: filepath.Join(s.opts.Binaries, binary),
+		node: n, program: program, build: b,
 		nodeFile: filepath.Join(s.opts.Dir, n.Name+".toml"), logFile: filepath.Join(s.opts.Dir, n.Name+".log"),
 	}
 }
