--- a/internal/feed/stream_versions.go
+++ b/internal/feed/stream_versions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
 	"godwitward.example/godwitward/internal/fleet"
@@ -73,45 +74,144 @@
 	return out
 }
 
-// serveStreamVersion tells an entry at which versions a stream may go on.
-func (h *Hub) serveStreamVersion(_ context.Context, req *pb.StreamVersionRequest) (*pb.StreamVersionResponse, error) {
+// serveStreamVersion tells an entry at which versions a stream may go on, after it has kept
+// the record that comes with the question. For an entry it asks the other hubs too: gossip
+// takes its time, and a stream must not go back to weights that it has left meanwhile.
+func (h *Hub) serveStreamVersion(ctx context.Context, req *pb.StreamVersionRequest) (*pb.StreamVersionResponse, error) {
+	if req.Record != nil {
+		h.mergeStreamVersions([]*pb.StreamVersion{req.Record}, req.AllHubs)
+	}
 	h.mu.Lock()
-	defer h.mu.Unlock()
 	v, known := h.streamVersions.Get(req.Id, h.now())
-	if !known {
-		return &pb.StreamVersionResponse{}, nil
+	h.mu.Unlock()
+	resp := &pb.StreamVersionResponse{}
+	if known {
+		resp.Stream = fleet.EncodeStreamVersion(v, h.now())
+	}
+	if req.AllHubs {
+		h.askOtherHubs(ctx, req, resp)
+	}
+	return resp, nil
+}
+
+const (
+	// otherHubsTimeout limits the wait for the other hubs. An entry waits for longer.
+	otherHubsTimeout = 200 * time.Millisecond
+	// askAgainInterval is the time after which a hub that has not kept a record is asked again:
+	// builds that don't know the field get it by gossip.
+	askAgainInterval = 25 * time.Millisecond
+)
+
+// askOtherHubs passes a question on to all other hubs, and adds what they know to the
+// response. It returns once a majority has answered, if the stream is known then: a change of
+// weights is passed on only after a majority has kept it.
+func (h *Hub) askOtherHubs(ctx context.Context, req *pb.StreamVersionRequest, resp *pb.StreamVersionResponse) {
+	ctx, cancel := context.WithTimeout(ctx, otherHubsTimeout)
+	defer cancel()
+	members := h.opts.Store.Members()
+	answers := make(chan *pb.StreamVersion, len(members))
+	failed := make(chan struct{}, len(members))
+	waiting := 0
+	for _, address := range members {
+		client := h.opts.Peers.Client(address)
+		if address == h.opts.Self || client == nil {
+			continue
+		}
+		waiting++
+		go func() {
+			if stream, err := askHub(ctx, client, req); err == nil {
+				answers <- stream
+			} else {
+				// A hub out of reach doesn't count as one that has answered.
+				failed <- struct{}{}
+			}
+		}()
+	}
+	resp.Answered, resp.Hubs = 1, uint32(len(members))
+	for ; waiting > 0 && (resp.Stream == nil || 2*resp.Answered <= resp.Hubs); waiting-- {
+		select {
+		case stream := <-answers:
+			resp.Answered++
+			if stream.GetService() != "" && stream.Attempt > resp.Stream.GetAttempt() {
+				resp.Stream = stream
+			}
+		case <-failed:
+		}
 	}
-	return &pb.StreamVersionResponse{Stream: fleet.EncodeStreamVersion(v, h.now())}, nil
 }
 
-// StreamVersion asks the hubs to which the subscriber is attached at which versions a
-// stream may go on, and returns the newest record. The time in the record is the age.
+// askHub returns the record that another hub has of a stream. If it is to keep one, it is
+// asked until it has it or a later one.
+func askHub(ctx context.Context, client *transport.Client, req *pb.StreamVersionRequest) (*pb.StreamVersion, error) {
+	for {
+		answer := &pb.StreamVersionResponse{}
+		err := client.Call(ctx, transport.MethodStreamVersion, &pb.StreamVersionRequest{Id: req.Id, Record: req.Record}, answer)
+		if err != nil || req.Record == nil || answer.Stream.GetAttempt() >= req.Record.Attempt {
+			return answer.Stream, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(askAgainInterval):
+		}
+	}
+}
+
+// RecordStreamVersion reports whether a majority of the hubs keeps a record of a stream, so
+// that all who ask for it from now on get it or a later one. It is false also if there is a
+// later one of other versions.
+func (s *Subscriber) RecordStreamVersion(ctx context.Context, v policy.StreamVersion) bool {
+	kept := false
+	for _, answer := range s.askHubs(ctx, &pb.StreamVersionRequest{Id: v.ID, Record: fleet.EncodeStreamVersion(v, v.RecordedAt), AllHubs: true}) {
+		newest, known := fleet.DecodeStreamVersion(answer.GetStream(), 0)
+		switch {
+		case !known || newest.Attempt < v.Attempt:
+		case newest.Versions != v.Versions:
+			return false
+		case answer.Hubs == 0 || 2*answer.Answered > answer.Hubs:
+			// Hubs that ask no others tell only that they have it.
+			kept = true
+		}
+	}
+	return kept
+}
+
+// StreamVersion asks the hubs at which versions a stream may go on, and returns the newest
+// record. The time in the record is the age.
 func (s *Subscriber) StreamVersion(ctx context.Context, id string) (newest policy.StreamVersion, known bool) {
+	for _, answer := range s.askHubs(ctx, &pb.StreamVersionRequest{Id: id, AllHubs: true}) {
+		v, complete := fleet.DecodeStreamVersion(answer.GetStream(), 0)
+		if complete && (!known || v.Attempt > newest.Attempt) {
+			newest, known = v, true
+		}
+	}
+	return newest, known
+}
+
+// askHubs sends a question to the hubs to which the subscriber is attached, and returns the
+// answers. A hub out of reach gives none.
+func (s *Subscriber) askHubs(ctx context.Context, req *pb.StreamVersionRequest) []*pb.StreamVersionResponse {
 	s.mu.Lock()
 	clients := make([]*transport.Client, 0, len(s.streams))
 	for _, c := range s.streams {
 		clients = append(clients, c)
 	}
 	s.mu.Unlock()
-	answers := make(chan *pb.StreamVersion, len(clients))
+	answers := make(chan *pb.StreamVersionResponse, len(clients))
 	for _, c := range clients {
 		go func() {
 			resp := &pb.StreamVersionResponse{}
-			if err := c.Call(ctx, transport.MethodStreamVersion, &pb.StreamVersionRequest{Id: id}, resp); err != nil {
-				// A hub out of reach knows no stream.
-				resp.Stream = nil
+			if c.Call(ctx, transport.MethodStreamVersion, req, resp) != nil {
+				resp = nil
 			}
-			answers <- resp.Stream
+			answers <- resp
 		}()
 	}
+	var list []*pb.StreamVersionResponse
 	for range clients {
-		m := <-answers
-		if m == nil {
-			continue
-		}
-		if v, complete := fleet.DecodeStreamVersion(m, 0); complete && (!known || v.Attempt > newest.Attempt) {
-			newest, known = v, true
+		if answer := <-answers; answer != nil {
+			list = append(list, answer)
 		}
 	}
-	return newest, known
+	return list
 }
--- a/internal/feed/stream_versions_test.go
+++ b/internal/feed/stream_versions_test.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -37,3 +38,44 @@
 	}
 	require.Eventually(t, func() bool { return subscriber.VersionsObserved() == 0 }, electionPeriod+2*heartbeatTimeout, 5*time.Millisecond)
 }
+
+// Guards against a stream that goes back to weights that it has left because the hubs of the
+// entry that takes it up have not heard of the change yet.
+func TestStreamsTakenUpBeforeHubsHeardOfAChangeOfWeights(t *testing.T) {
+	h := startHubs(t, 5)
+	first, _ := startSubscriber(t, h.members[:2])
+	second, _ := startSubscriber(t, h.members[3:])
+	attached := func(s *Subscriber) func() bool {
+		return func() bool {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return len(s.streams) == hubsPerSubscriber
+		}
+	}
+	require.Eventually(t, attached(first), 3*time.Second, 5*time.Millisecond)
+	require.Eventually(t, attached(second), 3*time.Second, 5*time.Millisecond)
+	ctx := t.Context()
+	run := func(weights string, number int) policy.StreamVersion {
+		return policy.StreamVersion{ID: "a", Versions: policy.RunVersions{Service: "s", Software: "v1", Model: "m", Weights: weights}, Attempt: number}
+	}
+	// The hubs of the two entries hear nothing of each other.
+	for _, i := range []int{0, 1} {
+		for _, j := range []int{3, 4} {
+			h.hubs[i].opts.Peers.Client(h.members[j]).Close()
+			h.hubs[j].opts.Peers.Client(h.members[i]).Close()
+		}
+	}
+	require.True(t, second.RecordStreamVersion(ctx, run("1", 1)))
+	for number := 2; number < 30; number++ {
+		weights := strconv.Itoa(number)
+		require.True(t, first.RecordStreamVersion(ctx, run(weights, number)))
+		v, known := second.StreamVersion(ctx, "a")
+		require.True(t, known)
+		require.Equal(t, weights, v.Versions.Weights, "the stream goes on at weights that it has left")
+	}
+	// Hubs that hear nothing of each other keep nothing for sure.
+	for _, hub := range h.hubs {
+		hub.opts.Peers.Close()
+	}
+	require.False(t, first.RecordStreamVersion(ctx, run("x", 100)))
+}
--- a/internal/forward/find_stream_test.go
+++ b/internal/forward/find_stream_test.go
@@ -22,6 +22,8 @@
 	return policy.StreamVersion{}, false
 }
 
+func (*meanwhileHub) RecordStreamVersion(context.Context, policy.StreamVersion) bool { return false }
+
 func (h *meanwhileHub) VersionsObserved() time.Duration {
 	if h.observed != nil {
 		h.observed()
--- a/internal/forward/versions.go
+++ b/internal/forward/versions.go
@@ -18,6 +18,9 @@
 	// of the stream, without its time. known is false if nobody who could be asked knows
 	// it.
 	StreamVersion(ctx context.Context, id string) (v policy.StreamVersion, known bool)
+	// RecordStreamVersion keeps a record so that whoever asks for it later gets it or a newer
+	// one, and reports whether it did and there is no newer one of other versions.
+	RecordStreamVersion(ctx context.Context, v policy.StreamVersion) bool
 	// VersionsObserved returns the time for which all versions in use are known, up to now;
 	// 0 if they are not.
 	VersionsObserved() time.Duration
@@ -31,8 +34,6 @@
 	// reportTimeout limits the time for which the first event of a stream waits until its
 	// record was sent.
 	reportTimeout = 20 * time.Millisecond
-	// confirmInterval is the time between two questions whether a hub has a record.
-	confirmInterval = 5 * time.Millisecond
 	// maxUnreported limits the records that wait for a report.
 	maxUnreported = 4096
 	// maxRecordedEventID limits, in bytes, the ids of events in records.
@@ -396,9 +397,9 @@
 // admitVersions reports whether an event of a run with the versions v may be relayed, and
 // ties the rest of the stream to them. first is set for the first event of the run. Weights
 // may change later in a run: the engine itself goes on with the text that it has written.
-// Nobody else must go back to the weights that it has left, so the event waits until a hub
-// knows the change. last is the id of the event before: a caller that has no later one can
-// go on at the earlier weights.
+// Nobody else must go back to the weights that it has left, so the event waits until a
+// majority of the hubs knows the change. last is the id of the event before: a caller that
+// has no later one can go on at the earlier weights.
 func (x *exchange) admitVersions(v policy.RunVersions, first bool, last string) bool {
 	switch {
 	case x.run == nil:
@@ -435,22 +436,17 @@
 	return false
 }
 
-// recordConfirmed reports whether a hub has the newest record of the stream.
+// recordConfirmed has the newest record of the stream kept where all who take it up find it,
+// under the id that each of its records names.
 func (x *exchange) recordConfirmed() bool {
 	if x.s.versionSource == nil {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(x.ctx, streamVersionTimeout)
 	defer cancel()
-	for {
-		v, known := x.s.versionSource.StreamVersion(ctx, x.info.ID)
-		if known && v.Attempt >= x.recordNumber {
-			return v.Versions == *x.run
-		}
-		select {
-		case <-ctx.Done():
-			return false
-		case <-time.After(confirmInterval):
-		}
+	v := policy.StreamVersion{ID: x.info.ID, Versions: *x.run, Attempt: x.recordNumber, ChangedAfter: x.changedAfter, EarlierWeights: x.earlierWeights}
+	if x.firstID != "" {
+		v.ID = x.firstID
 	}
+	return x.s.versionSource.RecordStreamVersion(ctx, v)
 }
--- a/internal/forward/versions_test.go
+++ b/internal/forward/versions_test.go
@@ -37,6 +37,19 @@
 	return h.known.Get("a", time.Second)
 }
 
+func (h *versionHub) RecordStreamVersion(ctx context.Context, v policy.StreamVersion) bool {
+	for {
+		if newest, known := h.StreamVersion(ctx, v.ID); known && newest.Attempt >= v.Attempt {
+			return newest.Versions == v.Versions
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
 func (*versionHub) VersionsObserved() time.Duration { return time.Hour }
 func (*versionHub) ReportsArrive() bool             { return false }
 
