--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -82,7 +82,7 @@
 		return err
 	}
 	metrics.Serve(s.SessionAddress, metricsPort, "core", d.vars(), logger)
-	logger.Info().Str("event", "process.started").Str("build", settings.BuildVersion()).Uint32("level", uint32(protocol.Current)).Str("vm", s.VM).Str("operators", s.OperatorAddress).Msg("")
+	logger.Info().Str("event", "process.started").Str("build", settings.BuildVersion()).Uint32("protocol_level", uint32(protocol.Current)).Str("vm", s.VM).Str("operators", s.OperatorAddress).Msg("")
 	select {
 	case err := <-d.fatalErrors:
 		return err
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -205,7 +205,7 @@
 		}
 		go func() { failed <- srv.Serve(l) }()
 	}
-	logger.Info().Str("event", "process.started").Str("build", settings.BuildVersion()).Uint32("level", uint32(protocol.Current)).Str("vm", s.VM).Str("callers", s.CallerAddress).Msg("")
+	logger.Info().Str("event", "process.started").Str("build", settings.BuildVersion()).Uint32("protocol_level", uint32(protocol.Current)).Str("vm", s.VM).Str("callers", s.CallerAddress).Msg("")
 	select {
 	case err := <-failed:
 		return err
--- a/internal/feed/subscriber.go
+++ b/internal/feed/subscriber.go
@@ -248,7 +248,7 @@
 		return err
 	}
 	defer s.addStream(st, client)()
-	s.opts.Logger.Info().Str("event", "feed.attached").Str("hub", address).Str("hub_build", client.Peer().Build).Uint32("hub_level", client.Peer().Level).Uint64("version", haveVersion).Msg("")
+	s.opts.Logger.Info().Str("event", "feed.attached").Str("hub", address).Str("hub_build", client.Peer().Build).Uint32("hub_protocol_level", client.Peer().Level).Uint64("version", haveVersion).Msg("")
 	lastQuorum := time.Now()
 	for {
 		u := &pb.FeedUpdate{}
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -206,7 +206,7 @@
 		s.opts.Logger.Warn().Str("event", "session.rejected").Str("remote", conn.RemoteAddr().String()).Err(err).Msg("")
 		return
 	}
-	s.opts.Logger.Info().Str("event", "session.accepted").Str("vm", peer.Vm).Str("process", peer.Process).Str("build", peer.Build).Uint32("level", peer.Level).Msg("")
+	s.opts.Logger.Info().Str("event", "session.accepted").Str("vm", peer.Vm).Str("process", peer.Process).Str("build", peer.Build).Uint32("protocol_level", peer.Level).Msg("")
 	ctx = context.WithValue(ctx, peerKey{}, peer)
 	s.serveStreams(ctx, sess)
 	cancel()
