--- a/api/godwitward/v1/text_fields_test.go
+++ b/api/godwitward/v1/text_fields_test.go
@@ -25,7 +25,7 @@
 	"upstreams and other writers: reports are refused by platform (checkReportedTexts), announcements by their decoder": `SubmitRequest.exclude SubmitRequest.software_version SubmitRequest.weights_version
 		UpstreamAddress.id UpstreamAddress.url Hold.prefill_id Hold.decode_id UpstreamState.id UpstreamState.url UpstreamState.place UpstreamState.region UpstreamState.service
 		UpstreamState.models UpstreamState.software_version UpstreamRecord.id UpstreamRecord.service UpstreamRecord.address UpstreamRecord.place UpstreamRecord.models
-		UpstreamRecord.software_version UpstreamStatement.id SendPermitResponse.id ErrorShare.id StreamVersion.version ServiceVersion.service ServiceVersion.version ServiceVersion.model ServiceVersion.weights
+		UpstreamRecord.software_version StreamVersionResponse.software_version UpstreamStatement.id SendPermitResponse.id ErrorShare.id StreamVersion.version ServiceVersion.service ServiceVersion.version ServiceVersion.model ServiceVersion.weights
 		EventNumbering.version RelayRequest.address StreamVersion.earlier_weights StreamVersion.weights UpstreamState.weights UpstreamRecord.weights CrashedPrompt.engine_id
 		UpstreamOutcomes.id Event.upstream`,
 	"upstreams: ids of events that are not valid UTF-8 are left out by internal/forward": `StreamVersion.changed_after`,
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -43,8 +43,19 @@
 	return s.hasQuorum
 }
 
-func (s *fakeStore) Members() []string                  { return s.members }
-func (s *fakeStore) Leader() (string, uint64, bool)     { return s.members[0], 4, false }
+func (s *fakeStore) Members() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.members
+}
+
+func (s *fakeStore) setMembers(members []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.members = members
+}
+
+func (s *fakeStore) Leader() (string, uint64, bool)     { return s.Members()[0], 4, false }
 func (s *fakeStore) set(version uint64, hasQuorum bool) { s.setDoc(version, hasQuorum) }
 
 func (s *fakeStore) setDoc(version uint64, hasQuorum bool) {
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -581,7 +581,7 @@
 		lastSent = time.Now()
 		records := h.takePending(s)
 		h.mu.Lock()
-		attached, evidence, statements, versions := uint32(h.localAttachments()), h.evidenceForHub(s), h.statementsForHub(s), h.streamVersionsForHub(s)
+		attached, evidence, statements, versions := uint32(h.localAttachments()), h.evidenceForHub(s), h.statementsForHub(s), h.streamVersionsForHub(s, client.Peer())
 		h.mu.Unlock()
 		g := &pb.Gossip{Upstreams: records, Attached: attached, Version: h.opts.Store.Current().Version, Evidence: evidence, Statements: statements, StreamVersions: versions}
 		h.stateHistory(s).addToGossip(g)
--- a/internal/feed/outcomes.go
+++ b/internal/feed/outcomes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
@@ -104,9 +105,9 @@
 		if len(report.Outcomes) == 0 && len(report.Crashes) == 0 && len(report.SoundParts) == 0 && len(report.Statements) == 0 && len(report.StreamVersions) == 0 && len(report.RouteServices) == 0 && len(report.EventNumberings) == 0 {
 			continue
 		}
-		for _, st := range streams {
+		for st, client := range streams {
 			// If the stream has failed, attach sees the error and ends.
-			_ = st.Send(report)
+			_ = st.Send(reportFor(client.Peer(), report))
 		}
 		if s.opts.Reported != nil {
 			s.opts.Reported()
@@ -114,14 +115,11 @@
 	}
 }
 
-func (s *Subscriber) openStreams() []*transport.Stream {
+// openStreams returns the open streams with the hubs' clients.
+func (s *Subscriber) openStreams() map[*transport.Stream]*transport.Client {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	list := make([]*transport.Stream, 0, len(s.streams))
-	for st := range s.streams {
-		list = append(list, st)
-	}
-	return list
+	return maps.Clone(s.streams)
 }
 
 // addStream adds a stream to those that receive reports. The returned function
--- a/internal/feed/stream_versions.go
+++ b/internal/feed/stream_versions.go
@@ -29,7 +29,7 @@
 			h.seeVersions([]policy.RunVersions{v.Versions}, v.RecordedAt)
 		}
 		if known && h.streamVersions.Record(v, now) {
-			changed, stored = append(changed, v), append(stored, m)
+			changed, stored = append(changed, v), append(stored, fleet.EncodeStreamVersion(v, now))
 		}
 	}
 	if len(changed) == 0 {
@@ -61,7 +61,7 @@
 
 // streamVersionsForHub returns the versions that are due on a stream to another hub. The
 // caller holds mu.
-func (h *Hub) streamVersionsForHub(s *subscription) []*pb.StreamVersion {
+func (h *Hub) streamVersionsForHub(s *subscription, hub *pb.Hello) []*pb.StreamVersion {
 	list := s.streamVersions
 	if s.allStreamVersions {
 		list = h.streamVersions.All(h.now())
@@ -71,7 +71,7 @@
 	for _, v := range list {
 		out = append(out, fleet.EncodeStreamVersion(v, h.now()))
 	}
-	return out
+	return recordsFor(hub, out)
 }
 
 // serveStreamVersion tells an entry at which versions a stream may go on, after it has kept
@@ -119,8 +119,8 @@
 		}
 		waiting++
 		go func() {
-			if stream, err := askHub(ctx, client, req); err == nil {
-				answers <- stream
+			if answer, err := askHub(ctx, client, &pb.StreamVersionRequest{Id: req.Id, Record: req.Record}); err == nil {
+				answers <- answer.Stream
 			} else {
 				// A hub out of reach doesn't count as one that has answered.
 				failed <- struct{}{}
@@ -140,14 +140,13 @@
 	}
 }
 
-// askHub returns the record that another hub has of a stream. If it is to keep one, it is
-// asked until it has it or a later one.
-func askHub(ctx context.Context, client *transport.Client, req *pb.StreamVersionRequest) (*pb.StreamVersion, error) {
+// askHub asks a hub about a stream. If it is to keep a record, it is asked until it has it or
+// a later one.
+func askHub(ctx context.Context, client *transport.Client, req *pb.StreamVersionRequest) (*pb.StreamVersionResponse, error) {
 	for {
-		answer := &pb.StreamVersionResponse{}
-		err := client.Call(ctx, transport.MethodStreamVersion, &pb.StreamVersionRequest{Id: req.Id, Record: req.Record}, answer)
+		answer, err := callStreamVersion(ctx, client, req)
 		if err != nil || req.Record == nil || answer.Stream.GetAttempt() >= req.Record.Attempt {
-			return answer.Stream, err
+			return answer, err
 		}
 		select {
 		case <-ctx.Done():
@@ -200,8 +199,8 @@
 	answers := make(chan *pb.StreamVersionResponse, len(clients))
 	for _, c := range clients {
 		go func() {
-			resp := &pb.StreamVersionResponse{}
-			if c.Call(ctx, transport.MethodStreamVersion, req, resp) != nil {
+			resp, err := askHub(ctx, c, req)
+			if err != nil {
 				resp = nil
 			}
 			answers <- resp
--- a/internal/feed/subscriber.go
+++ b/internal/feed/subscriber.go
@@ -236,7 +236,7 @@
 		req.Quarantined = s.opts.Quarantined()
 	}
 	if s.opts.StreamVersions != nil {
-		req.StreamVersions = s.opts.StreamVersions()
+		req.StreamVersions = recordsFor(client.Peer(), s.opts.StreamVersions())
 	}
 	if s.opts.RouteServices != nil {
 		req.RouteServices = s.opts.RouteServices()
--- a/internal/fleet/versions.go
+++ b/internal/fleet/versions.go
@@ -39,12 +39,15 @@
 	}
 }
 
-// DecodeStreamVersion returns a record that was received at a time. known is false if it
-// does not tell the service.
+// DecodeStreamVersion returns a record that was received at a time, wrapped or not. known is
+// false if it does not tell the service.
 func DecodeStreamVersion(m *pb.StreamVersion, now time.Duration) (v policy.StreamVersion, known bool) {
 	if m == nil {
 		return policy.StreamVersion{}, false
 	}
+	if whole := Unwrap(m); whole != nil {
+		m = whole
+	}
 	return policy.StreamVersion{
 		ID: m.Id, First: m.FirstId, ChangedAfter: m.ChangedAfter, EarlierWeights: m.EarlierWeights, Attempt: int(m.Attempt), RecordedAt: now - time.Duration(m.AgeMs)*time.Millisecond,
 		Versions: policy.RunVersions{Service: m.Service, Software: m.Version, Model: m.Model, Weights: m.Weights},
