--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -85,7 +85,7 @@
 				prefill: x.s.upstreams.get(reservation.Prefill()), decode: x.s.upstreams.get(reservation.Decode()), work: work, reservation: reservation,
 				tokensPerEvent: x.service.Engine.TokensPerEvent, charges: req.RetrySends,
 			}
-			if p.decode != nil && !p.decode.refusesWork(x.s.now()) && x.fitsVersion(p.decode) {
+			if p.decode != nil && !p.decode.refusesWork(x.s.now()) && x.fitsVersion(p.decode) && x.likelyFits(p.decode) {
 				x.placedBy = "scheduler"
 				return p, nil
 			}
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"time"
 
-	"godwitward.example/godwitward/internal/fleet"
 	"godwitward.example/godwitward/policy"
 )
 
@@ -47,7 +46,8 @@
 	if t != nil && (t.inBackoff(x.s.now()) || t.refusesWork(x.s.now())) {
 		t = nil
 	}
-	if t == nil && p.prefill != nil || t != nil && !policy.SameWeights(x.decodeWeights(p.decode), fleet.RunVersions(t.currentRecord(), x.info.Model).Weights) {
+	filter := upstreamFilter{model: x.info.Model, weights: x.decodeWeights(p.decode)}
+	if t == nil && p.prefill != nil || t != nil && !filter.likely(t, x.s.now()) {
 		t = x.pickPrefill(p.decode, x.lostHandleEngines, p.reservation == nil)
 	}
 	for len(tried) < maxPrefillAttempts {
--- a/internal/forward/target.go
+++ b/internal/forward/target.go
@@ -39,6 +39,8 @@
 	recordAt time.Time
 	// statedWeights holds what responses have stated, by model.
 	statedWeights map[string]statedWeights
+	// likelyWeights holds what responses and reports have last stated, by model.
+	likelyWeights map[string]statedWeights
 	// brokeAt is when a connection last broke, or could not be opened: the process may have
 	// ended, and another one may answer at its address, under its id. Zero if none has.
 	brokeAt time.Duration
--- a/internal/forward/upstreams.go
+++ b/internal/forward/upstreams.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -161,10 +162,26 @@
 	return list
 }
 
-// pick returns the best upstream that passes the filter, or nil. r is a random
-// number, uniform in [0, 1), that breaks ties.
+// likely reports whether a target has the weights that the filter asks for, as far as the
+// process has stated any.
+func (f *upstreamFilter) likely(t *target, now time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if f.run != nil && !f.run.MayGoOnAt(t.likelyVersions(f.run.Model, now)) {
+		return false
+	}
+	return policy.SameWeights(f.weights, t.likelyVersions(f.model, now).Weights)
+}
+
+// pick returns the best upstream that passes the filter, or nil. Those that have stated other
+// weights are used only when no others are left. r is a random number, uniform in [0, 1), that
+// breaks ties.
 func (u *upstreams) pick(filter upstreamFilter, now time.Duration, r float64) *target {
 	usable := u.usable(filter, now)
+	unlikely := func(t *target) bool { return !filter.likely(t, now) }
+	if likely := slices.DeleteFunc(slices.Clone(usable), unlikely); len(likely) > 0 {
+		usable = likely
+	}
 	candidates := make([]policy.Candidate, 0, len(usable))
 	for _, t := range usable {
 		t.mu.Lock()
--- a/internal/forward/versions.go
+++ b/internal/forward/versions.go
@@ -360,6 +360,13 @@
 	return x.run == nil || x.run.MayGoOnAt(fleet.RunVersions(t.currentRecord(), x.info.Model)) && !(t.mayHaveRestarted(x.s.now()) && x.outOfContact())
 }
 
+// likelyFits reports whether a target has the weights of the stream, as far as the process has
+// stated any. Schedulers of builds before protocol.RunVersions choose by software alone.
+func (x *exchange) likelyFits(t *target) bool {
+	filter := upstreamFilter{run: x.run}
+	return filter.likely(t, x.s.now())
+}
+
 // outOfContact reports whether no reports of upstreams arrive.
 func (x *exchange) outOfContact() bool {
 	return x.s.versionSource == nil || !x.s.versionSource.ReportsArrive()
--- a/internal/forward/weights.go
+++ b/internal/forward/weights.go
@@ -23,6 +23,7 @@
 
 // setRecord replaces the record of the process. The caller holds mu.
 func (t *target) setRecord(r *pb.UpstreamRecord, now time.Duration) {
+	t.noteReportedWeights(t.record, now)
 	t.record, t.recordAt = r, time.Now()
 	for model, stated := range t.statedWeights {
 		if now-stated.at < statedWeightsTTL {
@@ -38,6 +39,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.noteWeights(model, version, now)
 	if t.applyWeights(model, version) || t.statedWeights[model].version == version {
 		if t.statedWeights == nil {
 			t.statedWeights = map[string]statedWeights{}
@@ -65,7 +67,52 @@
 	if x.run != nil && x.run.Weights != "" {
 		return x.run.Weights
 	}
-	return fleet.RunVersions(decode.currentRecord(), x.info.Model).Weights
+	decode.mu.Lock()
+	defer decode.mu.Unlock()
+	return decode.likelyVersions(x.info.Model, x.s.now()).Weights
+}
+
+// likelyWeightsTTL is the time for which a process whose reports tell no weights is chosen by
+// those that it has last stated. Hubs of builds before protocol.RunVersions pass none on.
+const likelyWeightsTTL = 10 * time.Second
+
+// noteWeights stores the version of a model's weights as the last one that was stated. The
+// caller holds mu.
+func (t *target) noteWeights(model, version string, now time.Duration) {
+	if t.likelyWeights == nil {
+		t.likelyWeights = map[string]statedWeights{}
+	}
+	t.likelyWeights[model] = statedWeights{version, now}
+}
+
+// rejectedWeights notes the weights that a process has rejected a request with.
+func (t *target) rejectedWeights(model, version string, now time.Duration) {
+	if version == "" {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.noteWeights(model, version, now)
+}
+
+// noteReportedWeights notes the weights of a record that is being replaced. The caller holds mu.
+func (t *target) noteReportedWeights(r *pb.UpstreamRecord, now time.Duration) {
+	for i, model := range r.Models {
+		if i < len(r.Weights) && r.Weights[i] != "" {
+			t.noteWeights(model, r.Weights[i], now)
+		}
+	}
+}
+
+// likelyVersions returns the versions of the process to choose it by: where its report tells
+// no weights, those that it has last stated. They may have changed, so nothing is relayed and
+// nobody is refused because of them. The caller holds mu.
+func (t *target) likelyVersions(model string, now time.Duration) policy.RunVersions {
+	v := fleet.RunVersions(t.record, model)
+	if stated := t.likelyWeights[model]; v.Weights == "" && now-stated.at < likelyWeightsTTL {
+		v.Weights = stated.version
+	}
+	return v
 }
 
 // prefillOptions returns the options of a prefill call. What a stream goes on with must be
