--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -13,6 +13,7 @@
 	pb "godwitward.example/godwitward/api/godwitward/v1"
 	"godwitward.example/godwitward/internal/corestore"
 	"godwitward.example/godwitward/internal/fleet"
+	"godwitward.example/godwitward/internal/protocol"
 	"godwitward.example/godwitward/internal/streamlog"
 	"godwitward.example/godwitward/internal/transport"
 	"godwitward.example/godwitward/policy"
@@ -396,6 +397,9 @@
 		d := h.opts.Store.Current()
 		h.learnRoutes(d, d.Version > haveVersion)
 		h.stateHistory(s).addToUpdate(u)
+		if !protocol.Of(transport.PeerFromContext(ctx)).KeepsRunVersions() {
+			h.addForOldEntry(u)
+		}
 		u.Leader, u.Term, _ = h.opts.Store.Leader()
 		u.Version, u.NewestVersion = d.Version, max(d.Version, h.announcedVersion())
 		if d.Version > haveVersion {
--- a/internal/feed/old_builds.go
+++ b/internal/feed/old_builds.go
@@ -9,6 +9,7 @@
 	"godwitward.example/godwitward/internal/fleet"
 	"godwitward.example/godwitward/internal/protocol"
 	"godwitward.example/godwitward/internal/transport"
+	"godwitward.example/godwitward/policy"
 )
 
 // recordsFor returns records of streams as a peer is sent them: one that may keep only a part
@@ -44,3 +45,40 @@
 	resp.Stream = fleet.Unwrap(&pb.StreamVersion{Id: id, Version: wrapped.SoftwareVersion})
 	return resp, err
 }
+
+// otherSoftware stands for a software version beside those in use at a service whose upstreams
+// go on with different runs although their software is the same. Entries of builds before
+// protocol.RunVersions, which choose by software alone, then take up no stream of which they
+// know only that there is one version. No request names the model, so entries that tell runs
+// apart don't count it.
+var otherSoftware = policy.RunVersions{Software: "\x01other", Model: "\x01none"}
+
+// addForOldEntry adds to an update what keeps an entry that may tell runs apart by their
+// software alone from joining different ones.
+func (h *Hub) addForOldEntry(u *pb.FeedUpdate) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.now()
+	shared := h.routes.current.Shared(&h.routes.services, now)
+	for service, history := range h.byService {
+		if !shared[service] && history.SoftwareTellsRun(now) {
+			continue
+		}
+		other := otherSoftware
+		other.Service = service
+		u.ServiceVersions = append(u.ServiceVersions, fleet.EncodeServiceVersion(other, now, now))
+	}
+}
+
+// addSoftware adds the software version of a stream to an answer, if all upstreams with it
+// go on with the same run.
+func (h *Hub) addSoftware(resp *pb.StreamVersionResponse, v policy.StreamVersion) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	service, now := v.Versions.Service, h.now()
+	history := h.byService[service]
+	if h.routes.current.Shared(&h.routes.services, now)[service] || history == nil || !history.SoftwareTellsRun(now) {
+		return
+	}
+	resp.SoftwareKnown, resp.SoftwareVersion = true, v.Versions.Software
+}
--- a/internal/feed/stream_versions.go
+++ b/internal/feed/stream_versions.go
@@ -6,6 +6,7 @@
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
 	"godwitward.example/godwitward/internal/fleet"
+	"godwitward.example/godwitward/internal/protocol"
 	"godwitward.example/godwitward/internal/transport"
 	"godwitward.example/godwitward/policy"
 )
@@ -87,6 +88,9 @@
 	resp := &pb.StreamVersionResponse{}
 	if known {
 		resp.Stream = fleet.EncodeStreamVersion(v, h.now())
+		if !protocol.Of(transport.PeerFromContext(ctx)).KeepsRunVersions() {
+			h.addSoftware(resp, v)
+		}
 	}
 	if req.AllHubs {
 		h.askOtherHubs(ctx, req, resp)
