--- a/internal/feed/old_hubs_test.go
+++ b/internal/feed/old_hubs_test.go
@@ -12,6 +12,7 @@
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
 	"godwitward.example/godwitward/internal/fleet"
+	"godwitward.example/godwitward/internal/streamlog"
 	"godwitward.example/godwitward/internal/transport"
 	"godwitward.example/godwitward/policy"
 )
@@ -235,3 +236,21 @@
 		cancel()
 	}
 }
+
+// Guards against records that are lost when a hub of an earlier build is replaced: its disk
+// holds only what it kept of them.
+func TestRecordsOnTheDiskOfAnOldHubAreWhole(t *testing.T) {
+	v := policy.StreamVersion{ID: "a", First: "f", Attempt: 3, Versions: policy.RunVersions{Service: "s", Software: "v1", Model: "m", Weights: "1"}}
+	var kept []*pb.StreamVersion
+	for _, m := range fleet.WithWrapped([]*pb.StreamVersion{fleet.EncodeStreamVersion(v, 0)}) {
+		kept = append(kept, &pb.StreamVersion{Id: m.Id, Version: m.Version, Attempt: m.Attempt, AgeMs: 5000})
+	}
+	h, _ := newRoutesHub(t, t.Cleanup, &streamlog.Stored{Streams: kept}, false)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	got, known := h.streamVersions.Get("a", h.now())
+	require.True(t, known)
+	require.InDelta(t, float64(5*time.Second), float64(h.now()-got.RecordedAt), float64(time.Second))
+	got.RecordedAt = 0
+	require.Equal(t, v, got)
+}
--- a/internal/forward/not_run.go
+++ b/internal/forward/not_run.go
@@ -80,7 +80,7 @@
 	}
 	switch {
 	case otherWeights:
-		t.rejectedWeights(x.info.Model, res.info.Weights, x.s.now())
+		t.noteStatedWeights(x.info.Model, res.info.Weights, x.s.now())
 		x.reason = reasonOtherWeights
 	case !res.notRun:
 		t.recordFailure(x.s.now(), policy.FaultError)
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -113,7 +113,12 @@
 	filter := upstreamFilter{
 		service: x.service.Name, stage: pb.EngineStage_ENGINE_STAGE_PREFILL, tried: tried, model: x.info.Model, weights: x.decodeWeights(decode),
 	}
-	return x.pickUnscheduled(filter, noScheduler)
+	t := x.pickUnscheduled(filter, noScheduler)
+	if t != nil && !filter.likely(t, x.s.now()) {
+		// The decode engine would reject the result.
+		return nil
+	}
+	return t
 }
 
 // generatedTokens returns the number of output tokens that the caller already has
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -132,6 +132,7 @@
 		return nil
 	}
 	t.recordSuccess(x.s.now())
+	t.noteStatedWeights(x.info.Model, handle.Weights, x.s.now())
 	ch.accept()
 	took := time.Since(start)
 	t.mu.Lock()
--- a/internal/forward/weights.go
+++ b/internal/forward/weights.go
@@ -85,8 +85,9 @@
 	t.likelyWeights[model] = statedWeights{version, now}
 }
 
-// rejectedWeights notes the weights that a process has rejected a request with.
-func (t *target) rejectedWeights(model, version string, now time.Duration) {
+// noteStatedWeights notes the weights that a process has stated with a rejection or a prefill
+// result.
+func (t *target) noteStatedWeights(model, version string, now time.Duration) {
 	if version == "" {
 		return
 	}
