--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -138,7 +138,7 @@
 		OnDocument:  func(version uint64, body []byte) { applyConfig(server, e.logger, version, body) },
 		OnUpstreams: server.SetUpstreams,
 		Outcomes:    server.Outcomes, Reported: server.Reported, ReportNow: server.ReportNow(), OnErrorShares: server.SetErrorShares,
-		OnEvidence: server.SetEvidence, Quarantined: server.Quarantined, StreamVersions: server.StreamVersions, OnStatements: server.SetStatements, OnServiceVersions: server.SetServiceVersions,
+		OnEvidence: server.SetEvidence, Quarantined: server.Quarantined, StreamVersions: server.StreamVersions, SoftwareTellsRun: server.SoftwareTellsRun, OnStatements: server.SetStatements, OnServiceVersions: server.SetServiceVersions,
 		RouteServices: server.RouteServices, OnRouteServices: server.SetRouteServices,
 		EventNumberings: server.EventNumberings, OnEventNumberings: server.SetEventNumberings,
 	})
--- a/internal/feed/old_builds.go
+++ b/internal/feed/old_builds.go
@@ -14,23 +14,27 @@
 
 // recordsFor returns records of streams as a peer is sent them: one that may keep only a part
 // of them gets them wrapped too.
-func recordsFor(peer *pb.Hello, list []*pb.StreamVersion) []*pb.StreamVersion {
+func recordsFor(peer *pb.Hello, list []*pb.StreamVersion, tellsRun func(service string) bool) []*pb.StreamVersion {
 	if len(list) == 0 || protocol.Of(peer).KeepsRunVersions() {
 		return list
 	}
-	return fleet.WithWrapped(list)
+	return fleet.WithWrapped(list, tellsRun)
 }
 
 // reportFor returns an entry's report as a hub is sent it.
-func reportFor(hub *pb.Hello, report *pb.OutcomeReport) *pb.OutcomeReport {
+func (s *Subscriber) reportFor(hub *pb.Hello, report *pb.OutcomeReport) *pb.OutcomeReport {
 	if len(report.StreamVersions) == 0 || protocol.Of(hub).KeepsRunVersions() {
 		return report
 	}
 	report = proto.CloneOf(report)
-	report.StreamVersions = fleet.WithWrapped(report.StreamVersions)
+	report.StreamVersions = fleet.WithWrapped(report.StreamVersions, s.softwareTellsRun)
 	return report
 }
 
+func (s *Subscriber) softwareTellsRun(service string) bool {
+	return s.opts.SoftwareTellsRun == nil || s.opts.SoftwareTellsRun(service)
+}
+
 // callStreamVersion asks one hub about a stream. One that may keep only a part of a record is
 // asked for the wrapped one too.
 func callStreamVersion(ctx context.Context, client *transport.Client, req *pb.StreamVersionRequest) (*pb.StreamVersionResponse, error) {
@@ -51,7 +55,7 @@
 // protocol.RunVersions, which choose by software alone, then take up no stream of which they
 // know only that there is one version. No request names the model, so entries that tell runs
 // apart don't count it.
-var otherSoftware = policy.RunVersions{Software: "\x01other", Model: "\x01none"}
+var otherSoftware = policy.RunVersions{Software: fleet.OtherSoftware, Model: "\x01none"}
 
 // addForOldEntry adds to an update what keeps an entry that may tell runs apart by their
 // software alone from joining different ones.
@@ -59,9 +63,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.now()
-	shared := h.routes.current.Shared(&h.routes.services, now)
-	for service, history := range h.byService {
-		if !shared[service] && history.SoftwareTellsRun(now) {
+	for service := range h.byService {
+		if h.softwareTellsRun(service) {
 			continue
 		}
 		other := otherSoftware
@@ -75,10 +78,14 @@
 func (h *Hub) addSoftware(resp *pb.StreamVersionResponse, v policy.StreamVersion) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	service, now := v.Versions.Service, h.now()
-	history := h.byService[service]
-	if h.routes.current.Shared(&h.routes.services, now)[service] || history == nil || !history.SoftwareTellsRun(now) {
-		return
+	if h.softwareTellsRun(v.Versions.Service) {
+		resp.SoftwareKnown, resp.SoftwareVersion = true, v.Versions.Software
 	}
-	resp.SoftwareKnown, resp.SoftwareVersion = true, v.Versions.Software
+}
+
+// softwareTellsRun reports whether upstreams of a service that are chosen by their software
+// alone go on with each other's runs, as far as the hub knows. The caller holds mu.
+func (h *Hub) softwareTellsRun(service string) bool {
+	now, history := h.now(), h.byService[service]
+	return !h.routes.current.Shared(&h.routes.services, now)[service] && (history == nil || history.SoftwareTellsRun(now))
 }
--- a/internal/feed/old_hubs_test.go
+++ b/internal/feed/old_hubs_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -122,6 +123,8 @@
 	known []*pb.StreamVersion
 	next  []*pb.StreamVersion
 	now   chan struct{}
+	// ambiguous is set if the software of an upstream does not tell the run.
+	ambiguous atomic.Bool
 }
 
 func startReportingEntry(t *testing.T, hub string) *reportingEntry {
@@ -136,6 +139,7 @@
 			e.next = nil
 			return report
 		},
+		SoftwareTellsRun: func(string) bool { return !e.ambiguous.Load() },
 		StreamVersions: func() []*pb.StreamVersion {
 			e.mu.Lock()
 			defer e.mu.Unlock()
@@ -242,7 +246,7 @@
 func TestRecordsOnTheDiskOfAnOldHubAreWhole(t *testing.T) {
 	v := policy.StreamVersion{ID: "a", First: "f", Attempt: 3, Versions: policy.RunVersions{Service: "s", Software: "v1", Model: "m", Weights: "1"}}
 	var kept []*pb.StreamVersion
-	for _, m := range fleet.WithWrapped([]*pb.StreamVersion{fleet.EncodeStreamVersion(v, 0)}) {
+	for _, m := range fleet.WithWrapped([]*pb.StreamVersion{fleet.EncodeStreamVersion(v, 0)}, func(string) bool { return false }) {
 		kept = append(kept, &pb.StreamVersion{Id: m.Id, Version: m.Version, Attempt: m.Attempt, AgeMs: 5000})
 	}
 	h, _ := newRoutesHub(t, t.Cleanup, &streamlog.Stored{Streams: kept}, false)
@@ -254,3 +258,41 @@
 	got.RecordedAt = 0
 	require.Equal(t, v, got)
 }
+
+// Guards against entries of earlier builds that join the streams of present entries with
+// other runs, because their hubs tell them no more than the software.
+func TestOldEntriesAtOldHubsGetNoSoftwareThatTellsNoRun(t *testing.T) {
+	oldHubs, members, hubs := startMixedHubs(t, 2, 1)
+	software := func(h *oldHub, id string) string {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return h.records[id].GetVersion()
+	}
+	run := policy.RunVersions{Service: "s", Software: "v1", Model: "m", Weights: "1"}
+	hubs[0].mu.Lock()
+	hubs[0].routes.current = policy.ResumableRoutes{{Host: "h", Prefix: "/a/"}: {"s", "t"}}
+	hubs[0].mu.Unlock()
+	for i, address := range members {
+		e := startReportingEntry(t, address)
+		e.ambiguous.Store(true)
+		v := policy.StreamVersion{ID: "ambiguous-" + address, Attempt: 1, Versions: run}
+		for ; v.Attempt < 4; v.Attempt++ {
+			e.report(v)
+			for j, h := range oldHubs {
+				require.Eventually(t, func() bool { return software(h, fleet.WrappedID(v.ID)) != "" }, 3*time.Second, 5*time.Millisecond, "reported to hub %d, old hub %d", i, j)
+				require.Eventually(t, func() bool { return software(h, v.ID) == fleet.OtherSoftware }, 3*time.Second, 5*time.Millisecond, "reported to hub %d, old hub %d", i, j)
+			}
+			got, known := e.StreamVersion(t.Context(), v.ID)
+			require.True(t, known)
+			require.Equal(t, run, got.Versions)
+		}
+		if address == members[0] {
+			continue
+		}
+		e.ambiguous.Store(false)
+		e.report(policy.StreamVersion{ID: "sound-" + address, Attempt: 1, Versions: run})
+		for _, h := range oldHubs {
+			require.Eventually(t, func() bool { return software(h, "sound-"+address) == "v1" }, 3*time.Second, 5*time.Millisecond)
+		}
+	}
+}
--- a/internal/feed/outcomes.go
+++ b/internal/feed/outcomes.go
@@ -107,7 +107,7 @@
 		}
 		for st, client := range streams {
 			// If the stream has failed, attach sees the error and ends.
-			_ = st.Send(reportFor(client.Peer(), report))
+			_ = st.Send(s.reportFor(client.Peer(), report))
 		}
 		if s.opts.Reported != nil {
 			s.opts.Reported()
--- a/internal/feed/subscriber.go
+++ b/internal/feed/subscriber.go
@@ -69,6 +69,9 @@
 	// StreamVersions returns the versions of the streams that the entry has begun of late.
 	// It may be nil.
 	StreamVersions func() []*pb.StreamVersion
+	// SoftwareTellsRun reports whether upstreams of a service that are chosen by their software
+	// alone go on with each other's runs. If it is nil they do.
+	SoftwareTellsRun func(service string) bool
 	// EventNumberings returns what the entry knows of how events are numbered, and
 	// OnEventNumberings is called with what other entries know. Both may be nil.
 	EventNumberings   func() []*pb.EventNumbering
@@ -236,7 +239,7 @@
 		req.Quarantined = s.opts.Quarantined()
 	}
 	if s.opts.StreamVersions != nil {
-		req.StreamVersions = recordsFor(client.Peer(), s.opts.StreamVersions())
+		req.StreamVersions = recordsFor(client.Peer(), s.opts.StreamVersions(), s.softwareTellsRun)
 	}
 	if s.opts.RouteServices != nil {
 		req.RouteServices = s.opts.RouteServices()
--- a/internal/fleet/wrapped_versions.go
+++ b/internal/fleet/wrapped_versions.go
@@ -9,7 +9,7 @@
 	pb "godwitward.example/godwitward/api/godwitward/v1"
 )
 
-// Builds before protocol.RunVersions keep and pass on only the id, the software version, the
+// Hubs of builds before protocol.RunVersions keep and pass on only the id, the software version, the
 // number and the age of a record. To them it is sent a second time, wrapped: under an id of
 // its own, with all of it in the text of the software version.
 const (
@@ -23,16 +23,29 @@
 // WrappedID returns the id of the wrapped form of a record.
 func WrappedID(id string) string { return wrappedIDPrefix + id }
 
-// WithWrapped returns records and the wrapped form of each.
-func WithWrapped(list []*pb.StreamVersion) []*pb.StreamVersion {
-	both := make([]*pb.StreamVersion, 0, 2*len(list))
+// OtherSoftware is a software version that no process has.
+const OtherSoftware = "\x01other"
+
+// WithWrapped returns records and the wrapped form of each. Hubs that keep only a part of
+// them pass the software on to entries that choose upstreams by nothing else. Of a service at
+// which that may lead to another run, which tellsRun reports, they get a later record with a
+// version that no upstream has. It names no service, so others leave it out.
+func WithWrapped(list []*pb.StreamVersion, tellsRun func(service string) bool) []*pb.StreamVersion {
+	all := make([]*pb.StreamVersion, 0, 3*len(list))
+	tells := map[string]bool{}
 	for _, m := range list {
-		both = append(both, m)
+		all = append(all, m)
+		if _, asked := tells[m.Service]; !asked {
+			tells[m.Service] = tellsRun(m.Service)
+		}
+		if !tells[m.Service] {
+			all = append(all, &pb.StreamVersion{Id: m.Id, Version: OtherSoftware, Attempt: m.Attempt + 1, AgeMs: m.AgeMs})
+		}
 		if wrapped := wrap(m); wrapped != nil {
-			both = append(both, wrapped)
+			all = append(all, wrapped)
 		}
 	}
-	return both
+	return all
 }
 
 // wrap returns the wrapped form of a record; nil if it cannot be encoded. The text does not
--- a/internal/forward/route_services.go
+++ b/internal/forward/route_services.go
@@ -102,6 +102,25 @@
 	return out
 }
 
+// SoftwareTellsRun reports whether upstreams of a service that are chosen by their software
+// alone go on with each other's runs, as far as the entry knows.
+func (s *Server) SoftwareTellsRun(service string) bool {
+	now := s.now()
+	if c := s.config.Load(); c != nil {
+		s.routeServices.mu.Lock()
+		shared := c.ResumableRoutes().Shared(&s.routeServices.known, now)
+		s.routeServices.mu.Unlock()
+		if shared[service] {
+			return false
+		}
+	}
+	l := &s.streamVersions
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	history := l.history[service]
+	return history == nil || history.SoftwareTellsRun(now)
+}
+
 // possibleServices returns all services at which a stream of the route may have begun within
 // the time for which streams are remembered. known is false if there may be others. It tells
 // what this entry has been told: for how long that is all of it, the source of stream
