--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -85,7 +85,7 @@
 				prefill: x.s.upstreams.get(reservation.Prefill()), decode: x.s.upstreams.get(reservation.Decode()), work: work, reservation: reservation,
 				tokensPerEvent: x.service.Engine.TokensPerEvent, charges: req.RetrySends,
 			}
-			if p.decode != nil && !p.decode.refusesWork(x.s.now()) && x.fitsVersion(p.decode) {
+			if p.decode != nil && !p.decode.refusesWork(x.s.now()) && x.fitsVersion(p.decode) && x.likelyFits(p.decode) {
 				x.placedBy = "scheduler"
 				return p, nil
 			}
@@ -113,7 +113,12 @@
 	filter := upstreamFilter{
 		service: x.service.Name, stage: pb.EngineStage_ENGINE_STAGE_PREFILL, tried: tried, model: x.info.Model, weights: x.decodeWeights(decode),
 	}
-	return x.pickUnscheduled(filter, noScheduler)
+	t := x.pickUnscheduled(filter, noScheduler)
+	if t != nil && !filter.likely(t, x.s.now()) {
+		// The decode engine would reject the result.
+		return nil
+	}
+	return t
 }
 
 // generatedTokens returns the number of output tokens that the caller already has
