--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"io"
-	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -71,20 +69,17 @@
 	// events of all streams.
 	runs    map[string][]standin.Origin
 	streams map[string][]receivedEvent
-	// servers holds what served each request, and its build, in runs with several builds.
-	servers map[string]server
-	// findingBuilds counts the findings of streams by the build of the entry.
-	findingBuilds map[string]int
+	// servers holds what served each request, in runs with several builds, and
+	// requestFindings the findings about requests.
+	servers         map[string]server
+	requestFindings []requestFinding
 }
 
-// server is an entry that served a request.
-type server struct{ build, description string }
-
 func newChecker() *checker {
 	return &checker{
 		runCounts: map[string]int{}, workRuns: map[string][]string{}, atMostOnce: map[string]bool{}, outcomes: map[string]outcome{},
 		leaveAckedAt: map[string]time.Time{}, statusCounts: map[string]int{},
-		runs: map[string][]standin.Origin{}, streams: map[string][]receivedEvent{}, servers: map[string]server{}, findingBuilds: map[string]int{},
+		runs: map[string][]standin.Origin{}, streams: map[string][]receivedEvent{}, servers: map[string]server{},
 	}
 }
 
@@ -92,53 +87,6 @@
 	c.findings = append(c.findings, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
 }
 
-// servedBy records the entry that a request is sent to.
-func (c *checker) servedBy(id, build, description string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.servers[id] = server{build, description}
-}
-
-// addRequestFinding adds a finding about a request, with the builds that served it and the
-// ones before it that the finding is about. The caller holds mu.
-func (c *checker) addRequestFinding(ids []string, format string, args ...any) {
-	text := fmt.Sprintf(format, args...)
-	for i, id := range ids {
-		if s, known := c.servers[id]; known {
-			text += fmt.Sprintf("; %s at %s", id, s.description)
-			if i == 0 {
-				c.findingBuilds[s.build]++
-			}
-		}
-	}
-	c.addFinding("%s", text)
-}
-
-// printBuilds prints the findings about requests by the build of the entry that took the
-// step, and what each build served.
-func (c *checker) printBuilds(out io.Writer) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	type count struct{ served, all int }
-	counts := map[string]*count{}
-	for id, o := range c.outcomes {
-		s, known := c.servers[id]
-		if !known || o.left {
-			continue
-		}
-		if counts[s.build] == nil {
-			counts[s.build] = &count{}
-		}
-		counts[s.build].all++
-		if o.status == 200 && o.complete {
-			counts[s.build].served++
-		}
-	}
-	for _, build := range slices.Sorted(maps.Keys(counts)) {
-		fmt.Fprintf(out, "entries of %s: %d of %d requests served, %d findings about requests\n", build, counts[build].served, counts[build].all, c.findingBuilds[build])
-	}
-}
-
 func (c *checker) faultStarted() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -184,7 +132,7 @@
 	}
 	c.workRuns[r.Work] = append(c.workRuns[r.Work], r.ID)
 	if ids := c.workRuns[r.Work]; slices.Index(ids, r.ID) != 0 {
-		c.addRequestFinding(ids, "twice: work %s may run once and ran as requests %v, now at %s", r.Work, ids, r.Runner)
+		c.addRequestFinding(append([]string{r.ID}, ids...), "twice: work %s may run once and ran as requests %v, now at %s", r.Work, ids, r.Runner)
 	}
 }
 
@@ -213,7 +161,7 @@
 func (c *checker) checkPlain(id string, o outcome) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.outcomes[id] = o
+	c.requestEnded(id, o)
 	c.statusCounts[fmt.Sprintf("plain %d", o.status)]++
 	if o.status == 200 && o.complete && o.body != "answer "+id {
 		c.addRequestFinding([]string{id}, "mixed: request %s got the response %q", id, o.body)
@@ -288,8 +236,8 @@
 
 // checkLogs searches the logs for crashes that were not injected and for data
 // races. Callers may not notice them: other processes take over, and the next
-// fault restarts the process.
-func (c *checker) checkLogs(dir string) {
+// fault restarts the process. The build of a line is named where buildAt knows it.
+func (c *checker) checkLogs(dir string, buildAt func(file string, offset int64) string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	files, err := filepath.Glob(filepath.Join(dir, "*.log"))
@@ -302,11 +250,13 @@
 			c.addFinding("reading the logs: %v", err)
 			continue
 		}
+		offset := int64(0)
 		for number, line := range strings.Split(string(text), "\n") {
 			if slices.ContainsFunc(crashPrefixes, func(prefix string) bool { return strings.HasPrefix(line, prefix) }) {
-				c.addFinding("%s line %d: %s", filepath.Base(file), number+1, line)
+				c.addFinding("%s line %d%s: %s", filepath.Base(file), number+1, inBrackets(buildAt(file, offset)), line)
 				break
 			}
+			offset += int64(len(line)) + 1
 		}
 	}
 }
--- a/internal/soak/check_stream.go
+++ b/internal/soak/check_stream.go
@@ -18,7 +18,7 @@
 func (c *checker) checkStream(id string, o outcome, events []standin.Event, delivered, want int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.outcomes[id] = o
+	c.requestEnded(id, o)
 	c.statusCounts[fmt.Sprintf("stream %d", o.status)]++
 	c.checkStamp(id, o)
 	if o.status != 200 {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -24,6 +24,7 @@
 // entry, a reload, configuration changes and a runner's leave must not disturb
 // the service, so they are not counted as faults.
 func (s *system) inject(ctx context.Context, f fault) {
+	defer s.coreFault(ctx, f)()
 	if f.kind != stopEntry && f.kind != reloadSettings && f.kind != changeConfig && f.kind != raceConfigChanges && f.kind != leaveRunner && f.kind != releaseEngines && f.kind != changeWeights {
 		s.check.faultStarted()
 		defer s.check.faultEnded()
@@ -96,6 +97,9 @@
 	stop()
 	sleep(ctx, downtime)
 	p.node.Bootstrap = false
+	if s.opts.Upgrade != nil {
+		p.node.Seeds = s.seeds()
+	}
 	if err := p.start(); err != nil {
 		s.check.mu.Lock()
 		s.check.addFinding("start: %v", err)
@@ -147,7 +151,7 @@
 	s.check.mu.Lock()
 	defer s.check.mu.Unlock()
 	if !exited || started {
-		s.check.checkStop(p.node.Name, exited, p.exitStatus())
+		s.check.checkStop(s.describe(p), exited, p.exitStatus())
 	}
 }
 
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -31,8 +31,8 @@
 	// exitError is the result of the current OS process, which is valid once ended is
 	// closed.
 	exitError error
-	// logOffset is the size of the log when the current OS process was started.
-	logOffset int64
+	// starts holds all starts; the last one is that of the current OS process.
+	starts []processStart
 	// ended is closed when the current OS process has exited.
 	ended chan struct{}
 }
@@ -60,7 +60,8 @@
 	}
 	ended := make(chan struct{})
 	p.mu.Lock()
-	p.cmd, p.ended, p.logOffset = cmd, ended, offset
+	p.cmd, p.ended = cmd, ended
+	p.starts = append(p.starts, processStart{time.Now(), p.build.Name, offset})
 	p.mu.Unlock()
 	go func() {
 		err := cmd.Wait()
@@ -72,6 +73,20 @@
 	return nil
 }
 
+// address returns the IPv4 address of the daemon.
+func (p *process) address() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.node.IP
+}
+
+// move gives the next start another address.
+func (p *process) move(ip string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.node.IP = ip
+}
+
 // setBuild sets the build of the next start.
 func (p *process) setBuild(b Build) {
 	p.mu.Lock()
@@ -120,7 +135,7 @@
 // that comes before the first line of the program ends it.
 func (p *process) hasStarted() bool {
 	p.mu.Lock()
-	offset := p.logOffset
+	offset := p.starts[len(p.starts)-1].logOffset
 	p.mu.Unlock()
 	content, err := os.ReadFile(p.logFile)
 	return err == nil && int64(len(content)) > offset && bytes.Contains(content[offset:], []byte("event=process.started"))
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -81,23 +81,30 @@
 		load.Go(func() { s.runStayingCallers(changeCtx) })
 	}
 	var upgrade sync.WaitGroup
+	faultsOver := make(chan struct{})
 	if opts.Upgrade != nil {
 		steps := planUpgrade(opts.Seed, opts.Upgrade, len(s.entries), len(s.cores))
-		upgrade.Go(func() { s.runUpgrade(ctx, steps) })
+		for _, step := range steps {
+			fmt.Fprintln(opts.Out, step)
+		}
+		upgrade.Go(func() { s.runUpgrade(ctx, steps, faultsOver) })
 	}
 	s.injectFaults(ctx, schedule)
+	close(faultsOver)
 	upgrade.Wait()
 	stopChanges()
-	s.checkRecovery(ctx)
+	s.checkRecovery(ctx, "recover")
 	stopLoad()
 	load.Wait()
 	s.checkNoOrphans()
 	check.checkRefusals()
 	check.checkRuns()
 	s.checkConfig(ctx)
-	check.checkLogs(opts.Dir)
+	check.checkLogs(opts.Dir, s.buildOfLog)
 	s.cutCheck.check(check, opts.Out)
-	check.printBuilds(opts.Out)
+	if opts.Upgrade != nil {
+		s.checkBuilds()
+	}
 	served, total := check.countServed()
 	fmt.Fprintf(opts.Out, "seed %d: %d faults, %d of %d requests served, %v\n", opts.Seed, len(schedule), served, total, check.statusCounts)
 	return check.findings, ctx.Err()
@@ -174,7 +181,12 @@
 	switch f.kind {
 	case cutEntryHang, cutEntryReset, cutEntryRefuse:
 		return nil
-	case killEntry, stopEntry, pauseEntry, reloadSettings:
+	case reloadSettings:
+		if s.opts.Upgrade != nil {
+			return []int{entryLock + f.target%len(s.entries), coreLock}
+		}
+		return []int{entryLock + f.target%len(s.entries)}
+	case killEntry, stopEntry, pauseEntry:
 		return []int{entryLock + f.target%len(s.entries)}
 	case killCore, stopCore, pauseCore, wipeCore, killAllCores:
 		return []int{coreLock}
@@ -192,15 +204,18 @@
 
 // checkRecovery requires that at least minServedShare of the requests are served
 // once recoveryTimeout is over.
-func (s *system) checkRecovery(ctx context.Context) {
+func (s *system) checkRecovery(ctx context.Context, name string) {
 	sleep(ctx, recoveryTimeout)
 	served, total := s.check.countServed()
+	builds := s.check.servedByBuild()
 	sleep(ctx, recoveryWindow)
 	servedLater, totalLater := s.check.countServed()
 	if n := totalLater - total; n == 0 || float64(servedLater-served) < minServedShare*float64(n) {
-		s.check.mu.Lock()
-		s.check.addFinding("recover: %d of %d requests served %v after the last fault", servedLater-served, n, recoveryTimeout)
-		s.check.mu.Unlock()
+		text := fmt.Sprintf("%s: %d of %d requests served %v after the last fault", name, servedLater-served, n, recoveryTimeout)
+		if s.opts.Upgrade != nil {
+			text += fmt.Sprintf(": %s; core %s", since(builds, s.check.servedByBuild()), s.coreBuilds())
+		}
+		s.check.report("%s", text)
 	}
 }
 
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -82,6 +82,9 @@
 // endsAllCores reports whether the fault ends all core daemons at one moment.
 func (f fault) endsAllCores() bool { return f.kind == killAllCores || f.kind == killAll }
 
+// endsOneCore reports whether the fault makes one core daemon unavailable.
+func (f fault) endsOneCore() bool { return endsOneCore(f.kind) }
+
 func (f fault) String() string {
 	return fmt.Sprintf("%6.2fs %s target %d for %.2fs", f.startAt.Seconds(), f.kind, f.target, f.duration.Seconds())
 }
@@ -110,15 +113,17 @@
 	return limitCoreFaults(faults)
 }
 
+// catchUpTime is the time for which a core daemon counts as unavailable after a fault.
+const catchUpTime = 4 * time.Second
+
 // limitCoreFaults removes faults of core daemons that would make more of them
 // unavailable at once than the group tolerates. A daemon counts as unavailable
-// until it has had catchUpTime to catch up after a fault. killAllCores is kept
+// until it has had catchUpTime after a fault. killAllCores is kept
 // only while no other core daemon is unavailable.
 func limitCoreFaults(faults []fault) []fault {
-	const catchUpTime = 4 * time.Second
 	var kept []fault
 	return slices.DeleteFunc(faults, func(f fault) bool {
-		if !slices.Contains([]faultKind{killCore, stopCore, pauseCore, wipeCore, killAllCores, killAll}, f.kind) {
+		if !f.endsOneCore() && !f.endsAllCores() {
 			return false
 		}
 		down := 0
--- a/internal/soak/shape.go
+++ b/internal/soak/shape.go
@@ -127,7 +127,9 @@
 func (s *system) changeRoutes(ctx context.Context) {
 	for core := 0; s.shape.changeInterval > 0 && ctx.Err() == nil; core++ {
 		sleep(ctx, s.shape.changeInterval)
-		_ = s.putConfig(ctx, core)
+		if !s.changesPaused.Load() {
+			_ = s.putConfig(ctx, core)
+		}
 	}
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -83,7 +83,7 @@
 			dir := t.TempDir()
 			lines := "event=process.started\nevent=request.ended reason=\"panic: quoted\"\nWARNING: DATA RACE\npanic: late\n"
 			require.NoError(t, os.WriteFile(filepath.Join(dir, "entry-0.log"), []byte(lines), 0o600))
-			c.checkLogs(dir)
+			c.checkLogs(dir, func(string, int64) string { return "" })
 		},
 	} {
 		c := newChecker()
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -17,6 +17,8 @@
 
 const (
 	coreCount = 5
+	// seedCount is the number of core daemons that others are told of.
+	seedCount = 3
 	// faultTolerance is the number of core daemons that may fail at once.
 	faultTolerance = 2
 	// streamEvents and eventInterval give streams of half a second.
@@ -52,6 +54,14 @@
 	replacing sync.Mutex
 	// newBuild is the build with which a run ends, unless it goes back.
 	newBuild Build
+	// phase is that of a run with an upgrade, changesPaused set while no route changes, and
+	// moves the number of core daemons that got another address.
+	phase         atomic.Int32
+	changesPaused atomic.Bool
+	moves         atomic.Int32
+	// unavailable holds until when each core daemon counts as unavailable.
+	unavailableMu sync.Mutex
+	unavailable   [coreCount]time.Time
 	// targets are the locks that serialise the faults of one target.
 	targetsMu sync.Mutex
 	targets   map[int]*sync.Mutex
@@ -110,7 +120,7 @@
 		return nil, err
 	}
 	var seeds []string
-	for i := range 3 {
+	for i := range seedCount {
 		seeds = append(seeds, s.ip(1, i))
 	}
 	for i := range coreCount {
@@ -188,7 +198,7 @@
 
 // coreAddress returns the control address of a core daemon.
 func (s *system) coreAddress(i int) string {
-	return fmt.Sprintf("%s:%d", s.ip(1, i%coreCount), s.ports.control)
+	return fmt.Sprintf("%s:%d", s.cores[i%coreCount].address(), s.ports.control)
 }
 
 func (s *system) entryAddress(i int) string {
--- a/internal/soak/upgrade.go
+++ b/internal/soak/upgrade.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -38,43 +37,72 @@
 	Order, End string
 }
 
+// ending is how the old process of a step ends.
+type ending int
+
+const (
+	stopped ending = iota
+	killed
+	// killedStopping is a kill while the process stops.
+	killedStopping
+)
+
+// disk is what becomes of the disk of a core daemon in a step.
+type disk int
+
+const (
+	kept disk = iota
+	emptied
+	// replaced is an empty disk at another address: another VM takes the daemon's place.
+	replaced
+)
+
 // upgradeStep changes the build of one daemon.
 type upgradeStep struct {
 	core   bool
 	target int
 	// back is set if the daemon gets the earlier build again.
 	back bool
-	// killed is set if the daemon is killed instead of stopped, and emptied if a core daemon
-	// loses its disk meanwhile, as if another VM took its place.
-	killed, emptied bool
+	ends ending
+	disk disk
+	// killedStarting is set if the new process is killed while it starts, and started again.
+	killedStarting bool
+	// killAfter is the time from the signal or the start until a kill.
+	killAfter time.Duration
 	// pause is the time until the next step.
 	pause time.Duration
 }
 
+// killed reports whether a process of the step is killed.
+func (u upgradeStep) killed() bool { return u.ends != stopped || u.killedStarting }
+
 func (u upgradeStep) String() string {
-	words := []string{"upgrade"}
+	verb, daemon := "upgrade", "entry"
 	if u.back {
-		words[0] = "go back"
+		verb = "go back"
 	}
-	daemon := "entry"
 	if u.core {
 		daemon = "core"
 	}
-	words = append(words, fmt.Sprintf("%s-%d", daemon, u.target))
-	if u.killed {
-		words = append(words, "killed")
-	}
-	if u.emptied {
-		words = append(words, "emptied")
+	words := []string{fmt.Sprintf("%s %s-%d", verb, daemon, u.target)}
+	words = append(words, [...]string{"", "killed", "killed while stopping"}[u.ends], [...]string{"", "emptied", "at another address"}[u.disk])
+	if u.killedStarting {
+		words = append(words, "killed while starting")
 	}
-	return strings.Join(words, " ")
+	words = slices.DeleteFunc(words, func(w string) bool { return w == "" })
+	return strings.Join(words, ", ")
 }
 
 const (
 	maxUpgradePause = 700 * time.Millisecond
-	// killedShare and emptiedShare are the shares of the steps in which the daemon is killed,
-	// and of those of core daemons in which it loses its disk.
-	killedShare, emptiedShare = 0.3, 0.15
+	// killedShare, killedStoppingShare and killedStartingShare are the shares of the steps in
+	// which the old process is killed at once, the old one while it stops, and the new one
+	// while it starts; emptiedShare and replacedShare those of the steps of core daemons in
+	// which the disk is emptied, and another VM takes the daemon's place.
+	killedShare, killedStoppingShare, killedStartingShare = 0.2, 0.15, 0.15
+	emptiedShare, replacedShare                           = 0.15, 0.25
+	// maxKillDelay is the longest time from the signal or the start until a kill.
+	maxKillDelay = 600 * time.Millisecond
 )
 
 // planUpgrade returns the steps of an upgrade. They depend only on the arguments.
@@ -115,97 +143,20 @@
 	}
 	for i := range steps {
 		s := &steps[i]
-		s.killed = random.Float64() < killedShare
-		s.emptied = s.core && random.Float64() < emptiedShare
-		s.pause = time.Duration(random.Int64N(int64(maxUpgradePause)))
-	}
-	return steps
-}
-
-// runUpgrade takes the steps of an upgrade one after the other. Other faults go on beside
-// it, except at the daemon whose build changes.
-func (s *system) runUpgrade(ctx context.Context, steps []upgradeStep) {
-	for _, step := range steps {
-		if ctx.Err() != nil {
-			return
+		switch draw := random.Float64(); {
+		case draw < killedShare:
+			s.ends = killed
+		case draw < killedShare+killedStoppingShare:
+			s.ends = killedStopping
 		}
-		s.takeUpgradeStep(ctx, step)
-		sleep(ctx, step.pause)
-	}
-}
-
-const (
-	// readyTimeout is the time in which an entry must be ready after its start.
-	readyTimeout = 5 * time.Second
-	// coreSettleTime is the time that a core daemon gets to catch up before the next step,
-	// and repairTime the same after it has lost its disk.
-	coreSettleTime = 2 * time.Second
-	repairTime     = 5 * time.Second
-)
-
-func (s *system) takeUpgradeStep(ctx context.Context, step upgradeStep) {
-	f := fault{kind: stopEntry, target: step.target}
-	p := s.entries[step.target%len(s.entries)]
-	if step.core {
-		f.kind = stopCore
-		p = s.cores[step.target%len(s.cores)]
-	}
-	defer s.lockTargets(f)()
-	defer s.cutCheck.disturbed(f, len(s.entries))()
-	if step.core || step.killed {
-		s.check.faultStarted()
-		defer s.check.faultEnded()
-	}
-	b := s.newBuild
-	if step.back {
-		b = s.opts.Upgrade.From
-	}
-	fmt.Fprintf(s.opts.Out, "%s %s to %s\n", time.Now().Format("15:04:05.000"), step, b.Name)
-	s.stopAndRestart(ctx, p, 0, func() {
-		if step.killed {
-			p.kill()
-		} else {
-			s.terminate(p)
-		}
-		if step.emptied {
-			s.emptyDisk(p)
-		}
-		p.setBuild(b)
-	})
-	switch {
-	case step.emptied:
-		sleep(ctx, repairTime)
-	case step.core:
-		sleep(ctx, coreSettleTime)
-	default:
-		s.awaitReady(ctx, p)
-	}
-}
-
-// awaitReady waits until an entry says that it is ready.
-func (s *system) awaitReady(ctx context.Context, p *process) {
-	for deadline := time.Now().Add(readyTimeout); time.Now().Before(deadline) && ctx.Err() == nil; sleep(ctx, 50*time.Millisecond) {
-		if p.node.IsReady(ctx) {
-			return
-		}
-	}
-	if ctx.Err() == nil {
-		s.check.report("start: %s was not ready %v after its start", p.node.Name, readyTimeout)
-	}
-}
-
-// noteEntry records which build served a request, and those of the core meanwhile.
-func (s *system) noteEntry(id, entryAddress string) {
-	if s.opts.Upgrade == nil {
-		return
-	}
-	for _, p := range s.entries {
-		if fmt.Sprintf("%s:%d", p.node.IP, p.node.CallerPort) == entryAddress {
-			var cores []string
-			for _, c := range s.cores {
-				cores = append(cores, c.currentBuild())
-			}
-			s.check.servedBy(id, p.currentBuild(), fmt.Sprintf("%s (%s; core %s)", p.node.Name, p.currentBuild(), strings.Join(cores, ", ")))
+		s.killedStarting = random.Float64() < killedStartingShare
+		s.killAfter = time.Duration(random.Int64N(int64(maxKillDelay)))
+		if draw := random.Float64(); s.core && draw < emptiedShare {
+			s.disk = emptied
+		} else if s.core && draw < emptiedShare+replacedShare {
+			s.disk = replaced
 		}
+		s.pause = time.Duration(random.Int64N(int64(maxUpgradePause)))
 	}
+	return steps
 }
--- a/internal/soak/upgrade_test.go
+++ b/internal/soak/upgrade_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -46,8 +49,8 @@
 // Guards against findings that don't say which build took the wrong step.
 func TestFindingsNameTheBuilds(t *testing.T) {
 	c := newChecker()
-	c.servedBy("a", "old", "entry-0 (old; core old, new)")
-	c.servedBy("b", "new", "entry-1 (new; core old, new)")
+	c.servedBy("a", server{build: "old", description: "entry-0 (old; core old, new)"})
+	c.servedBy("b", server{build: "new", description: "entry-1 (new; core old, new)"})
 	c.runs["a"] = []standin.Origin{{Service: "s", Version: "v1"}}
 	c.runs["b"] = []standin.Origin{{Service: "s", Version: "v2"}}
 	c.streamRead("a", "a", []standin.Event{{ID: 1, Origin: c.runs["a"][0]}})
@@ -55,7 +58,87 @@
 	c.checkRuns()
 	require.Len(t, c.findings, 1)
 	require.Contains(t, c.findings[0], "b at entry-1 (new; core old, new); a at entry-0 (old; core old, new)")
-	require.Equal(t, map[string]int{"new": 1}, c.findingBuilds)
+	require.Equal(t, map[string]bool{"a": true, "b": true}, c.requestsWithFindings())
+	d := decisions{placed: []string{"placed by core-1 (old): attempt=1"}, ended: []string{"ended at entry-1 (new): status=200"}, builds: []string{"old"}}
+	c.attribute(map[string]decisions{"b": d})
+	require.Contains(t, c.findings[0], "b placed by core-1 (old): attempt=1, ended at entry-1 (new): status=200")
+	var out strings.Builder
+	c.printBuilds(&out, map[string]decisions{"b": d})
+	require.Contains(t, out.String(), "1 findings of order, software: entry of new, placed by a core daemon of old\n")
+}
+
+// Guards against findings that are attributed to the build that a daemon had later.
+func TestLogLinesAreAttributedToTheBuildThatWroteThem(t *testing.T) {
+	dir := t.TempDir()
+	logs := []string{
+		"time=1 event=request.placed id=a attempt=1 upstream=i-1 lease=engines#2 detail=\"x y\"\n",
+		"time=2 event=request.placed id=a attempt=2 upstream=i-2 lease=engines#3\ntime=2 event=request.placed id=other attempt=1\n",
+		"panic: x\n",
+	}
+	p := &process{node: standin.NodeFile{Name: "core-0"}, logFile: filepath.Join(dir, "core-0.log")}
+	size := 0
+	for i, build := range []string{"old", "new", "old"} {
+		p.starts = append(p.starts, processStart{build: build, logOffset: int64(size)})
+		size += len(logs[i])
+	}
+	require.NoError(t, os.WriteFile(p.logFile, []byte(strings.Join(logs, "")), 0o600))
+	s := &system{opts: Options{Upgrade: &Upgrade{}}, cores: []*process{p}, check: newChecker()}
+	found := s.readDecisions(map[string]bool{"a": true})
+	require.Equal(t, map[string]decisions{"a": {
+		placed: []string{"placed by core-0 (old): attempt=1 upstream=i-1 lease=engines#2", "placed by core-0 (new): attempt=2 upstream=i-2 lease=engines#3"},
+		builds: []string{"old", "new"},
+	}}, found)
+	s.check.checkLogs(dir, s.buildOfLog)
+	require.Len(t, s.check.findings, 1)
+	require.Contains(t, s.check.findings[0], "core-0.log line 4 (old): panic: x")
+}
+
+// Guards against an upgrade during which callers are not served, and against one that is
+// blamed for what other faults do.
+func TestCallersAreServedDuringUpgrades(t *testing.T) {
+	for name, test := range map[string]struct {
+		phase    phase
+		fault    bool
+		findings int
+	}{
+		"during":         {duringUpgrade, false, 1},
+		"before":         {beforeUpgrade, false, 0},
+		"beside a fault": {duringUpgrade, true, 0},
+	} {
+		c := newChecker()
+		if test.fault {
+			c.faultStarted()
+		}
+		for i := range 10 {
+			id := fmt.Sprint(i)
+			c.servedBy(id, server{build: "new", phase: test.phase, sentAt: time.Now()})
+			status := 503
+			if i < 3 {
+				status = 200
+			}
+			c.checkPlain(id, outcome{status: status, complete: true, body: "answer " + id, unstamped: status != 200})
+		}
+		c.checkServedDuringUpgrade()
+		require.Len(t, c.findings, test.findings, name)
+		if test.findings > 0 {
+			require.Contains(t, c.findings[0], "serve, both builds: 3 of 10 requests served during the upgrade while there was no fault: entries of new 3 of 10")
+		}
+	}
+}
+
+// Guards against steps that leave more core daemons unavailable than the group tolerates.
+func TestUpgradeStepsLeaveTheCoreAMajority(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	s := &system{opts: Options{Upgrade: &Upgrade{}}}
+	for _, target := range []int{0, 0, 1} {
+		s.coreFault(context.Background(), fault{kind: stopCore, target: target})()
+	}
+	require.Equal(t, 2, s.unavailableCores(fault{kind: killCore, target: 2}))
+	require.Equal(t, 1, s.unavailableCores(fault{kind: killCore, target: 1}))
+	require.Equal(t, 2, s.unavailableCores(fault{kind: killAll}))
+	s.coreFault(ctx, fault{kind: stopCore, target: 2})
+	require.Error(t, ctx.Err(), "a third core daemon was ended while two were unavailable")
 }
 
 // Guards against an upgrade from a commit that is not there which looks like one that was
