--- a/internal/soak/attribution.go
+++ b/internal/soak/attribution.go
@@ -86,12 +86,24 @@
 	endedFields  = []string{"service", "status", "reason", "placed_by", "stream", "trail"}
 )
 
-// readDecisions reads from the logs how some requests were placed and ended.
-func (s *system) readDecisions(ids map[string]bool) map[string]decisions {
-	found := map[string]decisions{}
-	if len(ids) == 0 {
-		return found
-	}
+// failure is the end of requests that entries of a build did not serve.
+type failure struct {
+	phase         phase
+	build, reason string
+}
+
+// logFindings is what the logs tell of requests.
+type logFindings struct {
+	// decisions are those about the requests that were asked for.
+	decisions map[string]decisions
+	// failures counts all requests that were not served.
+	failures map[failure]int
+}
+
+// readLogs reads from the logs how some requests were placed and ended, and why others were
+// not served.
+func (s *system) readLogs(ids map[string]bool) logFindings {
+	found := logFindings{map[string]decisions{}, map[failure]int{}}
 	for _, p := range s.daemons() {
 		text, err := os.ReadFile(p.logFile)
 		if err != nil {
@@ -100,19 +112,22 @@
 		}
 		offset := int64(0)
 		for line := range bytes.Lines(text) {
-			s.readDecision(p, string(line), offset, ids, found)
+			s.readLine(p, string(line), offset, ids, found)
 			offset += int64(len(line))
 		}
 	}
 	return found
 }
 
-func (s *system) readDecision(p *process, line string, offset int64, ids map[string]bool, found map[string]decisions) {
-	event, id := logField(line, "event"), logField(line, "id")
+func (s *system) readLine(p *process, line string, offset int64, ids map[string]bool, found logFindings) {
+	event, id, build := logField(line, "event"), logField(line, "id"), p.buildAt(offset)
+	if event == "request.ended" && logField(line, "status") != "200" {
+		found.failures[failure{s.check.phaseOf(id), build, logField(line, "reason")}]++
+	}
 	if !ids[id] {
 		return
 	}
-	d, build := found[id], p.buildAt(offset)
+	d := found.decisions[id]
 	switch event {
 	case "request.placed":
 		d.builds = append(d.builds, build)
@@ -122,7 +137,7 @@
 	default:
 		return
 	}
-	found[id] = d
+	found.decisions[id] = d
 }
 
 // logField returns the value of a field of a log line, empty if it has none.
--- a/internal/soak/check_builds.go
+++ b/internal/soak/check_builds.go
@@ -165,9 +165,17 @@
 	}
 }
 
-// printBuilds prints what each build served in each phase, and the findings about requests by
-// kind, by the build of the entry and by who had placed the request.
-func (c *checker) printBuilds(out io.Writer, decisions map[string]decisions) {
+// phaseOf returns the phase in which a request was sent.
+func (c *checker) phaseOf(id string) phase {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.servers[id].phase
+}
+
+// printBuilds prints what each build served in each phase, why it didn't serve the rest, and
+// the findings about requests by kind, by the build of the entry and by who had placed the
+// request.
+func (c *checker) printBuilds(out io.Writer, found logFindings) {
 	type group struct {
 		phase       phase
 		build       string
@@ -187,11 +195,16 @@
 			fmt.Fprintf(out, "%s%s: entries of %s served %s requests\n", g.phase, words, g.build, counts[g])
 		}
 	}
+	for _, f := range slices.SortedFunc(maps.Keys(found.failures), func(a, b failure) int {
+		return strings.Compare(fmt.Sprint(int(a.phase), a.build, a.reason), fmt.Sprint(int(b.phase), b.build, b.reason))
+	}) {
+		fmt.Fprintf(out, "%s: entries of %s did not serve %d requests: %s\n", f.phase, f.build, found.failures[f], f.reason)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	steps := map[string]int{}
 	for _, f := range c.requestFindings {
-		steps[fmt.Sprintf("%s: entry of %s, %s", f.kind, c.servers[f.ids[0]].build, decisions[f.ids[0]].placer())]++
+		steps[fmt.Sprintf("%s: entry of %s, %s", f.kind, c.servers[f.ids[0]].build, found.decisions[f.ids[0]].placer())]++
 	}
 	for _, step := range slices.Sorted(maps.Keys(steps)) {
 		fmt.Fprintf(out, "%d findings of %s\n", steps[step], step)
--- a/internal/soak/upgrade_run.go
+++ b/internal/soak/upgrade_run.go
@@ -181,7 +181,7 @@
 // took which step.
 func (s *system) checkBuilds() {
 	s.check.checkServedDuringUpgrade()
-	decisions := s.readDecisions(s.check.requestsWithFindings())
-	s.check.attribute(decisions)
-	s.check.printBuilds(s.opts.Out, decisions)
+	found := s.readLogs(s.check.requestsWithFindings())
+	s.check.attribute(found.decisions)
+	s.check.printBuilds(s.opts.Out, found)
 }
--- a/internal/soak/upgrade_test.go
+++ b/internal/soak/upgrade_test.go
@@ -63,7 +63,8 @@
 	c.attribute(map[string]decisions{"b": d})
 	require.Contains(t, c.findings[0], "b placed by core-1 (old): attempt=1, ended at entry-1 (new): status=200")
 	var out strings.Builder
-	c.printBuilds(&out, map[string]decisions{"b": d})
+	c.printBuilds(&out, logFindings{decisions: map[string]decisions{"b": d}, failures: map[failure]int{{duringUpgrade, "old", "no_upstream"}: 3}})
+	require.Contains(t, out.String(), "during the upgrade: entries of old did not serve 3 requests: no_upstream\n")
 	require.Contains(t, out.String(), "1 findings of order, software: entry of new, placed by a core daemon of old\n")
 }
 
@@ -73,7 +74,7 @@
 	logs := []string{
 		"time=1 event=request.placed id=a attempt=1 upstream=i-1 lease=engines#2 detail=\"x y\"\n",
 		"time=2 event=request.placed id=a attempt=2 upstream=i-2 lease=engines#3\ntime=2 event=request.placed id=other attempt=1\n",
-		"panic: x\n",
+		"time=3 event=request.ended id=b status=503 reason=no_upstream ms=1\npanic: x\n",
 	}
 	p := &process{node: standin.NodeFile{Name: "core-0"}, logFile: filepath.Join(dir, "core-0.log")}
 	size := 0
@@ -83,14 +84,15 @@
 	}
 	require.NoError(t, os.WriteFile(p.logFile, []byte(strings.Join(logs, "")), 0o600))
 	s := &system{opts: Options{Upgrade: &Upgrade{}}, cores: []*process{p}, check: newChecker()}
-	found := s.readDecisions(map[string]bool{"a": true})
+	found := s.readLogs(map[string]bool{"a": true})
 	require.Equal(t, map[string]decisions{"a": {
 		placed: []string{"placed by core-0 (old): attempt=1 upstream=i-1 lease=engines#2", "placed by core-0 (new): attempt=2 upstream=i-2 lease=engines#3"},
 		builds: []string{"old", "new"},
-	}}, found)
+	}}, found.decisions)
+	require.Equal(t, map[failure]int{{beforeUpgrade, "old", "no_upstream"}: 1}, found.failures)
 	s.check.checkLogs(dir, s.buildOfLog)
 	require.Len(t, s.check.findings, 1)
-	require.Contains(t, s.check.findings[0], "core-0.log line 4 (old): panic: x")
+	require.Contains(t, s.check.findings[0], "core-0.log line 5 (old): panic: x")
 }
 
 // Guards against an upgrade during which callers are not served, and against one that is
