--- a/internal/soak/attribution.go
+++ b/internal/soak/attribution.go
@@ -96,7 +96,7 @@
 type logFindings struct {
 	// decisions are those about the requests that were asked for.
 	decisions map[string]decisions
-	// failures counts all requests that were not served.
+	// failures counts the requests that were not served though their callers stayed.
 	failures map[failure]int
 }
 
@@ -122,7 +122,9 @@
 func (s *system) readLine(p *process, line string, offset int64, ids map[string]bool, found logFindings) {
 	event, id, build := logField(line, "event"), logField(line, "id"), p.buildAt(offset)
 	if event == "request.ended" && logField(line, "status") != "200" {
-		found.failures[failure{s.check.phaseOf(id), build, logField(line, "reason")}]++
+		if p, stayed := s.check.phaseOf(id); stayed {
+			found.failures[failure{p, build, logField(line, "reason")}]++
+		}
 	}
 	if !ids[id] {
 		return
--- a/internal/soak/check_builds.go
+++ b/internal/soak/check_builds.go
@@ -165,11 +165,11 @@
 	}
 }
 
-// phaseOf returns the phase in which a request was sent.
-func (c *checker) phaseOf(id string) phase {
+// phaseOf returns the phase in which a request was sent, and whether its caller stayed.
+func (c *checker) phaseOf(id string) (p phase, stayed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.servers[id].phase
+	return c.servers[id].phase, !c.outcomes[id].left
 }
 
 // printBuilds prints what each build served in each phase, why it didn't serve the rest, and
