--- a/internal/soak/build.go
+++ b/internal/soak/build.go
@@ -21,6 +21,15 @@
 	Dir string
 }
 
+const sourceAddressFlag = "--source-address"
+
+// takesSourceAddress reports whether entries of the build open their connections to runners
+// from a stated address, so that they can be cut off.
+func (b Build) takesSourceAddress(ctx context.Context) (bool, error) {
+	out, err := exec.CommandContext(ctx, filepath.Join(b.Dir, edgeProgram), "--help").CombinedOutput()
+	return bytes.Contains(out, []byte(sourceAddressFlag)), errors.Wrapf(err, "asking %s of %s for its flags", edgeProgram, b.Name)
+}
+
 // has reports whether the folder holds both programs.
 func (b Build) has() bool {
 	for _, program := range programs {
--- a/internal/soak/cut.go
+++ b/internal/soak/cut.go
@@ -31,11 +31,30 @@
 	cutPollInterval = 5 * time.Millisecond
 )
 
-// setSourceAddresses makes each entry open its connections to runners from its own address.
-func (s *system) setSourceAddresses() {
+// setSourceAddresses makes each entry open its connections to runners from its own address,
+// if its build can.
+func (s *system) setSourceAddresses(ctx context.Context) error {
+	builds := []Build{s.newBuild}
+	if s.opts.Upgrade != nil {
+		builds = append(builds, s.opts.Upgrade.From)
+	}
+	s.uncuttable = map[Build]bool{}
+	for _, b := range builds {
+		can, err := b.takesSourceAddress(ctx)
+		if err != nil {
+			return err
+		}
+		s.uncuttable[b] = !can
+	}
 	for i, p := range s.entries {
-		p.args = []string{"--source-address", s.ip(2, i)}
+		p.args = func(b Build) []string {
+			if s.uncuttable[b] {
+				return nil
+			}
+			return []string{sourceAddressFlag, s.ip(2, i)}
+		}
 	}
+	return nil
 }
 
 // cutEntries cuts some entries off, of those that are not. At least half of all, rounded
@@ -55,7 +74,7 @@
 	s.mu.Lock()
 	for i := 0; i < n && len(chosen) < wanted && len(s.cuts) < limit; i++ {
 		entry := (f.target + i) % n
-		if _, isCut := s.cuts[s.ip(2, entry)]; !isCut {
+		if _, isCut := s.cuts[s.ip(2, entry)]; !isCut && !s.uncuttable[s.entries[entry].buildOfStart()] {
 			s.setCut(entry, f.kind)
 			chosen = append(chosen, entry)
 		}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -21,8 +21,8 @@
 	program  string
 	nodeFile string
 	logFile  string
-	// args are further arguments of the program.
-	args []string
+	// args returns further arguments of the program of a build; nil for none.
+	args func(Build) []string
 
 	mu sync.Mutex
 	// build is that of the next start.
@@ -50,10 +50,12 @@
 	if err != nil {
 		return errors.Wrap(err, "finding the end of the log")
 	}
-	p.mu.Lock()
-	binary := filepath.Join(p.build.Dir, p.program)
-	p.mu.Unlock()
-	cmd := exec.Command(binary, append([]string{"--node-file", p.nodeFile}, p.args...)...)
+	build := p.buildOfStart()
+	binary, args := filepath.Join(build.Dir, p.program), []string{"--node-file", p.nodeFile}
+	if p.args != nil {
+		args = append(args, p.args(build)...)
+	}
+	cmd := exec.Command(binary, args...)
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
 		return errors.Wrap(err, "starting "+binary)
@@ -94,13 +96,17 @@
 	p.build = b
 }
 
-// currentBuild returns the name of the build.
-func (p *process) currentBuild() string {
+// buildOfStart returns the build of the next start, or of the current OS process if none
+// has been set since.
+func (p *process) buildOfStart() Build {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.build.Name
+	return p.build
 }
 
+// currentBuild returns the name of the build.
+func (p *process) currentBuild() string { return p.buildOfStart().Name }
+
 // signal sends a signal to the process if it is still running.
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -60,7 +60,9 @@
 	defer s.stop()
 	cuts := slices.ContainsFunc(kinds, cutsEntries)
 	if cuts {
-		s.setSourceAddresses()
+		if err := s.setSourceAddresses(ctx); err != nil {
+			return nil, err
+		}
 	}
 	if err := s.start(ctx); err != nil {
 		return nil, err
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -75,6 +75,8 @@
 	answerFaults []standin.WireFault
 	// cuts holds how entries are cut off from all runners, by address.
 	cuts map[string]faultKind
+	// uncuttable holds the builds whose entries can't be cut off.
+	uncuttable map[Build]bool
 
 	cutCheck cutCheck
 }
