--- a/internal/relay/dialer.go
+++ b/internal/relay/dialer.go
@@ -214,7 +214,8 @@
 	return false
 }
 
-// order returns the addresses of the helpers in the order in which they should be asked.
+// order returns the addresses of the helpers in the order in which they should be asked,
+// without those that have answered that they do not relay.
 func (d *Dialer) order() []string {
 	addresses := d.opts.Helpers()
 	slices.Sort(addresses)
@@ -225,6 +226,7 @@
 		return nil
 	}
 	d.forgetExcept(addresses)
+	addresses = slices.DeleteFunc(addresses, func(address string) bool { return !d.helper(address).session.mayRelay() })
 	known := make([]policy.RelayHelper, len(addresses))
 	for i, address := range addresses {
 		h := d.helper(address)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -29,7 +29,9 @@
 }
 
 type helperOptions struct {
-	place    string
+	place string
+	// address is the helper's own; any free one if it is empty.
+	address  string
 	maxConns int
 	knows    func(string) bool
 	dial     func(context.Context, string) (net.Conn, error)
@@ -48,7 +50,10 @@
 			return (&net.Dialer{}).DialContext(ctx, "tcp", address)
 		}
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if o.address == "" {
+		o.address = "127.0.0.1:0"
+	}
+	l, err := net.Listen("tcp", o.address)
 	require.NoError(t, err)
 	sessions := transport.NewServer(transport.Options{Self: &pb.Hello{Place: o.place}})
 	h := &testHelper{sessions: sessions, address: l.Addr().String()}
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -44,6 +44,9 @@
 	monitored    bool
 	// unanswered is the time since something was received, as far as this process ran.
 	unanswered time.Duration
+	// unable is set once the helper has answered that it does not relay. The daemon that
+	// replaces it has another session.
+	unable bool
 }
 
 // openConns returns the number of connections. The caller holds Dialer.mu.
@@ -62,6 +65,10 @@
 	return s.unanswered
 }
 
+// mayRelay reports whether the helper of a session should be asked. The caller holds
+// Dialer.mu.
+func (s *session) mayRelay() bool { return s == nil || !s.unable || s.over() }
+
 // isConnected reports whether the session was opened.
 func (s *session) isConnected() bool {
 	select {
@@ -235,6 +242,9 @@
 		a.result = response.Result
 		d.noteResponse(s, response)
 	}
+	if transport.Code(err) == pb.Status_UNIMPLEMENTED {
+		d.noteUnable(s)
+	}
 	if err != nil || response.Result != pb.RelayResponse_OPEN {
 		stream.Abort()
 		release()
@@ -297,3 +307,16 @@
 	}
 	s.helper.othersOpen, s.helper.maxOpen = max(0, int(r.Open)-s.conns), int(r.MaxOpen)
 }
+
+// noteUnable records that a helper does not relay, because its build does not know how.
+func (d *Dialer) noteUnable(s *session) {
+	d.mu.Lock()
+	known := s.unable
+	s.unable = true
+	d.mu.Unlock()
+	d.vars.failed.Add(pb.Status_UNIMPLEMENTED.String(), 1)
+	if !known {
+		peer := s.client.Peer()
+		d.opts.Logger.Info().Str("event", "relay.helper_unable").Str("helper", s.helper.address).Str("build", peer.Build).Uint32("level", peer.Level).Msg("")
+	}
+}
