--- a/internal/soak/check_cut.go
+++ b/internal/soak/check_cut.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -25,6 +26,8 @@
 	entry           int
 	sentAt, endedAt time.Time
 	served          bool
+	// builds names the builds of the entry and of the core; empty without an upgrade.
+	builds string
 }
 
 // entrySpan is a time in which something was done to some entries.
@@ -95,7 +98,14 @@
 }
 
 // comparison counts first tries at cut entries and at the others.
-type comparison struct{ served, all, othersServed, others int }
+type comparison struct {
+	served, all, othersServed, others int
+	// ofBuilds counts the tries at cut entries by their builds.
+	ofBuilds map[string]share
+}
+
+// share is a number of tries and how many of them were served.
+type share struct{ served, all int }
 
 // broken reports whether callers of cut entries were not served.
 func (c comparison) broken() bool {
@@ -104,12 +114,17 @@
 }
 
 func (c comparison) String() string {
-	return fmt.Sprintf("%d of %d first tries were served at cut entries, %d of %d at the others", c.served, c.all, c.othersServed, c.others)
+	text := fmt.Sprintf("%d of %d first tries were served at cut entries, %d of %d at the others", c.served, c.all, c.othersServed, c.others)
+	for _, builds := range slices.Sorted(maps.Keys(c.ofBuilds)) {
+		text += fmt.Sprintf("; cut entries of %s: %d of %d", builds, c.ofBuilds[builds].served, c.ofBuilds[builds].all)
+	}
+	return text
 }
 
 // compare counts the tries during some cuts, from contactTime after each began, at entries
 // without any of the impairments. The caller holds mu.
 func (c *cutCheck) compare(cuts, impairments []*entrySpan) (result comparison) {
+	result.ofBuilds = map[string]share{}
 	for _, t := range c.tries {
 		before := t.sentAt.Add(-contactTime)
 		if slices.ContainsFunc(impairments, func(i *entrySpan) bool { return i.overlaps(t.entry, before, t.endedAt) }) {
@@ -129,6 +144,10 @@
 		case slices.ContainsFunc(cuts, func(cut *entrySpan) bool { return during(cut) && slices.Contains(cut.entries, t.entry) }):
 			result.all++
 			result.served += served
+			if t.builds != "" {
+				s := result.ofBuilds[t.builds]
+				result.ofBuilds[t.builds] = share{s.served + served, s.all + 1}
+			}
 		case !slices.ContainsFunc(c.cuts, func(cut *entrySpan) bool { return cut.overlaps(t.entry, before, t.endedAt) }):
 			result.others++
 			result.othersServed += served
--- a/internal/soak/check_cut_test.go
+++ b/internal/soak/check_cut_test.go
@@ -54,6 +54,20 @@
 	}, 5), "another entry was killed")
 }
 
+// Guards against a shortfall at cut entries that cannot be attributed to the build of an entry.
+func TestTriesAtCutEntriesAreCountedByBuilds(t *testing.T) {
+	c := cutOutcomes(5)
+	for i := range c.tries {
+		c.tries[i].builds = "old (core old)"
+		if i%2 == 0 {
+			c.tries[i].builds = "new (core new and old)"
+		}
+	}
+	result := c.compare(c.cuts, nil)
+	require.Equal(t, map[string]share{"old (core old)": {6, 30}, "new (core new and old)": {6, 30}}, result.ofBuilds)
+	require.Contains(t, result.String(), "; cut entries of new (core new and old): 6 of 30; cut entries of old (core old): 6 of 30")
+}
+
 // Guards against a simulated cut that hits other sources, or other connections than its form.
 func TestProxyCutsOneSource(t *testing.T) {
 	runner, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/soak/load_cut.go
+++ b/internal/soak/load_cut.go
@@ -49,10 +49,10 @@
 			w.path = "/submit/x"
 		}
 		s.check.requestSent(w.id, w.path == "/submit/x")
-		sentAt := time.Now()
+		sentAt, builds := time.Now(), s.buildsAt(entry)
 		o, _ := s.tryOnce(ctx, client, s.entryAddress(entry), w.id, w)
 		if ctx.Err() == nil {
-			s.cutCheck.tried(cutTry{entry: entry, sentAt: sentAt, endedAt: time.Now(), served: o.status == http.StatusOK && o.complete})
+			s.cutCheck.tried(cutTry{entry: entry, sentAt: sentAt, endedAt: time.Now(), served: o.status == http.StatusOK && o.complete, builds: builds})
 		}
 		sleep(ctx, time.Duration(random.ExpFloat64()*float64(stayingThinkTime)))
 	}
