--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -317,6 +317,6 @@
 	d.vars.failed.Add(pb.Status_UNIMPLEMENTED.String(), 1)
 	if !known {
 		peer := s.client.Peer()
-		d.opts.Logger.Info().Str("event", "relay.helper_unable").Str("helper", s.helper.address).Str("build", peer.Build).Uint32("level", peer.Level).Msg("")
+		d.opts.Logger.Info().Str("event", "relay.helper_unable").Str("helper", s.helper.address).Str("build", peer.Build).Uint32("protocol_level", peer.Level).Msg("")
 	}
 }
