--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -12,15 +12,18 @@
 	"github.com/phuslu/log"
 
 	"godwitward.example/godwitward/internal/daemon"
+	"godwitward.example/godwitward/internal/protocol"
+	"godwitward.example/godwitward/internal/settings"
 )
 
 // readHeaderTimeout bounds the time for reading the headers of a request.
 const readHeaderTimeout = 5 * time.Second
 
-// Serve serves the metrics at /debug/vars until the process ends. It listens on
-// port at the IP address of sessionAddr. The daemon works without its metrics, so
-// a failure is only logged.
+// Serve serves the metrics, and which build this is, at /debug/vars until the process
+// ends. It listens on port at the IP address of sessionAddr. The daemon works without its
+// metrics, so a failure is only logged.
 func Serve(sessionAddr string, port uint16, name string, vars *expvar.Map, logger *log.Logger) {
+	addBuild(vars)
 	address, err := netip.ParseAddrPort(sessionAddr)
 	if err == nil {
 		var l net.Listener
@@ -32,3 +35,10 @@
 	}
 	logger.Warn().Str("event", "metrics.not_served").Uint16("port", port).Err(err).Msg("")
 }
+
+// addBuild adds the build and its protocol level, by which operators see how far an upgrade
+// has come.
+func addBuild(vars *expvar.Map) {
+	vars.Set("build", expvar.Func(func() any { return settings.BuildVersion() }))
+	vars.Set("protocol_level", expvar.Func(func() any { return protocol.Current }))
+}
