--- a/internal/forward/links.go
+++ b/internal/forward/links.go
@@ -18,7 +18,8 @@
 // Relay opens connections to upstreams through other daemons.
 type Relay interface {
 	// Dial connects to an upstream's address. It returns relay.ErrNoHelper if no daemon
-	// could be asked, and a *relay.DialError if several were and failed.
+	// could be asked, relay.ErrUnable if none ever relays, and a *relay.DialError if several
+	// were asked and failed.
 	Dial(ctx context.Context, address string) (RelayedConn, error)
 }
 
@@ -195,6 +196,9 @@
 			return nil, ctx.Err()
 		}
 	}
+	if errors.Is(relayErr, relay.ErrUnable) {
+		return nil, directErr
+	}
 	if errors.Is(relayErr, relay.ErrNoHelper) {
 		return nil, errors.Wrap(errLinkDown, directErr.Error())
 	}
@@ -268,6 +272,9 @@
 	defer cancel()
 	nc, err := l.relay.Dial(ctx, t.address)
 	var failed *relay.DialError
+	if errors.Is(err, relay.ErrUnable) {
+		return nil, err
+	}
 	if err != nil && !errors.As(err, &failed) {
 		// No daemon has said anything about the upstream.
 		return nil, errors.Wrap(relay.ErrNoHelper, err.Error())
--- a/internal/relay/dialer.go
+++ b/internal/relay/dialer.go
@@ -65,6 +65,8 @@
 	// when it last responded, and maxOpen the most that it takes.
 	othersOpen, maxOpen int
 	failedAt, fullAt    time.Duration
+	// unable is set while the helper's last answer was that it does not relay.
+	unable bool
 }
 
 // NewDialer returns a dialer without sessions. Close ends it.
@@ -118,7 +120,7 @@
 }
 
 // Dial opens a connection to an upstream through a helper. The error is ErrNoHelper if no
-// helper could try, a *DialError if helpers could not reach the upstream, and that of ctx
+// helper could try, and ErrUnable if none ever can, a *DialError if helpers could not reach the upstream, and that of ctx
 // if none has responded in time.
 func (d *Dialer) Dial(ctx context.Context, address string) (*Conn, error) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -175,7 +177,23 @@
 	if a.failure != nil {
 		return nil, a.failure
 	}
-	return nil, ErrNoHelper
+	return nil, a.dialer.noHelper()
+}
+
+// noHelper returns the error of an attempt that no helper could make.
+func (d *Dialer) noHelper() error {
+	addresses := d.opts.Helpers()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, address := range addresses {
+		if h := d.helpers[address]; h == nil || !h.unable {
+			return ErrNoHelper
+		}
+	}
+	if len(addresses) == 0 {
+		return ErrNoHelper
+	}
+	return ErrUnable
 }
 
 // askNext asks the next helper, if there is one.
--- a/internal/relay/errors.go
+++ b/internal/relay/errors.go
@@ -13,6 +13,10 @@
 // is known about the upstream.
 var ErrNoHelper = errors.New("no daemon relays the connection")
 
+// ErrUnable is the ErrNoHelper of a system in which no daemon relays, because the builds of
+// all do not know how: no other attempt than the entry's own can be made.
+var ErrUnable = errors.WithMessage(ErrNoHelper, "the builds of all daemons")
+
 // ErrLost means that the daemon that relayed a connection, or the session with it, was lost:
 // nothing is known about the upstream.
 var ErrLost = errors.New("the daemon that relayed the connection was lost")
--- a/internal/relay/older_build_test.go
+++ b/internal/relay/older_build_test.go
@@ -45,6 +45,7 @@
 	for range 20 {
 		began := time.Now()
 		_, err := d.Dial(contextFor(t, time.Second), upstream)
+		require.ErrorIs(t, err, ErrUnable)
 		require.ErrorIs(t, err, ErrNoHelper)
 		require.Less(t, time.Since(began), helperDelay)
 	}
@@ -65,3 +66,24 @@
 	}, time.Second, 10*time.Millisecond)
 	require.Equal(t, int32(1), older[1].asked.Load())
 }
+
+// Guards against a daemon that is down for a moment, or unreachable, and that counts as one
+// that could have tried, or as one that never relays.
+func TestDaemonThatIsDownIsTakenForWhatItWas(t *testing.T) {
+	upstream := listen(t, echo)
+	older := []*olderDaemon{startOlderDaemon(t), startOlderDaemon(t)}
+	d := startDialer(t, older[0].address, older[1].address)
+	_, err := d.Dial(contextFor(t, time.Second), upstream)
+	require.ErrorIs(t, err, ErrUnable)
+	older[0].sessions.Close()
+	for range 3 {
+		_, err = d.Dial(contextFor(t, time.Second), upstream)
+		require.ErrorIs(t, err, ErrUnable)
+	}
+	unknown := startHelper(t, helperOptions{})
+	unknown.sessions.Close()
+	d = startDialer(t, older[1].address, unknown.address)
+	_, err = d.Dial(contextFor(t, time.Second), upstream)
+	require.ErrorIs(t, err, ErrNoHelper)
+	require.NotErrorIs(t, err, ErrUnable)
+}
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -296,6 +296,7 @@
 func (d *Dialer) noteResponse(s *session, r *pb.RelayResponse) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	s.helper.unable = false
 	if r.Result == pb.RelayResponse_OPEN {
 		s.conns++
 		d.vars.opened.Add(1)
@@ -312,7 +313,7 @@
 func (d *Dialer) noteUnable(s *session) {
 	d.mu.Lock()
 	known := s.unable
-	s.unable = true
+	s.unable, s.helper.unable = true, true
 	d.mu.Unlock()
 	d.vars.failed.Add(pb.Status_UNIMPLEMENTED.String(), 1)
 	if !known {
