--- a/internal/corestore/leave.go
+++ b/internal/corestore/leave.go
@@ -31,7 +31,13 @@
 			reply, err = s.handleLeave(ctx, req)
 			return err
 		}, func(ctx context.Context, leader *transport.Client) error {
-			return leader.Call(ctx, transport.MethodLeave, req, reply)
+			err := leader.Call(ctx, transport.MethodLeave, req, reply)
+			if transport.Code(err) == pb.Status_UNIMPLEMENTED {
+				// Leaders of earlier builds replace a member after it has fallen silent.
+				reply.Pending = false
+				return nil
+			}
+			return err
 		})
 		if err != nil || !reply.Pending {
 			return err
--- a/internal/corestore/replacement_test.go
+++ b/internal/corestore/replacement_test.go
@@ -290,3 +290,22 @@
 	require.NoError(t, err)
 	require.Equal(t, "seven", string(d.Body))
 }
+
+// Guards against a stop that waits for a leader of a build that does not know of it, and that
+// reports a core without a majority.
+func TestStopUnderALeaderThatDoesNotKnowLeave(t *testing.T) {
+	c := newTestCluster(t, 3, 1)
+	c.waitVoters(3)
+	c.withoutLeave = true
+	for i := 1; i <= 3; i++ {
+		c.stop(i)
+		c.start(i, false)
+	}
+	c.waitVoters(3)
+	follower := c.leader()%3 + 1
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	began := time.Now()
+	require.NoError(t, c.stores[follower].StepDown(ctx))
+	require.Less(t, time.Since(began), 500*time.Millisecond)
+}
