--- a/internal/soak/load_cut.go
+++ b/internal/soak/load_cut.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -58,3 +60,16 @@
 	}
 	kept.CloseIdleConnections()
 }
+
+// buildsAt names the builds of an entry and of the core, empty without an upgrade.
+func (s *system) buildsAt(entry int) string {
+	if s.opts.Upgrade == nil {
+		return ""
+	}
+	var cores []string
+	for _, c := range s.cores {
+		cores = append(cores, c.currentBuild())
+	}
+	slices.Sort(cores)
+	return fmt.Sprintf("%s (core %s)", s.entries[entry].currentBuild(), strings.Join(slices.Compact(cores), " and "))
+}
--- a/internal/soak/upgrade.go
+++ b/internal/soak/upgrade.go
@@ -209,16 +209,3 @@
 		}
 	}
 }
-
-// buildsAt names the builds of an entry and of the core, empty without an upgrade.
-func (s *system) buildsAt(entry int) string {
-	if s.opts.Upgrade == nil {
-		return ""
-	}
-	var cores []string
-	for _, c := range s.cores {
-		cores = append(cores, c.currentBuild())
-	}
-	slices.Sort(cores)
-	return fmt.Sprintf("%s (core %s)", s.entries[entry].currentBuild(), strings.Join(slices.Compact(cores), " and "))
-}
