--- a/internal/edge/placer.go
+++ b/internal/edge/placer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,7 @@
 	pb "godwitward.example/godwitward/api/godwitward/v1"
 	"godwitward.example/godwitward/internal/entry"
 	"godwitward.example/godwitward/internal/forward"
+	"godwitward.example/godwitward/internal/protocol"
 )
 
 // responseMargin is added to a request's MaxWait to give the timeout of its
@@ -36,7 +38,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, req.MaxWait+responseMargin)
 	defer cancel()
-	resp, err := p.schedulerClients.TrySubmit(ctx, submission(req))
+	resp, err := p.schedulerClients.TrySubmit(ctx, submission(req, p.schedulerClients.Level(req.Service)))
 	if err != nil {
 		p.logger.Warn().Str("event", "scheduler.unanswered").Str("id", req.ID).Str("pool", req.Service).
 			Int64("wait_ms", req.MaxWait.Milliseconds()).Err(err).Msg("")
@@ -58,14 +60,20 @@
 	return &reservation{schedulerClients: p.schedulerClients, pool: req.Service, grant: resp.GetGrant()}, nil
 }
 
-// submission returns the message to the scheduler that asks for a reservation.
-func submission(req *forward.ReserveRequest) *pb.SubmitRequest {
+// submission returns the message to a scheduler of the given level that asks for a
+// reservation.
+func submission(req *forward.ReserveRequest, scheduler protocol.Level) *pb.SubmitRequest {
+	exclude := req.Exclude
+	if !scheduler.KeepsRunVersions() {
+		// It may not compare versions, and place the stream where it must not go on.
+		exclude = slices.Concat(exclude, req.OtherVersions)
+	}
 	return &pb.SubmitRequest{
 		RequestId: req.ID, Attempt: uint32(req.Attempt), Pool: req.Service, Model: req.Model,
 		RequestClass: pb.RequestClass_REQUEST_CLASS_DRAFT,
 		PromptTokens: uint32(req.PromptTokens), MaxOutputTokens: uint32(req.OutputTokens), MadeTokens: uint32(req.GeneratedTokens),
 		MaxWaitMs: millis(req.MaxWait), DeadlineMs: millis(req.RemainingTime), TtftTargetMs: millis(req.TTFTTarget), AgeMs: millis(req.Age),
-		Exclude: req.Exclude, RetrySends: uint32(req.RetrySends), ContentHash: req.ContentHash,
+		Exclude: exclude, RetrySends: uint32(req.RetrySends), ContentHash: req.ContentHash,
 		SoftwareVersion: req.Version, WeightsVersion: req.Weights,
 	}
 }
--- a/internal/edge/placer_test.go
+++ b/internal/edge/placer_test.go
@@ -6,12 +6,13 @@
 	"github.com/stretchr/testify/require"
 
 	"godwitward.example/godwitward/internal/forward"
+	"godwitward.example/godwitward/internal/protocol"
 )
 
 // Guards against a scheduler that is not told at which software and weights a stream began,
 // and places it on an engine that the entry then refuses.
 func TestSchedulerIsToldTheVersionOfAStream(t *testing.T) {
-	s := submission(&forward.ReserveRequest{ID: "r", Service: "draft", Model: "m", Version: "v1", Weights: "7"})
+	s := submission(&forward.ReserveRequest{ID: "r", Service: "draft", Model: "m", Version: "v1", Weights: "7"}, protocol.Current)
 	require.Equal(t, "v1", s.SoftwareVersion)
 	require.Equal(t, "7", s.WeightsVersion)
 }
--- a/internal/entry/schedulers.go
+++ b/internal/entry/schedulers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/protocol"
 	"godwitward.example/godwitward/internal/transport"
 )
 
@@ -123,6 +124,15 @@
 // Connected reports whether there is a session to the pool's scheduler.
 func (sc *SchedulerClients) Connected(name string) bool { return sc.pool(name).current() != nil }
 
+// Level returns what the build of the pool's scheduler can do, as far as its session told.
+func (sc *SchedulerClients) Level(name string) protocol.Level {
+	s := sc.pool(name).current()
+	if s == nil {
+		return protocol.Unstated
+	}
+	return protocol.Of(s.client.Peer())
+}
+
 // Pending implements Schedulers.
 func (sc *SchedulerClients) Pending() int {
 	return int(sc.pendingReleases.Load())
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/fleet"
 	"godwitward.example/godwitward/policy"
 )
 
@@ -142,7 +143,7 @@
 		ContentHash: x.contentHash(), MaxWait: min(maxWait, x.remaining()), RemainingTime: x.remaining(), TTFTTarget: x.route.LatencyTarget, Age: age,
 	}
 	if x.run != nil {
-		req.Version, req.Weights = x.run.Software, x.run.Weights
+		req.Version, req.Weights, req.OtherVersions = x.run.Software, x.run.Weights, x.otherVersions()
 	}
 	if attempt > 1 {
 		req.RetrySends = 1
@@ -164,6 +165,21 @@
 	return req
 }
 
+// otherVersions returns the ids of the engines of the service that must not decode the
+// stream, or prefill for it, because of their versions.
+func (x *exchange) otherVersions() []string {
+	var ids []string
+	for _, t := range x.s.upstreams.list(x.service.Name) {
+		record := t.currentRecord()
+		v := fleet.RunVersions(record, x.info.Model)
+		decodes := record.Stage == engineStage(x.service)
+		if decodes && !x.run.MayGoOnAt(v) || !decodes && !policy.SameWeights(x.run.Weights, v.Weights) {
+			ids = append(ids, t.id)
+		}
+	}
+	return ids
+}
+
 // capRetryAfter limits the delay that a scheduler suggests to the longest that a
 // caller honours: a third of the time that it still waits. It spreads the delays, so
 // that callers who were refused together do not return together. If the scheduler
--- a/internal/forward/placement_test.go
+++ b/internal/forward/placement_test.go
@@ -62,3 +62,26 @@
 	x := &exchange{s: s, r: httptest.NewRequest("POST", "/", nil), service: &Service{Name: "llm", Engine: &EngineConfig{TokensPerEvent: 70}}, route: &Route{}}
 	require.ElementsMatch(t, []string{"leaving", "paused"}, x.reserveRequest(1, policy.Work{}, &streamState{}).Exclude)
 }
+
+// Guards against a reservation that does not name the engines that a scheduler which
+// compares no versions must not place a stream on.
+func TestReservationNamesEnginesOfOtherVersions(t *testing.T) {
+	s := &Server{start: time.Now(), upstreams: newUpstreams("", nil)}
+	for _, r := range []*pb.UpstreamRecord{
+		{Id: "same", Stage: pb.EngineStage_ENGINE_STAGE_DECODE, SoftwareVersion: "v1", Weights: []string{"7"}},
+		{Id: "unknown-weights", Stage: pb.EngineStage_ENGINE_STAGE_DECODE, SoftwareVersion: "v1"},
+		{Id: "other-software", Stage: pb.EngineStage_ENGINE_STAGE_DECODE, SoftwareVersion: "v2", Weights: []string{"7"}},
+		{Id: "other-weights", Stage: pb.EngineStage_ENGINE_STAGE_DECODE, SoftwareVersion: "v1", Weights: []string{"8"}},
+		{Id: "prefill", Stage: pb.EngineStage_ENGINE_STAGE_PREFILL, SoftwareVersion: "v2", Weights: []string{"7"}},
+		{Id: "prefill-other-weights", Stage: pb.EngineStage_ENGINE_STAGE_PREFILL, SoftwareVersion: "v1", Weights: []string{"8"}},
+	} {
+		r.Service, r.Models, r.Phase, r.BornMs = "llm", []string{"m"}, pb.UpstreamPhase_UPSTREAM_READY, 1
+		s.upstreams.update([]*pb.UpstreamRecord{r}, 0)
+	}
+	x := &exchange{s: s, r: httptest.NewRequest("POST", "/", nil), service: &Service{Name: "llm", Engine: &EngineConfig{TokensPerEvent: 70}}, route: &Route{}, info: RequestInfo{Model: "m"}}
+	require.Empty(t, x.reserveRequest(1, policy.Work{}, &streamState{}).OtherVersions, "a new request may run anywhere")
+	x.run = &policy.RunVersions{Service: "llm", Software: "v1", Model: "m", Weights: "7"}
+	req := x.reserveRequest(2, policy.Work{}, &streamState{})
+	require.ElementsMatch(t, []string{"other-software", "other-weights", "prefill-other-weights"}, req.OtherVersions)
+	require.Empty(t, req.Exclude)
+}
--- a/internal/forward/placer.go
+++ b/internal/forward/placer.go
@@ -41,6 +41,9 @@
 	Weights string
 	// Exclude lists engines that have failed the request.
 	Exclude []string
+	// OtherVersions lists engines that must not serve the request because of their
+	// versions, as far as the entry knows them.
+	OtherVersions []string
 }
 
 // Stage is the progress of a request on its engines.
