--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -140,6 +140,8 @@
 	// upstreams send to this hub, whereas streams to entries carry only visible
 	// changes.
 	allReports bool
+	// softwareOnly is set for an entry that compares software versions only.
+	softwareOnly bool
 	// delayed is set while a signal is due after gossipDelay.
 	delayed bool
 	// evidenceDue and statementsDue are set when the next message to another hub must carry
@@ -372,7 +374,8 @@
 	h.mergeNumberings(req.EventNumberings, true)
 	s := h.subscribe(false)
 	defer h.unsubscribe(s)
-	go h.receiveOutcomes(ctx, st)
+	h.recogniseEntry(ctx, s, req.StreamVersions)
+	go h.receiveOutcomes(ctx, st, s)
 	haveVersion := req.HaveVersion
 	var haveEvidence, haveNumberings uint64
 	var sentMembers []string
@@ -408,6 +411,7 @@
 			sentMembers = members
 			u.Core = members
 		}
+		h.adaptUpdate(s, u)
 		if err := st.Send(u); err != nil {
 			return err
 		}
--- a/internal/feed/outcomes.go
+++ b/internal/feed/outcomes.go
@@ -51,7 +51,7 @@
 }
 
 // receiveOutcomes adds an entry's reports to the counts until its stream ends.
-func (h *Hub) receiveOutcomes(ctx context.Context, st *transport.Stream) {
+func (h *Hub) receiveOutcomes(ctx context.Context, st *transport.Stream, s *subscription) {
 	for {
 		report := &pb.OutcomeReport{}
 		if h.recvWhole(ctx, st, report) != nil {
@@ -64,6 +64,7 @@
 		h.mu.Unlock()
 		h.reportEvidence(report)
 		h.mergeStatements(report.Statements, true)
+		h.recogniseEntry(ctx, s, report.StreamVersions)
 		h.mergeStreamVersions(report.StreamVersions, true)
 		h.mergeReportedRoutes(report.RouteServices)
 		h.mergeNumberings(report.EventNumberings, true)
--- a/internal/scheduler/handlers.go
+++ b/internal/scheduler/handlers.go
@@ -55,6 +55,7 @@
 		return err
 	}
 	req.EntryId = entryID(ctx, req.EntryId)
+	expandRunText(req)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
--- a/internal/scheduler/versions.go
+++ b/internal/scheduler/versions.go
@@ -5,6 +5,7 @@
 	"time"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/fleet"
 	"godwitward.example/godwitward/policy"
 )
 
@@ -38,6 +39,15 @@
 	return t.byID[e.ID].versionOf(model)
 }
 
+// expandRunText replaces the run text that an entry which compares software versions only has
+// in their place.
+func expandRunText(req *pb.SubmitRequest) {
+	if r := fleet.ParseRunText(req.SoftwareVersion); r != nil {
+		v := fleet.RunVersions(r, req.Model)
+		req.SoftwareVersion, req.WeightsVersion = v.Software, v.Weights
+	}
+}
+
 // version returns the version at which the request's stream began, empty for a new one.
 func (w *queuedRequest) version() version {
 	return version{software: w.req.SoftwareVersion, weights: w.req.WeightsVersion}
--- a/internal/scheduler/weights_test.go
+++ b/internal/scheduler/weights_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/fleet"
 )
 
 // weightsPool returns a pool whose engines all run software v1, with the weights given for
@@ -281,3 +282,17 @@
 	require.Len(t, ordered, 2)
 	require.False(t, ordered["d0"] && ordered["d1"], "no decode engine of v1 is left")
 }
+
+// Guards against streams of entries that compare software versions only and name all versions
+// of a run by one text, which is no software version.
+func TestStreamsAreResumedAtTheVersionsOfARunText(t *testing.T) {
+	p := weightsPool([]string{"2", "1"}, []string{"1", "2", "2"})
+	text := fleet.RunText(&pb.UpstreamRecord{Service: "draft", SoftwareVersion: "v1", Models: []string{"m"}, Weights: []string{"1"}})
+	req := resumedRequest("r", text)
+	expandRunText(req)
+	require.Equal(t, "v1", req.SoftwareVersion)
+	require.Equal(t, "1", req.WeightsVersion)
+	g := place(p, 1, req, 3*time.Second)
+	require.NotNil(t, g)
+	require.Equal(t, "d0", g.Decode.Id)
+}
