--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -28,8 +28,18 @@
 // Withdraw and must be unique. The caller runs the placement controller
 // afterwards. The pool keeps req.
 func (p *Pool) Submit(ticket uint64, req *pb.SubmitRequest, now time.Duration) []Action {
+	return p.submit(ticket, req, false, now)
+}
+
+// SubmitUnchecked is Submit for an entry that may not compare the weights of the engines that
+// it is granted.
+func (p *Pool) SubmitUnchecked(ticket uint64, req *pb.SubmitRequest, now time.Duration) []Action {
+	return p.submit(ticket, req, true, now)
+}
+
+func (p *Pool) submit(ticket uint64, req *pb.SubmitRequest, unchecked bool, now time.Duration) []Action {
 	defer p.lock(placementBits)()
-	w, refusal := p.admit(ticket, req, now)
+	w, refusal := p.admit(ticket, req, unchecked, now)
 	if refusal == nil {
 		refusal = p.chargeRetryBudget(w, now)
 	}
@@ -110,8 +120,9 @@
 }
 
 // admit checks whether a request can be served within its time limits.
-func (p *Pool) admit(ticket uint64, req *pb.SubmitRequest, now time.Duration) (*queuedRequest, *pb.Refusal) {
+func (p *Pool) admit(ticket uint64, req *pb.SubmitRequest, unchecked bool, now time.Duration) (*queuedRequest, *pb.Refusal) {
 	w := newQueuedRequest(ticket, req, p.queue.refused.take(req, now), now)
+	w.unchecked = unchecked
 	p.upstreams.refreshAll(&p.params, now, false)
 	c := p.upstreams.byModel[req.Model]
 	announcing := now < p.activeAt+announceWindow
@@ -119,6 +130,9 @@
 	if c == nil || len(c.decode) == 0 || (len(c.prefill) == 0 && !localPrefill) || (!c.hasUsable(localPrefill) && !announcing) {
 		return p.admitWithoutUpstream(w, c, announcing, now)
 	}
+	if w.lacksWeights(c) {
+		return nil, newRefusal(pb.Refusal_OVERLOADED, 0, "the weights of the stream are not known, and the engines of model %q have %d versions", req.Model, len(c.weights))
+	}
 	w.computePieces(c.pieceTokens)
 	if p.params.OnDemandMemory {
 		w.spec.Pieces = w.spec.PromptPieces
--- a/internal/scheduler/forecast.go
+++ b/internal/scheduler/forecast.go
@@ -125,7 +125,7 @@
 	emptied.TotalPieces = max(e.TotalPieces, 2*w.spec.Pieces)
 	narrowed := *q
 	narrowed.Decode = []*policy.Engine{&emptied}
-	pl, ok := p.placePair(&narrowed, w.req.Model)
+	pl, ok := p.placePair(&narrowed, w)
 	if !ok {
 		return pl, 0, false
 	}
--- a/internal/scheduler/handlers.go
+++ b/internal/scheduler/handlers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/protocol"
 	"godwitward.example/godwitward/internal/transport"
 )
 
@@ -118,7 +119,11 @@
 	if ch == nil {
 		return notHolder(req.Pool), nil
 	}
-	s.perform(a, a.pool.Submit(ticket, req, s.now()))
+	submit := a.pool.Submit
+	if !protocol.Of(transport.PeerFromContext(ctx)).KeepsRunVersions() {
+		submit = a.pool.SubmitUnchecked
+	}
+	s.perform(a, submit(ticket, req, s.now()))
 	s.requestRun(a, Placement)
 	select {
 	case resp := <-ch:
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -111,7 +111,7 @@
 	}
 	p.queue.lanes[l].Serve(freePieces, func(w *queuedRequest) policy.Verdict {
 		q := p.query(w, now)
-		pl, ok := p.choosePlacement(&q, w.req.Model)
+		pl, ok := p.choosePlacement(&q, w)
 		if ok {
 			out = append(out, p.grant(w, &pl, 0, now)...)
 			clear(freeByModel)
@@ -132,13 +132,13 @@
 // choosePlacement places a request on a prefill and a decode engine, or on a
 // decode engine that prefills the prompt itself where that is allowed and
 // better.
-func (p *Pool) choosePlacement(q *policy.Query, model string) (policy.Placement, bool) {
-	remote, ok := p.placePair(q, model)
+func (p *Pool) choosePlacement(q *policy.Query, w *queuedRequest) (policy.Placement, bool) {
+	remote, ok := p.placePair(q, w)
 	if !p.params.LocalPrefill {
 		return remote, ok
 	}
 	if ok {
-		if unpaired, found := p.placeUnpaired(q, model); found && unpaired.Cost < remote.Cost {
+		if unpaired, found := p.placeUnpaired(q, w); found && unpaired.Cost < remote.Cost {
 			return unpaired, true
 		}
 	}
@@ -307,7 +307,7 @@
 	q := p.query(w, now)
 	q.Decode = []*policy.Engine{&m.view}
 	q.Reserve = 0
-	pl, ok := p.choosePlacement(&q, w.req.Model)
+	pl, ok := p.choosePlacement(&q, w)
 	if !ok {
 		m.view.EarmarkedPieces = earmarkedPieces
 		return out
--- a/internal/scheduler/tables.go
+++ b/internal/scheduler/tables.go
@@ -240,6 +240,8 @@
 	queueDeadline time.Duration
 	// returned is set when the request was refused before.
 	returned bool
+	// unchecked is set if the entry may not compare the weights of engines.
+	unchecked bool
 	// heldRetries is what the attempt has set aside in the retry budget.
 	heldRetries int
 	// firstTokenDeadline is when the TTFT target is missed, idleTTFT the
--- /dev/null
+++ b/internal/scheduler/unchecked_test.go
@@ -0,0 +1,66 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+)
+
+// placeUnchecked submits one request of an entry that compares no weights, and returns the
+// response, or nil if it is queued.
+func placeUnchecked(p *Pool, ticket uint64, req *pb.SubmitRequest, now time.Duration) *pb.SubmitResponse {
+	for _, a := range append(p.SubmitUnchecked(ticket, req, now), p.Run(Placement, now)...) {
+		if x, ok := a.(SubmitResult); ok && x.Ticket == ticket {
+			return x.Response
+		}
+	}
+	return nil
+}
+
+// Guards against requests of entries of earlier builds, which compare no weights, that are
+// decoded with prefill results of weights which the scheduler does not know.
+func TestEntriesThatCompareNoWeightsAreGrantedKnownPairsOnly(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		prefill, decode []string
+		paired          []string
+	}{
+		{"prefill engine unknown", []string{""}, []string{"1", "2"}, nil},
+		{"decode engines unknown", []string{"1"}, []string{"", ""}, nil},
+		{"some unknown", []string{"1", ""}, []string{"", "1"}, []string{"p0 d1"}},
+		{"none known", []string{""}, []string{"", ""}, []string{"p0 d0", "p0 d1"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := weightsPool(c.prefill, c.decode)
+			now := 3 * time.Second
+			granted := 0
+			for ticket := uint64(1); ticket <= 12; ticket++ {
+				g := placeUnchecked(p, ticket, platformRequest(fmt.Sprint("r", ticket), 5000, 700), now).GetGrant()
+				if g == nil {
+					continue
+				}
+				granted++
+				if g.Prefill != nil {
+					require.Contains(t, c.paired, g.Prefill.Id+" "+g.Decode.Id)
+				}
+			}
+			require.NotZero(t, granted, "decode engines prefill otherwise")
+		})
+	}
+}
+
+// Guards against streams that an entry which does not tell their weights goes on with at
+// others.
+func TestStreamsOfUnknownWeightsAreRefusedWhereSeveralServe(t *testing.T) {
+	now := 3 * time.Second
+	several := weightsPool([]string{"1", "2"}, []string{"1", "2"})
+	require.NotNil(t, placeUnchecked(several, 1, resumedRequest("r", "v1"), now).GetRefusal())
+	require.NotNil(t, placeUnchecked(several, 2, weightsRequest("s", "1"), now).GetGrant(), "these are known")
+	require.NotNil(t, placeUnchecked(several, 3, platformRequest("new", 5000, 700), now).GetGrant(), "a new request may run anywhere")
+	one := weightsPool([]string{"1"}, []string{"1", "1"})
+	require.NotNil(t, placeUnchecked(one, 1, resumedRequest("r", "v1"), now).GetGrant())
+}
--- a/internal/scheduler/versions.go
+++ b/internal/scheduler/versions.go
@@ -53,6 +53,21 @@
 	return version{software: w.req.SoftwareVersion, weights: w.req.WeightsVersion}
 }
 
+// lacksWeights reports whether the request resumes a stream whose weights its entry does not
+// tell, while engines of several weights serve.
+func (w *queuedRequest) lacksWeights(c *candidates) bool {
+	return w.unchecked && w.spec.GeneratedTokens > 0 && w.req.WeightsVersion == "" && len(c.weights) > 1
+}
+
+// sameWeights reports whether a prefill result of some weights may serve the request at an
+// engine of others. Weights that are not known may be the same if the entry finds out.
+func (w *queuedRequest) sameWeights(a, b string) bool {
+	if w.unchecked {
+		return a == b && a != ""
+	}
+	return policy.SameWeights(a, b)
+}
+
 // excluded returns the ids of the engines that a request must not use.
 func (p *Pool) excluded(w *queuedRequest, c *candidates, now time.Duration) []string {
 	list := p.upstreams.excludeLimited(w.req.Exclude, now)
@@ -130,16 +145,16 @@
 
 // placePair places a request on a prefill and a decode engine. They have the same weights
 // as far as these are known: a KV cache is of no use to other weights.
-func (p *Pool) placePair(q *policy.Query, model string) (policy.Placement, bool) {
-	c := p.upstreams.candidatesFor(model)
-	if len(c.weights) < 2 {
+func (p *Pool) placePair(q *policy.Query, w *queuedRequest) (policy.Placement, bool) {
+	c := p.upstreams.candidatesFor(w.req.Model)
+	if len(c.weights) == 0 || len(c.weights) == 1 && !w.unchecked {
 		return p.policy.Place(q)
 	}
 	var best policy.Placement
 	found := false
 	for _, weights := range c.weights {
 		narrowed := *q
-		narrowed.Exclude = p.upstreams.excludeWeights(q.Exclude, c, model, func(w string) bool { return !policy.SameWeights(w, weights) })
+		narrowed.Exclude = p.upstreams.excludeWeights(q.Exclude, c, w.req.Model, func(other string) bool { return !w.sameWeights(other, weights) })
 		if pl, ok := p.policy.Place(&narrowed); ok && (!found || pl.Cost < best.Cost) {
 			best, found = pl, true
 		}
@@ -149,20 +164,20 @@
 
 // placeUnpaired places a request on a decode engine that prefills the prompt itself because
 // no usable prefill engine has its weights.
-func (p *Pool) placeUnpaired(q *policy.Query, model string) (policy.Placement, bool) {
-	c := p.upstreams.candidatesFor(model)
-	if len(c.weights) < 2 {
+func (p *Pool) placeUnpaired(q *policy.Query, w *queuedRequest) (policy.Placement, bool) {
+	c := p.upstreams.candidatesFor(w.req.Model)
+	if len(c.weights) == 0 || len(c.weights) == 1 && !w.unchecked {
 		return policy.Placement{}, false
 	}
 	var prefill []string
 	for _, e := range c.prefill {
 		if e.Usable {
-			prefill = append(prefill, p.upstreams.versionOf(e, model).weights)
+			prefill = append(prefill, p.upstreams.versionOf(e, w.req.Model).weights)
 		}
 	}
 	narrowed := *q
-	narrowed.Exclude = p.upstreams.excludeWeights(q.Exclude, c, model, func(w string) bool {
-		return slices.ContainsFunc(prefill, func(other string) bool { return policy.SameWeights(w, other) })
+	narrowed.Exclude = p.upstreams.excludeWeights(q.Exclude, c, w.req.Model, func(weights string) bool {
+		return slices.ContainsFunc(prefill, func(other string) bool { return w.sameWeights(weights, other) })
 	})
 	return policy.PlaceLocalPrefill(&narrowed)
 }
