--- a/internal/forward/find_stream_test.go
+++ b/internal/forward/find_stream_test.go
@@ -116,3 +116,17 @@
 		}
 	}
 }
+
+// Guards against a stream that goes on by the entry's own record, although hubs have a later one
+// which does not tell the versions.
+func TestTakeUpAfterALaterRecordThatDoesNotTellTheVersions(t *testing.T) {
+	hub := &versionHub{}
+	x := versionExchange(hub)
+	x.info = RequestInfo{ID: "b", StreamID: "a", LastEventID: "3", Model: "m"}
+	x.s.recordStream([]string{"a"}, policy.StreamVersion{First: "a", Versions: weightsOfRun("1"), Attempt: 1})
+	_, known := x.findRecord("a")
+	require.True(t, known, "control")
+	hub.known.Record(policy.StreamVersion{ID: "a", Versions: policy.RunVersions{Software: "v1"}, Attempt: 2, RecordedAt: time.Second}, time.Second)
+	_, known = x.findRecord("a")
+	require.False(t, known)
+}
--- a/internal/forward/versions.go
+++ b/internal/forward/versions.go
@@ -16,7 +16,7 @@
 type StreamVersionSource interface {
 	// StreamVersion returns the newest record for the id of a request that brought events
 	// of the stream, without its time. known is false if nobody who could be asked knows
-	// it.
+	// it, or the newest record does not tell the versions.
 	StreamVersion(ctx context.Context, id string) (v policy.StreamVersion, known bool)
 	// RecordStreamVersion keeps a record so that whoever asks for it later gets it or a newer
 	// one, and reports whether it did and there is no newer one of other versions.
@@ -229,9 +229,9 @@
 	if id := x.info.StreamID; id != "" {
 		v, known = x.findRecord(id)
 		if known && v.First != "" {
-			if first, knownFirst := x.findRecord(v.First); knownFirst && first.Attempt > v.Attempt {
+			if first, knownFirst := x.findRecord(v.First); first.Attempt > v.Attempt {
 				first.First = v.First
-				v = first
+				v, known = first, knownFirst
 			}
 		}
 		if known {
@@ -271,8 +271,8 @@
 	}
 	ctx, cancel := context.WithTimeout(x.ctx, streamVersionTimeout)
 	defer cancel()
-	if newest, knownToHub := x.s.versionSource.StreamVersion(ctx, id); knownToHub && (!known || newest.Attempt > v.Attempt) {
-		v, known = newest, true
+	if newest, knownToHub := x.s.versionSource.StreamVersion(ctx, id); newest.Attempt > v.Attempt || knownToHub && !known {
+		v, known = newest, knownToHub
 		x.versionsFrom = versionsFromHubs
 	}
 	return v, known
--- a/internal/forward/versions_test.go
+++ b/internal/forward/versions_test.go
@@ -34,7 +34,8 @@
 func (h *versionHub) StreamVersion(context.Context, string) (policy.StreamVersion, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.known.Get("a", time.Second)
+	v, _ := h.known.Get("a", time.Second)
+	return v, v.Versions.Service != ""
 }
 
 func (h *versionHub) RecordStreamVersion(ctx context.Context, v policy.StreamVersion) bool {
