--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -171,15 +171,32 @@
 }
 
 // otherVersions returns the ids of the engines of the service that must not decode the
-// stream, or prefill for it, because of their versions.
+// stream, or prefill for it, because of their versions. Those that have only stated other
+// weights in responses, which may have changed, are among them while others are left.
 func (x *exchange) otherVersions() []string {
 	var ids []string
+	unlikely, left := map[bool][]string{}, map[bool]bool{}
+	now := x.s.now()
 	for _, t := range x.s.upstreams.list(x.service.Name) {
-		record := t.currentRecord()
-		v := fleet.RunVersions(record, x.info.Model)
+		t.mu.Lock()
+		record, likely := t.record, t.likelyVersions(x.info.Model, now)
+		t.mu.Unlock()
 		decodes := record.Stage == engineStage(x.service)
-		if decodes && !x.run.MayGoOnAt(v) || !decodes && !policy.SameWeights(x.run.Weights, v.Weights) {
+		fits := func(v policy.RunVersions) bool {
+			return decodes && x.run.MayGoOnAt(v) || !decodes && policy.SameWeights(x.run.Weights, v.Weights)
+		}
+		switch {
+		case !fits(fleet.RunVersions(record, x.info.Model)):
 			ids = append(ids, t.id)
+		case !fits(likely):
+			unlikely[decodes] = append(unlikely[decodes], t.id)
+		case record.Phase == pb.UpstreamPhase_UPSTREAM_READY && !t.refusesWork(now) && !x.tried[t]:
+			left[decodes] = true
+		}
+	}
+	for decodes, list := range unlikely {
+		if left[decodes] {
+			ids = append(ids, list...)
 		}
 	}
 	return ids
--- a/internal/forward/placement_test.go
+++ b/internal/forward/placement_test.go
@@ -85,3 +85,26 @@
 	require.ElementsMatch(t, []string{"other-software", "other-weights", "prefill-other-weights"}, req.OtherVersions)
 	require.Empty(t, req.Exclude)
 }
+
+// Guards against reservations of engines that have stated other weights in responses, from
+// schedulers that compare none, and against a stream that is refused because of such weights.
+func TestReservationNamesEnginesThatHaveStatedOtherWeights(t *testing.T) {
+	s := &Server{start: time.Now(), upstreams: newUpstreams("", nil)}
+	decode, prefill := pb.EngineStage_ENGINE_STAGE_DECODE, pb.EngineStage_ENGINE_STAGE_PREFILL
+	for id, stage := range map[string]pb.EngineStage{"same": decode, "other": decode, "prefill": prefill, "prefill-other": prefill, "not-stated": decode} {
+		// Hubs of earlier builds pass on no weights.
+		s.upstreams.update([]*pb.UpstreamRecord{{Id: id, Service: "llm", Stage: stage, SoftwareVersion: "v1", Models: []string{"m"}, Phase: pb.UpstreamPhase_UPSTREAM_READY, BornMs: 1}}, 0)
+	}
+	for id, weights := range map[string]string{"same": "7", "other": "8", "prefill": "7", "prefill-other": "8"} {
+		s.upstreams.get(id).observeWeights("m", weights, s.now())
+	}
+	x := &exchange{s: s, r: httptest.NewRequest("POST", "/", nil), service: &Service{Name: "llm", Engine: &EngineConfig{TokensPerEvent: 70}}, route: &Route{}, info: RequestInfo{Model: "m"}}
+	x.run = &policy.RunVersions{Service: "llm", Software: "v1", Model: "m", Weights: "7"}
+	named := func() []string { return x.reserveRequest(2, policy.Work{}, &streamState{}).OtherVersions }
+	require.ElementsMatch(t, []string{"other", "prefill-other"}, named())
+	x.tried = map[*target]bool{s.upstreams.get("same"): true}
+	require.ElementsMatch(t, []string{"other", "prefill-other"}, named(), "one that has stated none is left")
+	s.upstreams.get("prefill").stated.Leaving = true
+	x.tried[s.upstreams.get("not-stated")] = true
+	require.Empty(t, named(), "no others are left, and their weights may have changed")
+}
