--- a/policy/stream_versions.go
+++ b/policy/stream_versions.go
@@ -43,7 +43,7 @@
 		return false
 	}
 	known, ok := s.byID[v.ID]
-	if ok && (v.Attempt < known.Attempt || v.Attempt == known.Attempt && v.RecordedAt <= known.RecordedAt) {
+	if ok && !v.replaces(known) {
 		return false
 	}
 	if s.byID == nil {
@@ -55,6 +55,19 @@
 	return !ok || known.Versions != v.Versions || known.Attempt != v.Attempt
 }
 
+// replaces reports whether a record replaces another one of its id. Of two with the same
+// number, one without a service may have passed a daemon that dropped the rest.
+func (v StreamVersion) replaces(known StreamVersion) bool {
+	whole, knownWhole := v.Versions.Service != "", known.Versions.Service != ""
+	switch {
+	case v.Attempt != known.Attempt:
+		return v.Attempt > known.Attempt
+	case whole != knownWhole:
+		return whole
+	}
+	return v.RecordedAt > known.RecordedAt
+}
+
 // Get returns the record of a stream, if there is one.
 func (s *StreamVersions) Get(id string, now time.Duration) (StreamVersion, bool) {
 	s.prune(now)
