--- /dev/null
+++ b/internal/feed/earlier_records.go
@@ -0,0 +1,122 @@
+package feed
+
+import (
+	"slices"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/fleet"
+	"godwitward.example/godwitward/policy"
+)
+
+// Records of entries that compare software versions only name no service. Their version is a
+// software version, or the run text that the entry was told in its place. Hubs keep them as
+// they are, so that they replace earlier records, and decode a run text when they are asked.
+
+// earlierTakeUp is the number of the record that such an entry makes when it takes up a stream
+// of another one.
+const earlierTakeUp = 1 << 20
+
+// decodeRecord returns a record that an entry or a hub has sent, or that was stored, as it is
+// kept. known is false if it tells nothing. The caller holds mu.
+func (h *Hub) decodeRecord(m *pb.StreamVersion) (v policy.StreamVersion, known bool) {
+	now := h.now()
+	v, whole := fleet.DecodeStreamVersion(m, now)
+	if whole {
+		return v, true
+	}
+	if v.Versions.Software == fleet.OtherSoftware {
+		// It goes with a whole record.
+		return v, false
+	}
+	// Where the software tells the run, a take-up with the same software is of the same run.
+	earlier, found := h.streamVersions.Get(v.ID, now)
+	if found && h.restored && v.Attempt == earlierTakeUp && earlier.Versions.Service != "" && earlier.Versions.Software == v.Versions.Software &&
+		earlier.ChangedAfter == "" && h.softwareTellsRun(earlier.Versions.Service) {
+		v.First, v.Versions = earlier.First, earlier.Versions
+	}
+	return v, true
+}
+
+// noteLeftVersions notes the versions that a process leaves with a report. The caller holds mu.
+func (h *Hub) noteLeftVersions(r *pb.UpstreamRecord) {
+	known := h.table.Get(r.Id)
+	if known == nil || known.BornMs != r.BornMs || known.Sequence >= r.Sequence || slices.Equal(known.Weights, r.Weights) && slices.Equal(known.Models, r.Models) {
+		return
+	}
+	next := fleet.AllRunVersions(r)
+	for _, v := range fleet.AllRunVersions(known) {
+		if v.Weights != "" && !slices.Contains(next, v) {
+			h.left.Left(v, h.now())
+		}
+	}
+}
+
+// readRecord decodes the run text of a record without a service. may is false if the stream
+// may have gone on with other weights, and whole is set if the versions are those of a single
+// model. The caller holds mu.
+func (h *Hub) readRecord(v policy.StreamVersion) (read policy.StreamVersion, whole, may bool) {
+	if v.Versions.Service != "" {
+		return v, true, true
+	}
+	r := fleet.ParseRunText(v.Versions.Software)
+	if r == nil || r.Service == "" {
+		return v, false, true
+	}
+	// The hub does not know which weights were left before it started.
+	may = v.RecordedAt >= 0
+	versions := fleet.AllRunVersions(r)
+	for _, each := range versions {
+		may = may && !h.left.MayHaveChanged(each, v.RecordedAt)
+	}
+	if may && len(versions) == 1 && versions[0].Weights != "" {
+		v.Versions = versions[0]
+		return v, true, true
+	}
+	return v, false, may
+}
+
+// softwareOnlyPeer reports whether a peer is an entry that is told run texts. The caller holds
+// mu.
+func (h *Hub) softwareOnlyPeer(peer *pb.Hello) bool {
+	for s := range h.subscriptions {
+		if s.softwareOnly && s.entry.GetVm() == peer.GetVm() && s.entry.GetDaemonId() == peer.GetDaemonId() {
+			return true
+		}
+	}
+	return false
+}
+
+// addRunText adds to an answer the run text by which an entry that compares software only
+// knows the run of a stream. It cannot tell a caller that has text of earlier weights from
+// others. The caller holds mu.
+func (h *Hub) addRunText(resp *pb.StreamVersionResponse, v policy.StreamVersion, may bool) {
+	if !may || v.ChangedAfter != "" {
+		return
+	}
+	if v.Versions.Service == "" {
+		resp.SoftwareKnown, resp.SoftwareVersion = fleet.ParseRunText(v.Versions.Software) != nil, v.Versions.Software
+		return
+	}
+	resp.SoftwareKnown, resp.SoftwareVersion = true, h.runTextOf(v.Versions)
+}
+
+// runTextOf returns the run text of the upstreams with some versions, preferably of one that
+// takes requests. The caller holds mu.
+func (h *Hub) runTextOf(v policy.RunVersions) string {
+	var ready, others []string
+	for _, r := range h.table.Records(h.now()) {
+		switch {
+		case fleet.RunVersions(r, v.Model) != v:
+		case r.Phase == pb.UpstreamPhase_UPSTREAM_READY && r.Stage != pb.EngineStage_ENGINE_STAGE_PREFILL:
+			ready = append(ready, fleet.RunText(r))
+		default:
+			others = append(others, fleet.RunText(r))
+		}
+	}
+	for _, texts := range [][]string{ready, others} {
+		if len(texts) > 0 {
+			return slices.Min(texts)
+		}
+	}
+	return fleet.OtherSoftware
+}
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -110,6 +110,7 @@
 	schedules  map[processKey]*sendSchedule
 
 	streamVersions policy.StreamVersions
+	left           policy.LeftVersions
 	versionHistory
 	routes routeHistory
 	eventNumberings
@@ -141,7 +142,9 @@
 	// upstreams send to this hub, whereas streams to entries carry only visible
 	// changes.
 	allReports bool
-	// softwareOnly is set for an entry that compares software versions only.
+	// entry is the receiver unless it is a hub, and softwareOnly is set if it compares software
+	// versions only.
+	entry        *pb.Hello
 	softwareOnly bool
 	// delayed is set while a signal is due after gossipDelay.
 	delayed bool
@@ -214,6 +217,7 @@
 
 func (h *Hub) applyReport(r *pb.UpstreamRecord) {
 	h.mu.Lock()
+	h.noteLeftVersions(r)
 	changed, accepted := h.table.Observe(r, h.now())
 	if accepted {
 		h.seeVersions(fleet.AllRunVersions(r), h.now())
@@ -333,8 +337,9 @@
 		Str("version", r.SoftwareVersion).Strs("weights", r.Weights).Int64("born_ms", r.BornMs).Uint64("sequence", r.Sequence).Msg("")
 }
 
-func (h *Hub) subscribe(allReports bool) *subscription {
-	s := &subscription{wake: make(chan struct{}, 1), sendAll: true, allReports: allReports}
+// subscribe adds a subscription of an entry, or of another hub if entry is nil.
+func (h *Hub) subscribe(entry *pb.Hello) *subscription {
+	s := &subscription{wake: make(chan struct{}, 1), sendAll: true, entry: entry, allReports: entry == nil}
 	s.signal()
 	h.mu.Lock()
 	h.subscriptions[s] = struct{}{}
@@ -373,7 +378,7 @@
 	h.mergeStreamVersions(req.StreamVersions, true)
 	h.mergeReportedRoutes(req.RouteServices)
 	h.mergeNumberings(req.EventNumberings, true)
-	s := h.subscribe(false)
+	s := h.subscribe(transport.PeerFromContext(ctx))
 	defer h.unsubscribe(s)
 	h.recogniseEntry(ctx, s, req.StreamVersions)
 	go h.receiveOutcomes(ctx, st, s)
@@ -478,6 +483,7 @@
 
 func (h *Hub) applyGossip(r *pb.UpstreamRecord) {
 	h.mu.Lock()
+	h.noteLeftVersions(r)
 	changed, accepted := h.table.Observe(r, h.now())
 	h.seeVersions(fleet.AllRunVersions(r), h.now()-milliseconds(r.AgeMs))
 	h.enqueueUpdates(changed, false)
@@ -546,7 +552,7 @@
 // gossipTo sends every report that upstreams send to this hub on to one other
 // hub, and the whole table whenever the stream is opened.
 func (h *Hub) gossipTo(ctx context.Context, address string) {
-	s := h.subscribe(true)
+	s := h.subscribe(nil)
 	defer h.unsubscribe(s)
 	for ctx.Err() == nil {
 		h.runGossipStream(ctx, address, s)
--- a/internal/feed/old_builds.go
+++ b/internal/feed/old_builds.go
@@ -74,10 +74,8 @@
 }
 
 // addSoftware adds the software version of a stream to an answer, if all upstreams with it
-// go on with the same run.
+// go on with the same run. The caller holds mu.
 func (h *Hub) addSoftware(resp *pb.StreamVersionResponse, v policy.StreamVersion) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	if h.softwareTellsRun(v.Versions.Service) {
 		resp.SoftwareKnown, resp.SoftwareVersion = true, v.Versions.Software
 	}
--- a/internal/feed/stream_versions.go
+++ b/internal/feed/stream_versions.go
@@ -24,8 +24,8 @@
 	var changed []policy.StreamVersion
 	var stored []*pb.StreamVersion
 	for _, m := range list {
-		v, known := fleet.DecodeStreamVersion(m, now)
-		if known {
+		v, known := h.decodeRecord(m)
+		if known && v.Versions.Service != "" {
 			// A response may state weights that no report has named.
 			h.seeVersions([]policy.RunVersions{v.Versions}, v.RecordedAt)
 		}
@@ -70,6 +70,10 @@
 	s.streamVersions, s.allStreamVersions = nil, false
 	var out []*pb.StreamVersion
 	for _, v := range list {
+		if v.Versions.Service == "" && fleet.ParseRunText(v.Versions.Software) == nil && !protocol.Of(hub).KeepsRunVersions() {
+			// Its entries would take the stream up with any run of the software.
+			continue
+		}
 		out = append(out, fleet.EncodeStreamVersion(v, h.now()))
 	}
 	return recordsFor(hub, out, h.softwareTellsRun)
@@ -82,22 +86,35 @@
 	if req.Record != nil {
 		h.mergeStreamVersions([]*pb.StreamVersion{req.Record}, req.AllHubs)
 	}
-	h.mu.Lock()
-	v, known := h.streamVersions.Get(req.Id, h.now())
-	h.mu.Unlock()
-	resp := &pb.StreamVersionResponse{}
-	if known {
-		resp.Stream = fleet.EncodeStreamVersion(v, h.now())
-		if !protocol.Of(transport.PeerFromContext(ctx)).KeepsRunVersions() {
-			h.addSoftware(resp, v)
-		}
-	}
-	if req.AllHubs {
+	resp, may := h.answer(transport.PeerFromContext(ctx), req.Id)
+	if req.AllHubs && may {
 		h.askOtherHubs(ctx, req, resp)
 	}
 	return resp, nil
 }
 
+// answer returns what the hub itself knows of a stream. may is false if it may have gone on
+// with other weights than those that its newest record tells.
+func (h *Hub) answer(peer *pb.Hello, id string) (resp *pb.StreamVersionResponse, may bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	resp = &pb.StreamVersionResponse{}
+	v, known := h.streamVersions.Get(id, h.now())
+	if !known {
+		return resp, true
+	}
+	v, whole, may := h.readRecord(v)
+	resp.Stream = fleet.EncodeStreamVersion(v, h.now())
+	switch {
+	case protocol.Of(peer).KeepsRunVersions():
+	case h.softwareOnlyPeer(peer):
+		h.addRunText(resp, v, may)
+	case whole:
+		h.addSoftware(resp, v)
+	}
+	return resp, may
+}
+
 const (
 	// otherHubsTimeout limits the wait for the other hubs. An entry waits for longer.
 	otherHubsTimeout = 200 * time.Millisecond
@@ -132,11 +149,11 @@
 		}()
 	}
 	resp.Answered, resp.Hubs = 1, uint32(len(members))
-	for ; waiting > 0 && (resp.Stream == nil || 2*resp.Answered <= resp.Hubs); waiting-- {
+	for ; waiting > 0 && (resp.Stream.GetService() == "" || 2*resp.Answered <= resp.Hubs); waiting-- {
 		select {
 		case stream := <-answers:
 			resp.Answered++
-			if stream.GetService() != "" && stream.Attempt > resp.Stream.GetAttempt() {
+			if replaces(stream, resp.Stream) {
 				resp.Stream = stream
 			}
 		case <-failed:
@@ -144,6 +161,15 @@
 	}
 }
 
+// replaces reports whether a record replaces another one. Of two with the same number, one
+// without a service may have passed a hub that dropped the rest.
+func replaces(m, known *pb.StreamVersion) bool {
+	if m.GetAttempt() == known.GetAttempt() {
+		return m.GetService() != "" && known.GetService() == ""
+	}
+	return m.GetAttempt() > known.GetAttempt()
+}
+
 // askHub asks a hub about a stream. If it is to keep a record, it is asked until it has it or
 // a later one.
 func askHub(ctx context.Context, client *transport.Client, req *pb.StreamVersionRequest) (*pb.StreamVersionResponse, error) {
@@ -180,15 +206,15 @@
 }
 
 // StreamVersion asks the hubs at which versions a stream may go on, and returns the newest
-// record. The time in the record is the age.
+// record. The time in the record is the age. known is false if it does not tell the versions.
 func (s *Subscriber) StreamVersion(ctx context.Context, id string) (newest policy.StreamVersion, known bool) {
+	var stream *pb.StreamVersion
 	for _, answer := range s.askHubs(ctx, &pb.StreamVersionRequest{Id: id, AllHubs: true}) {
-		v, complete := fleet.DecodeStreamVersion(answer.GetStream(), 0)
-		if complete && (!known || v.Attempt > newest.Attempt) {
-			newest, known = v, true
+		if replaces(answer.GetStream(), stream) {
+			stream = answer.Stream
 		}
 	}
-	return newest, known
+	return fleet.DecodeStreamVersion(stream, 0)
 }
 
 // askHubs sends a question to the hubs to which the subscriber is attached, and returns the
--- a/internal/feed/version_history.go
+++ b/internal/feed/version_history.go
@@ -37,8 +37,11 @@
 		h.observedSince = min(h.observedSince, -h.opts.Stored.Observed)
 		h.seeServiceVersions(h.opts.Stored.Services)
 		for _, m := range h.opts.Stored.Streams {
-			if v, known := fleet.DecodeStreamVersion(m, h.now()); known {
+			v, known := h.decodeRecord(m)
+			if known {
 				h.streamVersions.Record(v, h.now())
+			}
+			if known && v.Versions.Service != "" {
 				h.seeVersions([]policy.RunVersions{v.Versions}, v.RecordedAt)
 			}
 		}
--- a/internal/fleet/wrapped_versions.go
+++ b/internal/fleet/wrapped_versions.go
@@ -35,6 +35,9 @@
 	tells := map[string]bool{}
 	for _, m := range list {
 		all = append(all, m)
+		if m.Service == "" {
+			continue
+		}
 		if _, asked := tells[m.Service]; !asked {
 			tells[m.Service] = tellsRun(m.Service)
 		}
