--- a/internal/feed/earlier_entries.go
+++ b/internal/feed/earlier_entries.go
@@ -11,6 +11,7 @@
 	"godwitward.example/godwitward/internal/fleet"
 	"godwitward.example/godwitward/internal/protocol"
 	"godwitward.example/godwitward/internal/transport"
+	"godwitward.example/godwitward/policy"
 )
 
 // Entries of some builds before protocol.RunVersions compare software versions only. They are
@@ -49,15 +50,20 @@
 	})
 }
 
-// adaptUpdate changes an update for an entry that compares software versions only. The
-// entry takes any prefill engine that it knows, so it is left to schedulers to choose one,
-// and it is not told which versions have been in use: streams of which it has no record
-// may have begun at another service.
+// adaptUpdate changes an update for an entry of a build before protocol.RunVersions. Until it
+// has sent a record, it may be one that compares software versions only. One that does takes
+// any prefill engine that it knows, so it is left to schedulers to choose one, and it is not
+// told which versions have been in use: streams of which it has no record may have begun at
+// another service.
 func (h *Hub) adaptUpdate(s *subscription, u *pb.FeedUpdate) {
+	if protocol.Of(s.entry).KeepsRunVersions() {
+		return
+	}
 	h.mu.Lock()
 	softwareOnly := s.softwareOnly
 	h.mu.Unlock()
 	if !softwareOnly {
+		h.addOtherSoftware(u)
 		return
 	}
 	u.ObservedMs, u.ServiceVersions = 0, nil
@@ -70,3 +76,26 @@
 		u.Upstreams[i] = adapted
 	}
 }
+
+// otherSoftware stands for a software version beside those in use at a service whose upstreams
+// go on with different runs although their software is the same. Entries of builds before
+// protocol.RunVersions, which choose by software alone, then take up no stream of which they
+// know only that there is one version. No request names the model, so entries that tell runs
+// apart don't count it.
+var otherSoftware = policy.RunVersions{Software: fleet.OtherSoftware, Model: "\x01none"}
+
+// addOtherSoftware adds to an update what keeps an entry that may tell runs apart by their
+// software alone from joining different ones.
+func (h *Hub) addOtherSoftware(u *pb.FeedUpdate) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.now()
+	for service := range h.byService {
+		if h.softwareTellsRun(service) {
+			continue
+		}
+		other := otherSoftware
+		other.Service = service
+		u.ServiceVersions = append(u.ServiceVersions, fleet.EncodeServiceVersion(other, now, now))
+	}
+}
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -13,7 +13,6 @@
 	pb "godwitward.example/godwitward/api/godwitward/v1"
 	"godwitward.example/godwitward/internal/corestore"
 	"godwitward.example/godwitward/internal/fleet"
-	"godwitward.example/godwitward/internal/protocol"
 	"godwitward.example/godwitward/internal/streamlog"
 	"godwitward.example/godwitward/internal/transport"
 	"godwitward.example/godwitward/policy"
@@ -405,9 +404,6 @@
 		d := h.opts.Store.Current()
 		h.learnRoutes(d, d.Version > haveVersion)
 		h.stateHistory(s).addToUpdate(u)
-		if !protocol.Of(transport.PeerFromContext(ctx)).KeepsRunVersions() {
-			h.addForOldEntry(u)
-		}
 		u.Leader, u.Term, _ = h.opts.Store.Leader()
 		u.Version, u.NewestVersion = d.Version, max(d.Version, h.announcedVersion())
 		if d.Version > haveVersion {
@@ -444,30 +440,6 @@
 	}
 }
 
-// serveGossip applies the records sent by another hub. It does not forward them
-// to other hubs, because each hub sends its upstreams' reports to all others.
-func (h *Hub) serveGossip(ctx context.Context, st *transport.Stream) error {
-	for {
-		g := &pb.Gossip{}
-		if err := h.recvWhole(ctx, st, g); err != nil {
-			return nil
-		}
-		h.gossipReceived.Add(1)
-		for _, r := range g.Upstreams {
-			h.applyGossip(r)
-		}
-		h.mergeEvidence(g.Evidence)
-		h.mergeStatements(g.Statements, false)
-		h.mergeStreamVersions(g.StreamVersions, false)
-		h.mergeNumberings(g.EventNumberings, false)
-		h.mu.Lock()
-		h.remoteAttachments[transport.PeerFromContext(ctx).Vm] = attachmentCount{int(g.Attached), h.now()}
-		h.newestVersion = max(h.newestVersion, g.Version)
-		h.mergeHistory(g)
-		h.mu.Unlock()
-	}
-}
-
 // recvWhole receives the next message that can be decoded. Others are logged and left out:
 // a stream that ended would be opened again and send the same message first.
 func (h *Hub) recvWhole(ctx context.Context, st *transport.Stream, m proto.Message) error {
@@ -481,16 +453,6 @@
 	}
 }
 
-func (h *Hub) applyGossip(r *pb.UpstreamRecord) {
-	h.mu.Lock()
-	h.noteLeftVersions(r)
-	changed, accepted := h.table.Observe(r, h.now())
-	h.seeVersions(fleet.AllRunVersions(r), h.now()-milliseconds(r.AgeMs))
-	h.enqueueUpdates(changed, false)
-	h.mu.Unlock()
-	h.notifyChanged(changed, r, accepted)
-}
-
 // maintain periodically marks silent upstreams and opens or closes gossip
 // streams, so that there is one to each other hub. It ends with Stop.
 func (h *Hub) maintain() {
@@ -526,82 +488,3 @@
 		h.opts.OnReport(r)
 	}
 }
-
-func (h *Hub) updateGossipStreams(streams map[string]context.CancelFunc) {
-	members := h.opts.Store.Members()
-	for _, address := range members {
-		if address == h.opts.Self || streams[address] != nil {
-			continue
-		}
-		ctx, cancel := context.WithCancel(h.ctx)
-		streams[address] = cancel
-		h.done.Add(1)
-		go func() {
-			defer h.done.Done()
-			h.gossipTo(ctx, address)
-		}()
-	}
-	for address, cancel := range streams {
-		if !slices.Contains(members, address) {
-			cancel()
-			delete(streams, address)
-		}
-	}
-}
-
-// gossipTo sends every report that upstreams send to this hub on to one other
-// hub, and the whole table whenever the stream is opened.
-func (h *Hub) gossipTo(ctx context.Context, address string) {
-	s := h.subscribe(nil)
-	defer h.unsubscribe(s)
-	for ctx.Err() == nil {
-		h.runGossipStream(ctx, address, s)
-		select {
-		case <-ctx.Done():
-		case <-time.After(gossipRetryDelay):
-		}
-	}
-}
-
-func (h *Hub) runGossipStream(ctx context.Context, address string, s *subscription) {
-	client := h.opts.Peers.Client(address)
-	if client == nil {
-		return
-	}
-	openCtx, cancel := context.WithTimeout(ctx, dialTimeout)
-	st, err := client.Open(openCtx, transport.MethodGossip)
-	cancel()
-	if err != nil {
-		return
-	}
-	defer st.Close()
-	h.mu.Lock()
-	s.sendAll, s.evidenceDue, s.statementsDue, s.allStreamVersions, s.haveRoutes, s.numberingRevision = true, true, true, true, 0, 0
-	h.mu.Unlock()
-	s.signal()
-	ticker := time.NewTicker(attachmentCountTTL / 3)
-	defer ticker.Stop()
-	var lastSent time.Time
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-s.wake:
-		case <-ticker.C:
-		}
-		if !h.awaitTurn(ctx, lastSent) {
-			return
-		}
-		lastSent = time.Now()
-		records := h.takePending(s)
-		h.mu.Lock()
-		attached, evidence, statements, versions := uint32(h.localAttachments()), h.evidenceForHub(s), h.statementsForHub(s), h.streamVersionsForHub(s, client.Peer())
-		h.mu.Unlock()
-		g := &pb.Gossip{Upstreams: records, Attached: attached, Version: h.opts.Store.Current().Version, Evidence: evidence, Statements: statements, StreamVersions: versions}
-		h.stateHistory(s).addToGossip(g)
-		g.EventNumberings, s.numberingRevision = h.numberingsSince(s.numberingRevision)
-		if err := st.Send(g); err != nil {
-			return
-		}
-	}
-}
--- a/internal/feed/old_builds.go
+++ b/internal/feed/old_builds.go
@@ -50,29 +50,6 @@
 	return resp, err
 }
 
-// otherSoftware stands for a software version beside those in use at a service whose upstreams
-// go on with different runs although their software is the same. Entries of builds before
-// protocol.RunVersions, which choose by software alone, then take up no stream of which they
-// know only that there is one version. No request names the model, so entries that tell runs
-// apart don't count it.
-var otherSoftware = policy.RunVersions{Software: fleet.OtherSoftware, Model: "\x01none"}
-
-// addForOldEntry adds to an update what keeps an entry that may tell runs apart by their
-// software alone from joining different ones.
-func (h *Hub) addForOldEntry(u *pb.FeedUpdate) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	now := h.now()
-	for service := range h.byService {
-		if h.softwareTellsRun(service) {
-			continue
-		}
-		other := otherSoftware
-		other.Service = service
-		u.ServiceVersions = append(u.ServiceVersions, fleet.EncodeServiceVersion(other, now, now))
-	}
-}
-
 // addSoftware adds the software version of a stream to an answer, if all upstreams with it
 // go on with the same run. The caller holds mu.
 func (h *Hub) addSoftware(resp *pb.StreamVersionResponse, v policy.StreamVersion) {
