--- a/internal/feed/earlier_records.go
+++ b/internal/feed/earlier_records.go
@@ -28,11 +28,12 @@
 		// It goes with a whole record.
 		return v, false
 	}
-	// Where the software tells the run, a take-up with the same software is of the same run.
 	earlier, found := h.streamVersions.Get(v.ID, now)
+	v.First = earlier.First
+	// Where the software tells the run, a take-up with the same software is of the same run.
 	if found && h.restored && v.Attempt == earlierTakeUp && earlier.Versions.Service != "" && earlier.Versions.Software == v.Versions.Software &&
 		earlier.ChangedAfter == "" && h.softwareTellsRun(earlier.Versions.Service) {
-		v.First, v.Versions = earlier.First, earlier.Versions
+		v.Versions = earlier.Versions
 	}
 	return v, true
 }
--- a/internal/feed/earlier_records_test.go
+++ b/internal/feed/earlier_records_test.go
@@ -98,6 +98,12 @@
 	v, known = ask("text")
 	require.True(t, known)
 	require.Equal(t, "8", v.Versions.Weights)
+	// The newest record of a stream is kept under its first id too.
+	merge(&pb.StreamVersion{Id: "second", FirstId: "first", Service: "llm", Version: "v1", Model: "m", Weights: "7", Attempt: 1<<10 + 1})
+	merge(&pb.StreamVersion{Id: "second", Version: e.version("a"), Attempt: earlierTakeUp})
+	v, known = ask("second")
+	require.True(t, known)
+	require.Equal(t, "first", v.First)
 	// Hubs of earlier builds pass on records that they have stripped.
 	merge(&pb.StreamVersion{Id: "stripped", Version: "v1", Attempt: 1}, &pb.StreamVersion{Id: "stripped", Version: fleet.OtherSoftware, Attempt: 2})
 	v, known = ask("stripped")
