--- a/internal/feed/earlier_records.go
+++ b/internal/feed/earlier_records.go
@@ -52,28 +52,43 @@
 	}
 }
 
-// readRecord decodes the run text of a record without a service. may is false if the stream
-// may have gone on with other weights, and whole is set if the versions are those of a single
-// model. The caller holds mu.
-func (h *Hub) readRecord(v policy.StreamVersion) (read policy.StreamVersion, whole, may bool) {
+// recordReading is what a hub can tell by a record.
+type recordReading int
+
+const (
+	// unknownRun: others may have the whole record, or have run since it was made.
+	unknownRun recordReading = iota
+	// leftRun: the stream may have gone on with other weights.
+	leftRun
+	// runTextOnly: the run text holds, but does not tell the model.
+	runTextOnly
+	wholeRun
+)
+
+// readRecord decodes the run text of a record without a service. The caller holds mu.
+func (h *Hub) readRecord(v policy.StreamVersion) (policy.StreamVersion, recordReading) {
 	if v.Versions.Service != "" {
-		return v, true, true
+		return v, wholeRun
 	}
 	r := fleet.ParseRunText(v.Versions.Software)
 	if r == nil || r.Service == "" {
-		return v, false, true
+		return v, unknownRun
 	}
-	// The hub does not know which weights were left before it started.
-	may = v.RecordedAt >= 0
 	versions := fleet.AllRunVersions(r)
 	for _, each := range versions {
-		may = may && !h.left.MayHaveChanged(each, v.RecordedAt)
+		if h.left.MayHaveChanged(each, v.RecordedAt) {
+			return v, leftRun
+		}
 	}
-	if may && len(versions) == 1 && versions[0].Weights != "" {
-		v.Versions = versions[0]
-		return v, true, true
+	switch {
+	case v.RecordedAt < 0:
+		// The hub does not know which versions were left before it started.
+		return v, unknownRun
+	case len(r.Models) > 1 || len(r.Models) == 1 && versions[0].Weights == "":
+		return v, runTextOnly
 	}
-	return v, false, may
+	v.Versions = versions[0]
+	return v, wholeRun
 }
 
 // softwareOnlyPeer reports whether a peer is an entry that is told run texts. The caller holds
@@ -90,15 +105,13 @@
 // addRunText adds to an answer the run text by which an entry that compares software only
 // knows the run of a stream. It cannot tell a caller that has text of earlier weights from
 // others. The caller holds mu.
-func (h *Hub) addRunText(resp *pb.StreamVersionResponse, v policy.StreamVersion, may bool) {
-	if !may || v.ChangedAfter != "" {
-		return
-	}
-	if v.Versions.Service == "" {
-		resp.SoftwareKnown, resp.SoftwareVersion = fleet.ParseRunText(v.Versions.Software) != nil, v.Versions.Software
-		return
+func (h *Hub) addRunText(resp *pb.StreamVersionResponse, v policy.StreamVersion, reading recordReading) {
+	switch {
+	case reading == runTextOnly:
+		resp.SoftwareKnown, resp.SoftwareVersion = true, v.Versions.Software
+	case reading == wholeRun && v.ChangedAfter == "":
+		resp.SoftwareKnown, resp.SoftwareVersion = true, h.runTextOf(v.Versions)
 	}
-	resp.SoftwareKnown, resp.SoftwareVersion = true, h.runTextOf(v.Versions)
 }
 
 // runTextOf returns the run text of the upstreams with some versions, preferably of one that
--- a/internal/feed/earlier_records_test.go
+++ b/internal/feed/earlier_records_test.go
@@ -8,6 +8,7 @@
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
 	"godwitward.example/godwitward/internal/fleet"
+	"godwitward.example/godwitward/internal/streamlog"
 	"godwitward.example/godwitward/internal/transport"
 	"godwitward.example/godwitward/policy"
 )
@@ -69,6 +70,14 @@
 	require.True(t, known)
 	require.Equal(t, text, software)
 
+	// Upstreams without models have no weights.
+	plain := fleet.RunText(&pb.UpstreamRecord{Service: "plain", SoftwareVersion: "v1"})
+	require.NoError(t, e.st.Send(&pb.OutcomeReport{StreamVersions: []*pb.StreamVersion{{Id: "p", Version: plain, Attempt: 1}}}))
+	require.Eventually(t, func() bool {
+		v, known := present.StreamVersion(t.Context(), "p")
+		return known && v.Versions == (policy.RunVersions{Service: "plain", Software: "v1"})
+	}, 3*time.Second, 5*time.Millisecond)
+
 	h.Report(engineRecord("a", "llm", "9", pb.EngineStage_ENGINE_STAGE_DECODE, 2))
 	_, known = present.StreamVersion(t.Context(), "r")
 	require.False(t, known, "the engine may have gone on with other weights, which the entry does not record")
@@ -123,3 +132,37 @@
 	require.Equal(t, earlierTakeUp, v.Attempt)
 	require.Equal(t, "plain", v.Versions.Service)
 }
+
+// Guards against records of earlier entries that reach hubs of their builds with a mere software
+// version, by which entries there join other runs, and against ones that are lost on the way.
+func TestRecordsOfEarlierEntriesPassHubsOfTheirBuilds(t *testing.T) {
+	oldHubs, members, hubs := startMixedHubs(t, 1, 2)
+	text := fleet.RunText(engineRecord("a", "llm", "7", pb.EngineStage_ENGINE_STAGE_DECODE, 1))
+	merge := func(list ...*pb.StreamVersion) { hubs[0].mergeStreamVersions(list, true) }
+	merge(&pb.StreamVersion{Id: "plain", Version: "v1", Attempt: 1}, &pb.StreamVersion{Id: "text", Version: text, Attempt: 1})
+	version := func(id string) string {
+		oldHubs[0].mu.Lock()
+		defer oldHubs[0].mu.Unlock()
+		return oldHubs[0].records[id].GetVersion()
+	}
+	require.Eventually(t, func() bool { return version("text") == text }, 3*time.Second, 5*time.Millisecond)
+	require.Empty(t, version("plain"))
+	present := startReportingEntry(t, members[1])
+	require.Eventually(t, func() bool {
+		v, known := present.StreamVersion(t.Context(), "text")
+		return known && v.Versions == runOfA
+	}, 3*time.Second, 5*time.Millisecond)
+	_, known := present.StreamVersion(t.Context(), "plain")
+	require.False(t, known)
+}
+
+// Guards against a stream that goes on at weights which its engine has left while the hub was
+// not running.
+func TestRecordsOfEarlierEntriesFromBeforeTheStartAreUnknown(t *testing.T) {
+	text := fleet.RunText(engineRecord("a", "llm", "7", pb.EngineStage_ENGINE_STAGE_DECODE, 1))
+	h, _ := newRoutesHub(t, t.Cleanup, &streamlog.Stored{Streams: []*pb.StreamVersion{{Id: "a", Version: text, Attempt: 1, AgeMs: 5000}}}, false)
+	resp, reading := h.answer(&pb.Hello{Level: 1}, "a")
+	require.Equal(t, unknownRun, reading, "other hubs may know")
+	require.Empty(t, resp.Stream.Service)
+	require.EqualValues(t, 1, resp.Stream.Attempt, "older records of other hubs don't count")
+}
--- a/internal/feed/stream_versions.go
+++ b/internal/feed/stream_versions.go
@@ -86,33 +86,32 @@
 	if req.Record != nil {
 		h.mergeStreamVersions([]*pb.StreamVersion{req.Record}, req.AllHubs)
 	}
-	resp, may := h.answer(transport.PeerFromContext(ctx), req.Id)
-	if req.AllHubs && may {
+	resp, reading := h.answer(transport.PeerFromContext(ctx), req.Id)
+	if req.AllHubs && reading != leftRun {
 		h.askOtherHubs(ctx, req, resp)
 	}
 	return resp, nil
 }
 
-// answer returns what the hub itself knows of a stream. may is false if it may have gone on
-// with other weights than those that its newest record tells.
-func (h *Hub) answer(peer *pb.Hello, id string) (resp *pb.StreamVersionResponse, may bool) {
+// answer returns what the hub itself knows of a stream.
+func (h *Hub) answer(peer *pb.Hello, id string) (*pb.StreamVersionResponse, recordReading) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	resp = &pb.StreamVersionResponse{}
+	resp := &pb.StreamVersionResponse{}
 	v, known := h.streamVersions.Get(id, h.now())
 	if !known {
-		return resp, true
+		return resp, unknownRun
 	}
-	v, whole, may := h.readRecord(v)
+	v, reading := h.readRecord(v)
 	resp.Stream = fleet.EncodeStreamVersion(v, h.now())
 	switch {
 	case protocol.Of(peer).KeepsRunVersions():
 	case h.softwareOnlyPeer(peer):
-		h.addRunText(resp, v, may)
-	case whole:
+		h.addRunText(resp, v, reading)
+	case reading == wholeRun:
 		h.addSoftware(resp, v)
 	}
-	return resp, may
+	return resp, reading
 }
 
 const (
