--- a/internal/feed/earlier_records.go
+++ b/internal/feed/earlier_records.go
@@ -120,7 +120,7 @@
 	var ready, others []string
 	for _, r := range h.table.Records(h.now()) {
 		switch {
-		case fleet.RunVersions(r, v.Model) != v:
+		case fleet.RunVersions(r, v.Model) != v || !fleet.WeightsKnown(r):
 		case r.Phase == pb.UpstreamPhase_UPSTREAM_READY && r.Stage != pb.EngineStage_ENGINE_STAGE_PREFILL:
 			ready = append(ready, fleet.RunText(r))
 		default:
--- a/internal/fleet/run_text.go
+++ b/internal/fleet/run_text.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/base64"
+	"slices"
 	"strings"
 
 	"google.golang.org/protobuf/proto"
@@ -17,9 +18,13 @@
 const runTextPrefix = "\x01run-1 "
 
 // RunText returns the run text of an upstream. Those of two upstreams are equal if a stream
-// of any model may move between them.
+// of any model may move between them. Where the weights of a model are not known, it may not
+// leave the process: who compares the texts does not ask for the weights.
 func RunText(r *pb.UpstreamRecord) string {
 	versions := &pb.UpstreamRecord{Service: r.Service, SoftwareVersion: r.SoftwareVersion, Models: r.Models, Weights: r.Weights}
+	if !WeightsKnown(r) {
+		versions.Id, versions.BornMs = r.Id, r.BornMs
+	}
 	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(versions)
 	if err != nil {
 		// Not expected: the record was received in the same encoding.
@@ -28,6 +33,11 @@
 	return runTextPrefix + base64.RawStdEncoding.EncodeToString(encoded)
 }
 
+// WeightsKnown reports whether a record tells the weights of each of its models.
+func WeightsKnown(r *pb.UpstreamRecord) bool {
+	return len(r.Weights) >= len(r.Models) && !slices.Contains(r.Weights[:len(r.Models)], "")
+}
+
 // ParseRunText returns a record with the versions that a run text stands for; nil if the text
 // is none.
 func ParseRunText(text string) *pb.UpstreamRecord {
