--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -13,6 +13,7 @@
 	pb "godwitward.example/godwitward/api/godwitward/v1"
 	"godwitward.example/godwitward/internal/corestore"
 	"godwitward.example/godwitward/internal/fleet"
+	"godwitward.example/godwitward/internal/protocol"
 	"godwitward.example/godwitward/internal/streamlog"
 	"godwitward.example/godwitward/internal/transport"
 	"godwitward.example/godwitward/policy"
@@ -182,7 +183,10 @@
 func (h *Hub) now() time.Duration { return time.Since(h.start) }
 
 // Report applies a report that an upstream sent to this daemon.
-func (h *Hub) Report(r *pb.UpstreamRecord) { h.applyReport(r) }
+func (h *Hub) Report(r *pb.UpstreamRecord) {
+	r.Level = uint32(protocol.Current)
+	h.applyReport(r)
+}
 
 // Leave marks an upstream process as gone after it said that it is ending.
 func (h *Hub) Leave(id string, bornMs int64) {
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -185,5 +185,6 @@
 	return &pb.UpstreamRecord{
 		Id: r.Id, Service: r.Service, Address: r.Address, Place: r.Place, Phase: r.Phase, Stage: r.Stage,
 		BornMs: r.BornMs, Sequence: r.Sequence, Slots: r.Slots, Silent: r.Silent, AgeMs: r.AgeMs, Models: r.Models, Weights: r.Weights, SoftwareVersion: r.SoftwareVersion,
+		Level: r.Level,
 	}
 }
--- /dev/null
+++ b/internal/forward/missing_weights_test.go
@@ -0,0 +1,35 @@
+package forward
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+)
+
+// engineWithoutWeights is the record of an engine as hubs of builds before protocol levels
+// may pass it on: with its models, and without the list of their weights.
+func engineWithoutWeights(id string) *pb.UpstreamRecord {
+	return &pb.UpstreamRecord{Id: id, Address: "127.0.0.1:1", Service: "x", SoftwareVersion: "v1", Phase: pb.UpstreamPhase_UPSTREAM_READY, Models: []string{"m"}}
+}
+
+// Guards against a stream that goes on at any weights, since an older hub told none and all
+// engines seem to have the same.
+func TestTakeUpWhileOlderHubsLeaveWeightsOut(t *testing.T) {
+	x := takeUpExchange(t, &meanwhileHub{})
+	for _, id := range []string{"u", "v"} {
+		x.s.SetUpstreams([]*pb.UpstreamRecord{engineWithoutWeights(id)})
+	}
+	x.s.streamVersions.history = nil
+	x.s.SetUpstreams([]*pb.UpstreamRecord{engineWithoutWeights("v")})
+	v, known := x.findStream()
+	require.False(t, known, "the stream may have begun at other weights, but goes on at %+v", v.Versions)
+
+	// A response tells the weights of now, not those of the last minute.
+	x.s.upstreams.get("u").observeWeights("m", "1", x.s.now())
+	x.s.upstreams.get("v").observeWeights("m", "1", x.s.now())
+	x.s.streamVersions.history = nil
+	v, known = x.findStream()
+	require.False(t, known, "the stream may have begun at other weights, but goes on at %+v", v.Versions)
+}
--- a/internal/forward/target.go
+++ b/internal/forward/target.go
@@ -37,6 +37,8 @@
 	record *pb.UpstreamRecord
 	// recordAt is when the record arrived.
 	recordAt time.Time
+	// lacksWeights is set if an older daemon has left the weights out of the last report.
+	lacksWeights bool
 	// statedWeights holds what responses have stated, by model.
 	statedWeights map[string]statedWeights
 	// brokeAt is when a connection last broke, or could not be opened: the process may have
--- a/internal/forward/upstreams.go
+++ b/internal/forward/upstreams.go
@@ -71,7 +71,7 @@
 		old.replaced.Store(true)
 		u.remove(r.Id)
 	}
-	t := &target{id: r.Id, address: r.Address, bornMs: r.BornMs, links: u.links, outcomes: &u.outcomes, record: r, recordAt: time.Now(), silentSince: time.Now()}
+	t := &target{id: r.Id, address: r.Address, bornMs: r.BornMs, links: u.links, outcomes: &u.outcomes, record: r, recordAt: time.Now(), lacksWeights: fleet.LacksWeights(r), silentSince: time.Now()}
 	u.byID[r.Id] = t
 	u.byService[r.Service] = append(u.byService[r.Service], t)
 }
--- a/internal/forward/versions.go
+++ b/internal/forward/versions.go
@@ -171,6 +171,9 @@
 		for _, v := range fleet.AllRunVersions(r) {
 			l.seen(v, s.now())
 		}
+		if fleet.LacksWeights(r) {
+			l.history[r.Service].SeenUnknown(s.now())
+		}
 	}
 }
 
@@ -201,9 +204,10 @@
 	if s.versionSource == nil {
 		return policy.RunVersions{}, false
 	}
-	observed := s.versionSource.VersionsObserved()
+	observed, lacksWeights := s.versionSource.VersionsObserved(), false
 	for _, t := range s.upstreams.list(service) {
 		s.seeVersions([]*pb.UpstreamRecord{t.currentRecord()})
+		lacksWeights = lacksWeights || t.reportLacksWeights()
 	}
 	l := &s.streamVersions
 	l.mu.Lock()
@@ -212,6 +216,9 @@
 	if h == nil {
 		return policy.RunVersions{}, false
 	}
+	if lacksWeights {
+		h.SeenUnknown(s.now())
+	}
 	return h.Only(model, s.now(), observed)
 }
 
--- a/internal/forward/weights.go
+++ b/internal/forward/weights.go
@@ -23,7 +23,7 @@
 
 // setRecord replaces the record of the process. The caller holds mu.
 func (t *target) setRecord(r *pb.UpstreamRecord, now time.Duration) {
-	t.record, t.recordAt = r, time.Now()
+	t.record, t.recordAt, t.lacksWeights = r, time.Now(), fleet.LacksWeights(r)
 	for model, stated := range t.statedWeights {
 		if now-stated.at < statedWeightsTTL {
 			t.applyWeights(model, stated.version)
@@ -31,6 +31,14 @@
 	}
 }
 
+// reportLacksWeights reports whether an older daemon has left the weights out of the last
+// report.
+func (t *target) reportLacksWeights() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lacksWeights
+}
+
 // observeWeights applies the version of the weights that the process states in a response.
 func (t *target) observeWeights(model, version string, now time.Duration) {
 	if version == "" {
--- a/policy/stream_versions.go
+++ b/policy/stream_versions.go
@@ -90,6 +90,10 @@
 // VersionHistory tells which versions the upstreams of a service have had.
 type VersionHistory struct {
 	seenAt map[RunVersions]time.Duration
+	// unknownAt is when a process was last in use whose versions are not known, if unknown is
+	// set.
+	unknownAt time.Duration
+	unknown   bool
 }
 
 // Seen records that a process with the versions was in use at a time, and reports whether
@@ -105,6 +109,11 @@
 	return !ok
 }
 
+// SeenUnknown records that a process was in use at a time that may have had any versions.
+func (h *VersionHistory) SeenUnknown(at time.Duration) {
+	h.unknown, h.unknownAt = true, max(h.unknownAt, at)
+}
+
 // Versions returns the versions that have been in use for as long as a stream may last, and
 // when each was last seen.
 func (h *VersionHistory) Versions(now time.Duration) map[RunVersions]time.Duration {
@@ -120,7 +129,7 @@
 // stream may last. observed is the time for which all versions in use have been seen: a
 // process that has just started may have missed some.
 func (h *VersionHistory) Only(model string, now, observed time.Duration) (only RunVersions, ok bool) {
-	if observed < streamVersionTTL {
+	if observed < streamVersionTTL || h.unknown && now-h.unknownAt <= streamVersionTTL+seenTolerance {
 		return RunVersions{}, false
 	}
 	for v := range h.Versions(now) {
