--- a/internal/forward/missing_weights_test.go
+++ b/internal/forward/missing_weights_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/fleet"
 )
 
 // engineWithoutWeights is the record of an engine as hubs of builds before protocol levels
@@ -33,3 +35,22 @@
 	v, known = x.findStream()
 	require.False(t, known, "the stream may have begun at other weights, but goes on at %+v", v.Versions)
 }
+
+// Guards against prefill results of other weights at each request, since the entry forgets
+// what responses state about the weights that an older hub leaves out.
+func TestResponsesTellWeightsThatOlderHubsLeaveOut(t *testing.T) {
+	u := newUpstreams("", nil)
+	u.update([]*pb.UpstreamRecord{engineWithoutWeights("u")}, 0)
+	e := u.get("u")
+	weights := func() string { return fleet.RunVersions(e.currentRecord(), "m").Weights }
+	e.observeWeights("m", "1", 0)
+	require.Equal(t, "1", weights())
+	u.update([]*pb.UpstreamRecord{engineWithoutWeights("u")}, time.Hour)
+	require.Equal(t, "1", weights(), "the record tells nothing newer")
+	e.observeWeights("m", "2", time.Hour)
+	require.Equal(t, "2", weights())
+	told := engineWithoutWeights("u")
+	told.Weights = []string{"3"}
+	u.update([]*pb.UpstreamRecord{told}, time.Hour+statedWeightsTTL)
+	require.Equal(t, "3", weights())
+}
--- a/internal/forward/weights.go
+++ b/internal/forward/weights.go
@@ -25,14 +25,14 @@
 func (t *target) setRecord(r *pb.UpstreamRecord, now time.Duration) {
 	t.record, t.recordAt, t.lacksWeights = r, time.Now(), fleet.LacksWeights(r)
 	for model, stated := range t.statedWeights {
-		if now-stated.at < statedWeightsTTL {
+		if t.lacksWeights || now-stated.at < statedWeightsTTL {
 			t.applyWeights(model, stated.version)
 		}
 	}
 }
 
 // reportLacksWeights reports whether an older daemon has left the weights out of the last
-// report.
+// report. Those in the record are then from responses.
 func (t *target) reportLacksWeights() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -58,10 +58,13 @@
 // it was another one. The caller holds mu.
 func (t *target) applyWeights(model, version string) bool {
 	i := slices.Index(t.record.Models, model)
-	if i < 0 || i >= len(t.record.Weights) || t.record.Weights[i] == version {
+	if i < 0 || i < len(t.record.Weights) && t.record.Weights[i] == version {
 		return false
 	}
 	r := proto.CloneOf(t.record)
+	if len(r.Weights) < len(r.Models) {
+		r.Weights = append(r.Weights, make([]string, len(r.Models)-len(r.Weights))...)
+	}
 	r.Weights[i] = version
 	t.record = r
 	return true
