--- a/internal/fleet/left_out.go
+++ b/internal/fleet/left_out.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"fmt"
+
 	pb "godwitward.example/godwitward/api/godwitward/v1"
 	"godwitward.example/godwitward/internal/protocol"
 )
@@ -15,3 +17,31 @@
 // LacksWeights reports whether an older daemon may have left out the weights of the models
 // that an upstream reported.
 func LacksWeights(r *pb.UpstreamRecord) bool { return len(r.Models) > 0 && !keepsVersions(r) }
+
+// lacksSoftware reports whether an older daemon may have left out the software version that
+// an upstream reported.
+func lacksSoftware(r *pb.UpstreamRecord) bool {
+	return !keepsVersions(r) && (r.SoftwareVersion == "" || r.SoftwareVersion == unknownSoftware(r))
+}
+
+// unknownSoftware stands for the software version of a process that is not known: no other
+// process has it.
+func unknownSoftware(r *pb.UpstreamRecord) string {
+	return fmt.Sprintf("unknown version of %s, started at %d", r.Id, r.BornMs)
+}
+
+// sameProcess reports whether two reports are of one process, whose software is the same.
+func sameProcess(a, b *pb.UpstreamRecord) bool {
+	return a.Id == b.Id && a.BornMs == b.BornMs && a.BornMs != 0
+}
+
+// completeSoftware sets the software version of a report that lacks it. e may be nil.
+func (e *tableEntry) completeSoftware(r *pb.UpstreamRecord) {
+	switch {
+	case !lacksSoftware(r):
+	case e != nil && sameProcess(e.record, r):
+		r.SoftwareVersion = e.record.SoftwareVersion
+	default:
+		r.SoftwareVersion = unknownSoftware(r)
+	}
+}
--- a/internal/fleet/left_out_test.go
+++ b/internal/fleet/left_out_test.go
@@ -8,8 +8,43 @@
 	"google.golang.org/protobuf/reflect/protoreflect"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/protocol"
 )
 
+// engine is a report of a process of engine id, as the present build passes it on.
+func engine(id string, bornMs int64, sequence uint64) *pb.UpstreamRecord {
+	r := report(id, bornMs, sequence)
+	r.Address = "10.0.0.1:" + id
+	r.Models, r.Weights, r.SoftwareVersion, r.Level = []string{"m"}, []string{"1"}, "v1", uint32(protocol.Current)
+	return r
+}
+
+// withoutVersions is a record as a daemon passes it on that knows no versions.
+func withoutVersions(r *pb.UpstreamRecord) *pb.UpstreamRecord {
+	r.Weights, r.SoftwareVersion, r.Level = nil, "", 0
+	return r
+}
+
+// Guards against streams that go on at another software version, since an older daemon left
+// the versions of all upstreams out and they seem to be equal.
+func TestUpstreamsWithoutASoftwareVersionOfOlderDaemonsDiffer(t *testing.T) {
+	table := NewTable()
+	table.Observe(withoutVersions(engine("a", 1, 1)), 0)
+	table.Observe(withoutVersions(engine("b", 1, 1)), 0)
+	a, b := RunVersions(table.Get("a"), "m"), RunVersions(table.Get("b"), "m")
+	require.False(t, a.MayGoOnAt(b), "%+v and %+v may be different versions", a, b)
+	other := NewTable()
+	other.Observe(withoutVersions(engine("a", 1, 7)), 0)
+	require.True(t, a.MayGoOnAt(RunVersions(other.Get("a"), "m")), "a stream goes on at its process, also at other entries")
+	table.Observe(withoutVersions(engine("a", 2, 1)), 0)
+	require.False(t, a.MayGoOnAt(RunVersions(table.Get("a"), "m")), "a later process may have another version")
+
+	reported := engine("c", 1, 1)
+	reported.SoftwareVersion = ""
+	table.Observe(reported, 0)
+	require.Empty(t, table.Get("c").SoftwareVersion, "the upstream reports none")
+}
+
 // Guards against fields that a daemon drops when it passes a record on.
 func TestCopiesOfRecordsAreWhole(t *testing.T) {
 	r := &pb.UpstreamRecord{}
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -45,6 +45,7 @@
 func (t *Table) Observe(r *pb.UpstreamRecord, now time.Duration) (changed []*pb.UpstreamRecord, accepted bool) {
 	at := now - time.Duration(r.AgeMs)*time.Millisecond
 	known := t.byID[r.Id]
+	known.completeSoftware(r)
 	if known != nil && !newer(r, known.record) {
 		return nil, false
 	}
