--- a/internal/feed/subscriber.go
+++ b/internal/feed/subscriber.go
@@ -428,7 +428,10 @@
 		if known == nil || known.BornMs != r.BornMs {
 			continue
 		}
-		if !accepted && (known.Sequence != r.Sequence || s.silent[r.Id] == silent) {
+		if !accepted && known.Sequence != r.Sequence {
+			silent = s.silent[r.Id]
+		}
+		if !accepted && len(updates) == 0 && s.silent[r.Id] == silent {
 			continue
 		}
 		if len(updates) == 0 {
--- a/internal/fleet/left_out.go
+++ b/internal/fleet/left_out.go
@@ -45,3 +45,21 @@
 		r.SoftwareVersion = unknownSoftware(r)
 	}
 }
+
+// learnVersions takes the versions that a record lacks from a report of the same process that
+// is not newer. The weights may have changed since an earlier one.
+func (e *tableEntry) learnVersions(r *pb.UpstreamRecord) (changed []*pb.UpstreamRecord) {
+	if keepsVersions(e.record) || lacksSoftware(r) || !sameProcess(e.record, r) {
+		return nil
+	}
+	next := clone(e.record)
+	next.SoftwareVersion = r.SoftwareVersion
+	if r.Sequence == next.Sequence && keepsVersions(r) {
+		next.Models, next.Weights, next.Level = r.Models, r.Weights, r.Level
+	}
+	if !differs(e.record, next) {
+		return nil
+	}
+	e.record = next
+	return []*pb.UpstreamRecord{next}
+}
--- a/internal/fleet/left_out_test.go
+++ b/internal/fleet/left_out_test.go
@@ -25,6 +25,14 @@
 	return r
 }
 
+func versionsOf(t *Table, id string) RunVersionsText {
+	v := RunVersions(t.Get(id), "m")
+	return RunVersionsText{v.Software, v.Weights}
+}
+
+// RunVersionsText is a software version and one of weights.
+type RunVersionsText struct{ software, weights string }
+
 // Guards against streams that go on at another software version, since an older daemon left
 // the versions of all upstreams out and they seem to be equal.
 func TestUpstreamsWithoutASoftwareVersionOfOlderDaemonsDiffer(t *testing.T) {
@@ -45,6 +53,36 @@
 	require.Empty(t, table.Get("c").SoftwareVersion, "the upstream reports none")
 }
 
+// Guards against versions that are lost, for as long as an upstream does not change, at a
+// daemon that hears of the same report from a newer daemon and from an older one.
+func TestVersionsThatADaemonLeavesOutAreLearnedFromOthers(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		records []*pb.UpstreamRecord
+		want    RunVersionsText
+	}{
+		{name: "older daemon first", records: []*pb.UpstreamRecord{withoutVersions(engine("a", 1, 5)), engine("a", 1, 5)}, want: RunVersionsText{"v1", "1"}},
+		{name: "newer daemon first", records: []*pb.UpstreamRecord{engine("a", 1, 5), withoutVersions(engine("a", 1, 5))}, want: RunVersionsText{"v1", "1"}},
+		{name: "older daemon has a later report", records: []*pb.UpstreamRecord{withoutVersions(engine("a", 1, 6)), engine("a", 1, 5)}, want: RunVersionsText{software: "v1"}},
+		{name: "weights may have changed", records: []*pb.UpstreamRecord{engine("a", 1, 5), withoutVersions(engine("a", 1, 6))}, want: RunVersionsText{software: "v1"}},
+		{name: "told again", records: []*pb.UpstreamRecord{engine("a", 1, 5), withoutVersions(engine("a", 1, 6)), engine("a", 1, 7)}, want: RunVersionsText{"v1", "1"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			table := NewTable()
+			var last []*pb.UpstreamRecord
+			before := RunVersionsText{}
+			for _, r := range c.records {
+				if table.Get("a") != nil {
+					before = versionsOf(table, "a")
+				}
+				last, _ = table.Observe(r, 0)
+			}
+			require.Equal(t, c.want, versionsOf(table, "a"))
+			require.Equal(t, before != c.want, len(last) > 0, "a change is visible, and nothing else")
+		})
+	}
+}
+
 // Guards against fields that a daemon drops when it passes a record on.
 func TestCopiesOfRecordsAreWhole(t *testing.T) {
 	r := &pb.UpstreamRecord{}
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -41,13 +41,14 @@
 // Observe applies a report. It returns the records that changed visibly: the
 // record of the report itself and that of a process replaced at its address.
 // accepted reports whether the report is newer than the stored record and so
-// counts as a heartbeat.
+// counts as a heartbeat. One that is not may still tell versions that the stored
+// record lacks.
 func (t *Table) Observe(r *pb.UpstreamRecord, now time.Duration) (changed []*pb.UpstreamRecord, accepted bool) {
 	at := now - time.Duration(r.AgeMs)*time.Millisecond
 	known := t.byID[r.Id]
 	known.completeSoftware(r)
 	if known != nil && !newer(r, known.record) {
-		return nil, false
+		return known.learnVersions(r), false
 	}
 	if t.superseded(r) {
 		return nil, false
