--- a/internal/corestore/leave.go
+++ b/internal/corestore/leave.go
@@ -31,7 +31,12 @@
 			reply, err = s.handleLeave(ctx, req)
 			return err
 		}, func(ctx context.Context, leader *transport.Client) error {
-			return leader.Call(ctx, transport.MethodLeave, req, reply)
+			err := leader.Call(ctx, transport.MethodLeave, req, reply)
+			if transport.Code(err) == pb.Status_UNIMPLEMENTED {
+				// A leader of an older build replaces no voter before it has ended.
+				reply.Pending, err = false, nil
+			}
+			return err
 		})
 		if err != nil || !reply.Pending {
 			return err
--- a/internal/corestore/replacement_test.go
+++ b/internal/corestore/replacement_test.go
@@ -290,3 +290,20 @@
 	require.NoError(t, err)
 	require.Equal(t, "seven", string(d.Body))
 }
+
+// Guards against a stop that takes as long as it may, because the leader's build doesn't know
+// that daemons tell it before they stop.
+func TestStopUnderALeaderThatKnowsNoLeaving(t *testing.T) {
+	c := newTestCluster(t, 3, 1)
+	c.waitVoters(3)
+	c.withoutLeave = true
+	for i := 1; i <= 3; i++ {
+		c.stop(i)
+		c.start(i, false)
+		c.waitVoters(3)
+	}
+	require.Eventually(t, func() bool { return c.leader() != 0 }, repairTimeout, 10*time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	require.NoError(t, c.stores[c.leader()%3+1].StepDown(ctx))
+}
--- a/internal/corestore/store_test.go
+++ b/internal/corestore/store_test.go
@@ -13,6 +13,7 @@
 	"github.com/phuslu/log"
 	"github.com/stretchr/testify/require"
 
+	pb "godwitward.example/godwitward/api/godwitward/v1"
 	"godwitward.example/godwitward/internal/transport"
 	"godwitward.example/godwitward/wal"
 )
@@ -37,6 +38,8 @@
 	disks   map[int]wal.FS
 	// listeners are those of members that have not started yet.
 	listeners map[int]net.Listener
+	// withoutLeave makes members that start answer calls of Leave as builds that don't know it.
+	withoutLeave bool
 }
 
 func newTestCluster(t *testing.T, members, faultTolerance int) *testCluster {
@@ -112,6 +115,11 @@
 	require.NoError(c.t, err)
 	c.stores[i] = store
 	server := c.servers[i]
+	if c.withoutLeave {
+		server.Handle(transport.MethodLeave, func(context.Context, *transport.Stream) error {
+			return transport.Errorf(pb.Status_UNIMPLEMENTED, "method %d is not served here", transport.MethodLeave)
+		})
+	}
 	go func() { _ = server.Serve(l) }()
 }
 
