--- a/internal/corestore/leave.go
+++ b/internal/corestore/leave.go
@@ -33,8 +33,9 @@
 		}, func(ctx context.Context, leader *transport.Client) error {
 			err := leader.Call(ctx, transport.MethodLeave, req, reply)
 			if transport.Code(err) == pb.Status_UNIMPLEMENTED {
-				// A leader of an older build replaces no voter before it has ended.
-				reply.Pending, err = false, nil
+				// Leaders of earlier builds replace a member after it has fallen silent.
+				reply.Pending = false
+				return nil
 			}
 			return err
 		})
--- a/internal/corestore/store_test.go
+++ b/internal/corestore/store_test.go
@@ -38,7 +38,7 @@
 	disks   map[int]wal.FS
 	// listeners are those of members that have not started yet.
 	listeners map[int]net.Listener
-	// withoutLeave makes members that start answer calls of Leave as builds that don't know it.
+	// withoutLeave is set while members are of a build that does not know the call Leave.
 	withoutLeave bool
 }
 
--- a/internal/forward/target.go
+++ b/internal/forward/target.go
@@ -37,10 +37,10 @@
 	record *pb.UpstreamRecord
 	// recordAt is when the record arrived.
 	recordAt time.Time
-	// lacksWeights is set if an older daemon has left the weights out of the last report.
-	lacksWeights bool
 	// statedWeights holds what responses have stated, by model.
 	statedWeights map[string]statedWeights
+	// likelyWeights holds what responses and reports have last stated, by model.
+	likelyWeights map[string]statedWeights
 	// brokeAt is when a connection last broke, or could not be opened: the process may have
 	// ended, and another one may answer at its address, under its id. Zero if none has.
 	brokeAt time.Duration
--- a/internal/forward/versions.go
+++ b/internal/forward/versions.go
@@ -205,10 +205,9 @@
 	if s.versionSource == nil {
 		return policy.RunVersions{}, false
 	}
-	observed, lacksWeights := s.versionSource.VersionsObserved(), false
+	observed := s.versionSource.VersionsObserved()
 	for _, t := range s.upstreams.list(service) {
 		s.seeVersions([]*pb.UpstreamRecord{t.currentRecord()})
-		lacksWeights = lacksWeights || t.reportLacksWeights()
 	}
 	l := &s.streamVersions
 	l.mu.Lock()
@@ -217,9 +216,6 @@
 	if h == nil {
 		return policy.RunVersions{}, false
 	}
-	if lacksWeights {
-		h.SeenUnknown(s.now())
-	}
 	return h.Only(model, s.now(), observed)
 }
 
@@ -367,6 +363,13 @@
 	return x.run == nil || x.run.MayGoOnAt(fleet.RunVersions(t.currentRecord(), x.info.Model)) && !(t.mayHaveRestarted(x.s.now()) && x.outOfContact())
 }
 
+// likelyFits reports whether a target has the weights of the stream, as far as the process has
+// stated any. Schedulers of builds before protocol.RunVersions choose by software alone.
+func (x *exchange) likelyFits(t *target) bool {
+	filter := upstreamFilter{run: x.run}
+	return filter.likely(t, x.s.now())
+}
+
 // outOfContact reports whether no reports of upstreams arrive.
 func (x *exchange) outOfContact() bool {
 	return x.s.versionSource == nil || !x.s.versionSource.ReportsArrive()
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -21,8 +21,8 @@
 	program  string
 	nodeFile string
 	logFile  string
-	// args are further arguments of the program.
-	args []string
+	// args returns further arguments of the program of a build; nil for none.
+	args func(Build) []string
 
 	mu sync.Mutex
 	// build is that of the next start.
@@ -31,8 +31,8 @@
 	// exitError is the result of the current OS process, which is valid once ended is
 	// closed.
 	exitError error
-	// logOffset is the size of the log when the current OS process was started.
-	logOffset int64
+	// starts holds all starts; the last one is that of the current OS process.
+	starts []processStart
 	// ended is closed when the current OS process has exited.
 	ended chan struct{}
 }
@@ -50,17 +50,20 @@
 	if err != nil {
 		return errors.Wrap(err, "finding the end of the log")
 	}
-	p.mu.Lock()
-	binary := filepath.Join(p.build.Dir, p.program)
-	p.mu.Unlock()
-	cmd := exec.Command(binary, append([]string{"--node-file", p.nodeFile}, p.args...)...)
+	build := p.buildOfStart()
+	binary, args := filepath.Join(build.Dir, p.program), []string{"--node-file", p.nodeFile}
+	if p.args != nil {
+		args = append(args, p.args(build)...)
+	}
+	cmd := exec.Command(binary, args...)
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
 		return errors.Wrap(err, "starting "+binary)
 	}
 	ended := make(chan struct{})
 	p.mu.Lock()
-	p.cmd, p.ended, p.logOffset = cmd, ended, offset
+	p.cmd, p.ended = cmd, ended
+	p.starts = append(p.starts, processStart{time.Now(), p.build.Name, offset})
 	p.mu.Unlock()
 	go func() {
 		err := cmd.Wait()
@@ -72,6 +75,20 @@
 	return nil
 }
 
+// address returns the IPv4 address of the daemon.
+func (p *process) address() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.node.IP
+}
+
+// move gives the next start another address.
+func (p *process) move(ip string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.node.IP = ip
+}
+
 // setBuild sets the build of the next start.
 func (p *process) setBuild(b Build) {
 	p.mu.Lock()
@@ -79,13 +96,17 @@
 	p.build = b
 }
 
-// currentBuild returns the name of the build.
-func (p *process) currentBuild() string {
+// buildOfStart returns the build of the next start, or of the current OS process if none
+// has been set since.
+func (p *process) buildOfStart() Build {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.build.Name
+	return p.build
 }
 
+// currentBuild returns the name of the build.
+func (p *process) currentBuild() string { return p.buildOfStart().Name }
+
 // signal sends a signal to the process if it is still running.
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
@@ -120,7 +141,7 @@
 // that comes before the first line of the program ends it.
 func (p *process) hasStarted() bool {
 	p.mu.Lock()
-	offset := p.logOffset
+	offset := p.starts[len(p.starts)-1].logOffset
 	p.mu.Unlock()
 	content, err := os.ReadFile(p.logFile)
 	return err == nil && int64(len(content)) > offset && bytes.Contains(content[offset:], []byte("event=process.started"))
