--- a/internal/soak/load_cut.go
+++ b/internal/soak/load_cut.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -49,12 +51,25 @@
 			w.path = "/submit/x"
 		}
 		s.check.requestSent(w.id, w.path == "/submit/x")
-		sentAt := time.Now()
+		sentAt, builds := time.Now(), s.buildsAt(entry)
 		o, _ := s.tryOnce(ctx, client, s.entryAddress(entry), w.id, w)
 		if ctx.Err() == nil {
-			s.cutCheck.tried(cutTry{entry: entry, sentAt: sentAt, endedAt: time.Now(), served: o.status == http.StatusOK && o.complete})
+			s.cutCheck.tried(cutTry{entry: entry, sentAt: sentAt, endedAt: time.Now(), served: o.status == http.StatusOK && o.complete, builds: builds})
 		}
 		sleep(ctx, time.Duration(random.ExpFloat64()*float64(stayingThinkTime)))
 	}
 	kept.CloseIdleConnections()
 }
+
+// buildsAt names the builds of an entry and of the core, empty without an upgrade.
+func (s *system) buildsAt(entry int) string {
+	if s.opts.Upgrade == nil {
+		return ""
+	}
+	var cores []string
+	for _, c := range s.cores {
+		cores = append(cores, c.currentBuild())
+	}
+	slices.Sort(cores)
+	return fmt.Sprintf("%s (core %s)", s.entries[entry].currentBuild(), strings.Join(slices.Compact(cores), " and "))
+}
