--- a/internal/feed/earlier_records.go
+++ b/internal/feed/earlier_records.go
@@ -38,7 +38,8 @@
 	return v, true
 }
 
-// noteLeftVersions notes the versions that a process leaves with a report. The caller holds mu.
+// noteLeftVersions notes the versions that a process leaves with a report. One without weights
+// may hide a change. The caller holds mu.
 func (h *Hub) noteLeftVersions(r *pb.UpstreamRecord) {
 	known := h.table.Get(r.Id)
 	if known == nil || known.BornMs != r.BornMs || known.Sequence >= r.Sequence || slices.Equal(known.Weights, r.Weights) && slices.Equal(known.Models, r.Models) {
--- a/internal/forward/versions.go
+++ b/internal/forward/versions.go
@@ -172,6 +172,9 @@
 		for _, v := range fleet.AllRunVersions(r) {
 			l.seen(v, s.now())
 		}
+		if fleet.LacksWeights(r) {
+			l.history[r.Service].SeenUnknown(s.now())
+		}
 	}
 }
 
