--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -27,16 +28,24 @@
 	addr string
 	opts Options
 
-	mu   sync.Mutex
-	sess *session
-	// peer is the hello of the daemon at the other end of sess.
-	peer        *pb.Hello
+	// newest is the newest session, nil before the first one. It is read without mu, which is
+	// held while a session is dialed.
+	newest atomic.Pointer[peerSession]
+
+	mu          sync.Mutex
+	sess        *session
 	redialDelay time.Duration
 	nextDialAt  time.Time
 	lastDialErr error
 	closed      bool
 }
 
+// peerSession is a session with the hello of the daemon at its other end.
+type peerSession struct {
+	*session
+	peer *pb.Hello
+}
+
 // NewClient returns a client for addr ("host:port").
 func NewClient(addr string, opts Options) *Client {
 	opts.setDefaults()
@@ -92,20 +101,23 @@
 	if err != nil {
 		return nil, nil, notSentError(err, "connecting to "+c.addr)
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.peer, sess.CloseChan(), nil
+	return c.Peer(), sess.CloseChan(), nil
 }
 
 // Peer returns the hello of the daemon at the other end of the newest session, or an empty
-// one before the first session.
+// one before the first session. It does not wait while a session is dialed.
 func (c *Client) Peer() *pb.Hello {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.peer == nil {
-		return &pb.Hello{}
+	if s := c.newest.Load(); s != nil {
+		return s.peer
 	}
-	return c.peer
+	return &pb.Hello{}
+}
+
+// Connected reports whether a session is open, so that a call need not dial. It does not wait
+// while a session is dialed.
+func (c *Client) Connected() bool {
+	s := c.newest.Load()
+	return s != nil && !s.ended()
 }
 
 // Ping waits until the peer answers a ping on the open session, at most for the time after
@@ -171,7 +183,8 @@
 		c.delayRedial(err)
 		return nil, err
 	}
-	c.sess, c.peer = sess, peer
+	c.sess = sess
+	c.newest.Store(&peerSession{sess, peer})
 	c.redialDelay = 0
 	c.lastDialErr = nil
 	return sess, nil
--- a/internal/transport/level_test.go
+++ b/internal/transport/level_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"time"
 
@@ -42,3 +43,39 @@
 		})
 	}
 }
+
+// Guards against a daemon that waits, with its tables locked, until a session to a peer that
+// does not answer has been dialed, because it asks what build the peer has.
+func TestPeerIsKnownWhileItsSessionIsDialed(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := NewServer(Options{Self: &pb.Hello{Build: "s"}})
+	go func() { _ = server.Serve(l) }()
+	client := NewClient(l.Addr().String(), Options{})
+	defer client.Close()
+	_, ended, err := client.Connect(timeoutContext(t, 5*time.Second))
+	require.NoError(t, err)
+	server.Close()
+	<-ended
+	// Connections are accepted by the kernel, and nothing is answered.
+	silent, err := net.Listen("tcp", l.Addr().String())
+	require.NoError(t, err)
+	defer silent.Close()
+	dialed := make(chan struct{})
+	go func() {
+		defer close(dialed)
+		_, _, _ = client.Connect(timeoutContext(t, time.Second))
+	}()
+	conn, err := silent.Accept()
+	require.NoError(t, err)
+	defer conn.Close()
+	known := make(chan string, 1)
+	go func() { known <- client.Peer().Build }()
+	select {
+	case build := <-known:
+		require.Equal(t, "s", build)
+	case <-dialed:
+		require.Fail(t, "the peer is known only after the dial has ended")
+	}
+	<-dialed
+}
