--- a/internal/feed/stream_versions.go
+++ b/internal/feed/stream_versions.go
@@ -108,7 +108,9 @@
 
 // askOtherHubs passes a question on to all other hubs, and adds what they know to the
 // response. It returns once a majority has answered, if the stream is known then: a change of
-// weights is passed on only after a majority has kept it.
+// weights is passed on only after a majority has kept it. Hubs without an open session count
+// as out of reach: a dial that ends with the question would delay the next one, for gossip and
+// consensus too, which keep sessions to all hubs.
 func (h *Hub) askOtherHubs(ctx context.Context, req *pb.StreamVersionRequest, resp *pb.StreamVersionResponse) {
 	ctx, cancel := context.WithTimeout(ctx, otherHubsTimeout)
 	defer cancel()
@@ -118,7 +120,7 @@
 	waiting := 0
 	for _, address := range members {
 		client := h.opts.Peers.Client(address)
-		if address == h.opts.Self || client == nil {
+		if address == h.opts.Self || client == nil || !client.Connected() {
 			continue
 		}
 		waiting++
@@ -140,6 +142,8 @@
 				resp.Stream = stream
 			}
 		case <-failed:
+		case <-ctx.Done():
+			return
 		}
 	}
 }
