--- a/internal/fleet/run_text.go
+++ b/internal/fleet/run_text.go
@@ -13,7 +13,8 @@
 // versions, and may join it from several services or weights. A run text stands for all of
 // these in the place of the software version.
 
-// runTextPrefix begins run texts. Reported versions hold no such character.
+// runTextPrefix begins run texts. Reported versions may hold any character, so a text is taken
+// for one only where an entry of such a build sent it.
 const runTextPrefix = "\x01run-1 "
 
 // RunText returns the run text of an upstream. Those of two upstreams are equal if a stream
--- a/internal/scheduler/handlers.go
+++ b/internal/scheduler/handlers.go
@@ -56,7 +56,6 @@
 		return err
 	}
 	req.EntryId = entryID(ctx, req.EntryId)
-	expandRunText(req)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
@@ -121,6 +120,7 @@
 	}
 	submit := a.pool.Submit
 	if !protocol.Of(transport.PeerFromContext(ctx)).KeepsRunVersions() {
+		expandRunText(req)
 		submit = a.pool.SubmitUnchecked
 	}
 	s.perform(a, submit(ticket, req, s.now()))
--- a/internal/scheduler/unchecked_test.go
+++ b/internal/scheduler/unchecked_test.go
@@ -8,6 +8,8 @@
 	"github.com/stretchr/testify/require"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/fleet"
+	"godwitward.example/godwitward/internal/transport"
 )
 
 // placeUnchecked submits one request of an entry that compares no weights, and returns the
@@ -64,3 +66,17 @@
 	one := weightsPool([]string{"1"}, []string{"1", "1"})
 	require.NotNil(t, placeUnchecked(one, 1, resumedRequest("r", "v1"), now).GetGrant())
 }
+
+// Guards against streams that are not resumed because the software version that their engine
+// reports, in which any character may stand, reads like a run text.
+func TestVersionsThatReadLikeRunTextsAreComparedAsTheyAre(t *testing.T) {
+	s := newTestServer(t, Params{})
+	engine := decodeState("d2", 20)
+	engine.SoftwareVersion = fleet.RunText(&pb.UpstreamRecord{SoftwareVersion: "v1"})
+	s.call(t, transport.MethodAnnounce, &pb.AnnounceRequest{Upstreams: []*pb.UpstreamState{prefillState("p1"), engine}}, &pb.Empty{})
+	req := submitRequest("r", pb.RequestClass_REQUEST_CLASS_DRAFT, 1000, 500)
+	req.MadeTokens, req.SoftwareVersion = 70, engine.SoftwareVersion
+	resp := &pb.SubmitResponse{}
+	s.call(t, transport.MethodSubmit, req, resp)
+	require.Equal(t, "d2", resp.GetGrant().GetDecode().GetId(), "%v", resp)
+}
