--- a/internal/feed/old_builds.go
+++ b/internal/feed/old_builds.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 
 	"google.golang.org/protobuf/proto"
 
@@ -62,9 +63,9 @@
 func (h *Hub) addForOldEntry(u *pb.FeedUpdate) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	now := h.now()
+	now, tellsRun := h.now(), h.softwareTellsRun()
 	for service := range h.byService {
-		if h.softwareTellsRun(service) {
+		if tellsRun(service) {
 			continue
 		}
 		other := otherSoftware
@@ -78,14 +79,19 @@
 func (h *Hub) addSoftware(resp *pb.StreamVersionResponse, v policy.StreamVersion) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.softwareTellsRun(v.Versions.Service) {
+	if h.softwareTellsRun()(v.Versions.Service) {
 		resp.SoftwareKnown, resp.SoftwareVersion = true, v.Versions.Software
 	}
 }
 
-// softwareTellsRun reports whether upstreams of a service that are chosen by their software
-// alone go on with each other's runs, as far as the hub knows. The caller holds mu.
-func (h *Hub) softwareTellsRun(service string) bool {
-	now, history := h.now(), h.byService[service]
-	return !h.routes.current.Shared(&h.routes.services, now)[service] && (history == nil || history.SoftwareTellsRun(now))
+// softwareTellsRun returns a function that reports whether upstreams of a service that are
+// chosen by their software alone go on with each other's runs, as far as the hub knows. The
+// caller holds mu, also while it uses the function.
+func (h *Hub) softwareTellsRun() func(service string) bool {
+	now := h.now()
+	shared := sync.OnceValue(func() map[string]bool { return h.routes.current.Shared(&h.routes.services, now) })
+	return func(service string) bool {
+		history := h.byService[service]
+		return !shared()[service] && (history == nil || history.SoftwareTellsRun(now))
+	}
 }
--- a/internal/feed/old_entries_test.go
+++ b/internal/feed/old_entries_test.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -100,3 +101,23 @@
 	known, _ = ask("a")
 	require.False(t, known, "an engine with the software may have other weights")
 }
+
+// BenchmarkUpdateForEarlierEntry measures for how long the hub is locked for one update.
+func BenchmarkUpdateForEarlierEntry(b *testing.B) {
+	for _, services := range []int{10, 50, 200} {
+		b.Run(fmt.Sprint(services), func(b *testing.B) {
+			h := &Hub{}
+			h.byService = map[string]*policy.VersionHistory{}
+			h.routes.current = policy.ResumableRoutes{}
+			for i := range services {
+				h.byService[fmt.Sprint("s", i)] = &policy.VersionHistory{}
+			}
+			for i := range 4 * services {
+				h.routes.current[policy.RouteKey{Host: "h", Prefix: fmt.Sprint("/", i)}] = []string{fmt.Sprint("s", i%services), fmt.Sprint("s", (i*7+1)%services)}
+			}
+			for b.Loop() {
+				h.addForOldEntry(&pb.FeedUpdate{})
+			}
+		})
+	}
+}
--- a/internal/feed/stream_versions.go
+++ b/internal/feed/stream_versions.go
@@ -72,7 +72,7 @@
 	for _, v := range list {
 		out = append(out, fleet.EncodeStreamVersion(v, h.now()))
 	}
-	return recordsFor(hub, out, h.softwareTellsRun)
+	return recordsFor(hub, out, h.softwareTellsRun())
 }
 
 // serveStreamVersion tells an entry at which versions a stream may go on, after it has kept
