--- a/internal/feed/old_hubs_test.go
+++ b/internal/feed/old_hubs_test.go
@@ -296,3 +296,31 @@
 		}
 	}
 }
+
+// Guards against a change of weights that is passed on because one hub of an earlier build
+// has it, although a present hub has answered that no majority does.
+func TestOldHubConfirmsNoChangeThatAMajorityLacks(t *testing.T) {
+	_, members, hubs := startMixedHubs(t, 1, 4)
+	entry := &reportingEntry{now: make(chan struct{}, 1)}
+	entry.Subscriber = Subscribe(SubscriberOptions{
+		Seeds: func() []string { return []string{members[0], members[4]} }, Logger: &log.Logger{Level: log.PanicLevel},
+		OnDocument: func(uint64, []byte) {}, OnUpstreams: func([]*pb.UpstreamRecord) {}, ReportNow: entry.now,
+		Outcomes: func() *pb.OutcomeReport {
+			entry.mu.Lock()
+			defer entry.mu.Unlock()
+			return &pb.OutcomeReport{StreamVersions: entry.known}
+		},
+	})
+	t.Cleanup(entry.Stop)
+	require.Eventually(t, func() bool { return len(entry.openStreams()) == 2 }, 3*time.Second, time.Millisecond)
+	hubs[0].opts.Peers.Close()
+	v := policy.StreamVersion{ID: "a", Attempt: 2, Versions: policy.RunVersions{Service: "s", Software: "v1", Model: "m", Weights: "2"}}
+	entry.report(v)
+	require.Eventually(t, func() bool {
+		_, known := entry.StreamVersion(t.Context(), "a")
+		return known
+	}, 3*time.Second, 5*time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), 250*time.Millisecond)
+	defer cancel()
+	require.False(t, entry.RecordStreamVersion(ctx, v))
+}
--- a/internal/feed/stream_versions.go
+++ b/internal/feed/stream_versions.go
@@ -168,19 +168,23 @@
 // that all who ask for it from now on get it or a later one. It is false also if there is a
 // later one of other versions.
 func (s *Subscriber) RecordStreamVersion(ctx context.Context, v policy.StreamVersion) bool {
-	kept := false
+	kept, keptByOne, denied := false, false, false
 	for _, answer := range s.askHubs(ctx, &pb.StreamVersionRequest{Id: v.ID, Record: fleet.EncodeStreamVersion(v, v.RecordedAt), AllHubs: true}) {
 		newest, known := fleet.DecodeStreamVersion(answer.GetStream(), 0)
 		switch {
 		case !known || newest.Attempt < v.Attempt:
 		case newest.Versions != v.Versions:
 			return false
-		case answer.Hubs == 0 || 2*answer.Answered > answer.Hubs:
-			// Hubs that ask no others tell only that they have it.
+		case answer.Hubs == 0:
+			// A hub that asks no others tells only that it has the record.
+			keptByOne = true
+		case 2*answer.Answered > answer.Hubs:
 			kept = true
+		default:
+			denied = true
 		}
 	}
-	return kept
+	return kept || keptByOne && !denied
 }
 
 // StreamVersion asks the hubs at which versions a stream may go on, and returns the newest
