--- a/internal/fleet/run_text.go
+++ b/internal/fleet/run_text.go
@@ -18,9 +18,12 @@
 const runTextPrefix = "\x01run-1 "
 
 // RunText returns the run text of an upstream. Those of two upstreams are equal if a stream
-// of any model may move between them.
+// of any model may move between them. Where weights were dropped, that is at one process only.
 func RunText(r *pb.UpstreamRecord) string {
 	versions := &pb.UpstreamRecord{Service: r.Service, SoftwareVersion: r.SoftwareVersion, Models: r.Models, Weights: r.Weights}
+	if WeightsDropped(r) {
+		versions.Id, versions.BornMs = r.Id, r.BornMs
+	}
 	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(versions)
 	if err != nil {
 		// Not expected: the record was received in the same encoding.
--- a/internal/fleet/versions.go
+++ b/internal/fleet/versions.go
@@ -19,6 +19,10 @@
 	return v
 }
 
+// WeightsDropped reports whether a hub of a build before protocol.RunVersions has left out
+// the weights of a report. Reports have a text for each model, empty if it tells none.
+func WeightsDropped(r *pb.UpstreamRecord) bool { return len(r.Weights) < len(r.Models) }
+
 // AllRunVersions returns the versions of an upstream for each of its models.
 func AllRunVersions(r *pb.UpstreamRecord) []policy.RunVersions {
 	if len(r.Models) == 0 {
