--- a/api/godwitward/v1/builds_test.go
+++ b/api/godwitward/v1/builds_test.go
@@ -103,6 +103,7 @@
 	{thisBuild, `UpstreamRecord.level`, "protocol.Unstated: software_version and weights may have been left out, by the daemon that received the report or by one that passed it on."},
 	{thisBuild, `StreamVersionRequest.record StreamVersionRequest.all_hubs`, "A question to one hub about its own records, as entries of builds before ask."},
 	{thisBuild, `StreamVersionResponse.answered StreamVersionResponse.hubs`, "The hub asks no others, and tells its own records only."},
+	{thisBuild, `UpstreamState.weights_dropped`, "Not read from others: a core daemon fills it in for its own scheduler."},
 }
 
 // Guards against a field, value or method that daemons of older builds don't send, pass on
--- a/internal/feed/earlier_entries.go
+++ b/internal/feed/earlier_entries.go
@@ -89,9 +89,9 @@
 func (h *Hub) addOtherSoftware(u *pb.FeedUpdate) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	now := h.now()
+	now, tellsRun := h.now(), h.softwareTellsRun()
 	for service := range h.byService {
-		if h.softwareTellsRun(service) {
+		if tellsRun(service) {
 			continue
 		}
 		other := otherSoftware
--- a/internal/feed/earlier_records.go
+++ b/internal/feed/earlier_records.go
@@ -32,7 +32,7 @@
 	v.First = earlier.First
 	// Where the software tells the run, a take-up with the same software is of the same run.
 	if found && h.restored && v.Attempt == earlierTakeUp && earlier.Versions.Service != "" && earlier.Versions.Software == v.Versions.Software &&
-		earlier.ChangedAfter == "" && h.softwareTellsRun(earlier.Versions.Service) {
+		earlier.ChangedAfter == "" && h.softwareTellsRun()(earlier.Versions.Service) {
 		v.Versions = earlier.Versions
 	}
 	return v, true
@@ -121,7 +121,7 @@
 	var ready, others []string
 	for _, r := range h.table.Records(h.now()) {
 		switch {
-		case fleet.RunVersions(r, v.Model) != v || !fleet.WeightsKnown(r):
+		case fleet.RunVersions(r, v.Model) != v || fleet.LacksWeights(r):
 		case r.Phase == pb.UpstreamPhase_UPSTREAM_READY && r.Stage != pb.EngineStage_ENGINE_STAGE_PREFILL:
 			ready = append(ready, fleet.RunText(r))
 		default:
--- a/internal/feed/old_builds.go
+++ b/internal/feed/old_builds.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 
 	"google.golang.org/protobuf/proto"
 
@@ -53,14 +54,19 @@
 // addSoftware adds the software version of a stream to an answer, if all upstreams with it
 // go on with the same run. The caller holds mu.
 func (h *Hub) addSoftware(resp *pb.StreamVersionResponse, v policy.StreamVersion) {
-	if h.softwareTellsRun(v.Versions.Service) {
+	if h.softwareTellsRun()(v.Versions.Service) {
 		resp.SoftwareKnown, resp.SoftwareVersion = true, v.Versions.Software
 	}
 }
 
-// softwareTellsRun reports whether upstreams of a service that are chosen by their software
-// alone go on with each other's runs, as far as the hub knows. The caller holds mu.
-func (h *Hub) softwareTellsRun(service string) bool {
-	now, history := h.now(), h.byService[service]
-	return !h.routes.current.Shared(&h.routes.services, now)[service] && (history == nil || history.SoftwareTellsRun(now))
+// softwareTellsRun returns a function that reports whether upstreams of a service that are
+// chosen by their software alone go on with each other's runs, as far as the hub knows. The
+// caller holds mu, also while it uses the function.
+func (h *Hub) softwareTellsRun() func(service string) bool {
+	now := h.now()
+	shared := sync.OnceValue(func() map[string]bool { return h.routes.current.Shared(&h.routes.services, now) })
+	return func(service string) bool {
+		history := h.byService[service]
+		return !shared()[service] && (history == nil || history.SoftwareTellsRun(now))
+	}
 }
--- a/internal/feed/stream_versions.go
+++ b/internal/feed/stream_versions.go
@@ -76,7 +76,7 @@
 		}
 		out = append(out, fleet.EncodeStreamVersion(v, h.now()))
 	}
-	return recordsFor(hub, out, h.softwareTellsRun)
+	return recordsFor(hub, out, h.softwareTellsRun())
 }
 
 // serveStreamVersion tells an entry at which versions a stream may go on, after it has kept
@@ -124,7 +124,9 @@
 
 // askOtherHubs passes a question on to all other hubs, and adds what they know to the
 // response. It returns once a majority has answered, if the stream is known then: a change of
-// weights is passed on only after a majority has kept it.
+// weights is passed on only after a majority has kept it. Hubs without an open session count
+// as out of reach: a dial that ends with the question would delay the next one, for gossip and
+// consensus too, which keep sessions to all hubs.
 func (h *Hub) askOtherHubs(ctx context.Context, req *pb.StreamVersionRequest, resp *pb.StreamVersionResponse) {
 	ctx, cancel := context.WithTimeout(ctx, otherHubsTimeout)
 	defer cancel()
@@ -134,7 +136,7 @@
 	waiting := 0
 	for _, address := range members {
 		client := h.opts.Peers.Client(address)
-		if address == h.opts.Self || client == nil {
+		if address == h.opts.Self || client == nil || !client.Connected() {
 			continue
 		}
 		waiting++
@@ -156,6 +158,8 @@
 				resp.Stream = stream
 			}
 		case <-failed:
+		case <-ctx.Done():
+			return
 		}
 	}
 }
@@ -189,19 +193,23 @@
 // that all who ask for it from now on get it or a later one. It is false also if there is a
 // later one of other versions.
 func (s *Subscriber) RecordStreamVersion(ctx context.Context, v policy.StreamVersion) bool {
-	kept := false
+	kept, keptByOne, denied := false, false, false
 	for _, answer := range s.askHubs(ctx, &pb.StreamVersionRequest{Id: v.ID, Record: fleet.EncodeStreamVersion(v, v.RecordedAt), AllHubs: true}) {
 		newest, known := fleet.DecodeStreamVersion(answer.GetStream(), 0)
 		switch {
 		case !known || newest.Attempt < v.Attempt:
 		case newest.Versions != v.Versions:
 			return false
-		case answer.Hubs == 0 || 2*answer.Answered > answer.Hubs:
-			// Hubs that ask no others tell only that they have it.
+		case answer.Hubs == 0:
+			// A hub that asks no others tells only that it has the record.
+			keptByOne = true
+		case 2*answer.Answered > answer.Hubs:
 			kept = true
+		default:
+			denied = true
 		}
 	}
-	return kept
+	return kept || keptByOne && !denied
 }
 
 // StreamVersion asks the hubs at which versions a stream may go on, and returns the newest
