--- a/internal/core/pools.go
+++ b/internal/core/pools.go
@@ -215,7 +215,7 @@
 	return &pb.UpstreamState{
 		Id: r.Id, Generation: uint64(r.BornMs), Url: r.Address, Place: r.Place, Service: r.Service, Role: roles[r.Stage],
 		Models: r.Models, TotalPieces: uint32(e.MemoryTokens / pieceTokens), MaxBatch: uint32(e.Slots),
-		SoftwareVersion: r.SoftwareVersion, Weights: r.Weights,
+		SoftwareVersion: r.SoftwareVersion, Weights: r.Weights, WeightsDropped: fleet.WeightsDropped(r),
 		PieceTokens: pieceTokens, LinkBytesPerS: linkBytesPerS, KvBytesPerToken: 1,
 		Leaving: r.Phase != pb.UpstreamPhase_UPSTREAM_READY,
 	}
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -131,7 +131,7 @@
 		return p.admitWithoutUpstream(w, c, announcing, now)
 	}
 	if w.lacksWeights(c) {
-		return nil, newRefusal(pb.Refusal_OVERLOADED, 0, "the weights of the stream are not known, and the engines of model %q have %d versions", req.Model, len(c.weights))
+		return nil, newRefusal(pb.Refusal_OVERLOADED, 0, "the weights of the stream are not known, and the engines of model %q have %d known ones", req.Model, len(c.weights))
 	}
 	w.computePieces(c.pieceTokens)
 	if p.params.OnDemandMemory {
--- a/internal/scheduler/tables.go
+++ b/internal/scheduler/tables.go
@@ -83,6 +83,8 @@
 	pieceTokens int
 	// weights are the versions of the model's weights that its engines announce.
 	weights []string
+	// weightsDropped is set if those of an engine were left out by a daemon of an earlier build.
+	weightsDropped bool
 	// best contains the best rates of the usable engines, computed at
 	// bestUpdatedAt.
 	best          bestRates
--- a/internal/scheduler/unchecked_test.go
+++ b/internal/scheduler/unchecked_test.go
@@ -67,6 +67,23 @@
 	require.NotNil(t, placeUnchecked(one, 1, resumedRequest("r", "v1"), now).GetGrant())
 }
 
+// Guards against streams that go on at other weights, and prefill results of others, while
+// the scheduler knows of engines by daemons of earlier builds only, which leave weights out.
+func TestDroppedWeightsAreNotTakenForTheSame(t *testing.T) {
+	now := 3 * time.Second
+	engines := weightsEngines([]string{""}, []string{"", ""})
+	for _, e := range engines {
+		e.WeightsDropped = true
+	}
+	p := platformPool(Params{OnDemandMemory: true, LocalPrefill: true})
+	p.Announce(engines, now)
+	require.NotNil(t, placeUnchecked(p, 1, resumedRequest("r", "v1"), now).GetRefusal())
+	g := placeUnchecked(p, 2, platformRequest("new", 5000, 700), now).GetGrant()
+	require.NotNil(t, g)
+	require.Nil(t, g.Prefill)
+	require.NotNil(t, place(p, 3, resumedRequest("s", "v1"), now), "entries of this build ask the engines")
+}
+
 // Guards against streams that are not resumed because the software version that their engine
 // reports, in which any character may stand, reads like a run text.
 func TestVersionsThatReadLikeRunTextsAreComparedAsTheyAre(t *testing.T) {
--- a/internal/scheduler/upstreams.go
+++ b/internal/scheduler/upstreams.go
@@ -234,6 +234,7 @@
 			c := t.candidatesFor(model)
 			c.add(m)
 			c.addWeights(weightsOf(m.state, model))
+			c.weightsDropped = c.weightsDropped || m.state.WeightsDropped
 		}
 	}
 	t.revision++
@@ -347,7 +348,7 @@
 // same candidate lists.
 func sameCandidateLists(a, b *pb.UpstreamState) bool {
 	return a.Role == b.Role && a.TotalPieces == b.TotalPieces && a.PieceTokens == b.PieceTokens &&
-		slices.Equal(a.Models, b.Models) && slices.Equal(a.Weights, b.Weights)
+		slices.Equal(a.Models, b.Models) && slices.Equal(a.Weights, b.Weights) && a.WeightsDropped == b.WeightsDropped
 }
 
 // Announce applies announcements of upstreams. The pool keeps the messages.
--- a/internal/scheduler/versions.go
+++ b/internal/scheduler/versions.go
@@ -54,9 +54,14 @@
 }
 
 // lacksWeights reports whether the request resumes a stream whose weights its entry does not
-// tell, while engines of several weights serve.
+// tell, while engines of several weights may serve.
 func (w *queuedRequest) lacksWeights(c *candidates) bool {
-	return w.unchecked && w.spec.GeneratedTokens > 0 && w.req.WeightsVersion == "" && len(c.weights) > 1
+	return w.unchecked && w.spec.GeneratedTokens > 0 && w.req.WeightsVersion == "" && (len(c.weights) > 1 || c.weightsDropped)
+}
+
+// comparesWeights reports whether the weights of the engines that serve a request matter.
+func (w *queuedRequest) comparesWeights(c *candidates) bool {
+	return len(c.weights) > 1 || w.unchecked && (len(c.weights) == 1 || c.weightsDropped)
 }
 
 // sameWeights reports whether a prefill result of some weights may serve the request at an
@@ -147,7 +152,7 @@
 // as far as these are known: a KV cache is of no use to other weights.
 func (p *Pool) placePair(q *policy.Query, w *queuedRequest) (policy.Placement, bool) {
 	c := p.upstreams.candidatesFor(w.req.Model)
-	if len(c.weights) == 0 || len(c.weights) == 1 && !w.unchecked {
+	if !w.comparesWeights(c) {
 		return p.policy.Place(q)
 	}
 	var best policy.Placement
@@ -166,7 +171,7 @@
 // no usable prefill engine has its weights.
 func (p *Pool) placeUnpaired(q *policy.Query, w *queuedRequest) (policy.Placement, bool) {
 	c := p.upstreams.candidatesFor(w.req.Model)
-	if len(c.weights) == 0 || len(c.weights) == 1 && !w.unchecked {
+	if !w.comparesWeights(c) {
 		return policy.Placement{}, false
 	}
 	var prefill []string
