--- a/internal/feed/earlier_entries.go
+++ b/internal/feed/earlier_entries.go
@@ -81,7 +81,7 @@
 // go on with different runs although their software is the same. Entries of builds before
 // protocol.RunVersions, which choose by software alone, then take up no stream of which they
 // know only that there is one version. No request names the model, so entries that tell runs
-// apart don't count it.
+// apart count it for requests without a model only.
 var otherSoftware = policy.RunVersions{Software: fleet.OtherSoftware, Model: "\x01none"}
 
 // addOtherSoftware adds to an update what keeps an entry that may tell runs apart by their
