forward: connections learn the start of the process that accepted them

stream.run named the process of the entry's record, not the one that sent the events, so a stream that went on at a process that has started again under its id looked sound in the log.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -79,6 +79,8 @@
 	wasIdle bool
 	// processAt is a time at which the process ran that accepted the connection.
 	processAt time.Time
+	// process is the process that accepted the connection.
+	process process
 	// relayed is the connection itself if another daemon relays it, otherwise nil.
 	relayed RelayedConn
 	// heardAt is when bytes last came on the connection, and waitsSince when the entry began
@@ -274,7 +276,8 @@
 
 // readResponse reads the header of the response to the request with the given id.
 // Responses with another request id are skipped. One without an id is accepted
-// only for the first request of the connection. The connection must not have carried a
+// only for the first one on the connection, which comes before any question for the start of
+// the process. The connection must not have carried a
 // request with the id before: the response might be that of an earlier attempt.
 func (c *conn) readResponse(p Protocol, method, id string) (*http.Response, ResponseInfo, error) {
 	req := &http.Request{Method: method}
@@ -292,7 +295,7 @@
 			continue
 		}
 		info := p.ParseResponse(resp.StatusCode, resp.Header)
-		if info.RequestID == id || info.RequestID == "" && c.requests == 1 {
+		if info.RequestID == id || info.RequestID == "" && c.requests == 1 && !c.process.asked {
 			info.ConnectionClose = info.ConnectionClose || resp.Close
 			return resp, info, nil
 		}
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -54,6 +54,9 @@
 	// Movable is set if the request may be sent to another upstream as well while it waits
 	// for a link that is down. It is not sent.
 	Movable bool
+	// Identify is set if the process that gets the request is to be known by its start. It is
+	// not sent.
+	Identify bool
 	// Prefill requests only the prefill of the prompt.
 	Prefill bool
 	// Source is where the prefill result is to be fetched, as returned by
@@ -148,4 +151,9 @@
 	HandleSource(address string, handle Handle) string
 	// HandlePath returns the path that frees a handle when called with DELETE.
 	HandlePath(handle Handle) string
+	// ReportPath is the path at which a process reports on itself when called with GET.
+	ReportPath() string
+	// ParseStart returns the start of a process in Unix milliseconds from such a report; 0 if
+	// the report does not state it.
+	ParseStart(body []byte) (int64, error)
 }
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -51,7 +51,7 @@
 	opts.Instance = t.id
 	maybeSent := false
 	for finalTry := !x.route.Repeatable(); ; finalTry = true {
-		c, err := t.connect(x.ctx, *ch, x.info.ID)
+		c, err := x.connectFor(t, opts, *ch)
 		if err != nil {
 			ch.giveBack()
 			return nil, &SendError{MaybeSent: maybeSent, Err: err}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -236,7 +236,7 @@
 	if !st.lastRun {
 		timeout = min(timeout, time.Duration(firstEventTimeoutFactor*float64(x.route.LatencyTarget)))
 	}
-	opts := &SendOptions{Priority: -1, LastEventID: st.lastEventID, Movable: !st.lastRun}
+	opts := &SendOptions{Priority: -1, LastEventID: st.lastEventID, Movable: !st.lastRun, Identify: x.service.Engine != nil && x.route.Repeatable()}
 	if st.prompt != nil {
 		opts.Source, opts.Weights = st.prompt.source, st.prompt.handle.Weights
 	}
--- a/internal/forward/vars.go
+++ b/internal/forward/vars.go
@@ -32,6 +32,8 @@
 	callersClosed *expvar.Int
 	// loadChecks counts the status checks for the load of upstreams.
 	loadChecks *expvar.Int
+	// identifications counts the connections whose process was asked for its start.
+	identifications *expvar.Int
 	// responseTime is the time to the end of a response, firstEventTime the time to
 	// its first event, and placementWait the wait for a reservation.
 	responseTime, firstEventTime, placementWait *metrics.DurationHistogram
@@ -41,7 +43,7 @@
 	v := &vars{
 		all: new(expvar.Map).Init(), requests: new(expvar.Map).Init(), outcomes: new(expvar.Map).Init(),
 		wastedPrefills: new(expvar.Map).Init(), wastedTokens: new(expvar.Map).Init(),
-		sends: new(expvar.Int), retries: new(expvar.Int), prefills: new(expvar.Int), payers: new(expvar.Map).Init(), opened: new(expvar.Map).Init(), callersClosed: new(expvar.Int), loadChecks: new(expvar.Int),
+		sends: new(expvar.Int), retries: new(expvar.Int), prefills: new(expvar.Int), payers: new(expvar.Map).Init(), opened: new(expvar.Map).Init(), callersClosed: new(expvar.Int), loadChecks: new(expvar.Int), identifications: new(expvar.Int),
 		responseTime: metrics.NewDurationHistogram(), firstEventTime: metrics.NewDurationHistogram(), placementWait: metrics.NewDurationHistogram(),
 	}
 	v.all.Set("requests", v.requests)
@@ -75,6 +77,7 @@
 	v.all.Set("call_costs", expvar.Func(func() any { return s.callCosts.report(s.now()) }))
 	v.all.Set("overloaded", expvar.Func(func() any { return s.shortages.refusals() }))
 	v.all.Set("load_checks", v.loadChecks)
+	v.all.Set("identifications", v.identifications)
 	v.all.Set("repeat_budget_left", expvar.Func(func() any { return s.remainingRetries() }))
 	return v
 }
--- a/internal/forward/weights.go
+++ b/internal/forward/weights.go
@@ -168,7 +168,7 @@
 	recordAge := time.Since(t.recordAt)
 	t.mu.Unlock()
 	x.s.opts.Logger.Info().Str("event", "stream.run").Str("id", x.info.ID).Str("stream", x.info.StreamID).Str("first", x.firstID).Str("after", st.lastEventID).Str("versions_from", x.versionsFrom).
-		Str("upstream", t.id).Int64("born_ms", t.bornMs).Str("service", v.Service).Str("software", v.Software).Str("model", v.Model).Str("weights", v.Weights).
+		Str("upstream", t.id).Int64("born_ms", t.bornMs).Int64("process_born_ms", res.conn.process.bornMs).Str("service", v.Service).Str("software", v.Software).Str("model", v.Model).Str("weights", v.Weights).
 		Str("stated_weights", res.info.Weights).Int64("record_age_ms", recordAge.Milliseconds()).Str("placed_by", x.placedBy).Int("record", x.recordNumber).Msg("")
 }
 
