forward: streams go on only at the process that has reported

Callers got streams whose pieces came from two software versions of one upstream id. A runner may start again under its id with other software, and its liveness report may arrive seconds after its answers.

A connection stays with the process that accepted it, and that process tells its start. A stream now goes on at a connection only if that start is the one of the report by which the engine was chosen; otherwise nothing is sent there and the attempt counts as not started. For a process that does not tell its start a broken connection makes streams avoid it for a minute, and a report of another process makes the software of its streams unknown.

--- a/internal/feed/gossip.go
+++ b/internal/feed/gossip.go
@@ -6,7 +6,6 @@
 	"time"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
-	"godwitward.example/godwitward/internal/fleet"
 	"godwitward.example/godwitward/internal/transport"
 )
 
@@ -38,7 +37,7 @@
 	h.mu.Lock()
 	h.noteLeftVersions(r)
 	changed, accepted := h.table.Observe(r, h.now())
-	h.seeVersions(fleet.AllRunVersions(r), h.now()-milliseconds(r.AgeMs))
+	h.seeReport(r, h.now()-milliseconds(r.AgeMs))
 	h.enqueueUpdates(changed, false)
 	h.mu.Unlock()
 	h.notifyChanged(changed, r, accepted)
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -224,7 +224,7 @@
 	h.noteLeftVersions(r)
 	changed, accepted := h.table.Observe(r, h.now())
 	if accepted {
-		h.seeVersions(fleet.AllRunVersions(r), h.now())
+		h.seeReport(r, h.now())
 		h.enqueueUpdates(changed, false)
 		h.enqueueGossip(r, len(changed) > 0)
 	}
--- a/internal/feed/version_history.go
+++ b/internal/feed/version_history.go
@@ -55,6 +55,9 @@
 // seeVersions records that a process with some versions was in use. The caller holds mu.
 func (h *Hub) seeVersions(versions []policy.RunVersions, at time.Duration) {
 	for _, v := range versions {
+		if h.hasReported(v.Software) {
+			continue
+		}
 		if h.byService[v.Service] == nil {
 			h.byService[v.Service] = &policy.VersionHistory{}
 		}
@@ -64,6 +67,19 @@
 	}
 }
 
+// hasReported reports whether a software version stands for a process whose report has arrived.
+// The caller holds mu.
+func (h *Hub) hasReported(software string) bool {
+	id, bornMs, unresolved := fleet.ParseProcessText(software)
+	return unresolved && h.table.Get(id).GetBornMs() == bornMs && bornMs != 0
+}
+
+// seeReport records the versions of a process that has reported. The caller holds mu.
+func (h *Hub) seeReport(r *pb.UpstreamRecord, at time.Duration) {
+	h.seeVersions(fleet.AllRunVersions(r), at)
+	h.byService[r.Service].ForgetSoftware(fleet.ProcessText(r.Id, r.BornMs))
+}
+
 func (h *Hub) seeServiceVersions(list []*pb.ServiceVersion) {
 	for _, m := range list {
 		v, at := fleet.DecodeServiceVersion(m, h.now())
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -219,7 +219,7 @@
 			return decodes && x.run.MayGoOnAt(v) || !decodes && policy.SameWeights(x.run.Weights, v.Weights)
 		}
 		switch {
-		case !fits(fleet.RunVersions(record, x.info.Model)):
+		case !fits(fleet.RunVersions(record, x.info.Model)), decodes && t.processDoubtful(now):
 			ids = append(ids, t.id)
 		case !fits(likely):
 			unlikely[decodes] = append(unlikely[decodes], t.id)
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -209,6 +209,11 @@
 		}
 		return sendOutcomeUnknown
 	}
+	if errors.Is(err, errOtherProcess) {
+		x.reason = reasonOtherProcess
+		x.sends--
+		return sendNotSent
+	}
 	if notSent {
 		t.recordFailure(x.s.now(), policy.FaultUnreachable)
 		x.reason = "unreachable"
--- a/internal/forward/process.go
+++ b/internal/forward/process.go
@@ -6,6 +6,9 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"godwitward.example/godwitward/internal/fleet"
+	"godwitward.example/godwitward/policy"
 )
 
 // identifyTimeout limits the question for the start of the process on a connection, which
@@ -57,25 +60,119 @@
 }
 
 // connectFor returns a connection for a request. If opts ask for it, the process that accepted
-// the connection was asked for its start.
+// the connection is known, as far as it tells, and a stream that goes on may go on there.
 func (x *exchange) connectFor(t *target, opts *SendOptions, ch charge) (*conn, error) {
-	for closed := 0; ; {
+	var told process
+	for {
 		c, err := t.connect(x.ctx, ch, x.info.ID)
-		// An upstream that states a limit gets one request for each permit.
-		if err != nil || !opts.Identify || c.process.asked || closed > 0 || t.limited() {
+		if err != nil || !opts.Identify {
 			return c, err
 		}
-		reused := c.wasIdle
-		err = x.s.identify(x.ctx, t, c)
-		if err == nil {
-			return c, nil
-		}
-		_ = c.Close()
 		switch {
-		case errors.Is(err, errNotKept):
-			closed++
-		case !reused:
-			return nil, c.pathError(t, err)
+		case c.process.asked:
+		case told.asked:
+			// The process closes each connection after its response. It was asked just before.
+			c.process = told
+		case t.limited():
+			// It gets one request for each permit.
+		default:
+			reused := c.wasIdle
+			if err = x.s.identify(x.ctx, t, c); err == nil {
+				break
+			}
+			told = c.process
+			_ = c.Close()
+			if !errors.Is(err, errNotKept) && (!reused || isTimeout(err)) {
+				return nil, c.pathError(t, err)
+			}
+			continue
 		}
+		if err = x.checkProcess(t, c); err != nil {
+			_ = c.Close()
+			return nil, err
+		}
+		return c, nil
+	}
+}
+
+// errOtherProcess means that a stream may not go on at a process: it is another one than the
+// upstream that was chosen, or may be.
+var errOtherProcess = errors.New("another process answers under the id of the upstream")
+
+// reasonOtherProcess is the reason of an attempt that found another process than intended.
+const reasonOtherProcess = "other_process"
+
+// checkProcess compares the process that accepted a connection with the one that has reported
+// under its id, and fails if a stream must not go on there. New streams may begin at either.
+func (x *exchange) checkProcess(t *target, c *conn) error {
+	known := c.process.bornMs != 0 && t.bornMs != 0
+	other := known && c.process.bornMs != t.bornMs
+	if c.process.asked && !known {
+		t.startUntold.Store(true)
+	}
+	if other && c.process.bornMs > t.bornMs && !t.superseded.Swap(true) {
+		x.s.opts.Logger.Info().Str("event", "upstream.unreported").Str("upstream", t.id).Int64("born_ms", t.bornMs).Int64("process_born_ms", c.process.bornMs).Msg("")
+	}
+	if x.run != nil && (other || !known && t.processDoubtful(x.s.now())) {
+		return errOtherProcess
+	}
+	return nil
+}
+
+// processVersions returns the versions of the process that accepted a connection to a target.
+// If it has not reported yet, its start stands for the software.
+func (x *exchange) processVersions(t *target, c *conn) policy.RunVersions {
+	if c.process.bornMs == 0 || t.bornMs == 0 || c.process.bornMs == t.bornMs {
+		return fleet.RunVersions(t.currentRecord(), x.info.Model)
+	}
+	v := policy.RunVersions{Service: x.service.Name, Software: fleet.ProcessText(t.id, c.process.bornMs), Model: x.info.Model}
+	resolved, _ := x.s.resolveProcess(v)
+	return resolved
+}
+
+// resolveProcess replaces a process that stands for a software version by the version, once the
+// process has reported.
+func (s *Server) resolveProcess(v policy.RunVersions) (resolved policy.RunVersions, ok bool) {
+	id, _, _ := fleet.ParseProcessText(v.Software)
+	t := s.upstreams.get(id)
+	if t == nil {
+		return v, false
+	}
+	return fleet.ResolveProcess(v, t.currentRecord())
+}
+
+// resolveRun replaces a process that stands for the software of the stream, once the process
+// has reported.
+func (x *exchange) resolveRun() {
+	if x.run == nil {
+		return
+	}
+	if v, ok := x.s.resolveProcess(*x.run); ok {
+		x.run = &v
+		x.recordNumber++
+		x.recordRun()
+	}
+}
+
+// mayBeReplaced reports whether another process than that of the target's record may have sent
+// the run: it has reported since, and the connection does not tell.
+func (r *streamRun) mayBeReplaced() bool {
+	return r.res.conn.process.bornMs == 0 && r.t.replaced.Load()
+}
+
+// doubtRun makes the software of a stream unknown whose first run may come from a process that
+// has reported since.
+func (x *exchange) doubtRun(run *streamRun) {
+	if run.first || !run.mayBeReplaced() {
+		return
+	}
+	if _, _, unresolved := fleet.ParseProcessText(x.run.Software); unresolved {
+		return
 	}
+	v := *x.run
+	v.Software = fleet.ProcessText(run.t.id, 0)
+	run.versions.Software = v.Software
+	x.run = &v
+	x.recordNumber++
+	x.recordRun()
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -70,6 +70,7 @@
 			return
 		}
 		st.lastRun = runs+1 >= x.route.MaxAttempts || !x.route.Repeatable()
+		x.resolveRun()
 		p, refusal := x.placeRequest(attempt, st)
 		if x.callerGone() {
 			if p != nil {
@@ -185,7 +186,7 @@
 		}
 	case result == sendRejected:
 		outcome = OutcomeRejected
-	case pathReasons[x.reason] && result == sendNotSent:
+	case (pathReasons[x.reason] || x.reason == reasonOtherProcess) && result == sendNotSent:
 		outcome = OutcomeNotStarted
 	case pathReasons[x.reason], x.reason == reasonCallerSlow:
 		// The scheduler must not hold it against the engine.
@@ -306,6 +307,7 @@
 	rd := &eventReader{rd: bufio.NewReaderSize(res.resp.Body, readBufferBytes)}
 	run := &streamRun{t: t, res: res, numbers: x.s.newAttemptEvents(t, x.service.Name, st.lastEventID), versions: x.versionsOf(res), first: true}
 	defer run.numbers.end()
+	defer x.doubtRun(run)
 	watch := x.watchSilence(t, res.conn, x.eventPatience())
 	defer watch.Stop()
 	for {
@@ -341,7 +343,7 @@
 // endRun ends the stream with its last run. One that fits nothing before it and has sent
 // nothing tells nothing about the stream.
 func (x *exchange) endRun(run *streamRun, st *streamState, flusher *http.ResponseController) sendResult {
-	if run.first && x.run != nil && (run.t.replaced.Load() || run.versions != *x.run) {
+	if run.first && x.run != nil && (run.mayBeReplaced() || run.versions != *x.run) {
 		run.res.close(false)
 		x.reason = "other_versions"
 		return sendOutcomeUnknown
@@ -357,7 +359,7 @@
 		run.t.recordFailure(x.s.now(), policy.FaultError)
 		x.reason = "event_out_of_order"
 		return false
-	case run.first && run.t.replaced.Load():
+	case run.first && run.mayBeReplaced():
 		// The answer may be that of the new process, whose software may be another.
 		x.reason = "upstream_replaced"
 		return false
--- a/internal/forward/target.go
+++ b/internal/forward/target.go
@@ -32,6 +32,10 @@
 	// replaced is set once another process reports under the id.
 	replaced atomic.Bool
 
+	// superseded is set once another process, which has not reported yet, has answered under
+	// the id, and startUntold once the process has answered without stating its start.
+	superseded, startUntold atomic.Bool
+
 	// mu guards the fields below. A record is replaced, never modified.
 	mu     sync.Mutex
 	record *pb.UpstreamRecord
@@ -141,6 +145,12 @@
 	return t.brokeAt > 0 && now-t.brokeAt < breakMemory
 }
 
+// processDoubtful reports whether a stream must not go on at the target, since another process
+// may answer there than the one that has reported.
+func (t *target) processDoubtful(now time.Duration) bool {
+	return t.superseded.Load() || (t.startUntold.Load() || t.limited()) && t.mayHaveRestarted(now)
+}
+
 // breakMemory is how long a broken connection counts as a sign that the process may have
 // ended, if no reports arrive that would tell.
 const breakMemory = time.Minute
--- a/internal/forward/upstreams.go
+++ b/internal/forward/upstreams.go
@@ -151,7 +151,7 @@
 	t.mu.Unlock()
 	return !f.excluded[t] && !refusesWork && record.Phase == pb.UpstreamPhase_UPSTREAM_READY && record.Stage == f.stage &&
 		(f.run == nil || f.run.MayGoOnAt(fleet.RunVersions(record, f.run.Model))) &&
-		policy.SameWeights(f.weights, fleet.RunVersions(record, f.model).Weights) && !(f.unbroken && t.mayHaveRestarted(now))
+		policy.SameWeights(f.weights, fleet.RunVersions(record, f.model).Weights) && !(f.unbroken && t.mayHaveRestarted(now)) && !(f.run != nil && t.processDoubtful(now))
 }
 
 // usable returns the upstreams that pass the filter.
--- a/internal/forward/versions.go
+++ b/internal/forward/versions.go
@@ -86,8 +86,9 @@
 		l.unreported = append(l.unreported, v)
 		l.recorded++
 	}
-	// A response may state weights that no report has named.
-	if v.Versions.Model != "" || v.Versions.Weights != "" {
+	// A response may state weights that no report has named, or come from a process that has not
+	// reported.
+	if _, _, unresolved := fleet.ParseProcessText(v.Versions.Software); unresolved || v.Versions.Model != "" || v.Versions.Weights != "" {
 		l.seen(v.Versions, s.now())
 	}
 	n := l.recorded
@@ -172,6 +173,7 @@
 		for _, v := range fleet.AllRunVersions(r) {
 			l.seen(v, s.now())
 		}
+		l.history[r.Service].ForgetSoftware(fleet.ProcessText(r.Id, r.BornMs))
 		if fleet.LacksWeights(r) {
 			l.history[r.Service].SeenUnknown(s.now())
 		}
@@ -180,11 +182,19 @@
 
 // SetServiceVersions adds versions that hubs know to have been in use.
 func (s *Server) SetServiceVersions(list []*pb.ServiceVersion) {
+	// A hub may not have got the report of a process yet that this entry has.
+	reported := map[string]bool{}
+	for _, t := range s.upstreams.all() {
+		reported[fleet.ProcessText(t.id, t.bornMs)] = true
+	}
 	l := &s.streamVersions
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, m := range list {
-		l.seen(fleet.DecodeServiceVersion(m, s.now()))
+		v, at := fleet.DecodeServiceVersion(m, s.now())
+		if !reported[v.Software] {
+			l.seen(v, at)
+		}
 	}
 }
 
@@ -317,6 +327,9 @@
 		x.refuse("stream_version_unknown", x.retryAfter())
 		return false
 	}
+	if resolved, ok := x.s.resolveProcess(v.Versions); ok {
+		v.Versions = resolved
+	}
 	x.run = &v.Versions
 	x.recordNumber, x.firstID = v.Attempt+takeUpStep, v.First
 	if x.firstID == "" && x.versionsFrom != versionsOfOnly {
@@ -324,6 +337,10 @@
 	}
 	// The caller may name this request next, also if it is refused.
 	x.recordRun()
+	if _, _, unresolved := fleet.ParseProcessText(x.run.Software); unresolved {
+		x.refuse("stream_version_unknown", x.retryAfter())
+		return false
+	}
 	if !slices.Contains(x.route.services(), v.Versions.Service) {
 		x.refuse("stream_service_gone", x.capRetryAfter(streamGoneRetryAfter))
 		return false
@@ -350,7 +367,7 @@
 		serves := x.run.MayGoOnAt(fleet.RunVersions(t.record, x.info.Model)) && t.record.Phase == pb.UpstreamPhase_UPSTREAM_READY && t.record.Stage == engineStage(x.service) &&
 			!t.misdirected && !t.stated.Leaving
 		t.mu.Unlock()
-		if serves {
+		if serves && !t.processDoubtful(x.s.now()) {
 			return true
 		}
 	}
@@ -358,9 +375,9 @@
 }
 
 // fitsVersion reports whether a target may serve the stream. A process that starts again
-// under its id may run other software; without contact with a hub nobody tells.
+// under its id may run other software; without contact with a hub no report tells.
 func (x *exchange) fitsVersion(t *target) bool {
-	return x.run == nil || x.run.MayGoOnAt(fleet.RunVersions(t.currentRecord(), x.info.Model)) && !(t.mayHaveRestarted(x.s.now()) && x.outOfContact())
+	return x.run == nil || x.run.MayGoOnAt(fleet.RunVersions(t.currentRecord(), x.info.Model)) && !(t.mayHaveRestarted(x.s.now()) && x.outOfContact()) && !t.processDoubtful(x.s.now())
 }
 
 // likelyFits reports whether a target has the weights of the stream, as far as the process has
@@ -378,7 +395,7 @@
 // versionsOf returns the versions of the run that a response comes from. An upstream that
 // was asked for a version of its weights rejects the request if it has another one.
 func (x *exchange) versionsOf(res *upstreamResponse) policy.RunVersions {
-	v := fleet.RunVersions(res.target.currentRecord(), x.info.Model)
+	v := x.processVersions(res.target, res.conn)
 	switch {
 	case res.info.Weights != "":
 		v.Weights = res.info.Weights
--- a/policy/stream_versions.go
+++ b/policy/stream_versions.go
@@ -122,6 +122,15 @@
 	return !ok
 }
 
+// ForgetSoftware removes a software version that stood for one not known yet.
+func (h *VersionHistory) ForgetSoftware(software string) {
+	for v := range h.seenAt {
+		if v.Software == software {
+			delete(h.seenAt, v)
+		}
+	}
+}
+
 // SeenUnknown records that a process was in use at a time that may have had any versions.
 func (h *VersionHistory) SeenUnknown(at time.Duration) {
 	h.unknown, h.unknownAt = true, max(h.unknownAt, at)
