forward: streams get the software of their process as soon as it reports

A stream that begins at a process before its report is recorded at the start of the process. The record was replaced only when the answer went on; if the process reported and left again, or the caller took the stream up elsewhere, nobody knew the software any more and the stream was refused. It is recorded anew with the first event after the report.

TestStreamsAreKnownByTheSoftwareOfAProcessThatHasLeft failed before (the answer broke off after event 2).

--- a/internal/forward/process.go
+++ b/internal/forward/process.go
@@ -133,7 +133,10 @@
 // resolveProcess replaces a process that stands for a software version by the version, once the
 // process has reported.
 func (s *Server) resolveProcess(v policy.RunVersions) (resolved policy.RunVersions, ok bool) {
-	id, _, _ := fleet.ParseProcessText(v.Software)
+	id, _, unresolved := fleet.ParseProcessText(v.Software)
+	if !unresolved {
+		return v, false
+	}
 	t := s.upstreams.get(id)
 	if t == nil {
 		return v, false
@@ -154,6 +157,15 @@
 	}
 }
 
+// settleVersions records the software of a run's process once the process has reported, so that
+// the stream can go on at others with it.
+func (x *exchange) settleVersions(run *streamRun) {
+	if v, ok := x.s.resolveProcess(run.versions); ok {
+		run.versions = v
+		x.resolveRun()
+	}
+}
+
 // mayBeReplaced reports whether another process than that of the target's record may have sent
 // the run: it has reported since, and the connection does not tell.
 func (r *streamRun) mayBeReplaced() bool {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -378,6 +378,7 @@
 	if !x.admitVersions(run.versions, run.first, st.lastEventID) {
 		return false
 	}
+	x.settleVersions(run)
 	if run.first {
 		x.logRun(run.res, run.versions, st)
 	}
