--- a/internal/forward/target.go
+++ b/internal/forward/target.go
@@ -33,7 +33,7 @@
 	replaced atomic.Bool
 
 	// superseded is set once another process, which has not reported yet, has answered under
-	// the id, and startUntold once the process has answered without stating its start.
+	// the id, and startUntold if the process does not tell its start.
 	superseded, startUntold atomic.Bool
 
 	// mu guards the fields below. A record is replaced, never modified.
