forward: streams do not begin at processes that refuse to tell their start

A process that answered the question for its start with an error, and one of another upstream at a reused address (421), was taken for one that does not tell it: the streams that it began were recorded at the software of the report, which may be that of the process before. The attempt counts as not sent now, the log says upstream.unidentified, and an address that answers for another upstream gets no further requests until its report arrives.

--- a/internal/forward/process.go
+++ b/internal/forward/process.go
@@ -48,7 +48,15 @@
 	}
 	// It is no request of a caller, but a response without an id may be a second answer to it.
 	c.process.asked, c.requests = true, c.requests-1
-	if resp.StatusCode == http.StatusOK && !info.ContentEncoded {
+	switch {
+	case resp.StatusCode == http.StatusMisdirectedRequest:
+		t.mu.Lock()
+		t.misdirected = true
+		t.mu.Unlock()
+		return errOtherProcess
+	case resp.StatusCode >= http.StatusInternalServerError, resp.StatusCode == http.StatusTooManyRequests:
+		return errors.Errorf("the question for the start of the process was answered with status %d", resp.StatusCode)
+	case resp.StatusCode == http.StatusOK && !info.ContentEncoded:
 		if c.process.bornMs, err = s.opts.Protocol.ParseStart(body); err != nil {
 			s.opts.Logger.Warn().Str("event", "upstream.report_unreadable").Str("upstream", t.id).Err(err).Msg("")
 		}
@@ -82,10 +90,11 @@
 			}
 			told = c.process
 			_ = c.Close()
-			if !errors.Is(err, errNotKept) && (!reused || isTimeout(err)) {
-				return nil, c.pathError(t, err)
+			if errors.Is(err, errNotKept) || reused && connFailed(err) && !isTimeout(err) {
+				continue
 			}
-			continue
+			x.s.opts.Logger.Info().Str("event", "upstream.unidentified").Str("upstream", t.id).Bool("reused", reused).Err(err).Msg("")
+			return nil, c.pathError(t, err)
 		}
 		if err = x.checkProcess(t, c); err != nil {
 			_ = c.Close()
@@ -113,7 +122,7 @@
 	if other && c.process.bornMs > t.bornMs && !t.superseded.Swap(true) {
 		x.s.opts.Logger.Info().Str("event", "upstream.unreported").Str("upstream", t.id).Int64("born_ms", t.bornMs).Int64("process_born_ms", c.process.bornMs).Msg("")
 	}
-	if x.run != nil && (other || !known && t.processDoubtful(x.s.now())) {
+	if x.run != nil && (other || !known && (t.superseded.Load() || t.mayHaveRestarted(x.s.now()))) {
 		return errOtherProcess
 	}
 	return nil
