fleet: a process that ends before its first report stays ended

Callers' requests were sent to a process that had said its end: a runner started again under its id, gave notice of its end, and its delayed liveness report came afterwards.

Cause: Leave marked the record of the predecessor as gone, with the start of the predecessor, so that any report of the ended process was newer.

The record now carries the start of the notice, and an unknown software version: that of the predecessor would let streams that the ended process began go on at the predecessor's software. A late report completes the version.

Both tests failed before: TestLateReportDoesNotReviveProcessThatEndedUnreported (start 200 expected, 100 found) and, in its part on the late report, TestProcessThatEndedUnreportedHasUnknownSoftware (phase 3 expected, 1 found).

--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -125,15 +125,28 @@
 // process start.
 func (t *Table) Leave(id string, bornMs int64, now time.Duration) *pb.UpstreamRecord {
 	known := t.byID[id]
-	if known == nil || known.record.Phase == pb.UpstreamPhase_UPSTREAM_GONE {
+	switch {
+	case known == nil || bornMs != 0 && bornMs < known.record.BornMs:
 		return nil
-	}
-	if bornMs != 0 && bornMs < known.record.BornMs {
+	case known.record.BornMs != 0 && bornMs > known.record.BornMs:
+		return t.markUnreportedGone(known, bornMs, now)
+	case known.record.Phase == pb.UpstreamPhase_UPSTREAM_GONE:
 		return nil
 	}
 	return t.markGone(known, now)
 }
 
+// markUnreportedGone marks a process as ended that replaced a known one and has not reported:
+// its reports may still arrive. It keeps nothing of what its predecessor reported of itself,
+// and no protocol level, so that a late report completes the software version.
+func (t *Table) markUnreportedGone(predecessor *tableEntry, bornMs int64, at time.Duration) *pb.UpstreamRecord {
+	known := predecessor.record
+	gone := &pb.UpstreamRecord{Id: known.Id, Service: known.Service, Address: known.Address, Place: known.Place, Phase: pb.UpstreamPhase_UPSTREAM_GONE, BornMs: bornMs}
+	gone.SoftwareVersion = unknownSoftware(gone)
+	t.byID[gone.Id] = &tableEntry{record: gone, receivedAt: at}
+	return gone
+}
+
 // Expire marks upstreams without recent reports as silent and deletes old
 // records. It returns the records that became silent.
 func (t *Table) Expire(now time.Duration) []*pb.UpstreamRecord {
--- a/internal/fleet/table_test.go
+++ b/internal/fleet/table_test.go
@@ -8,6 +8,8 @@
 	"pgregory.net/rapid"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/protocol"
+	"godwitward.example/godwitward/policy"
 )
 
 func report(id string, bornMs int64, sequence uint64) *pb.UpstreamRecord {
@@ -36,6 +38,38 @@
 	require.Equal(t, pb.UpstreamPhase_UPSTREAM_READY, table.Get("a").Phase)
 }
 
+// Guards against requests to a process whose notice of its end arrives before its first report.
+func TestLateReportDoesNotReviveProcessThatEndedUnreported(t *testing.T) {
+	table := NewTable()
+	table.Observe(report("a", 100, 50), 0)
+	gone := table.Leave("a", 200, time.Second)
+	require.EqualValues(t, 200, gone.BornMs)
+	require.Equal(t, pb.UpstreamPhase_UPSTREAM_GONE, gone.Phase)
+	_, accepted := table.Observe(report("a", 200, 3), 2*time.Second)
+	require.False(t, accepted, "a report of the ended process")
+	_, accepted = table.Observe(report("a", 300, 1), 3*time.Second)
+	require.True(t, accepted, "a report of the next process")
+}
+
+// Guards against streams of a process that ended unreported which go on at the software of its
+// predecessor.
+func TestProcessThatEndedUnreportedHasUnknownSoftware(t *testing.T) {
+	table := NewTable()
+	known := report("a", 100, 50)
+	known.SoftwareVersion, known.Models, known.Weights = "v1", []string{"m"}, []string{"1"}
+	table.Observe(known, 0)
+	gone := table.Leave("a", 200, time.Second)
+	began := policy.RunVersions{Service: "s", Software: ProcessText("a", 200), Model: "m"}
+	resolved, _ := ResolveProcess(began, gone)
+	require.False(t, resolved.MayGoOnAt(RunVersions(known, "m")), "resolved to %+v", resolved)
+
+	late := report("a", 200, 3)
+	late.SoftwareVersion, late.Level = "v2", uint32(protocol.Current)
+	table.Observe(late, 2*time.Second)
+	require.Equal(t, "v2", table.Get("a").SoftwareVersion)
+	require.Equal(t, pb.UpstreamPhase_UPSTREAM_GONE, table.Get("a").Phase)
+}
+
 // A late report of an older process must not replace the process that now uses
 // its address.
 func TestLateReportDoesNotReplaceNewProcessAtAddress(t *testing.T) {
