--- /dev/null
+++ b/internal/feed/late_report_test.go
@@ -0,0 +1,24 @@
+package feed
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/fleet"
+)
+
+// processRecord returns a report of one start of i-1.
+func processRecord(bornMs int64, software string) *pb.UpstreamRecord {
+	r := record("i-1", 1, pb.UpstreamPhase_UPSTREAM_READY)
+	r.BornMs, r.SoftwareVersion = bornMs, software
+	return r
+}
+
+// Guards against a hub that ends, or keeps its lock, at a report whose software version is the
+// text that stands for its process.
+func TestSoftwareVersionThatLooksLikeTheProcess(t *testing.T) {
+	h := startHubs(t, 1).hubs[0]
+	require.NotPanics(t, func() { h.Report(processRecord(1, fleet.ProcessText("i-1", 1))) })
+}
