feed: versions of a late report count as used although its sender has a successor

A stream without a record could go on at the software of a process that is not that of its beginning: a hub dropped the report of i-1 (v1) that arrived after that of its next start (v2), so v2 was the only version that it knew and told entries. Reports that came by gossip were noted already.

A report that is not accepted now adds its versions to the history as well.

TestVersionsOfReportsThatArriveAfterThoseOfASuccessor failed before (the history held v2 only).

--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -223,8 +223,9 @@
 	h.mu.Lock()
 	h.noteLeftVersions(r)
 	changed, accepted := h.table.Observe(r, h.now())
+	// Streams may have begun at a process whose report arrives after that of its successor.
+	h.seeReport(r, h.now())
 	if accepted {
-		h.seeReport(r, h.now())
 		h.enqueueUpdates(changed, false)
 		h.enqueueGossip(r, len(changed) > 0)
 	}
--- a/internal/feed/late_report_test.go
+++ b/internal/feed/late_report_test.go
@@ -7,6 +7,7 @@
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
 	"godwitward.example/godwitward/internal/fleet"
+	"godwitward.example/godwitward/policy"
 )
 
 // processRecord returns a report of one start of i-1.
@@ -22,3 +23,16 @@
 	h := startHubs(t, 1).hubs[0]
 	require.NotPanics(t, func() { h.Report(processRecord(1, fleet.ProcessText("i-1", 1))) })
 }
+
+// Guards against streams without a record that go on at the software of the only process that
+// has reported in time, although they began at its predecessor.
+func TestVersionsOfReportsThatArriveAfterThoseOfASuccessor(t *testing.T) {
+	h := startHubs(t, 1).hubs[0]
+	h.Report(processRecord(2, "v2"))
+	h.Report(processRecord(1, "v1"))
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	seen := h.byService["s"].Versions(h.now())
+	require.Contains(t, seen, policy.RunVersions{Service: "s", Software: "v1"})
+	require.EqualValues(t, 2, h.table.Get("i-1").BornMs)
+}
