platform: an order reaches only the process that it is meant for

An engine that had started again under its id could get a role order that was decided for its predecessor. PROTOCOL.md: a restart clears the sequence and the fencing tokens, so that "expected" matches by accident (0 for both) and an older fencing token is not refused.

Cause: an order names an id; the report before it was read for the sequence only, and the order went out on a second connection, which another process may accept.

The report states the start of the process, which must be that of the engine that the scheduler knows, and the order follows on the connection of the report: a connection stays with the process that accepted it. A runner that says that it closes each connection still gets the order on a second one.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -188,15 +188,10 @@
 }
 
 // newEngineFactory returns a function that creates the scheduler's client of an
-// engine. Each call to an engine uses a connection of its own.
+// engine.
 func newEngineFactory(s *platform.Settings) func(*pb.UpstreamState) scheduler.Engine {
-	client := &http.Client{
-		Transport: &http.Transport{DisableKeepAlives: true},
-		// Another process would answer, and a GET would replace an order.
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
 	return func(u *pb.UpstreamState) scheduler.Engine {
-		return &platform.Engine{Client: client, Address: u.Url, ID: u.Id, Holder: s.VM}
+		return &platform.Engine{Address: u.Url, ID: u.Id, BornMs: int64(u.Generation), Holder: s.VM}
 	}
 }
 
