feed: requests to a process that has started again share one schedule

An upstream that states a limit and starts again under its id could get twice the limit until all entries had its report: the leader counted requests of entries that still had the record of the predecessor on a schedule of their own.

A request names an id and reaches the process that runs, so permits for a start before the one that the leader knows now count for the latter.

TestPermitsForAPredecessorCountForTheProcess failed before (2 permits at once instead of 1).

--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -29,6 +29,7 @@
 	doc       corestore.Document
 	hasQuorum bool
 	members   []string
+	leads     bool
 }
 
 func (s *fakeStore) Current() corestore.Document {
@@ -55,7 +56,18 @@
 	s.members = members
 }
 
-func (s *fakeStore) Leader() (string, uint64, bool)     { return s.Members()[0], 4, false }
+func (s *fakeStore) Leader() (string, uint64, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.members[0], 4, s.leads
+}
+
+func (s *fakeStore) lead() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leads = true
+}
+
 func (s *fakeStore) set(version uint64, hasQuorum bool) { s.setDoc(version, hasQuorum) }
 
 func (s *fakeStore) setDoc(version uint64, hasQuorum bool) {
--- a/internal/feed/late_report_test.go
+++ b/internal/feed/late_report_test.go
@@ -36,3 +36,21 @@
 	require.Contains(t, seen, policy.RunVersions{Service: "s", Software: "v1"})
 	require.EqualValues(t, 2, h.table.Get("i-1").BornMs)
 }
+
+// Guards against twice the stated limit at an upstream that has started again under its id, while
+// some entries still have the record of its predecessor.
+func TestPermitsForAPredecessorCountForTheProcess(t *testing.T) {
+	cluster := startHubs(t, 1)
+	cluster.stores[0].lead()
+	h := cluster.hubs[0]
+	h.Report(processRecord(2, "v2"))
+	permits := 0
+	for _, bornMs := range []int64{1, 2, 1, 2} {
+		resp, err := h.serveSendPermit(t.Context(), &pb.SendPermitRequest{Upstreams: []*pb.UpstreamStatement{{Id: "i-1", BornMs: bornMs, Limit: 0.1}}})
+		require.NoError(t, err)
+		if resp.Id != "" {
+			permits++
+		}
+	}
+	require.Equal(t, 1, permits)
+}
--- a/internal/feed/permits.go
+++ b/internal/feed/permits.go
@@ -47,6 +47,10 @@
 	for _, l := range req.Upstreams {
 		stated := h.decodeStatement(l)
 		key := processKey{l.Id, l.BornMs}
+		if r := h.table.Get(l.Id); r.GetBornMs() > l.BornMs {
+			// The request reaches the process that has started since.
+			key.bornMs = r.BornMs
+		}
 		if known := h.statements[key]; known != nil && known.SentAt > stated.SentAt {
 			stated = known.UpstreamStatement
 		}
