scheduler: a role order is for the process that it was decided for

An engine that started again under its id, while an order of the roles controller to its predecessor waited or was on its way, was drained and ordered to another role, although its own role, software and load had not been asked about (the last engine of a version may be the one); the outcome of an order to the predecessor ended its own role change, or kept the next order back for RoleSwitchTime + 5 s.

Cause: orders name an id, and the record of the id at the time of sending or of the outcome was used.

An order now remembers the record, of which each start has its own. Orders of callers are still for the process that runs when they are sent.

Both tests of restart_test.go failed before (a pending role of the new process; its role change ended).

--- a/internal/scheduler/balance.go
+++ b/internal/scheduler/balance.go
@@ -241,7 +241,7 @@
 	out := map[*upstreamRecord]pb.EngineRole{}
 	for _, o := range p.orders.byID {
 		if role, ok := o.role(); ok {
-			if m := p.upstreams.byID[o.order.UpstreamId]; m != nil {
+			if m := p.upstreams.byID[o.order.UpstreamId]; o.concerns(m) {
 				out[m] = role
 			}
 		}
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -45,6 +45,14 @@
 	notBefore time.Duration
 	// internal orders come from the roles controller; no caller waits for them.
 	internal bool
+	// upstream is the process for which the order was made, or to which it was sent.
+	upstream *upstreamRecord
+}
+
+// concerns reports whether an order is for a process. One of a caller names an id, and is for
+// the process that runs when it is sent.
+func (o *order) concerns(m *upstreamRecord) bool {
+	return m != nil && (m == o.upstream || !o.internal && !o.sent)
 }
 
 func (o *order) isLoad() bool {
@@ -106,7 +114,7 @@
 		timeout = defaultOrderTimeout
 	}
 	p.orders.sequence++
-	rec := &order{id: p.orders.sequence, order: o, queuedAt: now, timeout: timeout, internal: internal}
+	rec := &order{id: p.orders.sequence, order: o, queuedAt: now, timeout: timeout, internal: internal, upstream: m}
 	// leaseEnd is when the previous lease has expired by the slowest clock.
 	leaseEnd := p.activeAt + time.Duration(float64(p.params.LeaseTTL)*(1+maxClockDrift))
 	switch {
@@ -142,7 +150,7 @@
 
 func (p *Pool) trySend(out []Action, o *order, now time.Duration) []Action {
 	m := p.upstreams.byID[o.order.UpstreamId]
-	if m == nil {
+	if !o.concerns(m) {
 		delete(p.orders.byID, o.id)
 		return append(out, OrderResult{ID: o.id, Failure: "upstream " + o.order.UpstreamId + " is gone"})
 	}
@@ -158,7 +166,7 @@
 	if role, ok := o.role(); ok && !p.drainForRole(m, role, now) {
 		return out
 	}
-	o.sent = true
+	o.sent, o.upstream = true, m
 	if o.isLoad() {
 		p.orders.loadsInProgress++
 		p.orders.lastLoadAt = now
@@ -200,7 +208,7 @@
 	if o.isLoad() {
 		p.orders.loadsInProgress--
 	}
-	if m := p.upstreams.byID[o.order.UpstreamId]; m != nil && m.changingRole {
+	if m := p.upstreams.byID[o.order.UpstreamId]; o.concerns(m) && m.changingRole {
 		m.announceRoleBy = now + p.params.RoleSwitchTime + announceRoleTimeout
 		if failure != "" {
 			m.changingRole = false
--- /dev/null
+++ b/internal/scheduler/restart_test.go
@@ -0,0 +1,64 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+)
+
+// orderRole queues an order of the roles controller to an engine.
+func orderRole(p *Pool, id string, role pb.EngineRole, now time.Duration) uint64 {
+	o := &pb.EngineOrder{UpstreamId: id, DeadlineMs: toMillis(roleOrderTimeout), Order: &pb.EngineOrder_SetRole{SetRole: role}}
+	return p.addOrder(p.upstreams.byID[id], o, true, now)
+}
+
+func announceStart(p *Pool, id string, generation uint64, now time.Duration) {
+	s := platformEngine(id, roleDecode)
+	s.Generation, s.ChecksFencing = generation, true
+	p.Announce([]*pb.UpstreamState{s}, now)
+}
+
+func sentOrders(actions []Action) (sent []SendOrder) {
+	for _, a := range actions {
+		if x, ok := a.(SendOrder); ok {
+			sent = append(sent, x)
+		}
+	}
+	return sent
+}
+
+// Guards against a role order to an engine that has started again since it was decided: the
+// roles and versions that it was decided on are those of the process before.
+func TestRoleOrderOfAPredecessorIsDropped(t *testing.T) {
+	p := platformPool(Params{BalanceRoles: true, LeaseTTL: 3 * time.Second, OrdersAfterLease: true})
+	announceStart(p, "d1", 1, 0)
+	orderRole(p, "d1", rolePrefill, 0)
+	announceStart(p, "d1", 2, time.Second)
+	require.Empty(t, p.pendingRoles(time.Second))
+	for now := time.Second; now < 8*time.Second; now += 100 * time.Millisecond {
+		announceStart(p, "d1", 2, now)
+		require.Empty(t, sentOrders(p.Run(Orders, now)))
+		require.True(t, p.upstreams.byID["d1"].view.Usable)
+	}
+	orderRole(p, "d1", rolePrefill, 8*time.Second)
+	require.Len(t, sentOrders(p.Run(Orders, 8*time.Second)), 1, "control")
+}
+
+// Guards against a role change of an engine that is taken for failed, or for accepted, by the
+// outcome of an order to the process before.
+func TestOutcomeOfAnOrderToAPredecessorIsIgnored(t *testing.T) {
+	p := platformPool(Params{BalanceRoles: true, LeaseTTL: time.Millisecond})
+	now := 10 * time.Second
+	announceStart(p, "d1", 1, now)
+	first := orderRole(p, "d1", rolePrefill, now)
+	require.Len(t, sentOrders(p.Run(Orders, now)), 1)
+	announceStart(p, "d1", 2, now)
+	orderRole(p, "d1", rolePrefill, now)
+	require.Len(t, sentOrders(p.Run(Orders, now)), 1)
+	p.OrderDone(first, "connection refused", now)
+	require.True(t, p.upstreams.byID["d1"].changingRole)
+	require.Zero(t, p.upstreams.byID["d1"].roleRetryAt)
+}
