--- /dev/null
+++ b/internal/feed/late_report_test.go
@@ -0,0 +1,56 @@
+package feed
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/fleet"
+	"godwitward.example/godwitward/policy"
+)
+
+// processRecord returns a report of one start of i-1.
+func processRecord(bornMs int64, software string) *pb.UpstreamRecord {
+	r := record("i-1", 1, pb.UpstreamPhase_UPSTREAM_READY)
+	r.BornMs, r.SoftwareVersion = bornMs, software
+	return r
+}
+
+// Guards against a hub that ends, or keeps its lock, at a report whose software version is the
+// text that stands for its process.
+func TestSoftwareVersionThatLooksLikeTheProcess(t *testing.T) {
+	h := startHubs(t, 1).hubs[0]
+	require.NotPanics(t, func() { h.Report(processRecord(1, fleet.ProcessText("i-1", 1))) })
+}
+
+// Guards against streams without a record that go on at the software of the only process that
+// has reported in time, although they began at its predecessor.
+func TestVersionsOfReportsThatArriveAfterThoseOfASuccessor(t *testing.T) {
+	h := startHubs(t, 1).hubs[0]
+	h.Report(processRecord(2, "v2"))
+	h.Report(processRecord(1, "v1"))
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	seen := h.byService["s"].Versions(h.now())
+	require.Contains(t, seen, policy.RunVersions{Service: "s", Software: "v1"})
+	require.EqualValues(t, 2, h.table.Get("i-1").BornMs)
+}
+
+// Guards against twice the stated limit at an upstream that has started again under its id, while
+// some entries still have the record of its predecessor.
+func TestPermitsForAPredecessorCountForTheProcess(t *testing.T) {
+	cluster := startHubs(t, 1)
+	cluster.stores[0].lead()
+	h := cluster.hubs[0]
+	h.Report(processRecord(2, "v2"))
+	permits := 0
+	for _, bornMs := range []int64{1, 2, 1, 2} {
+		resp, err := h.serveSendPermit(t.Context(), &pb.SendPermitRequest{Upstreams: []*pb.UpstreamStatement{{Id: "i-1", BornMs: bornMs, Limit: 0.1}}})
+		require.NoError(t, err)
+		if resp.Id != "" {
+			permits++
+		}
+	}
+	require.Equal(t, 1, permits)
+}
