standin: runners tell the start of their process when asked

A stand-in runner stated its start in liveness reports only, and one that is a process of its own had another start than the reports sent in its name. An entry that asks the process on a connection for its start learned none, so the soak could not show whether streams stay with the process that has reported.

--- a/internal/soak/runner_process.go
+++ b/internal/soak/runner_process.go
@@ -31,8 +31,9 @@
 
 // startRunnerProcess starts the process that serves a runner's requests at l.
 func (s *system) startRunnerProcess(r *proxiedRunner, l net.Listener) error {
+	r.Begin()
 	settings, err := json.Marshal(standin.ProcessSettings{
-		ID: r.ID, Version: r.Version, Service: r.Service, Stage: r.Stage, ServiceTime: r.ServiceTime, Events: r.Events, Weights: r.Weights(),
+		ID: r.ID, Version: r.Version, Service: r.Service, Stage: r.Stage, ServiceTime: r.ServiceTime, Events: r.Events, Weights: r.Weights(), StartMs: r.StartMs,
 	})
 	if err != nil {
 		return err
@@ -62,7 +63,6 @@
 	if err := p.cmd.Start(); err != nil {
 		return errors.Wrap(err, "starting a runner")
 	}
-	r.Begin()
 	r.process = p
 	go func() {
 		defer close(p.ended)
