soak: runners that start again under their ids and report late

The stand-in runners of the soak reported before they served, or started under a new id, so no run of it met a process that an entry takes for its predecessor. Four kinds of faults, injected only when they are named, restart engines in series under their ids with other software: the first report goes out 0.1 to 5 s after the process serves (restart-unreported), the process ends before or after that report and starts once more (restart-twice), reports of the process before arrive after it (stale-reports), or reports take seconds to two core daemons (late-reports). They overlap with releases, crashes and resets, as they hold no lock of the runners.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"os"
 	"path/filepath"
 	"slices"
@@ -200,7 +199,11 @@
 			runner.SetWeights(runner.Weights() + 1)
 		}
 	case restartRunner:
-		s.restartRunner(ctx, f.target%len(s.runners), runner)
+		s.restartInPlace(ctx, runner, 0)
+	case restartUnreported, restartTwice, staleReports:
+		s.restartSeries(ctx, f)
+	case lateReports:
+		s.delayReports(ctx, f)
 	case preemptStreams, changeRole:
 		s.injectEngineFault(ctx, f)
 	case strayEvents:
@@ -225,9 +228,13 @@
 		if r.Stage == standin.StagePlain {
 			continue
 		}
-		// A runner is added at the end of the list before it takes the old one's place.
 		wg.Go(func() {
-			s.drainRunner(ctx, r)
+			// It may have started again in place.
+			s.mu.Lock()
+			current := s.runners[i]
+			s.mu.Unlock()
+			s.drainRunner(ctx, current)
+			// A runner is added at the end of the list before it takes the old one's place.
 			s.replacing.Lock()
 			defer s.replacing.Unlock()
 			s.replaceRunner(ctx, i, func() {}, 0)
@@ -240,39 +247,6 @@
 // releaseInterval is the time between the replacements of two engines of a release.
 const releaseInterval = 300 * time.Millisecond
 
-// restartRunner starts a runner anew, under its id and at its address, with other software.
-func (s *system) restartRunner(ctx context.Context, i int, old *proxiedRunner) {
-	old.Stop()
-	old.stopReports()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		s.check.report("restarting runner %s: %v", old.ID, err)
-		return
-	}
-	proxy := old.proxy
-	if s.processes {
-		proxy.close()
-		if proxy, err = newProxy(proxy.address(), l.Addr().String(), true); err != nil {
-			s.check.report("restarting runner %s: %v", old.ID, err)
-			return
-		}
-	}
-	proxy.target.Store(l.Addr().String())
-	version := "v0"
-	if old.Version == version {
-		version = "v1"
-	}
-	runner, err := s.startRunner(ctx, l, proxy, old.ID, version, old.engine)
-	if err != nil {
-		s.check.report("restarting runner %s: %v", old.ID, err)
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.applyCuts(proxy)
-	s.runners[i] = runner
-}
-
 // replaceRunner stops a runner and starts another one in its place.
 func (s *system) replaceRunner(ctx context.Context, i int, stop func(), downtime time.Duration) {
 	s.mu.Lock()
@@ -287,8 +261,11 @@
 	s.mu.Lock()
 	n := len(s.runners) - 1
 	s.runners[i], s.runners[n] = s.runners[n], s.runners[i]
+	// It may have started again in place meanwhile.
+	old = s.runners[n]
 	s.runners = s.runners[:n]
 	s.mu.Unlock()
+	old.stopReports()
 	old.Stop()
 	old.proxy.close()
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -174,15 +174,17 @@
 
 // targetLocks returns the keys of the locks that serialise faults of one target, in the
 // order in which they are taken: one per entry, one for all core daemons, one for the
-// configuration, one for all runners and one for each kind of faulty answers.
+// configuration, one for all runners, one for late reports and one for each kind of faulty answers.
 func (s *system) targetLocks(f fault) []int {
-	const entryLock, coreLock, configLock, runnerLock, answersLock = 1000, 2000, 3000, 4000, 5000
+	const entryLock, coreLock, configLock, runnerLock, answersLock, lateReportsLock = 1000, 2000, 3000, 4000, 5000, 6000
 	if i := slices.Index(wireFaultKinds(), f.kind); i >= 0 {
 		return []int{answersLock + i}
 	}
 	switch f.kind {
-	case cutEntryHang, cutEntryReset, cutEntryRefuse:
+	case cutEntryHang, cutEntryReset, cutEntryRefuse, restartUnreported, restartTwice, staleReports:
 		return nil
+	case lateReports:
+		return []int{lateReportsLock}
 	case reloadSettings:
 		if s.opts.Upgrade != nil {
 			return []int{entryLock + f.target%len(s.entries), coreLock}
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -32,6 +32,7 @@
 	// reportTimeout is the time limit of one report.
 	reportTimeout = time.Second
 	engineService = "engines"
+	runnerZone    = "zone-0"
 	// proxySubnet is the first subnet of the runners' addresses.
 	proxySubnet      = 3
 	proxiesPerSubnet = 200
@@ -71,6 +72,10 @@
 
 	mu      sync.Mutex
 	runners []*proxiedRunner
+	// restarting holds the ids of runners that start again in place.
+	restarting map[string]bool
+	// lateCores holds how long reports take to core daemons that they reach late.
+	lateCores map[int]time.Duration
 	// answerFaults are the faults of the runners' answers that are in progress.
 	answerFaults []standin.WireFault
 	// cuts holds how entries are cut off from all runners, by address.
@@ -116,7 +121,7 @@
 }
 
 func newSystem(opts Options, sh shape, check *checker, processes bool) (*system, error) {
-	s := &system{opts: opts, shape: sh, check: check, processes: processes, cuts: map[string]faultKind{}, newBuild: Build{Name: opts.BuildName, Dir: opts.Binaries}, targets: map[int]*sync.Mutex{}}
+	s := &system{opts: opts, shape: sh, check: check, processes: processes, cuts: map[string]faultKind{}, restarting: map[string]bool{}, lateCores: map[int]time.Duration{}, newBuild: Build{Name: opts.BuildName, Dir: opts.Binaries}, targets: map[int]*sync.Mutex{}}
 	var err error
 	if s.ports, err = freePorts(); err != nil {
 		return nil, err
@@ -244,7 +249,7 @@
 	if release := s.releases.Load(); release > 0 && e.stage != standin.StagePlain {
 		version = fmt.Sprintf("v%d", int64(s.shape.softwareVersions)-1+release)
 	}
-	runner, err := s.startRunner(ctx, l, p, fmt.Sprintf("i-%d", n), version, e)
+	runner, err := s.startRunner(ctx, l, p, runnerStart{id: fmt.Sprintf("i-%d", n), version: version, engine: e})
 	if err != nil {
 		return err
 	}
@@ -255,10 +260,21 @@
 	return nil
 }
 
+// runnerStart is the start of a process of a runner.
+type runnerStart struct {
+	id, version string
+	engine      engine
+	// startMs is the start that it states, in Unix milliseconds; the current time if 0.
+	startMs int64
+	// reportDelay is the time until its first report is sent.
+	reportDelay time.Duration
+}
+
 // startRunner starts a runner that listens at l, and starts sending its reports.
-func (s *system) startRunner(ctx context.Context, l net.Listener, p *proxy, id, version string, e engine) (*proxiedRunner, error) {
+func (s *system) startRunner(ctx context.Context, l net.Listener, p *proxy, st runnerStart) (*proxiedRunner, error) {
+	e := st.engine
 	r := &standin.Runner{
-		ID: id, Version: version, Service: e.service, Stage: e.stage, ServiceTime: e.interval, Events: streamEvents,
+		ID: st.id, Version: st.version, Service: e.service, Stage: e.stage, ServiceTime: e.interval, Events: streamEvents, StartMs: st.startMs,
 		OnStart: s.check.requestRan, OnArrival: s.check.requestArrived, OnOtherCache: s.check.otherCacheUsed,
 	}
 	r.SetWeights(e.weights)
@@ -272,22 +288,30 @@
 	} else {
 		r.Start(l)
 	}
-	go s.sendReports(runCtx, runner)
+	go func() {
+		sleep(runCtx, st.reportDelay)
+		s.sendReports(ctx, runCtx, runner)
+	}()
 	return runner, nil
 }
 
-// sendReports sends a runner's reports to one core daemon until ctx ends, and
+// sendReports sends a runner's reports to one core daemon until runnerCtx ends, and
 // switches to the next daemon when a report fails.
-func (s *system) sendReports(ctx context.Context, runner *proxiedRunner) {
+func (s *system) sendReports(ctx, runnerCtx context.Context, runner *proxiedRunner) {
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
 	core := int(s.lastRunnerID.Load())
-	for {
-		if !s.sendReport(ctx, runner, core) {
+	for runnerCtx.Err() == nil {
+		if s.delayReport(ctx, runner, core) {
+			sleep(runnerCtx, reportTimeout)
+			core++
+			continue
+		}
+		if !s.sendReport(runnerCtx, runner, core) {
 			core++
 		}
 		select {
-		case <-ctx.Done():
+		case <-runnerCtx.Done():
 			return
 		case <-ticker.C:
 		}
@@ -297,7 +321,7 @@
 func (s *system) sendReport(ctx context.Context, runner *proxiedRunner, core int) bool {
 	reportCtx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	return runner.Report(reportCtx, s.coreAddress(core), runner.proxy.address(), "zone-0") == nil
+	return runner.Report(reportCtx, s.coreAddress(core), runner.proxy.address(), runnerZone) == nil
 }
 
 // stop stops all processes, runners and proxies.
