--- a/internal/edge/crash_plain_test.go
+++ b/internal/edge/crash_plain_test.go
@@ -64,13 +64,13 @@
 		c.crashes = append(c.crashes, time.Now())
 		c.mu.Unlock()
 		time.AfterFunc(plainRestart, func() {
-			c.hubs[n%len(c.hubs)].Leave(r.ID, 1)
+			c.hubs[n%len(c.hubs)].Leave(r.ID, r.StartMs)
 			c.startUpstream(n, start+1)
 		})
 	}
 	r.Start(l)
 	c.t.Cleanup(r.Stop)
-	c.hubs[n%len(c.hubs)].Report(&pb.UpstreamRecord{Id: r.ID, Service: "plain", Address: l.Addr().String(), Phase: pb.UpstreamPhase_UPSTREAM_READY, BornMs: 1, Sequence: 1, Slots: 8})
+	c.hubs[n%len(c.hubs)].Report(&pb.UpstreamRecord{Id: r.ID, Service: "plain", Address: l.Addr().String(), Phase: pb.UpstreamPhase_UPSTREAM_READY, BornMs: r.StartMs, Sequence: 1, Slots: 8})
 }
 
 // send sends a request from a random address to a random entry and returns its status, 0 if the answer broke
--- a/internal/edge/crash_test.go
+++ b/internal/edge/crash_test.go
@@ -64,13 +64,13 @@
 		c.crashes = append(c.crashes, time.Now())
 		c.mu.Unlock()
 		time.AfterFunc(engineRestart, func() {
-			c.hubs[n%len(c.hubs)].Leave(r.ID, 1)
+			c.hubs[n%len(c.hubs)].Leave(r.ID, r.StartMs)
 			c.startEngine(n, start+1)
 		})
 	}
 	r.Start(l)
 	c.t.Cleanup(r.Stop)
-	c.hubs[n%len(c.hubs)].Report(&pb.UpstreamRecord{Id: r.ID, Service: "llm", Address: l.Addr().String(), Phase: pb.UpstreamPhase_UPSTREAM_READY, Stage: pb.EngineStage_ENGINE_STAGE_DECODE, BornMs: 1, Sequence: 1, Slots: 8})
+	c.hubs[n%len(c.hubs)].Report(&pb.UpstreamRecord{Id: r.ID, Service: "llm", Address: l.Addr().String(), Phase: pb.UpstreamPhase_UPSTREAM_READY, Stage: pb.EngineStage_ENGINE_STAGE_DECODE, BornMs: r.StartMs, Sequence: 1, Slots: 8})
 }
 
 // send sends a draft to a random entry and returns its status, 0 if the answer broke
--- a/internal/edge/route_services_test.go
+++ b/internal/edge/route_services_test.go
@@ -128,7 +128,7 @@
 	r.Start(l)
 	v.t.Cleanup(r.Stop)
 	v.hubs[0].Report(&pb.UpstreamRecord{Id: r.ID, Service: service, Address: l.Addr().String(), SoftwareVersion: "v1",
-		Phase: pb.UpstreamPhase_UPSTREAM_READY, Stage: pb.EngineStage_ENGINE_STAGE_DECODE, BornMs: 1, Sequence: 1, Slots: 8})
+		Phase: pb.UpstreamPhase_UPSTREAM_READY, Stage: pb.EngineStage_ENGINE_STAGE_DECODE, BornMs: r.StartMs, Sequence: 1, Slots: 8})
 }
 
 // Guards against streams that their callers do not name and that go on at the service to
--- a/internal/edge/version_test.go
+++ b/internal/edge/version_test.go
@@ -47,7 +47,7 @@
 		v.t.Cleanup(r.Stop)
 		ids = append(ids, r.ID)
 		v.engines = append(v.engines, &pb.UpstreamRecord{Id: r.ID, Service: "llm", Address: l.Addr().String(), SoftwareVersion: version,
-			Phase: pb.UpstreamPhase_UPSTREAM_READY, Stage: pb.EngineStage_ENGINE_STAGE_DECODE, BornMs: 1, Sequence: 1, Slots: 8})
+			Phase: pb.UpstreamPhase_UPSTREAM_READY, Stage: pb.EngineStage_ENGINE_STAGE_DECODE, BornMs: r.StartMs, Sequence: 1, Slots: 8})
 		v.hubs[i%len(v.hubs)].Report(proto.CloneOf(v.engines[len(v.engines)-1]))
 	}
 	return ids
@@ -179,7 +179,7 @@
 			time.Sleep(200 * time.Millisecond)
 			list := v.runBroken(20, func() {
 				for i, id := range old {
-					v.hubs[i%len(v.hubs)].Leave(id, 1)
+					v.hubs[i%len(v.hubs)].Leave(id, v.engines[i].BornMs)
 				}
 				v.restartHubs(c.wiped...)
 				v.startEngines("v2", 3, 3)
@@ -243,7 +243,7 @@
 	list := v.runBroken(20, func() {
 		v.startEngines("v2", 3, 3)
 		for i, id := range old {
-			v.hubs[i%len(v.hubs)].Leave(id, 1)
+			v.hubs[i%len(v.hubs)].Leave(id, v.engines[i].BornMs)
 		}
 		time.Sleep(100 * time.Millisecond)
 	})
