scheduler: a restarted entry holds nothing of its predecessor

Capacity that was granted to an entry in the last 2 s before it ended stayed taken until the deadlines of its requests if the entry started again within the grace period: schedulers know entries by their VM, and the new process counted as the same entry, connected again.

Cause: Restate leaves out the holds of less than 2 s, whose grants may be on their way to the entry. Grants of a session that has ended are not: an entry that restates takes none of an earlier session (entry.trackHold).

Omitted holds from before the end of the entry's session now end with Restate.

Tests of internal/scheduler pass, the model checks included.

--- a/internal/scheduler/orphans.go
+++ b/internal/scheduler/orphans.go
@@ -21,10 +21,12 @@
 )
 
 // Restate adopts the holds that an entry still has. The list is complete: an
-// older hold of the entry that it omits has ended at the entry.
+// older hold of the entry that it omits has ended at the entry, and so has one
+// from before the end of its session, whose process may have ended too.
 func (p *Pool) Restate(r *pb.RestateRequest, now time.Duration) []Action {
 	defer p.lock(placementBits)()
 	e := p.getOrCreateEntry(r.EntryId)
+	reconnected := e.disconnected
 	e.disconnected = false
 	p.restoreRetryBudget(r, now)
 	restated := map[string]bool{}
@@ -38,7 +40,7 @@
 	}
 	var omitted []*hold
 	for _, h := range e.holds {
-		if !restated[h.id] && now-h.grantedAt >= minOmittedAge {
+		if !restated[h.id] && (now-h.grantedAt >= minOmittedAge || reconnected && h.grantedAt < e.disconnectedAt) {
 			omitted = append(omitted, h)
 		}
 	}
--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -62,3 +62,22 @@
 	require.True(t, p.upstreams.byID["d1"].changingRole)
 	require.Zero(t, p.upstreams.byID["d1"].roleRetryAt)
 }
+
+// Guards against capacity that requests of an entry's predecessor hold until their deadlines:
+// those granted just before it ended.
+func TestRestartedEntryHoldsNothingOfItsPredecessor(t *testing.T) {
+	p := platformPool(Params{BalanceRoles: true, LocalPrefill: true, OnDemandMemory: true})
+	now := 10 * time.Second
+	p.Announce(platformEngines(1, 1), now)
+	require.Len(t, submitAll(p, now, 2, 1000, 70), 2)
+	entry := p.holds.byID[p.Holds()[0].HoldId].entry
+	now += 100 * time.Millisecond
+	p.EntryDisconnected(entry.id, now)
+	now += minOmittedAge / 2
+	p.Restate(&pb.RestateRequest{EntryId: entry.id}, now)
+	p.EntryConnected(entry.id)
+	p.Run(Expiry, now)
+	for _, h := range p.holds.byID {
+		require.True(t, h.cancelling, "hold %s", h.id)
+	}
+}
