feed: entries hear of processes that have not reported at once

A caller that takes a stream up without the id of its request could get the text of two versions: an entry goes on at the only version in use, and learned up to 500 ms late (heartbeatInterval) from its hubs that a process which has not reported had begun streams, or that a response had stated other weights.

Cause: only reports, routes and documents woke the streams to entries.

A version that is new to the history of a hub now wakes them, whether it comes with a record of an entry, a record of another hub or another hub's history. New versions are rare: one for each start that serves before it reports.

TestUnreportedProcessesReachEntriesAtOnce failed before (no signal).

--- a/internal/feed/late_report_test.go
+++ b/internal/feed/late_report_test.go
@@ -54,3 +54,32 @@
 	}
 	require.Equal(t, 1, permits)
 }
+
+// Guards against an entry that takes a stream without a known record up at the only version that
+// has reported, while its hub knows already that an unreported process has begun streams.
+func TestUnreportedProcessesReachEntriesAtOnce(t *testing.T) {
+	h := startHubs(t, 1).hubs[0]
+	h.Report(processRecord(1, "v1"))
+	entry := h.subscribe(&pb.Hello{Vm: "entry-1"})
+	defer h.unsubscribe(entry)
+	merges := map[string]func(version string){
+		"record of an entry": func(version string) {
+			h.mergeStreamVersions([]*pb.StreamVersion{{Id: version, Service: "s", Version: version}}, true)
+		},
+		"record of a hub": func(version string) {
+			h.mergeStreamVersions([]*pb.StreamVersion{{Id: version, Service: "s", Version: version}}, false)
+		},
+		"versions of a hub": func(version string) {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.mergeHistory(&pb.Gossip{ServiceVersions: []*pb.ServiceVersion{{Service: "s", Version: version}}})
+		},
+	}
+	bornMs := int64(1)
+	for name, merge := range merges {
+		bornMs++
+		<-entry.wake
+		merge(fleet.ProcessText("i-1", bornMs))
+		require.Len(t, entry.wake, 1, name)
+	}
+}
--- a/internal/feed/stream_versions.go
+++ b/internal/feed/stream_versions.go
@@ -23,16 +23,21 @@
 	now := h.now()
 	var changed []policy.StreamVersion
 	var stored []*pb.StreamVersion
+	added := false
 	for _, m := range list {
 		v, known := h.decodeRecord(m)
 		if known && v.Versions.Service != "" {
-			// A response may state weights that no report has named.
-			h.seeVersions([]policy.RunVersions{v.Versions}, v.RecordedAt)
+			// A response may state weights that no report has named, or come from a process that
+			// has not reported.
+			added = h.seeVersions([]policy.RunVersions{v.Versions}, v.RecordedAt) || added
 		}
 		if known && h.streamVersions.Record(v, now) {
 			changed, stored = append(changed, v), append(stored, fleet.EncodeStreamVersion(v, now))
 		}
 	}
+	if added {
+		h.signalEntries()
+	}
 	if len(changed) == 0 {
 		return
 	}
--- a/internal/feed/version_history.go
+++ b/internal/feed/version_history.go
@@ -52,8 +52,9 @@
 	}
 }
 
-// seeVersions records that a process with some versions was in use. The caller holds mu.
-func (h *Hub) seeVersions(versions []policy.RunVersions, at time.Duration) {
+// seeVersions records that a process with some versions was in use, and reports whether any
+// were new. The caller holds mu.
+func (h *Hub) seeVersions(versions []policy.RunVersions, at time.Duration) (added bool) {
 	for _, v := range versions {
 		if h.hasReported(v.Software) {
 			continue
@@ -61,10 +62,24 @@
 		if h.byService[v.Service] == nil {
 			h.byService[v.Service] = &policy.VersionHistory{}
 		}
-		if h.byService[v.Service].Seen(v, at) && h.restored && h.opts.StreamLog != nil {
+		if !h.byService[v.Service].Seen(v, at) {
+			continue
+		}
+		added = true
+		if h.restored && h.opts.StreamLog != nil {
 			h.opts.StreamLog.HistoryChanged()
 		}
 	}
+	return added
+}
+
+// signalEntries wakes the streams to entries. The caller holds mu.
+func (h *Hub) signalEntries() {
+	for s := range h.subscriptions {
+		if !s.allReports {
+			s.signal()
+		}
+	}
 }
 
 // hasReported reports whether a software version stands for a process whose report has arrived.
@@ -83,9 +98,13 @@
 }
 
 func (h *Hub) seeServiceVersions(list []*pb.ServiceVersion) {
+	added := false
 	for _, m := range list {
 		v, at := fleet.DecodeServiceVersion(m, h.now())
-		h.seeVersions([]policy.RunVersions{v}, at)
+		added = h.seeVersions([]policy.RunVersions{v}, at) || added
+	}
+	if added {
+		h.signalEntries()
 	}
 }
 
