policy: a retry budget counts what was spent before its holder started

The scheduler of a core daemon that had started within the last window spent the slack of its predecessor again: with 5 retries of slack, all spent 3.1 s before, a leader that had started 0.5 s before allowed 5 more at once instead of 2 (0.2 of 10 requests). Core daemons that are released one after the other, or that all end while the entries live, lead to this.

Cause: Restore left out what is older than the clock of the process, which begins with it.

Slots before time 0 are counted as the others are. TestRestartedSchedulerDoesNotSpendTheRetryBudgetAgain compares the budget with that of a scheduler that has run for 20 s; it failed before (2 expected, 5 found).

--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/policy"
 )
 
 // orderRole queues an order of the roles controller to an engine.
@@ -81,3 +82,20 @@
 		require.True(t, h.cancelling, "hold %s", h.id)
 	}
 }
+
+// Guards against a retry budget that is spent once more by a scheduler whose process has started
+// after the retries that entries restate.
+func TestRestartedSchedulerDoesNotSpendTheRetryBudgetAgain(t *testing.T) {
+	params := Params{RetryRatio: 0.2, RetrySlack: 5, RetryWindow: 10 * time.Second}
+	restated := func(now time.Duration) *Pool {
+		p := NewPool(testPool, params, policy.Default{}, 8, now, 1)
+		p.Restate(&pb.RestateRequest{EntryId: "e", Pool: testPool, FencingToken: 8, RetryBudgetUse: []*pb.RetryBudgetUse{{AgeMs: 3100, Requests: 10, Retries: 5}}}, now)
+		return p
+	}
+	const justStarted, running = 500 * time.Millisecond, 20500 * time.Millisecond
+	fresh, known := restated(justStarted), restated(running)
+	require.Equal(t, 2.0, fresh.retryBudget.Remaining(justStarted), "0.2 of 10 requests")
+	for passed := time.Duration(0); passed < 12*time.Second; passed += 100 * time.Millisecond {
+		require.Equal(t, known.retryBudget.Remaining(running+passed), fresh.retryBudget.Remaining(justStarted+passed), passed)
+	}
+}
--- a/policy/retry_budget.go
+++ b/policy/retry_budget.go
@@ -40,8 +40,7 @@
 const budgetBuckets = 40
 
 type budgetBucket struct {
-	// slot is the number of the time slot, from time 0 on, that the counts
-	// belong to.
+	// slot is the number of the time slot, 0 at time 0, that the counts belong to.
 	slot     int64
 	requests int
 	retries  int
@@ -87,7 +86,7 @@
 // Restore counts requests and retries of some time ago that another holder of the
 // budget has counted.
 func (b *RetryBudget) Restore(age time.Duration, requests, retries int, now time.Duration) {
-	if age < 0 || age > b.Window || age > now {
+	if age < 0 || age > b.Window {
 		return
 	}
 	k := b.bucket(now - age)
@@ -145,24 +144,33 @@
 
 // at returns the bucket of a slot, or nil if it holds the counts of another one.
 func (b *RetryBudget) at(slot int64) *budgetBucket {
-	if slot < 0 {
-		return nil
-	}
-	k := &b.buckets[slot%int64(len(b.buckets))]
+	k := b.ring(slot)
 	if k.slot != slot {
 		return nil
 	}
 	return k
 }
 
+// ring returns the bucket in which a slot is counted. Slots are negative for what another
+// holder has counted before time 0.
+func (b *RetryBudget) ring(slot int64) *budgetBucket {
+	n := int64(len(b.buckets))
+	return &b.buckets[(slot%n+n)%n]
+}
+
 func (b *RetryBudget) slot(now time.Duration) int64 {
-	return int64(now / max(1, b.Window/budgetBuckets))
+	length := max(1, b.Window/budgetBuckets)
+	slot := int64(now / length)
+	if now%length < 0 {
+		slot--
+	}
+	return slot
 }
 
 // bucket returns the bucket for now, cleared when it held an older slot.
 func (b *RetryBudget) bucket(now time.Duration) *budgetBucket {
 	slot := b.slot(now)
-	k := &b.buckets[slot%int64(len(b.buckets))]
+	k := b.ring(slot)
 	if k.slot != slot {
 		*k = budgetBucket{slot: slot}
 	}
