feed: a process that ended unreported has versions that hubs don't know

The hub that gets the notice now adds the record's version, which is an unknown one, to the history, as the hubs that get it by gossip did.

TestVersionsOfAProcessThatEndedUnreportedAreUnknown failed before (1 version, 2 expected).

--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -199,6 +199,8 @@
 	h.mu.Lock()
 	gone := h.table.Leave(id, bornMs, h.now())
 	if gone != nil {
+		// It may be the first that is heard of the process.
+		h.seeReport(gone, h.now())
 		h.enqueueUpdates([]*pb.UpstreamRecord{gone}, true)
 	}
 	h.mu.Unlock()
--- a/internal/feed/late_report_test.go
+++ b/internal/feed/late_report_test.go
@@ -83,3 +83,15 @@
 		require.Len(t, entry.wake, 1, name)
 	}
 }
+
+// Guards against a hub that knows one version only although another process, which ended before
+// its first report, has begun streams.
+func TestVersionsOfAProcessThatEndedUnreportedAreUnknown(t *testing.T) {
+	h := startHubs(t, 1).hubs[0]
+	h.Report(processRecord(1, "v1"))
+	h.Leave("i-1", 2)
+	h.mergeStreamVersions([]*pb.StreamVersion{{Id: "a", Service: "s", Version: fleet.ProcessText("i-1", 2)}}, true)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	require.Len(t, h.byService["s"].Versions(h.now()), 2)
+}
