--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -17,9 +17,6 @@
 	// record was deleted is harmless, because each call names the process that
 	// it expects.
 	forgetAfter = 90 * time.Second
-	// lateNoticePeriod is how late a notice of an end may arrive: reports may arrive seconds
-	// late.
-	lateNoticePeriod = 5 * time.Second
 )
 
 // tableEntry is a record and the local time at which its report reached the
@@ -27,10 +24,6 @@
 type tableEntry struct {
 	record     *pb.UpstreamRecord
 	receivedAt time.Duration
-	// succeededAt is when the first report of a process arrived that has a predecessor under
-	// its id, if successor is set.
-	succeededAt time.Duration
-	successor   bool
 }
 
 // Table is the table of upstreams. It is not safe for concurrent use.
@@ -62,12 +55,6 @@
 	}
 	changed = t.claimAddress(r, at)
 	next := &tableEntry{record: r, receivedAt: at}
-	if known != nil {
-		next.succeededAt, next.successor = known.succeededAt, known.successor
-		if known.record.BornMs != r.BornMs {
-			next.succeededAt, next.successor = now, true
-		}
-	}
 	next.record.Silent = false
 	t.byID[r.Id] = next
 	if known == nil || differs(known.record, r) {
@@ -135,7 +122,7 @@
 // Leave marks a process as gone after it gave notice that it is ending, and
 // returns its record. It returns nil when the process is unknown, already gone, or
 // older than the known one. bornMs is 0 when the notice does not include the
-// process start: it may be that of the predecessor for lateNoticePeriod.
+// process start.
 func (t *Table) Leave(id string, bornMs int64, now time.Duration) *pb.UpstreamRecord {
 	known := t.byID[id]
 	switch {
@@ -145,8 +132,6 @@
 		return t.markUnreportedGone(known, bornMs, now)
 	case known.record.Phase == pb.UpstreamPhase_UPSTREAM_GONE:
 		return nil
-	case bornMs == 0 && known.successor && now-known.succeededAt <= lateNoticePeriod:
-		return nil
 	}
 	return t.markGone(known, now)
 }
