feed: reports whose software is the text of their own process do not end hubs

A core daemon ended (nil dereference in VersionHistory.ForgetSoftware) at a liveness report whose software version is the process text of its own id and start: such a version is left out of the history, so the service had none when the text was to be forgotten. Reports may hold any text.

TestReportsThatNameTheirProcessDoNotEndHubs failed before: panic in policy/stream_versions.go:127, called by Hub.seeReport.

--- a/internal/feed/version_history.go
+++ b/internal/feed/version_history.go
@@ -77,7 +77,10 @@
 // seeReport records the versions of a process that has reported. The caller holds mu.
 func (h *Hub) seeReport(r *pb.UpstreamRecord, at time.Duration) {
 	h.seeVersions(fleet.AllRunVersions(r), at)
-	h.byService[r.Service].ForgetSoftware(fleet.ProcessText(r.Id, r.BornMs))
+	// It is nil if the report names its own process as the software.
+	if history := h.byService[r.Service]; history != nil {
+		history.ForgetSoftware(fleet.ProcessText(r.Id, r.BornMs))
+	}
 }
 
 func (h *Hub) seeServiceVersions(list []*pb.ServiceVersion) {
