feed: reports without a start do not resolve streams in doubt

The software of a stream that a process began which told no start is recorded as not known (a process text with start 0) once another process has reported under the id. A hub removed that text from the versions in use with each later report that names no start, so unnamed streams could go on at the only version left, which may not be that of the stream. By the protocol reports always name their start, so only runners that break it were concerned.

The same lines of internal/forward (seeVersions, SetServiceVersions) are left to their owner.

--- a/internal/feed/version_history.go
+++ b/internal/feed/version_history.go
@@ -77,8 +77,9 @@
 // seeReport records the versions of a process that has reported. The caller holds mu.
 func (h *Hub) seeReport(r *pb.UpstreamRecord, at time.Duration) {
 	h.seeVersions(fleet.AllRunVersions(r), at)
-	// It is nil if the report names its own process as the software.
-	if history := h.byService[r.Service]; history != nil {
+	// It is nil if the report names its own process as the software. One without a start does
+	// not tell of which process it is.
+	if history := h.byService[r.Service]; history != nil && r.BornMs != 0 {
 		history.ForgetSoftware(fleet.ProcessText(r.Id, r.BornMs))
 	}
 }
