feed: hubs answer with the software of a process once it has reported

Entries of earlier builds refused a stream that had begun at a process before its report for as long as it is recorded (a minute), also after the report: only present entries replace the process text in a record by the version. A hub now does so when it is asked about a stream, by the report of the very process (id and start), also for run texts. It leaves weights that no response has stated to entries, and answers as before where a record is to be confirmed, since the two are compared.

One line of earlier_records_test.go follows the changed parameter of Hub.answer.

--- a/internal/feed/earlier_records_test.go
+++ b/internal/feed/earlier_records_test.go
@@ -161,7 +161,7 @@
 func TestRecordsOfEarlierEntriesFromBeforeTheStartAreUnknown(t *testing.T) {
 	text := fleet.RunText(engineRecord("a", "llm", "7", pb.EngineStage_ENGINE_STAGE_DECODE, 1))
 	h, _ := newRoutesHub(t, t.Cleanup, &streamlog.Stored{Streams: []*pb.StreamVersion{{Id: "a", Version: text, Attempt: 1, AgeMs: 5000}}}, false)
-	resp, reading := h.answer(&pb.Hello{Level: 1}, "a")
+	resp, reading := h.answer(&pb.Hello{Level: 1}, &pb.StreamVersionRequest{Id: "a"})
 	require.Equal(t, unknownRun, reading, "other hubs may know")
 	require.Empty(t, resp.Stream.Service)
 	require.EqualValues(t, 1, resp.Stream.Attempt, "older records of other hubs don't count")
--- a/internal/feed/stream_versions.go
+++ b/internal/feed/stream_versions.go
@@ -86,7 +86,7 @@
 	if req.Record != nil {
 		h.mergeStreamVersions([]*pb.StreamVersion{req.Record}, req.AllHubs)
 	}
-	resp, reading := h.answer(transport.PeerFromContext(ctx), req.Id)
+	resp, reading := h.answer(transport.PeerFromContext(ctx), req)
 	if req.AllHubs && reading != leftRun {
 		h.askOtherHubs(ctx, req, resp)
 	}
@@ -94,14 +94,18 @@
 }
 
 // answer returns what the hub itself knows of a stream.
-func (h *Hub) answer(peer *pb.Hello, id string) (*pb.StreamVersionResponse, recordReading) {
+func (h *Hub) answer(peer *pb.Hello, req *pb.StreamVersionRequest) (*pb.StreamVersionResponse, recordReading) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	resp := &pb.StreamVersionResponse{}
-	v, known := h.streamVersions.Get(id, h.now())
+	v, known := h.streamVersions.Get(req.Id, h.now())
 	if !known {
 		return resp, unknownRun
 	}
+	if req.Record == nil {
+		// A record that was sent is confirmed as it is.
+		v.Versions = h.resolveProcess(v.Versions)
+	}
 	v, reading := h.readRecord(v)
 	resp.Stream = fleet.EncodeStreamVersion(v, h.now())
 	switch {
@@ -114,6 +118,17 @@
 	return resp, reading
 }
 
+// resolveProcess replaces a process that stands for a software version once the process has
+// reported: entries of earlier builds can't. Weights that no response has stated may have
+// changed before the report or since, so they are left to entries. The caller holds mu.
+func (h *Hub) resolveProcess(v policy.RunVersions) policy.RunVersions {
+	id, _, _ := fleet.ParseProcessText(v.Software)
+	if resolved, ok := fleet.ResolveProcess(v, h.table.Get(id)); ok && resolved.Weights == v.Weights {
+		return resolved
+	}
+	return v
+}
+
 const (
 	// otherHubsTimeout limits the wait for the other hubs. An entry waits for longer.
 	otherHubsTimeout = 200 * time.Millisecond
