forward: crashes count for the process that got the request

A prompt that crashed an engine again and again under one id before its reports arrived counted once: the entry reported each crash under the start in its record. It names the start that the process has stated now.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -85,6 +85,9 @@
 	// could not fetch.
 	lostHandleEngines map[*target]bool
 	lastTarget        *target
+	// lastBornMs is the start of the process that got the last request: the one that it has
+	// stated, otherwise that of its record.
+	lastBornMs int64
 	// parts are the keys of the prompt's parts, in order. For a request without parts
 	// whole is set, and parts holds a key of its content or is empty. onTrial is set if
 	// one of them is quarantined and the request may be sent nevertheless.
--- a/internal/forward/prompt_parts.go
+++ b/internal/forward/prompt_parts.go
@@ -94,11 +94,11 @@
 }
 
 // recordCrash records that an engine crashed before it began to answer a prompt.
-func (p *promptParts) recordCrash(t *target, parts []uint64, whole bool) {
+func (p *promptParts) recordCrash(engine policy.EngineProcess, parts []uint64, whole bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.crashes) < maxCrashReports {
-		p.crashes = append(p.crashes, &pb.CrashedPrompt{EngineId: t.id, EngineBornMs: t.bornMs, Parts: parts, WholeRequest: whole})
+		p.crashes = append(p.crashes, &pb.CrashedPrompt{EngineId: engine.ID, EngineBornMs: engine.BornMs, Parts: parts, WholeRequest: whole})
 	}
 	p.reportNow.signal()
 }
@@ -279,13 +279,14 @@
 	return x.brokeBeforeFirstEvent(st) && (x.onTrial || x.s.promptParts.suspect(x.parts, x.s.now()))
 }
 
-// reportIfCrashed reports a request under which an upstream has crashed. parts are those
-// of its prompt or, if whole is set, the key of its content.
-func (s *Server) reportIfCrashed(t *target, info RequestInfo, parts []uint64, whole bool) {
+// reportIfCrashed reports a request under which an upstream has crashed. bornMs is the start of
+// the process that got it, and parts are those of its prompt or, if whole is set, the key of its
+// content.
+func (s *Server) reportIfCrashed(t *target, bornMs int64, info RequestInfo, parts []uint64, whole bool) {
 	if !t.refusesConnections() {
 		return
 	}
-	s.promptParts.recordCrash(t, parts, whole)
+	s.promptParts.recordCrash(policy.EngineProcess{ID: t.id, BornMs: bornMs}, parts, whole)
 	l := s.opts.Logger.Warn().Str("event", "upstream.crashed").Str("upstream", t.id).Str("id", info.ID)
 	if whole {
 		l = l.Str("request", fmt.Sprintf("%016x", parts[0]))
--- a/internal/forward/request_key.go
+++ b/internal/forward/request_key.go
@@ -46,5 +46,5 @@
 	if len(x.parts) == 0 {
 		x.parts = []uint64{x.requestKey()}
 	}
-	go x.s.reportIfCrashed(t, x.info, x.parts, x.whole)
+	go x.s.reportIfCrashed(t, x.lastBornMs, x.info, x.parts, x.whole)
 }
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"strconv"
@@ -56,6 +57,7 @@
 			ch.giveBack()
 			return nil, &SendError{MaybeSent: maybeSent, Err: err}
 		}
+		x.lastBornMs = cmp.Or(c.process.bornMs, t.bornMs)
 		reused := c.wasIdle
 		res, err := x.sendOnConn(c, t, opts, firstByteTimeout)
 		if err == nil {
