forward: every process that a stream is sent to is asked for its start

All streams ask now; the question takes no slot. - A process that closed its connection after the report and restarted was taken for the one that had answered. The next connection is asked as well. - A stream could not be taken up once its process had reported and left. The report is kept while streams may name the process. - An engine slow to answer the question (0.4 s) was refused; the limit is 1 s, at most the caller's time, and the link is watched meanwhile. - One unreadable report made streams avoid an engine for as long as it ran. - Streams of unreported processes were held to the numbering of their predecessors' events. - An attempt that may have run did not count if another process answered when it was repeated (BUDGET).

--- a/internal/forward/event_numbers.go
+++ b/internal/forward/event_numbers.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"sync"
 
+	"godwitward.example/godwitward/internal/fleet"
 	"godwitward.example/godwitward/policy"
 )
 
@@ -56,12 +57,16 @@
 	fresh, begins bool
 	// steps is the number of events that followed another one of the attempt.
 	steps int
+	// unreported is set if the process has not reported its software: nothing is known of its
+	// numbering, and nothing learned.
+	unreported bool
 }
 
 // newAttemptEvents follows the events after the one with the id last; empty for a stream
 // from its beginning.
-func (s *Server) newAttemptEvents(t *target, service, last string) *attemptEvents {
-	a := &attemptEvents{s: s, t: t, key: numberingKey{service, t.softwareVersion()}, fresh: true, begins: last == ""}
+func (s *Server) newAttemptEvents(t *target, v policy.RunVersions, last string) *attemptEvents {
+	a := &attemptEvents{s: s, t: t, key: numberingKey{v.Service, v.Software}, fresh: true, begins: last == ""}
+	_, _, a.unreported = fleet.ParseProcessText(v.Software)
 	if a.begins {
 		a.last, a.known = firstEventNumber-1, true
 		return a
@@ -81,7 +86,7 @@
 	}
 	last, known, fresh := a.last, a.known, a.fresh
 	a.last, a.known, a.fresh = n, true, false
-	if !known {
+	if !known || a.unreported {
 		return false
 	}
 	a.s.numbering.mu.Lock()
@@ -118,7 +123,7 @@
 
 // end records an attempt without a gap.
 func (a *attemptEvents) end() {
-	if a.steps < minNumberedSteps {
+	if a.steps < minNumberedSteps || a.unreported {
 		return
 	}
 	a.s.numbering.mu.Lock()
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -209,7 +209,7 @@
 		}
 		return sendOutcomeUnknown
 	}
-	if errors.Is(err, errOtherProcess) {
+	if notSent && errors.Is(err, errOtherProcess) {
 		x.reason = reasonOtherProcess
 		x.sends--
 		return sendNotSent
--- a/internal/forward/process.go
+++ b/internal/forward/process.go
@@ -7,13 +7,14 @@
 
 	"github.com/pkg/errors"
 
+	pb "godwitward.example/godwitward/api/godwitward/v1"
 	"godwitward.example/godwitward/internal/fleet"
 	"godwitward.example/godwitward/policy"
 )
 
-// identifyTimeout limits the question for the start of the process on a connection, which
-// costs a round trip and no slot.
-const identifyTimeout = 300 * time.Millisecond
+// identifyTimeout limits the question for the start of the process on a connection. It is
+// answered at once, but a busy process takes its time for anything.
+const identifyTimeout = time.Second
 
 // process is what a connection knows of the process that accepted it. A request names an id,
 // under which another process may have started since the last report.
@@ -27,18 +28,21 @@
 // errNotKept means that a connection was not kept open after a response.
 var errNotKept = errors.New("connection not kept open after a report")
 
-// identify asks the process that accepted a connection for its start. A process that tells
+// askStart asks the process that accepted a connection for its start. A process that tells
 // none stays unknown. After an error the connection is of no use.
-func (s *Server) identify(ctx context.Context, t *target, c *conn) error {
-	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+func (x *exchange) askStart(t *target, c *conn) error {
+	stop := context.AfterFunc(x.ctx, func() { _ = c.Close() })
 	defer stop()
-	s.vars.identifications.Add(1)
-	_ = c.SetDeadline(time.Now().Add(identifyTimeout))
-	header := s.opts.Protocol.RequestHeader(http.Header{}, &SendOptions{Instance: t.id, RemainingTime: identifyTimeout, Priority: -1})
-	if err := c.writeRequest(&outboundRequest{method: http.MethodGet, uri: s.opts.Protocol.ReportPath(), host: t.address, header: header}); err != nil {
+	x.s.vars.identifications.Add(1)
+	timeout := min(identifyTimeout, x.remaining())
+	watch := x.watchSilence(t, c, minStreamSilence)
+	defer watch.Stop()
+	_ = c.SetDeadline(time.Now().Add(timeout))
+	header := x.s.opts.Protocol.RequestHeader(http.Header{}, &SendOptions{Instance: t.id, RemainingTime: timeout, Priority: -1})
+	if err := c.writeRequest(&outboundRequest{method: http.MethodGet, uri: x.s.opts.Protocol.ReportPath(), host: t.address, header: header}); err != nil {
 		return err
 	}
-	resp, info, err := c.readResponse(s.opts.Protocol, http.MethodGet, "")
+	resp, info, err := c.readResponse(x.s.opts.Protocol, http.MethodGet, "")
 	if err != nil {
 		return err
 	}
@@ -57,8 +61,8 @@
 	case resp.StatusCode >= http.StatusInternalServerError, resp.StatusCode == http.StatusTooManyRequests:
 		return errors.Errorf("the question for the start of the process was answered with status %d", resp.StatusCode)
 	case resp.StatusCode == http.StatusOK && !info.ContentEncoded:
-		if c.process.bornMs, err = s.opts.Protocol.ParseStart(body); err != nil {
-			s.opts.Logger.Warn().Str("event", "upstream.report_unreadable").Str("upstream", t.id).Err(err).Msg("")
+		if c.process.bornMs, err = x.s.opts.Protocol.ParseStart(body); err != nil {
+			x.s.opts.Logger.Warn().Str("event", "upstream.report_unreadable").Str("upstream", t.id).Err(err).Msg("")
 		}
 	}
 	if !c.reusable(resp, &info) {
@@ -67,34 +71,32 @@
 	return c.SetDeadline(time.Time{})
 }
 
+// maxQuestions limits the connections that are closed after the question for the start of the
+// process. A process that is about to end closes each one.
+const maxQuestions = 2
+
 // connectFor returns a connection for a request. If opts ask for it, the process that accepted
 // the connection is known, as far as it tells, and a stream that goes on may go on there.
 func (x *exchange) connectFor(t *target, opts *SendOptions, ch charge) (*conn, error) {
-	var told process
-	for {
+	for closed := 0; ; {
 		c, err := t.connect(x.ctx, ch, x.info.ID)
 		if err != nil || !opts.Identify {
 			return c, err
 		}
-		switch {
-		case c.process.asked:
-		case told.asked:
-			// The process closes each connection after its response. It was asked just before.
-			c.process = told
-		case t.limited():
-			// It gets one request for each permit.
-		default:
+		if !c.process.asked && closed < maxQuestions {
 			reused := c.wasIdle
-			if err = x.s.identify(x.ctx, t, c); err == nil {
-				break
-			}
-			told = c.process
-			_ = c.Close()
-			if errors.Is(err, errNotKept) || reused && connFailed(err) && !isTimeout(err) {
-				continue
+			if err = x.askStart(t, c); err != nil {
+				_ = c.Close()
+				switch {
+				case errors.Is(err, errNotKept):
+					closed++
+					continue
+				case reused && connFailed(err) && !isTimeout(err):
+					continue
+				}
+				x.s.opts.Logger.Info().Str("event", "upstream.unidentified").Str("upstream", t.id).Bool("reused", reused).Err(err).Msg("")
+				return nil, c.pathError(t, err)
 			}
-			x.s.opts.Logger.Info().Str("event", "upstream.unidentified").Str("upstream", t.id).Bool("reused", reused).Err(err).Msg("")
-			return nil, c.pathError(t, err)
 		}
 		if err = x.checkProcess(t, c); err != nil {
 			_ = c.Close()
@@ -116,9 +118,7 @@
 func (x *exchange) checkProcess(t *target, c *conn) error {
 	known := c.process.bornMs != 0 && t.bornMs != 0
 	other := known && c.process.bornMs != t.bornMs
-	if c.process.asked && !known {
-		t.startUntold.Store(true)
-	}
+	t.startUntold.Store(!known)
 	if other && c.process.bornMs > t.bornMs && !t.superseded.Swap(true) {
 		x.s.opts.Logger.Info().Str("event", "upstream.unreported").Str("upstream", t.id).Int64("born_ms", t.bornMs).Int64("process_born_ms", c.process.bornMs).Msg("")
 	}
@@ -146,11 +146,15 @@
 	if !unresolved {
 		return v, false
 	}
-	t := s.upstreams.get(id)
-	if t == nil {
-		return v, false
+	if t := s.upstreams.get(id); t != nil {
+		if resolved, ok = fleet.ResolveProcess(v, t.currentRecord()); ok {
+			return resolved, true
+		}
 	}
-	return fleet.ResolveProcess(v, t.currentRecord())
+	l := &s.streamVersions
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return fleet.ResolveProcess(v, l.lateReports[v.Software])
 }
 
 // resolveRun replaces a process that stands for the software of the stream, once the process
@@ -197,3 +201,19 @@
 	x.recordNumber++
 	x.recordRun()
 }
+
+// maxLateReports limits the late reports that are kept. Without one the hubs are asked.
+const maxLateReports = 1024
+
+// noteLateReport keeps the report of a process that streams have begun at before: it may leave
+// while they can still be taken up. The caller holds mu.
+func (l *streamVersions) noteLateReport(r *pb.UpstreamRecord) {
+	text := fleet.ProcessText(r.Id, r.BornMs)
+	if r.BornMs == 0 || !l.history[r.Service].ForgetSoftware(text) {
+		return
+	}
+	if l.lateReports == nil || len(l.lateReports) >= maxLateReports {
+		l.lateReports = map[string]*pb.UpstreamRecord{}
+	}
+	l.lateReports[text] = r
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -237,7 +237,7 @@
 	if !st.lastRun {
 		timeout = min(timeout, time.Duration(firstEventTimeoutFactor*float64(x.route.LatencyTarget)))
 	}
-	opts := &SendOptions{Priority: -1, LastEventID: st.lastEventID, Movable: !st.lastRun, Identify: x.service.Engine != nil && x.route.Repeatable()}
+	opts := &SendOptions{Priority: -1, LastEventID: st.lastEventID, Movable: !st.lastRun, Identify: true}
 	if st.prompt != nil {
 		opts.Source, opts.Weights = st.prompt.source, st.prompt.handle.Weights
 	}
@@ -305,7 +305,8 @@
 	flusher := http.NewResponseController(x.w)
 	x.callerBlocked, x.callerWaited = false, 0
 	rd := &eventReader{rd: bufio.NewReaderSize(res.resp.Body, readBufferBytes)}
-	run := &streamRun{t: t, res: res, numbers: x.s.newAttemptEvents(t, x.service.Name, st.lastEventID), versions: x.versionsOf(res), first: true}
+	run := &streamRun{t: t, res: res, versions: x.versionsOf(res), first: true}
+	run.numbers = x.s.newAttemptEvents(t, run.versions, st.lastEventID)
 	defer run.numbers.end()
 	defer x.doubtRun(run)
 	watch := x.watchSilence(t, res.conn, x.eventPatience())
--- a/internal/forward/target.go
+++ b/internal/forward/target.go
@@ -148,7 +148,7 @@
 // processDoubtful reports whether a stream must not go on at the target, since another process
 // may answer there than the one that has reported.
 func (t *target) processDoubtful(now time.Duration) bool {
-	return t.superseded.Load() || (t.startUntold.Load() || t.limited()) && t.mayHaveRestarted(now)
+	return t.superseded.Load() || t.startUntold.Load() && t.mayHaveRestarted(now)
 }
 
 // breakMemory is how long a broken connection counts as a sign that the process may have
--- a/internal/forward/upstreams.go
+++ b/internal/forward/upstreams.go
@@ -73,8 +73,6 @@
 		u.remove(r.Id)
 	}
 	t := &target{id: r.Id, address: r.Address, bornMs: r.BornMs, links: u.links, outcomes: &u.outcomes, record: r, recordAt: time.Now(), silentSince: time.Now()}
-	// Only engines report on themselves when they are asked.
-	t.startUntold.Store(r.Stage == pb.EngineStage_ENGINE_STAGE_NONE)
 	u.byID[r.Id] = t
 	u.byService[r.Service] = append(u.byService[r.Service], t)
 }
--- a/internal/forward/versions.go
+++ b/internal/forward/versions.go
@@ -58,6 +58,9 @@
 	dueSince                  time.Duration
 	// history is kept by service.
 	history map[string]*policy.VersionHistory
+	// lateReports are the reports of processes that streams had begun at before, by process
+	// text.
+	lateReports map[string]*pb.UpstreamRecord
 }
 
 // SetStreamVersionSource makes the server ask src at which versions a stream may go on. It
@@ -173,9 +176,7 @@
 		for _, v := range fleet.AllRunVersions(r) {
 			l.seen(v, s.now())
 		}
-		if r.BornMs != 0 {
-			l.history[r.Service].ForgetSoftware(fleet.ProcessText(r.Id, r.BornMs))
-		}
+		l.noteLateReport(r)
 		if fleet.LacksWeights(r) {
 			l.history[r.Service].SeenUnknown(s.now())
 		}
--- a/policy/stream_versions.go
+++ b/policy/stream_versions.go
@@ -122,13 +122,16 @@
 	return !ok
 }
 
-// ForgetSoftware removes a software version that stood for one not known yet.
-func (h *VersionHistory) ForgetSoftware(software string) {
+// ForgetSoftware removes a software version that stood for one not known yet, and reports
+// whether it was there.
+func (h *VersionHistory) ForgetSoftware(software string) bool {
+	seen := len(h.seenAt)
 	for v := range h.seenAt {
 		if v.Software == software {
 			delete(h.seenAt, v)
 		}
 	}
+	return len(h.seenAt) < seen
 }
 
 // SeenUnknown records that a process was in use at a time that may have had any versions.
