usage: a new grantor counts the use of entries that have restarted

A tenant could use more than its cap allows when entries restarted while no leader granted: their new processes state no use, and a new grantor took them for entries that had used nothing.

Cause: reports are known by the entry's name. What nobody has stated is estimated for entries that have not been heard from in the term, and the new process had been.

The predecessors of entries that have run for less than a window now count as not heard from in the estimate of the use before the term. The age follows from the start in the reports and the wall clock; an entry whose clock is ahead counts as one that has run.

--- a/internal/usage/grantor.go
+++ b/internal/usage/grantor.go
@@ -125,7 +125,7 @@
 		g.grantor.Begin(term, now)
 		g.opts.Logger.Info().Str("event", "usage.grantor_started").Uint64("term", term).Msg("")
 	}
-	report := decodeReport(req)
+	report := decodeReport(req, time.Now())
 	grants, restate, stale := g.grantor.Serve(report, now)
 	if stale {
 		return nil, transport.Errorf(pb.Status_INVALID, "a later call of the entry has been served")
--- a/internal/usage/messages.go
+++ b/internal/usage/messages.go
@@ -20,8 +20,9 @@
 	return req
 }
 
-func decodeReport(req *pb.TenantUsageRequest) *policy.UsageReport {
-	r := &policy.UsageReport{Entry: req.EntryId, Born: req.BornMs, Sequence: req.Sequence, Applied: req.Applied, Term: req.Term, Entries: int(req.Entries)}
+// decodeReport returns a report that was received at a time of the wall clock.
+func decodeReport(req *pb.TenantUsageRequest, at time.Time) *policy.UsageReport {
+	r := &policy.UsageReport{Entry: req.EntryId, Born: req.BornMs, Age: processAge(req.BornMs, at), Sequence: req.Sequence, Applied: req.Applied, Term: req.Term, Entries: int(req.Entries)}
 	for _, u := range req.Tenants {
 		d := policy.TenantUse{
 			Name: u.Name, Held: finite(u.Held), ReturnedTotal: finite(u.Returned), PerSecond: finite(u.PerSecond),
@@ -35,6 +36,12 @@
 	return r
 }
 
+// processAge returns how long a process has run that started at a time in Unix milliseconds. It is
+// 0 if the clocks of the VMs contradict each other, and not exact by their difference.
+func processAge(bornMs int64, at time.Time) time.Duration {
+	return max(0, at.Sub(time.UnixMilli(bornMs)))
+}
+
 // finite returns 0 for a number that is none: it would stay in every sum that it enters.
 func finite(n float64) float64 {
 	if math.IsNaN(n) || math.IsInf(n, 0) {
--- a/internal/usage/replay_failures_test.go
+++ b/internal/usage/replay_failures_test.go
@@ -103,6 +103,34 @@
 	}
 }
 
+// Guards against a new grantor that doesn't count what entries have used which have restarted
+// while there was none.
+func TestEntriesRestartedWithoutAGrantorKeepTheBound(t *testing.T) {
+	limits, usual := targetTenants()
+	for _, part := range []int{2, 8} {
+		for seed := range uint64(6) {
+			for _, hot := range []string{"t1", "t9"} {
+				r := newReplay(t, seed, limits)
+				r.run(20*time.Second, usual)
+				l := usual.with(hot, 6)
+				r.run(time.Duration(seed%4)*2*time.Second, l)
+				r.grantor = nil
+				r.run(time.Second, l)
+				for i := range r.entries {
+					if i%part == 0 {
+						r.restart(i)
+					}
+				}
+				r.lead()
+				r.run(6*time.Second, l)
+				r.run(9*time.Second, usual)
+				r.checkBounds()
+				t.Logf("one of %d entries, seed %d, hot %q: others refused %d, most in a window %.2f of the bound", part, seed, hot, r.refusedOthers(hot), r.worst())
+			}
+		}
+	}
+}
+
 // worst returns the most that ran in a window as a part of the bound.
 func (r *replay) worst() (worst float64) {
 	for name, limit := range r.limits {
--- a/internal/usage/replay_test.go
+++ b/internal/usage/replay_test.go
@@ -52,12 +52,13 @@
 }
 
 type replayEntry struct {
-	id      string
-	born    int64
-	usage   *entryUsage
-	nextAt  time.Duration
-	call    *replayCall
-	tickets []replayTicket
+	id        string
+	born      int64
+	startedAt time.Duration
+	usage     *entryUsage
+	nextAt    time.Duration
+	call      *replayCall
+	tickets   []replayTicket
 	// grantor is the one that the entry calls; nil for that of the replay.
 	grantor *policy.TenantGrantor
 }
@@ -112,7 +113,7 @@
 
 func (r *replay) restart(i int) {
 	e := r.entries[i]
-	e.born++
+	e.born, e.startedAt = e.born+1, r.now
 	e.usage = newEntryUsage(r.bound, r.rng.Float64)
 	e.usage.setLimits(r.limits, r.now)
 	e.usage.entries = replayEntries
@@ -183,7 +184,7 @@
 	}
 	if e.call == nil && r.now >= e.nextAt {
 		c := &replayCall{report: e.usage.report(r.term, r.now), sentAt: r.now, served: r.now + 4*time.Millisecond, at: r.now + callTimeout}
-		c.report.Entry, c.report.Born = e.id, e.born
+		c.report.Entry, c.report.Born, c.report.Age = e.id, e.born, r.now-e.startedAt
 		e.call = c
 	}
 	left := e.tickets[:0]
--- a/policy/tenant_grantor.go
+++ b/policy/tenant_grantor.go
@@ -9,6 +9,8 @@
 	// it. Applied is the last report whose grants the entry has received.
 	Born              int64
 	Sequence, Applied uint64
+	// Age is how long the process has run, 0 if that is not known.
+	Age time.Duration
 	// Term is the term of the grantor that knows the entry's recent use, 0 if the report
 	// contains it.
 	Term uint64
@@ -105,6 +107,9 @@
 	entries   map[string]*grantedEntry
 	// busy are the tenants in use at the last sweep, those with the most use first.
 	busy []string
+	// successors is the number of entries in entries that state the use of a part of the window
+	// before the term only: a predecessor may have used more.
+	successors int
 	// unheardStandby and unheardLate are the parts of every cap that entries which are not
 	// heard from may use, before and after standbyTTL.
 	unheardStandby, unheardLate float64
@@ -164,7 +169,7 @@
 func (g *TenantGrantor) Begin(term uint64, now time.Duration) {
 	g.term, g.started, g.sweptAt, g.decayedAt, g.expectedAt = term, now, now, now, now
 	g.expected, g.expectedNext = 0, 0
-	g.tenants, g.entries = map[string]*grantedTenant{}, map[string]*grantedEntry{}
+	g.tenants, g.entries, g.successors = map[string]*grantedTenant{}, map[string]*grantedEntry{}, 0
 	g.unheardStandby, g.unheardLate, g.busy = 0, 0, nil
 }
 
@@ -257,6 +262,9 @@
 	if e == nil {
 		e = &grantedEntry{born: r.Born, shares: map[string]*grantedShare{}}
 		g.entries[r.Entry] = e
+		if first && r.Age > 0 && r.Age < now-g.started+g.Bound.Window {
+			g.successors++
+		}
 	}
 	if e.unheard {
 		g.restore(e)
@@ -364,10 +372,11 @@
 }
 
 // replayUse computes the level from the use before the term. Entries that the grantor has
-// not heard from count as having used as much as the others.
+// not heard from count as having used as much as the others, and so do the predecessors of
+// entries that have restarted within the window: nobody states their use.
 func (g *TenantGrantor) replayUse(t *grantedTenant, now time.Duration) {
 	if now-g.started < g.Bound.Window {
-		t.scale = min(maxUseScale, 1/max(0.01, 1-g.missing()))
+		t.scale = min(maxUseScale, 1/max(0.01, g.restated()))
 	}
 	level := g.replayedLevel(t)
 	t.add(level - t.replayed)
--- a/policy/tenant_grants.go
+++ b/policy/tenant_grants.go
@@ -86,6 +86,11 @@
 	return max(0, 1-float64(len(g.entries))/float64(max(1, g.expected)))
 }
 
+// restated returns the part of all entries whose use before the term is known.
+func (g *TenantGrantor) restated() float64 {
+	return min(1, float64(len(g.entries)-g.successors)/float64(max(1, g.expected)))
+}
+
 func (g *TenantGrantor) warming(now time.Duration) bool {
 	return now-g.started < warmUp && len(g.entries) < g.expected
 }
