--- a/policy/tenant_grantor.go
+++ b/policy/tenant_grantor.go
@@ -107,8 +107,8 @@
 	entries   map[string]*grantedEntry
 	// busy are the tenants in use at the last sweep, those with the most use first.
 	busy []string
-	// successors is the number of entries in entries that state the use of a part of the window
-	// before the term only: a predecessor may have used more.
+	// successors is the number of known entries whose processes have started within the window
+	// before the term or later: they do not state what predecessors have used.
 	successors int
 	// unheardStandby and unheardLate are the parts of every cap that entries which are not
 	// heard from may use, before and after standbyTTL.
