feed: streams find the report of their process beside those of its successors

A stream that began at a process before its report was refused although the process had reported: the hub compared the newest report of the id only, and took the mere end of an unreported process for its report, which told an unknown version. Hubs keep the last report of a process that was replaced, also one that arrives late, and an end resolves nothing.

--- a/internal/feed/gossip.go
+++ b/internal/feed/gossip.go
@@ -36,7 +36,7 @@
 func (h *Hub) applyGossip(r *pb.UpstreamRecord) {
 	h.mu.Lock()
 	h.noteLeftVersions(r)
-	changed, accepted := h.table.Observe(r, h.now())
+	changed, accepted := h.observe(r)
 	h.seeReport(r, h.now()-milliseconds(r.AgeMs))
 	h.enqueueUpdates(changed, false)
 	h.mu.Unlock()
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -224,7 +224,7 @@
 func (h *Hub) applyReport(r *pb.UpstreamRecord) {
 	h.mu.Lock()
 	h.noteLeftVersions(r)
-	changed, accepted := h.table.Observe(r, h.now())
+	changed, accepted := h.observe(r)
 	// Streams may have begun at a process whose report arrives after that of its successor.
 	h.seeReport(r, h.now())
 	if accepted {
--- a/internal/feed/stream_versions.go
+++ b/internal/feed/stream_versions.go
@@ -127,8 +127,7 @@
 // reported: entries of earlier builds can't. Weights that no response has stated may have
 // changed before the report or since, so they are left to entries. The caller holds mu.
 func (h *Hub) resolveProcess(v policy.RunVersions) policy.RunVersions {
-	id, _, _ := fleet.ParseProcessText(v.Software)
-	if resolved, ok := fleet.ResolveProcess(v, h.table.Get(id)); ok && resolved.Weights == v.Weights {
+	if resolved, ok := fleet.ResolveProcess(v, h.reportOf(v.Software)); ok && resolved.Weights == v.Weights {
 		return resolved
 	}
 	return v
--- a/internal/fleet/process_text.go
+++ b/internal/fleet/process_text.go
@@ -29,11 +29,17 @@
 	return id, bornMs, found && complete && err == nil
 }
 
+// TellsSoftware reports whether a record tells the software of one process: it is not the mere
+// end of a process that has not reported, and states a start. r may be nil.
+func TellsSoftware(r *pb.UpstreamRecord) bool {
+	return r != nil && r.BornMs != 0 && r.SoftwareVersion != unknownSoftware(r)
+}
+
 // ResolveProcess returns versions in which the process text is replaced by what the report r of
 // the process states. ok is false if they name another process, or none; r may be nil.
 func ResolveProcess(v policy.RunVersions, r *pb.UpstreamRecord) (resolved policy.RunVersions, ok bool) {
 	id, bornMs, unresolved := ParseProcessText(v.Software)
-	if !unresolved || r == nil || r.Id != id || r.BornMs != bornMs || r.Service != v.Service || bornMs == 0 {
+	if !unresolved || !TellsSoftware(r) || r.Id != id || r.BornMs != bornMs || r.Service != v.Service {
 		return v, false
 	}
 	v.Software = r.SoftwareVersion
