forward: processes that close each connection are known by two reports around it

A connection that was opened between two equal reports belongs to the process that made them.

Beside it: the question takes no longer than the first byte of the response may, and a process whose start lies before that of the record, after a clock was set back, is remembered as another one too.

--- a/internal/forward/process.go
+++ b/internal/forward/process.go
@@ -25,16 +25,22 @@
 	bornMs int64
 }
 
+// maySend reports whether a response without an id may belong to the first request on the
+// connection: it is not a second answer to the question for the start of the process.
+func (p process) maySend(resp *http.Response, info *ResponseInfo) bool {
+	return !p.asked || resp.StatusCode >= 300 || info.FromUpstream
+}
+
 // errNotKept means that a connection was not kept open after a response.
 var errNotKept = errors.New("connection not kept open after a report")
 
 // askStart asks the process that accepted a connection for its start. A process that tells
 // none stays unknown. After an error the connection is of no use.
-func (x *exchange) askStart(t *target, c *conn) error {
+func (x *exchange) askStart(t *target, c *conn, timeout time.Duration) error {
 	stop := context.AfterFunc(x.ctx, func() { _ = c.Close() })
 	defer stop()
 	x.s.vars.identifications.Add(1)
-	timeout := min(identifyTimeout, x.remaining())
+	timeout = min(timeout, identifyTimeout, x.remaining())
 	watch := x.watchSilence(t, c, minStreamSilence)
 	defer watch.Stop()
 	_ = c.SetDeadline(time.Now().Add(timeout))
@@ -50,7 +56,7 @@
 	if err != nil {
 		return err
 	}
-	// It is no request of a caller, but a response without an id may be a second answer to it.
+	// It is no request of a caller.
 	c.process.asked, c.requests = true, c.requests-1
 	switch {
 	case resp.StatusCode == http.StatusMisdirectedRequest:
@@ -73,29 +79,32 @@
 
 // maxQuestions limits the connections that are closed after the question for the start of the
 // process. A process that is about to end closes each one.
-const maxQuestions = 2
+const maxQuestions = 3
 
 // connectFor returns a connection for a request. If opts ask for it, the process that accepted
 // the connection is known, as far as it tells, and a stream that goes on may go on there.
-func (x *exchange) connectFor(t *target, opts *SendOptions, ch charge) (*conn, error) {
-	for closed := 0; ; {
+// timeout limits the wait for an answer of the process.
+func (x *exchange) connectFor(t *target, opts *SendOptions, ch charge, timeout time.Duration) (*conn, error) {
+	for {
 		c, err := t.connect(x.ctx, ch, x.info.ID)
 		if err != nil || !opts.Identify {
 			return c, err
 		}
-		if !c.process.asked && closed < maxQuestions {
-			reused := c.wasIdle
-			if err = x.askStart(t, c); err != nil {
-				_ = c.Close()
-				switch {
-				case errors.Is(err, errNotKept):
-					closed++
-					continue
-				case reused && connFailed(err) && !isTimeout(err):
-					continue
-				}
-				x.s.opts.Logger.Info().Str("event", "upstream.unidentified").Str("upstream", t.id).Bool("reused", reused).Err(err).Msg("")
-				return nil, c.pathError(t, err)
+		if !c.process.asked {
+			asked := c
+			err = x.askStart(t, c, timeout)
+			if err != nil {
+				_ = asked.Close()
+			}
+			switch {
+			case errors.Is(err, errNotKept):
+				c, err = x.connectBeside(t, asked.process, timeout)
+			case err != nil && asked.wasIdle && connFailed(err) && !isTimeout(err):
+				continue
+			}
+			if err != nil {
+				x.s.opts.Logger.Info().Str("event", "upstream.unidentified").Str("upstream", t.id).Bool("reused", asked.wasIdle).Err(err).Msg("")
+				return nil, asked.pathError(t, err)
 			}
 		}
 		if err = x.checkProcess(t, c); err != nil {
@@ -106,6 +115,38 @@
 	}
 }
 
+// connectBeside returns a connection to a process that closes connections after its report, as
+// told on one of them. The new connection belongs to that process if it reports again on
+// another one that is opened later: only one process at a time listens at an address.
+func (x *exchange) connectBeside(t *target, told process, timeout time.Duration) (*conn, error) {
+	for range maxQuestions {
+		c, err := t.dial(x.ctx)
+		if err != nil {
+			return nil, err
+		}
+		beside, err := t.dial(x.ctx)
+		if err != nil {
+			_ = c.Close()
+			return nil, err
+		}
+		switch err = x.askStart(t, beside, timeout); {
+		case err == nil:
+			_ = c.Close()
+			return beside, nil
+		case errors.Is(err, errNotKept) && beside.process == told:
+			_ = beside.Close()
+			c.process = told
+			return c, nil
+		}
+		_, _ = c.Close(), beside.Close()
+		if !errors.Is(err, errNotKept) {
+			return nil, beside.pathError(t, err)
+		}
+		told = beside.process
+	}
+	return nil, errOtherProcess
+}
+
 // errOtherProcess means that a stream may not go on at a process: it is another one than the
 // upstream that was chosen, or may be.
 var errOtherProcess = errors.New("another process answers under the id of the upstream")
@@ -119,7 +160,7 @@
 	known := c.process.bornMs != 0 && t.bornMs != 0
 	other := known && c.process.bornMs != t.bornMs
 	t.startUntold.Store(!known)
-	if other && c.process.bornMs > t.bornMs && !t.superseded.Swap(true) {
+	if other && !t.superseded.Swap(true) {
 		x.s.opts.Logger.Info().Str("event", "upstream.unreported").Str("upstream", t.id).Int64("born_ms", t.bornMs).Int64("process_born_ms", c.process.bornMs).Msg("")
 	}
 	if x.run != nil && (other || !known && (t.superseded.Load() || t.mayHaveRestarted(x.s.now()))) {
@@ -209,7 +250,7 @@
 // while they can still be taken up. The caller holds mu.
 func (l *streamVersions) noteLateReport(r *pb.UpstreamRecord) {
 	text := fleet.ProcessText(r.Id, r.BornMs)
-	if r.BornMs == 0 || !l.history[r.Service].ForgetSoftware(text) {
+	if !fleet.TellsSoftware(r) || !l.history[r.Service].ForgetSoftware(text) {
 		return
 	}
 	if l.lateReports == nil || len(l.lateReports) >= maxLateReports {
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -52,7 +52,7 @@
 	opts.Instance = t.id
 	maybeSent := false
 	for finalTry := !x.route.Repeatable(); ; finalTry = true {
-		c, err := x.connectFor(t, opts, *ch)
+		c, err := x.connectFor(t, opts, *ch, firstByteTimeout)
 		if err != nil {
 			ch.giveBack()
 			return nil, &SendError{MaybeSent: maybeSent, Err: err}
