forward: first responses without an id count after a question for the start

On a connection whose process was asked for its start a response without an id was skipped, and the caller waited until the first byte was overdue. It counts again, unless it may be a second answer to the question: that one is a success without a stamp, and ends the attempt at once.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -276,8 +276,7 @@
 
 // readResponse reads the header of the response to the request with the given id.
 // Responses with another request id are skipped. One without an id is accepted only
-// for the first request of a connection whose process was not asked for its start.
-// The connection must not have carried a request with the id before: the response
+// for the first request of the connection. The connection must not have carried a request with the id before: the response
 // might be that of an earlier attempt.
 func (c *conn) readResponse(p Protocol, method, id string) (*http.Response, ResponseInfo, error) {
 	req := &http.Request{Method: method}
@@ -295,11 +294,11 @@
 			continue
 		}
 		info := p.ParseResponse(resp.StatusCode, resp.Header)
-		if info.RequestID == id || info.RequestID == "" && c.requests == 1 && !c.process.asked {
+		if info.RequestID == id || info.RequestID == "" && c.requests == 1 && c.process.maySend(resp, &info) {
 			info.ConnectionClose = info.ConnectionClose || resp.Close
 			return resp, info, nil
 		}
-		if resp.Close || endsWithConnection(resp) {
+		if resp.Close || endsWithConnection(resp) || info.RequestID == "" && c.requests == 1 {
 			break
 		}
 		skipped++
