forward: schedulers are told of engines whose process has not reported

A scheduler compares the software of the report that it has, so it granted engines to streams under whose id another process had answered; the entry released the grant and placed the stream past the scheduler's queue. Such engines are excluded in the request now, for all builds of schedulers.

--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -175,9 +175,25 @@
 		req.Exclude = append(req.Exclude, t.id)
 	}
 	req.Exclude = append(req.Exclude, x.unavailable()...)
+	req.Exclude = append(req.Exclude, x.doubtful()...)
 	return req
 }
 
+// doubtful returns the ids of the engines at which a stream must not go on, since another process
+// may answer there than the one that has reported. The scheduler has the same report.
+func (x *exchange) doubtful() []string {
+	var ids []string
+	if x.run == nil {
+		return ids
+	}
+	for _, t := range x.s.upstreams.list(x.service.Name) {
+		if t.currentRecord().Stage == engineStage(x.service) && t.processDoubtful(x.s.now()) {
+			ids = append(ids, t.id)
+		}
+	}
+	return ids
+}
+
 // unavailable returns the ids of the engines of the service that refuse work, and of those
 // that are suspect while others of their stage are left.
 func (x *exchange) unavailable() []string {
@@ -219,7 +235,7 @@
 			return decodes && x.run.MayGoOnAt(v) || !decodes && policy.SameWeights(x.run.Weights, v.Weights)
 		}
 		switch {
-		case !fits(fleet.RunVersions(record, x.info.Model)), decodes && t.processDoubtful(now):
+		case !fits(fleet.RunVersions(record, x.info.Model)):
 			ids = append(ids, t.id)
 		case !fits(likely):
 			unlikely[decodes] = append(unlikely[decodes], t.id)
