soak: runners that start again report to the core daemons in turn

All runners that started again in place sent their first report to the same core daemon, that of the last id given out, so late reports to two of the five daemons delayed them always or never.

--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -49,6 +49,8 @@
 	entries      []*process
 	lastVersion  atomic.Int64
 	lastRunnerID atomic.Int64
+	// runnerStarts counts the starts of runners, which report to the core daemons in turn.
+	runnerStarts atomic.Int64
 	// releases counts the releases of engines, each of which brings a new software version.
 	releases atomic.Int64
 	// replacing serialises the replacements of a release.
@@ -300,7 +302,7 @@
 func (s *system) sendReports(ctx, runnerCtx context.Context, runner *proxiedRunner) {
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
-	core := int(s.lastRunnerID.Load())
+	core := int(s.runnerStarts.Add(1))
 	for runnerCtx.Err() == nil {
 		if s.delayReport(ctx, runner, core) {
 			sleep(runnerCtx, reportTimeout)
