--- a/internal/feed/stream_versions.go
+++ b/internal/feed/stream_versions.go
@@ -23,16 +23,21 @@
 	now := h.now()
 	var changed []policy.StreamVersion
 	var stored []*pb.StreamVersion
+	added := false
 	for _, m := range list {
 		v, known := h.decodeRecord(m)
 		if known && v.Versions.Service != "" {
-			// A response may state weights that no report has named.
-			h.seeVersions([]policy.RunVersions{v.Versions}, v.RecordedAt)
+			// A response may state weights that no report has named, or come from a process that
+			// has not reported.
+			added = h.seeVersions([]policy.RunVersions{v.Versions}, v.RecordedAt) || added
 		}
 		if known && h.streamVersions.Record(v, now) {
 			changed, stored = append(changed, v), append(stored, fleet.EncodeStreamVersion(v, now))
 		}
 	}
+	if added {
+		h.signalEntries()
+	}
 	if len(changed) == 0 {
 		return
 	}
@@ -86,7 +91,7 @@
 	if req.Record != nil {
 		h.mergeStreamVersions([]*pb.StreamVersion{req.Record}, req.AllHubs)
 	}
-	resp, reading := h.answer(transport.PeerFromContext(ctx), req.Id)
+	resp, reading := h.answer(transport.PeerFromContext(ctx), req)
 	if req.AllHubs && reading != leftRun {
 		h.askOtherHubs(ctx, req, resp)
 	}
@@ -94,14 +99,18 @@
 }
 
 // answer returns what the hub itself knows of a stream.
-func (h *Hub) answer(peer *pb.Hello, id string) (*pb.StreamVersionResponse, recordReading) {
+func (h *Hub) answer(peer *pb.Hello, req *pb.StreamVersionRequest) (*pb.StreamVersionResponse, recordReading) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	resp := &pb.StreamVersionResponse{}
-	v, known := h.streamVersions.Get(id, h.now())
+	v, known := h.streamVersions.Get(req.Id, h.now())
 	if !known {
 		return resp, unknownRun
 	}
+	if req.Record == nil {
+		// A record that was sent is confirmed as it is.
+		v.Versions = h.resolveProcess(v.Versions)
+	}
 	v, reading := h.readRecord(v)
 	resp.Stream = fleet.EncodeStreamVersion(v, h.now())
 	switch {
@@ -114,6 +123,17 @@
 	return resp, reading
 }
 
+// resolveProcess replaces a process that stands for a software version once the process has
+// reported: entries of earlier builds can't. Weights that no response has stated may have
+// changed before the report or since, so they are left to entries. The caller holds mu.
+func (h *Hub) resolveProcess(v policy.RunVersions) policy.RunVersions {
+	id, _, _ := fleet.ParseProcessText(v.Software)
+	if resolved, ok := fleet.ResolveProcess(v, h.table.Get(id)); ok && resolved.Weights == v.Weights {
+		return resolved
+	}
+	return v
+}
+
 const (
 	// otherHubsTimeout limits the wait for the other hubs. An entry waits for longer.
 	otherHubsTimeout = 200 * time.Millisecond
--- a/internal/forward/versions.go
+++ b/internal/forward/versions.go
@@ -173,7 +173,9 @@
 		for _, v := range fleet.AllRunVersions(r) {
 			l.seen(v, s.now())
 		}
-		l.history[r.Service].ForgetSoftware(fleet.ProcessText(r.Id, r.BornMs))
+		if r.BornMs != 0 {
+			l.history[r.Service].ForgetSoftware(fleet.ProcessText(r.Id, r.BornMs))
+		}
 		if fleet.LacksWeights(r) {
 			l.history[r.Service].SeenUnknown(s.now())
 		}
