feed: an end that is heard of before any report keeps the predecessor's report

A stream stayed refused that a process had begun before it reported, if a successor under its id ended unreported: the record of that end replaced the report by which hubs answer.

Hubs keep the replaced report as they do when a successor reports.

TestStreamsOfProcessesWhoseSuccessorEndedUnreported failed before (the process text instead of "v1").

--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -197,8 +197,12 @@
 // Leave marks an upstream process as gone after it said that it is ending.
 func (h *Hub) Leave(id string, bornMs int64) {
 	h.mu.Lock()
+	known := h.table.Get(id)
 	gone := h.table.Leave(id, bornMs, h.now())
 	if gone != nil {
+		if gone.BornMs != known.BornMs {
+			h.keepSucceeded(known)
+		}
 		// It may be the first that is heard of the process.
 		h.seeReport(gone, h.now())
 		h.enqueueUpdates([]*pb.UpstreamRecord{gone}, true)
--- a/internal/feed/late_report_test.go
+++ b/internal/feed/late_report_test.go
@@ -89,3 +89,14 @@
 	_, only := h.byService["s"].Only("", h.now(), maxObserved)
 	require.False(t, only, "%v", h.byService["s"].Versions(h.now()))
 }
+
+// Guards against a stream that nobody can take up because a successor of its process has ended
+// before its first report.
+func TestStreamsOfProcessesWhoseSuccessorEndedUnreported(t *testing.T) {
+	h := startHubs(t, 1).hubs[0]
+	h.mergeStreamVersions([]*pb.StreamVersion{{Id: "a", Service: "s", Version: fleet.ProcessText("i-1", 1)}}, true)
+	h.Report(processRecord(1, "v1"))
+	h.Leave("i-1", 2)
+	resp, _ := h.answer(nil, &pb.StreamVersionRequest{Id: "a"})
+	require.Equal(t, "v1", resp.Stream.GetVersion())
+}
