entry: responses that are recorded for a key count against the callers' memory

Cause: servePlain acquired the response quota of the process, and nothing was reserved in the account of the connection.

The account reserves the longest recorded response before the call runs, because a 503 afterwards could not promise that the call has not run.

TestRecordedResponsesCountAgainstTheMemoryForCallers failed before ("expected: 503, actual: 200") and passes; go test ./internal/entry passes.

--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -13,6 +13,7 @@
 	"unicode/utf8"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/budget"
 	"godwitward.example/godwitward/internal/request"
 	"godwitward.example/godwitward/internal/route"
 	"godwitward.example/godwitward/internal/upstream"
@@ -60,6 +61,13 @@
 			return
 		}
 		defer s.responseQuota.release(maxRecordedBodyBytes)
+		// Reserved before the call runs, because it cannot be refused after that.
+		account := budget.FromContext(r.Context())
+		if !account.Reserve(maxRecordedBodyBytes) {
+			s.fail(w, c.id, unavailable(CodeEntryFull, "the memory for callers is used up"))
+			return
+		}
+		defer account.Release(maxRecordedBodyBytes)
 	}
 	c.recordEvent("request.accepted", 0, "", "route", c.route.Name, "organisation", c.organisation, "non_repeatable", strconv.FormatBool(nonRepeatable))
 	x := newPlainCall(c, r, body, key, nonRepeatable)
