gw-entry: callers' connections are limited by the descriptors of the process

Cause: the entry made its budget without a number of descriptors, and set no soft memory limit, as gw-edge and gw-core do.

--- a/cmd/gw-entry/main.go
+++ b/cmd/gw-entry/main.go
@@ -3,7 +3,10 @@
 
 import (
 	"context"
+	"math"
 	"os"
+	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -14,7 +17,12 @@
 	"godwitward.example/godwitward/internal/settings"
 )
 
-const program = "gw-entry"
+const (
+	program = "gw-entry"
+	// goMemoryShare is the part of the process's memory that is the soft limit of the Go
+	// runtime, as that of gw-edge.
+	goMemoryShare = 0.6
+)
 
 type options struct {
 	process      settings.Process
@@ -25,6 +33,7 @@
 	controlAddrs string
 	limits       entry.Limits
 	memoryBytes  int64
+	maxFds       int
 	drainTimeout time.Duration
 }
 
@@ -37,6 +46,7 @@
 	app.Flag("debug", "Address for health checks and metrics; empty: not served.").Default("127.0.0.1:8180").StringVar(&o.cfg.Debug)
 	app.Flag("control-addrs", "Session addresses of the control members, separated by commas.").Required().StringVar(&o.controlAddrs)
 	app.Flag("memory-bytes", "Memory available to this process, bytes; the default limits for bodies and responses are derived from it.").Default("1073741824").Int64Var(&o.memoryBytes)
+	app.Flag("max-fds", "Descriptors available to this process, a part of which is for callers' connections; 0: the process's own limit.").IntVar(&o.maxFds)
 	app.Flag("max-requests", "Maximum number of requests in flight; 0: derived from the number of cores.").Int64Var(&o.limits.Requests)
 	app.Flag("max-body-bytes", "Maximum memory for request bodies, bytes; 0: derived from memory.").Int64Var(&o.limits.BodyBytes)
 	app.Flag("max-answer-bytes", "Maximum memory for buffered responses, bytes; 0: derived from memory.").Int64Var(&o.limits.ResponseBytes)
@@ -58,6 +68,9 @@
 	if o.memoryBytes < 1<<26 {
 		l.Addf("--memory-bytes", "%d is less than 64 MiB", o.memoryBytes)
 	}
+	if o.maxFds < 0 {
+		l.Addf("--max-fds", "%d is less than 0", o.maxFds)
+	}
 	if o.cfg.Upstreams != "" {
 		settings.CheckIPAddr(l, "--upstream-listen", o.cfg.Upstreams)
 	} else if o.upstreams.Enabled() {
@@ -83,6 +96,18 @@
 	return limits
 }
 
+// descriptors returns the number of descriptors that the process may use, 0 if it is not known.
+func (o *options) descriptors() int {
+	if o.maxFds > 0 {
+		return o.maxFds
+	}
+	var limit syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) != nil {
+		return 0
+	}
+	return int(min(limit.Cur, math.MaxInt32))
+}
+
 func main() {
 	settings.IgnoreSignals()
 	app := settings.NewApp(program, "Accepts callers' requests and forwards them to upstreams.")
@@ -92,7 +117,8 @@
 	logger := settings.NewLogger(os.Stderr)
 	o.cfg.Self = o.process.Hello(program)
 	o.cfg.Logger = logger
-	o.cfg.Limits, o.cfg.MemoryBytes = o.limitsWithDefaults(), o.memoryBytes
+	o.cfg.Limits, o.cfg.MemoryBytes, o.cfg.MaxDescriptors = o.limitsWithDefaults(), o.memoryBytes, o.descriptors()
+	debug.SetMemoryLimit(int64(goMemoryShare * float64(o.memoryBytes)))
 	if err := settings.LoadTLS(&o.callers, &o.cfg.CallerTLS, nil); err != nil {
 		settings.Fatal(logger, "loading callers' TLS", err)
 	}
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -50,6 +50,9 @@
 	// MemoryBytes is the memory of the process, a part of which is the budget for what is held
 	// for callers; 0 for no budget.
 	MemoryBytes int64
+	// MaxDescriptors is the number of descriptors of the process, a part of which is for
+	// callers' connections; 0 for no limit.
+	MaxDescriptors int
 	// DrainDelay is how long a draining entry still accepts requests, until the
 	// load balancer has noticed that it is not ready.
 	DrainDelay time.Duration
@@ -77,7 +80,7 @@
 // StartEntry starts an entry, which runs until Shutdown or Kill.
 func StartEntry(cfg EntryConfig) (*Entry, error) {
 	e := &Entry{base: NewBase(cfg.Self, cfg.Logger, cfg.ServerTLS, cfg.ClientTLS, nil)}
-	e.base.Memory = budget.New(cfg.MemoryBytes, 0)
+	e.base.Memory = budget.New(cfg.MemoryBytes, cfg.MaxDescriptors)
 	e.control = client.New(client.Options{
 		Addrs: cfg.ControlAddrs, Self: cfg.Self, TLS: cfg.ClientTLS,
 		Recorder: e.base.Recorder, Logger: cfg.Logger, InFlight: e.inFlight,
