transport: what peers hold on the session port is limited

A peer that had said hello could open any number of streams, each of which takes a goroutine and buffers, and could send any number of long messages without their end, each of which is held up to 64 MiB. Nothing but the memory of the process limited either.

Cause: Server limited the sessions that wait for a hello (MaxWaiting), and messages one by one, nothing over all streams.

MaxStreams and MaxMessageMemory hold for all sessions of a server together. Beyond either, the session that holds most is ended, so that the one that misbehaves gives way and the others stay. Streams are counted by yamux and not by running handlers: a stream whose handler has ended stays until its peer closes it. A core daemon and gw-entry take a quarter of their memory for each limit; gw-control and gw-scheduler state no memory and have none.

Not limited: what a stream's handler leaves unread, up to 256 KiB (yamux's window).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -134,6 +134,7 @@
 	d := &daemon{memory: budget.New(s.MemoryBytes, s.MaxDescriptors), peers: corestore.NewPeers(s.SessionAddress, session.Port(), sessionOptions), fatalErrors: make(chan error, 4), gracePeriod: s.GracePeriod, commitTime: metrics.NewDurationHistogram(), syncTime: metrics.NewDurationHistogram()}
 	serverOptions := sessionOptions
 	serverOptions.MaxWaiting = int(waitingShare * float64(s.MaxDescriptors))
+	serverOptions.LimitPeers(s.MemoryBytes)
 	serverOptions.OnSessionEnd = func(peer *pb.Hello) { d.pools.scheduler.EntrySessionEnded(peer.DaemonId) }
 	d.sessions = transport.NewServer(serverOptions)
 	d.pools = newPools(logger, func() (string, uint64, bool) { return d.store.Leader() }, newEngineFactory(s), s, d.sessions)
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -10,6 +10,7 @@
 	pb "godwitward.example/godwitward/api/godwitward/v1"
 	"godwitward.example/godwitward/internal/control"
 	"godwitward.example/godwitward/internal/route"
+	"godwitward.example/godwitward/internal/transport"
 )
 
 // ControlConfig holds the settings of a control process.
@@ -42,7 +43,7 @@
 
 // StartControl starts a control member, which runs until Close.
 func StartControl(cfg ControlConfig) (*Control, error) {
-	c := &Control{base: NewBase(cfg.Self, cfg.Logger, cfg.ServerTLS, cfg.ClientTLS, nil)}
+	c := &Control{base: NewBase(cfg.Self, cfg.Logger, cfg.ServerTLS, cfg.ClientTLS, transport.Options{})}
 	server, err := control.New(c.storeOptions(cfg))
 	if err != nil {
 		return nil, errors.Wrap(err, "starting the control store")
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -45,14 +45,13 @@
 }
 
 // NewBase returns the common part of a daemon. serverTLS and clientTLS may be
-// nil, which means no TLS. onSessionEnd is called with the peer of each session
-// that has ended; it may be nil.
-func NewBase(self *pb.Hello, logger *log.Logger, serverTLS, clientTLS *tls.Config, onSessionEnd func(*pb.Hello)) *Base {
+// nil, which means no TLS. Of sessions the limits and OnSessionEnd apply to the
+// sessions that the daemon serves.
+func NewBase(self *pb.Hello, logger *log.Logger, serverTLS, clientTLS *tls.Config, sessions transport.Options) *Base {
 	recorder := timeline.NewRecorder(timeline.NewClock(nil), self.Vm, self.Process, logger, 0)
 	b := &Base{Self: self, Logger: logger, Recorder: recorder, ClientTLS: clientTLS}
-	b.Sessions = transport.NewServer(transport.Options{
-		Self: self, TLS: serverTLS, Clock: recorder.Clock(), Logger: logger, OnSessionEnd: onSessionEnd,
-	})
+	sessions.Self, sessions.TLS, sessions.Clock, sessions.Logger = self, serverTLS, recorder.Clock(), logger
+	b.Sessions = transport.NewServer(sessions)
 	transport.HandleUnary(b.Sessions, transport.MethodEvents, b.handleEvents)
 	return b
 }
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -14,6 +14,7 @@
 	"godwitward.example/godwitward/internal/budget"
 	"godwitward.example/godwitward/internal/control/client"
 	"godwitward.example/godwitward/internal/entry"
+	"godwitward.example/godwitward/internal/transport"
 	"godwitward.example/godwitward/internal/upstream"
 )
 
@@ -79,7 +80,9 @@
 
 // StartEntry starts an entry, which runs until Shutdown or Kill.
 func StartEntry(cfg EntryConfig) (*Entry, error) {
-	e := &Entry{base: NewBase(cfg.Self, cfg.Logger, cfg.ServerTLS, cfg.ClientTLS, nil)}
+	var sessions transport.Options
+	sessions.LimitPeers(cfg.MemoryBytes)
+	e := &Entry{base: NewBase(cfg.Self, cfg.Logger, cfg.ServerTLS, cfg.ClientTLS, sessions)}
 	e.base.Memory = budget.New(cfg.MemoryBytes, cfg.MaxDescriptors)
 	e.control = client.New(client.Options{
 		Addrs: cfg.ControlAddrs, Self: cfg.Self, TLS: cfg.ClientTLS,
--- a/internal/daemon/scheduler.go
+++ b/internal/daemon/scheduler.go
@@ -11,6 +11,7 @@
 	pb "godwitward.example/godwitward/api/godwitward/v1"
 	"godwitward.example/godwitward/internal/control/client"
 	"godwitward.example/godwitward/internal/scheduler"
+	"godwitward.example/godwitward/internal/transport"
 	"godwitward.example/godwitward/internal/upstream"
 )
 
@@ -64,8 +65,8 @@
 // StartScheduler starts a scheduler, which runs until Shutdown or Kill.
 func StartScheduler(cfg SchedulerConfig) (*Scheduler, error) {
 	s := &Scheduler{cfg: cfg, competing: map[string]bool{}}
-	s.base = NewBase(cfg.Self, cfg.Logger, cfg.ServerTLS, cfg.ClientTLS, func(peer *pb.Hello) {
-		s.server.EntrySessionEnded(peer.DaemonId)
+	s.base = NewBase(cfg.Self, cfg.Logger, cfg.ServerTLS, cfg.ClientTLS, transport.Options{
+		OnSessionEnd: func(peer *pb.Hello) { s.server.EntrySessionEnded(peer.DaemonId) },
 	})
 	engineClient := newEngineClient()
 	s.server = scheduler.New(scheduler.Options{
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -65,6 +66,11 @@
 	// MaxWaiting is the number of sessions that may wait for their peer's hello: beyond it a
 	// Server closes the one that has waited longest. 0 means no limit.
 	MaxWaiting int
+	// MaxStreams is the number of streams that the peers of a Server may have open at a time,
+	// and MaxMessageMemory the number of bytes of messages that they have not sent to their
+	// end. Beyond them a Server ends the session with the most. 0 means no limit.
+	MaxStreams       int
+	MaxMessageMemory int64
 	// OnSessionEnd is called by a Server after a peer's session and its handlers
 	// have ended. It may be nil.
 	OnSessionEnd func(peer *pb.Hello)
@@ -99,6 +105,9 @@
 	// waiting holds the connections without a hello, the oldest first.
 	waiting     []net.Conn
 	connections sync.WaitGroup
+
+	// accepted counts streams, and messageBytes what the sessions' messages hold.
+	accepted, messageBytes atomic.Int64
 }
 
 // NewServer returns a server without handlers.
@@ -213,6 +222,7 @@
 		return
 	}
 	defer sess.close()
+	sess.messages = &messageMemory{server: s}
 	if !s.track(sess) {
 		return
 	}
@@ -245,10 +255,11 @@
 		if err != nil {
 			return
 		}
+		s.limitStreams()
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			s.serveStream(ctx, conn)
+			s.serveStream(ctx, sess, conn)
 		}()
 	}
 }
@@ -293,8 +304,9 @@
 	s.waiting = slices.DeleteFunc(s.waiting, func(w net.Conn) bool { return w == conn })
 }
 
-func (s *Server) serveStream(ctx context.Context, conn net.Conn) {
+func (s *Server) serveStream(ctx context.Context, sess *session, conn net.Conn) {
 	st := newStream(conn, &s.opts)
+	st.memory = sess.messages
 	defer st.Close()
 	h, err := st.readHeader()
 	if err != nil {
--- a/internal/transport/session.go
+++ b/internal/transport/session.go
@@ -19,6 +19,10 @@
 	// have been woken after that.
 	ending atomic.Bool
 	woken  chan struct{}
+	// limited is set when a Server has ended the session for its limits. messages is nil at a
+	// client.
+	limited  atomic.Bool
+	messages *messageMemory
 
 	mu      sync.Mutex
 	streams map[*sessionStream]struct{}
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -36,7 +36,9 @@
 	conn   net.Conn
 	reader *bufio.Reader
 	// limit is the size of the longest message that is received.
-	limit  uint64
+	limit uint64
+	// memory counts received messages; nil at a client.
+	memory *messageMemory
 	clock  *timeline.Clock
 	logger *log.Logger
 	// pendingHeader is the first frame header, which the server has read to
@@ -191,8 +193,11 @@
 		return nil, errors.Errorf("message of %d bytes is over the limit of %d", n, s.limit)
 	}
 	var encoded []byte
+	defer func() { s.memory.release(int64(len(encoded))) }()
 	for read := 0; ; {
-		grown := make([]byte, min(n, uint64(max(2*read, minMessageBuffer))))
+		size := min(n, uint64(max(2*read, minMessageBuffer)))
+		s.memory.reserve(int64(size) - int64(read))
+		grown := make([]byte, size)
 		copy(grown, encoded)
 		encoded = grown
 		m, err := io.ReadFull(s.reader, encoded[read:])
