entry: buffers of responses that are passed on count against the callers' memory

Callers of gw-entry that read a plain response slowly held a buffer of 32 KiB each that nothing counted: twice what their connection counts.

Cause: streamBody took its buffer outside of the account of the connection.

The account reserves it. If there is no room the response is passed on in pieces of 4 KiB, because its call has run and could not be refused any more.

TestBuffersOfResponsesCountAgainstTheMemoryForCallers failed before ("expected: true, actual: false, 34026 bytes") and passes; internal/entry passed twice with -race.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -15,6 +15,7 @@
 
 	"github.com/pkg/errors"
 
+	"godwitward.example/godwitward/internal/budget"
 	"godwitward.example/godwitward/internal/response"
 	"godwitward.example/godwitward/internal/upstream"
 )
@@ -28,7 +29,10 @@
 	headerXIdempotency      = "X-Idempotency-Key"
 	headerRequestID         = "X-Request-Id"
 	headerForwardedFor      = "X-Forwarded-For"
-	copyBufferBytes         = 32 << 10
+	// copyBufferBytes is the buffer of a response that is passed on, minCopyBufferBytes if
+	// there is no memory for it.
+	copyBufferBytes    = 32 << 10
+	minCopyBufferBytes = 4 << 10
 )
 
 // hopByHopHeaders are the headers that apply to a single connection, and Expect,
@@ -175,11 +179,18 @@
 // streamBody streams a response to the caller and flushes after each read, so that a
 // stream of the upstream is not delayed. It calls cancel when the upstream sends nothing
 // for Timeouts.UpstreamStall. started is false as long as another response may be written.
-func (s *Server) streamBody(w http.ResponseWriter, resp *http.Response, cancel func()) (started bool, callerErr, upstreamErr error) {
+// Its buffer counts against the account, unless there is no room: the call has run, so that
+// its response is passed on in smaller pieces.
+func (s *Server) streamBody(w http.ResponseWriter, account *budget.Account, resp *http.Response, cancel func()) (started bool, callerErr, upstreamErr error) {
 	rc := http.NewResponseController(w)
 	stallTimer := time.AfterFunc(s.opts.Timeouts.UpstreamStall, cancel)
 	defer stallTimer.Stop()
-	buf := make([]byte, copyBufferBytes)
+	size := minCopyBufferBytes
+	if account.Reserve(copyBufferBytes) {
+		defer account.Release(copyBufferBytes)
+		size = copyBufferBytes
+	}
+	buf := make([]byte, size)
 	for {
 		n, err := resp.Body.Read(buf)
 		if !started && (n > 0 || err == io.EOF) {
--- a/internal/entry/plain_response.go
+++ b/internal/entry/plain_response.go
@@ -8,6 +8,7 @@
 	"time"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/budget"
 	"godwitward.example/godwitward/internal/request"
 	"godwitward.example/godwitward/internal/upstream"
 )
@@ -34,7 +35,7 @@
 // outcome: a closed connection would look as if the call had not been read.
 func (x *plainCall) streamResponse(w http.ResponseWriter, up upstreamResponse) {
 	defer up.close()
-	started, callerErr, upstreamErr := x.srv.streamBody(w, up.resp, up.cancel)
+	started, callerErr, upstreamErr := x.srv.streamBody(w, budget.FromContext(x.r.Context()), up.resp, up.cancel)
 	switch {
 	case callerErr != nil:
 		x.apply(&request.CallerGone{})
@@ -80,7 +81,7 @@
 		w.Header().Set(headerReplayed, "true")
 		x.writeRecorded(w, replayed)
 	case oversized != nil:
-		if _, callerErr, upstreamErr := x.srv.streamBody(w, oversized.resp, oversized.cancel); callerErr != nil || upstreamErr != nil {
+		if _, callerErr, upstreamErr := x.srv.streamBody(w, budget.FromContext(x.r.Context()), oversized.resp, oversized.cancel); callerErr != nil || upstreamErr != nil {
 			abort(w, x.r)
 		}
 	case ledgerAnswer != nil:
