budget: one owner of all descriptors of a process

Entries had 513 and 514 open descriptors of 512 under callers that read slowly. A process without descriptors accepts nobody and reaches no upstream.

Causes: - Callers' connections were counted, but connections to upstreams, relays and sessions were not, so no limit held their sum. - A connection that was to end for a new one no longer counted, though its descriptor was open until its goroutine had run. - If its request became complete just then, it was served, as it must be, but was neither counted nor ever ended again: a caller that reads slowly kept it and its connection to an upstream. - Callers that do not read gave way for memory, never for a connection.

budget.Budget now hands out all descriptors: to callers' connections on all listeners, connections to upstreams (relayed ones and orders to engines too) and sessions. If nobody can go, a new connection is closed, and an attempt at an upstream fails before anything is sent: 503, without a mark against the upstream or its link.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -1,6 +1,6 @@
-// Package budget owns the memory and the connections that a process spends on callers. All
-// listeners of a process share one Budget: an Account for each connection holds what its
-// headers, bodies and buffered responses take. See docs/design/memory-budget.md.
+// Package budget owns the memory that a process spends on callers, and the descriptors of all
+// its connections. All listeners of a process share one Budget: an Account for each connection
+// holds what its headers, bodies and buffered responses take. See docs/design/memory-budget.md.
 package budget
 
 import (
@@ -23,7 +23,7 @@
 	callersShare = 0.25
 	// connectionsShare is the part of the descriptors for callers' connections. A request in
 	// progress takes one more for its upstream; the rest is for sessions, idle connections to
-	// upstreams and files. With 0.4, callers that do not read brought 473 of 512 into use.
+	// upstreams and files.
 	connectionsShare = 0.35
 	// ordinaryBytes is what one caller may hold while only ordinaryShare of the budget is
 	// left: the header, body and response of a usual request. A caller that holds more gets
@@ -43,14 +43,21 @@
 type Budget struct {
 	max, maxLarge int64
 	maxConns      int
-	start         time.Time
-	used          atomic.Int64
+	// descriptors is nil if there is no limit on them.
+	descriptors *descriptors
+	// closeIdle closes an idle connection to an upstream; nil for none.
+	closeIdle func() bool
+	start     time.Time
+	used      atomic.Int64
 	// refused counts requests for memory that were refused, ended the accounts and
 	// connections that were closed for others.
 	refused, ended atomic.Int64
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// accounts holds those of all connections that are open, yielding the number of those that
+	// are to end for another connection.
 	accounts map[*Account]struct{}
+	yielding int
 	// fullUntil is until when nobody can be ended, since start.
 	fullUntil time.Duration
 }
@@ -65,6 +72,7 @@
 	}
 	if descriptors > 0 {
 		b.maxConns = max(1, int(connectionsShare*float64(descriptors)))
+		b.descriptors = newDescriptors(descriptors, b.maxConns)
 	}
 	return b
 }
@@ -78,7 +86,9 @@
 		b.mu.Lock()
 		conns := len(b.accounts)
 		b.mu.Unlock()
-		return map[string]int64{"bytes": b.used.Load(), "bytes_max": b.max, "connections": int64(conns), "refused": b.refused.Load(), "ended": b.ended.Load()}
+		m := map[string]int64{"bytes": b.used.Load(), "bytes_max": b.max, "connections": int64(conns), "refused": b.refused.Load(), "ended": b.ended.Load()}
+		b.descriptors.vars(m)
+		return m
 	})
 }
 
@@ -108,15 +118,18 @@
 	stage stage
 	// since is when the stage began, or when the first byte of the request arrived.
 	since time.Duration
-	// served is set once a request was complete, ended once the account is to end.
-	served, ended bool
+	// served is set once a request was complete, ended once the account is to end, cut once its
+	// connection was closed for that.
+	served, ended, cut bool
+	// yields is set if the account is to end for another connection. The budget's mu guards it.
+	yields bool
 }
 
 // open returns an account that holds n bytes, nil if there are too many connections.
 func (b *Budget) open(n int64, end func(stage)) *Account {
 	a := &Account{budget: b, end: end, since: b.now()}
 	b.mu.Lock()
-	if len(b.accounts) >= b.maxConns && !b.shedConnection() {
+	if len(b.accounts)-b.yielding >= b.maxConns && !b.shedConnection() {
 		b.mu.Unlock()
 		b.refused.Add(1)
 		return nil
@@ -130,17 +143,19 @@
 	return a
 }
 
-// shedConnection ends a connection that waits for a request and reports whether there is one.
-// b.mu must be held.
+// shedConnection ends a connection that waits for a request, or whose caller does not read, and
+// reports whether there is one. b.mu must be held.
 func (b *Budget) shedConnection() bool {
 	var accounts []*Account
 	var waiting []policy.WaitingConnection
 	now := b.now()
 	for a := range b.accounts {
 		a.mu.Lock()
-		if a.stage <= stageHeader && !a.ended {
+		// A connection that was to end as its request became complete is served first.
+		writing := a.stage == stageWriting && !a.cut
+		if a.stage <= stageHeader && !a.ended || writing {
 			accounts = append(accounts, a)
-			waiting = append(waiting, policy.WaitingConnection{Served: a.served, Waits: now - a.since})
+			waiting = append(waiting, policy.WaitingConnection{Served: a.served, Waits: now - a.since, Writing: writing})
 		}
 		a.mu.Unlock()
 	}
@@ -149,8 +164,11 @@
 		if i < 0 {
 			return false
 		}
-		if accounts[i].shed() {
-			delete(b.accounts, accounts[i])
+		if a := accounts[i]; a.shed() || a.cutOff() {
+			if !a.yields {
+				a.yields = true
+				b.yielding++
+			}
 			return true
 		}
 		// Its request is complete by now, so that it stays and still counts.
@@ -247,10 +265,38 @@
 	a.budget.used.Add(-a.held)
 	a.budget.ended.Add(1)
 	a.held = 0
+	a.cut = a.stage == stageWriting
+	a.end(a.stage)
+	return true
+}
+
+// cutOff closes the connection of an account that is to end and whose response is being
+// written, and reports whether it does.
+func (a *Account) cutOff() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.ended || a.cut || a.stage != stageWriting {
+		return false
+	}
+	a.cut = true
 	a.end(a.stage)
 	return true
 }
 
+// endsSoon returns the number of connections that are to end and have no request in progress.
+// b.mu must be held.
+func (b *Budget) endsSoon() int {
+	n := 0
+	for a := range b.accounts {
+		a.mu.Lock()
+		if a.ended && a.stage <= stageHeader {
+			n++
+		}
+		a.mu.Unlock()
+	}
+	return n
+}
+
 // Release takes n bytes off what the account holds.
 func (a *Account) Release(n int64) {
 	if a == nil {
@@ -276,6 +322,9 @@
 // close ends the use of the account by its connection.
 func (a *Account) close() {
 	a.budget.mu.Lock()
+	if _, open := a.budget.accounts[a]; open && a.yields {
+		a.budget.yielding--
+	}
 	delete(a.budget.accounts, a)
 	a.budget.mu.Unlock()
 	a.mu.Lock()
--- a/internal/budget/conn.go
+++ b/internal/budget/conn.go
@@ -76,11 +76,13 @@
 		if err != nil {
 			return nil, err
 		}
-		conn := &Conn{Conn: c}
-		if conn.account = l.budget.open(connBytes, conn.end); conn.account != nil {
-			return conn, nil
+		conn := &Conn{Conn: c, giveBack: l.budget.takeCaller()}
+		if conn.giveBack != nil {
+			if conn.account = l.budget.open(connBytes, conn.end); conn.account != nil {
+				return conn, nil
+			}
 		}
-		_ = c.Close()
+		_ = conn.closeDescriptor()
 	}
 }
 
@@ -88,6 +90,8 @@
 type Conn struct {
 	net.Conn
 	account *Account
+	// giveBack gives the descriptor back; nil for none.
+	giveBack func()
 	// opaque is set if the bytes are not those of HTTP/1.
 	opaque bool
 	// last is what the newest bytes would take as a part of a header. It is used by the
@@ -112,7 +116,7 @@
 		if t, ok := c.Conn.(*net.TCPConn); ok {
 			_ = t.SetLinger(0)
 		}
-		_ = c.Conn.Close()
+		_ = c.closeDescriptor()
 		return
 	}
 	c.mu.Lock()
@@ -196,7 +200,15 @@
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.account.close()
-	return c.Conn.Close()
+	return c.closeDescriptor()
+}
+
+func (c *Conn) closeDescriptor() error {
+	err := c.Conn.Close()
+	if c.giveBack != nil {
+		c.giveBack()
+	}
+	return err
 }
 
 // headerArrives notes that bytes have arrived and reports whether they are those of a header.
--- a/internal/budget/conn_test.go
+++ b/internal/budget/conn_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -69,3 +70,23 @@
 		require.Equal(t, other != nil, a.Ended())
 	}
 }
+
+// Guards against a connection that nobody counts or ends any more, because its request became
+// complete after the connection was to end for another one: its caller may read slowly.
+func TestConnectionServedAfterItWasToEndGivesWay(t *testing.T) {
+	b := New(0, 3)
+	var ends []stage
+	a := b.open(connBytes, func(s stage) { ends = append(ends, s) })
+	other := b.open(connBytes, func(stage) {})
+	require.NotNil(t, other)
+	other.enter(stageServing)
+	a.enter(stageServing)
+	a.enter(stageWriting)
+	a.since -= time.Minute
+	b.mu.Lock()
+	ended := b.shedConnection()
+	b.mu.Unlock()
+	require.True(t, ended)
+	require.Equal(t, []stage{stageWaiting, stageWriting}, ends)
+	require.Nil(t, b.open(connBytes, func(stage) {}))
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -130,13 +130,14 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "session address")
 	}
-	sessionOptions := transport.Options{Self: &pb.Hello{DaemonId: s.VM, Vm: s.VM, Place: s.Place, Process: "gw-core", Build: settings.BuildVersion()}, Logger: logger}
-	d := &daemon{memory: budget.New(s.MemoryBytes, s.MaxDescriptors), peers: corestore.NewPeers(s.SessionAddress, session.Port(), sessionOptions), fatalErrors: make(chan error, 4), gracePeriod: s.GracePeriod, commitTime: metrics.NewDurationHistogram(), syncTime: metrics.NewDurationHistogram()}
+	memory := budget.New(s.MemoryBytes, s.MaxDescriptors)
+	sessionOptions := transport.Options{Dial: memory.DialSession(transport.DialTCP), Self: &pb.Hello{DaemonId: s.VM, Vm: s.VM, Place: s.Place, Process: "gw-core", Build: settings.BuildVersion()}, Logger: logger}
+	d := &daemon{memory: memory, peers: corestore.NewPeers(s.SessionAddress, session.Port(), sessionOptions), fatalErrors: make(chan error, 4), gracePeriod: s.GracePeriod, commitTime: metrics.NewDurationHistogram(), syncTime: metrics.NewDurationHistogram()}
 	serverOptions := sessionOptions
 	serverOptions.MaxWaiting = int(waitingShare * float64(s.MaxDescriptors))
 	serverOptions.OnSessionEnd = func(peer *pb.Hello) { d.pools.scheduler.EntrySessionEnded(peer.DaemonId) }
 	d.sessions = transport.NewServer(serverOptions)
-	d.pools = newPools(logger, func() (string, uint64, bool) { return d.store.Leader() }, newEngineFactory(s), s, d.sessions)
+	d.pools = newPools(logger, func() (string, uint64, bool) { return d.store.Leader() }, newEngineFactory(s, memory), s, d.sessions)
 	changed, leaderChanged := make(chan struct{}, 1), make(chan struct{}, 1)
 	d.store, err = corestore.Start(corestore.Options{
 		Dir: s.DataDir + storeDir, Address: s.SessionAddress, Bootstrap: s.Bootstrap, FaultTolerance: s.FaultTolerance,
@@ -189,9 +190,10 @@
 
 // newEngineFactory returns a function that creates the scheduler's client of an
 // engine. Each call to an engine uses a connection of its own.
-func newEngineFactory(s *platform.Settings) func(*pb.UpstreamState) scheduler.Engine {
+func newEngineFactory(s *platform.Settings, memory *budget.Budget) func(*pb.UpstreamState) scheduler.Engine {
+	dial := memory.DialUpstream(transport.DialTCP)
 	client := &http.Client{
-		Transport: &http.Transport{DisableKeepAlives: true},
+		Transport: &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) }},
 		// Another process would answer, and a GET would replace an order.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
@@ -228,7 +230,7 @@
 }
 
 func (d *daemon) listen(s *platform.Settings, logger *log.Logger) error {
-	sessions, err := net.Listen("tcp", s.SessionAddress)
+	sessions, err := d.memory.ListenSessions(s.SessionAddress)
 	if err != nil {
 		return errors.Wrap(err, "listening for sessions")
 	}
--- a/internal/core/engine_test.go
+++ b/internal/core/engine_test.go
@@ -21,7 +21,7 @@
 	mux.HandleFunc("/elsewhere", func(http.ResponseWriter, *http.Request) {})
 	server := httptest.NewServer(mux)
 	defer server.Close()
-	engine := newEngineFactory(&platform.Settings{})(&pb.UpstreamState{Url: strings.TrimPrefix(server.URL, "http://"), Id: "i-1"})
+	engine := newEngineFactory(&platform.Settings{}, nil)(&pb.UpstreamState{Url: strings.TrimPrefix(server.URL, "http://"), Id: "i-1"})
 	err := engine.Order(t.Context(), &upstream.Order{Kind: "set_role", Value: "decode"})
 	require.ErrorContains(t, err, "status 303")
 }
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -33,7 +33,7 @@
 // table.
 func (d *daemon) startRelay(s *platform.Settings, logger *log.Logger) {
 	d.relay = relay.NewServer(relay.ServerOptions{
-		Knows: d.hub.KnowsUpstream, MaxConns: maxRelayed(s), Logger: logger, Dial: forward.NewDialFunc(netip.Addr{}),
+		Knows: d.hub.KnowsUpstream, MaxConns: maxRelayed(s), Logger: logger, Dial: d.memory.DialUpstream(forward.NewDialFunc(netip.Addr{})),
 	}, d.sessions)
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -89,14 +89,15 @@
 	watchCtx, stopWatch := context.WithCancel(context.Background())
 	defer stopWatch()
 	go file.Watch(watchCtx)
-	e := &entryProcess{file: file, logger: logger, self: &pb.Hello{DaemonId: s.VM, Vm: s.VM, Place: s.Place, Process: "gw-edge", Build: settings.BuildVersion()}}
+	memory := budget.New(s.MemoryBytes, s.MaxDescriptors)
+	e := &entryProcess{file: file, logger: logger, memory: memory, self: &pb.Hello{DaemonId: s.VM, Vm: s.VM, Place: s.Place, Process: "gw-edge", Build: settings.BuildVersion()}}
 	server := e.newServer(forward.NewDialFunc(opts.SourceAddress))
+	memory.OnShortage(server.CloseIdleUpstream)
 	e.startUsage(server)
 	subscriber := e.subscribe(server, func() []string { return file.Current().SeedAddresses })
 	e.subscriber.Store(subscriber)
 	server.Vars().Set("feed_age_ms", expvar.Func(func() any { return subscriber.Age().Milliseconds() }))
 	server.Vars().Set("entries_known", expvar.Func(func() any { return subscriber.Entries() }))
-	memory := budget.New(s.MemoryBytes, s.MaxDescriptors)
 	server.Vars().Set("callers", memory.Vars())
 	metrics.Serve(s.SessionAddress, opts.MetricsPort, "forward", server.Vars(), memory, logger)
 	// The caller exits after serve, which also ends the goroutines that are still
@@ -109,6 +110,8 @@
 	file   *platform.File
 	logger *log.Logger
 	self   *pb.Hello
+	// memory has the descriptors of all connections; nil for no limit.
+	memory *budget.Budget
 	// subscriber is nil until the feed starts, which is after the server was
 	// created.
 	subscriber atomic.Pointer[feed.Subscriber]
@@ -121,23 +124,28 @@
 	server := forward.NewServer(forward.Options{
 		Protocol: platform.Headers{}, Place: s.Place, Logger: e.logger,
 		RetryLimits: e.retryLimits, Restartable: true,
-		Dial: dial,
+		Dial: e.memory.DialUpstream(dial),
 	})
 	dialer := e.newRelayDialer()
 	server.SetRelay(upstreamRelay{dialer})
 	server.Vars().Set("relay", dialer.Vars())
 	schedulerClients := entry.NewSchedulerClients(entry.SchedulerClientOptions{
-		EntryID: s.VM, SkipUpstreamList: true, Transport: transport.Options{Self: e.self, Logger: e.logger}, Lease: e.poolLease,
+		EntryID: s.VM, SkipUpstreamList: true, Transport: e.transportOptions(), Lease: e.poolLease,
 	})
 	server.SetPlacer(&placer{schedulerClients: schedulerClients, logger: e.logger}, schedulerClients.SetPools)
 	return server
 }
 
+// transportOptions are those of the sessions to other daemons.
+func (e *entryProcess) transportOptions() transport.Options {
+	return transport.Options{Self: e.self, Logger: e.logger, Dial: e.memory.DialSession(transport.DialTCP)}
+}
+
 // subscribe connects a server with the hubs of the core.
 func (e *entryProcess) subscribe(server *forward.Server, seeds func() []string) *feed.Subscriber {
 	subscriber := feed.Subscribe(feed.SubscriberOptions{
 		Seeds:       seeds,
-		Transport:   transport.Options{Self: e.self, Logger: e.logger},
+		Transport:   e.transportOptions(),
 		Logger:      e.logger,
 		OnDocument:  func(version uint64, body []byte) { applyConfig(server, e.logger, version, body) },
 		OnUpstreams: server.SetUpstreams,
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -5,7 +5,6 @@
 
 	"godwitward.example/godwitward/internal/forward"
 	"godwitward.example/godwitward/internal/relay"
-	"godwitward.example/godwitward/internal/transport"
 )
 
 // newRelayDialer returns a dialer that opens connections to upstreams through the core
@@ -13,7 +12,7 @@
 func (e *entryProcess) newRelayDialer() *relay.Dialer {
 	return relay.NewDialer(relay.DialerOptions{
 		Helpers: e.coreMembers, Place: e.self.Place,
-		Transport: transport.Options{Self: e.self, Logger: e.logger}, Logger: e.logger,
+		Transport: e.transportOptions(), Logger: e.logger,
 	})
 }
 
--- a/internal/edge/usage.go
+++ b/internal/edge/usage.go
@@ -3,7 +3,6 @@
 import (
 	"godwitward.example/godwitward/internal/feed"
 	"godwitward.example/godwitward/internal/forward"
-	"godwitward.example/godwitward/internal/transport"
 	"godwitward.example/godwitward/internal/usage"
 	"godwitward.example/godwitward/platform"
 )
@@ -13,7 +12,7 @@
 func (e *entryProcess) startUsage(server *forward.Server) *usage.Client {
 	s := e.file.Current()
 	client := usage.NewClient(usage.ClientOptions{
-		EntryID: s.VM, Core: coreOfEntry{e}, Logger: e.logger, Transport: transport.Options{Self: e.self, Logger: e.logger},
+		EntryID: s.VM, Core: coreOfEntry{e}, Logger: e.logger, Transport: e.transportOptions(),
 		Settings: usage.Settings{Bound: platform.UsageBound(s), StrictRevocation: s.StrictRevocation, RevocationTime: s.RevocationTime},
 	})
 	server.SetTenantAdmission(client)
--- a/internal/forward/links.go
+++ b/internal/forward/links.go
@@ -11,6 +11,7 @@
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 
+	"godwitward.example/godwitward/internal/budget"
 	"godwitward.example/godwitward/internal/relay"
 	"godwitward.example/godwitward/policy"
 )
@@ -162,8 +163,8 @@
 	var directErr error
 	select {
 	case r := <-direct:
-		if r.err == nil {
-			return r.c, nil
+		if r.err == nil || errors.Is(r.err, budget.ErrNoDescriptor) {
+			return r.c, r.err
 		}
 		directErr = r.err
 	case <-timer.C:
@@ -211,10 +212,15 @@
 func (l *links) judgeRace(t *target, began time.Duration, directErr error, direct <-chan openResult) {
 	result := policy.PathFailed
 	if directErr == nil {
-		if r := <-direct; r.err == nil {
+		switch r := <-direct; {
+		case r.err == nil:
 			t.putIdle(r.c)
 			result = policy.PathReached
+		case errors.Is(r.err, budget.ErrNoDescriptor):
+			result = policy.PathUnknown
 		}
+	} else if errors.Is(directErr, budget.ErrNoDescriptor) {
+		result = policy.PathUnknown
 	}
 	l.judge(t, began, result, policy.PathReached)
 }
@@ -365,7 +371,7 @@
 	defer cancel()
 	c, err := open(ctx, t)
 	switch {
-	case errors.Is(err, relay.ErrNoHelper):
+	case errors.Is(err, relay.ErrNoHelper), errors.Is(err, budget.ErrNoDescriptor):
 		return policy.PathUnknown
 	case err != nil:
 		return policy.PathFailed
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"godwitward.example/godwitward/internal/budget"
 	"godwitward.example/godwitward/internal/relay"
 )
 
@@ -61,7 +62,7 @@
 
 // pathFailed reports whether an error tells nothing about the upstream.
 func pathFailed(err error) bool {
-	return errors.Is(err, errLinkLost) || errors.Is(err, errLinkDown) || errors.Is(err, relay.ErrLost)
+	return errors.Is(err, errLinkLost) || errors.Is(err, errLinkDown) || errors.Is(err, relay.ErrLost) || errors.Is(err, budget.ErrNoDescriptor)
 }
 
 // pathReason returns the reason of an attempt whose path failed, for the log and error
@@ -72,6 +73,8 @@
 		return reasonLinkDown
 	case errors.Is(err, errLinkLost):
 		return reasonLinkLost
+	case errors.Is(err, budget.ErrNoDescriptor):
+		return reasonNoDescriptor
 	}
 	return reasonRelayLost
 }
@@ -81,6 +84,8 @@
 	reasonLinkDown  = "link_down"
 	reasonLinkLost  = "link_lost"
 	reasonRelayLost = "relay_lost"
+	// reasonNoDescriptor: the entry has no descriptor for the connection.
+	reasonNoDescriptor = "no_descriptor"
 )
 
 // reasonStreamBroke is the reason of a stream whose connection broke.
--- a/internal/forward/target.go
+++ b/internal/forward/target.go
@@ -233,6 +233,33 @@
 	}
 }
 
+// closeOneIdle closes an idle connection that has a descriptor, the one that was not used for
+// longest, and reports whether there was one.
+func (t *target) closeOneIdle() bool {
+	t.mu.Lock()
+	i := slices.IndexFunc(t.idleConns, func(c *conn) bool { return c.relayed == nil })
+	if i < 0 {
+		t.mu.Unlock()
+		return false
+	}
+	c := t.idleConns[i]
+	t.idleConns = slices.Delete(t.idleConns, i, i+1)
+	t.mu.Unlock()
+	_ = c.Close()
+	return true
+}
+
+// CloseIdleUpstream closes an idle connection to an upstream, because its descriptor is needed,
+// and reports whether there was one.
+func (s *Server) CloseIdleUpstream() bool {
+	for _, t := range s.upstreams.all() {
+		if t.closeOneIdle() {
+			return true
+		}
+	}
+	return false
+}
+
 // connect returns an idle connection, or a new one if there is none, for the one request
 // that ch pays for. A response names the request that it belongs to, not the attempt, so
 // the connection has not carried the request with the id before; id is empty for a request
--- a/internal/relay/relayed.go
+++ b/internal/relay/relayed.go
@@ -89,7 +89,7 @@
 	c.mu.Lock()
 	blocked := c.writing || c.pending.Len() > 0
 	c.mu.Unlock()
-	if tcp, ok := upstream.(*net.TCPConn); ok && blocked {
+	if tcp, ok := upstream.(socket); ok && blocked {
 		_ = tcp.SetLinger(0)
 	}
 	_ = upstream.Close()
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/budget"
 	"godwitward.example/godwitward/internal/transport"
 )
 
@@ -173,7 +174,7 @@
 	if err != nil {
 		return nil, resultOf(err)
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if tcp, ok := conn.(socket); ok {
 		// What one side does not read stays in the memory of the other one. If a size
 		// cannot be set, the system's limit applies.
 		_ = tcp.SetReadBuffer(socketBufferBytes)
@@ -182,6 +183,13 @@
 	return conn, pb.RelayResponse_OPEN
 }
 
+// socket is what the relay sets of a TCP connection.
+type socket interface {
+	SetReadBuffer(bytes int) error
+	SetWriteBuffer(bytes int) error
+	SetLinger(sec int) error
+}
+
 // resultOf tells what a failed attempt to connect says about the upstream.
 func resultOf(err error) pb.RelayResponse_Result {
 	switch {
@@ -189,7 +197,7 @@
 		return pb.RelayResponse_REFUSED
 	case errors.Is(err, syscall.ECONNRESET):
 		return pb.RelayResponse_RESET
-	case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE), errors.Is(err, syscall.ENOBUFS), errors.Is(err, syscall.EADDRNOTAVAIL):
+	case errors.Is(err, budget.ErrNoDescriptor), errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE), errors.Is(err, syscall.ENOBUFS), errors.Is(err, syscall.EADDRNOTAVAIL):
 		return pb.RelayResponse_NO_ROOM
 	}
 	return pb.RelayResponse_UNREACHABLE
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -22,6 +22,11 @@
 	redialFactor   = 2
 )
 
+// DialTCP opens a TCP connection to an address ("host:port").
+func DialTCP(ctx context.Context, address string) (net.Conn, error) {
+	return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+}
+
 // Client keeps one session to one address. It dials on first use and redials
 // after a failure, with exponential backoff. It is safe for concurrent use.
 type Client struct {
@@ -203,7 +208,7 @@
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	tcp, err := hedgedDial(ctx, hedgeInterval, func(ctx context.Context) (net.Conn, error) {
-		return (&net.Dialer{}).DialContext(ctx, "tcp", c.addr)
+		return c.opts.Dial(ctx, c.addr)
 	})
 	if err != nil {
 		return nil, nil, err
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -60,6 +60,8 @@
 	Clock *timeline.Clock
 	// Logger receives warnings about rejected sessions. It may be nil.
 	Logger *log.Logger
+	// Dial opens the TCP connections of a Client; nil for those of a net.Dialer.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// OmitLevel makes the daemon state no protocol level, as builds before levels do.
 	OmitLevel bool
 	// MaxWaiting is the number of sessions that may wait for their peer's hello: beyond it a
@@ -74,6 +76,9 @@
 	if o.Clock == nil {
 		o.Clock = timeline.NewClock(nil)
 	}
+	if o.Dial == nil {
+		o.Dial = DialTCP
+	}
 	if o.Self == nil {
 		o.Self = &pb.Hello{}
 	}
--- a/policy/memory_shedding.go
+++ b/policy/memory_shedding.go
@@ -52,21 +52,40 @@
 	return victims, true
 }
 
-// WaitingConnection is a caller's connection that waits for a request.
+// WaitingConnection is a caller's connection that waits for a request, or for its caller to
+// read.
 type WaitingConnection struct {
 	// Served is set if the connection has had a complete request.
 	Served bool
-	// Waits is the time since its last response, or since it was opened.
+	// Waits is the time since its last response, since it was opened, or since the write began
+	// that is in progress.
 	Waits time.Duration
+	// Writing is set while a response is written.
+	Writing bool
+}
+
+// rank orders the connections by what their callers lose: 0 for the least.
+func (c *WaitingConnection) rank() int {
+	switch {
+	case c.Writing:
+		return 2
+	case c.Served:
+		return 1
+	}
+	return 0
 }
 
 // ShedConnection returns the connection to close when a process has as many as it may have:
-// one that never had a request before one that has, and the one that waits longest. It
+// one that never had a request before one that has, one whose caller has not read a response
+// within the time of an ordinary one after both, and of each the one that waits longest. It
 // returns -1 if there is none.
 func ShedConnection(waiting []WaitingConnection) int {
 	worst := -1
 	for i, c := range waiting {
-		if worst < 0 || !c.Served && waiting[worst].Served || c.Served == waiting[worst].Served && c.Waits > waiting[worst].Waits {
+		if c.Writing && c.Waits < longestOrdinaryWrite {
+			continue
+		}
+		if worst < 0 || c.rank() < waiting[worst].rank() || c.rank() == waiting[worst].rank() && c.Waits > waiting[worst].Waits {
 			worst = i
 		}
 	}
--- a/policy/memory_shedding_test.go
+++ b/policy/memory_shedding_test.go
@@ -24,7 +24,12 @@
 
 // Guards against the close of a caller's kept connection while others have sent nothing yet.
 func TestConnectionsWithoutARequestAreClosedFirst(t *testing.T) {
-	require.Equal(t, 2, ShedConnection([]WaitingConnection{{true, time.Minute}, {false, time.Second}, {false, 2 * time.Second}}))
-	require.Equal(t, 0, ShedConnection([]WaitingConnection{{true, time.Minute}, {true, time.Second}}))
+	require.Equal(t, 2, ShedConnection([]WaitingConnection{{Served: true, Waits: time.Minute}, {Waits: time.Second}, {Waits: 2 * time.Second}}))
+	require.Equal(t, 0, ShedConnection([]WaitingConnection{{Served: true, Waits: time.Minute}, {Served: true, Waits: time.Second}}))
+	reads := WaitingConnection{Served: true, Writing: true, Waits: longestOrdinaryWrite / 2}
+	stalled := WaitingConnection{Served: true, Writing: true, Waits: time.Hour}
+	require.Equal(t, -1, ShedConnection([]WaitingConnection{reads}))
+	require.Equal(t, 1, ShedConnection([]WaitingConnection{reads, stalled}))
+	require.Equal(t, 1, ShedConnection([]WaitingConnection{stalled, {Served: true, Waits: time.Second}}))
 	require.Equal(t, -1, ShedConnection(nil))
 }
