forward: slow readers do not keep connections to upstreams

An entry kept the connection to an upstream until the caller had read a plain response, though the response had arrived whole: a caller that read 64 bytes each 30 ms held two descriptors for its one request, and one of the connections that the upstream accepts. The connection is given back before the response is written.

--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -243,13 +243,14 @@
 	x.status, x.outcome = res.resp.StatusCode, "answered"
 	x.copyResponseHeaders(res.resp.Header)
 	if whole {
+		// A caller that reads slowly must not keep the upstream's connection.
+		res.close(true)
 		_ = x.setWriteDeadline()
 		x.w.Header().Set("Content-Length", itoa(len(body)))
 		x.w.WriteHeader(x.status)
 		if _, err := x.w.Write(body); err != nil {
 			x.outcome = "caller_left"
 		}
-		res.close(true)
 		return
 	}
 	if n := res.resp.ContentLength; n >= 0 {
