--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/netip"
 	"runtime/debug"
@@ -130,14 +129,15 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "session address")
 	}
-	sessionOptions := transport.Options{Self: &pb.Hello{DaemonId: s.VM, Vm: s.VM, Place: s.Place, Process: "gw-core", Build: settings.BuildVersion()}, Logger: logger}
-	d := &daemon{memory: budget.New(s.MemoryBytes, s.MaxDescriptors), peers: corestore.NewPeers(s.SessionAddress, session.Port(), sessionOptions), fatalErrors: make(chan error, 4), gracePeriod: s.GracePeriod, commitTime: metrics.NewDurationHistogram(), syncTime: metrics.NewDurationHistogram()}
+	memory := budget.New(s.MemoryBytes, s.MaxDescriptors)
+	sessionOptions := transport.Options{Dial: memory.DialSession(transport.DialTCP), Self: &pb.Hello{DaemonId: s.VM, Vm: s.VM, Place: s.Place, Process: "gw-core", Build: settings.BuildVersion()}, Logger: logger}
+	d := &daemon{memory: memory, peers: corestore.NewPeers(s.SessionAddress, session.Port(), sessionOptions), fatalErrors: make(chan error, 4), gracePeriod: s.GracePeriod, commitTime: metrics.NewDurationHistogram(), syncTime: metrics.NewDurationHistogram()}
 	serverOptions := sessionOptions
 	serverOptions.MaxWaiting = int(waitingShare * float64(s.MaxDescriptors))
 	serverOptions.LimitPeers(s.MemoryBytes)
 	serverOptions.OnSessionEnd = func(peer *pb.Hello) { d.pools.scheduler.EntrySessionEnded(peer.DaemonId) }
 	d.sessions = transport.NewServer(serverOptions)
-	d.pools = newPools(logger, func() (string, uint64, bool) { return d.store.Leader() }, newEngineFactory(s), s, d.sessions)
+	d.pools = newPools(logger, func() (string, uint64, bool) { return d.store.Leader() }, newEngineFactory(s, memory), s, d.sessions)
 	changed, leaderChanged := make(chan struct{}, 1), make(chan struct{}, 1)
 	d.store, err = corestore.Start(corestore.Options{
 		Dir: s.DataDir + storeDir, Address: s.SessionAddress, Bootstrap: s.Bootstrap, FaultTolerance: s.FaultTolerance,
@@ -190,9 +190,10 @@
 
 // newEngineFactory returns a function that creates the scheduler's client of an
 // engine.
-func newEngineFactory(s *platform.Settings) func(*pb.UpstreamState) scheduler.Engine {
+func newEngineFactory(s *platform.Settings, memory *budget.Budget) func(*pb.UpstreamState) scheduler.Engine {
+	dial := memory.DialUpstream(transport.DialTCP)
 	return func(u *pb.UpstreamState) scheduler.Engine {
-		return &platform.Engine{Address: u.Url, ID: u.Id, BornMs: int64(u.Generation), Holder: s.VM}
+		return &platform.Engine{Dial: dial, Address: u.Url, ID: u.Id, BornMs: int64(u.Generation), Holder: s.VM}
 	}
 }
 
@@ -224,7 +225,7 @@
 }
 
 func (d *daemon) listen(s *platform.Settings, logger *log.Logger) error {
-	sessions, err := net.Listen("tcp", s.SessionAddress)
+	sessions, err := d.memory.ListenSessions(s.SessionAddress)
 	if err != nil {
 		return errors.Wrap(err, "listening for sessions")
 	}
