forward: a process that reports after the end of another one counts as its successor

A stream of a process that tells no start went on at the software of the process before, if the notice of that one's end arrived before the report of the next: the target had ended and was not marked as replaced.

--- a/internal/forward/process.go
+++ b/internal/forward/process.go
@@ -223,7 +223,7 @@
 // mayBeReplaced reports whether another process than that of the target's record may have sent
 // the run: it has reported since, and the connection does not tell.
 func (r *streamRun) mayBeReplaced() bool {
-	return r.res.conn.process.bornMs == 0 && r.t.replaced.Load()
+	return r.res.conn.process.bornMs == 0 && r.t.hasSuccessor()
 }
 
 // doubtRun makes the software of a stream unknown whose first run may come from a process that
--- a/internal/forward/target.go
+++ b/internal/forward/target.go
@@ -145,6 +145,13 @@
 	return t.brokeAt > 0 && now-t.brokeAt < breakMemory
 }
 
+// hasSuccessor reports whether another process has reported under the id, also after the end of
+// the target's own.
+func (t *target) hasSuccessor() bool {
+	current := t.links.upstreams.get(t.id)
+	return t.replaced.Load() || current != nil && current != t
+}
+
 // processDoubtful reports whether a stream must not go on at the target, since another process
 // may answer there than the one that has reported.
 func (t *target) processDoubtful(now time.Duration) bool {
