--- a/internal/fleet/process_text.go
+++ b/internal/fleet/process_text.go
@@ -29,6 +29,12 @@
 	return id, bornMs, found && complete && err == nil
 }
 
+// IsProcessText reports whether a software version stands for a process.
+func IsProcessText(text string) bool {
+	_, _, ok := ParseProcessText(text)
+	return ok
+}
+
 // TellsSoftware reports whether a record tells the software of one process: it is not the mere
 // end of a process that has not reported, and states a start. r may be nil.
 func TellsSoftware(r *pb.UpstreamRecord) bool {
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -276,8 +276,8 @@
 
 // readResponse reads the header of the response to the request with the given id.
 // Responses with another request id are skipped. One without an id is accepted only
-// for the first request of the connection. The connection must not have carried a request with the id before: the response
-// might be that of an earlier attempt.
+// for the first request of the connection. The connection must not have carried a
+// request with the id before: the response might be that of an earlier attempt.
 func (c *conn) readResponse(p Protocol, method, id string) (*http.Response, ResponseInfo, error) {
 	req := &http.Request{Method: method}
 	c.limit.remaining = maxResponseHeadBytes
--- a/internal/forward/event_numbers.go
+++ b/internal/forward/event_numbers.go
@@ -66,7 +66,7 @@
 // from its beginning.
 func (s *Server) newAttemptEvents(t *target, v policy.RunVersions, last string) *attemptEvents {
 	a := &attemptEvents{s: s, t: t, key: numberingKey{v.Service, v.Software}, fresh: true, begins: last == ""}
-	_, _, a.unreported = fleet.ParseProcessText(v.Software)
+	a.unreported = fleet.IsProcessText(v.Software)
 	if a.begins {
 		a.last, a.known = firstEventNumber-1, true
 		return a
--- a/internal/forward/process.go
+++ b/internal/forward/process.go
@@ -12,8 +12,8 @@
 	"godwitward.example/godwitward/policy"
 )
 
-// identifyTimeout limits the question for the start of the process on a connection. It is
-// answered at once, but a busy process takes its time for anything.
+// identifyTimeout limits the question for the start of the process on a connection. A process
+// answers it without a slot, but a busy one may take some hundred milliseconds.
 const identifyTimeout = time.Second
 
 // process is what a connection knows of the process that accepted it. A request names an id,
@@ -229,10 +229,7 @@
 // doubtRun makes the software of a stream unknown whose first run may come from a process that
 // has reported since.
 func (x *exchange) doubtRun(run *streamRun) {
-	if run.first || !run.mayBeReplaced() {
-		return
-	}
-	if _, _, unresolved := fleet.ParseProcessText(x.run.Software); unresolved {
+	if run.first || !run.mayBeReplaced() || fleet.IsProcessText(x.run.Software) {
 		return
 	}
 	v := *x.run
--- a/internal/forward/versions.go
+++ b/internal/forward/versions.go
@@ -91,7 +91,7 @@
 	}
 	// A response may state weights that no report has named, or come from a process that has not
 	// reported.
-	if _, _, unresolved := fleet.ParseProcessText(v.Versions.Software); unresolved || v.Versions.Model != "" || v.Versions.Weights != "" {
+	if fleet.IsProcessText(v.Versions.Software) || v.Versions.Model != "" || v.Versions.Weights != "" {
 		l.seen(v.Versions, s.now())
 	}
 	n := l.recorded
@@ -188,7 +188,7 @@
 	// A hub may not have got the report of a process yet that this entry has.
 	reported := map[string]bool{}
 	for _, t := range s.upstreams.all() {
-		reported[fleet.ProcessText(t.id, t.bornMs)] = true
+		reported[fleet.ProcessText(t.id, t.bornMs)] = t.bornMs != 0
 	}
 	l := &s.streamVersions
 	l.mu.Lock()
@@ -340,7 +340,7 @@
 	}
 	// The caller may name this request next, also if it is refused.
 	x.recordRun()
-	if _, _, unresolved := fleet.ParseProcessText(x.run.Software); unresolved {
+	if fleet.IsProcessText(x.run.Software) {
 		x.refuse("stream_version_unknown", x.retryAfter())
 		return false
 	}
