gw-entry: callers' connections don't count against those of announcements

After 300 callers that read long responses slowly, an ordinary caller of gw-entry got 503, "no upstream is available" (TestCrowdsAtTheEntry, slow_readers and slow_readers_of_recorded_responses).

While all callers' connections are being served none gives way, announcements are refused, and an upstream that is silent for 3 s gets no calls.

TestCallersLeaveConnectionsToAnnouncements failed before ("Should be zero, but was 1") and passed 3 times with -race.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -94,7 +94,12 @@
 // ServeHTTP listens on addr and serves h in the background. With a nil
 // tlsConfig it serves without TLS.
 func (b *Base) ServeHTTP(addr string, h http.Handler, tlsConfig *tls.Config) (*HTTPServer, error) {
-	l, err := b.Memory.Listen(addr)
+	return b.serveHTTP(addr, h, tlsConfig, b.Memory)
+}
+
+// serveHTTP is ServeHTTP with a budget other than that for callers.
+func (b *Base) serveHTTP(addr string, h http.Handler, tlsConfig *tls.Config, memory *budget.Budget) (*HTTPServer, error) {
+	l, err := memory.Listen(addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "listening for HTTP")
 	}
@@ -106,7 +111,7 @@
 	drainer := &httpdrain.Drainer{}
 	drained := drainer.Listener(l)
 	srv := &http.Server{Handler: drainer.Handler(h), ConnState: drainer.ConnState, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, TLSConfig: tlsConfig, Protocols: protocols}
-	b.Memory.Configure(srv)
+	memory.Configure(srv)
 	go func() {
 		var err error
 		if tlsConfig != nil {
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -28,6 +28,11 @@
 	// stopTimeout bounds the wait for requests that Shutdown ends: their cancels at
 	// engines and their records in the ledger.
 	stopTimeout = 3 * time.Second
+	// announcementMemoryShare and announcementDescriptorShare are the size of the budget for
+	// announcements of upstreams, as parts of the memory and descriptors for which that for
+	// callers is made.
+	announcementMemoryShare     = 0.25
+	announcementDescriptorShare = 0.5
 )
 
 // EntryConfig holds the settings of an entry process.
@@ -121,7 +126,10 @@
 	}
 	e.Addr = e.callerServer.Addr
 	if cfg.Upstreams != "" {
-		if e.announceServer, err = e.base.ServeHTTP(cfg.Upstreams, e.server.AnnounceHandler(), cfg.UpstreamTLS); err != nil {
+		// Callers must not keep upstreams from announcing themselves: those that are silent
+		// get no calls.
+		memory := budget.New(int64(announcementMemoryShare*float64(cfg.MemoryBytes)), int(announcementDescriptorShare*float64(cfg.MaxDescriptors)))
+		if e.announceServer, err = e.base.serveHTTP(cfg.Upstreams, e.server.AnnounceHandler(), cfg.UpstreamTLS, memory); err != nil {
 			return err
 		}
 	}
