budget: a preface of HTTP/2 may arrive in several reads

Callers of gw-entry over HTTP/2 whose connection preface arrived in several reads were counted as callers of HTTP/1: each frame as header bytes and lines, and a refusal was written to them in HTTP/1.

Cause: only the first read was compared with the whole preface.

The connection compares what arrives with the rest of the preface until it is whole or differs. Anything that differs stays HTTP/1 for good, so that lines which follow the begin of a preface count as before.

TestPrefaceInSeveralReadsIsThatOfHTTP2 failed before ("Should be zero, but was 848", split after 1 byte) and passes; internal/budget passed 3 times with -race. gw-control has no budget, so nothing is counted there.

--- a/internal/budget/conn.go
+++ b/internal/budget/conn.go
@@ -88,8 +88,11 @@
 type Conn struct {
 	net.Conn
 	account *Account
-	// opaque is set if the bytes are not those of HTTP/1.
-	opaque bool
+	// opaque is set if the bytes are not those of HTTP/1. prefaceBytes is how much of the
+	// preface of HTTP/2 has arrived, and http1 set once something else has.
+	opaque       bool
+	prefaceBytes int
+	http1        bool
 	// last is what the newest bytes would take as a part of a header. It is used by the
 	// server's one reader at a time.
 	last int64
@@ -157,7 +160,7 @@
 	if len(p) > readerBytes {
 		return n, err
 	}
-	if c.last == 0 && bytes.HasPrefix(p[:n], []byte(http2Preface)) {
+	if c.beginsHTTP2(p[:n]) {
 		c.opaque = true
 		return n, err
 	}
@@ -177,6 +180,22 @@
 	return n, err
 }
 
+// beginsHTTP2 reports whether the bytes complete the preface of HTTP/2, which may arrive in
+// several reads.
+func (c *Conn) beginsHTTP2(p []byte) bool {
+	if c.http1 {
+		return false
+	}
+	rest := http2Preface[c.prefaceBytes:]
+	p = p[:min(len(p), len(rest))]
+	if string(p) != rest[:len(p)] {
+		c.http1 = true
+		return false
+	}
+	c.prefaceBytes += len(p)
+	return c.prefaceBytes == len(http2Preface)
+}
+
 // refuse answers a request whose header is not complete.
 func (c *Conn) refuse() {
 	c.refused = true
