forward: a link whose new connections are reset later is found to be down

Callers of an entry that is cut off so that connections to upstreams are made and reset by their first request got broken or refused streams for the whole cut, and its engines were reported as failed to the scheduler: a connection that could be made was taken as proof of a sound link, and a stream's connection that broke before it brought anything was not looked at further. Only plain calls probed the link, by the silence that followed.

A broken connection that has brought nothing, and the check after a broken one, now probe both paths by a status check; requests that fail meanwhile wait for its verdict, for 100 ms at most, and go on over the other path.

The new form of cuts fails before: TestStreamsOfALostLinkGoOnThroughAnother- Daemon "unexpected EOF", TestStreamsOfALostLinkAreNotHeldAgainstEngines "map[decode failed:8 unreachable:32]".

--- a/internal/forward/link_recovery.go
+++ b/internal/forward/link_recovery.go
@@ -159,6 +159,18 @@
 	return true
 }
 
+// joinProbe returns a channel that is closed at the end of a probe that requests wait for, nil if
+// there was none. If first is set, the caller makes the probe and closes the channel.
+func (t *target) joinProbe(now time.Duration) (judged chan struct{}, first bool) {
+	first = t.startProbe(now)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if first {
+		t.linkState.judged = make(chan struct{})
+	}
+	return t.linkState.judged, first
+}
+
 // setLinkDown marks the link as down, by an attempt that began at a time. It reports whether
 // it was up. What failed over the link tells nothing about the health of the upstream, so
 // that is forgotten, but a process that broke its connections before may have ended. Idle
--- a/internal/forward/links.go
+++ b/internal/forward/links.go
@@ -103,8 +103,10 @@
 	// that have shown it.
 	lostUntil time.Duration
 	lostErr   error
-	// probedAt is when the last probe began; 0 if there was none.
+	// probedAt is when the last probe began; 0 if there was none. judged is closed at the end
+	// of the last one that requests wait for.
 	probedAt time.Duration
+	judged   chan struct{}
 }
 
 func newLinks(open DialFunc, logger *log.Logger) *links {
@@ -329,6 +331,33 @@
 	}()
 }
 
+// judgeUnanswered judges the link over which a connection broke that has brought nothing.
+func (l *links) judgeUnanswered(t *target, c *conn) {
+	if l.relay != nil && c.relayed == nil && c.heardAt.Load() == 0 && !t.linkDown() {
+		l.awaitVerdict(t)
+	}
+}
+
+// awaitVerdict probes both paths to a target by status checks, since a connection that can be
+// made may be reset before it brings anything. It waits for the verdict, but not long.
+func (l *links) awaitVerdict(t *target) {
+	began := l.now()
+	judged, first := t.joinProbe(began)
+	switch {
+	case first:
+		go func() {
+			defer close(judged)
+			l.probe(t, began, true)
+		}()
+	case judged == nil:
+		return
+	}
+	select {
+	case <-judged:
+	case <-time.After(relayDelay):
+	}
+}
+
 // stillSilent waits for a target from which nothing has come since a time, and reports
 // whether that is still so.
 func (l *links) stillSilent(t *target, since time.Duration) bool {
--- a/internal/forward/process.go
+++ b/internal/forward/process.go
@@ -104,7 +104,7 @@
 			}
 			if err != nil {
 				x.s.opts.Logger.Info().Str("event", "upstream.unidentified").Str("upstream", t.id).Bool("reused", asked.wasIdle).Err(err).Msg("")
-				return nil, asked.pathError(t, err)
+				return nil, x.unansweredError(t, asked, err)
 			}
 		}
 		if err = x.checkProcess(t, c); err != nil {
@@ -140,7 +140,7 @@
 		}
 		_, _ = c.Close(), beside.Close()
 		if !errors.Is(err, errNotKept) {
-			return nil, beside.pathError(t, err)
+			return nil, x.unansweredError(t, beside, err)
 		}
 		told = beside.process
 	}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -107,13 +107,13 @@
 	_ = c.SetDeadline(time.Now().Add(firstByteTimeout))
 	x.attemptSent(opts)
 	if err := c.writeRequest(x.outboundRequest(opts)); err != nil {
-		return fail(c.lostBeforeResponse(t, err))
+		return fail(x.lostBeforeResponse(t, c, err))
 	}
 	if _, err := c.rd.Peek(1); err != nil {
 		if isTimeout(err) || c.lost.Load() {
 			return fail(c.pathError(t, err))
 		}
-		return fail(c.lostBeforeResponse(t, err))
+		return fail(x.lostBeforeResponse(t, c, err))
 	}
 	watch.Stop()
 	resp, info, err := c.readResponse(x.s.opts.Protocol, x.r.Method, x.info.ID)
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -53,13 +53,22 @@
 
 // lostBeforeResponse returns the error of a connection that failed before the first byte of
 // a response: errConnLost, and that of its path if that has failed.
-func (c *conn) lostBeforeResponse(t *target, err error) error {
-	if pathErr := c.pathError(t, err); pathFailed(pathErr) {
+func (x *exchange) lostBeforeResponse(t *target, c *conn, err error) error {
+	if pathErr := x.unansweredError(t, c, err); pathFailed(pathErr) {
 		return fmt.Errorf("%w: %w", errConnLost, pathErr)
 	}
 	return errors.Wrap(errConnLost, err.Error())
 }
 
+// unansweredError returns the error of a connection that broke before a response, like
+// pathError, after a look at its link.
+func (x *exchange) unansweredError(t *target, c *conn, err error) error {
+	if connFailed(err) && !isTimeout(err) && x.ctx.Err() == nil {
+		x.s.links.judgeUnanswered(t, c)
+	}
+	return c.pathError(t, err)
+}
+
 // pathFailed reports whether an error tells nothing about the upstream.
 func pathFailed(err error) bool {
 	return errors.Is(err, errLinkLost) || errors.Is(err, errLinkDown) || errors.Is(err, relay.ErrLost) || errors.Is(err, budget.ErrNoDescriptor)
@@ -185,7 +194,7 @@
 	}
 }
 
-// verify opens a connection to a target after a failure. It reports whether the failure may
+// verify reaches a target after a failure. It reports whether the failure may
 // be held against the upstream.
 func (l *links) verify(t *target) bool {
 	if l.relay == nil {
@@ -204,5 +213,9 @@
 		return true
 	}
 	t.putIdle(c)
-	return c.relayed == nil
+	if c.relayed != nil {
+		return false
+	}
+	l.awaitVerdict(t)
+	return !t.linkDown()
 }
