--- a/internal/soak/runner_process.go
+++ b/internal/soak/runner_process.go
@@ -88,7 +88,7 @@
 		}
 		switch e.Kind {
 		case standin.RequestArrived:
-			s.check.requestArrived(e.Run)
+			s.runnerGotRequest(e.Run)
 		case standin.RequestStarted:
 			s.check.requestRan(e.Run)
 			p.mu.Lock()
--- a/internal/soak/upgrade_run.go
+++ b/internal/soak/upgrade_run.go
@@ -161,13 +161,15 @@
 	return strings.Join(builds, ", ")
 }
 
-// noteEntry records which build served a request, and those of the core meanwhile.
+// noteEntry records the entry to which a request is sent and, in an upgrade, its build and
+// those of the core.
 func (s *system) noteEntry(id, entryAddress string) {
-	if s.opts.Upgrade == nil {
-		return
-	}
-	for _, p := range s.entries {
-		if fmt.Sprintf("%s:%d", p.node.IP, p.node.CallerPort) == entryAddress {
+	for i, p := range s.entries {
+		if fmt.Sprintf("%s:%d", p.node.IP, p.node.CallerPort) != entryAddress {
+			continue
+		}
+		s.pauseCheck.sent(id, i)
+		if s.opts.Upgrade != nil {
 			build := p.currentBuild()
 			s.check.servedBy(id, server{
 				build: build, description: fmt.Sprintf("%s (%s; core %s)", p.node.Name, build, s.coreBuilds()),
