--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -29,7 +29,7 @@
 		defer s.check.faultEnded()
 	}
 	defer s.cutCheck.disturbed(f, len(s.entries))()
-	defer s.pauseCheck.interrupted(f, len(s.entries))()
+	defer s.statementCheck.interrupted(f, len(s.entries))()
 	entry := s.entries[f.target%len(s.entries)]
 	core := s.cores[f.target%len(s.cores)]
 	switch f.kind {
@@ -207,9 +207,8 @@
 		s.delayReports(ctx, f)
 	case preemptStreams, changeRole:
 		s.injectEngineFault(ctx, f)
-	case askPause:
-		runner.AskPause(f.duration)
-		sleep(ctx, f.duration)
+	case askPause, stateLimit:
+		injectStatement(runner, f, func(d time.Duration) { sleep(ctx, d) })
 	case strayEvents:
 		runner.SetStartsAnew(true)
 		sleep(ctx, f.duration)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -181,7 +181,7 @@
 		return []int{answersLock + i}
 	}
 	switch f.kind {
-	case cutEntryHang, cutEntryReset, cutEntryRefuse, restartUnreported, restartTwice, staleReports:
+	case cutEntryHang, cutEntryReset, cutEntryRefuse, restartUnreported, restartTwice, staleReports, askPause, stateLimit:
 		return nil
 	case lateReports:
 		return []int{lateReportsLock}
--- a/internal/soak/runner_process.go
+++ b/internal/soak/runner_process.go
@@ -88,7 +88,7 @@
 		}
 		switch e.Kind {
 		case standin.RequestArrived:
-			s.runnerGotRequest(e.Run)
+			s.requestArrived(e.Run)
 		case standin.RequestStarted:
 			s.check.requestRan(e.Run)
 			p.mu.Lock()
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -85,8 +85,8 @@
 	// uncuttable holds the builds whose entries can't be cut off.
 	uncuttable map[Build]bool
 
-	cutCheck   cutCheck
-	pauseCheck pauseCheck
+	cutCheck       cutCheck
+	statementCheck statementCheck
 }
 
 // ports are the TCP ports of a run. All processes use the same ports, each on its
@@ -278,7 +278,7 @@
 	e := st.engine
 	r := &standin.Runner{
 		ID: st.id, Version: st.version, Service: e.service, Stage: e.stage, ServiceTime: e.interval, Events: streamEvents, StartMs: st.startMs,
-		OnStart: s.check.requestRan, OnArrival: s.runnerGotRequest, OnOtherCache: s.check.otherCacheUsed,
+		OnStart: s.check.requestRan, OnArrival: s.requestArrived, OnOtherCache: s.check.otherCacheUsed,
 	}
 	r.SetWeights(e.weights)
 	runCtx, stop := context.WithCancel(ctx)
--- a/internal/soak/upgrade_run.go
+++ b/internal/soak/upgrade_run.go
@@ -168,7 +168,7 @@
 		if fmt.Sprintf("%s:%d", p.node.IP, p.node.CallerPort) != entryAddress {
 			continue
 		}
-		s.pauseCheck.sent(id, i)
+		s.statementCheck.sent(id, i)
 		if s.opts.Upgrade != nil {
 			build := p.currentBuild()
 			s.check.servedBy(id, server{
