forward: risk a request's run for a prefill call only while calls are accepted

Callers got 503, repeat_budget_after_upstream_full, about one in 2 s, while prefill engines rejected calls and the retry budget was spent. A prefill call that the budget cannot pay for is backed by the request's free run, unless an engine has rejected one within 2 s. Every 2 s one was risked again, rejected, and its request had no run left.

The run cannot stay free after such a rejection: the rejected call has arrived, so the run is an arrival beyond the first, for which the budget has no room. Instead the call is not made, and the decode engine prefills the prompt: a rejection counts for the window of the budget, after which the budget has room for it again, or until 20 calls in a row were accepted, which the budget or the scheduler paid for. Calls that can be paid for are made as before.

--- a/internal/forward/charge.go
+++ b/internal/forward/charge.go
@@ -1,9 +1,6 @@
 package forward
 
-import (
-	"strings"
-	"time"
-)
+import "strings"
 
 // payer tells what a request to an upstream is charged to.
 type payer uint8
@@ -87,7 +84,7 @@
 	if c, ok := x.chargeEntry(); ok {
 		return c, true
 	}
-	if x.freeUsed || x.prefilled || x.s.prefillsRejected(x.service.Name) {
+	if x.freeUsed || x.prefilled || x.s.prefillAtRisk(x.service.Name) {
 		return charge{}, false
 	}
 	x.freeUsed = true
@@ -144,21 +141,25 @@
 	x.s.vars.payers.Add(payerNames[p], 1)
 }
 
-// prefillRejectionMemory is how long a rejected prefill call is held against the next
-// ones.
-const prefillRejectionMemory = 2 * time.Second
-
-func (s *Server) recordPrefillRejection(service string) {
+// recordPrefillAnswer records whether an engine of the service has accepted a prefill call.
+func (s *Server) recordPrefillAnswer(service string, accepted bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.prefillRejectedAt[service] = s.now()
+	r := s.prefillRisks[service]
+	if accepted {
+		r.Accepted()
+	} else {
+		r.Rejected(s.now())
+	}
+	s.prefillRisks[service] = r
 }
 
-// prefillsRejected reports whether an engine of the service has rejected a prefill call of
-// this entry recently.
-func (s *Server) prefillsRejected(service string) bool {
+// prefillAtRisk reports whether engines of the service may reject the next prefill call of
+// this entry.
+func (s *Server) prefillAtRisk(service string) bool {
+	window := s.opts.RetryLimits().RetryWindow
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	at, known := s.prefillRejectedAt[service]
-	return known && s.now()-at < prefillRejectionMemory
+	r := s.prefillRisks[service]
+	return r.MayReject(window, s.now())
 }
--- a/policy/prefill_rejections.go
+++ b/policy/prefill_rejections.go
@@ -55,3 +55,40 @@
 func (r *PrefillRejections) backoff() time.Duration {
 	return min(firstRejectionBackoff<<min(r.count, maxBackoffDoublings), maxRejectionBackoff)
 }
+
+const (
+	// minRejectionMemory is the least time for which a rejected prefill call is remembered.
+	minRejectionMemory = 2 * time.Second
+	// soundPrefillRun is the number of accepted calls after which a rejected one is
+	// forgotten. One of about twenty calls that is rejected is paid for by what the retry
+	// budget gains.
+	soundPrefillRun = 20
+)
+
+// PrefillRisk tells one daemon whether the prefill engines of a service may reject its next
+// call. A call that the retry budget cannot pay for costs the request its run if it is
+// rejected, so it is made only while calls are accepted.
+type PrefillRisk struct {
+	known      bool
+	rejectedAt time.Duration
+	// accepted is the number of calls accepted since.
+	accepted int
+}
+
+// Rejected records a rejected call.
+func (r *PrefillRisk) Rejected(now time.Duration) {
+	*r = PrefillRisk{known: true, rejectedAt: now}
+}
+
+// Accepted records an accepted call.
+func (r *PrefillRisk) Accepted() {
+	if r.accepted++; r.accepted >= soundPrefillRun {
+		*r = PrefillRisk{}
+	}
+}
+
+// MayReject reports whether the next call may be rejected. window is that of the retry
+// budget: after it the budget has room for rejections again, unless other retries use it.
+func (r *PrefillRisk) MayReject(window, now time.Duration) bool {
+	return r.known && now-r.rejectedAt < max(window, minRejectionMemory)
+}
