policy: grants in lost answers are taken out of the step in which they were recorded

After lost answers a tenant could get more in a window than the rate over it and the depth of the bucket: TestGrantorKeepsRateAndDepth failed at the commit before with "198050 ran from 1.25s to 9.25s, at most 197680 may in a window" (go test ./policy -run Grant -rapid.checks=20000). Grants of an answer that was lost were taken out of the step of the next report. When the step of the grant left the window, the one with the reduced use stayed, and what others had used in it could be granted again.

A pending grant now keeps its time, and is taken out of its own step.

TestLostGrantsLeaveTheWindowTogether failed before: "202670.5" is not less than or equal to "197680".

--- a/policy/tenant_grantor.go
+++ b/policy/tenant_grantor.go
@@ -163,6 +163,7 @@
 type pendingGrant struct {
 	sequence uint64
 	tokens   float64
+	at       time.Duration
 }
 
 // Begin makes the grantor that of a term. It knows nothing of earlier use.
@@ -319,7 +320,8 @@
 	for _, p := range s.pending {
 		if p.sequence > applied {
 			t.add(p.tokens)
-			t.used.add(-p.tokens, 0, now)
+			// In the step of the grant: a later one would stay in the window without it.
+			t.used.add(-p.tokens, int(usageSlot(now)-usageSlot(p.at)), now)
 		}
 	}
 	s.pending = s.pending[:0]
--- a/policy/tenant_grants.go
+++ b/policy/tenant_grants.go
@@ -26,7 +26,7 @@
 		t.add(-n)
 	}
 	if granted > 0 {
-		s.pending = append(s.pending, pendingGrant{r.Sequence, deducted})
+		s.pending = append(s.pending, pendingGrant{r.Sequence, deducted, now})
 		t.used.add(deducted, 0, now)
 		t.shared += deducted
 	}
--- a/policy/tenant_usage_test.go
+++ b/policy/tenant_usage_test.go
@@ -161,6 +161,21 @@
 	require.LessOrEqual(t, most, (8*limit.PerSecond+bound.depth(limit))*(1+1e-9), "from %v on", from)
 }
 
+// Guards against grants in lost answers that reduce the recorded use after they have left the
+// window themselves, so that the tenant gets as much again.
+func TestLostGrantsLeaveTheWindowTogether(t *testing.T) {
+	bound, limit := UsageBound{Window: 8 * time.Second, Over: 0.1, Slack: 73000}, TenantLimit{PerSecond: 18000, Burst: 18000}
+	a := newGrantedRuns(bound, limit)
+	a.ask("other", 40000, true, 10200*time.Millisecond)
+	a.ask("e", 13000, false, 10260*time.Millisecond)
+	a.ask("other", 0, false, 10270*time.Millisecond)
+	for now := 10280 * time.Millisecond; now <= 20*time.Second; now += 10 * time.Millisecond {
+		a.ask("e", bound.depth(limit), false, now)
+	}
+	most, from := mostUsedIn(a.runs, bound.Window)
+	require.LessOrEqual(t, most, (8*limit.PerSecond+bound.depth(limit))*(1+1e-9), "from %v on", from)
+}
+
 // Guards against a new process whose reports are taken for those of an earlier one, because
 // the wall clock was stepped back before it started.
 func TestRestartAfterAClockStepIsServed(t *testing.T) {
