usage: a small request behind a refused larger one is not refused with it

While a tenant was near its cap, an entry refused all requests that it had asked for in one report behind the first one that the grantor did not cover: plain calls of a few tokens got 429 with the time to return of a stream of thousands, though the cap had room for them, and even where the share that the entry holds covered them. The grantor decides about the first request of a report only (TenantGrantor.cover).

Requests smaller than the refused one now use what the entry holds, or are asked for again, the smallest first: if that one is refused, the call decides about all others as well, so that there is one call more at the most. A request that is asked for twice counts twice in the backlog by which later refusals are spaced.

TestSmallRequestBehindARefusedOne failed before: all three requests had the verdict overLimit.

--- a/internal/usage/entry_usage.go
+++ b/internal/usage/entry_usage.go
@@ -1,6 +1,7 @@
 package usage
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -281,7 +282,7 @@
 	refused := 0
 	for _, t := range a.waiting {
 		switch {
-		case len(left) == 0 && refused == 0 && a.balance.Take(t.cost, now):
+		case len(left) == 0 && a.balance.Take(t.cost, now):
 			t.admit(now)
 		case t.sequence == 0 || t.sequence > sequence:
 			left = append(left, t)
@@ -291,6 +292,10 @@
 			// Another request has used what was granted for this one.
 			t.sequence = 0
 			left = append(left, t)
+		case refused > 0 && t.cost < a.refusedCost:
+			// The grantor has decided about the larger request only.
+			t.sequence = 0
+			left = append(left, t)
 		default:
 			if refused == 0 {
 				a.refusedCost, a.returnAt = t.cost, now+g.RetryAfter
@@ -302,6 +307,11 @@
 			t.refuse(overLimit, a.returnAt-now)
 		}
 	}
+	if refused > 0 {
+		// What the smallest does not get, the others do not get either: one more call decides
+		// about all of them.
+		slices.SortStableFunc(left, func(a, b *ticket) int { return cmp.Compare(a.cost, b.cost) })
+	}
 	a.waiting = left
 }
 
--- a/internal/usage/limits_test.go
+++ b/internal/usage/limits_test.go
@@ -88,3 +88,26 @@
 	require.Len(t, restated.Tenants[0].Recent, 13)
 	require.Empty(t, b.report(3, 20*time.Second).Tenants)
 }
+
+// Guards against small requests that are refused because a larger one for which there is no
+// room came before them in the same report.
+func TestSmallRequestBehindARefusedOne(t *testing.T) {
+	b := newTestUsage(1)
+	apply := func(g policy.TenantGrant) *policy.UsageReport {
+		r := b.report(0, time.Second)
+		g.Name = "a"
+		b.apply(r, time.Second, &answer{term: 1, grants: []policy.TenantGrant{g}}, time.Second)
+		return r
+	}
+	large, middle, small := b.ask("a", 900, time.Second), b.ask("a", 300, time.Second), b.ask("a", 100, time.Second)
+	apply(policy.TenantGrant{RetryAfter: 5 * time.Second})
+	require.Equal(t, []verdict{overLimit, waiting, waiting}, []verdict{large.verdict, middle.verdict, small.verdict})
+	require.True(t, b.asks(), "a call for them is due")
+	second := apply(policy.TenantGrant{Granted: 100, RetryAfter: time.Second})
+	require.Equal(t, []float64{100, 400}, []float64{second.Tenants[0].AskedFirst, second.Tenants[0].Asked})
+	require.Equal(t, []verdict{overLimit, admitted}, []verdict{middle.verdict, small.verdict})
+
+	large, small = b.ask("a", 290, time.Second), b.ask("a", 50, time.Second)
+	apply(policy.TenantGrant{Granted: 60, RetryAfter: time.Second})
+	require.Equal(t, []verdict{overLimit, admitted}, []verdict{large.verdict, small.verdict}, "what the entry holds covers it")
+}
