forward: the key of a request tells the end of its body from the beginning of its tenant's name

The key by which a request that crashes upstreams is recognised joined the body and the tenant's name without a length, so that body "ab" of tenant "c" had the key of body "a" of tenant "bc", and of body "abc" without a tenant: one tenant could get the requests of another one refused (request_quarantined), where the credentials are not in Authorization.

The tenant now comes first, behind a length that no service name has, so that keys without a tenant stay those of earlier builds. Hubs compare keys only, and no key is stored.

The key of a request without a tenant in it is that of the code before.

--- a/internal/forward/request_key.go
+++ b/internal/forward/request_key.go
@@ -4,23 +4,29 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"io"
+	"math"
 )
 
 // requestKey returns a key for the content of a request, which is the same at every
-// entry: its service, method, host, path with query, credentials and body. A caller that
-// sends a request again gives it another id, and may have another address.
+// entry: its tenant, service, method, host, path with query, credentials and body. A caller
+// that sends a request again gives it another id, and may have another address.
 func (x *exchange) requestKey() uint64 {
 	h := sha256.New()
-	var length [8]byte
-	for _, field := range []string{x.service.Name, x.r.Method, x.r.Host, x.r.RequestURI, x.r.Header.Get("Authorization")} {
-		binary.LittleEndian.PutUint64(length[:], uint64(len(field)))
+	writeField := func(field string) {
 		// Writes to a hash do not fail.
-		_, _ = h.Write(length[:])
+		_ = binary.Write(h, binary.LittleEndian, uint64(len(field)))
 		_, _ = io.WriteString(h, field)
 	}
+	// Without a tenant the key is that of builds that know none. No service name has the
+	// length by which a tenant is recognised.
+	if tenant := x.tenantName(); tenant != "" {
+		_ = binary.Write(h, binary.LittleEndian, uint64(math.MaxUint64))
+		writeField(tenant)
+	}
+	for _, field := range []string{x.service.Name, x.r.Method, x.r.Host, x.r.RequestURI, x.r.Header.Get("Authorization")} {
+		writeField(field)
+	}
 	_, _ = h.Write(x.body)
-	// Without a tenant the key is that of builds that know none.
-	_, _ = io.WriteString(h, x.tenantName())
 	return binary.LittleEndian.Uint64(h.Sum(nil))
 }
 
