policy, usage: what was used without a grantor is paid back in the same time after a lowered limit

A tenant whose limit was lowered while entries had used it without a grantor was refused for minutes: the entries stated their debts, and to a new leader their recent use, in tokens of the earlier limit, and the grantor let the new rate pay them back (161,000 tokens at 1,000 a second). The grantor scaled its own debt by the ratio of the rates, entries only shares, by that of the bursts.

Entries now scale debts and the recorded steps by the ratio of the rates. A charge that is given back after that is scaled too: its request was charged under the earlier limit, and would leave a share above the new one (also before this change).

TestUseWithoutAGrantorDoesNotOutlastALoweredLimit failed before: "Max difference between 1610 and 161000 allowed is 1", and with debts scaled alone, for a new leader, "expected: 500 actual: 0" one window later. TestRequestGivenBackAfterALoweredLimit fails without the scaling of charges: the balance is 900 of a limit of 10.

--- a/internal/usage/entry_usage.go
+++ b/internal/usage/entry_usage.go
@@ -61,6 +61,8 @@
 	verdict    verdict
 	retryAfter time.Duration
 	chargedAt  time.Duration
+	// limit is the one under which it was charged.
+	limit policy.TenantLimit
 	// sequence is that of the report that asks for the request, 0 before it.
 	sequence uint64
 	// decided is closed with the verdict; nil if it was known at once.
@@ -129,7 +131,7 @@
 }
 
 func (t *ticket) admit(now time.Duration) {
-	t.chargedAt = now
+	t.chargedAt, t.limit = now, t.account.balance.Limit()
 	t.decide(admitted)
 }
 
@@ -178,7 +180,7 @@
 // giveBack undoes the charge of an admitted request that did not run.
 func (b *entryUsage) giveBack(t *ticket, now time.Duration) {
 	if t.cost > 0 {
-		t.account.balance.GiveBack(t.cost, t.chargedAt, now)
+		t.account.balance.GiveBack(t.cost, t.limit, t.chargedAt, now)
 	}
 }
 
--- a/internal/usage/limits_test.go
+++ b/internal/usage/limits_test.go
@@ -111,3 +111,16 @@
 	apply(policy.TenantGrant{Granted: 60, RetryAfter: time.Second})
 	require.Equal(t, []verdict{overLimit, admitted}, []verdict{large.verdict, small.verdict}, "what the entry holds covers it")
 }
+
+// Guards against a share above a lowered limit, from requests that were charged under the
+// earlier limit and did not run.
+func TestRequestGivenBackAfterALoweredLimit(t *testing.T) {
+	b := newTestUsage(1)
+	t1 := b.ask("a", 900, time.Second)
+	r := b.report(0, time.Second)
+	b.apply(r, time.Second, &answer{term: 1, grants: []policy.TenantGrant{{Name: "a", Granted: 900}}}, time.Second)
+	require.Equal(t, admitted, t1.verdict)
+	b.setLimits(map[string]policy.TenantLimit{"a": {PerSecond: 10, Burst: 10}}, time.Second)
+	b.giveBack(t1, 2*time.Second)
+	require.InDelta(t, 9, t1.account.balance.Balance(), 1e-6)
+}
--- a/policy/tenant_balance.go
+++ b/policy/tenant_balance.go
@@ -60,7 +60,8 @@
 	return &TenantBalance{bound: bound, limit: limit}
 }
 
-// SetLimit changes the limit. Shares shrink with it at once, and do not grow.
+// SetLimit changes the limit. Shares shrink with it at once, and do not grow. What was used
+// above a lowered limit is paid back in the same time as above the earlier one.
 func (b *TenantBalance) SetLimit(limit TenantLimit) {
 	if limit == b.limit {
 		return
@@ -69,6 +70,13 @@
 		b.balance *= limit.burst() / before
 		b.low, b.previousLow = min(b.low, b.balance), min(b.previousLow, b.balance)
 	}
+	if limit.PerSecond < b.limit.PerSecond {
+		ratio := limit.PerSecond / b.limit.PerSecond
+		b.steps.scale(ratio)
+		if b.balance < 0 {
+			b.balance *= ratio
+		}
+	}
 	if b.limit.PerSecond > 0 {
 		b.terms.PerSecond *= limit.PerSecond / b.limit.PerSecond
 	}
@@ -95,8 +103,13 @@
 	b.meanCost += (cost - b.meanCost) / 8
 }
 
-// GiveBack undoes a charge that was made at a time.
-func (b *TenantBalance) GiveBack(cost float64, at, now time.Duration) {
+// Limit returns the limit, to be kept with a charge for GiveBack.
+func (b *TenantBalance) Limit() TenantLimit { return b.limit }
+
+// GiveBack undoes a charge that was made at a time under a limit. After the limit was lowered
+// it gives back the part that shares and debts have shrunk to.
+func (b *TenantBalance) GiveBack(cost float64, limit TenantLimit, at, now time.Duration) {
+	cost *= min(1, b.limit.PerSecond/limit.PerSecond, b.limit.burst()/limit.burst())
 	b.balance += cost
 	b.steps.add(-cost, int(usageSlot(now)-usageSlot(at)), now)
 	b.mean = max(0, b.mean-cost/meanPeriod.Seconds())
--- a/policy/tenant_limits_test.go
+++ b/policy/tenant_limits_test.go
@@ -96,3 +96,49 @@
 	require.Zero(t, serve(900, 0, 2*time.Second))
 	require.Equal(t, 300.0, serve(900, 300, 9*time.Second), "one window later")
 }
+
+// Guards against a tenant that is refused for minutes after its limit was lowered, because
+// what an entry had used without a grantor is charged to the new limit in full: as the debt of
+// the entry, and to a new leader also as its recent use.
+func TestUseWithoutAGrantorDoesNotOutlastALoweredLimit(t *testing.T) {
+	bound := UsageBound{Window: 8 * time.Second, Over: 0.1}
+	high, low := TenantLimit{PerSecond: 100000, Burst: 100000}, TenantLimit{PerSecond: 1000, Burst: 1000}
+	for name, newLeader := range map[string]bool{"same leader": false, "new leader": true} {
+		t.Run(name, func(t *testing.T) {
+			g := &TenantGrantor{Bound: bound}
+			g.SetLimits(map[string]TenantLimit{"a": high}, 0)
+			g.Begin(1, 0)
+			b := NewTenantBalance(bound, high)
+			sequence, term := uint64(0), uint64(0)
+			serve := func(asked float64, now time.Duration) float64 {
+				sequence++
+				use := b.Report(now)
+				use.Name, use.Asked, use.AskedFirst = "a", asked, asked
+				if term == 0 {
+					use.Recent = b.Recent(now)
+				}
+				grants, _, _ := g.Serve(&UsageReport{Entry: "e", Sequence: sequence, Applied: sequence - 1, Term: term, Entries: 1, Tenants: []TenantUse{use}}, now)
+				b.Granted(grants[0].Granted, now)
+				b.Contact(grants[0].Standby, now)
+				term = g.Term()
+				return grants[0].Granted
+			}
+			serve(0, time.Second)
+			for _, cost := range []float64{80000, 81000} {
+				ok, _ := b.TakeStandby(cost, 1, 0, 1300*time.Millisecond)
+				require.True(t, ok)
+			}
+			g.SetLimits(map[string]TenantLimit{"a": low}, 2*time.Second)
+			b.SetLimit(low)
+			if newLeader {
+				term = 0
+				g.Begin(2, 2*time.Second)
+			}
+			require.InDelta(t, 1610, serve(0, 2*time.Second), 1, "the debt is cleared")
+			for now := 2500 * time.Millisecond; now < 10*time.Second; now += 500 * time.Millisecond {
+				serve(0, now)
+			}
+			require.Equal(t, 500.0, serve(500, 10*time.Second), "one window later")
+		})
+	}
+}
--- a/policy/usage_steps.go
+++ b/policy/usage_steps.go
@@ -36,6 +36,13 @@
 	s.used = max(0, s.used+n)
 }
 
+// scale multiplies the use of all steps.
+func (r *usageRing) scale(ratio float64) {
+	for i := range r {
+		r[i].used *= ratio
+	}
+}
+
 // at returns the use of the step that lies age steps before the one of now.
 func (r *usageRing) at(age int, now time.Duration) float64 {
 	slot := usageSlot(now) - int64(age)
