policy: the history of versions stays bounded where nobody reads it

Entries record the versions of every reported process, and a text for each process that has not reported, by service. Only a stream that names no version reads the history, and only reading removed what is older than a stream may last, so at services without such streams it grew with each start and release for as long as the entry ran.

A version that is new to the history now removes what has expired.

TestVersionHistoryIsBoundedWithoutReaders failed before: "1000" is not less than or equal to "62".

--- a/policy/stream_versions.go
+++ b/policy/stream_versions.go
@@ -116,6 +116,10 @@
 		h.seenAt = map[RunVersions]time.Duration{}
 	}
 	known, ok := h.seenAt[v]
+	if !ok {
+		// Where versions are only recorded, nothing else removes them.
+		h.Versions(at)
+	}
 	if !ok || at > known+seenTolerance {
 		h.seenAt[v] = at
 	}
--- a/policy/stream_versions_test.go
+++ b/policy/stream_versions_test.go
@@ -52,6 +52,18 @@
 	require.Equal(t, "v2", version.Software)
 }
 
+// Guards against a history that grows for as long as a process runs, because nobody asks for
+// the versions of a service.
+func TestVersionHistoryIsBoundedWithoutReaders(t *testing.T) {
+	var h VersionHistory
+	for i := range 1000 {
+		h.Seen(RunVersions{Software: fmt.Sprint("v", i)}, time.Duration(i)*time.Second)
+	}
+	require.LessOrEqual(t, len(h.seenAt), int((streamVersionTTL+seenTolerance)/time.Second)+1)
+	h.Seen(RunVersions{Software: "late"}, 900*time.Second)
+	require.Contains(t, h.seenAt, RunVersions{Software: "v999"})
+}
+
 // Guards against weights of another model, or those of an upstream that does not report
 // them, that are taken for the only ones.
 func TestOnlyVersionsAreThoseOfTheModel(t *testing.T) {
