usage: tests of steps of the wall clock for the confirmation of keys

Nothing tested that a confirmation ends by the boot-time clock alone, nor that an entry which starts again after a step of the wall clock gets its keys confirmed: its process states an earlier start than the one before. No fault was found. TestKeysAreConfirmedAfterAStepOfTheWallClock fails if the grantor takes an earlier start for a late report for good (after a step by -1h0m0s), TestConfirmationsFollowTheBootTimeClockAlone if the wall clock is added to the time of the check.

--- a/internal/usage/client_test.go
+++ b/internal/usage/client_test.go
@@ -156,6 +156,46 @@
 	eventually(t, confirmed(c, 2))
 }
 
+// Guards against confirmations that are measured with a clock that is stepped: only the
+// boot-time clock, which stands still here, ends them.
+func TestConfirmationsFollowTheBootTimeClockAlone(t *testing.T) {
+	address, _, _, server := startLeader(t)
+	var now atomic.Int64
+	now.Store(int64(time.Minute))
+	c := startClient(t, &fakeCore{leader: address}, ClientOptions{Settings: Settings{RevocationTime: 200 * time.Millisecond}, Now: func() time.Duration { return time.Duration(now.Load()) }})
+	eventually(t, confirmed(c, 1))
+	server.Close()
+	time.Sleep(300 * time.Millisecond)
+	require.True(t, confirmed(c, 1)(), "120 ms have not passed on the boot-time clock")
+	now.Add(int64(120 * time.Millisecond))
+	require.False(t, confirmed(c, 1)())
+}
+
+// Guards against an entry whose keys are not confirmed after a restart, because the wall clock
+// was stepped between the starts of its processes.
+func TestKeysAreConfirmedAfterAStepOfTheWallClock(t *testing.T) {
+	for _, step := range []time.Duration{-time.Hour, time.Hour} {
+		address, store, _, _ := startLeader(t)
+		start := func(step time.Duration) *Client {
+			c := NewClient(ClientOptions{EntryID: "e", Core: &fakeCore{leader: address}, Transport: transportOptions(), Logger: quiet, Settings: Settings{Bound: replayBound, StrictRevocation: true, RevocationTime: 2 * time.Second}})
+			t.Cleanup(c.Stop)
+			c.mu.Lock()
+			c.born += step.Milliseconds()
+			c.mu.Unlock()
+			c.SetTenants(1, testTenants)
+			return c
+		}
+		first := start(0)
+		eventually(t, confirmed(first, 1))
+		first.Stop()
+		second := start(step)
+		require.Eventually(t, confirmed(second, 1), 2*time.Second, 5*time.Millisecond, "after a step by %v", step)
+		// Its confirmation does not outlast a revocation.
+		store.set(func() { store.version = 2 })
+		require.Eventually(t, func() bool { return !confirmed(second, 1)() }, 5*time.Second, 5*time.Millisecond, "after a step by %v", step)
+	}
+}
+
 // Guards against a leader that a majority has replaced and that goes on confirming and
 // granting.
 func TestCutOffLeaderNeitherConfirmsNorGrants(t *testing.T) {
