entry: responses that wait for the ledger count in the memory for callers

A response to a call with an idempotency key waits at most 1 s for the ledger; storing it goes on for up to 5 s. Meanwhile gw-entry held the response, and the request with its body, and counted neither: the memory was given back when the call ended. While the ledger answered slowly, calls could add up to more than the memory for callers.

What waits is now moved from the connection to the process (Account.Keep) and counts there, and in the quota of buffered responses, until the ledger has stored it or storing it has timed out. The request is no longer held.

The fake ledger of the tests can fail now.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -309,6 +309,17 @@
 	a.budget.used.Add(-n)
 }
 
+// Keep moves n bytes from what the account holds to the process, where they count until release
+// is called: for what outlasts the request, whether or not the connection does.
+func (a *Account) Keep(n int64) (release func()) {
+	if a == nil {
+		return func() {}
+	}
+	a.budget.used.Add(n)
+	a.Release(n)
+	return func() { a.budget.used.Add(-n) }
+}
+
 // setHeld makes the account hold n bytes, at most as many as it holds.
 func (a *Account) setHeld(n int64) {
 	a.mu.Lock()
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -27,6 +27,8 @@
 	mu      sync.Mutex
 	claim   func(*pb.ClaimRequest) (*pb.ClaimResponse, error)
 	records []*pb.RecordRequest
+	// recordErr makes RecordOutcome fail.
+	recordErr error
 }
 
 func (c *fakeControl) Config() *pb.Config { return c.config.Load() }
@@ -44,6 +46,9 @@
 func (c *fakeControl) RecordOutcome(_ context.Context, r *pb.RecordRequest) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.recordErr != nil {
+		return c.recordErr
+	}
 	c.records = append(c.records, r)
 	return nil
 }
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -55,22 +55,24 @@
 		return
 	}
 	defer release()
+	account := budget.FromContext(r.Context())
 	if key != "" {
 		if !s.responseQuota.acquire(maxRecordedBodyBytes) {
 			s.fail(w, c.id, unavailable(CodeEntryFull, "the buffered answers reached %d bytes", s.responseQuota.limit))
 			return
 		}
-		defer s.responseQuota.release(maxRecordedBodyBytes)
 		// Reserved before the call runs, because it cannot be refused after that.
-		account := budget.FromContext(r.Context())
 		if !account.Reserve(maxRecordedBodyBytes) {
+			s.responseQuota.release(maxRecordedBodyBytes)
 			s.fail(w, c.id, unavailable(CodeEntryFull, "the memory for callers is used up"))
 			return
 		}
-		defer account.Release(maxRecordedBodyBytes)
 	}
 	c.recordEvent("request.accepted", 0, "", "route", c.route.Name, "organisation", c.organisation, "non_repeatable", strconv.FormatBool(nonRepeatable))
 	x := newPlainCall(c, r, body, key, nonRepeatable)
+	if key != "" {
+		defer x.freeAnswer(account)
+	}
 	defer s.notifyEnd(r, x.apply)()
 	x.apply(&request.Start{})
 	x.respond(w)
@@ -308,16 +310,18 @@
 	}
 	recordDone := make(chan struct{})
 	x.recordDone = recordDone
+	// Without x, which holds the request and its body.
+	c, control, timeout := x.call, x.srv.opts.Control, x.srv.opts.Timeouts.Record
 	x.srv.background(func() {
 		defer close(recordDone)
-		ctx, cancel := context.WithTimeout(context.Background(), x.srv.opts.Timeouts.Record)
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		defer cancel()
 		for {
-			err := x.srv.opts.Control.RecordOutcome(ctx, req)
+			err := control.RecordOutcome(ctx, req)
 			if err == nil {
 				return
 			}
-			x.recordEvent("request.record_failed", 0, "", "reason", err.Error())
+			c.recordEvent("request.record_failed", 0, "", "reason", err.Error())
 			sleep(ctx, recordRetryInterval)
 			if ctx.Err() != nil {
 				return
@@ -325,3 +329,26 @@
 		}
 	})
 }
+
+// freeAnswer gives back the memory for the response to a keyed call: what the ledger is to store
+// once it has, or storing it has timed out, and the rest at once.
+func (x *plainCall) freeAnswer(account *budget.Account) {
+	x.mu.Lock()
+	recordDone, kept := x.recordDone, int64(min(cap(x.ledgerAnswer.GetBody()), maxRecordedBodyBytes))
+	x.mu.Unlock()
+	if recordDone == nil {
+		kept = 0
+	}
+	quota := &x.srv.responseQuota
+	quota.release(maxRecordedBodyBytes - kept)
+	account.Release(maxRecordedBodyBytes - kept)
+	if kept == 0 {
+		return
+	}
+	release := account.Keep(kept)
+	go func() {
+		<-recordDone
+		quota.release(kept)
+		release()
+	}()
+}
