transport: what handlers leave unread of a stream counts in the memory for messages

A peer could make a core daemon hold up to 256 KiB for each of its streams, beside what MaxMessageMemory counts: with bytes behind the message that a handler reads, while the handler runs, and after its end for up to 30 s, for methods that are not served too.

yamux has these bytes and does not tell how many, so they are counted from the frames that arrive and the reads of the streams, until both sides have closed a stream or yamux gives it up. Beyond MaxMessageMemory the session that holds most is ended, as for messages that are being received.

--- a/internal/transport/peer_limits.go
+++ b/internal/transport/peer_limits.go
@@ -7,8 +7,8 @@
 	// each takes streamBytes: a goroutine and buffers.
 	streamShare = 0.25
 	streamBytes = 8 << 10
-	// messageShare is the part for messages that are being received. The longest usual one
-	// is a configuration of 8 MiB.
+	// messageShare is the part for messages that are being received and bytes that no handler
+	// has read. The longest usual message is a configuration of 8 MiB.
 	messageShare = 0.25
 	// streamCheckShare is the share of MaxStreams after whose acceptance they are counted: a
 	// count takes a lock of each session.
@@ -61,8 +61,8 @@
 	}
 }
 
-// messageMemory counts the bytes of the messages of a session that are being received, as part
-// of those of all sessions of a server. The methods of a nil *messageMemory count nothing.
+// messageMemory counts the bytes of the messages of a session that are being received, and those
+// that no handler has read, as part of those of all sessions of a server. The methods of a nil *messageMemory count nothing.
 type messageMemory struct {
 	server *Server
 	held   atomic.Int64
@@ -77,7 +77,7 @@
 	m.held.Add(n)
 	limit := m.server.opts.MaxMessageMemory
 	if m.server.messageBytes.Add(n) > limit && limit > 0 {
-		m.server.endLargest("incomplete messages", limit, func(sess *session) int64 { return sess.messages.held.Load() })
+		m.server.endLargest("incomplete and unread messages", limit, func(sess *session) int64 { return sess.messages.held.Load() })
 	}
 }
 
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -40,7 +40,7 @@
 	cfg.EnableKeepAlive = false
 	cfg.ConnectionWriteTimeout = heartbeatTimeout
 	cfg.StreamOpenTimeout = 2 * heartbeatTimeout
-	cfg.StreamCloseTimeout = 30 * time.Second
+	cfg.StreamCloseTimeout = streamCloseTimeout
 	cfg.LogOutput = io.Discard
 	return cfg
 }
@@ -70,7 +70,8 @@
 	MaxWaiting int
 	// MaxStreams is the number of streams that the peers of a Server may have open at a time,
 	// and MaxMessageMemory the number of bytes of messages that they have not sent to their
-	// end. Beyond them a Server ends the session with the most. 0 means no limit.
+	// end, or that no handler has read. Beyond them a Server ends the session with the most.
+	// 0 means no limit.
 	MaxStreams       int
 	MaxMessageMemory int64
 	// OnSessionEnd is called by a Server after a peer's session and its handlers
@@ -222,12 +223,12 @@
 	if s.opts.TLS != nil {
 		conn = tls.Server(tcp, s.opts.TLS)
 	}
-	sess, err := newServerSession(tcp, conn)
+	sess, err := newServerSession(tcp, conn, &messageMemory{server: s})
 	if err != nil {
 		return
 	}
+	defer sess.unread.end()
 	defer sess.close()
-	sess.messages = &messageMemory{server: s}
 	if !s.track(sess) {
 		return
 	}
--- a/internal/transport/session.go
+++ b/internal/transport/session.go
@@ -19,18 +19,23 @@
 	// have been woken after that.
 	ending atomic.Bool
 	woken  chan struct{}
-	// limited is set when a Server has ended the session for its limits. messages is nil at a
-	// client.
+	// limited is set when a Server has ended the session for its limits. messages and unread are
+	// nil at a client.
 	limited  atomic.Bool
 	messages *messageMemory
+	unread   *unreadBytes
 
 	mu      sync.Mutex
 	streams map[*sessionStream]struct{}
 }
 
-// newSession starts a session over a connection, which is tcp or TLS over it.
-func newSession(tcp, conn net.Conn, start func(net.Conn) (*yamux.Session, error)) (*session, error) {
-	s := &session{woken: make(chan struct{}), streams: map[*sessionStream]struct{}{}}
+// newSession starts a session over a connection, which is tcp or TLS over it. messages is nil at
+// a client.
+func newSession(tcp, conn net.Conn, messages *messageMemory, start func(net.Conn) (*yamux.Session, error)) (*session, error) {
+	s := &session{woken: make(chan struct{}), streams: map[*sessionStream]struct{}{}, messages: messages}
+	if messages != nil {
+		s.unread = newUnreadBytes(messages)
+	}
 	s.conn = &sessionConn{Conn: conn, tcp: tcp, session: s}
 	var err error
 	if s.Session, err = start(s.conn); err != nil {
@@ -42,11 +47,11 @@
 }
 
 func newClientSession(tcp, conn net.Conn) (*session, error) {
-	return newSession(tcp, conn, func(c net.Conn) (*yamux.Session, error) { return yamux.Client(c, yamuxConfig()) })
+	return newSession(tcp, conn, nil, func(c net.Conn) (*yamux.Session, error) { return yamux.Client(c, yamuxConfig()) })
 }
 
-func newServerSession(tcp, conn net.Conn) (*session, error) {
-	return newSession(tcp, conn, func(c net.Conn) (*yamux.Session, error) { return yamux.Server(c, yamuxConfig()) })
+func newServerSession(tcp, conn net.Conn, messages *messageMemory) (*session, error) {
+	return newSession(tcp, conn, messages, func(c net.Conn) (*yamux.Session, error) { return yamux.Server(c, yamuxConfig()) })
 }
 
 // heartbeat closes the session when the peer leaves a ping without a reply.
@@ -85,7 +90,13 @@
 func (s *session) open() (net.Conn, error) { return s.track(s.OpenStream()) }
 
 // accept waits for a stream that the peer opens.
-func (s *session) accept() (net.Conn, error) { return s.track(s.AcceptStream()) }
+func (s *session) accept() (net.Conn, error) {
+	stream, err := s.AcceptStream()
+	if err == nil {
+		s.unread.accepted(stream.StreamID())
+	}
+	return s.track(stream, err)
+}
 
 func (s *session) track(stream *yamux.Stream, err error) (net.Conn, error) {
 	if err != nil {
@@ -123,12 +134,21 @@
 // wake makes waiting Reads and Writes fail. What was received can still be read.
 func (st *sessionStream) wake() { _ = st.SetDeadline(time.Unix(1, 0)) }
 
+// Read implements net.Conn.
+func (st *sessionStream) Read(b []byte) (int, error) {
+	n, err := st.Stream.Read(b)
+	st.session.unread.read(st.StreamID(), n)
+	return n, err
+}
+
 // Close implements net.Conn.
 func (st *sessionStream) Close() error {
 	st.session.mu.Lock()
 	delete(st.session.streams, st)
 	st.session.mu.Unlock()
-	return st.Stream.Close()
+	err := st.Stream.Close()
+	st.session.unread.closed(st.StreamID())
+	return err
 }
 
 // sessionConn is the connection of a session.
@@ -144,6 +164,7 @@
 func (c *sessionConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.received.Add(uint64(n))
+	c.session.unread.received(b[:n])
 	if err != nil {
 		c.session.receiverFailed()
 	}
