policy: shares that are used late stay below the cap of a window

An entry may hold a share for up to a second before it uses it or gives it back. Grants were counted in the window in which they were made, so that one could be used in the window after it, beside all that the window allowed: 214,668 in 8 s where the rate and the depth allow 197,680 (TestShareThatIsUsedLate, before: "214667.5" is not less than or equal to "197680").

The grantor now records what entries held at the beginning of each step, and counts it with what was granted in the window. The level of the bucket itself is not affected.

TestGrantorKeepsRateAndDepth asks for up to eight requests and runs one, so that entries hold shares; before, they never held any.

--- a/policy/tenant_grantor.go
+++ b/policy/tenant_grantor.go
@@ -126,6 +126,8 @@
 	// late.
 	shared, perSecond float64
 	used              usageRing
+	// held is shared over the last steps.
+	held levelRing
 	// unheard is the sum of the standby rates of entries that are not heard from, above the
 	// equal parts.
 	unheard float64
@@ -241,6 +243,7 @@
 	t.sustained.Advance(g.rate(t)+t.limit.burst()/g.Bound.Window.Seconds(), depth, now)
 	t.backlog = max(0, t.backlog-returnShare*t.limit.PerSecond*max(0, now-t.backlogAt).Seconds())
 	t.backlogAt = max(t.backlogAt, now)
+	t.held.set(t.shared, now)
 }
 
 // Serve answers a report. It reports stale for one that was overtaken by a later one, and
--- a/policy/tenant_grants.go
+++ b/policy/tenant_grants.go
@@ -29,6 +29,7 @@
 		s.pending = append(s.pending, pendingGrant{r.Sequence, deducted, now})
 		t.used.add(deducted, 0, now)
 		t.shared += deducted
+		t.held.set(t.shared, now)
 	}
 	out.Granted, out.Standby = granted, g.standby(t, s, now)
 	s.standby = out.Standby.PerSecond
@@ -137,8 +138,9 @@
 	steps := int(g.Bound.Window / UsageStep)
 	if now-g.started >= g.Bound.Window && steps < usageSteps {
 		// The running step is not complete, so that a window reaches into one step more. What
-		// both contain stays below what the rate and the depth allow.
-		most := t.limit.PerSecond*g.Bound.Window.Seconds() + g.Bound.depth(t.limit)
+		// was granted in both and what entries held before, which they may have used since,
+		// stay below what the rate and the depth allow.
+		most := t.limit.PerSecond*g.Bound.Window.Seconds() + g.Bound.depth(t.limit) - t.held.at(steps)
 		window := min(g.Bound.windowLimit(t.limit)-t.used.sum(steps, now), most-t.used.sum(steps+1, now))
 		level = max(level, min(window, t.sustained.Level()))
 	}
--- a/policy/tenant_usage_test.go
+++ b/policy/tenant_usage_test.go
@@ -83,7 +83,10 @@
 			cost := rapid.SampledFrom([]float64{50, 5270, 17000}).Draw(t, "cost")
 			sequence[i]++
 			use := b.Report(now)
-			use.Name, use.Asked, use.AskedFirst = "a", max(0, cost-b.Balance()), cost
+			// What is granted for further requests stays in the share of the entry, until it is
+			// used or given back.
+			asked := cost * float64(rapid.IntRange(1, 8).Draw(t, "requests"))
+			use.Name, use.Asked, use.AskedFirst = "a", max(0, asked-b.Balance()), cost
 			r := &UsageReport{Entry: fmt.Sprint(i), Born: born[i], Sequence: sequence[i], Applied: applied[i], Term: term[i], Entries: entries, Tenants: []TenantUse{use}}
 			lost := rapid.IntRange(0, 9).Draw(t, "lost")
 			if lost == 0 {
@@ -176,6 +179,42 @@
 	require.LessOrEqual(t, most, (8*limit.PerSecond+bound.depth(limit))*(1+1e-9), "from %v on", from)
 }
 
+// Guards against a tenant that gets more than the rate over a window and the depth, because an
+// entry holds a share for some time and uses it after the window has begun.
+func TestShareThatIsUsedLate(t *testing.T) {
+	bound, limit := UsageBound{Window: 8 * time.Second, Over: 0.1, Slack: 73000}, TenantLimit{PerSecond: 18000, Burst: 18000}
+	g := &TenantGrantor{Bound: bound}
+	g.SetLimits(map[string]TenantLimit{"a": limit}, 0)
+	g.Begin(1, 0)
+	sequence, held := map[string]uint64{}, 0.0
+	report := func(entry string, held, asked float64, now time.Duration) float64 {
+		sequence[entry]++
+		use := TenantUse{Name: "a", Held: held, Asked: asked, AskedFirst: min(asked, 1000)}
+		grants, _, _ := g.Serve(&UsageReport{Entry: entry, Sequence: sequence[entry], Applied: sequence[entry] - 1, Entries: 2, Tenants: []TenantUse{use}}, now)
+		return grants[0].Granted
+	}
+	const begin = 20 * time.Second
+	var runs []usedAt
+	for now := time.Second; now < begin+12*time.Second; now += 10 * time.Millisecond {
+		switch {
+		case now == begin:
+			held = report("holder", 0, bound.depth(limit), now)
+		case now == begin+850*time.Millisecond:
+			runs = append(runs, usedAt{now, held})
+			held = 0
+		case now%(100*time.Millisecond) == 0:
+			report("holder", held, 0, now)
+		}
+		asked := 0.0
+		if now > begin {
+			asked = bound.depth(limit)
+		}
+		runs = append(runs, usedAt{now, report("other", 0, asked, now)})
+	}
+	most, from := mostUsedIn(runs, bound.Window)
+	require.LessOrEqual(t, most, (8*limit.PerSecond+bound.depth(limit))*(1+1e-9), "from %v on", from)
+}
+
 // Guards against a new process whose reports are taken for those of an earlier one, because
 // the wall clock was stepped back before it started.
 func TestRestartAfterAClockStepIsServed(t *testing.T) {
--- a/policy/usage_steps.go
+++ b/policy/usage_steps.go
@@ -63,4 +63,30 @@
 	return sum
 }
 
+// levelRing holds a level as it was at the beginning of each step.
+type levelRing struct {
+	first [usageSteps + 1]float64
+	// slot is that of the last change, to level.
+	slot  int64
+	level float64
+}
+
+// set changes the level.
+func (r *levelRing) set(level float64, now time.Duration) {
+	slot, n := usageSlot(now), int64(len(r.first))
+	for s := max(r.slot+1, slot-n+1); s <= slot; s++ {
+		r.first[s%n] = r.level
+	}
+	r.slot, r.level = max(r.slot, slot), level
+}
+
+// at returns the level at the beginning of the step that lies age steps before that of the
+// last change.
+func (r *levelRing) at(age int) float64 {
+	if r.slot < int64(age) {
+		return 0
+	}
+	return r.first[(r.slot-int64(age))%int64(len(r.first))]
+}
+
 func usageSlot(at time.Duration) int64 { return int64(math.Floor(float64(at) / float64(UsageStep))) }
