--- a/policy/tenant_grantor.go
+++ b/policy/tenant_grantor.go
@@ -126,6 +126,8 @@
 	// late.
 	shared, perSecond float64
 	used              usageRing
+	// held is shared over the last steps.
+	held levelRing
 	// unheard is the sum of the standby rates of entries that are not heard from, above the
 	// equal parts.
 	unheard float64
@@ -163,6 +165,7 @@
 type pendingGrant struct {
 	sequence uint64
 	tokens   float64
+	at       time.Duration
 }
 
 // Begin makes the grantor that of a term. It knows nothing of earlier use.
@@ -240,6 +243,7 @@
 	t.sustained.Advance(g.rate(t)+t.limit.burst()/g.Bound.Window.Seconds(), depth, now)
 	t.backlog = max(0, t.backlog-returnShare*t.limit.PerSecond*max(0, now-t.backlogAt).Seconds())
 	t.backlogAt = max(t.backlogAt, now)
+	t.held.set(t.shared, now)
 }
 
 // Serve answers a report. It reports stale for one that was overtaken by a later one, and
@@ -319,7 +323,8 @@
 	for _, p := range s.pending {
 		if p.sequence > applied {
 			t.add(p.tokens)
-			t.used.add(-p.tokens, 0, now)
+			// In the step of the grant: a later one would stay in the window without it.
+			t.used.add(-p.tokens, int(usageSlot(now)-usageSlot(p.at)), now)
 		}
 	}
 	s.pending = s.pending[:0]
