scheduler: a new leader asks the engines for role changes in progress

Engines tell whether an order is in progress when they are asked for a report. The new leader asks each engine twice: when it knows the engine, and when its predecessor can have sent no more orders. An engine that is busy in the role that it announces counts for the other role and gets no requests, at most for RoleSwitchTime + 5 s, as after an order of this leader. Role changes are decided after the second reports, at most 0.7 s after the end of the old lease; until then no order could be sent anyway, and decisions made earlier rested on old announcements. An engine that does not answer delays role changes by these 0.7 s once in a term (0.5 s for the call: reports need no slot, and engines that hang should not hold up the others). It costs two report calls an engine and term.

Cases: an order that never arrived, or whose engine has restarted, is reported as not in progress and the leader orders at once. One that arrives while both leaders exist is seen by the second question if it was sent 0.9 s (the age of a report) before the end of the lease. Later ones are left to policy.PrefillRejections.

TestNewLeaderCountsTheRoleChangesOfItsPredecessor failed before: "1" is not greater than or equal to "2", prefill engines at 7.2s. It also fails without the second question, without the wait for the reports, and if reports are ignored.

leadingPools in internal/core uses the real engine clients instead of nil ones; the tests that used it check the same as before.

--- a/internal/core/pools_test.go
+++ b/internal/core/pools_test.go
@@ -10,7 +10,6 @@
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
 	"godwitward.example/godwitward/internal/forward"
-	"godwitward.example/godwitward/internal/scheduler"
 	"godwitward.example/godwitward/internal/transport"
 	"godwitward.example/godwitward/platform"
 )
@@ -20,7 +19,7 @@
 	server := transport.NewServer(transport.Options{})
 	t.Cleanup(server.Close)
 	leader := func() (string, uint64, bool) { return "127.0.0.1:1", 3, true }
-	p := newPools(&log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, leader, func(*pb.UpstreamState) scheduler.Engine { return nil }, &platform.Settings{LeaseTTL: time.Second}, server)
+	p := newPools(&log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, leader, newEngineFactory(&platform.Settings{}, nil), &platform.Settings{LeaseTTL: time.Second}, server)
 	p.records = func() []*pb.UpstreamRecord { return nil }
 	p.statements = func() []*pb.UpstreamStatement { return nil }
 	p.setServices(map[string]*forward.Service{"draft": {Name: "draft", Engine: &forward.EngineConfig{Slots: 12, MemoryTokens: 68000, TokensPerEvent: 70}}})
--- a/internal/scheduler/action.go
+++ b/internal/scheduler/action.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"time"
+
 	pb "godwitward.example/godwitward/api/godwitward/v1"
 	"godwitward.example/godwitward/internal/upstream"
 )
@@ -35,6 +37,13 @@
 	Engine *pb.UpstreamState
 }
 
+// AskRole asks an engine for its role and whether it is changing it. The outcome is reported
+// with Pool.RoleReported.
+type AskRole struct {
+	Engine  *pb.UpstreamState
+	AskedAt time.Duration
+}
+
 // SendOrder sends an order to an engine. The outcome is reported with
 // Pool.OrderDone.
 type SendOrder struct {
@@ -66,6 +75,7 @@
 func (CancelWork) action()    {}
 func (CancelOrphan) action()  {}
 func (ListRunning) action()   {}
+func (AskRole) action()       {}
 func (SendOrder) action()     {}
 func (OrderResult) action()   {}
 func (TimelineEvent) action() {}
--- a/internal/scheduler/engines.go
+++ b/internal/scheduler/engines.go
@@ -79,6 +79,8 @@
 		s.cancelOrphan(ctx, x)
 	case ListRunning:
 		s.listRunning(ctx, c.active, x)
+	case AskRole:
+		s.askRole(ctx, c.active, x)
 	case SendOrder:
 		s.sendOrder(ctx, c.active, x)
 	}
@@ -140,6 +142,38 @@
 	s.perform(a, a.pool.Listed(x.Engine, running, askedAt, s.now()))
 }
 
+func (s *Scheduler) askRole(ctx context.Context, a *activePool, x AskRole) {
+	actions, complete := a.pool.RoleReported(x, s.reportedRole(ctx, x.Engine), s.now())
+	s.perform(a, actions)
+	if complete {
+		s.requestRun(a, Roles)
+	}
+}
+
+// reportedRole returns nil if the engine does not tell.
+func (s *Scheduler) reportedRole(ctx context.Context, state *pb.UpstreamState) (report *upstream.RoleReport) {
+	client := s.clientOf(state)
+	if client == nil {
+		return nil
+	}
+	engine, ok := client.engine.(roleReporter)
+	if !ok {
+		return nil
+	}
+	err := s.callWithTimeout(ctx, client, reportRoleTimeout, func(ctx context.Context) (err error) {
+		report, err = engine.ReportRole(ctx)
+		return err
+	})
+	if err == nil {
+		return report
+	}
+	if err != errUnresponsive {
+		s.vars.engineFailures.Add(callReportRole, 1)
+		s.opts.Logger.Warn().Str("event", "engine.report_role").Str("upstream", state.Id).Err(err).Msg("")
+	}
+	return nil
+}
+
 func (s *Scheduler) sendOrder(ctx context.Context, a *activePool, x SendOrder) {
 	failure := ""
 	if client := s.clientOf(x.Engine); client != nil {
--- a/internal/scheduler/options.go
+++ b/internal/scheduler/options.go
@@ -19,6 +19,11 @@
 	Order(ctx context.Context, req *upstream.Order) error
 }
 
+// roleReporter is implemented by engines that tell about role changes in progress.
+type roleReporter interface {
+	ReportRole(ctx context.Context) (*upstream.RoleReport, error)
+}
+
 // Options configures a Scheduler. The zero value of each field selects the
 // default.
 type Options struct {
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -115,18 +115,24 @@
 	}
 	p.orders.sequence++
 	rec := &order{id: p.orders.sequence, order: o, queuedAt: now, timeout: timeout, internal: internal, upstream: m}
+	rec.notBefore = p.firstOrderAt(m, timeout)
+	p.orders.byID[rec.id] = rec
+	return rec.id
+}
+
+// firstOrderAt returns the earliest time at which an order is sent to an engine.
+func (p *Pool) firstOrderAt(m *upstreamRecord, timeout time.Duration) time.Duration {
 	// leaseEnd is when the previous lease has expired by the slowest clock.
 	leaseEnd := p.activeAt + time.Duration(float64(p.params.LeaseTTL)*(1+maxClockDrift))
 	switch {
 	case !m.state.ChecksFencing:
 		// The engine would also obey the previous lease holder, so its last order
 		// must have ended, too.
-		rec.notBefore = leaseEnd + timeout
+		return leaseEnd + timeout
 	case p.params.OrdersAfterLease:
-		rec.notBefore = leaseEnd
+		return leaseEnd
 	}
-	p.orders.byID[rec.id] = rec
-	return rec.id
+	return p.activeAt
 }
 
 // sendOrders is the orders controller. It sends the orders that are due: model
@@ -145,7 +151,7 @@
 			out = p.trySend(out, o, now)
 		}
 	}
-	return out
+	return p.askRoles(out, now)
 }
 
 func (p *Pool) trySend(out []Action, o *order, now time.Duration) []Action {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -333,7 +333,7 @@
 			s.opts.Logger.Info().Str("event", x.Kind).Str("id", x.RequestID).Uint32("attempt", x.Attempt).
 				Str("upstream", x.Upstream).Str("lease", a.lease).Str("detail", x.Detail).Msg("")
 			s.opts.Recorder.Record(&pb.Event{Kind: x.Kind, RequestId: x.RequestID, Attempt: x.Attempt, Upstream: x.Upstream, Lease: a.lease}, "detail", x.Detail)
-		case CancelWork, CancelOrphan, ListRunning, SendOrder:
+		case CancelWork, CancelOrphan, ListRunning, AskRole, SendOrder:
 			s.enqueueCall(a, act)
 		}
 	}
--- a/internal/scheduler/tables.go
+++ b/internal/scheduler/tables.go
@@ -122,6 +122,7 @@
 	// roleRetryAt is the earliest time of another role change after one that
 	// the engine did not accept.
 	roleRetryAt time.Duration
+	question    roleQuestion
 	// backoffUntil is the time until which the engine gets no requests after it
 	// rejected one, was unreachable or lost prefill results.
 	backoffUntil time.Duration
--- a/internal/scheduler/vars.go
+++ b/internal/scheduler/vars.go
@@ -12,6 +12,7 @@
 	callCancelOrphan = "cancel_orphan"
 	callRunning      = "running"
 	callOrder        = "order"
+	callReportRole   = "report_role"
 	// callDropped counts calls that were not made because the queue was full.
 	callDropped = "dropped"
 )
--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -116,6 +116,14 @@
 	AgeMillis int64 `json:"age_ms"`
 }
 
+// RoleReport is what an engine tells about its role.
+type RoleReport struct {
+	// Role is "prefill" or "decode".
+	Role string
+	// Busy is set while the engine carries out an order.
+	Busy bool
+}
+
 // Order is the body of POST /engine/order.
 type Order struct {
 	// FencingToken is the token of the pool lease under which the order is given.
