scheduler: engines that ignore accepted role orders are used again soon

An engine that accepts a role order (202) and never changes got no requests until RoleSwitchTime + 5 s later, and then the next order, so it was out of service for most of the time. The scheduler waited for the new role to be announced and remembered nothing of the orders that were ignored.

2 s after an accepted order the engine is asked for a report. If it reports its old role and no order in progress it is used again in that role; the bound of RoleSwitchTime + 5 s stays for engines that do not report, or stay busy. It then gets no other order for 30 s, counts for the role that it reports, and another engine may change in its place. The interval between the role changes of a pool doubles with each ignored order up to 32 s, until an engine changes its role: where all engines ignore orders, one of them would always be out otherwise.

TestEngineThatIgnoresItsOrderIsUsedAgain failed before: "1" is not less than or equal to "0" (a second order at once). It also fails without the question, the delay or the doubled interval.

--- a/internal/scheduler/balance.go
+++ b/internal/scheduler/balance.go
@@ -150,7 +150,7 @@
 	if needed == unspecifiedRole || now-s.neededSince < delay {
 		return nil
 	}
-	if s.changed && now-s.changedAt < roleChangeInterval || !p.rolesKnown(now) {
+	if s.changed && now-s.changedAt < p.upstreams.roleInterval() || !p.rolesKnown(now) {
 		return nil
 	}
 	var out []Action
--- a/internal/scheduler/expiry.go
+++ b/internal/scheduler/expiry.go
@@ -14,18 +14,19 @@
 const urgentReserveRetention = time.Minute
 
 // expire is the expiry controller. It refuses queued requests past their
-// deadline, cancels the holds that expiryReason selects, and forgets upstreams
+// deadline, cancels the holds that expiryReason selects, ends role changes, and forgets upstreams
 // that have been silent for ForgetAfter.
 func (p *Pool) expire(now time.Duration) []Action {
 	defer p.lock(placementBits)()
 	p.upstreams.refreshAll(&p.params, now, true)
 	p.upstreams.updateTypicalRates(now)
+	out := p.endRoleChanges(now)
 	p.forgetUpstreams(now)
 	p.queue.forgetIdle(now)
 	for _, c := range p.upstreams.byModel {
 		policy.AssignReserve(c.decode)
 	}
-	out := p.expireQueue(now)
+	out = append(out, p.expireQueue(now)...)
 	out = append(out, p.reviewLanes(now)...)
 	out = p.expireHolds(out, now)
 	if now-p.queue.lastUrgentAt >= urgentReserveRetention {
@@ -92,15 +93,26 @@
 	return ""
 }
 
-// forgetUpstreams removes upstreams that have been silent for ForgetAfter and
-// ends role changes that were not announced in time.
+// endRoleChanges ends role changes that were not announced in time.
+func (p *Pool) endRoleChanges(now time.Duration) []Action {
+	var due []*upstreamRecord
+	for _, m := range p.upstreams.byID {
+		if m.changingRole && m.announceRoleBy > 0 && now >= m.announceRoleBy {
+			due = append(due, m)
+		}
+	}
+	slices.SortFunc(due, func(a, b *upstreamRecord) int { return strings.Compare(a.view.ID, b.view.ID) })
+	var out []Action
+	for _, m := range due {
+		out = append(out, p.endIgnoredOrder(m, now))
+	}
+	return out
+}
+
+// forgetUpstreams removes upstreams that have been silent for ForgetAfter.
 func (p *Pool) forgetUpstreams(now time.Duration) {
 	changed := false
 	for id, m := range p.upstreams.byID {
-		if m.changingRole && m.announceRoleBy > 0 && now >= m.announceRoleBy {
-			m.changingRole = false
-			p.upstreams.refresh(m, &p.params, now)
-		}
 		if now-m.lastSeen < p.params.ForgetAfter {
 			continue
 		}
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -196,7 +196,7 @@
 	if !m.changingRole {
 		m.changingRole = true
 		m.targetRole = role
-		m.announceRoleBy = 0
+		m.announceRoleBy, m.checkRoleAt = 0, 0
 		p.upstreams.refresh(m, &p.params, now)
 		p.upstreams.revision++
 	}
@@ -215,7 +215,7 @@
 		p.orders.loadsInProgress--
 	}
 	if m := p.upstreams.byID[o.order.UpstreamId]; o.concerns(m) && m.changingRole {
-		m.announceRoleBy = now + p.params.RoleSwitchTime + announceRoleTimeout
+		m.announceRoleBy, m.checkRoleAt = now+p.params.RoleSwitchTime+announceRoleTimeout, now+ignoredOrderCheck
 		if failure != "" {
 			m.changingRole = false
 			m.roleRetryAt = now + p.params.RoleSwitchTime + roleRetryDelay
--- a/internal/scheduler/role_reports.go
+++ b/internal/scheduler/role_reports.go
@@ -15,8 +15,25 @@
 	// reportRoleWait is how long a new leader that may send orders waits for the reports of
 	// engines before it decides: the question, and the interval in which it is asked.
 	reportRoleWait = reportRoleTimeout + 2*ordersInterval
+	// ignoredOrderCheck is the time after an accepted order from which on an engine that
+	// reports its old role and no order in progress does not carry it out. Reports are up to
+	// 0.9 s old.
+	ignoredOrderCheck = 2 * time.Second
+	// ignoredOrderDelay is how long an engine that accepted an order and did not change gets no
+	// other one. The engine is out of service for some seconds with each.
+	ignoredOrderDelay = 30 * time.Second
 )
 
+// maxIntervalDoublings limits the interval between role changes to 32 s.
+const maxIntervalDoublings = 5
+
+// roleInterval is the time between role changes. It doubles with each order that was ignored:
+// otherwise, in a pool whose engines all ignore orders, some engine would always be out of
+// service.
+func (t *upstreamTable) roleInterval() time.Duration {
+	return roleChangeInterval << min(t.ignoredOrders, maxIntervalDoublings)
+}
+
 // roleQuestion is the last question for the role of an engine.
 type roleQuestion struct {
 	at              time.Duration
@@ -25,7 +42,8 @@
 
 // askRoles asks each engine whether it is carrying out an order of an earlier leader: once when
 // it is known, so that it gets no requests, and once when that leader can have sent no more
-// orders, so that the role changes of this leader rest on all of them. Reports are up to 0.9 s
+// orders, so that the role changes of this leader rest on all of them. An engine that has
+// accepted an order of this leader is asked whether it carries it out. Reports are up to 0.9 s
 // old, so an order sent in the last second of the old lease may be missed; leaders that lose
 // their majority stop sooner than that.
 func (p *Pool) askRoles(out []Action, now time.Duration) []Action {
@@ -48,7 +66,8 @@
 
 func (p *Pool) mustAskRole(m *upstreamRecord, now time.Duration) bool {
 	from := p.firstOrderAt(m, roleOrderTimeout)
-	return !m.question.asked || m.question.at < from && now >= from
+	due := func(at time.Duration) bool { return m.question.at < at && now >= at }
+	return !m.question.asked || due(from) || m.changingRole && due(m.checkRoleAt)
 }
 
 // rolesKnown reports whether each live engine has told whether it is carrying out an order of an
@@ -79,16 +98,35 @@
 	complete := p.rolesKnown(now)
 	// A report with another role than the announced one is older than the announcement, or the
 	// announcement of the new role is on its way.
-	if r == nil || !r.Busy || m.changingRole || r.Role != roleName(m.state.Role) {
+	if r == nil || r.Busy == m.changingRole || r.Role != roleName(m.state.Role) {
 		return nil, complete
 	}
-	m.changingRole, m.targetRole = true, otherRole(m.state.Role)
+	if m.changingRole {
+		if m.checkRoleAt == 0 || x.AskedAt < m.checkRoleAt {
+			return nil, complete
+		}
+		return []Action{p.endIgnoredOrder(m, now)}, complete
+	}
+	m.changingRole, m.targetRole, m.checkRoleAt = true, otherRole(m.state.Role), 0
 	m.announceRoleBy = now + p.params.RoleSwitchTime + announceRoleTimeout
 	p.upstreams.refresh(m, &p.params, now)
 	p.upstreams.revision++
 	return []Action{TimelineEvent{Kind: "role.in_progress", Upstream: m.view.ID, Detail: roleName(m.targetRole)}}, complete
 }
 
+// endIgnoredOrder uses an engine again that has accepted an order and not changed its role.
+func (p *Pool) endIgnoredOrder(m *upstreamRecord, now time.Duration) Action {
+	m.changingRole = false
+	m.roleOrderAfter = now + ignoredOrderDelay
+	if m.health == pb.UpstreamStatus_LIVE {
+		p.upstreams.ignoredOrders++
+	}
+	p.upstreams.refresh(m, &p.params, now)
+	p.upstreams.revision++
+	p.unblockQueue()
+	return TimelineEvent{Kind: "role.not_changed", Upstream: m.view.ID, Detail: roleName(m.state.Role)}
+}
+
 func otherRole(r pb.EngineRole) pb.EngineRole {
 	if r == pb.EngineRole_ENGINE_ROLE_PREFILL {
 		return pb.EngineRole_ENGINE_ROLE_DECODE
--- a/internal/scheduler/roles.go
+++ b/internal/scheduler/roles.go
@@ -121,7 +121,9 @@
 			continue
 		}
 		if m.state.Role != needed && pending[m] == unspecifiedRole {
-			list = append(list, m)
+			if now >= m.roleOrderAfter {
+				list = append(list, m)
+			}
 			addRemaining(remaining, m, 1)
 		}
 		if m.state.Role == pb.EngineRole_ENGINE_ROLE_DECODE {
--- a/internal/scheduler/tables.go
+++ b/internal/scheduler/tables.go
@@ -69,6 +69,9 @@
 	// measured, and those of Params until there is one.
 	typical      policy.Rates
 	typicalDueAt time.Duration
+	// ignoredOrders counts the role orders that engines accepted and did not carry out since
+	// one changed its role.
+	ignoredOrders int
 	// revision is incremented with each change that entries must be told of.
 	revision uint64
 }
@@ -122,7 +125,10 @@
 	// roleRetryAt is the earliest time of another role change after one that
 	// the engine did not accept.
 	roleRetryAt time.Duration
-	question    roleQuestion
+	// checkRoleAt is when the engine is asked whether it carries out the order that it accepted,
+	// and roleOrderAfter when it may get another one after one that it ignored.
+	checkRoleAt, roleOrderAfter time.Duration
+	question                    roleQuestion
 	// backoffUntil is the time until which the engine gets no requests after it
 	// rejected one, was unreachable or lost prefill results.
 	backoffUntil time.Duration
--- a/internal/scheduler/upstreams.go
+++ b/internal/scheduler/upstreams.go
@@ -426,6 +426,7 @@
 	}
 	if m.changingRole && m.targetRole == s.Role {
 		m.changingRole = false
+		t.ignoredOrders = 0
 	}
 	m.applyAnnouncement(s, now)
 	m.publishNominal(t.typical)
