--- a/internal/usage/entry_usage.go
+++ b/internal/usage/entry_usage.go
@@ -1,6 +1,7 @@
 package usage
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -60,6 +61,8 @@
 	verdict    verdict
 	retryAfter time.Duration
 	chargedAt  time.Duration
+	// limit is the one under which it was charged.
+	limit policy.TenantLimit
 	// sequence is that of the report that asks for the request, 0 before it.
 	sequence uint64
 	// decided is closed with the verdict; nil if it was known at once.
@@ -128,7 +131,7 @@
 }
 
 func (t *ticket) admit(now time.Duration) {
-	t.chargedAt = now
+	t.chargedAt, t.limit = now, t.account.balance.Limit()
 	t.decide(admitted)
 }
 
@@ -177,7 +180,7 @@
 // giveBack undoes the charge of an admitted request that did not run.
 func (b *entryUsage) giveBack(t *ticket, now time.Duration) {
 	if t.cost > 0 {
-		t.account.balance.GiveBack(t.cost, t.chargedAt, now)
+		t.account.balance.GiveBack(t.cost, t.limit, t.chargedAt, now)
 	}
 }
 
@@ -281,7 +284,7 @@
 	refused := 0
 	for _, t := range a.waiting {
 		switch {
-		case len(left) == 0 && refused == 0 && a.balance.Take(t.cost, now):
+		case len(left) == 0 && a.balance.Take(t.cost, now):
 			t.admit(now)
 		case t.sequence == 0 || t.sequence > sequence:
 			left = append(left, t)
@@ -291,6 +294,10 @@
 			// Another request has used what was granted for this one.
 			t.sequence = 0
 			left = append(left, t)
+		case refused > 0 && t.cost < a.refusedCost:
+			// The grantor has decided about the larger request only.
+			t.sequence = 0
+			left = append(left, t)
 		default:
 			if refused == 0 {
 				a.refusedCost, a.returnAt = t.cost, now+g.RetryAfter
@@ -302,6 +309,11 @@
 			t.refuse(overLimit, a.returnAt-now)
 		}
 	}
+	if refused > 0 {
+		// What the smallest does not get, the others do not get either: one more call decides
+		// about all of them.
+		slices.SortStableFunc(left, func(a, b *ticket) int { return cmp.Compare(a.cost, b.cost) })
+	}
 	a.waiting = left
 }
 
--- a/policy/tenant_grants.go
+++ b/policy/tenant_grants.go
@@ -26,9 +26,10 @@
 		t.add(-n)
 	}
 	if granted > 0 {
-		s.pending = append(s.pending, pendingGrant{r.Sequence, deducted})
+		s.pending = append(s.pending, pendingGrant{r.Sequence, deducted, now})
 		t.used.add(deducted, 0, now)
 		t.shared += deducted
+		t.held.set(t.shared, now)
 	}
 	out.Granted, out.Standby = granted, g.standby(t, s, now)
 	s.standby = out.Standby.PerSecond
@@ -134,11 +135,13 @@
 // does if the recorded use is shorter than a window.
 func (g *TenantGrantor) available(t *grantedTenant, now time.Duration) float64 {
 	level := t.bucket.Level()
-	// A window may contain a part of one step more, for which what the bound allows above
-	// the limit has room.
 	steps := int(g.Bound.Window / UsageStep)
 	if now-g.started >= g.Bound.Window && steps < usageSteps {
-		window := g.Bound.windowLimit(t.limit) - t.used.sum(steps, now)
+		// The running step is not complete, so that a window reaches into one step more. What
+		// was granted in both and what entries held before, which they may have used since,
+		// stay below what the rate and the depth allow.
+		most := t.limit.PerSecond*g.Bound.Window.Seconds() + g.Bound.depth(t.limit) - t.held.at(steps)
+		window := min(g.Bound.windowLimit(t.limit)-t.used.sum(steps, now), most-t.used.sum(steps+1, now))
 		level = max(level, min(window, t.sustained.Level()))
 	}
 	return level - g.withheld(t, now)
