--- a/internal/forward/charge.go
+++ b/internal/forward/charge.go
@@ -1,6 +1,9 @@
 package forward
 
-import "strings"
+import (
+	"strings"
+	"time"
+)
 
 // payer tells what a request to an upstream is charged to.
 type payer uint8
@@ -84,7 +87,7 @@
 	if c, ok := x.chargeEntry(); ok {
 		return c, true
 	}
-	if x.freeUsed || x.prefilled || x.s.prefillAtRisk(x.service.Name) {
+	if x.freeUsed || x.prefilled || x.s.prefillsRejected(x.service.Name) {
 		return charge{}, false
 	}
 	x.freeUsed = true
@@ -141,25 +144,21 @@
 	x.s.vars.payers.Add(payerNames[p], 1)
 }
 
-// recordPrefillAnswer records whether an engine of the service has accepted a prefill call.
-func (s *Server) recordPrefillAnswer(service string, accepted bool) {
+// prefillRejectionMemory is how long a rejected prefill call is held against the next
+// ones.
+const prefillRejectionMemory = 2 * time.Second
+
+func (s *Server) recordPrefillRejection(service string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r := s.prefillRisks[service]
-	if accepted {
-		r.Accepted()
-	} else {
-		r.Rejected(s.now())
-	}
-	s.prefillRisks[service] = r
+	s.prefillRejectedAt[service] = s.now()
 }
 
-// prefillAtRisk reports whether engines of the service may reject the next prefill call of
-// this entry.
-func (s *Server) prefillAtRisk(service string) bool {
-	window := s.opts.RetryLimits().RetryWindow
+// prefillsRejected reports whether an engine of the service has rejected a prefill call of
+// this entry recently.
+func (s *Server) prefillsRejected(service string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r := s.prefillRisks[service]
-	return r.MayReject(window, s.now())
+	at, known := s.prefillRejectedAt[service]
+	return known && s.now()-at < prefillRejectionMemory
 }
--- a/internal/forward/charge_test.go
+++ b/internal/forward/charge_test.go
@@ -17,7 +17,7 @@
 }
 
 func newChargeTest(slack float64) *exchange {
-	s := &Server{start: time.Now(), retryBudgets: map[string]*policy.RetryBudget{}, prefillRisks: map[string]policy.PrefillRisk{}}
+	s := &Server{start: time.Now(), retryBudgets: map[string]*policy.RetryBudget{}, prefillRejectedAt: map[string]time.Duration{}}
 	s.opts.RetryLimits = func() RetryLimits {
 		return RetryLimits{RetrySlack: slack / entriesSlackFraction / 2, RetryWindow: 10 * time.Second, Entries: 1}
 	}
@@ -43,7 +43,7 @@
 	run.giveBack()
 
 	y := newChargeTest(0)
-	y.s.recordPrefillAnswer("llm", false)
+	y.s.recordPrefillRejection("llm")
 	_, ok = y.chargePrefill(&placement{})
 	require.False(t, ok, "engines reject such calls")
 	require.True(t, y.canPayRun(&placement{}))
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -103,7 +103,7 @@
 		if x.reason == reasonOtherWeights {
 			return nil
 		}
-		x.s.recordPrefillAnswer(x.service.Name, false)
+		x.s.recordPrefillRejection(x.service.Name)
 		x.prefillRejected = true
 		if l := res.info.Load; l != nil && l.Running+l.Waiting < l.Slots && t.currentRecord().Stage == pb.EngineStage_ENGINE_STAGE_PREFILL {
 			t.recordFailure(x.s.now(), policy.FaultUnavailable)
@@ -143,7 +143,6 @@
 	t.recordSuccess(x.s.now())
 	t.noteStatedWeights(x.info.Model, handle.Weights, x.s.now())
 	ch.accept()
-	x.s.recordPrefillAnswer(x.service.Name, true)
 	took := time.Since(start)
 	t.mu.Lock()
 	t.load.RecordLatency(float64(took) / (float64(nominal+prefillOverhead) * (1 + queued)))
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -85,8 +85,8 @@
 
 	mu           sync.Mutex
 	retryBudgets map[string]*policy.RetryBudget
-	// prefillRisks tells, by service, whether engines may reject prefill calls.
-	prefillRisks map[string]policy.PrefillRisk
+	// prefillRejectedAt is when an engine of a service last rejected a prefill call.
+	prefillRejectedAt map[string]time.Duration
 	// requestSizes are the mean sizes of the requests to services with engines.
 	requestSizes map[string]*policy.MeanSize
 
@@ -107,7 +107,7 @@
 		promptParts: newPromptParts(reportNow), reportNow: reportNow,
 		tenants:          tenants{stats: newTenantStats(), keysRefused: new(expvar.Map).Init()},
 		statementReports: statementReports{targets: map[*target]bool{}},
-		retryBudgets:     map[string]*policy.RetryBudget{}, prefillRisks: map[string]policy.PrefillRisk{}, requestSizes: map[string]*policy.MeanSize{}, stop: make(chan struct{}),
+		retryBudgets:     map[string]*policy.RetryBudget{}, prefillRejectedAt: map[string]time.Duration{}, requestSizes: map[string]*policy.MeanSize{}, stop: make(chan struct{}),
 	}
 	s.upstreams = newUpstreams(opts.Place, s.links)
 	s.links.now, s.links.upstreams, s.links.ask = s.now, s.upstreams, s.askStatus
--- a/policy/prefill_rejections_test.go
+++ b/policy/prefill_rejections_test.go
@@ -45,21 +45,3 @@
 	require.True(t, r.Accepted(firstRejectionBackoff+2))
 	require.True(t, r.Usable(firstRejectionBackoff+2))
 }
-
-// Guards against calls that are risked as soon as one is accepted, or none was rejected for a
-// moment, and against a rejection that is never forgotten.
-func TestPrefillIsAtRiskUntilCallsAreAccepted(t *testing.T) {
-	const window = 10 * time.Second
-	var r PrefillRisk
-	require.False(t, r.MayReject(window, 0))
-	for range 3 {
-		r.Rejected(time.Second)
-		for range soundPrefillRun - 1 {
-			r.Accepted()
-			require.True(t, r.MayReject(window, 5*time.Second))
-		}
-	}
-	require.False(t, r.MayReject(window, time.Second+window))
-	r.Accepted()
-	require.False(t, r.MayReject(window, 5*time.Second))
-}
