dev: routes are created again after the control member has stepped down

It is now sent again with its request id, under which a change is applied once, until the member leads or the caller gives up. Other errors are returned as before.

--- a/internal/dev/system.go
+++ b/internal/dev/system.go
@@ -154,18 +154,36 @@
 			BaseVersion: version,
 			Change:      &pb.ConfigChange_PutRoute{PutRoute: r},
 		}
-		resp, err := s.Operator.ChangeConfig(ctx, connect.NewRequest(&pb.ChangeConfigRequest{Change: change}))
+		outcome, err := s.changeConfig(ctx, change)
 		if err != nil {
 			return errors.Wrapf(err, "creating route %s", r.Name)
 		}
-		if code := resp.Msg.Outcome.Code; code != pb.ChangeOutcome_ACCEPTED {
-			return errors.Errorf("creating route %s: %s %v", r.Name, code, resp.Msg.Outcome.Findings)
+		if outcome.Code != pb.ChangeOutcome_ACCEPTED {
+			return errors.Errorf("creating route %s: %s %v", r.Name, outcome.Code, outcome.Findings)
 		}
-		version = resp.Msg.Outcome.Version
+		version = outcome.Version
 	}
 	return nil
 }
 
+// changeConfig applies a change, and sends it again while the control member does not lead: it
+// steps down when its disk stalls. A change is applied once for its request id.
+func (s *System) changeConfig(ctx context.Context, change *pb.ConfigChange) (outcome *pb.ChangeOutcome, err error) {
+	waitErr := poll(ctx, func() bool {
+		var resp *connect.Response[pb.ChangeConfigResponse]
+		resp, err = s.Operator.ChangeConfig(ctx, connect.NewRequest(&pb.ChangeConfigRequest{Change: change}))
+		if err == nil {
+			outcome = resp.Msg.Outcome
+		}
+		code := connect.CodeOf(err)
+		return err == nil || code != connect.CodeFailedPrecondition && code != connect.CodeUnavailable
+	})
+	if waitErr != nil && err == nil {
+		err = waitErr
+	}
+	return outcome, err
+}
+
 // readConfig retries the read until the control member has become leader.
 func (s *System) readConfig(ctx context.Context) (cfg *pb.Config, err error) {
 	waitErr := poll(ctx, func() bool {
