forward: relayed connections are reused until the link is judged

While the verdict on a link was due (up to 0.3 s after a cut in which new connections hang), a relayed connection was closed after each request: 2 to 8 of them after a cut (of the test of reused connections, one caller). The cause: target.retires took a link that was never judged for one that is up.

It is now kept while links are suspected and nothing has come from the upstream directly since it was opened.

TestRelayedConnectionsAreReusedUntilTheLinkIsJudged failed before in both cases, "not kept".

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -83,6 +83,9 @@
 	process process
 	// relayed is the connection itself if another daemon relays it, otherwise nil.
 	relayed RelayedConn
+	// openedAt is when the attempt began that opened the connection, since the start of the
+	// server, if it is relayed.
+	openedAt time.Duration
 	// heardAt is when bytes last came on the connection, and waitsSince when the entry began
 	// to wait for them, in nanoseconds since the start of the server. heardAt is kept for
 	// direct connections only.
--- a/internal/forward/link_recovery.go
+++ b/internal/forward/link_recovery.go
@@ -218,7 +218,15 @@
 }
 
 // retires reports whether a relayed connection is not used again, because the target is
-// reached directly. The caller holds mu.
+// reached directly. While links are suspected, it is used until something comes directly: the
+// direct attempt beside it may take until its timeout, and each request would open a connection.
+// The caller holds mu.
 func (t *target) retires(c *conn, now time.Duration) bool {
-	return c.relayed != nil && !t.linkState.down && now >= t.linkState.upAt+c.retireTime
+	if c.relayed == nil || t.linkState.down {
+		return false
+	}
+	if t.links.suspected() && time.Duration(t.heardAt.Load()) <= c.openedAt {
+		return false
+	}
+	return now >= t.linkState.upAt+c.retireTime
 }
--- a/internal/forward/links.go
+++ b/internal/forward/links.go
@@ -278,6 +278,7 @@
 func (l *links) openRelayed(ctx context.Context, t *target) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
+	began := l.now()
 	nc, err := l.relay.Dial(ctx, t.address)
 	var failed *relay.DialError
 	if errors.Is(err, relay.ErrUnable) {
@@ -292,7 +293,7 @@
 	}
 	l.opened.Add("relayed", 1)
 	c := newConn(nc)
-	c.relayed = nc
+	c.relayed, c.openedAt = nc, began
 	t.addConn(c)
 	return c, nil
 }
--- a/internal/forward/links_test.go
+++ b/internal/forward/links_test.go
@@ -138,3 +138,30 @@
 	s.SetUpstreams([]*pb.UpstreamRecord{record("i-3", false)})
 	require.True(t, s.upstreams.get("i-3").linkDown())
 }
+
+// Guards against a relayed connection for each request until the link is judged, and against
+// one that is kept once the upstream is reached directly or links are no longer suspected.
+func TestRelayedConnectionsAreReusedUntilTheLinkIsJudged(t *testing.T) {
+	for name, sound := range map[string]func(*Server, *target){
+		"reached directly": func(s *Server, t *target) { t.heardAt.Store(int64(s.now())) },
+		"not suspected":    func(s *Server, _ *target) { s.links.suspectUntil.Store(0) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, targets := newLinksServer(t, 1, func(context.Context, string) (net.Conn, error) {
+				<-t.Context().Done()
+				return nil, t.Context().Err()
+			}, fakeRelay(func(context.Context, string) (RelayedConn, error) { return fakeRelayedConn{pipeConn(t)}, nil }))
+			target := targets[0]
+			c, err := target.dial(context.Background())
+			require.NoError(t, err)
+			require.NotNil(t, c.relayed)
+			c.retireTime = 0
+			target.putIdle(c)
+			require.True(t, target.takeIdle(time.Now(), "a") == c, "not kept")
+			require.False(t, target.linkDown(), "judged before")
+			sound(s, target)
+			target.putIdle(c)
+			require.True(t, target.takeIdle(time.Now(), "b") == nil, "kept")
+		})
+	}
+}
