corestore: tests wait for voters without a data race

A failing run of TestEmptyDaemonsJoinWithoutASeedOfTheGroup also reported a data race: a write of the map of members in testCluster.stop, called by the clean-up, beside a read in testCluster.voters. It is the test's own: require.Eventually evaluates its condition in a goroutine that may still run when the test has failed and is cleaned up.

waitVoters evaluates the condition in the goroutine of the test, with the same time and interval, and prints the members' views when it fails.

--- a/internal/corestore/store_test.go
+++ b/internal/corestore/store_test.go
@@ -150,7 +150,7 @@
 
 func (c *testCluster) waitVoters(n int) {
 	c.t.Helper()
-	require.Eventually(c.t, func() bool { return c.voters() == n }, repairTimeout, 20*time.Millisecond, "%d voters", n)
+	c.requireSoon(fmt.Sprintf("%d voters", n), func() bool { return c.voters() == n })
 }
 
 func (c *testCluster) put(i int, version uint64, body string) (uint64, error) {
