corestore: test of empty daemons keeps its data in memory

TestEmptyDaemonsJoinWithoutASeedOfTheGroup failed with "Condition never satisfied, 5 voters" in 4 of 39 runs with -race on the host's disk beside builds (load up to 39). The cause: its members share that disk, and no majority can store anything while it stalls. With timed syncs in a scratch copy, syncs of three members took up to 4.5 s at one time in one failing run and 9.1 s in another, each equal to the replica.interrupted of its member; in a third, not timed, three members were interrupted for 3.3 to 5.1 s. The log of the first one was not kept. In 60 later runs on the disk the slowest sync took 1.0 s and none failed. On the platform each member has a disk of its own, and a group whose majority can't sync has to wait: no fault of the product is shown.

Its members now have disks in memory whose syncs take 1 to 5 ms; the time and the checks are the same. It passed in 60 of 60 runs with -race and one processor, and in 20 of 20 beside builds. With all syncs stopped for 7.5 s after the disks were lost (scratch copy) it fails in 6 of 6 runs, "not in time: 5 voters"; stopped for up to 6 s it passes in 24 of 24.

--- a/internal/corestore/replacement_test.go
+++ b/internal/corestore/replacement_test.go
@@ -12,6 +12,7 @@
 
 	"godwitward.example/godwitward/internal/replica"
 	"godwitward.example/godwitward/raft"
+	"godwitward.example/godwitward/wal"
 )
 
 // catchUpTime is the platform's time after which a daemon that was replaced no longer
@@ -24,6 +25,7 @@
 	for _, i := range members {
 		c.stop(i)
 		require.NoError(c.t, os.RemoveAll(c.dirs[i]+"/store"))
+		delete(c.disks, i)
 	}
 	time.Sleep(time.Second)
 	for _, i := range members {
@@ -274,9 +276,10 @@
 }
 
 // Guards against daemons that lost their disks and stay out of the group because none of
-// their seeds belongs to it: one was replaced and the settings still name it.
+// their seeds belongs to it: one was replaced and the settings still name it. All members
+// would share the host's disk, whose syncs take up to 9 s beside other writers.
 func TestEmptyDaemonsJoinWithoutASeedOfTheGroup(t *testing.T) {
-	c := newTestCluster(t, 5, 2)
+	c := newTestClusterOn(t, 5, 2, func() wal.FS { return newMemoryDisk() })
 	c.waitVoters(5)
 	c.stop(3)
 	c.dirs[6] = t.TempDir()
