forward: a probe after a broken connection does not put off that of an overdue answer

Take-ups over links that bring nothing were refused with 503 if the stream had broken less than a second before the cut: since the check of a broken connection counts as the one probe that a link gets in a second, so the link of the unanswered question for the start of the process was not probed before the question timed out, and no daemon relayed.

Probes that requests wait for have a spacing of their own now. An overdue answer may be probed after them; they still wait for a second after the probe of an overdue answer. A link gets two probes a second at most.

--- a/internal/forward/link_recovery.go
+++ b/internal/forward/link_recovery.go
@@ -160,13 +160,15 @@
 }
 
 // joinProbe returns a channel that is closed at the end of a probe that requests wait for, nil if
-// there was none. If first is set, the caller makes the probe and closes the channel.
+// there was none. If first is set, the caller makes the probe and closes the channel. It does not
+// count as one of startProbe: an answer that is overdue soon after shows a link that is lost since.
 func (t *target) joinProbe(now time.Duration) (judged chan struct{}, first bool) {
-	first = t.startProbe(now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	last := max(t.linkState.probedAt, t.linkState.joinedAt)
+	first = !t.removed && (last == 0 || now-last >= probeSpacing)
 	if first {
-		t.linkState.judged = make(chan struct{})
+		t.linkState.joinedAt, t.linkState.judged = now, make(chan struct{})
 	}
 	return t.linkState.judged, first
 }
--- a/internal/forward/links.go
+++ b/internal/forward/links.go
@@ -103,10 +103,10 @@
 	// that have shown it.
 	lostUntil time.Duration
 	lostErr   error
-	// probedAt is when the last probe began; 0 if there was none. judged is closed at the end
-	// of the last one that requests wait for.
-	probedAt time.Duration
-	judged   chan struct{}
+	// probedAt is when the last probe of startProbe began, and joinedAt that of joinProbe; 0 if
+	// there was none. judged is closed at the end of the latter.
+	probedAt, joinedAt time.Duration
+	judged             chan struct{}
 }
 
 func newLinks(open DialFunc, logger *log.Logger) *links {
