--- a/internal/forward/links.go
+++ b/internal/forward/links.go
@@ -103,10 +103,10 @@
 	// that have shown it.
 	lostUntil time.Duration
 	lostErr   error
-	// probedAt is when the last probe began; 0 if there was none. judged is closed at the end
-	// of the last one that requests wait for.
-	probedAt time.Duration
-	judged   chan struct{}
+	// probedAt is when the last probe of startProbe began, and joinedAt that of joinProbe; 0 if
+	// there was none. judged is closed at the end of the latter.
+	probedAt, joinedAt time.Duration
+	judged             chan struct{}
 }
 
 func newLinks(open DialFunc, logger *log.Logger) *links {
@@ -278,6 +278,7 @@
 func (l *links) openRelayed(ctx context.Context, t *target) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
+	began := l.now()
 	nc, err := l.relay.Dial(ctx, t.address)
 	var failed *relay.DialError
 	if errors.Is(err, relay.ErrUnable) {
@@ -292,7 +293,7 @@
 	}
 	l.opened.Add("relayed", 1)
 	c := newConn(nc)
-	c.relayed = nc
+	c.relayed, c.openedAt = nc, began
 	t.addConn(c)
 	return c, nil
 }
