--- a/internal/scheduler/expiry.go
+++ b/internal/scheduler/expiry.go
@@ -14,8 +14,8 @@
 const urgentReserveRetention = time.Minute
 
 // expire is the expiry controller. It refuses queued requests past their
-// deadline, cancels the holds that expiryReason selects, ends role changes, and forgets upstreams
-// that have been silent for ForgetAfter.
+// deadline, cancels the holds that expiryReason selects, ends role changes, and
+// forgets upstreams that have been silent for ForgetAfter.
 func (p *Pool) expire(now time.Duration) []Action {
 	defer p.lock(placementBits)()
 	p.upstreams.refreshAll(&p.params, now, true)
--- a/internal/transport/peer_limits.go
+++ b/internal/transport/peer_limits.go
@@ -62,7 +62,8 @@
 }
 
 // messageMemory counts the bytes of the messages of a session that are being received, and those
-// that no handler has read, as part of those of all sessions of a server. The methods of a nil *messageMemory count nothing.
+// that no handler has read, as part of those of all sessions of a server. The methods of a nil
+// *messageMemory count nothing.
 type messageMemory struct {
 	server *Server
 	held   atomic.Int64
