--- a/internal/soak/check_statement_test.go
+++ b/internal/soak/check_statement_test.go
@@ -47,3 +47,20 @@
 	restart.entries = []int{1}
 	require.Zero(t, exceeded(many(18, 3*time.Second), restart))
 }
+
+// Guards against a check that never fails, or that counts crashes whose evidence was lost.
+func TestDeadlyRequestCheck(t *testing.T) {
+	c := &deadlyCheck{}
+	require.True(t, c.begin("/a"))
+	require.False(t, c.begin("/b"), "one at a time")
+	for range allowedCrashes {
+		c.crashed()
+	}
+	calm := func(time.Time, time.Time) bool { return false }
+	require.Empty(t, c.exceeded(calm))
+	c.crashed()
+	require.Equal(t, []string{"/a"}, c.exceeded(calm))
+	require.Empty(t, c.exceeded(func(from, to time.Time) bool { return !from.After(to) }))
+	c.end()
+	require.True(t, c.begin("/b"))
+}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -207,6 +207,8 @@
 		s.delayReports(ctx, f)
 	case preemptStreams, changeRole:
 		s.injectEngineFault(ctx, f)
+	case deadlyRequest:
+		s.sendDeadly(ctx, f)
 	case askPause, stateLimit:
 		injectStatement(runner, f, func(d time.Duration) { sleep(ctx, d) })
 	case strayEvents:
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -104,6 +104,7 @@
 	s.checkConfig(ctx)
 	check.checkLogs(opts.Dir, s.buildOfLog)
 	s.cutCheck.check(check, opts.Out)
+	s.checkDeadlyRequests()
 	if opts.Upgrade != nil {
 		s.checkBuilds()
 	}
@@ -181,7 +182,7 @@
 		return []int{answersLock + i}
 	}
 	switch f.kind {
-	case cutEntryHang, cutEntryReset, cutEntryRefuse, restartUnreported, restartTwice, staleReports, askPause, stateLimit:
+	case cutEntryHang, cutEntryReset, cutEntryRefuse, restartUnreported, restartTwice, staleReports, askPause, stateLimit, deadlyRequest:
 		return nil
 	case lateReports:
 		return []int{lateReportsLock}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -56,7 +56,7 @@
 	resetLinks, silentLinks, delayLinks, oneWayLink, reloadSettings, changeConfig, raceConfigChanges,
 }
 
-var namedFaultKinds = slices.Concat([]faultKind{killAll, releaseEngines, restartRunner, strayEvents, killRunner, changeWeights, preemptStreams, changeRole}, wireFaultKinds(), cutFaultKinds, lateReportKinds, statementKinds)
+var namedFaultKinds = slices.Concat([]faultKind{killAll, releaseEngines, restartRunner, strayEvents, killRunner, changeWeights, preemptStreams, changeRole}, wireFaultKinds(), cutFaultKinds, lateReportKinds, statementKinds, []faultKind{deadlyRequest})
 
 // wireFaultKinds are faults of the answers of all runners.
 func wireFaultKinds() []faultKind {
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -87,6 +87,7 @@
 
 	cutCheck       cutCheck
 	statementCheck statementCheck
+	deadlyCheck    deadlyCheck
 }
 
 // ports are the TCP ports of a run. All processes use the same ports, each on its
@@ -283,6 +284,7 @@
 	r.SetWeights(e.weights)
 	runCtx, stop := context.WithCancel(ctx)
 	runner := &proxiedRunner{Runner: r, engine: e, proxy: p, stopReports: stop}
+	r.CrashPath, r.OnCrash = deadlyPath, func() { s.runnerCrashed(ctx, runner) }
 	if s.processes {
 		if err := s.startRunnerProcess(runner, l); err != nil {
 			stop()
