soak: nothing listens for a runner once it has crashed under a deadly request

Traced: the first crash left no evidence at its entry. The proxy of the runner still listened when the connection broke, so that the entry's check found a runner that accepts connections; the quarantine came with the third crash of which there was evidence. A runner without a proxy refuses connections from that moment on. The proxy's listener is now closed first.

--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -285,6 +285,8 @@
 	runCtx, stop := context.WithCancel(ctx)
 	runner := &proxiedRunner{Runner: r, engine: e, proxy: p, stopReports: stop}
 	r.CrashPath, r.OnCrash = deadlyPath, func() { s.runnerCrashed(ctx, runner) }
+	// Nothing listens once the connections break, as with a runner without a proxy.
+	r.BeforeCrash = func() { _ = p.listener.Close() }
 	if s.processes {
 		if err := s.startRunnerProcess(runner, l); err != nil {
 			stop()
