forward: log whether a process tells its start

upstream.start says so for each upstream when it changes: stream.run shows it only for streams that bring an event.

--- a/internal/forward/process.go
+++ b/internal/forward/process.go
@@ -159,7 +159,9 @@
 func (x *exchange) checkProcess(t *target, c *conn) error {
 	known := c.process.bornMs != 0 && t.bornMs != 0
 	other := known && c.process.bornMs != t.bornMs
-	t.startUntold.Store(!known)
+	if t.startUntold.Swap(!known) == known {
+		x.s.opts.Logger.Info().Str("event", "upstream.start").Str("upstream", t.id).Int64("born_ms", t.bornMs).Int64("process_born_ms", c.process.bornMs).Bool("told", known).Msg("")
+	}
 	if other && !t.superseded.Swap(true) {
 		x.s.opts.Logger.Info().Str("event", "upstream.unreported").Str("upstream", t.id).Int64("born_ms", t.bornMs).Int64("process_born_ms", c.process.bornMs).Msg("")
 	}
