forward: streams go on only at a process that is known to have reported

Callers got streams whose events came from two software versions where an engine left its start out of the answer to GET /report: a connection whose process told none counted as one to the process of the record, until a connection broke. Between a restart under the id and its report a stream was recorded at the software of the process before, and streams of others went on there.

An absent start is no proof now. A stream that begins at such a process is recorded under a text without a start in the place of the software version, which refuses its take-ups, and nothing goes on there. What it costs where no engine tells its start follows: connections that are known by themselves.

--- a/internal/forward/process.go
+++ b/internal/forward/process.go
@@ -165,16 +165,16 @@
 	if other && !t.superseded.Swap(true) {
 		x.s.opts.Logger.Info().Str("event", "upstream.unreported").Str("upstream", t.id).Int64("born_ms", t.bornMs).Int64("process_born_ms", c.process.bornMs).Msg("")
 	}
-	if x.run != nil && (other || !known && (t.superseded.Load() || t.mayHaveRestarted(x.s.now()))) {
+	if x.run != nil && (other || !known) {
 		return errOtherProcess
 	}
 	return nil
 }
 
 // processVersions returns the versions of the process that accepted a connection to a target.
-// If it has not reported yet, its start stands for the software.
+// If it has not reported yet, or is not known to have, its start stands for the software.
 func (x *exchange) processVersions(t *target, c *conn) policy.RunVersions {
-	if c.process.bornMs == 0 || t.bornMs == 0 || c.process.bornMs == t.bornMs {
+	if c.process.bornMs != 0 && c.process.bornMs == t.bornMs {
 		return fleet.RunVersions(t.currentRecord(), x.info.Model)
 	}
 	v := policy.RunVersions{Service: x.service.Name, Software: fleet.ProcessText(t.id, c.process.bornMs), Model: x.info.Model}
--- a/internal/forward/target.go
+++ b/internal/forward/target.go
@@ -155,7 +155,7 @@
 // processDoubtful reports whether a stream must not go on at the target, since another process
 // may answer there than the one that has reported.
 func (t *target) processDoubtful(now time.Duration) bool {
-	return t.superseded.Load() || t.startUntold.Load() && t.mayHaveRestarted(now)
+	return t.superseded.Load() || t.startUntold.Load()
 }
 
 // breakMemory is how long a broken connection counts as a sign that the process may have
