forward: a process that tells no start is known by its connections and later reports

Where no engine tells its start in the answer to GET /report, each stream that broke off was lost since, although nearly all processes are those that have reported.

Two connections that both live after the later one was opened are of one process. So an entry keeps two connections (references) open to each engine of such a service for as long as it has streams, and asks on one of them, once for each connection that a stream is sent on, before its first one. Which of the processes that report it is follows from the reports: one that has reported before it accepted a connection and whose reports go on 15.1 s later (10 s for late reports, 4.6 s until an upstream is marked silent, 0.5 s for the way to the entry) has accepted it. Streams that began before that are recorded under a process text with a random negative number; the entry records its software under that text once it is known, where other entries and hubs find it. No message changes; earlier builds refuse such streams.

--- a/api/godwitward/v1/reserved_texts_test.go
+++ b/api/godwitward/v1/reserved_texts_test.go
@@ -32,8 +32,8 @@
 		"A model that no request names: counted for requests without a model."},
 	{"74693a0", "\x01run-1 ", "UpstreamRecord.software_version StreamVersion.version SubmitRequest.software_version StreamVersionResponse.software_version",
 		"Told only to entries that compare software versions: one more version. Schedulers of earlier builds find no engine with it."},
-	{thisBuild, "\x01process-1 ", "StreamVersion.version ServiceVersion.version StreamVersionResponse.software_version",
-		"A software version that no upstream has: an entry refuses the stream, until it asks a present hub that has the report; of the service it takes up no unnamed stream for a minute. Hubs keep, store and pass it on, wrapped or not."},
+	{thisBuild, "\x01process-1 ", "StreamVersion.version ServiceVersion.version StreamVersionResponse.software_version StreamVersion.id StreamVersionRequest.id",
+		"A software version that no upstream has: an entry refuses the stream, until it asks a present hub that has the report; of the service it takes up no unnamed stream for a minute. Hubs keep, store and pass it on, wrapped or not. With a negative number no report is of the process, and the stream is refused. As an id, that of a stream that no caller names: kept, stored and passed on for a minute, with the software of the process."},
 }
 
 // Guards against a text in a field of another meaning of which nobody has thought what earlier
--- a/internal/feed/stream_versions.go
+++ b/internal/feed/stream_versions.go
@@ -26,11 +26,7 @@
 	added := false
 	for _, m := range list {
 		v, known := h.decodeRecord(m)
-		if known && v.Versions.Service != "" {
-			// A response may state weights that no report has named, or come from a process that
-			// has not reported.
-			added = h.seeVersions([]policy.RunVersions{v.Versions}, v.RecordedAt) || added
-		}
+		added = known && h.seeStream(v) || added
 		if known && h.streamVersions.Record(v, now) {
 			changed, stored = append(changed, v), append(stored, fleet.EncodeStreamVersion(v, now))
 		}
@@ -55,6 +51,23 @@
 	}
 }
 
+// seeStream notes the versions in a record, and reports whether any were new: a response may
+// state weights that no report has named, or come from a process that has not reported. The
+// caller holds mu.
+func (h *Hub) seeStream(v policy.StreamVersion) (added bool) {
+	switch {
+	case v.Versions.Service == "":
+		return false
+	case fleet.IsProcessText(v.ID) && !fleet.IsProcessText(v.Versions.Software):
+		// It tells the software of a process, and no weights.
+		if history := h.byService[v.Versions.Service]; history != nil {
+			history.ForgetSoftware(v.ID)
+		}
+		return false
+	}
+	return h.seeVersions([]policy.RunVersions{v.Versions}, v.RecordedAt)
+}
+
 // addStreamVersions queues versions for the next message to another hub, which may be out
 // of reach for long.
 func (s *subscription) addStreamVersions(list []policy.StreamVersion) {
--- /dev/null
+++ b/internal/feed/untold_process_test.go
@@ -0,0 +1,31 @@
+package feed
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitward.example/godwitward/internal/fleet"
+	"godwitward.example/godwitward/policy"
+)
+
+// Guards against unnamed streams that are refused for a minute after an entry has found the
+// software of a process that tells no start, and against the process counting as a version of its
+// own again when a record of one of its streams arrives late.
+func TestProcessesWhoseSoftwareWasFoundAreNoVersions(t *testing.T) {
+	h, _ := newRoutesHub(t, t.Cleanup, nil, true)
+	r := lateReport()
+	h.Report(r)
+	untold := earlyRun()
+	untold.Software = fleet.ProcessText("a", -5)
+	h.keepRecord("s", untold)
+	_, ok := h.only("llm")
+	require.False(t, ok, "its software is not known")
+	h.keepRecord(untold.Software, policy.RunVersions{Service: "llm", Software: "v2"})
+	for range 2 {
+		only, ok := h.only("llm")
+		require.True(t, ok)
+		require.Equal(t, policy.RunVersions{Service: "llm", Software: "v2", Model: "m", Weights: "7"}, only)
+		h.keepRecord("late", untold)
+	}
+}
--- a/internal/feed/version_history.go
+++ b/internal/feed/version_history.go
@@ -44,8 +44,8 @@
 			if known {
 				h.streamVersions.Record(v, h.now())
 			}
-			if known && v.Versions.Service != "" {
-				h.seeVersions([]policy.RunVersions{v.Versions}, v.RecordedAt)
+			if known {
+				h.seeStream(v)
 			}
 		}
 	}
@@ -85,10 +85,14 @@
 	}
 }
 
-// hasReported reports whether a software version stands for a process whose report has arrived.
-// The caller holds mu.
+// hasReported reports whether a software version stands for a process whose report has arrived,
+// or whose software an entry has found. The caller holds mu.
 func (h *Hub) hasReported(software string) bool {
-	return h.reportOf(software) != nil
+	if !fleet.IsProcessText(software) {
+		return false
+	}
+	_, found := h.streamVersions.Get(software, h.now())
+	return found || h.reportOf(software) != nil
 }
 
 // reportOf returns the report of the process that a software version stands for; nil if it has
--- a/internal/forward/process.go
+++ b/internal/forward/process.go
@@ -23,6 +23,8 @@
 	asked bool
 	// bornMs is its start in Unix milliseconds; 0 if it is not known.
 	bornMs int64
+	// untold is the process that tells no start; nil if it does, or could not be found.
+	untold *untoldProcess
 }
 
 // maySend reports whether a response without an id may belong to the first request on the
@@ -31,33 +33,18 @@
 	return !p.asked || resp.StatusCode >= 300 || info.FromUpstream
 }
 
-// errNotKept means that a connection was not kept open after a response.
-var errNotKept = errors.New("connection not kept open after a report")
-
 // askStart asks the process that accepted a connection for its start. A process that tells
 // none stays unknown. After an error the connection is of no use.
 func (x *exchange) askStart(t *target, c *conn, timeout time.Duration) error {
 	stop := context.AfterFunc(x.ctx, func() { _ = c.Close() })
 	defer stop()
-	x.s.vars.identifications.Add(1)
 	timeout = min(timeout, identifyTimeout, x.remaining())
 	watch := x.watchSilence(t, c, minStreamSilence)
 	defer watch.Stop()
-	_ = c.SetDeadline(time.Now().Add(timeout))
-	header := x.s.opts.Protocol.RequestHeader(http.Header{}, &SendOptions{Instance: t.id, RemainingTime: timeout, Priority: -1})
-	if err := c.writeRequest(&outboundRequest{method: http.MethodGet, uri: x.s.opts.Protocol.ReportPath(), host: t.address, header: header}); err != nil {
-		return err
-	}
-	resp, info, err := c.readResponse(x.s.opts.Protocol, http.MethodGet, "")
+	resp, info, body, err := x.s.requestReport(t, c, timeout)
 	if err != nil {
 		return err
 	}
-	body, err := readBody(resp, maxBufferedBytes)
-	if err != nil {
-		return err
-	}
-	// It is no request of a caller.
-	c.process.asked, c.requests = true, c.requests-1
 	switch {
 	case resp.StatusCode == http.StatusMisdirectedRequest:
 		t.mu.Lock()
@@ -106,6 +93,7 @@
 				x.s.opts.Logger.Info().Str("event", "upstream.unidentified").Str("upstream", t.id).Bool("reused", asked.wasIdle).Err(err).Msg("")
 				return nil, x.unansweredError(t, asked, err)
 			}
+			x.identifyUntold(t, c)
 		}
 		if err = x.checkProcess(t, c); err != nil {
 			_ = c.Close()
@@ -157,35 +145,58 @@
 // checkProcess compares the process that accepted a connection with the one that has reported
 // under its id, and fails if a stream must not go on there. New streams may begin at either.
 func (x *exchange) checkProcess(t *target, c *conn) error {
-	known := c.process.bornMs != 0 && t.bornMs != 0
-	other := known && c.process.bornMs != t.bornMs
-	if t.startUntold.Swap(!known) == known {
-		x.s.opts.Logger.Info().Str("event", "upstream.start").Str("upstream", t.id).Int64("born_ms", t.bornMs).Int64("process_born_ms", c.process.bornMs).Bool("told", known).Msg("")
+	told := c.process.bornMs != 0 && t.bornMs != 0
+	state := startUntold
+	if told {
+		state = startTold
+	}
+	if startState(t.startState.Swap(int32(state))) != state {
+		x.s.opts.Logger.Info().Str("event", "upstream.start").Str("upstream", t.id).Int64("born_ms", t.bornMs).Int64("process_born_ms", c.process.bornMs).Bool("told", told).Msg("")
 	}
+	other := told && c.process.bornMs != t.bornMs
 	if other && !t.superseded.Swap(true) {
 		x.s.opts.Logger.Info().Str("event", "upstream.unreported").Str("upstream", t.id).Int64("born_ms", t.bornMs).Int64("process_born_ms", c.process.bornMs).Msg("")
 	}
-	if x.run != nil && (other || !known) {
+	if x.run != nil && !x.s.hasReported(t, c) {
 		return errOtherProcess
 	}
 	return nil
 }
 
+// hasReported reports whether the process that accepted a connection is known to be that of the
+// target's record.
+func (s *Server) hasReported(t *target, c *conn) bool {
+	if c.process.bornMs != 0 {
+		return c.process.bornMs == t.bornMs
+	}
+	return s.isReported(t, c.process.untold)
+}
+
 // processVersions returns the versions of the process that accepted a connection to a target.
-// If it has not reported yet, or is not known to have, its start stands for the software.
+// If it is not known to have reported, the process stands for the software.
 func (x *exchange) processVersions(t *target, c *conn) policy.RunVersions {
-	if c.process.bornMs != 0 && c.process.bornMs == t.bornMs {
+	switch {
+	case x.s.hasReported(t, c):
 		return fleet.RunVersions(t.currentRecord(), x.info.Model)
+	case c.process.bornMs != 0:
+		v := policy.RunVersions{Service: x.service.Name, Software: fleet.ProcessText(t.id, c.process.bornMs), Model: x.info.Model}
+		resolved, _ := x.s.resolveProcess(v)
+		return resolved
 	}
-	v := policy.RunVersions{Service: x.service.Name, Software: fleet.ProcessText(t.id, c.process.bornMs), Model: x.info.Model}
-	resolved, _ := x.s.resolveProcess(v)
-	return resolved
+	// If it turns out to be the process of the record, its weights were those of the record.
+	v := fleet.RunVersions(t.currentRecord(), x.info.Model)
+	number := int64(0)
+	if c.process.untold != nil {
+		number = c.process.untold.number
+	}
+	v.Service, v.Software = x.service.Name, fleet.ProcessText(t.id, number)
+	return v
 }
 
 // resolveProcess replaces a process that stands for a software version by the version, once the
 // process has reported.
 func (s *Server) resolveProcess(v policy.RunVersions) (resolved policy.RunVersions, ok bool) {
-	id, _, unresolved := fleet.ParseProcessText(v.Software)
+	id, bornMs, unresolved := fleet.ParseProcessText(v.Software)
 	if !unresolved {
 		return v, false
 	}
@@ -197,9 +208,37 @@
 	l := &s.streamVersions
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if bornMs < 0 {
+		record, known := l.known.Get(v.Software, s.now())
+		return resolveUntold(v, record, known)
+	}
 	return fleet.ResolveProcess(v, l.lateReports[v.Software])
 }
 
+// resolveUntold replaces a process that tells no start by its software, which a record under its
+// text states.
+func resolveUntold(v policy.RunVersions, record policy.StreamVersion, known bool) (resolved policy.RunVersions, ok bool) {
+	if !known || record.Versions.Service != v.Service {
+		return v, false
+	}
+	v.Software = record.Versions.Software
+	return v, true
+}
+
+// findProcess replaces a process that stands for a software version by the version, if this entry
+// or a hub knows it.
+func (x *exchange) findProcess(v policy.RunVersions) policy.RunVersions {
+	resolved, ok := x.s.resolveProcess(v)
+	if _, bornMs, unresolved := fleet.ParseProcessText(v.Software); ok || !unresolved || bornMs >= 0 {
+		return resolved
+	}
+	from := x.versionsFrom
+	record, known := x.findRecord(v.Software)
+	x.versionsFrom = from
+	resolved, _ = resolveUntold(v, record, known)
+	return resolved
+}
+
 // resolveRun replaces a process that stands for the software of the stream, once the process
 // has reported.
 func (x *exchange) resolveRun() {
@@ -224,22 +263,8 @@
 
 // mayBeReplaced reports whether another process than that of the target's record may have sent
 // the run: it has reported since, and the connection does not tell.
-func (r *streamRun) mayBeReplaced() bool {
-	return r.res.conn.process.bornMs == 0 && r.t.hasSuccessor()
-}
-
-// doubtRun makes the software of a stream unknown whose first run may come from a process that
-// has reported since.
-func (x *exchange) doubtRun(run *streamRun) {
-	if run.first || !run.mayBeReplaced() || fleet.IsProcessText(x.run.Software) {
-		return
-	}
-	v := *x.run
-	v.Software = fleet.ProcessText(run.t.id, 0)
-	run.versions.Software = v.Software
-	x.run = &v
-	x.recordNumber++
-	x.recordRun()
+func (x *exchange) mayBeReplaced(r *streamRun) bool {
+	return r.res.conn.process.bornMs == 0 && r.t.hasSuccessor() && !x.s.hasReported(r.t, r.res.conn)
 }
 
 // maxLateReports limits the late reports that are kept. Without one the hubs are asked.
--- /dev/null
+++ b/internal/forward/references.go
@@ -0,0 +1,346 @@
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/fleet"
+	"godwitward.example/godwitward/policy"
+)
+
+// A process that tells no start is known by the connections that it has accepted. A connection
+// stays with its process, and one process at a time runs at an address under an id, so two
+// connections that both live after the later one was opened are of one process. The entry keeps
+// connections open to each such upstream, its references, and asks on one of them which process
+// has accepted a new connection. Which process that is, of those that report, follows from the
+// reports: one that has reported before it accepted a connection and reports later than that is
+// the one that accepted it.
+
+const (
+	// defaultReportDelay is how late a report may arrive: the platform delays them by seconds.
+	defaultReportDelay = 10 * time.Second
+	// reportTransfer is the time in which all hubs and entries know of a report or a silence.
+	reportTransfer = 500 * time.Millisecond
+	// contactTime is the time in contact with the hubs after which an entry knows of all reports.
+	contactTime = 2 * time.Second
+	// maxReferences is the number of references to an upstream. Upstreams close connections
+	// without notice, and the last one takes the proof with it.
+	maxReferences = 2
+	// referenceTimeout limits the answer to a question on a reference.
+	referenceTimeout = 300 * time.Millisecond
+	// referenceMargin is the time before its expiry at which a reference is asked again.
+	referenceMargin = sweepInterval + 200*time.Millisecond
+	// referenceRetention is the time after the last stream at a service that its references are
+	// kept.
+	referenceRetention = time.Minute
+	// maxUnproven limits the processes of an upstream that wait for their proof.
+	maxUnproven = 16
+)
+
+// startState is what is known of whether a process tells its start.
+type startState int32
+
+const (
+	startNotAsked startState = iota
+	startTold
+	startUntold
+)
+
+// untoldProcess is a process that tells no start.
+type untoldProcess struct {
+	// number stands for the start in process texts. It is negative and drawn at random, so that
+	// no two entries choose the same.
+	number int64
+	// acceptedAt is a time after it has accepted a connection, since the start of the server.
+	acceptedAt time.Duration
+	// proven is set once it is known to be the process of its target's record.
+	proven atomic.Bool
+}
+
+// references are the connections by which the process of a target is known that tells no start.
+type references struct {
+	// lock holds one element while the fields below are used, also during a question.
+	lock  chan struct{}
+	conns []*conn
+	// unproven are the processes that wait for their proof.
+	unproven []*untoldProcess
+	closed   bool
+	// current is the process of conns, nil if there are none.
+	current atomic.Pointer[untoldProcess]
+	// usedAt is when a stream was last sent to the target, in nanoseconds since the start of the
+	// server.
+	usedAt atomic.Int64
+}
+
+// acquire takes the lock, and reports whether it could before ctx ended.
+func (r *references) acquire(ctx context.Context) bool {
+	select {
+	case r.lock <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (r *references) release() { <-r.lock }
+
+// proofTime is the time after which a process of which no silence and no successor is known has
+// reported since: its newest report has arrived within fleet.SilentAfter, and was sent at most
+// the longest delay of reports before.
+func (s *Server) proofTime() time.Duration {
+	return s.opts.MaxReportDelay + fleet.SilentAfter + reportTransfer
+}
+
+// keep replaces the references and says of which process they are. The caller has the lock.
+func (r *references) keep(conns []*conn, p *untoldProcess) {
+	r.conns = conns
+	if len(conns) == 0 {
+		p = nil
+	}
+	r.current.Store(p)
+}
+
+// close closes the references. No others are kept then.
+func (r *references) close() {
+	r.lock <- struct{}{}
+	defer r.release()
+	r.closed = true
+	for _, c := range r.conns {
+		_ = c.Close()
+	}
+	r.keep(nil, nil)
+}
+
+// identifyUntold finds the process that accepted a connection and that told no start when it was
+// asked just before.
+func (x *exchange) identifyUntold(t *target, c *conn) {
+	t.references.usedAt.Store(int64(x.s.now()))
+	if c.process.bornMs != 0 || c.process.untold != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(x.ctx, min(referenceTimeout, max(0, x.remaining())))
+	defer cancel()
+	c.process.untold = x.s.processOf(ctx, t, c)
+}
+
+// processOf returns the process that accepted a connection, which has been answered on it just
+// before.
+func (s *Server) processOf(ctx context.Context, t *target, c *conn) *untoldProcess {
+	r := &t.references
+	if !r.acquire(ctx) {
+		return s.newUntoldProcess()
+	}
+	defer r.release()
+	if p := s.askReferences(ctx, t); p != nil {
+		return p
+	}
+	p := s.newUntoldProcess()
+	if len(r.unproven) < maxUnproven && !r.closed {
+		r.unproven = append(r.unproven, p)
+		s.addReference(ctx, t, c, p)
+	}
+	return p
+}
+
+func (s *Server) newUntoldProcess() *untoldProcess {
+	return &untoldProcess{number: -1 - rand.Int64(), acceptedAt: s.now()}
+}
+
+// askReferences returns the process of the references to a target if it answers on one of them
+// now, otherwise nil. Those without an answer are closed. The caller has the lock.
+func (s *Server) askReferences(ctx context.Context, t *target) *untoldProcess {
+	r, p := &t.references, t.references.current.Load()
+	for len(r.conns) > 0 {
+		if s.askReference(ctx, t, r.conns[0]) {
+			return p
+		}
+		_ = r.conns[0].Close()
+		r.keep(r.conns[1:], p)
+	}
+	return nil
+}
+
+// addReference opens a reference that is of the same process as c: it answers on c after the
+// reference was opened. The caller has the lock.
+func (s *Server) addReference(ctx context.Context, t *target, c *conn, p *untoldProcess) {
+	r := &t.references
+	next, err := t.dial(ctx)
+	if err != nil {
+		return
+	}
+	// Asked itself, it shows by its answer how long it may be idle.
+	if !s.askReference(ctx, t, c) || !s.askReference(ctx, t, next) {
+		_ = next.Close()
+		return
+	}
+	r.keep(append(slices.Clone(r.conns), next), p)
+}
+
+// askReference asks for a report on a connection, and reports whether the process answered that
+// it tells no start, and keeps the connection.
+func (s *Server) askReference(ctx context.Context, t *target, c *conn) bool {
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Now()) })
+	resp, info, body, err := s.requestReport(t, c, referenceTimeout)
+	if !stop() || err != nil || resp.StatusCode != http.StatusOK || info.ContentEncoded || !c.reusable(resp, &info) {
+		return false
+	}
+	if bornMs, err := s.opts.Protocol.ParseStart(body); err != nil || bornMs != 0 {
+		return false
+	}
+	_ = c.SetDeadline(time.Time{})
+	c.setIdleExpiry(&info, time.Now())
+	return true
+}
+
+// requestReport asks the process that accepted a connection for a report on itself.
+func (s *Server) requestReport(t *target, c *conn, timeout time.Duration) (*http.Response, ResponseInfo, []byte, error) {
+	s.vars.identifications.Add(1)
+	_ = c.SetDeadline(time.Now().Add(timeout))
+	header := s.opts.Protocol.RequestHeader(http.Header{}, &SendOptions{Instance: t.id, RemainingTime: timeout, Priority: -1})
+	if err := c.writeRequest(&outboundRequest{method: http.MethodGet, uri: s.opts.Protocol.ReportPath(), host: t.address, header: header}); err != nil {
+		return nil, ResponseInfo{}, nil, err
+	}
+	resp, info, err := c.readResponse(s.opts.Protocol, http.MethodGet, "")
+	if err != nil {
+		return nil, info, nil, err
+	}
+	body, err := readBody(resp, maxBufferedBytes)
+	if err != nil {
+		return nil, info, nil, err
+	}
+	// It is no request of a caller.
+	c.process.asked, c.requests = true, c.requests-1
+	return resp, info, body, nil
+}
+
+// isReported reports whether a process that tells no start is known to be that of the target's
+// record, which then holds for good.
+func (s *Server) isReported(t *target, p *untoldProcess) bool {
+	return p != nil && (p.proven.Load() || s.prove(t, p))
+}
+
+// prove looks for the proof that a process is the one of the target's record: it has reported
+// before it accepted a connection, and since.
+func (s *Server) prove(t *target, p *untoldProcess) bool {
+	now := s.now()
+	if t.bornMs == 0 || now-p.acceptedAt < s.proofTime() || now-time.Duration(s.outOfContactAt.Load()) < contactTime || t.superseded.Load() {
+		return false
+	}
+	r := t.currentRecord()
+	if r.Silent || r.Phase == pb.UpstreamPhase_UPSTREAM_GONE || !fleet.TellsSoftware(r) || s.upstreams.get(t.id) != t {
+		return false
+	}
+	if !p.proven.Swap(true) {
+		s.recordProcess(t, p, r)
+	}
+	return true
+}
+
+// recordProcess records the software of a process under its text, where streams that it began
+// are resolved by it at all entries.
+func (s *Server) recordProcess(t *target, p *untoldProcess, r *pb.UpstreamRecord) {
+	text := fleet.ProcessText(t.id, p.number)
+	s.opts.Logger.Info().Str("event", "upstream.identified").Str("upstream", t.id).Int64("born_ms", t.bornMs).Int64("process", p.number).Str("software", r.SoftwareVersion).Msg("")
+	s.recordStream([]string{text}, policy.StreamVersion{Versions: policy.RunVersions{Service: r.Service, Software: r.SoftwareVersion}, Attempt: 1})
+	l := &s.streamVersions
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.history[r.Service].ForgetSoftware(text)
+}
+
+// knownAsReported reports whether the process that would accept a connection to the target now
+// is known to be the one that has reported, as far as the entry can tell without a question.
+func (s *Server) knownAsReported(t *target) bool {
+	return s.isReported(t, t.references.current.Load())
+}
+
+// sweepReferences keeps the references of the upstreams whose services have streams at processes
+// that tell no start, and closes the others.
+func (s *Server) sweepReferences() {
+	if s.versionSource == nil || !s.versionSource.ReportsArrive() {
+		s.outOfContactAt.Store(int64(s.now()))
+	}
+	targets := s.upstreams.all()
+	used := map[string]bool{}
+	for _, t := range targets {
+		usedAt := time.Duration(t.references.usedAt.Load())
+		if t.start() == startUntold && usedAt > 0 && s.now()-usedAt < referenceRetention {
+			used[t.currentRecord().Service] = true
+		}
+	}
+	for _, t := range targets {
+		record := t.currentRecord()
+		wanted := used[record.Service] && t.start() != startTold && record.Phase == pb.UpstreamPhase_UPSTREAM_READY && record.Stage != pb.EngineStage_ENGINE_STAGE_PREFILL
+		if wanted || t.references.current.Load() != nil || t.start() == startUntold {
+			s.done.Add(1)
+			go s.refreshReferences(t, wanted)
+		}
+	}
+}
+
+// refreshReferences asks on the references of a target that are about to expire, opens those
+// that are missing, and looks for the proofs that are due. Without wanted it closes them.
+func (s *Server) refreshReferences(t *target, wanted bool) {
+	defer s.done.Done()
+	ctx, cancel := context.WithTimeout(s.ended, sweepInterval)
+	defer cancel()
+	r := &t.references
+	select {
+	case r.lock <- struct{}{}:
+	default:
+		return
+	}
+	defer r.release()
+	r.unproven = slices.DeleteFunc(r.unproven, func(p *untoldProcess) bool {
+		return s.isReported(t, p) || s.now()-p.acceptedAt > s.proofTime()+referenceRetention
+	})
+	p := r.current.Load()
+	var kept []*conn
+	for _, c := range r.conns {
+		due := time.Until(c.expires) < referenceMargin || c.state() != connOpen
+		if wanted && !r.closed && (!due || s.askReference(ctx, t, c)) {
+			kept = append(kept, c)
+		} else {
+			_ = c.Close()
+		}
+	}
+	r.keep(kept, p)
+	switch {
+	case !wanted || r.closed || len(kept) >= maxReferences:
+	case len(kept) > 0:
+		s.addReference(ctx, t, kept[0], p)
+	default:
+		s.openReference(ctx, t)
+	}
+}
+
+// openReference opens the first reference to a target, unless its process tells a start. The
+// caller has the lock.
+func (s *Server) openReference(ctx context.Context, t *target) {
+	r := &t.references
+	if len(r.unproven) >= maxUnproven {
+		return
+	}
+	c, err := t.dial(ctx)
+	if err != nil {
+		return
+	}
+	if !s.askReference(ctx, t, c) {
+		_ = c.Close()
+		return
+	}
+	p := s.newUntoldProcess()
+	t.startState.Store(int32(startUntold))
+	r.unproven = append(r.unproven, p)
+	r.keep([]*conn{c}, p)
+}
+
+// errNotKept means that a connection was not kept open after a response.
+var errNotKept = errors.New("connection not kept open after a report")
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -31,6 +31,9 @@
 	Restartable bool
 	// Dial opens connections to upstreams; nil for those of NewDialFunc from any address.
 	Dial DialFunc
+	// MaxReportDelay is how late reports of upstreams may arrive; 0 for 10 s. It matters for
+	// upstreams whose processes do not tell their start.
+	MaxReportDelay time.Duration
 	// RetryLimits returns the current limits; they may change at run time.
 	RetryLimits func() RetryLimits
 }
@@ -69,9 +72,12 @@
 	numbering        eventNumbering
 	callCosts        callCosts
 	shortages        shortages
-	inFlight         atomic.Int64
-	draining         atomic.Bool
-	refusing         atomic.Bool
+	// outOfContactAt is when the entry was last found to be without contact with the hubs, in
+	// nanoseconds since its start.
+	outOfContactAt atomic.Int64
+	inFlight       atomic.Int64
+	draining       atomic.Bool
+	refusing       atomic.Bool
 	// ended is cancelled when the requests in flight are to end.
 	ended       context.Context
 	endRequests context.CancelFunc
@@ -100,6 +106,9 @@
 	if opts.Dial == nil {
 		opts.Dial = NewDialFunc(netip.Addr{})
 	}
+	if opts.MaxReportDelay == 0 {
+		opts.MaxReportDelay = defaultReportDelay
+	}
 	reportNow := make(reportSignal, 1)
 	s := &Server{
 		opts: opts, start: time.Now(), bodies: bodyMemory{max: opts.MaxBufferedBodyBytes}, links: newLinks(opts.Dial, opts.Logger),
@@ -253,6 +262,9 @@
 	for {
 		select {
 		case <-s.stop:
+			for _, t := range s.upstreams.all() {
+				go t.references.close()
+			}
 			return
 		case <-ticker.C:
 		}
@@ -264,5 +276,6 @@
 		for _, t := range s.upstreams.all() {
 			t.closeIdle(now, false)
 		}
+		s.sweepReferences()
 	}
 }
--- a/internal/forward/target.go
+++ b/internal/forward/target.go
@@ -33,8 +33,12 @@
 	replaced atomic.Bool
 
 	// superseded is set once another process, which has not reported yet, has answered under
-	// the id, and startUntold if the process does not tell its start.
-	superseded, startUntold atomic.Bool
+	// the id.
+	superseded atomic.Bool
+	// startState is a startState.
+	startState atomic.Int32
+	// references are connections to a process that tells no start.
+	references references
 
 	// mu guards the fields below. A record is replaced, never modified.
 	mu     sync.Mutex
@@ -152,10 +156,13 @@
 	return t.replaced.Load() || current != nil && current != t
 }
 
+// start returns what is known of whether the process tells its start.
+func (t *target) start() startState { return startState(t.startState.Load()) }
+
 // processDoubtful reports whether a stream must not go on at the target, since another process
 // may answer there than the one that has reported.
-func (t *target) processDoubtful(now time.Duration) bool {
-	return t.superseded.Load() || t.startUntold.Load()
+func (s *Server) processDoubtful(t *target) bool {
+	return t.superseded.Load() || t.start() == startUntold && !s.knownAsReported(t)
 }
 
 // breakMemory is how long a broken connection counts as a sign that the process may have
--- a/internal/forward/upstreams.go
+++ b/internal/forward/upstreams.go
@@ -72,7 +72,7 @@
 		old.replaced.Store(true)
 		u.remove(r.Id)
 	}
-	t := &target{id: r.Id, address: r.Address, bornMs: r.BornMs, links: u.links, outcomes: &u.outcomes, record: r, recordAt: time.Now(), silentSince: time.Now()}
+	t := &target{id: r.Id, address: r.Address, bornMs: r.BornMs, links: u.links, outcomes: &u.outcomes, record: r, recordAt: time.Now(), silentSince: time.Now(), references: references{lock: make(chan struct{}, 1)}}
 	u.byID[r.Id] = t
 	u.byService[r.Service] = append(u.byService[r.Service], t)
 }
@@ -96,6 +96,7 @@
 	t.removed = true
 	t.mu.Unlock()
 	go t.closeIdle(time.Time{}, true)
+	go t.references.close()
 }
 
 // list returns the upstreams of a service. The elements of the returned slice do
@@ -140,6 +141,8 @@
 	cost *policy.CallCost
 	// unbroken excludes upstreams that may have restarted.
 	unbroken bool
+	// doubtful reports whether a stream must not go on at a target; nil for requests that begin.
+	doubtful func(*target) bool
 	// excluded holds upstreams that are not used.
 	excluded map[*target]bool
 }
@@ -151,7 +154,7 @@
 	t.mu.Unlock()
 	return !f.excluded[t] && !refusesWork && record.Phase == pb.UpstreamPhase_UPSTREAM_READY && record.Stage == f.stage &&
 		(f.run == nil || f.run.MayGoOnAt(fleet.RunVersions(record, f.run.Model))) &&
-		policy.SameWeights(f.weights, fleet.RunVersions(record, f.model).Weights) && !(f.unbroken && t.mayHaveRestarted(now)) && !(f.run != nil && t.processDoubtful(now))
+		policy.SameWeights(f.weights, fleet.RunVersions(record, f.model).Weights) && !(f.unbroken && t.mayHaveRestarted(now)) && !(f.run != nil && f.doubtful != nil && f.doubtful(t))
 }
 
 // usable returns the upstreams that pass the filter.
--- a/internal/forward/versions.go
+++ b/internal/forward/versions.go
@@ -330,9 +330,7 @@
 		x.refuse("stream_version_unknown", x.retryAfter())
 		return false
 	}
-	if resolved, ok := x.s.resolveProcess(v.Versions); ok {
-		v.Versions = resolved
-	}
+	v.Versions = x.findProcess(v.Versions)
 	x.run = &v.Versions
 	x.recordNumber, x.firstID = v.Attempt+takeUpStep, v.First
 	if x.firstID == "" && x.versionsFrom != versionsOfOnly {
@@ -370,7 +368,7 @@
 		serves := x.run.MayGoOnAt(fleet.RunVersions(t.record, x.info.Model)) && t.record.Phase == pb.UpstreamPhase_UPSTREAM_READY && t.record.Stage == engineStage(x.service) &&
 			!t.misdirected && !t.stated.Leaving
 		t.mu.Unlock()
-		if serves && !t.processDoubtful(x.s.now()) {
+		if serves && !x.s.processDoubtful(t) {
 			return true
 		}
 	}
@@ -380,7 +378,7 @@
 // fitsVersion reports whether a target may serve the stream. A process that starts again
 // under its id may run other software; without contact with a hub no report tells.
 func (x *exchange) fitsVersion(t *target) bool {
-	return x.run == nil || x.run.MayGoOnAt(fleet.RunVersions(t.currentRecord(), x.info.Model)) && !(t.mayHaveRestarted(x.s.now()) && x.outOfContact()) && !t.processDoubtful(x.s.now())
+	return x.run == nil || x.run.MayGoOnAt(fleet.RunVersions(t.currentRecord(), x.info.Model)) && !(t.mayHaveRestarted(x.s.now()) && x.outOfContact()) && !x.s.processDoubtful(t)
 }
 
 // likelyFits reports whether a target has the weights of the stream, as far as the process has
