forward: only a later report proves which process tells no start

The entry asks its hubs for the newest report under the id now, and only one that arrived more than 12 s after the connection counts (10 s for late reports, 2 s from hub to hub).

References are opened by themselves now.

--- a/api/godwitward/v1/builds_test.go
+++ b/api/godwitward/v1/builds_test.go
@@ -115,6 +115,8 @@
 		TenantGrant.name TenantGrant.granted TenantGrant.standby_per_second TenantGrant.standby_grace_ms TenantGrant.retry_after_ms TenantGrant.undecided`, notMixed},
 	{thisBuild, `SubmitRequest.priority`, "None is stated: the request is queued with the priority that engines assume without the header, 5. While no request states one, all are in one queue."},
 	{thisBuild, `ProgressRequest.prefill_rejected`, "No rejection is known: the scheduler goes on using the engine."},
+	{thisBuild, `StreamVersionRequest.upstream_id`, "No report is asked for."},
+	{thisBuild, `StreamVersionResponse.report`, "No report is known: a process that tells no start is not known to have reported since."},
 	{thisBuild, `SubmitRequest.held_ms`, "No result of a prefill is held: the attempt is queued as one that needs a prefill."},
 }
 
--- a/api/godwitward/v1/text_fields_test.go
+++ b/api/godwitward/v1/text_fields_test.go
@@ -27,7 +27,7 @@
 		UpstreamState.models UpstreamState.software_version UpstreamRecord.id UpstreamRecord.service UpstreamRecord.address UpstreamRecord.place UpstreamRecord.models
 		UpstreamRecord.software_version StreamVersionResponse.software_version UpstreamStatement.id SendPermitResponse.id ErrorShare.id StreamVersion.version ServiceVersion.service ServiceVersion.version ServiceVersion.model ServiceVersion.weights
 		EventNumbering.version RelayRequest.address StreamVersion.earlier_weights StreamVersion.weights UpstreamState.weights UpstreamRecord.weights CrashedPrompt.engine_id
-		UpstreamOutcomes.id Event.upstream`,
+		UpstreamOutcomes.id Event.upstream StreamVersionRequest.upstream_id`,
 	"upstreams: ids of events that are not valid UTF-8 are left out by internal/forward": `StreamVersion.changed_after`,
 	"upstreams: a response header that cannot be encoded is left out by transport":       `Attribute.value`,
 }
--- a/internal/feed/stream_versions.go
+++ b/internal/feed/stream_versions.go
@@ -115,7 +115,7 @@
 func (h *Hub) answer(peer *pb.Hello, req *pb.StreamVersionRequest) (*pb.StreamVersionResponse, recordReading) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	resp := &pb.StreamVersionResponse{}
+	resp := &pb.StreamVersionResponse{Report: h.table.Report(req.UpstreamId, h.now())}
 	v, known := h.streamVersions.Get(req.Id, h.now())
 	if !known {
 		return resp, unknownRun
@@ -256,6 +256,19 @@
 	return fleet.DecodeStreamVersion(stream, 0)
 }
 
+// LastReport asks the hubs for the newest report under an id, and returns the start of its process
+// and the time since it arrived. known is false if no hub in reach has one.
+func (s *Subscriber) LastReport(ctx context.Context, id string) (bornMs int64, age time.Duration, known bool) {
+	for _, answer := range s.askHubs(ctx, &pb.StreamVersionRequest{UpstreamId: id}) {
+		r := answer.GetReport()
+		if r == nil || known && (r.BornMs < bornMs || r.BornMs == bornMs && milliseconds(r.AgeMs) >= age) {
+			continue
+		}
+		bornMs, age, known = r.BornMs, milliseconds(r.AgeMs), true
+	}
+	return bornMs, age, known
+}
+
 // askHubs sends a question to the hubs to which the subscriber is attached, and returns the
 // answers. A hub out of reach gives none.
 func (s *Subscriber) askHubs(ctx context.Context, req *pb.StreamVersionRequest) []*pb.StreamVersionResponse {
--- a/internal/feed/untold_process_test.go
+++ b/internal/feed/untold_process_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	pb "godwitward.example/godwitward/api/godwitward/v1"
 	"godwitward.example/godwitward/internal/fleet"
 	"godwitward.example/godwitward/policy"
 )
@@ -29,3 +30,21 @@
 		h.keepRecord("late", untold)
 	}
 }
+
+// Guards against a notice, or the silence about an upstream that a hub does not know, that is taken
+// for a report of a process.
+func TestOnlyReportsTellThatAProcessReports(t *testing.T) {
+	h, _ := newRoutesHub(t, t.Cleanup, nil, true)
+	r := lateReport()
+	ask := func() *pb.UpstreamRecord {
+		resp, _ := h.answer(nil, &pb.StreamVersionRequest{UpstreamId: r.Id})
+		return resp.Report
+	}
+	require.Nil(t, ask(), "no report has arrived")
+	r.AgeMs = 3000
+	h.applyGossip(r)
+	require.EqualValues(t, 2, ask().GetBornMs())
+	require.GreaterOrEqual(t, ask().GetAgeMs(), uint32(3000))
+	h.Leave(r.Id, r.BornMs)
+	require.Nil(t, ask(), "a notice is no report")
+}
--- a/internal/forward/decode_slot.go
+++ b/internal/forward/decode_slot.go
@@ -37,7 +37,7 @@
 
 // hasOtherDecode reports whether another engine that may decode the request is not suspect.
 func (x *exchange) hasOtherDecode(decode *target) bool {
-	filter := upstreamFilter{service: x.service.Name, stage: engineStage(x.service), run: x.run, doubtful: x.s.processDoubtful, excluded: map[*target]bool{decode: true}}
+	filter := upstreamFilter{service: x.service.Name, stage: engineStage(x.service), run: x.run, excluded: map[*target]bool{decode: true}}
 	now := x.s.now()
 	for _, t := range x.s.upstreams.usable(filter, now) {
 		if !x.tried[t] && !t.suspect(now) && t.lost(now) == nil {
--- a/internal/forward/find_stream_test.go
+++ b/internal/forward/find_stream_test.go
@@ -33,6 +33,10 @@
 
 func (*meanwhileHub) ReportsArrive() bool { return true }
 
+func (*meanwhileHub) LastReport(context.Context, string) (int64, time.Duration, bool) {
+	return 0, 0, false
+}
+
 func takeUpExchange(t *testing.T, hub *meanwhileHub) *exchange {
 	s := NewServer(Options{Logger: &log.Logger{Level: log.PanicLevel}})
 	t.Cleanup(s.Stop)
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -101,7 +101,7 @@
 			reservation.Release(Result{Outcome: OutcomeNotStarted})
 		}
 	}
-	filter := upstreamFilter{service: x.service.Name, stage: engineStage(x.service), tried: x.tried, run: x.run, unbroken: x.run != nil && x.outOfContact(), doubtful: x.s.processDoubtful}
+	filter := upstreamFilter{service: x.service.Name, stage: engineStage(x.service), tried: x.tried, run: x.run, unbroken: x.run != nil && x.outOfContact()}
 	decode := x.pickUnscheduled(filter, true)
 	if decode == nil {
 		return nil, nil
@@ -187,7 +187,7 @@
 		return ids
 	}
 	for _, t := range x.s.upstreams.list(x.service.Name) {
-		if t.currentRecord().Stage == engineStage(x.service) && x.s.processDoubtful(t) {
+		if t.currentRecord().Stage == engineStage(x.service) && t.processDoubtful() {
 			ids = append(ids, t.id)
 		}
 	}
--- a/internal/forward/process.go
+++ b/internal/forward/process.go
@@ -157,7 +157,7 @@
 	if other && !t.superseded.Swap(true) {
 		x.s.opts.Logger.Info().Str("event", "upstream.unreported").Str("upstream", t.id).Int64("born_ms", t.bornMs).Int64("process_born_ms", c.process.bornMs).Msg("")
 	}
-	if x.run != nil && !x.s.hasReported(t, c) {
+	if x.run != nil && !t.hasReported(c) {
 		return errOtherProcess
 	}
 	return nil
@@ -165,18 +165,18 @@
 
 // hasReported reports whether the process that accepted a connection is known to be that of the
 // target's record.
-func (s *Server) hasReported(t *target, c *conn) bool {
+func (t *target) hasReported(c *conn) bool {
 	if c.process.bornMs != 0 {
 		return c.process.bornMs == t.bornMs
 	}
-	return s.isReported(t, c.process.untold)
+	return isReported(c.process.untold)
 }
 
 // processVersions returns the versions of the process that accepted a connection to a target.
 // If it is not known to have reported, the process stands for the software.
 func (x *exchange) processVersions(t *target, c *conn) policy.RunVersions {
 	switch {
-	case x.s.hasReported(t, c):
+	case t.hasReported(c):
 		return fleet.RunVersions(t.currentRecord(), x.info.Model)
 	case c.process.bornMs != 0:
 		v := policy.RunVersions{Service: x.service.Name, Software: fleet.ProcessText(t.id, c.process.bornMs), Model: x.info.Model}
@@ -263,8 +263,8 @@
 
 // mayBeReplaced reports whether another process than that of the target's record may have sent
 // the run: it has reported since, and the connection does not tell.
-func (x *exchange) mayBeReplaced(r *streamRun) bool {
-	return r.res.conn.process.bornMs == 0 && r.t.hasSuccessor() && !x.s.hasReported(r.t, r.res.conn)
+func (r *streamRun) mayBeReplaced() bool {
+	return r.res.conn.process.bornMs == 0 && r.t.hasSuccessor() && !r.t.hasReported(r.res.conn)
 }
 
 // maxLateReports limits the late reports that are kept. Without one the hubs are asked.
--- a/internal/forward/references.go
+++ b/internal/forward/references.go
@@ -26,10 +26,9 @@
 const (
 	// defaultReportDelay is how late a report may arrive: the platform delays them by seconds.
 	defaultReportDelay = 10 * time.Second
-	// reportTransfer is the time in which all hubs and entries know of a report or a silence.
-	reportTransfer = 500 * time.Millisecond
-	// contactTime is the time in contact with the hubs after which an entry knows of all reports.
-	contactTime = 2 * time.Second
+	// reportTransfer is how long a report may take from hub to hub: sessions that bring nothing
+	// for so long are ended.
+	reportTransfer = 2 * time.Second
 	// maxReferences is the number of references to an upstream. Upstreams close connections
 	// without notice, and the last one takes the proof with it.
 	maxReferences = 2
@@ -40,8 +39,10 @@
 	// referenceRetention is the time after the last stream at a service that its references are
 	// kept.
 	referenceRetention = time.Minute
-	// maxUnproven limits the processes of an upstream that wait for their proof.
+	// maxUnproven limits the processes of an upstream that wait for their proof, and proofPeriod
+	// the time for which it is looked for: the records of their streams are kept for as long.
 	maxUnproven = 16
+	proofPeriod = time.Minute
 )
 
 // startState is what is known of whether a process tells its start.
@@ -91,11 +92,11 @@
 
 func (r *references) release() { <-r.lock }
 
-// proofTime is the time after which a process of which no silence and no successor is known has
-// reported since: its newest report has arrived within fleet.SilentAfter, and was sent at most
-// the longest delay of reports before.
-func (s *Server) proofTime() time.Duration {
-	return s.opts.MaxReportDelay + fleet.SilentAfter + reportTransfer
+// await makes a process wait for its proof, if there is room. The caller has the lock.
+func (r *references) await(p *untoldProcess) {
+	if len(r.unproven) < maxUnproven && !r.closed {
+		r.unproven = append(r.unproven, p)
+	}
 }
 
 // keep replaces the references and says of which process they are. The caller has the lock.
@@ -118,21 +119,20 @@
 	r.keep(nil, nil)
 }
 
-// identifyUntold finds the process that accepted a connection and that told no start when it was
-// asked just before.
+// identifyUntold finds the process that accepted a connection if it tells no start.
 func (x *exchange) identifyUntold(t *target, c *conn) {
-	t.references.usedAt.Store(int64(x.s.now()))
 	if c.process.bornMs != 0 || c.process.untold != nil {
 		return
 	}
+	t.references.usedAt.Store(int64(x.s.now()))
 	ctx, cancel := context.WithTimeout(x.ctx, min(referenceTimeout, max(0, x.remaining())))
 	defer cancel()
-	c.process.untold = x.s.processOf(ctx, t, c)
+	c.process.untold = x.s.processOf(ctx, t)
 }
 
-// processOf returns the process that accepted a connection, which has been answered on it just
-// before.
-func (s *Server) processOf(ctx context.Context, t *target, c *conn) *untoldProcess {
+// processOf returns the process that accepted a connection, which is open. Without a reference
+// that answers it counts as one of its own, and references are opened.
+func (s *Server) processOf(ctx context.Context, t *target) *untoldProcess {
 	r := &t.references
 	if !r.acquire(ctx) {
 		return s.newUntoldProcess()
@@ -142,9 +142,12 @@
 		return p
 	}
 	p := s.newUntoldProcess()
-	if len(r.unproven) < maxUnproven && !r.closed {
-		r.unproven = append(r.unproven, p)
-		s.addReference(ctx, t, c, p)
+	r.await(p)
+	select {
+	case <-s.stop:
+	default:
+		s.done.Add(1)
+		go s.refreshReferences(t, true)
 	}
 	return p
 }
@@ -220,53 +223,64 @@
 	return resp, info, body, nil
 }
 
-// isReported reports whether a process that tells no start is known to be that of the target's
+// isReported reports whether a process that tells no start is known to be that of its target's
 // record, which then holds for good.
-func (s *Server) isReported(t *target, p *untoldProcess) bool {
-	return p != nil && (p.proven.Load() || s.prove(t, p))
-}
+func isReported(p *untoldProcess) bool { return p != nil && p.proven.Load() }
 
-// prove looks for the proof that a process is the one of the target's record: it has reported
-// before it accepted a connection, and since.
-func (s *Server) prove(t *target, p *untoldProcess) bool {
-	now := s.now()
-	if t.bornMs == 0 || now-p.acceptedAt < s.proofTime() || now-time.Duration(s.outOfContactAt.Load()) < contactTime || t.superseded.Load() {
-		return false
+// proveProcesses looks for the proof that processes are the one of the target's record: it has
+// reported before they accepted a connection, and since. A report counts only if it was sent
+// after that, however late it has arrived.
+func (s *Server) proveProcesses(ctx context.Context, t *target) {
+	r := &t.references
+	if t.bornMs == 0 || s.versionSource == nil || !r.acquire(ctx) {
+		return
 	}
-	r := t.currentRecord()
-	if r.Silent || r.Phase == pb.UpstreamPhase_UPSTREAM_GONE || !fleet.TellsSoftware(r) || s.upstreams.get(t.id) != t {
-		return false
+	delay := s.opts.MaxReportDelay + reportTransfer
+	r.unproven = slices.DeleteFunc(r.unproven, func(p *untoldProcess) bool {
+		return isReported(p) || s.now()-p.acceptedAt > delay+proofPeriod
+	})
+	due := slices.Clone(r.unproven)
+	r.release()
+	due = slices.DeleteFunc(due, func(p *untoldProcess) bool { return s.now()-p.acceptedAt < delay })
+	if record := t.currentRecord(); len(due) == 0 || !fleet.TellsSoftware(record) {
+		return
 	}
-	if !p.proven.Swap(true) {
-		s.recordProcess(t, p, r)
+	askedAt := s.now()
+	bornMs, age, known := s.versionSource.LastReport(ctx, t.id)
+	if !known || bornMs != t.bornMs {
+		return
+	}
+	for _, p := range due {
+		if p.acceptedAt < askedAt-age-delay {
+			s.recordProcess(t, p)
+		}
 	}
-	return true
 }
 
-// recordProcess records the software of a process under its text, where streams that it began
-// are resolved by it at all entries.
-func (s *Server) recordProcess(t *target, p *untoldProcess, r *pb.UpstreamRecord) {
-	text := fleet.ProcessText(t.id, p.number)
-	s.opts.Logger.Info().Str("event", "upstream.identified").Str("upstream", t.id).Int64("born_ms", t.bornMs).Int64("process", p.number).Str("software", r.SoftwareVersion).Msg("")
-	s.recordStream([]string{text}, policy.StreamVersion{Versions: policy.RunVersions{Service: r.Service, Software: r.SoftwareVersion}, Attempt: 1})
+// recordProcess marks a process as the one of its target's record, and records its software under
+// its text, where streams that it began are resolved by it at all entries.
+func (s *Server) recordProcess(t *target, p *untoldProcess) {
+	p.proven.Store(true)
+	text, record := fleet.ProcessText(t.id, p.number), t.currentRecord()
+	s.opts.Logger.Info().Str("event", "upstream.identified").Str("upstream", t.id).Int64("born_ms", t.bornMs).Int64("process", p.number).Str("software", record.SoftwareVersion).Msg("")
+	s.recordStream([]string{text}, policy.StreamVersion{Versions: policy.RunVersions{Service: record.Service, Software: record.SoftwareVersion}, Attempt: 1})
 	l := &s.streamVersions
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.history[r.Service].ForgetSoftware(text)
+	if history := l.history[record.Service]; history != nil {
+		history.ForgetSoftware(text)
+	}
 }
 
 // knownAsReported reports whether the process that would accept a connection to the target now
 // is known to be the one that has reported, as far as the entry can tell without a question.
-func (s *Server) knownAsReported(t *target) bool {
-	return s.isReported(t, t.references.current.Load())
+func (t *target) knownAsReported() bool {
+	return isReported(t.references.current.Load())
 }
 
 // sweepReferences keeps the references of the upstreams whose services have streams at processes
 // that tell no start, and closes the others.
 func (s *Server) sweepReferences() {
-	if s.versionSource == nil || !s.versionSource.ReportsArrive() {
-		s.outOfContactAt.Store(int64(s.now()))
-	}
 	targets := s.upstreams.all()
 	used := map[string]bool{}
 	for _, t := range targets {
@@ -286,11 +300,12 @@
 }
 
 // refreshReferences asks on the references of a target that are about to expire, opens those
-// that are missing, and looks for the proofs that are due. Without wanted it closes them.
+// that are missing, and looks for proofs. Without wanted it closes them.
 func (s *Server) refreshReferences(t *target, wanted bool) {
 	defer s.done.Done()
 	ctx, cancel := context.WithTimeout(s.ended, sweepInterval)
 	defer cancel()
+	s.proveProcesses(ctx, t)
 	r := &t.references
 	select {
 	case r.lock <- struct{}{}:
@@ -298,9 +313,6 @@
 		return
 	}
 	defer r.release()
-	r.unproven = slices.DeleteFunc(r.unproven, func(p *untoldProcess) bool {
-		return s.isReported(t, p) || s.now()-p.acceptedAt > s.proofTime()+referenceRetention
-	})
 	p := r.current.Load()
 	var kept []*conn
 	for _, c := range r.conns {
@@ -326,6 +338,7 @@
 func (s *Server) openReference(ctx context.Context, t *target) {
 	r := &t.references
 	if len(r.unproven) >= maxUnproven {
+		// None would be proven.
 		return
 	}
 	c, err := t.dial(ctx)
@@ -338,7 +351,7 @@
 	}
 	p := s.newUntoldProcess()
 	t.startState.Store(int32(startUntold))
-	r.unproven = append(r.unproven, p)
+	r.await(p)
 	r.keep([]*conn{c}, p)
 }
 
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -72,12 +72,9 @@
 	numbering        eventNumbering
 	callCosts        callCosts
 	shortages        shortages
-	// outOfContactAt is when the entry was last found to be without contact with the hubs, in
-	// nanoseconds since its start.
-	outOfContactAt atomic.Int64
-	inFlight       atomic.Int64
-	draining       atomic.Bool
-	refusing       atomic.Bool
+	inFlight         atomic.Int64
+	draining         atomic.Bool
+	refusing         atomic.Bool
 	// ended is cancelled when the requests in flight are to end.
 	ended       context.Context
 	endRequests context.CancelFunc
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -343,7 +343,7 @@
 // endRun ends the stream with its last run. One that fits nothing before it and has sent
 // nothing tells nothing about the stream.
 func (x *exchange) endRun(run *streamRun, st *streamState, flusher *http.ResponseController) sendResult {
-	if run.first && x.run != nil && (x.mayBeReplaced(run) || run.versions != *x.run) {
+	if run.first && x.run != nil && (run.mayBeReplaced() || run.versions != *x.run) {
 		run.res.close(false)
 		x.reason = "other_versions"
 		return sendOutcomeUnknown
@@ -359,7 +359,7 @@
 		run.t.recordFailure(x.s.now(), policy.FaultError)
 		x.reason = "event_out_of_order"
 		return false
-	case run.first && x.mayBeReplaced(run):
+	case run.first && run.mayBeReplaced():
 		// The answer may be that of the new process, whose software may be another.
 		x.reason = "upstream_replaced"
 		return false
--- a/internal/forward/target.go
+++ b/internal/forward/target.go
@@ -161,8 +161,8 @@
 
 // processDoubtful reports whether a stream must not go on at the target, since another process
 // may answer there than the one that has reported.
-func (s *Server) processDoubtful(t *target) bool {
-	return t.superseded.Load() || t.start() == startUntold && !s.knownAsReported(t)
+func (t *target) processDoubtful() bool {
+	return t.superseded.Load() || t.start() == startUntold && !t.knownAsReported()
 }
 
 // breakMemory is how long a broken connection counts as a sign that the process may have
--- a/internal/forward/upstreams.go
+++ b/internal/forward/upstreams.go
@@ -141,8 +141,6 @@
 	cost *policy.CallCost
 	// unbroken excludes upstreams that may have restarted.
 	unbroken bool
-	// doubtful reports whether a stream must not go on at a target; nil for requests that begin.
-	doubtful func(*target) bool
 	// excluded holds upstreams that are not used.
 	excluded map[*target]bool
 }
@@ -154,7 +152,7 @@
 	t.mu.Unlock()
 	return !f.excluded[t] && !refusesWork && record.Phase == pb.UpstreamPhase_UPSTREAM_READY && record.Stage == f.stage &&
 		(f.run == nil || f.run.MayGoOnAt(fleet.RunVersions(record, f.run.Model))) &&
-		policy.SameWeights(f.weights, fleet.RunVersions(record, f.model).Weights) && !(f.unbroken && t.mayHaveRestarted(now)) && !(f.run != nil && f.doubtful != nil && f.doubtful(t))
+		policy.SameWeights(f.weights, fleet.RunVersions(record, f.model).Weights) && !(f.unbroken && t.mayHaveRestarted(now)) && !(f.run != nil && t.processDoubtful())
 }
 
 // usable returns the upstreams that pass the filter.
--- a/internal/forward/versions.go
+++ b/internal/forward/versions.go
@@ -26,6 +26,10 @@
 	VersionsObserved() time.Duration
 	// ReportsArrive reports whether the reports of all upstreams arrive.
 	ReportsArrive() bool
+	// LastReport returns the start of the process whose report is the newest one under an id, in
+	// Unix milliseconds, and the time since it arrived at a hub. known is false if nobody who
+	// could be asked has one.
+	LastReport(ctx context.Context, id string) (bornMs int64, age time.Duration, known bool)
 }
 
 const (
@@ -368,7 +372,7 @@
 		serves := x.run.MayGoOnAt(fleet.RunVersions(t.record, x.info.Model)) && t.record.Phase == pb.UpstreamPhase_UPSTREAM_READY && t.record.Stage == engineStage(x.service) &&
 			!t.misdirected && !t.stated.Leaving
 		t.mu.Unlock()
-		if serves && !x.s.processDoubtful(t) {
+		if serves && !t.processDoubtful() {
 			return true
 		}
 	}
@@ -378,7 +382,7 @@
 // fitsVersion reports whether a target may serve the stream. A process that starts again
 // under its id may run other software; without contact with a hub no report tells.
 func (x *exchange) fitsVersion(t *target) bool {
-	return x.run == nil || x.run.MayGoOnAt(fleet.RunVersions(t.currentRecord(), x.info.Model)) && !(t.mayHaveRestarted(x.s.now()) && x.outOfContact()) && !x.s.processDoubtful(t)
+	return x.run == nil || x.run.MayGoOnAt(fleet.RunVersions(t.currentRecord(), x.info.Model)) && !(t.mayHaveRestarted(x.s.now()) && x.outOfContact()) && !t.processDoubtful()
 }
 
 // likelyFits reports whether a target has the weights of the stream, as far as the process has
--- a/internal/forward/versions_test.go
+++ b/internal/forward/versions_test.go
@@ -53,6 +53,9 @@
 
 func (*versionHub) VersionsObserved() time.Duration { return time.Hour }
 func (*versionHub) ReportsArrive() bool             { return false }
+func (*versionHub) LastReport(context.Context, string) (int64, time.Duration, bool) {
+	return 0, 0, false
+}
 
 func versionExchange(hub *versionHub) *exchange {
 	s := &Server{start: time.Now(), reportNow: make(reportSignal, 1), versionSource: hub}
