--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -203,6 +203,8 @@
 		s.restartInPlace(ctx, runner, 0)
 	case restartUnreported, restartTwice, staleReports:
 		s.restartSeries(ctx, f)
+	case idleRestart:
+		s.idleThenRestart(ctx, f)
 	case lateReports:
 		s.delayReports(ctx, f)
 	case preemptStreams, changeRole:
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -30,7 +30,7 @@
 	random := rand.New(rand.NewPCG(s.opts.Seed, uint64(caller)+100))
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}
 	streams := float64(s.shape.streamShare) / 100
-	for n := 0; ctx.Err() == nil; n++ {
+	for n := 0; s.awaitCalls(ctx); n++ {
 		id := fmt.Sprintf("c%d-%d", caller, n)
 		if s.processes {
 			if w := drawOnceWork(random, id); w.path != "" {
--- a/internal/soak/load_cut.go
+++ b/internal/soak/load_cut.go
@@ -38,7 +38,7 @@
 func (s *system) runStayingCaller(ctx context.Context, entry, caller int) {
 	random := rand.New(rand.NewPCG(s.opts.Seed, uint64(entry*stayingCallers+caller)+1000))
 	kept := &http.Client{Transport: &http.Transport{}}
-	for n := 0; ctx.Err() == nil; n++ {
+	for n := 0; s.awaitCalls(ctx); n++ {
 		client := kept
 		if n%newConnEvery == 0 {
 			client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -184,6 +184,8 @@
 	switch f.kind {
 	case cutEntryHang, cutEntryReset, cutEntryRefuse, restartUnreported, restartTwice, staleReports, askPause, stateLimit, deadlyRequest:
 		return nil
+	case idleRestart:
+		return nil
 	case lateReports:
 		return []int{lateReportsLock}
 	case reloadSettings:
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -56,7 +56,7 @@
 	resetLinks, silentLinks, delayLinks, oneWayLink, reloadSettings, changeConfig, raceConfigChanges,
 }
 
-var namedFaultKinds = slices.Concat([]faultKind{killAll, releaseEngines, restartRunner, strayEvents, killRunner, changeWeights, preemptStreams, changeRole}, wireFaultKinds(), cutFaultKinds, lateReportKinds, statementKinds, []faultKind{deadlyRequest})
+var namedFaultKinds = slices.Concat([]faultKind{killAll, releaseEngines, restartRunner, strayEvents, killRunner, changeWeights, preemptStreams, changeRole}, wireFaultKinds(), cutFaultKinds, lateReportKinds, statementKinds, []faultKind{deadlyRequest, idleRestart})
 
 // wireFaultKinds are faults of the answers of all runners.
 func wireFaultKinds() []faultKind {
@@ -110,7 +110,7 @@
 			duration: minFaultDuration + time.Duration(random.Int64N(int64(maxFaultDuration-minFaultDuration))),
 		})
 	}
-	return limitCoreFaults(faults)
+	return limitCoreFaults(planIdle(faults, duration))
 }
 
 // catchUpTime is the time for which a core daemon counts as unavailable after a fault.
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -88,6 +88,7 @@
 	cutCheck       cutCheck
 	statementCheck statementCheck
 	deadlyCheck    deadlyCheck
+	idle           idlePhase
 }
 
 // ports are the TCP ports of a run. All processes use the same ports, each on its
