--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -11,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/boottime"
 	"godwitward.example/godwitward/internal/corestore"
 	"godwitward.example/godwitward/internal/fleet"
 	"godwitward.example/godwitward/internal/protocol"
@@ -111,6 +113,9 @@
 
 	streamVersions policy.StreamVersions
 	left           policy.LeftVersions
+	// bootOffset is the time by which the boot clock was last ahead of now, and resumedAt when it
+	// was found to have advanced alone.
+	bootOffset, resumedAt time.Duration
 	versionHistory
 	routes routeHistory
 	eventNumberings
@@ -165,7 +170,7 @@
 func NewHub(opts HubOptions, server *transport.Server) *Hub {
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Hub{
-		opts: opts, start: time.Now(), table: fleet.NewTable(),
+		opts: opts, start: time.Now(), bootOffset: boottime.Now(), resumedAt: math.MinInt64, table: fleet.NewTable(),
 		subscriptions: map[*subscription]struct{}{}, remoteAttachments: map[string]attachmentCount{}, outcomes: outcomeTable{}, ctx: ctx, stop: cancel,
 		evidence: promptEvidence{quarantine: policy.NewPromptQuarantine()}, statements: map[processKey]*hubStatement{}, schedules: map[processKey]*sendSchedule{},
 	}
--- a/internal/feed/stream_versions.go
+++ b/internal/feed/stream_versions.go
@@ -5,6 +5,7 @@
 	"time"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/boottime"
 	"godwitward.example/godwitward/internal/fleet"
 	"godwitward.example/godwitward/internal/protocol"
 	"godwitward.example/godwitward/internal/transport"
@@ -115,7 +116,10 @@
 func (h *Hub) answer(peer *pb.Hello, req *pb.StreamVersionRequest) (*pb.StreamVersionResponse, recordReading) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	resp := &pb.StreamVersionResponse{Report: h.table.Report(req.UpstreamId, h.now())}
+	resp := &pb.StreamVersionResponse{}
+	if req.UpstreamId != "" {
+		resp.Report = h.lastReport(req.UpstreamId)
+	}
 	v, known := h.streamVersions.Get(req.Id, h.now())
 	if !known {
 		return resp, unknownRun
@@ -136,6 +140,26 @@
 	return resp, reading
 }
 
+// maxClockDrift is the difference between two clocks that shows no suspension.
+const maxClockDrift = 20 * time.Millisecond
+
+// lastReport returns the newest report under an id with its age. The clock of ages stands still
+// while the VM is suspended, so reports from before a suspension don't count. The caller holds mu.
+func (h *Hub) lastReport(id string) *pb.UpstreamRecord {
+	now := h.now()
+	offset := boottime.Now() - now
+	if offset-h.bootOffset > maxClockDrift {
+		h.resumedAt = now
+	}
+	h.bootOffset = offset
+	r := h.table.Report(id, now)
+	// The age is in whole milliseconds.
+	if r != nil && now-milliseconds(r.AgeMs+1) <= h.resumedAt {
+		return nil
+	}
+	return r
+}
+
 // resolveProcess replaces a process that stands for a software version once the process has
 // reported: entries of earlier builds can't. Weights that no response has stated may have
 // changed before the report or since, so they are left to entries. The caller holds mu.
--- a/internal/feed/untold_process_test.go
+++ b/internal/feed/untold_process_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -48,3 +49,24 @@
 	h.Leave(r.Id, r.BornMs)
 	require.Nil(t, ask(), "a notice is no report")
 }
+
+// Guards against a report that counts as new after its hub was suspended: the clock of its age
+// stood still meanwhile.
+func TestReportsFromBeforeASuspensionAreNoProof(t *testing.T) {
+	h, _ := newRoutesHub(t, t.Cleanup, nil, true)
+	r := lateReport()
+	h.Report(r)
+	ask := func() *pb.UpstreamRecord {
+		resp, _ := h.answer(nil, &pb.StreamVersionRequest{UpstreamId: r.Id})
+		return resp.Report
+	}
+	require.NotNil(t, ask())
+	h.bootOffset -= 20 * time.Second
+	require.Nil(t, ask())
+	require.Nil(t, ask())
+	time.Sleep(5 * time.Millisecond)
+	next := lateReport()
+	next.Sequence++
+	h.Report(next)
+	require.NotNil(t, ask(), "it was sent since")
+}
--- a/internal/forward/paused_proof_test.go
+++ b/internal/forward/paused_proof_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -10,27 +11,34 @@
 	pb "godwitward.example/godwitward/api/godwitward/v1"
 )
 
-// contactSource is a source of versions that says whether reports arrive.
-type contactSource struct {
+// slowReports is a source that answers late how old the newest report is.
+type slowReports struct {
 	versionHub
-	reportsArrive bool
+	age, answersAfter time.Duration
 }
 
-func (c *contactSource) ReportsArrive() bool { return c.reportsArrive }
+func (r *slowReports) LastReport(context.Context, string) (int64, time.Duration, bool) {
+	time.Sleep(r.answersAfter)
+	return 1, r.age, true
+}
 
 // Guards against a process that tells no start and is taken for the one of the record by an entry
-// that was paused: what hubs have sent meanwhile, a silence or a successor, it has not read yet.
+// that was paused while it asked: the report is older than its age says by then.
 func TestPausedEntriesProveNoProcess(t *testing.T) {
-	for _, reportsArrive := range []bool{true, false} {
+	for _, tt := range []struct {
+		age    time.Duration
+		proven bool
+	}{{age: 0, proven: true}, {age: 200 * time.Millisecond, proven: false}} {
 		s := &Server{
-			start: time.Now().Add(-time.Hour), reportNow: make(reportSignal, 1), upstreams: newUpstreams("", nil), versionSource: &contactSource{reportsArrive: reportsArrive},
-			opts: Options{Logger: &log.Logger{Level: log.PanicLevel}, MaxReportDelay: defaultReportDelay},
+			start: time.Now().Add(-time.Hour), reportNow: make(reportSignal, 1), upstreams: newUpstreams("", nil),
+			versionSource: &slowReports{age: tt.age, answersAfter: 300 * time.Millisecond},
+			opts:          Options{Logger: &log.Logger{Level: log.PanicLevel}, MaxReportDelay: defaultReportDelay},
 		}
 		s.upstreams.update([]*pb.UpstreamRecord{{Id: "a", Service: "llm", Address: "127.0.0.1:9", SoftwareVersion: "v1", BornMs: 1, Phase: pb.UpstreamPhase_UPSTREAM_READY}}, s.now())
 		engine := s.upstreams.get("a")
-		s.seeVersions([]*pb.UpstreamRecord{engine.currentRecord()})
-		// No sweep has run since the process accepted the connection.
-		p := &untoldProcess{number: -5, acceptedAt: s.now() - s.proofTime() - time.Second}
-		require.Equal(t, reportsArrive, s.isReported(engine, p))
+		p := &untoldProcess{number: -5, acceptedAt: s.now() - defaultReportDelay - reportTransfer - 100*time.Millisecond}
+		engine.references.unproven = []*untoldProcess{p}
+		s.proveProcesses(t.Context(), engine)
+		require.Equal(t, tt.proven, isReported(p))
 	}
 }
--- a/internal/forward/process.go
+++ b/internal/forward/process.go
@@ -23,7 +23,7 @@
 	asked bool
 	// bornMs is its start in Unix milliseconds; 0 if it is not known.
 	bornMs int64
-	// untold is the process that tells no start; nil if it does, or could not be found.
+	// untold is the process that tells no start; nil if it does, or is not known.
 	untold *untoldProcess
 }
 
--- a/internal/forward/references.go
+++ b/internal/forward/references.go
@@ -92,11 +92,14 @@
 
 func (r *references) release() { <-r.lock }
 
-// await makes a process wait for its proof, if there is room. The caller has the lock.
-func (r *references) await(p *untoldProcess) {
-	if len(r.unproven) < maxUnproven && !r.closed {
-		r.unproven = append(r.unproven, p)
+// await makes a process wait for its proof, and reports whether there was room. The caller has
+// the lock.
+func (r *references) await(p *untoldProcess) bool {
+	if len(r.unproven) >= maxUnproven || r.closed {
+		return false
 	}
+	r.unproven = append(r.unproven, p)
+	return true
 }
 
 // keep replaces the references and says of which process they are. The caller has the lock.
@@ -130,19 +133,21 @@
 	c.process.untold = x.s.processOf(ctx, t)
 }
 
-// processOf returns the process that accepted a connection, which is open. Without a reference
-// that answers it counts as one of its own, and references are opened.
+// processOf returns the process that accepted a connection, which is open; nil if it is not
+// known. Without a reference that answers it counts as one of its own, and references are opened.
 func (s *Server) processOf(ctx context.Context, t *target) *untoldProcess {
 	r := &t.references
 	if !r.acquire(ctx) {
-		return s.newUntoldProcess()
+		return nil
 	}
 	defer r.release()
 	if p := s.askReferences(ctx, t); p != nil {
 		return p
 	}
 	p := s.newUntoldProcess()
-	r.await(p)
+	if !r.await(p) {
+		return nil
+	}
 	select {
 	case <-s.stop:
 	default:
@@ -263,7 +268,9 @@
 	p.proven.Store(true)
 	text, record := fleet.ProcessText(t.id, p.number), t.currentRecord()
 	s.opts.Logger.Info().Str("event", "upstream.identified").Str("upstream", t.id).Int64("born_ms", t.bornMs).Int64("process", p.number).Str("software", record.SoftwareVersion).Msg("")
-	s.recordStream([]string{text}, policy.StreamVersion{Versions: policy.RunVersions{Service: record.Service, Software: record.SoftwareVersion}, Attempt: 1})
+	// Only the software counts. Hubs of earlier builds list all of it as versions in use, so it
+	// is one that is.
+	s.recordStream([]string{text}, policy.StreamVersion{Versions: fleet.AllRunVersions(record)[0], Attempt: 1})
 	l := &s.streamVersions
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -337,10 +344,6 @@
 // caller has the lock.
 func (s *Server) openReference(ctx context.Context, t *target) {
 	r := &t.references
-	if len(r.unproven) >= maxUnproven {
-		// None would be proven.
-		return
-	}
 	c, err := t.dial(ctx)
 	if err != nil {
 		return
@@ -349,9 +352,12 @@
 		_ = c.Close()
 		return
 	}
-	p := s.newUntoldProcess()
 	t.startState.Store(int32(startUntold))
-	r.await(p)
+	p := s.newUntoldProcess()
+	if !r.await(p) {
+		_ = c.Close()
+		return
+	}
 	r.keep([]*conn{c}, p)
 }
 
