fleet: a restart that tells no start is known once its reports cannot be late

Callers got no answer from an upstream that had started again under its id without telling its start: its reports, whose sequence begins anew, counted as older than those of the process before. A core daemon dropped them for up to 90 s or until they passed the old numbers, after a notice of its end always for 90 s; an entry, which never forgets, for good. The record kept the address, stage, models and software of the process before, and turned silent.

A lower sequence without a start is a late report only for as long as reports may be late (MaxReportDelay, 10 s) after the newest one was received. Later it is a new process, at whichever daemon it is compared, since the times of receipt decide in both directions. Entries wait 2 s less: they get a record that a core daemon has accepted once only. A record marked silent carries its age. A process that goes on reporting after its notice stays ended.

--- a/internal/feed/subscriber.go
+++ b/internal/feed/subscriber.go
@@ -139,7 +139,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	subscriber := &Subscriber{
 		opts: opts, start: time.Now(), hubsInUse: map[string]bool{}, detachedAt: map[string]time.Time{},
-		table: fleet.NewTable(), silent: map[string]bool{}, streams: map[*transport.Stream]*transport.Client{}, stop: cancel,
+		table: fleet.NewEntryTable(), silent: map[string]bool{}, streams: map[*transport.Stream]*transport.Client{}, stop: cancel,
 	}
 	if opts.Outcomes != nil {
 		subscriber.done.Add(1)
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -17,6 +17,11 @@
 	// record was deleted is harmless, because each call names the process that
 	// it expects.
 	forgetAfter = 90 * time.Second
+	// MaxReportDelay is how late a report may arrive: the platform delays them by seconds.
+	MaxReportDelay = 10 * time.Second
+	// entrySlack is how much later than the first core daemon an entry may learn of a report or
+	// a silence.
+	entrySlack = 2 * time.Second
 )
 
 // tableEntry is a record and the local time at which its report reached the
@@ -31,11 +36,21 @@
 	byID map[string]*tableEntry
 	// owner maps each address to the id of the newest process there.
 	owner map[string]string
+	// lateFor is how long after the newest report of a process that tells no start one with a
+	// lower sequence number may be a late report of the same process.
+	lateFor time.Duration
 }
 
-// NewTable returns an empty table.
+// NewTable returns an empty table of a core daemon.
 func NewTable() *Table {
-	return &Table{byID: map[string]*tableEntry{}, owner: map[string]string{}}
+	return &Table{byID: map[string]*tableEntry{}, owner: map[string]string{}, lateFor: MaxReportDelay}
+}
+
+// NewEntryTable returns an empty table of an entry, which follows the core daemons.
+func NewEntryTable() *Table {
+	t := NewTable()
+	t.lateFor -= entrySlack
+	return t
 }
 
 // Observe applies a report. It returns the records that changed visibly: the
@@ -47,7 +62,7 @@
 	at := now - time.Duration(r.AgeMs)*time.Millisecond
 	known := t.byID[r.Id]
 	known.completeSoftware(r)
-	if known != nil && !newer(r, known.record) {
+	if known != nil && !t.newer(r, at, known) {
 		return known.learnVersions(r), false
 	}
 	if t.superseded(r) {
@@ -63,22 +78,33 @@
 	return changed, true
 }
 
-// newer reports whether r is newer than the known report of the same id. The
-// process start decides first, then the sequence number; no report of a process
-// is newer than its end.
-func newer(r, known *pb.UpstreamRecord) bool {
-	if r.BornMs != known.BornMs {
+// newer reports whether r, received at a time, is newer than the known report of the same id. The
+// process start decides first, then the sequence number; no report of a process is newer than its
+// end.
+func (t *Table) newer(r *pb.UpstreamRecord, at time.Duration, e *tableEntry) bool {
+	known := e.record
+	switch {
+	case r.BornMs != known.BornMs:
 		return r.BornMs > known.BornMs
-	}
-	if known.Phase == pb.UpstreamPhase_UPSTREAM_GONE {
+	case r.BornMs == 0 && t.succeeds(r, at, known, e.receivedAt):
+		return true
+	case r.BornMs == 0 && t.succeeds(known, e.receivedAt, r, at):
 		return false
-	}
-	if r.Phase == pb.UpstreamPhase_UPSTREAM_GONE {
+	case known.Phase == pb.UpstreamPhase_UPSTREAM_GONE:
+		return false
+	case r.Phase == pb.UpstreamPhase_UPSTREAM_GONE:
 		return true
 	}
 	return r.Sequence > known.Sequence
 }
 
+// succeeds reports whether r is a report of a later process than earlier, where neither states a
+// start: the sequence number begins anew, and earlier was received too long ago for r to be a
+// late report of the same process.
+func (t *Table) succeeds(r *pb.UpstreamRecord, at time.Duration, earlier *pb.UpstreamRecord, earlierAt time.Duration) bool {
+	return r.Phase != pb.UpstreamPhase_UPSTREAM_GONE && r.Sequence <= earlier.Sequence && at-earlierAt > t.lateFor
+}
+
 // differs reports whether b, a newer report, changes what subscribers see of a.
 func differs(a, b *pb.UpstreamRecord) bool {
 	return a.Phase != b.Phase || a.Address != b.Address || a.Service != b.Service ||
@@ -114,7 +140,7 @@
 // markGone replaces a record by a copy that marks its process as ended.
 func (t *Table) markGone(e *tableEntry, at time.Duration) *pb.UpstreamRecord {
 	gone := clone(e.record)
-	gone.Phase = pb.UpstreamPhase_UPSTREAM_GONE
+	gone.Phase, gone.AgeMs = pb.UpstreamPhase_UPSTREAM_GONE, 0
 	t.byID[gone.Id] = &tableEntry{record: gone, receivedAt: at}
 	return gone
 }
@@ -164,7 +190,7 @@
 			continue
 		}
 		marked := clone(e.record)
-		marked.Silent = true
+		marked.Silent, marked.AgeMs = true, uint32(sinceReport.Milliseconds())
 		e.record = marked
 		silent = append(silent, marked)
 	}
