scheduler: an engine that tells no start is used after its predecessor left

An engine that gave notice of its end and started again under its id without telling its start got no request for as long as it reported: announcements that are not of a later start leave an engine leaving, since one may overtake another. Now a process that follows one of which nothing has said for SilentAfter that it leaves counts as a new start, if neither tells when it started.

TestEngineThatTellsNoStartIsUsedAfterItsPredecessorLeft failed before.

--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -99,3 +99,32 @@
 		require.Equal(t, known.retryBudget.Remaining(running+passed), fresh.retryBudget.Remaining(justStarted+passed), passed)
 	}
 }
+
+// Guards against an engine that gets no request for as long as it reports, because its predecessor
+// under its id was leaving and neither tells its start; and against requests to one that is
+// leaving, by an announcement that was overtaken.
+func TestEngineThatTellsNoStartIsUsedAfterItsPredecessorLeft(t *testing.T) {
+	p := platformPool(Params{BalanceRoles: true})
+	announce := func(leaving bool, now time.Duration) {
+		s := platformEngine("d1", roleDecode)
+		s.Generation, s.Leaving = 0, leaving
+		p.Announce([]*pb.UpstreamState{s}, now)
+	}
+	now := 10 * time.Second
+	announce(false, now)
+	p.SetStatement(&pb.UpstreamStatement{Id: "d1", Leaving: true}, now)
+	announce(true, now)
+	announce(false, now+p.params.SilentAfter)
+	require.False(t, p.upstreams.byID["d1"].view.Usable, "overtaken")
+	now += 10 * time.Second
+	announce(false, now)
+	require.True(t, p.upstreams.byID["d1"].view.Usable)
+	require.False(t, p.upstreams.byID["d1"].saysLeaving)
+
+	announceStart(p, "d2", 7, now)
+	s := platformEngine("d2", roleDecode)
+	s.Generation, s.Leaving = 7, true
+	p.Announce([]*pb.UpstreamState{s}, now)
+	announceStart(p, "d2", 7, now+10*time.Second)
+	require.False(t, p.upstreams.byID["d2"].view.Usable, "the same process")
+}
--- a/internal/scheduler/tables.go
+++ b/internal/scheduler/tables.go
@@ -111,9 +111,11 @@
 	view     policy.Engine
 	state    *pb.UpstreamState
 	lastSeen time.Duration
-	health   pb.UpstreamStatus_Health
-	speed    policy.Speed
-	eject    policy.Ejector
+	// leavingAt is the time of the last announcement that said that it is leaving.
+	leavingAt time.Duration
+	health    pb.UpstreamStatus_Health
+	speed     policy.Speed
+	eject     policy.Ejector
 	// placeholder marks an engine that entries restated after a takeover and
 	// that has not announced itself to this lease holder.
 	placeholder bool
--- a/internal/scheduler/upstreams.go
+++ b/internal/scheduler/upstreams.go
@@ -406,8 +406,9 @@
 	if m != nil && s.Generation < m.state.Generation {
 		return nil, false
 	}
-	newStart := m == nil || (s.Generation > m.state.Generation && !m.placeholder)
+	newStart := m == nil || !m.placeholder && (s.Generation > m.state.Generation || m.succeededBy(s, p, now))
 	changed := newStart || m.placeholder || !sameCandidateLists(m.state, s)
+	saidLeaving := s.Leaving
 	switch {
 	case newStart:
 		m = t.newUpstreamRecord(s)
@@ -415,11 +416,14 @@
 	case m.placeholder:
 		m.placeholder = false
 		m.speed = policy.NewSpeed(announcedRates(s), t.typical)
-	case m.state.Leaving:
+	case m.state.Leaving && !s.Leaving:
 		// Announcements arrive through several entries and may be reordered. An
 		// upstream that is leaving stays so until it starts again.
 		s.Leaving = true
 	}
+	if saidLeaving {
+		m.leavingAt = now
+	}
 	if m.state != nil && (m.state.Role != s.Role || m.state.Generation != s.Generation) {
 		// They tell nothing about another role or process.
 		m.lostHandles, m.rejections = policy.LostHandles{}, policy.PrefillRejections{}
@@ -434,6 +438,12 @@
 	return m, changed
 }
 
+// succeededBy reports whether an announcement is of a process that has followed one that was
+// leaving, where neither tells its start: the last that said so is too old to have been overtaken.
+func (m *upstreamRecord) succeededBy(s *pb.UpstreamState, p *Params, now time.Duration) bool {
+	return s.Generation == 0 && m.state.Generation == 0 && m.state.Leaving && !s.Leaving && now-m.leavingAt > p.SilentAfter
+}
+
 func (t *upstreamTable) newUpstreamRecord(s *pb.UpstreamState) *upstreamRecord {
 	m := &upstreamRecord{speed: policy.NewSpeed(announcedRates(s), t.typical)}
 	m.view.Share = 1
