feed: entries forget an ended process when the hubs do

A hub forgets a process that has ended or fallen silent after 90 s, and then takes any report under its id. An entry never forgot: where the clock of the VM was set back, a start is no longer told, or a notice without a start ended the process of which it was not, entries sent no request to that upstream until they were restarted, while the hubs and the scheduler used it. Records of processes that an entry knows to have ended, or to be silent, now give way to a record that a hub received 88 s later; others never do.

TestEntriesForgetProcessesWhenHubsDo failed before.

--- a/internal/feed/subscriber.go
+++ b/internal/feed/subscriber.go
@@ -437,6 +437,9 @@
 	now := time.Since(s.start)
 	for _, r := range records {
 		silent := r.Silent && hasQuorum
+		if s.table.ForgetBefore(r, s.silent[r.Id], now) {
+			delete(s.silent, r.Id)
+		}
 		updates, accepted := s.table.Observe(r, now)
 		known := s.table.Get(r.Id)
 		if known == nil || known.BornMs != r.BornMs {
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -180,10 +180,7 @@
 	for id, e := range t.byID {
 		sinceReport := now - e.receivedAt
 		if sinceReport > forgetAfter {
-			delete(t.byID, id)
-			if t.owner[e.record.Address] == id {
-				delete(t.owner, e.record.Address)
-			}
+			t.forget(id, e)
 			continue
 		}
 		if sinceReport <= SilentAfter || e.record.Silent || e.record.Phase == pb.UpstreamPhase_UPSTREAM_GONE {
@@ -197,6 +194,29 @@
 	return silent
 }
 
+// ForgetBefore deletes the record of r's id from the table of an entry if the core daemons have
+// forgotten it before they received r: of a process that has ended or, if silent is set, is silent.
+// It reports whether it did.
+func (t *Table) ForgetBefore(r *pb.UpstreamRecord, silent bool, now time.Duration) bool {
+	e := t.byID[r.Id]
+	if e == nil || !silent && e.record.Phase != pb.UpstreamPhase_UPSTREAM_GONE {
+		return false
+	}
+	at := now - time.Duration(r.AgeMs)*time.Millisecond
+	if at-e.receivedAt < forgetAfter-entrySlack {
+		return false
+	}
+	t.forget(r.Id, e)
+	return true
+}
+
+func (t *Table) forget(id string, e *tableEntry) {
+	delete(t.byID, id)
+	if t.owner[e.record.Address] == id {
+		delete(t.owner, e.record.Address)
+	}
+}
+
 // Records returns copies of all records with their current age.
 func (t *Table) Records(now time.Duration) []*pb.UpstreamRecord {
 	records := make([]*pb.UpstreamRecord, 0, len(t.byID))
