feed: log reports that are dropped as older

Nothing said that a report of an upstream was dropped: after a restart that tells no start its reports are, for up to 10 s. The line upstream.report_older states both sequences and starts, once a second at most.

--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -116,6 +116,8 @@
 	eventNumberings
 	documents documentEncoder
 
+	older olderReports
+
 	// gossipReceived counts the messages from other hubs.
 	gossipReceived atomic.Int64
 
@@ -228,7 +230,12 @@
 func (h *Hub) applyReport(r *pb.UpstreamRecord) {
 	h.mu.Lock()
 	h.noteLeftVersions(r)
+	known := h.table.Get(r.Id)
 	changed, accepted := h.observe(r)
+	dropped := uint64(0)
+	if !accepted {
+		dropped = h.older.count(r, known, h.now())
+	}
 	// Streams may have begun at a process whose report arrives after that of its successor.
 	h.seeReport(r, h.now())
 	if accepted {
@@ -236,9 +243,38 @@
 		h.enqueueGossip(r, len(changed) > 0)
 	}
 	h.mu.Unlock()
+	if dropped > 0 {
+		h.opts.Logger.Info().Str("event", "upstream.report_older").Str("upstream", r.Id).Uint64("sequence", r.Sequence).Int64("born_ms", r.BornMs).
+			Uint64("known_sequence", known.GetSequence()).Int64("known_born_ms", known.GetBornMs()).Str("known_phase", known.GetPhase().String()).Uint64("dropped", dropped).Msg("")
+	}
 	h.notifyChanged(changed, r, accepted)
 }
 
+// olderReportInterval is the shortest time between two log lines about older reports.
+const olderReportInterval = time.Second
+
+// olderReports counts the reports of upstreams that were dropped as older than the ones known.
+type olderReports struct {
+	dropped, logged uint64
+	loggedAt        time.Duration
+}
+
+// count counts a dropped report, and returns the number of those since the last log line if
+// another one is due. known may be nil.
+func (o *olderReports) count(r, known *pb.UpstreamRecord, now time.Duration) uint64 {
+	if known != nil && known.BornMs == r.BornMs && known.Sequence == r.Sequence {
+		// An upstream repeats a report at another daemon if it has got no response.
+		return 0
+	}
+	o.dropped++
+	if o.logged > 0 && now-o.loggedAt < olderReportInterval {
+		return 0
+	}
+	n := o.dropped - o.logged
+	o.logged, o.loggedAt = o.dropped, now
+	return n
+}
+
 // notifyChanged logs visible changes and calls OnReport.
 func (h *Hub) notifyChanged(changed []*pb.UpstreamRecord, r *pb.UpstreamRecord, accepted bool) {
 	for _, c := range changed {
