--- a/internal/fleet/left_out.go
+++ b/internal/fleet/left_out.go
@@ -21,12 +21,12 @@
 // lacksSoftware reports whether an older daemon may have left out the software version that
 // an upstream reported.
 func lacksSoftware(r *pb.UpstreamRecord) bool {
-	return !keepsVersions(r) && (r.SoftwareVersion == "" || r.SoftwareVersion == unknownSoftware(r))
+	return !keepsVersions(r) && (r.SoftwareVersion == "" || r.SoftwareVersion == UnknownSoftware(r))
 }
 
-// unknownSoftware stands for the software version of a process that is not known: no other
+// UnknownSoftware stands for the software version of a process that is not known: no other
 // process has it.
-func unknownSoftware(r *pb.UpstreamRecord) string {
+func UnknownSoftware(r *pb.UpstreamRecord) string {
 	return fmt.Sprintf("unknown version of %s, started at %d", r.Id, r.BornMs)
 }
 
@@ -42,7 +42,7 @@
 	case e != nil && sameProcess(e.record, r):
 		r.SoftwareVersion = e.record.SoftwareVersion
 	default:
-		r.SoftwareVersion = unknownSoftware(r)
+		r.SoftwareVersion = UnknownSoftware(r)
 	}
 }
 
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -168,7 +168,7 @@
 func (t *Table) markUnreportedGone(predecessor *tableEntry, bornMs int64, at time.Duration) *pb.UpstreamRecord {
 	known := predecessor.record
 	gone := &pb.UpstreamRecord{Id: known.Id, Service: known.Service, Address: known.Address, Place: known.Place, Phase: pb.UpstreamPhase_UPSTREAM_GONE, BornMs: bornMs}
-	gone.SoftwareVersion = unknownSoftware(gone)
+	gone.SoftwareVersion = UnknownSoftware(gone)
 	t.byID[gone.Id] = &tableEntry{record: gone, receivedAt: at}
 	return gone
 }
