policy: crashes of an engine that tells no start count each

Evidence against prompts is kept by process. Where no start is told, all crashes of an id were those of one process for the two minutes that they are remembered: a prompt that ends an engine each time it has started again was never refused. Crashes of such an id that are over 5 s apart now are of two processes.

--- a/policy/quarantine.go
+++ b/policy/quarantine.go
@@ -16,6 +16,9 @@
 	// crashSpacing is the time within which crashes count as one. A power loss ends
 	// many engines at once, and their requests have parts in common by chance.
 	crashSpacing = 200 * time.Millisecond
+	// untoldCrashSpan is the time within which crashes of an id whose process told no start are one:
+	// entries report it within that time, and an engine takes longer to start.
+	untoldCrashSpan = 5 * time.Second
 	// quarantineDelay is the shortest time from the first crash to the quarantine.
 	// Within it, entries that have seen an answer to a prompt with the part say so. It
 	// does not apply to whole requests, of which hardly two are alike.
@@ -58,7 +61,8 @@
 	quarantined map[uint64]*QuarantinedPart
 }
 
-// EngineProcess identifies one process of an engine by its id and start time.
+// EngineProcess identifies one process of an engine by its id and start time, 0 if it is not
+// known.
 type EngineProcess struct {
 	ID     string
 	BornMs int64
@@ -71,6 +75,11 @@
 	prompts []suspectPrompt
 }
 
+// is reports whether the crash is that of an engine at a time. A process crashes once.
+func (c *engineCrash) is(engine EngineProcess, at time.Duration) bool {
+	return c.engine == engine && (engine.BornMs != 0 || (at-c.at).Abs() <= untoldCrashSpan)
+}
+
 // suspectPrompt holds the parts of a prompt that crashes count against, or the key of a
 // whole request.
 type suspectPrompt struct {
@@ -119,7 +128,7 @@
 	if len(parts) == 0 || now-p.At > crashEvidenceTTL {
 		return false
 	}
-	i := slices.IndexFunc(q.crashes, func(c *engineCrash) bool { return c.engine == p.Engine })
+	i := slices.IndexFunc(q.crashes, func(c *engineCrash) bool { return c.is(p.Engine, p.At) })
 	if i < 0 {
 		i, _ = slices.BinarySearchFunc(q.crashes, p.At, func(c *engineCrash, at time.Duration) int { return cmp.Compare(c.at, at) })
 		q.crashes = slices.Insert(q.crashes, i, &engineCrash{engine: p.Engine, at: p.At})
--- a/policy/quarantine_test.go
+++ b/policy/quarantine_test.go
@@ -186,3 +186,30 @@
 	}
 	require.Empty(t, q.Decide(time.Second))
 }
+
+// Guards against a part that crashes one engine again and again without a quarantine, since the
+// engine starts again under its id and does not tell its start; and against a crash that counts
+// twice because two entries or daemons report it.
+func TestCrashesOfAnEngineThatTellsNoStartCount(t *testing.T) {
+	q := NewPromptQuarantine()
+	record := func(n int, at time.Duration) {
+		q.RecordCrash(CrashedPrompt{Engine: EngineProcess{ID: "i-1"}, At: at, Parts: []uint64{sharedPart, deadlyPart, ownPart + uint64(n)}}, at)
+	}
+	for n := range quarantineCrashes {
+		at := time.Duration(n) * 8 * time.Second
+		for repeat := range 3 {
+			record(n, at+time.Duration(repeat)*untoldCrashSpan/2)
+			record(50+n, at+time.Duration(repeat)*untoldCrashSpan/2)
+		}
+		added := q.Decide(at + untoldCrashSpan)
+		require.Equal(t, n == quarantineCrashes-1, len(added) > 0, "after %d crashes", n+1)
+	}
+	require.Contains(t, quarantinedParts(q), deadlyPart)
+
+	q = NewPromptQuarantine()
+	for n := range 3 {
+		at := time.Duration(n) * 8 * time.Second
+		q.RecordCrash(CrashedPrompt{Engine: EngineProcess{ID: "i-1", BornMs: 1}, At: at, Parts: []uint64{deadlyPart, ownPart + uint64(n)}}, at)
+	}
+	require.Empty(t, q.Decide(time.Minute), "one process crashes once")
+}
