feed: statements end with a process that tells no start

What an upstream states in its responses, a limit or that it leaves, is kept by process. Where no start is told, a process that has started again under the id of one that crashed had the statements of its predecessor until a response of its own, and counted as leaving for good. A hub drops them with the first report that it accepts of the new process.

TestStatementsEndWithAProcessThatTellsNoStart failed before. TestNoticeWithoutAStartEndsTheKnownProcess records what a notice without a start means now.

--- a/internal/feed/older_report_test.go
+++ b/internal/feed/older_report_test.go
@@ -47,3 +47,23 @@
 	require.Equal(t, 1, strings.Count(text, "report_older"), text)
 	require.Contains(t, text, `"upstream":"a","sequence":1,"born_ms":0,"known_sequence":50,"known_born_ms":0`)
 }
+
+// Guards against a process that counts as leaving, or as limited, because its predecessor under its
+// id said so and neither tells its start.
+func TestStatementsEndWithAProcessThatTellsNoStart(t *testing.T) {
+	h := startHubs(t, 1).hubs[0]
+	first := record("a", 50, pb.UpstreamPhase_UPSTREAM_READY)
+	first.BornMs, first.AgeMs = 0, 11_000
+	h.applyGossip(first)
+	h.mergeStatements([]*pb.UpstreamStatement{{Id: "a", Limit: 3, Leaving: true}}, true)
+	require.Len(t, h.Statements(), 1)
+	same := record("a", 51, pb.UpstreamPhase_UPSTREAM_READY)
+	same.BornMs, same.AgeMs = 0, 10_900
+	h.applyGossip(same)
+	require.Len(t, h.Statements(), 1, "the same process")
+	next := record("a", 2, pb.UpstreamPhase_UPSTREAM_READY)
+	next.BornMs = 0
+	h.Report(next)
+	require.EqualValues(t, 2, h.Records()[0].Sequence)
+	require.Empty(t, h.Statements())
+}
--- a/internal/feed/version_history.go
+++ b/internal/feed/version_history.go
@@ -129,6 +129,11 @@
 	changed, accepted = h.table.Observe(r, h.now())
 	switch {
 	case known == nil || known.BornMs == r.BornMs:
+		if accepted && r.BornMs == 0 && r.Sequence < known.GetSequence() {
+			// What its predecessor has stated has the same key.
+			delete(h.statements, processKey{r.Id, 0})
+			delete(h.schedules, processKey{r.Id, 0})
+		}
 	case accepted:
 		h.keepSucceeded(known)
 	default:
--- a/internal/fleet/table_test.go
+++ b/internal/fleet/table_test.go
@@ -293,3 +293,17 @@
 		}
 	})
 }
+
+// Guards against requests to a process after its notice, which does not state its start and may be
+// a late one of its predecessor: an acknowledged notice counts for the process that is known.
+func TestNoticeWithoutAStartEndsTheKnownProcess(t *testing.T) {
+	table := NewTable()
+	table.Observe(report("a", 200, 5), 0)
+	require.NotNil(t, table.Leave("a", 0, time.Second))
+	_, accepted := table.Observe(report("a", 200, 6), time.Second)
+	require.False(t, accepted)
+	_, accepted = table.Observe(report("a", 300, 1), 2*time.Second)
+	require.True(t, accepted, "the next process")
+	table.Expire(2*time.Second + forgetAfter + 1)
+	require.Nil(t, table.Get("a"))
+}
