--- a/internal/feed/subscriber.go
+++ b/internal/feed/subscriber.go
@@ -139,7 +139,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	subscriber := &Subscriber{
 		opts: opts, start: time.Now(), hubsInUse: map[string]bool{}, detachedAt: map[string]time.Time{},
-		table: fleet.NewTable(), silent: map[string]bool{}, streams: map[*transport.Stream]*transport.Client{}, stop: cancel,
+		table: fleet.NewEntryTable(), silent: map[string]bool{}, streams: map[*transport.Stream]*transport.Client{}, stop: cancel,
 	}
 	if opts.Outcomes != nil {
 		subscriber.done.Add(1)
@@ -437,6 +437,9 @@
 	now := time.Since(s.start)
 	for _, r := range records {
 		silent := r.Silent && hasQuorum
+		if s.table.ForgetBefore(r, s.silent[r.Id], now) {
+			delete(s.silent, r.Id)
+		}
 		updates, accepted := s.table.Observe(r, now)
 		known := s.table.Get(r.Id)
 		if known == nil || known.BornMs != r.BornMs {
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -17,6 +17,11 @@
 	// record was deleted is harmless, because each call names the process that
 	// it expects.
 	forgetAfter = 90 * time.Second
+	// MaxReportDelay is how late a report may arrive: the platform delays them by seconds.
+	MaxReportDelay = 10 * time.Second
+	// entrySlack is how much later than the first core daemon an entry may learn of a report or
+	// a silence.
+	entrySlack = 2 * time.Second
 )
 
 // tableEntry is a record and the local time at which its report reached the
@@ -31,11 +36,21 @@
 	byID map[string]*tableEntry
 	// owner maps each address to the id of the newest process there.
 	owner map[string]string
+	// lateFor is how long after the newest report of a process that tells no start one with a
+	// lower sequence number may be a late report of the same process.
+	lateFor time.Duration
 }
 
-// NewTable returns an empty table.
+// NewTable returns an empty table of a core daemon.
 func NewTable() *Table {
-	return &Table{byID: map[string]*tableEntry{}, owner: map[string]string{}}
+	return &Table{byID: map[string]*tableEntry{}, owner: map[string]string{}, lateFor: MaxReportDelay}
+}
+
+// NewEntryTable returns an empty table of an entry, which follows the core daemons.
+func NewEntryTable() *Table {
+	t := NewTable()
+	t.lateFor -= entrySlack
+	return t
 }
 
 // Observe applies a report. It returns the records that changed visibly: the
@@ -47,7 +62,7 @@
 	at := now - time.Duration(r.AgeMs)*time.Millisecond
 	known := t.byID[r.Id]
 	known.completeSoftware(r)
-	if known != nil && !newer(r, known.record) {
+	if known != nil && !t.newer(r, at, known) {
 		return known.learnVersions(r), false
 	}
 	if t.superseded(r) {
@@ -63,22 +78,33 @@
 	return changed, true
 }
 
-// newer reports whether r is newer than the known report of the same id. The
-// process start decides first, then the sequence number; no report of a process
-// is newer than its end.
-func newer(r, known *pb.UpstreamRecord) bool {
-	if r.BornMs != known.BornMs {
+// newer reports whether r, received at a time, is newer than the known report of the same id. The
+// process start decides first, then the sequence number; no report of a process is newer than its
+// end.
+func (t *Table) newer(r *pb.UpstreamRecord, at time.Duration, e *tableEntry) bool {
+	known := e.record
+	switch {
+	case r.BornMs != known.BornMs:
 		return r.BornMs > known.BornMs
-	}
-	if known.Phase == pb.UpstreamPhase_UPSTREAM_GONE {
+	case r.BornMs == 0 && t.succeeds(r, at, known, e.receivedAt):
+		return true
+	case r.BornMs == 0 && t.succeeds(known, e.receivedAt, r, at):
 		return false
-	}
-	if r.Phase == pb.UpstreamPhase_UPSTREAM_GONE {
+	case known.Phase == pb.UpstreamPhase_UPSTREAM_GONE:
+		return false
+	case r.Phase == pb.UpstreamPhase_UPSTREAM_GONE:
 		return true
 	}
 	return r.Sequence > known.Sequence
 }
 
+// succeeds reports whether r is a report of a later process than earlier, where neither states a
+// start: the sequence number begins anew, and earlier was received too long ago for r to be a
+// late report of the same process.
+func (t *Table) succeeds(r *pb.UpstreamRecord, at time.Duration, earlier *pb.UpstreamRecord, earlierAt time.Duration) bool {
+	return r.Phase != pb.UpstreamPhase_UPSTREAM_GONE && r.Sequence <= earlier.Sequence && at-earlierAt > t.lateFor
+}
+
 // differs reports whether b, a newer report, changes what subscribers see of a.
 func differs(a, b *pb.UpstreamRecord) bool {
 	return a.Phase != b.Phase || a.Address != b.Address || a.Service != b.Service ||
@@ -114,7 +140,7 @@
 // markGone replaces a record by a copy that marks its process as ended.
 func (t *Table) markGone(e *tableEntry, at time.Duration) *pb.UpstreamRecord {
 	gone := clone(e.record)
-	gone.Phase = pb.UpstreamPhase_UPSTREAM_GONE
+	gone.Phase, gone.AgeMs = pb.UpstreamPhase_UPSTREAM_GONE, 0
 	t.byID[gone.Id] = &tableEntry{record: gone, receivedAt: at}
 	return gone
 }
@@ -142,7 +168,7 @@
 func (t *Table) markUnreportedGone(predecessor *tableEntry, bornMs int64, at time.Duration) *pb.UpstreamRecord {
 	known := predecessor.record
 	gone := &pb.UpstreamRecord{Id: known.Id, Service: known.Service, Address: known.Address, Place: known.Place, Phase: pb.UpstreamPhase_UPSTREAM_GONE, BornMs: bornMs}
-	gone.SoftwareVersion = unknownSoftware(gone)
+	gone.SoftwareVersion = UnknownSoftware(gone)
 	t.byID[gone.Id] = &tableEntry{record: gone, receivedAt: at}
 	return gone
 }
@@ -154,23 +180,43 @@
 	for id, e := range t.byID {
 		sinceReport := now - e.receivedAt
 		if sinceReport > forgetAfter {
-			delete(t.byID, id)
-			if t.owner[e.record.Address] == id {
-				delete(t.owner, e.record.Address)
-			}
+			t.forget(id, e)
 			continue
 		}
 		if sinceReport <= SilentAfter || e.record.Silent || e.record.Phase == pb.UpstreamPhase_UPSTREAM_GONE {
 			continue
 		}
 		marked := clone(e.record)
-		marked.Silent = true
+		marked.Silent, marked.AgeMs = true, uint32(sinceReport.Milliseconds())
 		e.record = marked
 		silent = append(silent, marked)
 	}
 	return silent
 }
 
+// ForgetBefore deletes the record of r's id from the table of an entry if the core daemons have
+// forgotten it before they received r: of a process that has ended or, if silent is set, is silent.
+// It reports whether it did.
+func (t *Table) ForgetBefore(r *pb.UpstreamRecord, silent bool, now time.Duration) bool {
+	e := t.byID[r.Id]
+	if e == nil || !silent && e.record.Phase != pb.UpstreamPhase_UPSTREAM_GONE {
+		return false
+	}
+	at := now - time.Duration(r.AgeMs)*time.Millisecond
+	if at-e.receivedAt < forgetAfter-entrySlack {
+		return false
+	}
+	t.forget(r.Id, e)
+	return true
+}
+
+func (t *Table) forget(id string, e *tableEntry) {
+	delete(t.byID, id)
+	if t.owner[e.record.Address] == id {
+		delete(t.owner, e.record.Address)
+	}
+}
+
 // Records returns copies of all records with their current age.
 func (t *Table) Records(now time.Duration) []*pb.UpstreamRecord {
 	records := make([]*pb.UpstreamRecord, 0, len(t.byID))
