forward: a process without a start whose reports begin anew is another one

An entry kept the target of an upstream that has started again where reports state no start: its predecessor's statement that it leaves, its learned load and its idle connections. A record without a start and with a lower sequence replaces the target.

--- a/internal/core/engine_test.go
+++ b/internal/core/engine_test.go
@@ -19,7 +19,9 @@
 // Guards against an order that is taken for accepted because a redirect was followed.
 func TestRedirectedOrderIsNotAccepted(t *testing.T) {
 	mux := http.NewServeMux()
-	mux.HandleFunc("/report", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(`{"stage":"prefill","busy":false,"sequence":0}`)) })
+	mux.HandleFunc("/report", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"stage":"prefill","busy":false,"sequence":0}`))
+	})
 	mux.Handle("/order", http.RedirectHandler("/elsewhere", http.StatusSeeOther))
 	mux.HandleFunc("/elsewhere", func(http.ResponseWriter, *http.Request) {})
 	server := httptest.NewServer(mux)
--- a/internal/forward/paused_proof_test.go
+++ b/internal/forward/paused_proof_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/fleet"
 )
 
 // slowReports is a source that answers late how old the newest report is.
@@ -32,11 +33,11 @@
 		s := &Server{
 			start: time.Now().Add(-time.Hour), reportNow: make(reportSignal, 1), upstreams: newUpstreams("", nil),
 			versionSource: &slowReports{age: tt.age, answersAfter: 300 * time.Millisecond},
-			opts:          Options{Logger: &log.Logger{Level: log.PanicLevel}, MaxReportDelay: defaultReportDelay},
+			opts:          Options{Logger: &log.Logger{Level: log.PanicLevel}, MaxReportDelay: fleet.MaxReportDelay},
 		}
 		s.upstreams.update([]*pb.UpstreamRecord{{Id: "a", Service: "llm", Address: "127.0.0.1:9", SoftwareVersion: "v1", BornMs: 1, Phase: pb.UpstreamPhase_UPSTREAM_READY}}, s.now())
 		engine := s.upstreams.get("a")
-		p := &untoldProcess{number: -5, acceptedAt: s.now() - defaultReportDelay - reportTransfer - 100*time.Millisecond}
+		p := &untoldProcess{number: -5, acceptedAt: s.now() - fleet.MaxReportDelay - reportTransfer - 100*time.Millisecond}
 		engine.references.unproven = []*untoldProcess{p}
 		s.proveProcesses(t.Context(), engine)
 		require.Equal(t, tt.proven, isReported(p))
--- a/internal/forward/references.go
+++ b/internal/forward/references.go
@@ -24,8 +24,6 @@
 // the one that accepted it.
 
 const (
-	// defaultReportDelay is how late a report may arrive: the platform delays them by seconds.
-	defaultReportDelay = 10 * time.Second
 	// reportTransfer is how long a report may take from hub to hub: sessions that bring nothing
 	// for so long are ended.
 	reportTransfer = 2 * time.Second
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -13,6 +13,7 @@
 	"github.com/phuslu/log"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/fleet"
 	"godwitward.example/godwitward/policy"
 )
 
@@ -31,8 +32,8 @@
 	Restartable bool
 	// Dial opens connections to upstreams; nil for those of NewDialFunc from any address.
 	Dial DialFunc
-	// MaxReportDelay is how late reports of upstreams may arrive; 0 for 10 s. It matters for
-	// upstreams whose processes do not tell their start.
+	// MaxReportDelay is how late reports of upstreams may arrive; 0 for fleet.MaxReportDelay. It
+	// matters for upstreams whose processes do not tell their start.
 	MaxReportDelay time.Duration
 	// RetryLimits returns the current limits; they may change at run time.
 	RetryLimits func() RetryLimits
@@ -104,7 +105,7 @@
 		opts.Dial = NewDialFunc(netip.Addr{})
 	}
 	if opts.MaxReportDelay == 0 {
-		opts.MaxReportDelay = defaultReportDelay
+		opts.MaxReportDelay = fleet.MaxReportDelay
 	}
 	reportNow := make(reportSignal, 1)
 	s := &Server{
--- a/internal/forward/upstreams.go
+++ b/internal/forward/upstreams.go
@@ -51,7 +51,7 @@
 	defer u.mu.Unlock()
 	for _, r := range records {
 		known := u.byID[r.Id]
-		if known != nil && known.bornMs == r.BornMs && known.address == r.Address && known.currentRecord().Service == r.Service {
+		if known != nil && known.reports(r) {
 			known.mu.Lock()
 			if r.Silent && !known.record.Silent {
 				known.silentSince = time.Now()
@@ -67,6 +67,13 @@
 	}
 }
 
+// reports reports whether a record is of the target's process. Where neither tells a start, the
+// sequence number of another process begins anew.
+func (t *target) reports(r *pb.UpstreamRecord) bool {
+	record := t.currentRecord()
+	return t.bornMs == r.BornMs && t.address == r.Address && record.Service == r.Service && (r.BornMs != 0 || r.Sequence >= record.Sequence)
+}
+
 func (u *upstreams) replace(old *target, r *pb.UpstreamRecord) {
 	if old != nil {
 		old.replaced.Store(true)
