soak: runners that leave out what the users' pages leave open

The runners of the soak told the start of their process everywhere, so no run showed that streams were joined at processes that leave it out.

--- a/cmd/gw-soak/main.go
+++ b/cmd/gw-soak/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"os"
@@ -27,6 +28,7 @@
 	binaries    string
 	upgradeFrom string
 	upgrade     soak.Upgrade
+	statements  string
 	soakOptions soak.Options
 }
 
@@ -39,6 +41,10 @@
 	app.Flag("runners", "Number of runners (stand-in upstreams) of the plain service.").Default("5").IntVar(&o.soakOptions.Runners)
 	app.Flag("engines", "Number of runners of the service with model engines; default: as many as --runners.").IntVar(&o.soakOptions.Engines)
 	app.Flag("faults", "Kinds of faults; may be repeated. Default: all.").EnumsVar(&o.faults, soak.FaultKinds()...)
+	app.Flag("statements", "What runners state where the users' pages leave it open: drawn from the seed, or usual as in the runs before it was drawn. The flags below set single ones.").Default(soak.Drawn).EnumVar(&o.statements, soak.Drawn, soak.Usual)
+	for _, f := range o.statementFlags() {
+		app.Flag(f.name, f.help).EnumVar(f.value, soak.StatementChoices...)
+	}
 	app.Flag("binaries", "Folder with gw-edge and gw-core of another commit; default: they are built from the current folder.").StringVar(&o.binaries)
 	app.Flag("upgrade-from", "Build with which each run begins: a folder with gw-edge and gw-core, or a commit of this repository's history. All daemons change to the present build, one after the other, beside the faults.").StringVar(&o.upgradeFrom)
 	app.Flag("upgrade-order", "Order of an upgrade; default: drawn from the seed.").EnumVar(&o.upgrade.Order, soak.UpgradeOrders...)
@@ -46,6 +52,23 @@
 	app.Flag("keep", "Folder for logs and data, which are kept; default: a temporary folder, kept only after a failure.").StringVar(&o.keepDir)
 }
 
+// statementFlag sets what runners state about one point.
+type statementFlag struct {
+	name, help string
+	value      *string
+}
+
+func (o *options) statementFlags() []statementFlag {
+	s := &o.soakOptions.Statements
+	return []statementFlag{
+		{"start-in-report", "Start of the process in the answer to GET /report.", &s.StartInReport},
+		{"start-in-heartbeat", "The same in liveness reports; absent leaves it out of the answer, too.", &s.StartInHeartbeat},
+		{"keep-alive", "Keep-Alive in answers.", &s.KeepAlive},
+		{"connection-close", "Connection: close in some answers; usual is never.", &s.Close},
+		{"weights-in-refusal", "Weights in a 421 to a request that expects others.", &s.WeightsInRefusal},
+	}
+}
+
 func (o *options) check(l *finding.List) {
 	if o.seeds < 1 {
 		l.Addf("--seeds", "%d is less than 1", o.seeds)
@@ -87,6 +110,9 @@
 	defer os.RemoveAll(binaries)
 	o.soakOptions.Binaries, o.soakOptions.Out, o.soakOptions.Faults = o.binaries, os.Stdout, o.faults
 	o.soakOptions.BuildName = "present"
+	for _, f := range o.statementFlags() {
+		*f.value = cmp.Or(*f.value, o.statements)
+	}
 	if o.binaries == "" {
 		if _, err := soak.BuildSource(ctx, ".", o.soakOptions.BuildName, binaries); err != nil {
 			settings.Fatal(logger, "building the programs", err)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -24,6 +24,8 @@
 	Shape string
 	// Faults lists the kinds of faults to inject; empty means all.
 	Faults []string
+	// Statements are the choices of what runners state.
+	Statements Statements
 	// Binaries is the folder with gw-edge and gw-core, BuildName their name in findings, and
 	// Dir the folder for logs and data.
 	Binaries, BuildName, Dir string
@@ -67,6 +69,7 @@
 	if err := s.start(ctx); err != nil {
 		return nil, err
 	}
+	fmt.Fprintln(opts.Out, describeStatements(opts.Statements.drawn(opts.Seed)))
 	schedule := planFaults(opts.Seed, opts.Duration, kinds)
 	for _, f := range schedule {
 		fmt.Fprintln(opts.Out, f)
--- a/internal/soak/runner_process.go
+++ b/internal/soak/runner_process.go
@@ -33,7 +33,7 @@
 func (s *system) startRunnerProcess(r *proxiedRunner, l net.Listener) error {
 	r.Begin()
 	settings, err := json.Marshal(standin.ProcessSettings{
-		ID: r.ID, Version: r.Version, Service: r.Service, Stage: r.Stage, ServiceTime: r.ServiceTime, Events: r.Events, Weights: r.Weights(), StartMs: r.StartMs,
+		ID: r.ID, Version: r.Version, Service: r.Service, Stage: r.Stage, ServiceTime: r.ServiceTime, Events: r.Events, Weights: r.Weights(), StartMs: r.StartMs, Statements: r.Statements,
 	})
 	if err != nil {
 		return err
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -278,7 +278,7 @@
 func (s *system) startRunner(ctx context.Context, l net.Listener, p *proxy, st runnerStart) (*proxiedRunner, error) {
 	e := st.engine
 	r := &standin.Runner{
-		ID: st.id, Version: st.version, Service: e.service, Stage: e.stage, ServiceTime: e.interval, Events: streamEvents, StartMs: st.startMs,
+		ID: st.id, Version: st.version, Service: e.service, Stage: e.stage, ServiceTime: e.interval, Events: streamEvents, StartMs: st.startMs, Statements: s.opts.Statements.drawn(s.opts.Seed),
 		OnStart: s.check.requestRan, OnArrival: s.requestArrived, OnOtherCache: s.check.otherCacheUsed,
 	}
 	r.SetWeights(e.weights)
