--- a/internal/soak/check_stream.go
+++ b/internal/soak/check_stream.go
@@ -52,6 +52,20 @@
 	}
 }
 
+// streamTakenUp counts a stream that its caller took up, and whether any more events came.
+func (c *checker) streamTakenUp(named, wentOn bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	name := "taken up"
+	if !named {
+		name += " unnamed"
+	}
+	c.statusCounts[name]++
+	if wentOn {
+		c.statusCounts[name+", went on"]++
+	}
+}
+
 // otherCacheUsed records a request that was sent with a prefill result that does not fit.
 func (c *checker) otherCacheUsed(r standin.Run, handle string) {
 	c.mu.Lock()
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -83,12 +83,13 @@
 	o, events := s.readStream(ctx, client, entry, id, a)
 	stays := !o.left || losses > 0
 	until := time.Now().Add(s.shape.takeUpTime)
-	last := id
+	last, tries, wentOn := id, 0, false
 	for n := 1; time.Now().Before(until) && (n > 1 || len(events) > 0) && a.delivered+len(events) < want && stays && ctx.Err() == nil; n++ {
 		if len(events) > 0 {
 			last = a.id
 		}
 		a.delivered += len(events)
+		tries++
 		sleep(ctx, h.pause)
 		if losses--; losses <= 0 {
 			a.leavesAfter = 0
@@ -99,6 +100,10 @@
 			entry = s.entryAddress(rand.IntN(len(s.entries)))
 		}
 		_, events = s.readStream(ctx, client, entry, id, a)
+		wentOn = wentOn || len(events) > 0
+	}
+	if tries > 0 && ctx.Err() == nil {
+		s.check.streamTakenUp(h.names != noAttempt, wentOn)
 	}
 }
 
