--- a/internal/forward/references.go
+++ b/internal/forward/references.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -73,9 +74,36 @@
 	closed   bool
 	// current is the process of conns, nil if there are none.
 	current atomic.Pointer[untoldProcess]
-	// usedAt is when a stream was last sent to the target, in nanoseconds since the start of the
-	// server.
-	usedAt atomic.Int64
+}
+
+// untoldServices holds when a stream was last sent to a process that tells no start, by service.
+type untoldServices struct {
+	mu     sync.Mutex
+	usedAt map[string]time.Duration
+}
+
+func (u *untoldServices) use(service string, now time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.usedAt == nil {
+		u.usedAt = map[string]time.Duration{}
+	}
+	u.usedAt[service] = now
+}
+
+// used returns the services whose references are kept.
+func (u *untoldServices) used(now time.Duration) map[string]bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	used := map[string]bool{}
+	for service, at := range u.usedAt {
+		if now-at > referenceRetention {
+			delete(u.usedAt, service)
+			continue
+		}
+		used[service] = true
+	}
+	return used
 }
 
 // acquire takes the lock, and reports whether it could before ctx ended.
@@ -125,7 +153,7 @@
 	if c.process.bornMs != 0 || c.process.untold != nil {
 		return
 	}
-	t.references.usedAt.Store(int64(x.s.now()))
+	x.s.untoldServices.use(x.service.Name, x.s.now())
 	ctx, cancel := context.WithTimeout(x.ctx, min(referenceTimeout, max(0, x.remaining())))
 	defer cancel()
 	c.process.untold = x.s.processOf(ctx, t)
@@ -164,7 +192,7 @@
 func (s *Server) askReferences(ctx context.Context, t *target) *untoldProcess {
 	r, p := &t.references, t.references.current.Load()
 	for len(r.conns) > 0 {
-		if s.askReference(ctx, t, r.conns[0]) {
+		if s.confirms(ctx, t, r.conns[0]) {
 			return p
 		}
 		_ = r.conns[0].Close()
@@ -182,27 +210,31 @@
 		return
 	}
 	// Asked itself, it shows by its answer how long it may be idle.
-	if !s.askReference(ctx, t, c) || !s.askReference(ctx, t, next) {
+	if !s.confirms(ctx, t, c) || !s.confirms(ctx, t, next) {
 		_ = next.Close()
 		return
 	}
 	r.keep(append(slices.Clone(r.conns), next), p)
 }
 
-// askReference asks for a report on a connection, and reports whether the process answered that
-// it tells no start, and keeps the connection.
-func (s *Server) askReference(ctx context.Context, t *target, c *conn) bool {
+// askReference asks for a report on a connection. ok is false if the connection can't be kept, or
+// the answer is not readable; bornMs is the start that the process tells, 0 if it tells none.
+func (s *Server) askReference(ctx context.Context, t *target, c *conn) (bornMs int64, ok bool) {
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Now()) })
 	resp, info, body, err := s.requestReport(t, c, referenceTimeout)
 	if !stop() || err != nil || resp.StatusCode != http.StatusOK || info.ContentEncoded || !c.reusable(resp, &info) {
-		return false
-	}
-	if bornMs, err := s.opts.Protocol.ParseStart(body); err != nil || bornMs != 0 {
-		return false
+		return 0, false
 	}
+	bornMs, err = s.opts.Protocol.ParseStart(body)
 	_ = c.SetDeadline(time.Time{})
 	c.setIdleExpiry(&info, time.Now())
-	return true
+	return bornMs, err == nil
+}
+
+// confirms reports whether the process of a reference answers on it, and still tells no start.
+func (s *Server) confirms(ctx context.Context, t *target, c *conn) bool {
+	bornMs, ok := s.askReference(ctx, t, c)
+	return ok && bornMs == 0
 }
 
 // requestReport asks the process that accepted a connection for a report on itself.
@@ -286,18 +318,11 @@
 // sweepReferences keeps the references of the upstreams whose services have streams at processes
 // that tell no start, and closes the others.
 func (s *Server) sweepReferences() {
-	targets := s.upstreams.all()
-	used := map[string]bool{}
-	for _, t := range targets {
-		usedAt := time.Duration(t.references.usedAt.Load())
-		if t.start() == startUntold && usedAt > 0 && s.now()-usedAt < referenceRetention {
-			used[t.currentRecord().Service] = true
-		}
-	}
-	for _, t := range targets {
+	used := s.untoldServices.used(s.now())
+	for _, t := range s.upstreams.all() {
 		record := t.currentRecord()
 		wanted := used[record.Service] && t.start() != startTold && record.Phase == pb.UpstreamPhase_UPSTREAM_READY && record.Stage != pb.EngineStage_ENGINE_STAGE_PREFILL
-		if wanted || t.references.current.Load() != nil || t.start() == startUntold {
+		if wanted || t.start() == startUntold {
 			s.done.Add(1)
 			go s.refreshReferences(t, wanted)
 		}
@@ -322,7 +347,7 @@
 	var kept []*conn
 	for _, c := range r.conns {
 		due := time.Until(c.expires) < referenceMargin || c.state() != connOpen
-		if wanted && !r.closed && (!due || s.askReference(ctx, t, c)) {
+		if wanted && !r.closed && (!due || s.confirms(ctx, t, c)) {
 			kept = append(kept, c)
 		} else {
 			_ = c.Close()
@@ -346,16 +371,16 @@
 	if err != nil {
 		return
 	}
-	if !s.askReference(ctx, t, c) {
-		_ = c.Close()
-		return
+	bornMs, ok := s.askReference(ctx, t, c)
+	if ok && bornMs != 0 {
+		t.startState.Store(int32(startTold))
 	}
-	t.startState.Store(int32(startUntold))
 	p := s.newUntoldProcess()
-	if !r.await(p) {
+	if !ok || bornMs != 0 || !r.await(p) {
 		_ = c.Close()
 		return
 	}
+	t.startState.Store(int32(startUntold))
 	r.keep([]*conn{c}, p)
 }
 
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -71,6 +71,7 @@
 	streamVersions   streamVersions
 	routeServices    routeServices
 	numbering        eventNumbering
+	untoldServices   untoldServices
 	callCosts        callCosts
 	shortages        shortages
 	inFlight         atomic.Int64
