forward: take-ups wait a second for the report of their process

Callers of streams that began at a process before its report were refused with 503 stream_version_unknown and tried again every 0.15 to 0.6 s: the report comes within seconds. Clients try only a few times within their time.

A take-up waits now, holding no engine, for a quarter of its caller's time and at most a second, while the report may still arrive: reports reach the entry, and no later process has reported under the id. Callers leave a stream after two seconds without an event.

TestTakeUpsWaitForTheReportOfTheirProcess failed before.

--- a/internal/forward/versions.go
+++ b/internal/forward/versions.go
@@ -330,7 +330,7 @@
 		x.refuse("stream_version_unknown", x.retryAfter())
 		return false
 	}
-	v.Versions = x.findProcess(v.Versions)
+	v.Versions = x.awaitProcess(v.Versions)
 	x.run = &v.Versions
 	x.recordNumber, x.firstID = v.Attempt+takeUpStep, v.First
 	if x.firstID == "" && x.versionsFrom != versionsOfOnly {
@@ -354,6 +354,41 @@
 	return true
 }
 
+const (
+	// maxReportWait, and the caller's remaining time divided by reportWaitDivisor, limit how long
+	// a take-up waits for a report. Callers leave a stream after two seconds without an event.
+	maxReportWait     = time.Second
+	reportWaitDivisor = 4
+)
+
+// awaitProcess replaces a process that stands for the software of the stream that the caller takes
+// up. A process reports within seconds of its start, so the caller waits for a while, which takes
+// no engine, rather than try again.
+func (x *exchange) awaitProcess(v policy.RunVersions) policy.RunVersions {
+	until := time.Now().Add(min(maxReportWait, x.remaining()/reportWaitDivisor))
+	v = x.findProcess(v)
+	for x.reportDue(v.Software) && time.Now().Before(until) {
+		select {
+		case <-x.ctx.Done():
+			return v
+		case <-time.After(settleInterval):
+		}
+		v, _ = x.s.resolveProcess(v)
+	}
+	return v
+}
+
+// reportDue reports whether software is a process whose report may arrive soon. None arrives once
+// a later process has reported under the id, and that of a process that tells no start takes long.
+func (x *exchange) reportDue(software string) bool {
+	id, bornMs, unresolved := fleet.ParseProcessText(software)
+	if !unresolved || bornMs <= 0 || x.outOfContact() {
+		return false
+	}
+	t := x.s.upstreams.get(id)
+	return t == nil || t.bornMs < bornMs
+}
+
 // streamGoneRetryAfter is the Retry-After of a stream that no upstream can go on with: its
 // versions have left, and come back at best with a new process.
 const streamGoneRetryAfter = 5 * time.Second
