forward: refused take-ups are told when their version is known

A stream that nobody has recorded, or that its caller does not name, goes on once its service has had only one version for a minute. Its callers were refused with a Retry-After of 0.05 to 0.6 s whatever was left of that minute, and had used up their few tries before its end.

They are told the time left now, capped as other Retry-Afters at a third of their own. If it is not known within their time they are refused as before, so that they may begin anew: a longer Retry-After would only hold them up. Without contact with a hub another entry may know more, and the short one stays too.

TestRefusedTakeUpsAreToldWhenTheirVersionIsKnown failed before.

--- a/internal/forward/versions.go
+++ b/internal/forward/versions.go
@@ -327,7 +327,7 @@
 	}
 	v, known := x.awaitStream()
 	if !known {
-		x.refuse("stream_version_unknown", x.retryAfter())
+		x.refuse("stream_version_unknown", x.untilKnown())
 		return false
 	}
 	v.Versions = x.awaitProcess(v.Versions)
@@ -354,6 +354,30 @@
 	return true
 }
 
+// untilKnown returns the Retry-After of a stream that nobody knows: the time after which its
+// service has had only one version for as long as a stream may last, if the caller waits that long.
+// Otherwise it is refused as any request: the caller may begin anew.
+func (x *exchange) untilKnown() time.Duration {
+	services, known := x.s.possibleServices(x.route)
+	if !known || len(services) != 1 || x.s.versionSource == nil {
+		return x.retryAfter()
+	}
+	observed := x.s.versionSource.VersionsObserved()
+	l := &x.s.streamVersions
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h := l.history[services[0]]
+	if h == nil || observed == 0 {
+		return x.retryAfter()
+	}
+	wait, known := h.OnlyAfter(x.info.Model, x.s.now(), observed)
+	if !known || wait >= time.Until(x.callerDeadline) {
+		return x.retryAfter()
+	}
+	// capRetryAfter shortens it by up to retryAfterSpread.
+	return x.capRetryAfter(time.Duration(float64(wait) / (1 - retryAfterSpread)))
+}
+
 const (
 	// maxReportWait, and the caller's remaining time divided by reportWaitDivisor, limit how long
 	// a take-up waits for a report. Callers leave a stream after two seconds without an event.
--- a/policy/stream_versions.go
+++ b/policy/stream_versions.go
@@ -1,6 +1,10 @@
 package policy
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 const (
 	// streamVersionTTL is how long the versions of a stream are remembered.
@@ -173,3 +177,24 @@
 	}
 	return only, ok
 }
+
+// OnlyAfter returns the time after which Only tells the versions for a model if no others than the
+// newest are seen from now on. ok is false if none are known.
+func (h *VersionHistory) OnlyAfter(model string, now, observed time.Duration) (wait time.Duration, ok bool) {
+	wait = max(0, streamVersionTTL-observed)
+	forgotten := func(at time.Duration) time.Duration { return at + streamVersionTTL + seenTolerance - now }
+	if h.unknown {
+		wait = max(wait, forgotten(h.unknownAt))
+	}
+	seenAt := map[RunVersions]time.Duration{}
+	for v, at := range h.Versions(now) {
+		v, serves := v.WithModel(model)
+		if known, ok := seenAt[v]; serves && (!ok || at > known) {
+			seenAt[v] = at
+		}
+	}
+	if n := len(seenAt); n > 1 {
+		wait = max(wait, forgotten(slices.Sorted(maps.Values(seenAt))[n-2]))
+	}
+	return wait, len(seenAt) > 0
+}
