--- a/internal/forward/versions.go
+++ b/internal/forward/versions.go
@@ -331,10 +331,10 @@
 	}
 	v, known := x.awaitStream()
 	if !known {
-		x.refuse("stream_version_unknown", x.retryAfter())
+		x.refuse("stream_version_unknown", x.untilKnown())
 		return false
 	}
-	v.Versions = x.findProcess(v.Versions)
+	v.Versions = x.awaitProcess(v.Versions)
 	x.run = &v.Versions
 	x.recordNumber, x.firstID = v.Attempt+takeUpStep, v.First
 	if x.firstID == "" && x.versionsFrom != versionsOfOnly {
@@ -358,6 +358,65 @@
 	return true
 }
 
+// untilKnown returns the Retry-After of a stream that nobody knows: the time after which its
+// service has had only one version for as long as a stream may last, if the caller waits that long.
+// Otherwise it is refused as any request: the caller may begin anew.
+func (x *exchange) untilKnown() time.Duration {
+	services, known := x.s.possibleServices(x.route)
+	if !known || len(services) != 1 || x.s.versionSource == nil {
+		return x.retryAfter()
+	}
+	observed := x.s.versionSource.VersionsObserved()
+	l := &x.s.streamVersions
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h := l.history[services[0]]
+	if h == nil || observed == 0 {
+		return x.retryAfter()
+	}
+	wait, known := h.OnlyAfter(x.info.Model, x.s.now(), observed)
+	if !known || wait >= time.Until(x.callerDeadline) {
+		return x.retryAfter()
+	}
+	// capRetryAfter shortens it by up to retryAfterSpread.
+	return x.capRetryAfter(time.Duration(float64(wait) / (1 - retryAfterSpread)))
+}
+
+const (
+	// maxReportWait, and the caller's remaining time divided by reportWaitDivisor, limit how long
+	// a take-up waits for a report. Callers leave a stream after two seconds without an event.
+	maxReportWait     = time.Second
+	reportWaitDivisor = 4
+)
+
+// awaitProcess replaces a process that stands for the software of the stream that the caller takes
+// up. A process reports within seconds of its start, so the caller waits for a while, which takes
+// no engine, rather than try again.
+func (x *exchange) awaitProcess(v policy.RunVersions) policy.RunVersions {
+	until := time.Now().Add(min(maxReportWait, x.remaining()/reportWaitDivisor))
+	v = x.findProcess(v)
+	for x.reportDue(v.Software) && time.Now().Before(until) {
+		select {
+		case <-x.ctx.Done():
+			return v
+		case <-time.After(settleInterval):
+		}
+		v, _ = x.s.resolveProcess(v)
+	}
+	return v
+}
+
+// reportDue reports whether software is a process whose report may arrive soon. None arrives once
+// a later process has reported under the id, and that of a process that tells no start takes long.
+func (x *exchange) reportDue(software string) bool {
+	id, bornMs, unresolved := fleet.ParseProcessText(software)
+	if !unresolved || bornMs <= 0 || x.outOfContact() {
+		return false
+	}
+	t := x.s.upstreams.get(id)
+	return t == nil || t.bornMs < bornMs
+}
+
 // streamGoneRetryAfter is the Retry-After of a stream that no upstream can go on with: its
 // versions have left, and come back at best with a new process.
 const streamGoneRetryAfter = 5 * time.Second
