forward, feed: references and proofs after the review

- An answer that came before the question made an ended process count as alive, so that streams of two software versions were joined (TestAnswersFromBeforeTheQuestionProveNoProcess): what is unread is skipped before a question.
- Reports that waited for a stream to another hub, or passed a suspended one, counted as newer than they were (TestReportsThatWaitForAStreamToAHubAge, TestReportsOfASuspendedHubAreNoProofAtOthers): only reports that came to a hub from the process itself are a proof; the hub that is asked asks the others.
- A caller that left, or an answer after 300 ms, closed the references of a process that ran; of 12 streams that came together 6 to 8 were refused: one question serves all that wait, and takes as long as the one on a new connection (TestCallersThatLeaveEndNoReferences, TestSlowAnswersEndNoReferences, TestStreamsThatAreTakenUpTogetherAtAKnownProcessGoOn, TestStreamsThatBeginTogetherAtAKnownProcessAreTakenUp).
- The proof of references was looked for during 72 s only (TestProcessesOfReferencesAreProvenAfterALongLossOfContact).
- A stream was refused at the process that began it where the report states no version (TestStreamsGoOnAtTheirProcessWhereNoVersionIsStated).

TestReportsThatWaitForAStreamToAHubAge asks for no report or its whole age now; TestOnlyReportsTellThatAProcessReports the same of reports that were passed on.

--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -12,7 +11,6 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
-	"godwitward.example/godwitward/internal/boottime"
 	"godwitward.example/godwitward/internal/corestore"
 	"godwitward.example/godwitward/internal/fleet"
 	"godwitward.example/godwitward/internal/protocol"
@@ -113,9 +111,7 @@
 
 	streamVersions policy.StreamVersions
 	left           policy.LeftVersions
-	// bootOffset is the time by which the boot clock was last ahead of now, and resumedAt when it
-	// was found to have advanced alone.
-	bootOffset, resumedAt time.Duration
+	lastReports    lastReports
 	versionHistory
 	routes routeHistory
 	eventNumberings
@@ -172,7 +168,7 @@
 func NewHub(opts HubOptions, server *transport.Server) *Hub {
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Hub{
-		opts: opts, start: time.Now(), bootOffset: boottime.Now(), resumedAt: math.MinInt64, table: fleet.NewTable(),
+		opts: opts, start: time.Now(), lastReports: newLastReports(), table: fleet.NewTable(),
 		subscriptions: map[*subscription]struct{}{}, remoteAttachments: map[string]attachmentCount{}, outcomes: outcomeTable{}, ctx: ctx, stop: cancel,
 		evidence: promptEvidence{quarantine: policy.NewPromptQuarantine()}, statements: map[processKey]*hubStatement{}, schedules: map[processKey]*sendSchedule{},
 	}
@@ -238,7 +234,9 @@
 	known := h.table.Get(r.Id)
 	changed, accepted := h.observe(r)
 	dropped := uint64(0)
-	if !accepted {
+	if accepted {
+		h.lastReports.note(r, h.now())
+	} else {
 		dropped = h.older.count(r, known, h.now())
 	}
 	// Streams may have begun at a process whose report arrives after that of its successor.
@@ -534,6 +532,7 @@
 func (h *Hub) expire() {
 	h.mu.Lock()
 	silent := h.table.Expire(h.now())
+	h.lastReports.prune(h.now())
 	h.enqueueUpdates(silent, false)
 	h.mu.Unlock()
 	for _, r := range silent {
--- a/internal/feed/stream_versions.go
+++ b/internal/feed/stream_versions.go
@@ -5,7 +5,6 @@
 	"time"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
-	"godwitward.example/godwitward/internal/boottime"
 	"godwitward.example/godwitward/internal/fleet"
 	"godwitward.example/godwitward/internal/protocol"
 	"godwitward.example/godwitward/internal/transport"
@@ -118,7 +117,7 @@
 	defer h.mu.Unlock()
 	resp := &pb.StreamVersionResponse{}
 	if req.UpstreamId != "" {
-		resp.Report = h.lastReport(req.UpstreamId)
+		resp.Report = h.lastReports.get(req.UpstreamId, h.now())
 	}
 	v, known := h.streamVersions.Get(req.Id, h.now())
 	if !known {
@@ -140,26 +139,6 @@
 	return resp, reading
 }
 
-// maxClockDrift is the difference between two clocks that shows no suspension.
-const maxClockDrift = 20 * time.Millisecond
-
-// lastReport returns the newest report under an id with its age. The clock of ages stands still
-// while the VM is suspended, so reports from before a suspension don't count. The caller holds mu.
-func (h *Hub) lastReport(id string) *pb.UpstreamRecord {
-	now := h.now()
-	offset := boottime.Now() - now
-	if offset-h.bootOffset > maxClockDrift {
-		h.resumedAt = now
-	}
-	h.bootOffset = offset
-	r := h.table.Report(id, now)
-	// The age is in whole milliseconds.
-	if r != nil && now-milliseconds(r.AgeMs+1) <= h.resumedAt {
-		return nil
-	}
-	return r
-}
-
 // resolveProcess replaces a process that stands for a software version once the process has
 // reported: entries of earlier builds can't. Weights that no response has stated may have
 // changed before the report or since, so they are left to entries. The caller holds mu.
@@ -187,7 +166,7 @@
 	ctx, cancel := context.WithTimeout(ctx, otherHubsTimeout)
 	defer cancel()
 	members := h.opts.Store.Members()
-	answers := make(chan *pb.StreamVersion, len(members))
+	answers := make(chan *pb.StreamVersionResponse, len(members))
 	failed := make(chan struct{}, len(members))
 	waiting := 0
 	for _, address := range members {
@@ -197,8 +176,8 @@
 		}
 		waiting++
 		go func() {
-			if answer, err := askHub(ctx, client, &pb.StreamVersionRequest{Id: req.Id, Record: req.Record}); err == nil {
-				answers <- answer.Stream
+			if answer, err := askHub(ctx, client, &pb.StreamVersionRequest{Id: req.Id, Record: req.Record, UpstreamId: req.UpstreamId}); err == nil {
+				answers <- answer
 			} else {
 				// A hub out of reach doesn't count as one that has answered.
 				failed <- struct{}{}
@@ -208,11 +187,12 @@
 	resp.Answered, resp.Hubs = 1, uint32(len(members))
 	for ; waiting > 0 && (resp.Stream.GetService() == "" || 2*resp.Answered <= resp.Hubs); waiting-- {
 		select {
-		case stream := <-answers:
+		case answer := <-answers:
 			resp.Answered++
-			if replaces(stream, resp.Stream) {
-				resp.Stream = stream
+			if replaces(answer.Stream, resp.Stream) {
+				resp.Stream = answer.Stream
 			}
+			resp.Report = newerReport(resp.Report, answer.Report)
 		case <-failed:
 		case <-ctx.Done():
 			return
@@ -280,19 +260,6 @@
 	return fleet.DecodeStreamVersion(stream, 0)
 }
 
-// LastReport asks the hubs for the newest report under an id, and returns the start of its process
-// and the time since it arrived. known is false if no hub in reach has one.
-func (s *Subscriber) LastReport(ctx context.Context, id string) (bornMs int64, age time.Duration, known bool) {
-	for _, answer := range s.askHubs(ctx, &pb.StreamVersionRequest{UpstreamId: id}) {
-		r := answer.GetReport()
-		if r == nil || known && (r.BornMs < bornMs || r.BornMs == bornMs && milliseconds(r.AgeMs) >= age) {
-			continue
-		}
-		bornMs, age, known = r.BornMs, milliseconds(r.AgeMs), true
-	}
-	return bornMs, age, known
-}
-
 // askHubs sends a question to the hubs to which the subscriber is attached, and returns the
 // answers. A hub out of reach gives none.
 func (s *Subscriber) askHubs(ctx context.Context, req *pb.StreamVersionRequest) []*pb.StreamVersionResponse {
--- a/internal/fleet/process_text.go
+++ b/internal/fleet/process_text.go
@@ -36,9 +36,10 @@
 }
 
 // TellsSoftware reports whether a record tells the software of one process: it is not the mere
-// end of a process that has not reported, and states a start. r may be nil.
+// end of a process that has not reported, and states a start. That of a process which states no
+// version is its own. r may be nil.
 func TellsSoftware(r *pb.UpstreamRecord) bool {
-	return r != nil && r.BornMs != 0 && r.SoftwareVersion != UnknownSoftware(r)
+	return r != nil && r.BornMs != 0 && (r.SoftwareVersion != UnknownSoftware(r) || keepsVersions(r))
 }
 
 // ResolveProcess returns versions in which the process text is replaced by what the report r of
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -234,18 +234,6 @@
 	return e != nil && e.record.Address == address && e.record.Phase != pb.UpstreamPhase_UPSTREAM_GONE
 }
 
-// Report returns a copy of the newest report under an id with its age; nil if there is none, or
-// its process has given notice since.
-func (t *Table) Report(id string, now time.Duration) *pb.UpstreamRecord {
-	e := t.byID[id]
-	if e == nil || e.record.Phase == pb.UpstreamPhase_UPSTREAM_GONE {
-		return nil
-	}
-	r := clone(e.record)
-	r.AgeMs = uint32(max(0, now-e.receivedAt) / time.Millisecond)
-	return r
-}
-
 // Get returns the record of an id, or nil.
 func (t *Table) Get(id string) *pb.UpstreamRecord {
 	if e := t.byID[id]; e != nil {
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -178,8 +178,11 @@
 
 // alive reports whether an idle connection can be reused. It cannot if it has
 // expired, was closed by the upstream or has unread data.
-func (c *conn) alive(now time.Time) bool {
-	if now.After(c.expires) || c.rd.Buffered() > 0 {
+func (c *conn) alive(now time.Time) bool { return !now.After(c.expires) && c.quiet() }
+
+// quiet reports whether a connection without a request is open and has no unread data.
+func (c *conn) quiet() bool {
+	if c.rd.Buffered() > 0 {
 		return false
 	}
 	if c.relayed != nil {
@@ -203,6 +206,26 @@
 	return err == nil && idle
 }
 
+// maxUnreadBuffers limits what skipUnread discards.
+const maxUnreadBuffers = 4
+
+// skipUnread discards what has arrived on a connection without a request, and reports whether the
+// connection is open and quiet then.
+func (c *conn) skipUnread() bool {
+	var b [readBufferBytes]byte
+	for range maxUnreadBuffers {
+		if c.quiet() {
+			return true
+		}
+		// A deadline that has passed would hide what has arrived.
+		_ = c.SetReadDeadline(time.Now().Add(time.Millisecond))
+		if n, err := c.rd.Read(b[:]); n == 0 || err != nil {
+			return false
+		}
+	}
+	return c.quiet()
+}
+
 // outboundRequest is a request to an upstream.
 type outboundRequest struct {
 	method string
--- a/internal/forward/process.go
+++ b/internal/forward/process.go
@@ -93,7 +93,7 @@
 				x.s.opts.Logger.Info().Str("event", "upstream.unidentified").Str("upstream", t.id).Bool("reused", asked.wasIdle).Err(err).Msg("")
 				return nil, x.unansweredError(t, asked, err)
 			}
-			x.identifyUntold(t, c)
+			x.identifyUntold(t, c, timeout)
 		}
 		if err = x.checkProcess(t, c); err != nil {
 			_ = c.Close()
--- a/internal/forward/references.go
+++ b/internal/forward/references.go
@@ -25,14 +25,9 @@
 // the one that accepted it.
 
 const (
-	// reportTransfer is how long a report may take from hub to hub: sessions that bring nothing
-	// for so long are ended.
-	reportTransfer = 2 * time.Second
 	// maxReferences is the number of references to an upstream. Upstreams close connections
 	// without notice, and the last one takes the proof with it.
 	maxReferences = 2
-	// referenceTimeout limits the answer to a question on a reference.
-	referenceTimeout = 300 * time.Millisecond
 	// referenceMargin is the time before its expiry at which a reference is asked again.
 	referenceMargin = sweepInterval + 200*time.Millisecond
 	// referenceRetention is the time after the last stream at a service that its references are
@@ -66,14 +61,28 @@
 
 // references are the connections by which the process of a target is known that tells no start.
 type references struct {
-	// lock holds one element while the fields below are used, also during a question.
+	// lock holds one element while conns is used, also during a question on them.
 	lock  chan struct{}
 	conns []*conn
-	// unproven are the processes that wait for their proof.
-	unproven []*untoldProcess
-	closed   bool
 	// current is the process of conns, nil if there are none.
 	current atomic.Pointer[untoldProcess]
+
+	mu sync.Mutex
+	// unproven are the processes that wait for their proof.
+	unproven []*untoldProcess
+	// next is the question that has not begun, nil if nobody waits for one. asking is set while a
+	// goroutine asks.
+	next   *confirmation
+	asking bool
+	closed bool
+}
+
+// confirmation is a question on the references, which holds for all connections that were open
+// before it began.
+type confirmation struct {
+	done chan struct{}
+	// process is that of the references, nil if there is none that answers.
+	process *untoldProcess
 }
 
 // untoldServices holds when a stream was last sent to a process that tells no start, by service.
@@ -106,21 +115,10 @@
 	return used
 }
 
-// acquire takes the lock, and reports whether it could before ctx ended.
-func (r *references) acquire(ctx context.Context) bool {
-	select {
-	case r.lock <- struct{}{}:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-func (r *references) release() { <-r.lock }
-
-// await makes a process wait for its proof, and reports whether there was room. The caller has
-// the lock.
+// await makes a process wait for its proof, and reports whether there was room.
 func (r *references) await(p *untoldProcess) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if len(r.unproven) >= maxUnproven || r.closed {
 		return false
 	}
@@ -137,11 +135,20 @@
 	r.current.Store(p)
 }
 
+// isClosed reports whether no references are kept any more.
+func (r *references) isClosed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.closed
+}
+
 // close closes the references. No others are kept then.
 func (r *references) close() {
-	r.lock <- struct{}{}
-	defer r.release()
+	r.mu.Lock()
 	r.closed = true
+	r.mu.Unlock()
+	r.lock <- struct{}{}
+	defer func() { <-r.lock }()
 	for _, c := range r.conns {
 		_ = c.Close()
 	}
@@ -149,12 +156,12 @@
 }
 
 // identifyUntold finds the process that accepted a connection if it tells no start.
-func (x *exchange) identifyUntold(t *target, c *conn) {
+func (x *exchange) identifyUntold(t *target, c *conn, timeout time.Duration) {
 	if c.process.bornMs != 0 || c.process.untold != nil {
 		return
 	}
 	x.s.untoldServices.use(x.service.Name, x.s.now())
-	ctx, cancel := context.WithTimeout(x.ctx, min(referenceTimeout, max(0, x.remaining())))
+	ctx, cancel := context.WithTimeout(x.ctx, max(0, min(timeout, identifyTimeout, x.remaining())))
 	defer cancel()
 	c.process.untold = x.s.processOf(ctx, t)
 }
@@ -162,25 +169,59 @@
 // processOf returns the process that accepted a connection, which is open; nil if it is not
 // known. Without a reference that answers it counts as one of its own, and references are opened.
 func (s *Server) processOf(ctx context.Context, t *target) *untoldProcess {
-	r := &t.references
-	if !r.acquire(ctx) {
+	q := s.confirm(t)
+	select {
+	case <-q.done:
+	case <-ctx.Done():
 		return nil
 	}
-	defer r.release()
-	if p := s.askReferences(ctx, t); p != nil {
-		return p
+	if q.process != nil {
+		return q.process
 	}
 	p := s.newUntoldProcess()
-	if !r.await(p) {
+	if !t.references.await(p) {
 		return nil
 	}
-	select {
-	case <-s.stop:
-	default:
+	return p
+}
+
+// confirm returns a question on the references to a target that has not begun. It doesn't end with
+// its caller: others wait for it too.
+func (s *Server) confirm(t *target) *confirmation {
+	r := &t.references
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.next == nil {
+		r.next = &confirmation{done: make(chan struct{})}
+	}
+	if !r.asking && s.ended.Err() == nil {
+		r.asking = true
 		s.done.Add(1)
-		go s.refreshReferences(t, true)
+		go s.answerConfirmations(t)
+	}
+	return r.next
+}
+
+// answerConfirmations asks on the references of a target until nobody waits for a question.
+func (s *Server) answerConfirmations(t *target) {
+	defer s.done.Done()
+	r := &t.references
+	for {
+		r.mu.Lock()
+		q := r.next
+		r.next, r.asking = nil, q != nil
+		r.mu.Unlock()
+		if q == nil {
+			return
+		}
+		r.lock <- struct{}{}
+		q.process = s.askReferences(t)
+		close(q.done)
+		if q.process == nil && !r.isClosed() {
+			s.openReference(t)
+		}
+		<-r.lock
 	}
-	return p
 }
 
 func (s *Server) newUntoldProcess() *untoldProcess {
@@ -189,10 +230,10 @@
 
 // askReferences returns the process of the references to a target if it answers on one of them
 // now, otherwise nil. Those without an answer are closed. The caller has the lock.
-func (s *Server) askReferences(ctx context.Context, t *target) *untoldProcess {
+func (s *Server) askReferences(t *target) *untoldProcess {
 	r, p := &t.references, t.references.current.Load()
 	for len(r.conns) > 0 {
-		if s.confirms(ctx, t, r.conns[0]) {
+		if s.confirms(t, r.conns[0]) {
 			return p
 		}
 		_ = r.conns[0].Close()
@@ -201,28 +242,37 @@
 	return nil
 }
 
-// addReference opens a reference that is of the same process as c: it answers on c after the
-// reference was opened. The caller has the lock.
-func (s *Server) addReference(ctx context.Context, t *target, c *conn, p *untoldProcess) {
+// addReference opens a reference that is of the same process as the one that is kept: it answers
+// there after the new one was opened. The caller has the lock.
+func (s *Server) addReference(t *target) {
 	r := &t.references
-	next, err := t.dial(ctx)
+	next, err := s.dialReference(t)
 	if err != nil {
 		return
 	}
 	// Asked itself, it shows by its answer how long it may be idle.
-	if !s.confirms(ctx, t, c) || !s.confirms(ctx, t, next) {
+	if !s.confirms(t, r.conns[0]) || !s.confirms(t, next) {
 		_ = next.Close()
 		return
 	}
-	r.keep(append(slices.Clone(r.conns), next), p)
+	r.keep(append(slices.Clone(r.conns), next), r.current.Load())
+}
+
+func (s *Server) dialReference(t *target) (*conn, error) {
+	ctx, cancel := context.WithTimeout(s.ended, identifyTimeout)
+	defer cancel()
+	return t.dial(ctx)
 }
 
 // askReference asks for a report on a connection. ok is false if the connection can't be kept, or
 // the answer is not readable; bornMs is the start that the process tells, 0 if it tells none.
-func (s *Server) askReference(ctx context.Context, t *target, c *conn) (bornMs int64, ok bool) {
-	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Now()) })
-	resp, info, body, err := s.requestReport(t, c, referenceTimeout)
-	if !stop() || err != nil || resp.StatusCode != http.StatusOK || info.ContentEncoded || !c.reusable(resp, &info) {
+func (s *Server) askReference(t *target, c *conn) (bornMs int64, ok bool) {
+	if !c.skipUnread() {
+		// What came before the question tells nothing about what runs now.
+		return 0, false
+	}
+	resp, info, body, err := s.requestReport(t, c, identifyTimeout)
+	if err != nil || resp.StatusCode != http.StatusOK || info.ContentEncoded || !c.reusable(resp, &info) {
 		return 0, false
 	}
 	bornMs, err = s.opts.Protocol.ParseStart(body)
@@ -232,8 +282,8 @@
 }
 
 // confirms reports whether the process of a reference answers on it, and still tells no start.
-func (s *Server) confirms(ctx context.Context, t *target, c *conn) bool {
-	bornMs, ok := s.askReference(ctx, t, c)
+func (s *Server) confirms(t *target, c *conn) bool {
+	bornMs, ok := s.askReference(t, c)
 	return ok && bornMs == 0
 }
 
@@ -266,37 +316,39 @@
 // reported before they accepted a connection, and since. A report counts only if it was sent
 // after that, however late it has arrived.
 func (s *Server) proveProcesses(ctx context.Context, t *target) {
-	r := &t.references
-	if t.bornMs == 0 || s.versionSource == nil || !r.acquire(ctx) {
+	if t.bornMs == 0 || s.versionSource == nil {
 		return
 	}
-	delay := s.opts.MaxReportDelay + reportTransfer
+	r, now := &t.references, s.now()
+	r.mu.Lock()
 	r.unproven = slices.DeleteFunc(r.unproven, func(p *untoldProcess) bool {
-		return isReported(p) || s.now()-p.acceptedAt > delay+proofPeriod
+		return isReported(p) || now-p.acceptedAt > s.opts.MaxReportDelay+proofPeriod && p != r.current.Load()
 	})
 	due := slices.Clone(r.unproven)
-	r.release()
-	due = slices.DeleteFunc(due, func(p *untoldProcess) bool { return s.now()-p.acceptedAt < delay })
-	if record := t.currentRecord(); len(due) == 0 || !fleet.TellsSoftware(record) {
+	r.mu.Unlock()
+	due = slices.DeleteFunc(due, func(p *untoldProcess) bool { return now-p.acceptedAt <= s.opts.MaxReportDelay })
+	record := t.currentRecord()
+	if len(due) == 0 || !fleet.TellsSoftware(record) {
 		return
 	}
+	// The age is that at a moment after the question.
 	askedAt := s.now()
 	bornMs, age, known := s.versionSource.LastReport(ctx, t.id)
 	if !known || bornMs != t.bornMs {
 		return
 	}
 	for _, p := range due {
-		if p.acceptedAt < askedAt-age-delay {
-			s.recordProcess(t, p)
+		if p.acceptedAt < askedAt-age-s.opts.MaxReportDelay {
+			s.recordProcess(t, p, record)
 		}
 	}
 }
 
-// recordProcess marks a process as the one of its target's record, and records its software under
+// recordProcess marks a process as the one of its target's record, and records the software under
 // its text, where streams that it began are resolved by it at all entries.
-func (s *Server) recordProcess(t *target, p *untoldProcess) {
+func (s *Server) recordProcess(t *target, p *untoldProcess, record *pb.UpstreamRecord) {
 	p.proven.Store(true)
-	text, record := fleet.ProcessText(t.id, p.number), t.currentRecord()
+	text := fleet.ProcessText(t.id, p.number)
 	s.opts.Logger.Info().Str("event", "upstream.identified").Str("upstream", t.id).Int64("born_ms", t.bornMs).Int64("process", p.number).Str("software", record.SoftwareVersion).Msg("")
 	// Only the software counts. Hubs of earlier builds list all of it as versions in use, so it
 	// is one that is.
@@ -342,12 +394,13 @@
 	default:
 		return
 	}
-	defer r.release()
+	defer func() { <-r.lock }()
+	wanted = wanted && !r.isClosed()
 	p := r.current.Load()
 	var kept []*conn
 	for _, c := range r.conns {
-		due := time.Until(c.expires) < referenceMargin || c.state() != connOpen
-		if wanted && !r.closed && (!due || s.confirms(ctx, t, c)) {
+		due := time.Until(c.expires) < referenceMargin || !c.quiet()
+		if wanted && (!due || s.confirms(t, c)) {
 			kept = append(kept, c)
 		} else {
 			_ = c.Close()
@@ -355,33 +408,32 @@
 	}
 	r.keep(kept, p)
 	switch {
-	case !wanted || r.closed || len(kept) >= maxReferences:
+	case !wanted || len(kept) >= maxReferences:
 	case len(kept) > 0:
-		s.addReference(ctx, t, kept[0], p)
+		s.addReference(t)
 	default:
-		s.openReference(ctx, t)
+		s.openReference(t)
 	}
 }
 
 // openReference opens the first reference to a target, unless its process tells a start. The
 // caller has the lock.
-func (s *Server) openReference(ctx context.Context, t *target) {
-	r := &t.references
-	c, err := t.dial(ctx)
+func (s *Server) openReference(t *target) {
+	c, err := s.dialReference(t)
 	if err != nil {
 		return
 	}
-	bornMs, ok := s.askReference(ctx, t, c)
+	bornMs, ok := s.askReference(t, c)
 	if ok && bornMs != 0 {
 		t.startState.Store(int32(startTold))
 	}
 	p := s.newUntoldProcess()
-	if !ok || bornMs != 0 || !r.await(p) {
+	if !ok || bornMs != 0 || !t.references.await(p) {
 		_ = c.Close()
 		return
 	}
 	t.startState.Store(int32(startUntold))
-	r.keep([]*conn{c}, p)
+	t.references.keep([]*conn{c}, p)
 }
 
 // errNotKept means that a connection was not kept open after a response.
