--- a/internal/forward/references.go
+++ b/internal/forward/references.go
@@ -196,15 +196,13 @@
 	}
 	if !r.asking && s.ended.Err() == nil {
 		r.asking = true
-		s.done.Add(1)
-		go s.answerConfirmations(t)
+		s.done.Go(func() { s.answerConfirmations(t) })
 	}
 	return r.next
 }
 
 // answerConfirmations asks on the references of a target until nobody waits for a question.
 func (s *Server) answerConfirmations(t *target) {
-	defer s.done.Done()
 	r := &t.references
 	for {
 		r.mu.Lock()
@@ -316,6 +314,8 @@
 // reported before they accepted a connection, and since. A report counts only if it was sent
 // after that, however late it has arrived.
 func (s *Server) proveProcesses(ctx context.Context, t *target) {
+	ctx, cancel := context.WithTimeout(ctx, sweepInterval)
+	defer cancel()
 	if t.bornMs == 0 || s.versionSource == nil {
 		return
 	}
@@ -375,24 +375,34 @@
 		record := t.currentRecord()
 		wanted := used[record.Service] && t.start() != startTold && record.Phase == pb.UpstreamPhase_UPSTREAM_READY && record.Stage != pb.EngineStage_ENGINE_STAGE_PREFILL
 		if wanted || t.start() == startUntold {
-			s.done.Add(1)
-			go s.refreshReferences(t, wanted)
+			// Hubs that do not answer must not delay the questions on the references.
+			s.done.Go(func() { s.refreshReferences(t, wanted) })
+			s.done.Go(func() { s.proveProcesses(s.ended, t) })
 		}
 	}
 }
 
 // refreshReferences asks on the references of a target that are about to expire, opens those
-// that are missing, and looks for proofs. Without wanted it closes them.
+// that are missing. Without wanted it closes them. Some expire before the next sweep.
 func (s *Server) refreshReferences(t *target, wanted bool) {
-	defer s.done.Done()
-	ctx, cancel := context.WithTimeout(s.ended, sweepInterval)
-	defer cancel()
-	s.proveProcesses(ctx, t)
-	r := &t.references
+	until := time.Now().Add(sweepInterval)
+	for next := s.refresh(t, wanted); next.Before(until); next = s.refresh(t, wanted) {
+		select {
+		case <-s.stop:
+			return
+		case <-time.After(time.Until(next)):
+		}
+	}
+}
+
+// refresh refreshes the references of a target once, and returns when it is due again.
+func (s *Server) refresh(t *target, wanted bool) (next time.Time) {
+	r, now := &t.references, time.Now()
+	next = now.Add(sweepInterval)
 	select {
 	case r.lock <- struct{}{}:
 	default:
-		return
+		return next
 	}
 	defer func() { <-r.lock }()
 	wanted = wanted && !r.isClosed()
@@ -414,6 +424,12 @@
 	default:
 		s.openReference(t)
 	}
+	for _, c := range r.conns {
+		if idle := time.Until(c.expires); idle < referenceMargin && now.Add(idle/2).Before(next) {
+			next = now.Add(idle / 2)
+		}
+	}
+	return next
 }
 
 // openReference opens the first reference to a target, unless its process tells a start. The
