forward: take-ups are recorded before they wait for a report

A take-up that waits for the report of its process recorded its number after the wait. In that second the earlier answer of the stream, if its caller still reads it, could have a change of weights recorded, which the take-up's record then replaced by the weights before: a later take-up from that answer would have been joined.

The take-up is recorded first, as before, and again once its process is known. TestTakeUpsAreRecordedBeforeTheyWait failed before.

--- a/internal/forward/refusal_report_test.go
+++ b/internal/forward/refusal_report_test.go
@@ -69,3 +69,24 @@
 	x, _ = unreportedTakeUp(t, hub, time.Minute)
 	require.Less(t, refusedAfter(x), 200*time.Millisecond, "no reports arrive")
 }
+
+// Guards against an earlier answer of the stream that is still read, and whose change of weights
+// is accepted while a take-up waits: its record must have been replaced by then.
+func TestTakeUpsAreRecordedBeforeTheyWait(t *testing.T) {
+	x, report := unreportedTakeUp(t, &reportsHub{}, 8*time.Second)
+	recorded := func() policy.StreamVersion {
+		x.s.streamVersions.mu.Lock()
+		defer x.s.streamVersions.mu.Unlock()
+		v, _ := x.s.streamVersions.known.Get("a", x.s.now())
+		return v
+	}
+	waiting := make(chan policy.StreamVersion, 1)
+	time.AfterFunc(300*time.Millisecond, func() {
+		waiting <- recorded()
+		report(5)
+	})
+	require.True(t, x.pinStream())
+	require.Equal(t, 1+takeUpStep, (<-waiting).Attempt)
+	require.Greater(t, recorded().Attempt, 1+takeUpStep)
+	require.Equal(t, "v1", recorded().Versions.Software)
+}
--- a/internal/forward/versions.go
+++ b/internal/forward/versions.go
@@ -330,7 +330,7 @@
 		x.refuse("stream_version_unknown", x.untilKnown())
 		return false
 	}
-	v.Versions = x.awaitProcess(v.Versions)
+	v.Versions = x.findProcess(v.Versions)
 	x.run = &v.Versions
 	x.recordNumber, x.firstID = v.Attempt+takeUpStep, v.First
 	if x.firstID == "" && x.versionsFrom != versionsOfOnly {
@@ -338,6 +338,7 @@
 	}
 	// The caller may name this request next, also if it is refused.
 	x.recordRun()
+	x.awaitProcess()
 	if fleet.IsProcessText(x.run.Software) {
 		x.refuse("stream_version_unknown", x.retryAfter())
 		return false
@@ -385,21 +386,19 @@
 	reportWaitDivisor = 4
 )
 
-// awaitProcess replaces a process that stands for the software of the stream that the caller takes
-// up. A process reports within seconds of its start, so the caller waits for a while, which takes
-// no engine, rather than try again.
-func (x *exchange) awaitProcess(v policy.RunVersions) policy.RunVersions {
+// awaitProcess waits for the report of the process that stands for the software of the stream that
+// the caller takes up. It comes within seconds of the start of the process, so the caller waits for
+// a while, which takes no engine, rather than try again.
+func (x *exchange) awaitProcess() {
 	until := time.Now().Add(min(maxReportWait, x.remaining()/reportWaitDivisor))
-	v = x.findProcess(v)
-	for x.reportDue(v.Software) && time.Now().Before(until) {
+	for x.reportDue(x.run.Software) && time.Now().Before(until) {
 		select {
 		case <-x.ctx.Done():
-			return v
+			return
 		case <-time.After(settleInterval):
 		}
-		v, _ = x.s.resolveProcess(v)
+		x.resolveRun()
 	}
-	return v
 }
 
 // reportDue reports whether software is a process whose report may arrive soon. None arrives once
