forward: take-ups of moved routes are refused before they wait

A take-up whose route has left the service of its stream waited for the report of its process, up to a second since, and was refused as stream_version_unknown, which invites another try. It is refused at once as stream_service_gone now. TestTakeUpsOfMovedRoutesDoNotWait failed before.

--- a/internal/forward/refusal_report_test.go
+++ b/internal/forward/refusal_report_test.go
@@ -70,6 +70,19 @@
 	require.Less(t, refusedAfter(x), 200*time.Millisecond, "no reports arrive")
 }
 
+// Guards against a take-up that waits for a report although its route has left the service of the
+// stream.
+func TestTakeUpsOfMovedRoutesDoNotWait(t *testing.T) {
+	x, _ := unreportedTakeUp(t, &reportsHub{}, time.Minute)
+	x.s.SetConfig(routesConfig(t, 2, "/a/", true, Share{"y", 1}))
+	x.config = x.s.config.Load()
+	x.route = x.config.Match("h.example", "/a/x")
+	began := time.Now()
+	require.False(t, x.pinStream())
+	require.Less(t, time.Since(began), 500*time.Millisecond)
+	require.Equal(t, "stream_service_gone", x.reason)
+}
+
 // Guards against an earlier answer of the stream that is still read, and whose change of weights
 // is accepted while a take-up waits: its record must have been replaced by then.
 func TestTakeUpsAreRecordedBeforeTheyWait(t *testing.T) {
--- a/internal/forward/versions.go
+++ b/internal/forward/versions.go
@@ -338,15 +338,15 @@
 	}
 	// The caller may name this request next, also if it is refused.
 	x.recordRun()
+	if !slices.Contains(x.route.services(), v.Versions.Service) {
+		x.refuse("stream_service_gone", x.capRetryAfter(streamGoneRetryAfter))
+		return false
+	}
 	x.awaitProcess()
 	if fleet.IsProcessText(x.run.Software) {
 		x.refuse("stream_version_unknown", x.retryAfter())
 		return false
 	}
-	if !slices.Contains(x.route.services(), v.Versions.Service) {
-		x.refuse("stream_service_gone", x.capRetryAfter(streamGoneRetryAfter))
-		return false
-	}
 	x.service = x.config.Services[v.Versions.Service]
 	if v.Versions.Model != x.info.Model || !x.versionServed() {
 		x.refuse("stream_version_gone", x.capRetryAfter(streamGoneRetryAfter))
