forward: processes that tell no start in a file of their own

References and the proof by reports are two jobs. No references are opened where reports state no start, since nothing proves such a process.

--- a/internal/forward/process.go
+++ b/internal/forward/process.go
@@ -33,6 +33,30 @@
 	return !p.asked || resp.StatusCode >= 300 || info.FromUpstream
 }
 
+// errNotKept means that a connection was not kept open after a response.
+var errNotKept = errors.New("connection not kept open after a report")
+
+// requestReport asks the process that accepted a connection for a report on itself.
+func (s *Server) requestReport(t *target, c *conn, timeout time.Duration) (*http.Response, ResponseInfo, []byte, error) {
+	s.vars.identifications.Add(1)
+	_ = c.SetDeadline(time.Now().Add(timeout))
+	header := s.opts.Protocol.RequestHeader(http.Header{}, &SendOptions{Instance: t.id, RemainingTime: timeout, Priority: -1})
+	if err := c.writeRequest(&outboundRequest{method: http.MethodGet, uri: s.opts.Protocol.ReportPath(), host: t.address, header: header}); err != nil {
+		return nil, ResponseInfo{}, nil, err
+	}
+	resp, info, err := c.readResponse(s.opts.Protocol, http.MethodGet, "")
+	if err != nil {
+		return nil, info, nil, err
+	}
+	body, err := readBody(resp, maxBufferedBytes)
+	if err != nil {
+		return nil, info, nil, err
+	}
+	// It is no request of a caller.
+	c.process.asked, c.requests = true, c.requests-1
+	return resp, info, body, nil
+}
+
 // askStart asks the process that accepted a connection for its start. A process that tells
 // none stays unknown. After an error the connection is of no use.
 func (x *exchange) askStart(t *target, c *conn, timeout time.Duration) error {
--- a/internal/forward/references.go
+++ b/internal/forward/references.go
@@ -2,27 +2,19 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-
 	pb "godwitward.example/godwitward/api/godwitward/v1"
-	"godwitward.example/godwitward/internal/fleet"
-	"godwitward.example/godwitward/policy"
 )
 
-// A process that tells no start is known by the connections that it has accepted. A connection
+// An entry keeps connections open to each upstream of a service whose processes tell no start, the
+// references, and asks on one of them which process has accepted a new connection: a connection
 // stays with its process, and one process at a time runs at an address under an id, so two
-// connections that both live after the later one was opened are of one process. The entry keeps
-// connections open to each such upstream, its references, and asks on one of them which process
-// has accepted a new connection. Which process that is, of those that report, follows from the
-// reports: one that has reported before it accepted a connection and reports later than that is
-// the one that accepted it.
+// connections that both live after the later one was opened are of one process.
 
 const (
 	// maxReferences is the number of references to an upstream. Upstreams close connections
@@ -33,32 +25,8 @@
 	// referenceRetention is the time after the last stream at a service that its references are
 	// kept.
 	referenceRetention = time.Minute
-	// maxUnproven limits the processes of an upstream that wait for their proof, and proofPeriod
-	// the time for which it is looked for: the records of their streams are kept for as long.
-	maxUnproven = 16
-	proofPeriod = time.Minute
-)
-
-// startState is what is known of whether a process tells its start.
-type startState int32
-
-const (
-	startNotAsked startState = iota
-	startTold
-	startUntold
 )
 
-// untoldProcess is a process that tells no start.
-type untoldProcess struct {
-	// number stands for the start in process texts. It is negative and drawn at random, so that
-	// no two entries choose the same.
-	number int64
-	// acceptedAt is a time after it has accepted a connection, since the start of the server.
-	acceptedAt time.Duration
-	// proven is set once it is known to be the process of its target's record.
-	proven atomic.Bool
-}
-
 // references are the connections by which the process of a target is known that tells no start.
 type references struct {
 	// lock holds one element while conns is used, also during a question on them.
@@ -157,7 +125,7 @@
 
 // identifyUntold finds the process that accepted a connection if it tells no start.
 func (x *exchange) identifyUntold(t *target, c *conn, timeout time.Duration) {
-	if c.process.bornMs != 0 || c.process.untold != nil {
+	if c.process.bornMs != 0 || t.bornMs == 0 || c.process.untold != nil {
 		return
 	}
 	x.s.untoldServices.use(x.service.Name, x.s.now())
@@ -222,10 +190,6 @@
 	}
 }
 
-func (s *Server) newUntoldProcess() *untoldProcess {
-	return &untoldProcess{number: -1 - rand.Int64(), acceptedAt: s.now()}
-}
-
 // askReferences returns the process of the references to a target if it answers on one of them
 // now, otherwise nil. Those without an answer are closed. The caller has the lock.
 func (s *Server) askReferences(t *target) *untoldProcess {
@@ -285,95 +249,13 @@
 	return ok && bornMs == 0
 }
 
-// requestReport asks the process that accepted a connection for a report on itself.
-func (s *Server) requestReport(t *target, c *conn, timeout time.Duration) (*http.Response, ResponseInfo, []byte, error) {
-	s.vars.identifications.Add(1)
-	_ = c.SetDeadline(time.Now().Add(timeout))
-	header := s.opts.Protocol.RequestHeader(http.Header{}, &SendOptions{Instance: t.id, RemainingTime: timeout, Priority: -1})
-	if err := c.writeRequest(&outboundRequest{method: http.MethodGet, uri: s.opts.Protocol.ReportPath(), host: t.address, header: header}); err != nil {
-		return nil, ResponseInfo{}, nil, err
-	}
-	resp, info, err := c.readResponse(s.opts.Protocol, http.MethodGet, "")
-	if err != nil {
-		return nil, info, nil, err
-	}
-	body, err := readBody(resp, maxBufferedBytes)
-	if err != nil {
-		return nil, info, nil, err
-	}
-	// It is no request of a caller.
-	c.process.asked, c.requests = true, c.requests-1
-	return resp, info, body, nil
-}
-
-// isReported reports whether a process that tells no start is known to be that of its target's
-// record, which then holds for good.
-func isReported(p *untoldProcess) bool { return p != nil && p.proven.Load() }
-
-// proveProcesses looks for the proof that processes are the one of the target's record: it has
-// reported before they accepted a connection, and since. A report counts only if it was sent
-// after that, however late it has arrived.
-func (s *Server) proveProcesses(ctx context.Context, t *target) {
-	ctx, cancel := context.WithTimeout(ctx, sweepInterval)
-	defer cancel()
-	if t.bornMs == 0 || s.versionSource == nil {
-		return
-	}
-	r, now := &t.references, s.now()
-	r.mu.Lock()
-	r.unproven = slices.DeleteFunc(r.unproven, func(p *untoldProcess) bool {
-		return isReported(p) || now-p.acceptedAt > s.opts.MaxReportDelay+proofPeriod && p != r.current.Load()
-	})
-	due := slices.Clone(r.unproven)
-	r.mu.Unlock()
-	due = slices.DeleteFunc(due, func(p *untoldProcess) bool { return now-p.acceptedAt <= s.opts.MaxReportDelay })
-	record := t.currentRecord()
-	if len(due) == 0 || !fleet.TellsSoftware(record) {
-		return
-	}
-	// The age is that at a moment after the question.
-	askedAt := s.now()
-	bornMs, age, known := s.versionSource.LastReport(ctx, t.id)
-	if !known || bornMs != t.bornMs {
-		return
-	}
-	for _, p := range due {
-		if p.acceptedAt < askedAt-age-s.opts.MaxReportDelay {
-			s.recordProcess(t, p, record)
-		}
-	}
-}
-
-// recordProcess marks a process as the one of its target's record, and records the software under
-// its text, where streams that it began are resolved by it at all entries.
-func (s *Server) recordProcess(t *target, p *untoldProcess, record *pb.UpstreamRecord) {
-	p.proven.Store(true)
-	text := fleet.ProcessText(t.id, p.number)
-	s.opts.Logger.Info().Str("event", "upstream.identified").Str("upstream", t.id).Int64("born_ms", t.bornMs).Int64("process", p.number).Str("software", record.SoftwareVersion).Msg("")
-	// Only the software counts. Hubs of earlier builds list all of it as versions in use, so it
-	// is one that is.
-	s.recordStream([]string{text}, policy.StreamVersion{Versions: fleet.AllRunVersions(record)[0], Attempt: 1})
-	l := &s.streamVersions
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if history := l.history[record.Service]; history != nil {
-		history.ForgetSoftware(text)
-	}
-}
-
-// knownAsReported reports whether the process that would accept a connection to the target now
-// is known to be the one that has reported, as far as the entry can tell without a question.
-func (t *target) knownAsReported() bool {
-	return isReported(t.references.current.Load())
-}
-
 // sweepReferences keeps the references of the upstreams whose services have streams at processes
 // that tell no start, and closes the others.
 func (s *Server) sweepReferences() {
 	used := s.untoldServices.used(s.now())
 	for _, t := range s.upstreams.all() {
 		record := t.currentRecord()
-		wanted := used[record.Service] && t.start() != startTold && record.Phase == pb.UpstreamPhase_UPSTREAM_READY && record.Stage != pb.EngineStage_ENGINE_STAGE_PREFILL
+		wanted := used[record.Service] && t.bornMs != 0 && t.start() != startTold && record.Phase == pb.UpstreamPhase_UPSTREAM_READY && record.Stage != pb.EngineStage_ENGINE_STAGE_PREFILL
 		if wanted || t.start() == startUntold {
 			// Hubs that do not answer must not delay the questions on the references.
 			s.done.Go(func() { s.refreshReferences(t, wanted) })
@@ -451,6 +333,3 @@
 	t.startState.Store(int32(startUntold))
 	t.references.keep([]*conn{c}, p)
 }
-
-// errNotKept means that a connection was not kept open after a response.
-var errNotKept = errors.New("connection not kept open after a report")
