feed: reports that waited for a stopped core daemon are no proof

A daemon that was stopped (SIGSTOP) reads reports that waited in its sockets as new ones, and its clocks don't tell. A hub notices the gap in its own checks, and what it reads within a second after one does not count as a report that was sent since.

--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -253,31 +253,6 @@
 	h.notifyChanged(changed, r, accepted)
 }
 
-// olderReportInterval is the shortest time between two log lines about older reports.
-const olderReportInterval = time.Second
-
-// olderReports counts the reports of upstreams that were dropped as older than the ones known.
-type olderReports struct {
-	dropped, logged uint64
-	loggedAt        time.Duration
-}
-
-// count counts a dropped report, and returns the number of those since the last log line if
-// another one is due. known may be nil.
-func (o *olderReports) count(r, known *pb.UpstreamRecord, now time.Duration) uint64 {
-	if known != nil && known.BornMs == r.BornMs && known.Sequence == r.Sequence {
-		// An upstream repeats a report at another daemon if it has got no response.
-		return 0
-	}
-	o.dropped++
-	if o.logged > 0 && now-o.loggedAt < olderReportInterval {
-		return 0
-	}
-	n := o.dropped - o.logged
-	o.logged, o.loggedAt = o.dropped, now
-	return n
-}
-
 // notifyChanged logs visible changes and calls OnReport.
 func (h *Hub) notifyChanged(changed []*pb.UpstreamRecord, r *pb.UpstreamRecord, accepted bool) {
 	for _, c := range changed {
@@ -532,7 +507,7 @@
 func (h *Hub) expire() {
 	h.mu.Lock()
 	silent := h.table.Expire(h.now())
-	h.lastReports.prune(h.now())
+	h.lastReports.sweep(h.now())
 	h.enqueueUpdates(silent, false)
 	h.mu.Unlock()
 	for _, r := range silent {
--- a/internal/feed/last_reports.go
+++ b/internal/feed/last_reports.go
@@ -13,9 +13,12 @@
 // hubs pass on lack the time on the way. The hub's mu guards it.
 type lastReports struct {
 	byID map[string]lastReport
-	// bootOffset is the time by which the boot clock was last ahead of the hub's, and resumedAt
-	// when it was found to have advanced alone.
-	bootOffset, resumedAt time.Duration
+	// bootOffset is the time by which the boot clock was last ahead of the hub's, and checkedAt when
+	// that was.
+	bootOffset, checkedAt time.Duration
+	// resumedAt is the time up to which reports don't count: they may have waited while the VM was
+	// suspended or the process stopped.
+	resumedAt time.Duration
 }
 
 // lastReport is the newest report under an id.
@@ -36,8 +39,9 @@
 	l.byID[r.Id] = lastReport{r.BornMs, now}
 }
 
-// prune removes old reports.
-func (l *lastReports) prune(now time.Duration) {
+// sweep removes old reports. It is called each expiryInterval.
+func (l *lastReports) sweep(now time.Duration) {
+	l.check(now)
 	for id, r := range l.byID {
 		if now-r.at > lastReportRetention {
 			delete(l.byID, id)
@@ -45,17 +49,28 @@
 	}
 }
 
-// maxClockDrift is the difference between two clocks that shows no suspension.
-const maxClockDrift = 20 * time.Millisecond
+const (
+	// maxClockDrift is the difference between two clocks that shows no suspension.
+	maxClockDrift = 20 * time.Millisecond
+	// maxCheckGap is the longest time between two checks of a process that was not stopped, and
+	// readTime the time in which one reads what has waited for it.
+	maxCheckGap = 2 * expiryInterval
+	readTime    = time.Second
+)
 
-// get returns the newest report under an id: its process and its age. The clock of ages stands
-// still while the VM is suspended, so reports from before a suspension don't count; nil for none.
-func (l *lastReports) get(id string, now time.Duration) *pb.UpstreamRecord {
+// check looks for a suspension of the VM, in which the clock of ages stands still, and for a stop
+// of the process, in which reports wait to be read.
+func (l *lastReports) check(now time.Duration) {
 	offset := boottime.Now() - now
-	if offset-l.bootOffset > maxClockDrift {
-		l.resumedAt = now
+	if offset-l.bootOffset > maxClockDrift || now-l.checkedAt > maxCheckGap {
+		l.resumedAt = now + readTime
 	}
-	l.bootOffset = offset
+	l.bootOffset, l.checkedAt = offset, now
+}
+
+// get returns the newest report under an id: its process and its age; nil for none that counts.
+func (l *lastReports) get(id string, now time.Duration) *pb.UpstreamRecord {
+	l.check(now)
 	r, known := l.byID[id]
 	if !known || r.at <= l.resumedAt {
 		return nil
--- a/internal/feed/review_silent_test.go
+++ b/internal/feed/review_silent_test.go
@@ -15,7 +15,9 @@
 	suspended, _ := newRoutesHub(t, t.Cleanup, nil, true)
 	other, _ := newRoutesHub(t, t.Cleanup, nil, true)
 	suspended.Report(lateReport())
+	suspended.mu.Lock()
 	suspended.lastReports.bootOffset -= 20 * time.Second
+	suspended.mu.Unlock()
 	for _, r := range suspended.takePending(suspended.subscribe(nil)) {
 		other.applyGossip(r)
 	}
--- a/internal/forward/process.go
+++ b/internal/forward/process.go
@@ -256,9 +256,7 @@
 	if _, bornMs, unresolved := fleet.ParseProcessText(v.Software); ok || !unresolved || bornMs >= 0 {
 		return resolved
 	}
-	from := x.versionsFrom
-	record, known := x.findRecord(v.Software)
-	x.versionsFrom = from
+	record, _, known := x.lookUpRecord(v.Software)
 	resolved, _ = resolveUntold(v, record, known)
 	return resolved
 }
--- a/internal/forward/references.go
+++ b/internal/forward/references.go
@@ -83,8 +83,8 @@
 	return used
 }
 
-// await makes a process wait for its proof, and reports whether there was room.
-func (r *references) await(p *untoldProcess) bool {
+// addUnproven makes a process wait for its proof, and reports whether there was room.
+func (r *references) addUnproven(p *untoldProcess) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.unproven) >= maxUnproven || r.closed {
@@ -94,8 +94,8 @@
 	return true
 }
 
-// keep replaces the references and says of which process they are. The caller has the lock.
-func (r *references) keep(conns []*conn, p *untoldProcess) {
+// set replaces the references and says of which process they are. The caller has the lock.
+func (r *references) set(conns []*conn, p *untoldProcess) {
 	r.conns = conns
 	if len(conns) == 0 {
 		p = nil
@@ -103,6 +103,13 @@
 	r.current.Store(p)
 }
 
+// inUse reports whether there are references, or processes that wait for their proof.
+func (r *references) inUse() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.current.Load() != nil || len(r.unproven) > 0
+}
+
 // isClosed reports whether no references are kept any more.
 func (r *references) isClosed() bool {
 	r.mu.Lock()
@@ -120,7 +127,7 @@
 	for _, c := range r.conns {
 		_ = c.Close()
 	}
-	r.keep(nil, nil)
+	r.set(nil, nil)
 }
 
 // identifyUntold finds the process that accepted a connection if it tells no start.
@@ -147,7 +154,7 @@
 		return q.process
 	}
 	p := s.newUntoldProcess()
-	if !t.references.await(p) {
+	if !t.references.addUnproven(p) {
 		return nil
 	}
 	return p
@@ -199,7 +206,7 @@
 			return p
 		}
 		_ = r.conns[0].Close()
-		r.keep(r.conns[1:], p)
+		r.set(r.conns[1:], p)
 	}
 	return nil
 }
@@ -217,7 +224,7 @@
 		_ = next.Close()
 		return
 	}
-	r.keep(append(slices.Clone(r.conns), next), r.current.Load())
+	r.set(append(slices.Clone(r.conns), next), r.current.Load())
 }
 
 func (s *Server) dialReference(t *target) (*conn, error) {
@@ -256,7 +263,7 @@
 	for _, t := range s.upstreams.all() {
 		record := t.currentRecord()
 		wanted := used[record.Service] && t.bornMs != 0 && t.start() != startTold && record.Phase == pb.UpstreamPhase_UPSTREAM_READY && record.Stage != pb.EngineStage_ENGINE_STAGE_PREFILL
-		if wanted || t.start() == startUntold {
+		if wanted || t.references.inUse() {
 			// Hubs that do not answer must not delay the questions on the references.
 			s.done.Go(func() { s.refreshReferences(t, wanted) })
 			s.done.Go(func() { s.proveProcesses(s.ended, t) })
@@ -264,7 +271,7 @@
 	}
 }
 
-// refreshReferences asks on the references of a target that are about to expire, opens those
+// refreshReferences asks on the references of a target that are about to expire and opens those
 // that are missing. Without wanted it closes them. Some expire before the next sweep.
 func (s *Server) refreshReferences(t *target, wanted bool) {
 	until := time.Now().Add(sweepInterval)
@@ -298,7 +305,7 @@
 			_ = c.Close()
 		}
 	}
-	r.keep(kept, p)
+	r.set(kept, p)
 	switch {
 	case !wanted || len(kept) >= maxReferences:
 	case len(kept) > 0:
@@ -326,10 +333,10 @@
 		t.startState.Store(int32(startTold))
 	}
 	p := s.newUntoldProcess()
-	if !ok || bornMs != 0 || !t.references.await(p) {
+	if !ok || bornMs != 0 || !t.references.addUnproven(p) {
 		_ = c.Close()
 		return
 	}
 	t.startState.Store(int32(startUntold))
-	t.references.keep([]*conn{c}, p)
+	t.references.set([]*conn{c}, p)
 }
--- a/internal/forward/target.go
+++ b/internal/forward/target.go
@@ -35,7 +35,7 @@
 	// superseded is set once another process, which has not reported yet, has answered under
 	// the id.
 	superseded atomic.Bool
-	// startState is a startState.
+	// startState tells whether the process tells its start; it holds a startState.
 	startState atomic.Int32
 	// references are connections to a process that tells no start.
 	references references
--- a/internal/forward/versions.go
+++ b/internal/forward/versions.go
@@ -279,23 +279,28 @@
 	return v, known && complete && slices.Equal(again, services) && x.s.config.Load() == x.config
 }
 
-// findRecord returns the newest record under an id, which the entry or a hub has.
+// findRecord returns the newest record under an id, which the entry or a hub has, and keeps where
+// it was found.
 func (x *exchange) findRecord(id string) (v policy.StreamVersion, known bool) {
+	v, x.versionsFrom, known = x.lookUpRecord(id)
+	return v, known
+}
+
+// lookUpRecord returns the newest record under an id and who has it.
+func (x *exchange) lookUpRecord(id string) (v policy.StreamVersion, from string, known bool) {
 	l := &x.s.streamVersions
 	l.mu.Lock()
 	v, known = l.known.Get(id, x.s.now())
 	l.mu.Unlock()
-	x.versionsFrom = versionsFromOwnRecord
 	if x.s.versionSource == nil {
-		return v, known
+		return v, versionsFromOwnRecord, known
 	}
 	ctx, cancel := context.WithTimeout(x.ctx, streamVersionTimeout)
 	defer cancel()
 	if newest, knownToHub := x.s.versionSource.StreamVersion(ctx, id); newest.Attempt > v.Attempt || knownToHub && !known {
-		v, known = newest, knownToHub
-		x.versionsFrom = versionsFromHubs
+		return newest, versionsFromHubs, knownToHub
 	}
-	return v, known
+	return v, versionsFromOwnRecord, known
 }
 
 const (
--- a/policy/quarantine.go
+++ b/policy/quarantine.go
@@ -75,8 +75,8 @@
 	prompts []suspectPrompt
 }
 
-// is reports whether the crash is that of an engine at a time. A process crashes once.
-func (c *engineCrash) is(engine EngineProcess, at time.Duration) bool {
+// matches reports whether the crash is that of an engine at a time. A process crashes once.
+func (c *engineCrash) matches(engine EngineProcess, at time.Duration) bool {
 	return c.engine == engine && (engine.BornMs != 0 || (at-c.at).Abs() <= untoldCrashSpan)
 }
 
@@ -128,7 +128,7 @@
 	if len(parts) == 0 || now-p.At > crashEvidenceTTL {
 		return false
 	}
-	i := slices.IndexFunc(q.crashes, func(c *engineCrash) bool { return c.is(p.Engine, p.At) })
+	i := slices.IndexFunc(q.crashes, func(c *engineCrash) bool { return c.matches(p.Engine, p.At) })
 	if i < 0 {
 		i, _ = slices.BinarySearchFunc(q.crashes, p.At, func(c *engineCrash, at time.Duration) int { return cmp.Compare(c.at, at) })
 		q.crashes = slices.Insert(q.crashes, i, &engineCrash{engine: p.Engine, at: p.At})
