--- a/internal/forward/references.go
+++ b/internal/forward/references.go
@@ -23,8 +23,8 @@
 	// referenceMargin is the time before its expiry at which a reference is asked again.
 	referenceMargin = sweepInterval + 200*time.Millisecond
 	// referenceRetention is the time after the last stream at a service that its references are
-	// kept.
-	referenceRetention = time.Minute
+	// kept: without them its processes are unknown again.
+	referenceRetention = 10 * time.Minute
 )
 
 // references are the connections by which the process of a target is known that tells no start.
