--- a/internal/edge/silent_process_test.go
+++ b/internal/edge/silent_process_test.go
@@ -20,16 +20,9 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(v.t, err)
 	r := &standin.Runner{ID: id, Service: "llm", Stage: standin.StageDecode, Version: "v2", StartMs: 2, ServiceTime: time.Millisecond, Events: versionEvents,
-		OnArrival: func(standin.Run) {}, OnStart: func(standin.Run) {}}
+		Statements: standin.Statements{StartInReport: standin.Absent}, OnArrival: func(standin.Run) {}, OnStart: func(standin.Run) {}}
 	r.Begin()
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		if req.URL.Path == "/report" {
-			w.Header().Set("Godwitward-Request-Id", req.Header.Get("Godwitward-Request-Id"))
-			_, _ = w.Write([]byte(`{"stage":"decode","busy":false,"sequence":0}`))
-			return
-		}
-		r.ServeHTTP(w, req)
-	})}
+	server := &http.Server{Handler: r}
 	go func() { _ = server.Serve(l) }()
 	v.t.Cleanup(func() { _ = server.Close() })
 	v.hubs[0].Report(&pb.UpstreamRecord{Id: id, Service: "llm", Address: l.Addr().String(), SoftwareVersion: "v1",
