--- a/review/_harness/engine.go
+++ b/review/_harness/engine.go
@@ -98,8 +98,11 @@
 		return
 	}
 	e.mu.Lock()
-	stage, firstToken, interval, events, keepAlive := e.stage, e.firstToken, e.interval, e.events, e.keepAlive
+	state, stage, firstToken, interval, events, keepAlive := e.state, e.stage, e.firstToken, e.interval, e.events, e.keepAlive
 	e.mu.Unlock()
+	if state == "draining" {
+		w.Header().Set(leavingHeader, "1")
+	}
 	if keepAlive > 0 {
 		w.Header().Set("Keep-Alive", fmt.Sprintf("timeout=%d", keepAlive))
 	}
@@ -136,8 +139,11 @@
 		return
 	}
 	e.mu.Lock()
-	lost := e.loses(id)
+	lost, state := e.loses(id), e.state
 	e.mu.Unlock()
+	if state == "draining" {
+		w.Header().Set(leavingHeader, "1")
+	}
 	if lost {
 		e.sys.rec.add("%s runs %s, and its answer is lost", e.id, id)
 		e.reset(w)
