--- a/review/_harness/engine.go
+++ b/review/_harness/engine.go
@@ -193,7 +193,7 @@
 		map[string]any{"name": "draft", "host": "desk.example", "pathPrefix": "/draft/", "kind": "streaming", "timeoutMs": 14000, "targetLatencyMs": 900, "priority": 1,
 			"service": "draftwell", "maxAttempts": 2, "sessionAffinity": true, "resumable": true, "gapAimMs": 300})
 	c["services"] = append(c["services"].([]any), map[string]any{"name": "draftwell", "healthPath": "/health", "maxConnections": 156, "protocol": "h1", "tls": false,
-		"engine": map[string]any{"slots": 12, "kvCapacityTokens": 106421, "tokenKvBytes": 35136, "linkMbps": 1400000.0, "moves": true, "backups": true, "stride": 70, "most": 12,
+		"engine": map[string]any{"slots": 12, wire["memory"]: 106421, "tokenKvBytes": 35136, "linkMbps": 1400000.0, "moves": true, "backups": true, "stride": 70, "most": 12,
 			"handleTtlS": 0.5, "roleSwitchS": 6.0, "pinMs": 4000.0, "holdMs": 2000.0, "models": []any{map[string]any{"name": "m"}}}})
 	return c
 }
