--- a/review/_harness/system.go
+++ b/review/_harness/system.go
@@ -143,14 +143,6 @@
 	n.Bootstrap = false
 }
 
-func (s *system) signal(n *node, sig syscall.Signal) {
-	s.rec.add("signal %s to %s", sig, n.Name)
-	_ = n.cmd.Process.Signal(sig)
-	if sig == syscall.SIGKILL {
-		<-n.exited
-	}
-}
-
 func (n *node) running() bool {
 	select {
 	case <-n.exited:
