--- a/internal/feed/gossip.go
+++ b/internal/feed/gossip.go
@@ -38,6 +38,7 @@
 	h.noteLeftVersions(r)
 	changed, accepted := h.observe(r)
 	h.seeReport(r, h.now()-milliseconds(r.AgeMs))
+	h.keepLeaving(changed)
 	h.enqueueUpdates(changed, false)
 	h.mu.Unlock()
 	h.notifyChanged(changed, r, accepted)
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -119,6 +119,9 @@
 
 	older olderReports
 
+	// leavingWrites are the records of leaving processes that were written of late.
+	leavingWrites map[leavingKey]*leavingWrite
+
 	// gossipReceived counts the messages from other hubs.
 	gossipReceived atomic.Int64
 
@@ -171,6 +174,7 @@
 		opts: opts, start: time.Now(), lastReports: newLastReports(), table: fleet.NewTable(),
 		subscriptions: map[*subscription]struct{}{}, remoteAttachments: map[string]attachmentCount{}, outcomes: outcomeTable{}, ctx: ctx, stop: cancel,
 		evidence: promptEvidence{quarantine: policy.NewPromptQuarantine()}, statements: map[processKey]*hubStatement{}, schedules: map[processKey]*sendSchedule{},
+		leavingWrites: map[leavingKey]*leavingWrite{},
 	}
 	h.restoreVersions()
 	h.learnRoutes(opts.Store.Current(), false)
@@ -208,6 +212,7 @@
 		}
 		// It may be the first that is heard of the process.
 		h.seeReport(gone, h.now())
+		h.keepLeaving([]*pb.UpstreamRecord{gone})
 		h.enqueueUpdates([]*pb.UpstreamRecord{gone}, true)
 	}
 	h.mu.Unlock()
@@ -242,6 +247,7 @@
 	// Streams may have begun at a process whose report arrives after that of its successor.
 	h.seeReport(r, h.now())
 	if accepted {
+		h.keepLeaving(changed)
 		h.enqueueUpdates(changed, false)
 		h.enqueueGossip(r, len(changed) > 0)
 	}
@@ -508,6 +514,7 @@
 	h.mu.Lock()
 	silent := h.table.Expire(h.now())
 	h.lastReports.sweep(h.now())
+	h.sweepLeaving()
 	h.enqueueUpdates(silent, false)
 	h.mu.Unlock()
 	for _, r := range silent {
--- a/internal/feed/version_history.go
+++ b/internal/feed/version_history.go
@@ -37,6 +37,7 @@
 		h.observedSince, h.reportsSince = -maxObserved, -maxObserved
 	}
 	if h.opts.Stored != nil {
+		h.restoreLeaving(h.opts.Stored.Leaving)
 		h.observedSince = min(h.observedSince, -h.opts.Stored.Observed)
 		h.seeServiceVersions(h.opts.Stored.Services)
 		for _, m := range h.opts.Stored.Streams {
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -162,6 +162,16 @@
 	return t.markGone(known, now)
 }
 
+// Ended returns the record that marks a process as ended after Leave was called for it; nil if
+// it is unknown, or a later process has replaced it under its id.
+func (t *Table) Ended(id string, bornMs int64) *pb.UpstreamRecord {
+	known := t.byID[id]
+	if known == nil || known.record.Phase != pb.UpstreamPhase_UPSTREAM_GONE || bornMs != 0 && bornMs < known.record.BornMs {
+		return nil
+	}
+	return known.record
+}
+
 // markUnreportedGone marks a process as ended that replaced a known one and has not reported:
 // its reports may still arrive. It keeps nothing of what its predecessor reported of itself,
 // and no protocol level, so that a late report completes the software version.
--- a/internal/streamlog/log.go
+++ b/internal/streamlog/log.go
@@ -20,6 +20,8 @@
 	flushInterval = 100 * time.Millisecond
 	// maxQueued limits the records that wait for a stalled disk. The oldest are dropped.
 	maxQueued = 16384
+	// maxQueuedLeaving limits the leaving processes that wait for it. Further ones are refused.
+	maxQueuedLeaving = 4096
 	// retention is how long a segment is kept after its last write: the time for which
 	// streams are remembered, and a margin for steps of the clock.
 	retention = 75 * time.Second
@@ -53,18 +55,24 @@
 	// RoutesVersion.
 	Routes        []*pb.RouteService
 	RoutesVersion uint64
+	// Leaving lists the processes that drain or have ended, in the order in which they were
+	// stored.
+	Leaving []*pb.UpstreamRecord
 }
 
 // Log stores records. It is safe for concurrent use.
 type Log struct {
 	opts Options
 	wake chan struct{}
-	stop context.CancelFunc
-	done chan struct{}
+	// urgent ends the wait for further records.
+	urgent chan struct{}
+	stop   context.CancelFunc
+	done   chan struct{}
 
 	mu      sync.Mutex
 	queued  []*pb.StreamVersion
 	dropped int
+	leaving leavingQueue
 	// addHistory adds to a batch what is stored with each one; nil if nothing is.
 	addHistory func(*pb.StreamVersionBatch)
 	// historyChanged is set when a batch is due although it may have no records.
@@ -73,11 +81,12 @@
 	// The fields below belong to the flushing goroutine.
 
 	// restored holds the records that were read at the start, until they are stored again.
-	restored    []*pb.StreamVersion
-	current     wal.File
-	currentName string
-	openedAt    time.Time
-	bytes       int
+	restored        []*pb.StreamVersion
+	restoredLeaving []*pb.UpstreamRecord
+	current         wal.File
+	currentName     string
+	openedAt        time.Time
+	bytes           int
 	// segments lists the other files, oldest first, with the time of their last write.
 	segments []segment
 	next     uint64
@@ -104,7 +113,7 @@
 		return nil, nil, errors.Wrap(err, "listing stream versions")
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	l := &Log{opts: opts, wake: make(chan struct{}, 1), stop: stop, done: make(chan struct{})}
+	l := &Log{opts: opts, wake: make(chan struct{}, 1), urgent: make(chan struct{}, 1), stop: stop, done: make(chan struct{})}
 	stored := &Stored{}
 	for _, name := range names {
 		var n uint64
@@ -115,8 +124,8 @@
 		l.segments = append(l.segments, segment{name: name})
 		l.readSegment(name, stored)
 	}
-	if len(stored.Streams) > 0 {
-		l.restored = slices.Clone(stored.Streams)
+	if len(stored.Streams)+len(stored.Leaving) > 0 {
+		l.restored, l.restoredLeaving = slices.Clone(stored.Streams), slices.Clone(stored.Leaving)
 		l.wake <- struct{}{}
 	}
 	go l.run(ctx)
@@ -166,6 +175,12 @@
 				stored.Streams = append(stored.Streams, r)
 			}
 		}
+		for _, r := range b.Leaving {
+			if age := since + int64(r.AgeMs); age < retention.Milliseconds() {
+				r.AgeMs = uint32(age)
+				stored.Leaving = append(stored.Leaving, r)
+			}
+		}
 		stored.Services, stored.Observed = nil, 0
 		stored.Routes, stored.RoutesVersion = nil, b.RoutesVersion
 		for _, r := range b.RouteServices {
@@ -210,9 +225,12 @@
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
+		case <-l.urgent:
+			l.flush()
 		case <-l.wake:
 			select {
 			case <-ctx.Done():
+			case <-l.urgent:
 			case <-time.After(flushInterval):
 			}
 			l.flush()
@@ -227,16 +245,18 @@
 func (l *Log) flush() {
 	l.mu.Lock()
 	records, dropped, addHistory, historyChanged := l.queued, l.dropped, l.addHistory, l.historyChanged
-	l.queued, l.dropped, l.historyChanged = nil, 0, false
+	leaving := l.leaving
+	l.queued, l.dropped, l.historyChanged, l.leaving = nil, 0, false, leavingQueue{}
 	l.mu.Unlock()
 	if dropped > 0 {
 		l.opts.Logger.Warn().Str("event", "stream_versions.dropped").Int("records", dropped).Msg("")
 	}
 	records = slices.Concat(l.restored, records)
-	if len(records) == 0 && !historyChanged {
+	leavingRecords := slices.Concat(l.restoredLeaving, leaving.records)
+	if len(records)+len(leavingRecords) == 0 && !historyChanged {
 		return
 	}
-	batch := &pb.StreamVersionBatch{StreamVersions: records}
+	batch := &pb.StreamVersionBatch{StreamVersions: records, Leaving: leavingRecords}
 	if addHistory != nil {
 		addHistory(batch)
 	}
@@ -244,11 +264,12 @@
 	if err != nil {
 		l.closeSegment()
 	} else {
-		l.restored = nil
+		l.restored, l.restoredLeaving = nil, nil
 	}
+	leaving.written(err)
 	// One line for each series of failures, which a full disk may make long.
 	if err != nil && !l.failed {
-		l.opts.Logger.Error().Str("event", "stream_versions.not_stored").Int("records", len(records)).Err(err).Msg("")
+		l.opts.Logger.Error().Str("event", "stream_versions.not_stored").Int("records", len(records)).Int("leaving", len(leavingRecords)).Err(err).Msg("")
 	}
 	l.failed = err != nil
 	l.removeExpired()
@@ -311,7 +332,7 @@
 func (l *Log) removeExpired() {
 	var kept []segment
 	for i, s := range l.segments {
-		expired := s.writtenAt.IsZero() && l.restored == nil && !l.failed || !s.writtenAt.IsZero() && l.opts.Now().Sub(s.writtenAt).Abs() > retention
+		expired := s.writtenAt.IsZero() && l.restored == nil && l.restoredLeaving == nil && !l.failed || !s.writtenAt.IsZero() && l.opts.Now().Sub(s.writtenAt).Abs() > retention
 		if !expired && len(l.segments)-i < maxSegments {
 			kept = append(kept, s)
 			continue
--- a/internal/streamlog/log_test.go
+++ b/internal/streamlog/log_test.go
@@ -18,8 +18,10 @@
 	"godwitward.example/godwitward/wal"
 )
 
+var discard = &log.Logger{Level: log.PanicLevel}
+
 func open(t require.TestingT, dir string, fs wal.FS, now func() time.Time) (*Log, map[string]*pb.StreamVersion) {
-	l, stored, err := Open(Options{Dir: dir, FS: fs, Logger: &log.Logger{Level: log.PanicLevel}, Now: now})
+	l, stored, err := Open(Options{Dir: dir, FS: fs, Logger: discard, Now: now})
 	require.NoError(t, err)
 	byID := map[string]*pb.StreamVersion{}
 	for _, r := range stored.Streams {
@@ -157,7 +159,7 @@
 // Guards against empty files of a full disk that take the place of those with records.
 func TestFullDiskDoesNotCostEarlierRecords(t *testing.T) {
 	dir, fs := t.TempDir(), &fullOnWriteFS{}
-	l := &Log{opts: Options{Dir: dir, FS: fs, Logger: &log.Logger{Level: log.PanicLevel}, Now: time.Now}, wake: make(chan struct{}, 1)}
+	l := &Log{opts: Options{Dir: dir, FS: fs, Logger: discard, Now: time.Now}, wake: make(chan struct{}, 1)}
 	for n := range 3 * maxSegments {
 		fs.full.Store(n > 0)
 		l.Append(batch(n))
@@ -197,7 +199,7 @@
 // Guards against files that grow without bound at the highest rate of streams.
 func TestFilesAreBounded(t *testing.T) {
 	dir, now := t.TempDir(), time.Unix(1000, 0)
-	l := &Log{opts: Options{Dir: dir, FS: wal.OS{}, Logger: &log.Logger{Level: log.PanicLevel}, Now: func() time.Time { return now }}}
+	l := &Log{opts: Options{Dir: dir, FS: wal.OS{}, Logger: discard, Now: func() time.Time { return now }}}
 	for n := range 300 {
 		for i := range 600 {
 			l.queued = append(l.queued, batch(n*600+i)...)
@@ -228,7 +230,7 @@
 // observed time that a torn batch or an older one has.
 func TestVersionsInUseAreThoseOfTheLastBatch(t *testing.T) {
 	dir, now := t.TempDir(), time.Unix(1000, 0)
-	opts := Options{Dir: dir, FS: wal.OS{}, Logger: &log.Logger{Level: log.PanicLevel}, Now: func() time.Time { return now }}
+	opts := Options{Dir: dir, FS: wal.OS{}, Logger: discard, Now: func() time.Time { return now }}
 	l, _, err := Open(opts)
 	require.NoError(t, err)
 	l.SetHistory(func(b *pb.StreamVersionBatch) {
@@ -255,7 +257,7 @@
 // began after a change, and against those of an earlier batch.
 func TestServicesOfRoutesAreStoredWithoutStreams(t *testing.T) {
 	dir, now := t.TempDir(), time.Unix(1000, 0)
-	opts := Options{Dir: dir, FS: wal.OS{}, Logger: &log.Logger{Level: log.PanicLevel}, Now: func() time.Time { return now }}
+	opts := Options{Dir: dir, FS: wal.OS{}, Logger: discard, Now: func() time.Time { return now }}
 	l, _, err := Open(opts)
 	require.NoError(t, err)
 	l.SetHistory(func(b *pb.StreamVersionBatch) {
