--- a/internal/feed/gossip.go
+++ b/internal/feed/gossip.go
@@ -6,6 +6,7 @@
 	"time"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/fleet"
 	"godwitward.example/godwitward/internal/transport"
 )
 
@@ -21,6 +22,9 @@
 		for _, r := range g.Upstreams {
 			h.applyGossip(r)
 		}
+		for _, n := range g.LeaveNotices {
+			h.leave(n.Id, n.BornMs, milliseconds(n.AgeMs), false)
+		}
 		h.mergeEvidence(g.Evidence)
 		h.mergeStatements(g.Statements, false)
 		h.mergeStreamVersions(g.StreamVersions, false)
@@ -110,11 +114,11 @@
 			return
 		}
 		lastSent = time.Now()
-		records := h.takePending(s)
+		records, notices := fleet.SplitNotices(h.takePending(s))
 		h.mu.Lock()
 		attached, evidence, statements, versions := uint32(h.localAttachments()), h.evidenceForHub(s), h.statementsForHub(s), h.streamVersionsForHub(s, client.Peer())
 		h.mu.Unlock()
-		g := &pb.Gossip{Upstreams: records, Attached: attached, Version: h.opts.Store.Current().Version, Evidence: evidence, Statements: statements, StreamVersions: versions}
+		g := &pb.Gossip{Upstreams: records, LeaveNotices: notices, Attached: attached, Version: h.opts.Store.Current().Version, Evidence: evidence, Statements: statements, StreamVersions: versions}
 		h.stateHistory(s).addToGossip(g)
 		g.EventNumberings, s.numberingRevision = h.numberingsSince(s.numberingRevision)
 		if err := st.Send(g); err != nil {
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -202,22 +202,35 @@
 }
 
 // Leave marks an upstream process as gone after it said that it is ending.
-func (h *Hub) Leave(id string, bornMs int64) {
+func (h *Hub) Leave(id string, bornMs int64) { h.leave(id, bornMs, 0, true) }
+
+// leave applies a notice of leaving that was given some time ago. One of a process that the hub
+// does not know is passed on to other hubs if toHubs is set.
+func (h *Hub) leave(id string, bornMs int64, age time.Duration, toHubs bool) {
 	h.mu.Lock()
 	known := h.table.Get(id)
-	gone := h.table.Leave(id, bornMs, h.now())
-	if gone != nil {
+	gone := h.table.Leave(id, bornMs, h.now()-age)
+	switch {
+	case gone == nil:
+	case fleet.IsNotice(gone):
+		h.enqueueUpdates([]*pb.UpstreamRecord{gone}, toHubs)
+	default:
 		if gone.BornMs != known.BornMs {
 			h.keepSucceeded(known)
 		}
 		// It may be the first that is heard of the process.
 		h.seeReport(gone, h.now())
-		h.keepLeaving([]*pb.UpstreamRecord{gone})
 		h.enqueueUpdates([]*pb.UpstreamRecord{gone}, true)
 	}
-	h.mu.Unlock()
 	if gone != nil {
-		h.logRecord(gone)
+		h.keepLeaving([]*pb.UpstreamRecord{gone})
+	}
+	h.mu.Unlock()
+	if gone == nil {
+		return
+	}
+	h.logRecord(gone)
+	if !fleet.IsNotice(gone) {
 		h.opts.OnReport(gone)
 	}
 }
@@ -384,7 +397,7 @@
 	h.mu.Unlock()
 }
 
-// takePending removes and returns the records for the next update.
+// takePending removes and returns the records and notices for the next update.
 func (h *Hub) takePending(s *subscription) []*pb.UpstreamRecord {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -392,7 +405,7 @@
 	s.pending = nil
 	if s.sendAll {
 		s.sendAll = false
-		return h.table.Records(h.now())
+		return append(h.table.Records(h.now()), h.table.Notices(h.now())...)
 	}
 	return records
 }
@@ -432,7 +445,8 @@
 			return nil
 		}
 		lastSent = time.Now()
-		u := &pb.FeedUpdate{Upstreams: h.takePending(s), Quorate: h.opts.Store.HasQuorum(), Entries: h.entryCount(), ErrorShares: h.errorShares(), Statements: h.Statements()}
+		u := &pb.FeedUpdate{Quorate: h.opts.Store.HasQuorum(), Entries: h.entryCount(), ErrorShares: h.errorShares(), Statements: h.Statements()}
+		u.Upstreams, u.LeaveNotices = fleet.SplitNotices(h.takePending(s))
 		d := h.opts.Store.Current()
 		h.learnRoutes(d, d.Version > haveVersion)
 		h.stateHistory(s).addToUpdate(u)
--- a/internal/feed/leaving.go
+++ b/internal/feed/leaving.go
@@ -8,13 +8,17 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/fleet"
 )
 
 // leavingRefresh is the time after which the record of a process that still drains is written
 // again. The log keeps it for longer.
 const leavingRefresh = 45 * time.Second
 
-var errNoDisk = errors.New("the disk is not available")
+var (
+	errNoDisk  = errors.New("the disk is not available")
+	errNotKept = errors.New("too many processes that are not known have given notice of leaving")
+)
 
 // leavingKey identifies what a process has said: that it drains, or that it ends.
 type leavingKey struct {
@@ -58,9 +62,12 @@
 func (h *Hub) AcceptLeave(ctx context.Context, id string, bornMs int64) error {
 	h.Leave(id, bornMs)
 	h.mu.Lock()
-	ended := h.table.Ended(id, bornMs)
+	ended, ok := h.table.Ended(id, bornMs, h.now())
 	h.mu.Unlock()
-	if ended == nil {
+	switch {
+	case !ok:
+		return errNotKept
+	case ended == nil:
 		return nil
 	}
 	return h.storeLeaving(ctx, ended)
@@ -132,7 +139,12 @@
 	for _, r := range stored {
 		// The log still holds the record.
 		r = proto.CloneOf(r)
+		at := h.now() - milliseconds(r.AgeMs)
+		if fleet.IsNotice(r) {
+			h.table.Leave(r.Id, r.BornMs, at)
+			continue
+		}
 		h.table.Observe(r, h.now())
-		h.seeReport(r, h.now()-milliseconds(r.AgeMs))
+		h.seeReport(r, at)
 	}
 }
--- a/internal/feed/leaving_test.go
+++ b/internal/feed/leaving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -87,3 +88,53 @@
 	require.Error(t, h.AcceptLeave(within(t), "i-1", 5))
 	require.Equal(t, pb.UpstreamPhase_UPSTREAM_GONE, phaseAt(h, "i-1"), "the process leaves all the same")
 }
+
+// Guards against a process that is listed although its notice of leaving was acknowledged: the
+// core did not know it, because all daemons had been killed or its first report is late.
+func TestNoticesOfProcessesThatNoHubKnowsAreKept(t *testing.T) {
+	for _, bornMs := range []int64{5, 0} {
+		dir := t.TempDir()
+		h, kill := startStoredHub(t, dir)
+		require.NoError(t, h.AcceptLeave(within(t), "i-1", bornMs))
+		for range 2 {
+			require.NoError(t, h.AcceptReport(within(t), report(pb.UpstreamPhase_UPSTREAM_READY, 1)))
+			require.NotEqual(t, pb.UpstreamPhase_UPSTREAM_READY, phaseAt(h, "i-1"))
+			kill()
+			h, kill = startStoredHub(t, dir)
+		}
+		kill()
+	}
+}
+
+// Guards against entries that list a process which no hub knows any more, after its notice.
+func TestNoticesReachEntriesThatAloneKnowTheProcess(t *testing.T) {
+	for _, bornMs := range []int64{1, 0} {
+		h := startHubs(t, 3)
+		// The entry has its list from a core that was killed since.
+		s, v := startSubscriber(t, h.members[:1])
+		require.Eventually(t, func() bool { return s.Age() < time.Second }, 3*time.Second, 5*time.Millisecond)
+		require.NoError(t, s.apply(&pb.FeedUpdate{Upstreams: []*pb.UpstreamRecord{record("i-1", 1, pb.UpstreamPhase_UPSTREAM_READY)}}))
+		require.Equal(t, pb.UpstreamPhase_UPSTREAM_READY, v.phase("i-1"))
+		h.hubs[2].Leave("i-1", bornMs)
+		require.Eventually(t, func() bool { return v.phase("i-1") == pb.UpstreamPhase_UPSTREAM_GONE }, propagationTimeout, 2*time.Millisecond)
+		// One that attaches later is told too.
+		late, lateView := startSubscriber(t, h.members[1:2])
+		require.NoError(t, late.apply(&pb.FeedUpdate{Upstreams: []*pb.UpstreamRecord{record("i-1", 1, pb.UpstreamPhase_UPSTREAM_READY)}}))
+		require.Eventually(t, func() bool { return lateView.phase("i-1") == pb.UpstreamPhase_UPSTREAM_GONE }, 3*time.Second, 5*time.Millisecond)
+	}
+}
+
+// Guards against notices without bound, and against one that is acknowledged although there was no
+// room for it.
+func TestNoticesWithoutRoomAreNotAcknowledged(t *testing.T) {
+	h, kill := startStoredHub(t, t.TempDir())
+	defer kill()
+	var err error
+	for i := 0; err == nil && i < 10_000; i++ {
+		h.Leave(fmt.Sprint("x-", i), 0)
+		if i%1000 == 0 || i > 4000 {
+			err = h.AcceptLeave(within(t), fmt.Sprint("x-", i), 0)
+		}
+	}
+	require.ErrorIs(t, err, errNotKept)
+}
--- a/internal/feed/subscriber.go
+++ b/internal/feed/subscriber.go
@@ -304,7 +304,7 @@
 		// Before the first configuration, with which the entry begins to serve.
 		s.opts.OnEventNumberings(u.EventNumberings)
 	}
-	changed := s.merge(u.Upstreams, u.Quorate)
+	changed := append(s.merge(u.Upstreams, u.Quorate), s.mergeNotices(u.LeaveNotices)...)
 	if newDocument {
 		s.version = u.Document.Version
 		// The callback runs under the lock, so that versions arrive in order.
@@ -465,3 +465,16 @@
 	}
 	return changed
 }
+
+// mergeNotices applies notices of leaving of processes that a hub does not know, and returns the
+// records of those that this entry knew.
+func (s *Subscriber) mergeNotices(notices []*pb.UpstreamRecord) []*pb.UpstreamRecord {
+	var changed []*pb.UpstreamRecord
+	now := time.Since(s.start)
+	for _, n := range notices {
+		if gone := s.table.Leave(n.Id, n.BornMs, now-milliseconds(n.AgeMs)); gone != nil && !fleet.IsNotice(gone) {
+			changed = append(changed, proto.CloneOf(gone))
+		}
+	}
+	return changed
+}
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -36,6 +36,8 @@
 	byID map[string]*tableEntry
 	// owner maps each address to the id of the newest process there.
 	owner map[string]string
+	// notices are those of processes that are not known, by id.
+	notices map[string]notice
 	// lateFor is how long after the newest report of a process that tells no start one with a
 	// lower sequence number may be a late report of the same process.
 	lateFor time.Duration
@@ -43,7 +45,7 @@
 
 // NewTable returns an empty table of a core daemon.
 func NewTable() *Table {
-	return &Table{byID: map[string]*tableEntry{}, owner: map[string]string{}, lateFor: MaxReportDelay}
+	return &Table{byID: map[string]*tableEntry{}, owner: map[string]string{}, notices: map[string]notice{}, lateFor: MaxReportDelay}
 }
 
 // NewEntryTable returns an empty table of an entry, which follows the core daemons.
@@ -57,9 +59,13 @@
 // record of the report itself and that of a process replaced at its address.
 // accepted reports whether the report is newer than the stored record and so
 // counts as a heartbeat. One that is not may still tell versions that the stored
-// record lacks.
+// record lacks. Observe completes r, and marks it as ended if notice of leaving was given for
+// its process before.
 func (t *Table) Observe(r *pb.UpstreamRecord, now time.Duration) (changed []*pb.UpstreamRecord, accepted bool) {
 	at := now - time.Duration(r.AgeMs)*time.Millisecond
+	if t.applyNotice(r, at) {
+		return nil, false
+	}
 	known := t.byID[r.Id]
 	known.completeSoftware(r)
 	if known != nil && !t.newer(r, at, known) {
@@ -145,31 +151,40 @@
 	return gone
 }
 
-// Leave marks a process as gone after it gave notice that it is ending, and
-// returns its record. It returns nil when the process is unknown, already gone, or
-// older than the known one. bornMs is 0 when the notice does not include the
-// process start.
-func (t *Table) Leave(id string, bornMs int64, now time.Duration) *pb.UpstreamRecord {
+// Leave marks a process as gone after it gave notice at a time that it is ending, and
+// returns its record, or the notice (IsNotice) if the process is unknown. It returns nil when
+// the process is already gone or older than the known one, and when there is no room for the
+// notice. bornMs is 0 when the notice does not include the process start.
+func (t *Table) Leave(id string, bornMs int64, at time.Duration) *pb.UpstreamRecord {
 	known := t.byID[id]
 	switch {
-	case known == nil || bornMs != 0 && bornMs < known.record.BornMs:
+	case known == nil:
+		return t.keepNotice(id, bornMs, at)
+	case bornMs != 0 && bornMs < known.record.BornMs:
+		return nil
+	case bornMs == 0 && known.receivedAt-at > t.lateFor:
+		// The record is of a later process.
 		return nil
 	case known.record.BornMs != 0 && bornMs > known.record.BornMs:
-		return t.markUnreportedGone(known, bornMs, now)
+		return t.markUnreportedGone(known, bornMs, at)
 	case known.record.Phase == pb.UpstreamPhase_UPSTREAM_GONE:
 		return nil
 	}
-	return t.markGone(known, now)
+	return t.markGone(known, at)
 }
 
-// Ended returns the record that marks a process as ended after Leave was called for it; nil if
-// it is unknown, or a later process has replaced it under its id.
-func (t *Table) Ended(id string, bornMs int64) *pb.UpstreamRecord {
+// Ended returns the record that marks a process as ended after Leave was called for it; nil if a
+// later process has replaced it under its id. ok is false if there is no such record.
+func (t *Table) Ended(id string, bornMs int64, now time.Duration) (r *pb.UpstreamRecord, ok bool) {
 	known := t.byID[id]
-	if known == nil || known.record.Phase != pb.UpstreamPhase_UPSTREAM_GONE || bornMs != 0 && bornMs < known.record.BornMs {
-		return nil
+	switch {
+	case known == nil:
+		n, kept := t.notices[id]
+		return n.record(id, now), kept
+	case bornMs != 0 && bornMs < known.record.BornMs:
+		return nil, true
 	}
-	return known.record
+	return known.record, known.record.Phase == pb.UpstreamPhase_UPSTREAM_GONE
 }
 
 // markUnreportedGone marks a process as ended that replaced a known one and has not reported:
@@ -186,6 +201,7 @@
 // Expire marks upstreams without recent reports as silent and deletes old
 // records. It returns the records that became silent.
 func (t *Table) Expire(now time.Duration) []*pb.UpstreamRecord {
+	t.expireNotices(now)
 	var silent []*pb.UpstreamRecord
 	for id, e := range t.byID {
 		sinceReport := now - e.receivedAt
