--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -86,6 +86,11 @@
 }
 
 func startHubs(t *testing.T, n int) *hubCluster {
+	return startHubsWith(t, n, func(int, *HubOptions) {})
+}
+
+// startHubsWith starts hubs whose options set changes.
+func startHubsWith(t *testing.T, n int, set func(i int, o *HubOptions)) *hubCluster {
 	h := &hubCluster{}
 	discard := &log.Logger{Level: log.PanicLevel}
 	var listeners []net.Listener
@@ -100,7 +105,9 @@
 		server := transport.NewServer(transport.Options{})
 		peers := corestore.NewPeers(h.members[i], port, transport.Options{Self: &pb.Hello{Vm: h.members[i]}})
 		store := &fakeStore{members: h.members, hasQuorum: true}
-		hub := NewHub(HubOptions{Store: store, Peers: peers, Self: h.members[i], Logger: discard, OnReport: func(*pb.UpstreamRecord) {}}, server)
+		opts := HubOptions{Store: store, Peers: peers, Self: h.members[i], Logger: discard, OnReport: func(*pb.UpstreamRecord) {}}
+		set(i, &opts)
+		hub := NewHub(opts, server)
 		go func() { _ = server.Serve(l) }()
 		h.hubs, h.stores, h.servers = append(h.hubs, hub), append(h.stores, store), append(h.servers, server)
 		t.Cleanup(func() {
--- a/internal/feed/gossip.go
+++ b/internal/feed/gossip.go
@@ -37,13 +37,17 @@
 	}
 }
 
-func (h *Hub) applyGossip(r *pb.UpstreamRecord) {
+func (h *Hub) applyGossip(r *pb.UpstreamRecord) { h.applyFromHub(r, false) }
+
+// applyFromHub applies a record that another hub sent. Visible changes are passed on to the other
+// hubs if toHubs is set.
+func (h *Hub) applyFromHub(r *pb.UpstreamRecord, toHubs bool) {
 	h.mu.Lock()
 	h.noteLeftVersions(r)
 	changed, accepted := h.observe(r)
 	h.seeReport(r, h.now()-milliseconds(r.AgeMs))
 	h.keepLeaving(changed)
-	h.enqueueUpdates(changed, false)
+	h.enqueueUpdates(changed, toHubs)
 	h.mu.Unlock()
 	h.notifyChanged(changed, r, accepted)
 }
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -119,8 +119,10 @@
 
 	older olderReports
 
-	// leavingWrites are the records of leaving processes that were written of late.
-	leavingWrites map[leavingKey]*leavingWrite
+	// leavingWrites are the records of leaving processes that were written of late, and
+	// leavingConfirmed tells when a majority of the hubs had stored them.
+	leavingWrites    map[leavingKey]*leavingWrite
+	leavingConfirmed map[leavingKey]time.Duration
 
 	// gossipReceived counts the messages from other hubs.
 	gossipReceived atomic.Int64
@@ -174,7 +176,7 @@
 		opts: opts, start: time.Now(), lastReports: newLastReports(), table: fleet.NewTable(),
 		subscriptions: map[*subscription]struct{}{}, remoteAttachments: map[string]attachmentCount{}, outcomes: outcomeTable{}, ctx: ctx, stop: cancel,
 		evidence: promptEvidence{quarantine: policy.NewPromptQuarantine()}, statements: map[processKey]*hubStatement{}, schedules: map[processKey]*sendSchedule{},
-		leavingWrites: map[leavingKey]*leavingWrite{},
+		leavingWrites: map[leavingKey]*leavingWrite{}, leavingConfirmed: map[leavingKey]time.Duration{},
 	}
 	h.restoreVersions()
 	h.learnRoutes(opts.Store.Current(), false)
@@ -182,6 +184,7 @@
 	server.Handle(transport.MethodGossip, h.serveGossip)
 	transport.HandleUnary(server, transport.MethodSendPermit, h.serveSendPermit)
 	transport.HandleUnary(server, transport.MethodStreamVersion, h.serveStreamVersion)
+	transport.HandleUnary(server, transport.MethodStoreLeaving, h.serveStoreLeaving)
 	h.done.Add(1)
 	go h.maintain()
 	return h
--- a/internal/feed/leaving.go
+++ b/internal/feed/leaving.go
@@ -9,6 +9,8 @@
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
 	"godwitward.example/godwitward/internal/fleet"
+	"godwitward.example/godwitward/internal/protocol"
+	"godwitward.example/godwitward/internal/transport"
 )
 
 // leavingRefresh is the time after which the record of a process that still drains is written
@@ -16,8 +18,9 @@
 const leavingRefresh = 45 * time.Second
 
 var (
-	errNoDisk  = errors.New("the disk is not available")
-	errNotKept = errors.New("too many processes that are not known have given notice of leaving")
+	errNoDisk    = errors.New("the disk is not available")
+	errNotMember = errors.New("this daemon has not joined the core")
+	errNotKept   = errors.New("too many processes that are not known have given notice of leaving")
 )
 
 // leavingKey identifies what a process has said: that it drains, or that it ends.
@@ -25,9 +28,14 @@
 	id     string
 	bornMs int64
 	phase  pb.UpstreamPhase
+	// notice is set for a notice of a process that the sender did not know. The record of its end
+	// says more.
+	notice bool
 }
 
-func keyOfLeaving(r *pb.UpstreamRecord) leavingKey { return leavingKey{r.Id, r.BornMs, r.Phase} }
+func keyOfLeaving(r *pb.UpstreamRecord) leavingKey {
+	return leavingKey{r.Id, r.BornMs, r.Phase, fleet.IsNotice(r)}
+}
 
 // leavingWrite is a record that is being written, or has been.
 type leavingWrite struct {
@@ -73,12 +81,99 @@
 	return h.storeLeaving(ctx, ended)
 }
 
-// storeLeaving returns nil once the record of a process that leaves is on the disk.
+// storeLeavingTimeout limits the time in which another hub stores a record. Upstreams call the
+// next daemon after 1 s.
+const storeLeavingTimeout = 800 * time.Millisecond
+
+// storeLeaving returns nil once a majority of the hubs knows the record of a process that leaves
+// and has it on its disk: it is not lost then with the disks whose loss the core bears, nor with
+// all processes. Hubs of builds that cannot store it don't count.
 func (h *Hub) storeLeaving(ctx context.Context, r *pb.UpstreamRecord) error {
+	key := keyOfLeaving(r)
+	h.mu.Lock()
+	confirmedAt, confirmed := h.leavingConfirmed[key]
+	confirmed = confirmed && h.now()-confirmedAt < leavingRefresh
+	own := h.writeLeaving(r)
+	h.mu.Unlock()
+	if confirmed {
+		return nil
+	}
+	members := h.opts.Store.Members()
+	if len(members) == 1 && !h.opts.Store.HasQuorum() {
+		return errNotMember
+	}
+	results := make(chan error, len(members))
+	go func() { results <- own.wait(ctx) }()
+	hubs := 1
+	for _, address := range members {
+		if address == h.opts.Self {
+			continue
+		}
+		switch client := h.opts.Peers.Client(address); {
+		case client == nil || !client.Connected():
+			hubs++
+			results <- errors.Errorf("%s is out of reach", address)
+		case protocol.Of(client.Peer()).StoresLeaving():
+			hubs++
+			go func() { results <- h.storeLeavingAt(client, r) }()
+		}
+	}
+	return h.awaitMajority(ctx, key, hubs, results)
+}
+
+// awaitMajority returns nil once more than half of the hubs have stored a record, and an error once
+// that has become impossible.
+func (h *Hub) awaitMajority(ctx context.Context, key leavingKey, hubs int, results <-chan error) error {
+	stored := 0
+	var failure error
+	for failed := 0; 2*failed < hubs; {
+		select {
+		case err := <-results:
+			if err != nil {
+				failed++
+				failure = err
+				continue
+			}
+			stored++
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "%d of %d core daemons have stored it", stored, hubs)
+		}
+		if 2*stored > hubs {
+			h.mu.Lock()
+			h.leavingConfirmed[key] = h.now()
+			h.mu.Unlock()
+			return nil
+		}
+	}
+	return errors.Wrapf(failure, "%d of %d core daemons have stored it", stored, hubs)
+}
+
+// storeLeavingAt has another hub store a record. It goes on when the caller has its majority, so
+// that all hubs in reach learn of the record.
+func (h *Hub) storeLeavingAt(client *transport.Client, r *pb.UpstreamRecord) error {
+	ctx, cancel := context.WithTimeout(h.ctx, storeLeavingTimeout)
+	defer cancel()
+	return client.Call(ctx, transport.MethodStoreLeaving, &pb.StoreLeavingRequest{Record: r}, &pb.StoreLeavingResponse{})
+}
+
+// serveStoreLeaving stores a record for another hub. What is new is passed on, as that hub may end
+// before it has reached all others.
+func (h *Hub) serveStoreLeaving(ctx context.Context, req *pb.StoreLeavingRequest) (*pb.StoreLeavingResponse, error) {
+	r := req.Record
+	if r.GetId() == "" {
+		return nil, errors.New("the request names no process")
+	}
+	if fleet.IsNotice(r) {
+		h.leave(r.Id, r.BornMs, milliseconds(r.AgeMs), true)
+	} else {
+		h.applyFromHub(r, true)
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeLeavingTimeout)
+	defer cancel()
 	h.mu.Lock()
 	w := h.writeLeaving(r)
 	h.mu.Unlock()
-	return w.wait(ctx)
+	return &pb.StoreLeavingResponse{}, w.wait(ctx)
 }
 
 // writeLeaving begins to write a record, unless what it says is being written or was of late.
@@ -120,13 +215,20 @@
 		case pb.UpstreamPhase_UPSTREAM_DRAINING, pb.UpstreamPhase_UPSTREAM_GONE:
 			h.writeLeaving(r)
 		case pb.UpstreamPhase_UPSTREAM_READY:
-			delete(h.leavingWrites, leavingKey{r.Id, r.BornMs, pb.UpstreamPhase_UPSTREAM_DRAINING})
+			key := leavingKey{id: r.Id, bornMs: r.BornMs, phase: pb.UpstreamPhase_UPSTREAM_DRAINING}
+			delete(h.leavingWrites, key)
+			delete(h.leavingConfirmed, key)
 		}
 	}
 }
 
-// sweepLeaving forgets old writes. The caller holds mu.
+// sweepLeaving forgets old writes and confirmations. The caller holds mu.
 func (h *Hub) sweepLeaving() {
+	for key, at := range h.leavingConfirmed {
+		if h.now()-at >= leavingRefresh {
+			delete(h.leavingConfirmed, key)
+		}
+	}
 	for key, w := range h.leavingWrites {
 		if h.now()-w.startedAt >= leavingRefresh {
 			delete(h.leavingWrites, key)
--- a/internal/feed/leaving_test.go
+++ b/internal/feed/leaving_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"testing"
 	"time"
 
@@ -138,3 +139,135 @@
 	}
 	require.ErrorIs(t, err, errNotKept)
 }
+
+// startStoredHubs starts hubs that store what they must, and waits until they are connected. The
+// returned function tells what a hub has on its disk.
+func startStoredHubs(t *testing.T, n int) (*hubCluster, func(i int) []*pb.UpstreamRecord) {
+	dirs := make([]string, n)
+	open := func(i int) (*streamlog.Log, *streamlog.Stored) {
+		l, stored, err := streamlog.Open(streamlog.Options{Dir: dirs[i], FS: wal.OS{}, Logger: &log.Logger{Level: log.PanicLevel}})
+		require.NoError(t, err)
+		return l, stored
+	}
+	h := startHubsWith(t, n, func(i int, o *HubOptions) {
+		dirs[i] = t.TempDir()
+		o.StreamLog, o.Stored = open(i)
+		t.Cleanup(o.StreamLog.Close)
+	})
+	for _, hub := range h.hubs {
+		require.Eventually(t, func() bool { return connectedHubs(hub) == n-1 }, 5*time.Second, 5*time.Millisecond)
+	}
+	return h, func(i int) []*pb.UpstreamRecord {
+		l, stored := open(i)
+		defer l.Close()
+		return stored.Leaving
+	}
+}
+
+func connectedHubs(h *Hub) (n int) {
+	for _, address := range h.opts.Store.Members() {
+		if address != h.opts.Self && h.opts.Peers.Client(address).Connected() {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a notice, or a report that says the process drains, that is lost with the daemon
+// which has acknowledged it: it waits there for its turn, or is on no other disk.
+func TestAcknowledgedNoticesAreNotLostWithTheirDaemon(t *testing.T) {
+	for name, c := range map[string]struct {
+		leave func(h *Hub) error
+		want  pb.UpstreamPhase
+	}{
+		"ends":            {func(h *Hub) error { return h.AcceptLeave(within(t), "i-1", 5) }, pb.UpstreamPhase_UPSTREAM_GONE},
+		"drains":          {func(h *Hub) error { return h.AcceptReport(within(t), report(pb.UpstreamPhase_UPSTREAM_DRAINING, 2)) }, pb.UpstreamPhase_UPSTREAM_DRAINING},
+		"ends, not known": {func(h *Hub) error { return h.AcceptLeave(within(t), "i-2", 0) }, pb.UpstreamPhase_UPSTREAM_GONE},
+		"drains, not known": {func(h *Hub) error {
+			r := report(pb.UpstreamPhase_UPSTREAM_DRAINING, 2)
+			r.Id = "i-2"
+			return h.AcceptReport(within(t), r)
+		}, pb.UpstreamPhase_UPSTREAM_DRAINING},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h, onDisk := startStoredHubs(t, 5)
+			h.hubs[1].Report(report(pb.UpstreamPhase_UPSTREAM_READY, 1))
+			for _, hub := range h.hubs {
+				require.Eventually(t, func() bool { return phaseAt(hub, "i-1") == pb.UpstreamPhase_UPSTREAM_READY }, 5*time.Second, time.Millisecond)
+			}
+			// Its next messages wait until minUpdateInterval after this change.
+			h.hubs[0].Report(&pb.UpstreamRecord{Id: "other", Service: "s", Address: "127.0.0.1:8", Phase: pb.UpstreamPhase_UPSTREAM_READY, BornMs: 1, Sequence: 1})
+			time.Sleep(minUpdateInterval / 8)
+			require.NoError(t, c.leave(h.hubs[0]))
+			h.hubs[0].Stop()
+			h.servers[0].Close()
+			stored := 0
+			for i := 1; i < 5; i++ {
+				for _, r := range onDisk(i) {
+					if r.Phase == c.want {
+						stored++
+						break
+					}
+				}
+			}
+			require.GreaterOrEqual(t, stored, 2, "with the daemon itself a majority")
+			for _, hub := range h.hubs[1:] {
+				require.Eventually(t, func() bool {
+					hub.mu.Lock()
+					defer hub.mu.Unlock()
+					return hub.table.Get("i-1").GetPhase() == c.want || hub.table.Get("i-2").GetPhase() == c.want || len(hub.table.Notices(hub.now())) > 0
+				}, propagationTimeout, time.Millisecond)
+			}
+		})
+	}
+}
+
+// Guards against a notice that a daemon acknowledges which cannot store it at a majority, and
+// against an answer that comes when the upstream has given up.
+func TestNoticesWithoutAMajorityAreNotAcknowledged(t *testing.T) {
+	h, _ := startStoredHubs(t, 5)
+	h.hubs[0].Report(report(pb.UpstreamPhase_UPSTREAM_READY, 1))
+	for _, s := range h.servers[3:] {
+		s.Close()
+	}
+	require.Eventually(t, func() bool { return connectedHubs(h.hubs[0]) == 2 }, 5*time.Second, 5*time.Millisecond)
+	require.NoError(t, h.hubs[0].AcceptReport(within(t), report(pb.UpstreamPhase_UPSTREAM_DRAINING, 2)), "control: three of five")
+	h.servers[2].Close()
+	require.Eventually(t, func() bool { return connectedHubs(h.hubs[0]) == 1 }, 5*time.Second, 5*time.Millisecond)
+	began := time.Now()
+	require.ErrorContains(t, h.hubs[0].AcceptLeave(within(t), "i-1", 5), "of 5 core daemons")
+	require.Less(t, time.Since(began), time.Second)
+	require.Equal(t, pb.UpstreamPhase_UPSTREAM_GONE, phaseAt(h.hubs[0], "i-1"), "the process leaves all the same")
+	require.NoError(t, h.hubs[0].AcceptReport(within(t), report(pb.UpstreamPhase_UPSTREAM_DRAINING, 3)), "a majority has stored that it drains")
+	h.stores[0].setMembers(h.members[:1])
+	h.stores[0].set(1, false)
+	require.ErrorIs(t, h.hubs[0].AcceptLeave(within(t), "i-1", 5), errNotMember)
+}
+
+// Guards against an upgrade in which no notice is acknowledged until most core daemons are new.
+func TestHubsThatCannotStoreNoticesDoNotCount(t *testing.T) {
+	h, _ := startStoredHubs(t, 3)
+	for i, s := range h.servers[1:] {
+		h.hubs[1+i].Stop()
+		s.Close()
+	}
+	members := []string{h.members[0]}
+	for range 2 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		server := transport.NewServer(transport.Options{OmitLevel: true})
+		go func() { _ = server.Serve(l) }()
+		t.Cleanup(server.Close)
+		members = append(members, l.Addr().String())
+	}
+	h.stores[0].setMembers(members)
+	require.Eventually(t, func() bool {
+		for _, address := range members[1:] {
+			if !h.hubs[0].opts.Peers.Client(address).Connected() {
+				return false
+			}
+		}
+		return true
+	}, 5*time.Second, 5*time.Millisecond)
+	require.NoError(t, h.hubs[0].AcceptLeave(within(t), "i-1", 5))
+}
--- a/internal/transport/method.go
+++ b/internal/transport/method.go
@@ -44,4 +44,5 @@
 	MethodLeave
 	MethodRelay
 	MethodTenantUsage
+	MethodStoreLeaving
 )
