forward: streams begin at versions that a majority of the hubs knows (ORDER)

Callers got the text of two software versions in one stream, from two engines at one entry. That it is this fault is suspected only: the users' record does not tell how the second engine was chosen.

Cause: a take-up without a record goes on at the only version in use, and "in use" meant "has been reported to hubs that are in contact". An engine may serve before its report arrives, or report to a hub that is gone or cut off. A stream that began there, at an entry without contact that ended after it, left no trace; an absent report was taken for an absent version.

A stream begins only at versions that a majority of the hubs has noted, for an engine that has not reported under the text that stands for its process. A take-up without a record asks a majority for the versions in use. Both majorities share a hub. An entry out of contact goes on with what it has had noted, and sends new streams to no engine that has started again meanwhile.

--- a/api/godwitward/v1/builds_test.go
+++ b/api/godwitward/v1/builds_test.go
@@ -118,7 +118,10 @@
 	{thisBuild, `StreamVersionRequest.upstream_id`, "No report is asked for."},
 	{thisBuild, `StreamVersionResponse.report`, "No report is known: a process that tells no start is not known to have reported since."},
 	{thisBuild, `FeedUpdate.leave_notices Gossip.leave_notices`, "No notice of a process that the sender doesn't know. One of a process that the reader knows comes as the record of its end."},
-	{thisBuild, `StoreLeaving`, "UNIMPLEMENTED, at once, and not asked: the hub doesn't count for the majority (protocol.StoredLeaving)."},
+	{thisBuild, `StoreLeaving`, "UNIMPLEMENTED, at once, and not asked: the hub doesn't count for the majority (protocol.Majorities)."},
+	{thisBuild, `VersionsInUse`, "UNIMPLEMENTED, at once, and not asked: the hub doesn't count for the majority. An entry whose hubs are all of earlier builds takes versions for noted, and relies on what its updates list."},
+	{thisBuild, `VersionsInUseRequest.noted VersionsInUseRequest.service VersionsInUseRequest.all_hubs
+		VersionsInUseResponse.versions VersionsInUseResponse.answered VersionsInUseResponse.hubs`, notMixed},
 	{thisBuild, `StoreLeavingRequest.record`, notMixed},
 	{thisBuild, `StreamVersionBatch.leaving`, "No process is known to have left before the daemon started: a late report lists it again."},
 	{thisBuild, `SubmitRequest.held_ms`, "No result of a prefill is held: the attempt is queued as one that needs a prefill."},
--- a/api/godwitward/v1/text_fields_test.go
+++ b/api/godwitward/v1/text_fields_test.go
@@ -16,7 +16,7 @@
 		RenewLeaseRequest.name RenewLeaseRequest.holder ReleaseLeaseRequest.name ReleaseLeaseRequest.holder SubmitRequest.entry_id Grant.hold_id Refusal.message
 		ProgressRequest.hold_id ReleaseRequest.hold_id Hold.hold_id RestateRequest.entry_id WatchUpstreamsRequest.entry_id FeedUpdate.core FeedUpdate.leader
 		JoinReply.leader JoinReply.core TenantUsageRequest.entry_id Event.vm Event.process Event.kind Event.lease Attribute.key`,
-	"operators: refused by the decoder of their calls": `TenantUsage.name TenantGrant.name EventNumbering.service RouteService.host RouteService.prefix RouteService.service StreamVersion.service InFlight.route InFlight.service ClaimRequest.organisation RecordRequest.organisation SubmitRequest.organisation SubmitRequest.pool
+	"operators: refused by the decoder of their calls": `TenantUsage.name TenantGrant.name EventNumbering.service VersionsInUseRequest.service RouteService.host RouteService.prefix RouteService.service StreamVersion.service InFlight.route InFlight.service ClaimRequest.organisation RecordRequest.organisation SubmitRequest.organisation SubmitRequest.pool
 		RestateRequest.pool WatchUpstreamsRequest.pool WatchUpstreamsUpdate.pool SchedulerStateRequest.pool SchedulerState.pool EngineOrder.upstream_id EngineOrder.load_model
 		EngineOrder.unload_model EngineOrder.load_adapter EngineOrder.request_id EventsRequest.request_id EventsRequest.upstream EventsRequest.lease`,
 	"callers: ids get a text form in platform (textID); internal/entry makes its own": `ClaimRequest.request_id RecordRequest.request_id SubmitRequest.request_id SubmitRequest.model
--- a/internal/edge/process_text_test.go
+++ b/internal/edge/process_text_test.go
@@ -21,7 +21,7 @@
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(v.t, err)
 		r := &standin.Runner{ID: fmt.Sprint("i-", i), Service: "llm", Stage: standin.StageDecode, Version: "v2", StartMs: 2, ServiceTime: versionInterval, Events: versionEvents,
-			OnArrival: func(standin.Run) {}, OnStart: func(standin.Run) {}}
+			Statements: v.statements, OnArrival: func(standin.Run) {}, OnStart: func(standin.Run) {}}
 		r.Start(l)
 		v.t.Cleanup(r.Stop)
 		report := &pb.UpstreamRecord{Id: r.ID, Service: "llm", Address: l.Addr().String(), SoftwareVersion: "v1",
--- a/internal/edge/version_test.go
+++ b/internal/edge/version_test.go
@@ -31,6 +31,8 @@
 	idPrefix string
 	// anonymous callers do not name the request that brought the first event.
 	anonymous bool
+	// statements are what early engines state.
+	statements standin.Statements
 	// engines are the first reports of the engines.
 	engines []*pb.UpstreamRecord
 }
@@ -38,6 +40,16 @@
 // startEngines starts engines of a software version and returns their ids.
 func (v *versionTest) startEngines(version string, first, n int) []string {
 	var ids []string
+	for i, r := range v.startUnreported(version, first, n) {
+		ids = append(ids, r.Id)
+		v.engines = append(v.engines, r)
+		v.hubs[(first+i)%len(v.hubs)].Report(proto.CloneOf(r))
+	}
+	return ids
+}
+
+// startUnreported starts engines of a software version and returns their reports.
+func (v *versionTest) startUnreported(version string, first, n int) (reports []*pb.UpstreamRecord) {
 	for i := first; i < first+n; i++ {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(v.t, err)
@@ -45,12 +57,10 @@
 			OnArrival: func(standin.Run) {}, OnStart: func(standin.Run) {}}
 		r.Start(l)
 		v.t.Cleanup(r.Stop)
-		ids = append(ids, r.ID)
-		v.engines = append(v.engines, &pb.UpstreamRecord{Id: r.ID, Service: "llm", Address: l.Addr().String(), SoftwareVersion: version,
+		reports = append(reports, &pb.UpstreamRecord{Id: r.ID, Service: "llm", Address: l.Addr().String(), SoftwareVersion: version,
 			Phase: pb.UpstreamPhase_UPSTREAM_READY, Stage: pb.EngineStage_ENGINE_STAGE_DECODE, BornMs: r.StartMs, Sequence: 1, Slots: 8})
-		v.hubs[i%len(v.hubs)].Report(proto.CloneOf(v.engines[len(v.engines)-1]))
 	}
-	return ids
+	return reports
 }
 
 // reportEngines repeats the reports of all engines.
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -185,6 +185,7 @@
 	transport.HandleUnary(server, transport.MethodSendPermit, h.serveSendPermit)
 	transport.HandleUnary(server, transport.MethodStreamVersion, h.serveStreamVersion)
 	transport.HandleUnary(server, transport.MethodStoreLeaving, h.serveStoreLeaving)
+	transport.HandleUnary(server, transport.MethodVersionsInUse, h.serveVersionsInUse)
 	h.done.Add(1)
 	go h.maintain()
 	return h
--- a/internal/feed/leaving.go
+++ b/internal/feed/leaving.go
@@ -18,9 +18,10 @@
 const leavingRefresh = 45 * time.Second
 
 var (
-	errNoDisk    = errors.New("the disk is not available")
-	errNotMember = errors.New("this daemon has not joined the core")
-	errNotKept   = errors.New("too many processes that are not known have given notice of leaving")
+	errNoDisk     = errors.New("the disk is not available")
+	errOutOfReach = errors.New("a core daemon is out of reach")
+	errNotMember  = errors.New("this daemon has not joined the core")
+	errNotKept    = errors.New("too many processes that are not known have given notice of leaving")
 )
 
 // leavingKey identifies what a process has said: that it drains, or that it ends.
@@ -98,25 +99,17 @@
 	if confirmed {
 		return nil
 	}
-	members := h.opts.Store.Members()
-	if len(members) == 1 && !h.opts.Store.HasQuorum() {
+	others, hubs := h.otherHubs()
+	if hubs == 1 && !h.opts.Store.HasQuorum() {
 		return errNotMember
 	}
-	results := make(chan error, len(members))
+	results := make(chan error, hubs)
 	go func() { results <- own.wait(ctx) }()
-	hubs := 1
-	for _, address := range members {
-		if address == h.opts.Self {
-			continue
-		}
-		switch client := h.opts.Peers.Client(address); {
-		case client == nil || !client.Connected():
-			hubs++
-			results <- errors.Errorf("%s is out of reach", address)
-		case protocol.Of(client.Peer()).StoresLeaving():
-			hubs++
-			go func() { results <- h.storeLeavingAt(client, r) }()
-		}
+	for _, client := range others {
+		go func() { results <- h.storeLeavingAt(client, r) }()
+	}
+	for range hubs - 1 - len(others) {
+		results <- errOutOfReach
 	}
 	return h.awaitMajority(ctx, key, hubs, results)
 }
@@ -148,6 +141,26 @@
 	return errors.Wrapf(failure, "%d of %d core daemons have stored it", stored, hubs)
 }
 
+// otherHubs returns clients of the other hubs in reach that keep what a majority must know, and the
+// number of all such hubs, this one included. Hubs without an open session count as out of reach:
+// a dial that ends with the call would delay the next one. Those of earlier builds don't count.
+func (h *Hub) otherHubs() (inReach []*transport.Client, hubs int) {
+	hubs = 1
+	for _, address := range h.opts.Store.Members() {
+		if address == h.opts.Self {
+			continue
+		}
+		switch client := h.opts.Peers.Client(address); {
+		case client == nil || !client.Connected():
+			hubs++
+		case protocol.Of(client.Peer()).KeepsAtMajority():
+			hubs++
+			inReach = append(inReach, client)
+		}
+	}
+	return inReach, hubs
+}
+
 // storeLeavingAt has another hub store a record. It goes on when the caller has its majority, so
 // that all hubs in reach learn of the record.
 func (h *Hub) storeLeavingAt(client *transport.Client, r *pb.UpstreamRecord) error {
--- a/internal/forward/find_stream_test.go
+++ b/internal/forward/find_stream_test.go
@@ -33,6 +33,12 @@
 
 func (*meanwhileHub) ReportsArrive() bool { return true }
 
+func (*meanwhileHub) NoteVersions(context.Context, policy.RunVersions) bool { return true }
+
+func (*meanwhileHub) VersionsInUse(context.Context, string) ([]*pb.ServiceVersion, bool) {
+	return nil, true
+}
+
 func (*meanwhileHub) LastReport(context.Context, string) (int64, time.Duration, bool) {
 	return 0, 0, false
 }
--- a/internal/forward/process.go
+++ b/internal/forward/process.go
@@ -167,7 +167,8 @@
 const reasonOtherProcess = "other_process"
 
 // checkProcess compares the process that accepted a connection with the one that has reported
-// under its id, and fails if a stream must not go on there. New streams may begin at either.
+// under its id, and fails if a stream must not go on there. New streams may begin at either, if the hubs know
+// of it.
 func (x *exchange) checkProcess(t *target, c *conn) error {
 	told := c.process.bornMs != 0 && t.bornMs != 0
 	state := startUntold
@@ -184,6 +185,10 @@
 	if x.run != nil && !t.hasReported(c) {
 		return errOtherProcess
 	}
+	if !x.mayBeginAt(x.processVersions(t, c)) {
+		x.s.opts.Logger.Info().Str("event", "stream.not_begun").Str("id", x.info.ID).Str("upstream", t.id).Bool("reported", t.hasReported(c)).Msg("")
+		return errOtherProcess
+	}
 	return nil
 }
 
--- a/internal/forward/versions.go
+++ b/internal/forward/versions.go
@@ -21,6 +21,12 @@
 	// RecordStreamVersion keeps a record so that whoever asks for it later gets it or a newer
 	// one, and reports whether it did and there is no newer one of other versions.
 	RecordStreamVersion(ctx context.Context, v policy.StreamVersion) bool
+	// NoteVersions reports whether whoever asks for the versions in use from now on, for about a
+	// minute, gets these too.
+	NoteVersions(ctx context.Context, v policy.RunVersions) bool
+	// VersionsInUse returns the versions of a service that have been in use of late. ok is false if
+	// some that NoteVersions has noted may be missing.
+	VersionsInUse(ctx context.Context, service string) (list []*pb.ServiceVersion, ok bool)
 	// VersionsObserved returns the time for which all versions in use are known, up to now;
 	// 0 if they are not.
 	VersionsObserved() time.Duration
@@ -65,6 +71,7 @@
 	// lateReports are the reports of processes that streams had begun at before, by process
 	// text.
 	lateReports map[string]*pb.UpstreamRecord
+	noted       notedVersions
 }
 
 // SetStreamVersionSource makes the server ask src at which versions a stream may go on. It
@@ -236,6 +243,22 @@
 	return h.Only(model, s.now(), observed)
 }
 
+// onlyVersions returns the only versions at which a stream of a service can have begun. Those of a
+// process that has reported to other hubs, or not at all, are known to a majority of them.
+func (x *exchange) onlyVersions(service string) (only policy.RunVersions, ok bool) {
+	if only, ok = x.s.onlyVersions(service, x.info.Model); !ok {
+		return only, false
+	}
+	ctx, cancel := context.WithTimeout(x.ctx, streamVersionTimeout)
+	defer cancel()
+	list, ok := x.s.versionSource.VersionsInUse(ctx, service)
+	if !ok {
+		return only, false
+	}
+	x.s.SetServiceVersions(list)
+	return x.s.onlyVersions(service, x.info.Model)
+}
+
 // versionSources for the log line of a run.
 const (
 	versionsFromOwnRecord = "own"
@@ -243,6 +266,10 @@
 	versionsOfOnly        = "only"
 )
 
+// reasonVersionsNotNoted is the reason of a stream that has not begun, since the hubs don't know
+// that versions of the upstream are in use.
+const reasonVersionsNotNoted = "versions_not_noted"
+
 // findStream returns the newest record of the stream that the caller takes up. If nobody
 // knows it, but it can have begun at one service and its only versions, it has these.
 func (x *exchange) findStream() (v policy.StreamVersion, known bool) {
@@ -272,7 +299,7 @@
 	if !known || len(services) != 1 {
 		return policy.StreamVersion{}, false
 	}
-	v.Versions, known = x.s.onlyVersions(services[0], x.info.Model)
+	v.Versions, known = x.onlyVersions(services[0])
 	x.versionsFrom = versionsOfOnly
 	// What arrived after the services were read may be why all versions are known.
 	again, complete := x.s.possibleServices(x.route)
@@ -497,6 +524,9 @@
 // has no later one can go on at the earlier weights.
 func (x *exchange) admitVersions(v policy.RunVersions, first bool, last string) bool {
 	switch {
+	case x.run == nil && !x.mayBeginAt(v):
+		x.reason = reasonVersionsNotNoted
+		return false
 	case x.run == nil:
 		x.run, x.recordNumber, x.firstID = &v, 1, x.info.ID
 		n := x.recordRun()
--- a/internal/forward/versions_test.go
+++ b/internal/forward/versions_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	pb "godwitward.example/godwitward/api/godwitward/v1"
 	"godwitward.example/godwitward/internal/fleet"
 	"godwitward.example/godwitward/policy"
 )
@@ -53,6 +54,13 @@
 
 func (*versionHub) VersionsObserved() time.Duration { return time.Hour }
 func (*versionHub) ReportsArrive() bool             { return false }
+
+func (*versionHub) NoteVersions(context.Context, policy.RunVersions) bool { return true }
+
+func (*versionHub) VersionsInUse(context.Context, string) ([]*pb.ServiceVersion, bool) {
+	return nil, true
+}
+
 func (*versionHub) LastReport(context.Context, string) (int64, time.Duration, bool) {
 	return 0, 0, false
 }
--- a/internal/protocol/level.go
+++ b/internal/protocol/level.go
@@ -17,10 +17,11 @@
 	Unstated Level = 0
 	// RunVersions is the level of builds that keep all versions of a stream's run.
 	RunVersions Level = 1
-	// StoredLeaving is the level of builds that store processes that leave when they are asked to.
-	StoredLeaving Level = 2
+	// Majorities is the level of builds whose core daemons keep at a majority which processes leave
+	// and which versions are in use.
+	Majorities Level = 2
 	// Current is the level of this build.
-	Current = StoredLeaving
+	Current = Majorities
 )
 
 // Of returns the level that a daemon stated in its hello.
@@ -29,5 +30,6 @@
 // KeepsRunVersions reports whether a daemon keeps and passes on all versions of a run.
 func (l Level) KeepsRunVersions() bool { return l >= RunVersions }
 
-// StoresLeaving reports whether a core daemon stores processes that leave when it is asked to.
-func (l Level) StoresLeaving() bool { return l >= StoredLeaving }
+// KeepsAtMajority reports whether a core daemon stores processes that leave, and notes and lists
+// versions in use, when it is asked to.
+func (l Level) KeepsAtMajority() bool { return l >= Majorities }
--- a/internal/transport/method.go
+++ b/internal/transport/method.go
@@ -45,4 +45,5 @@
 	MethodRelay
 	MethodTenantUsage
 	MethodStoreLeaving
+	MethodVersionsInUse
 )
