soak: a shape with one version of everything, and outages of the core beside restarts

The longer runs had two versions from the start, so that take-ups hardly ever relied on there being only one (ORDER). lose-cores ends all core daemons for a while, in which engines start again under their ids with other software, and ends an entry before they are back.

--- a/cmd/gw-soak/main.go
+++ b/cmd/gw-soak/main.go
@@ -36,7 +36,7 @@
 	app.Flag("seed", "First seed; the fault schedule depends on it alone.").Default("1").Uint64Var(&o.seed)
 	app.Flag("seeds", "Number of seeds to run, one after the other.").Default("1").IntVar(&o.seeds)
 	app.Flag("duration", "Time span in which faults start.").Default("30s").DurationVar(&o.soakOptions.Duration)
-	app.Flag("shape", "Shape: small, or kiritani (7 entries, 9 engines of two services and two weights, long streams), which sets the numbers below.").Default(soak.ShapeSmall).EnumVar(&o.soakOptions.Shape, soak.Shapes...)
+	app.Flag("shape", "Shape: small, kiritani (7 entries, 9 engines of two services and two weights, long streams) or one-version (the same with one service and one version of everything), which set the numbers below.").Default(soak.ShapeSmall).EnumVar(&o.soakOptions.Shape, soak.Shapes...)
 	app.Flag("entries", "Number of entry processes (gw-edge).").Default("4").IntVar(&o.soakOptions.Entries)
 	app.Flag("runners", "Number of runners (stand-in upstreams) of the plain service.").Default("5").IntVar(&o.soakOptions.Runners)
 	app.Flag("engines", "Number of runners of the service with model engines; default: as many as --runners.").IntVar(&o.soakOptions.Engines)
--- a/internal/soak/check_cut.go
+++ b/internal/soak/check_cut.go
@@ -69,7 +69,7 @@
 	switch f.kind {
 	case killEntry, stopEntry, pauseEntry:
 		span.entries = []int{f.target % entries}
-	case killCore, stopCore, pauseCore, wipeCore, killAllCores, killAll:
+	case killCore, stopCore, pauseCore, wipeCore, killAllCores, killAll, loseCores:
 		for i := range entries {
 			span.entries = append(span.entries, i)
 		}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -57,6 +57,8 @@
 		for _, p := range s.cores {
 			s.stopAndRestart(ctx, p, 0, func() {})
 		}
+	case loseCores:
+		s.loseCores(ctx, f, entry)
 	case killAll:
 		all := slices.Concat(s.cores, s.entries)
 		for _, p := range all {
@@ -92,6 +94,22 @@
 	}
 }
 
+func (s *system) loseCores(ctx context.Context, f fault, entry *process) {
+	for _, p := range s.cores {
+		p.kill()
+	}
+	var restarts sync.WaitGroup
+	restarts.Go(func() { s.restartSeries(ctx, fault{kind: restartUnreported, target: f.target, duration: f.duration}) })
+	sleep(ctx, f.duration)
+	s.stopAndRestart(ctx, entry, 0, func() {
+		entry.kill()
+		for _, p := range s.cores {
+			s.stopAndRestart(ctx, p, 0, func() {})
+		}
+	})
+	restarts.Wait()
+}
+
 // stopAndRestart calls stop, waits for the downtime and starts the process again.
 func (s *system) stopAndRestart(ctx context.Context, p *process, downtime time.Duration, stop func()) {
 	stop()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -200,6 +200,8 @@
 		return []int{entryLock + f.target%len(s.entries)}
 	case killCore, stopCore, pauseCore, wipeCore, killAllCores:
 		return []int{coreLock}
+	case loseCores:
+		return []int{entryLock + f.target%len(s.entries), coreLock}
 	case killAll:
 		var keys []int
 		for i := range s.entries {
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -38,6 +38,9 @@
 	strayEvents    faultKind = "stray-events"
 	killRunner     faultKind = "kill-runner"
 	changeWeights  faultKind = "change-weights"
+	// loseCores ends all core daemons for a while. Engines start again under their ids with other
+	// software meanwhile, and an entry ends before the core is back.
+	loseCores faultKind = "lose-cores"
 )
 
 // FaultKinds returns the names of all kinds of faults.
@@ -56,7 +59,7 @@
 	resetLinks, silentLinks, delayLinks, oneWayLink, reloadSettings, changeConfig, raceConfigChanges,
 }
 
-var namedFaultKinds = slices.Concat([]faultKind{killAll, releaseEngines, restartRunner, strayEvents, killRunner, changeWeights, preemptStreams, changeRole}, wireFaultKinds(), cutFaultKinds, lateReportKinds, statementKinds, []faultKind{deadlyRequest, idleRestart})
+var namedFaultKinds = slices.Concat([]faultKind{killAll, releaseEngines, restartRunner, strayEvents, killRunner, changeWeights, preemptStreams, changeRole}, wireFaultKinds(), cutFaultKinds, lateReportKinds, statementKinds, []faultKind{deadlyRequest, idleRestart, loseCores})
 
 // wireFaultKinds are faults of the answers of all runners.
 func wireFaultKinds() []faultKind {
@@ -80,7 +83,9 @@
 }
 
 // endsAllCores reports whether the fault ends all core daemons at one moment.
-func (f fault) endsAllCores() bool { return f.kind == killAllCores || f.kind == killAll }
+func (f fault) endsAllCores() bool {
+	return f.kind == killAllCores || f.kind == killAll || f.kind == loseCores
+}
 
 // endsOneCore reports whether the fault makes one core daemon unavailable.
 func (f fault) endsOneCore() bool { return endsOneCore(f.kind) }
--- a/internal/soak/shape.go
+++ b/internal/soak/shape.go
@@ -16,10 +16,13 @@
 	// ShapeKiritani has long streams at two services with engines of two weights, on routes
 	// that are split and moved between them.
 	ShapeKiritani = "kiritani"
+	// ShapeOneVersion is ShapeKiritani with one service, whose engines have one version of the
+	// software and of the weights until the first release.
+	ShapeOneVersion = "one-version"
 )
 
 // Shapes are the names of all shapes.
-var Shapes = []string{ShapeSmall, ShapeKiritani}
+var Shapes = []string{ShapeSmall, ShapeKiritani, ShapeOneVersion}
 
 // shape is what a run looks like apart from its faults.
 type shape struct {
@@ -60,9 +63,13 @@
 	switch o.Shape {
 	case "", ShapeSmall:
 		return smallShape, nil
-	case ShapeKiritani:
+	case ShapeKiritani, ShapeOneVersion:
 		o.Entries, o.Runners, o.Engines = 7, 4, 9
-		return kiritaniShape, nil
+		sh := kiritaniShape
+		if o.Shape == ShapeOneVersion {
+			sh.weights, sh.services, sh.changeInterval = 1, []string{engineService}, 0
+		}
+		return sh, nil
 	}
 	return shape{}, errors.Errorf("unknown shape %q", o.Shape)
 }
