feed: versions in use are noted once they are on the disks of a majority

A hub answered when it had them in memory, and stored them up to 0.1 s later: a stream that had begun before all processes were killed could still be taken up at the other versions of its service. A batch that was written without contact lost them too when it was read. An entry waits once for a request, not for each engine, until the hubs have noted a version.

TestNotedVersionsAreStored failed before the batch without contact was read, and TestHistoryIsOnTheDiskOnceItIsReported needs the new call.

--- a/internal/feed/versions_in_use.go
+++ b/internal/feed/versions_in_use.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/pkg/errors"
+
 	pb "godwitward.example/godwitward/api/godwitward/v1"
 	"godwitward.example/godwitward/internal/fleet"
 	"godwitward.example/godwitward/internal/protocol"
@@ -11,18 +13,46 @@
 )
 
 // serveVersionsInUse notes versions at which streams are about to begin, and lists those of a
-// service that have been in use of late.
+// service that have been in use of late. It answers another hub once what it notes is on the disk.
 func (h *Hub) serveVersionsInUse(ctx context.Context, req *pb.VersionsInUseRequest) (*pb.VersionsInUseResponse, error) {
 	if req.Noted != nil {
 		h.mu.Lock()
 		h.seeServiceVersions([]*pb.ServiceVersion{req.Noted})
 		h.mu.Unlock()
 	}
-	resp := &pb.VersionsInUseResponse{Versions: h.versionsInUse(req.Service)}
-	if req.AllHubs {
-		h.askOthersInUse(ctx, req, resp)
+	if !req.AllHubs {
+		return h.answerVersionsInUse(ctx, req)
+	}
+	return h.askAllInUse(ctx, req), nil
+}
+
+// answerVersionsInUse returns the versions that this hub knows, once what it has noted is stored.
+func (h *Hub) answerVersionsInUse(ctx context.Context, req *pb.VersionsInUseRequest) (*pb.VersionsInUseResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, otherHubsTimeout)
+	defer cancel()
+	if req.Noted != nil {
+		if err := h.storeHistory(ctx); err != nil {
+			return nil, err
+		}
+	}
+	return &pb.VersionsInUseResponse{Versions: h.versionsInUse(req.Service)}, nil
+}
+
+// storeHistory returns nil once the versions in use are on the disk.
+func (h *Hub) storeHistory(ctx context.Context) error {
+	if h.opts.StreamLog == nil {
+		return errNoDisk
+	}
+	result := make(chan error, 1)
+	if err := h.opts.StreamLog.StoreHistory(func(err error) { result <- err }); err != nil {
+		return err
+	}
+	select {
+	case err := <-result:
+		return err
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "waiting for the disk")
 	}
-	return resp, nil
 }
 
 // versionsInUse returns the versions of a service that have been in use of late; none for no
@@ -40,39 +70,47 @@
 	return list
 }
 
-// askOthersInUse passes a request on to all other hubs until a majority has answered, and adds
-// their versions to the response.
-func (h *Hub) askOthersInUse(ctx context.Context, req *pb.VersionsInUseRequest, resp *pb.VersionsInUseResponse) {
+// askAllInUse passes a request on to all hubs, this one included, and returns what they answer until
+// a majority has.
+func (h *Hub) askAllInUse(ctx context.Context, req *pb.VersionsInUseRequest) *pb.VersionsInUseResponse {
 	others, hubs := h.otherHubs()
-	resp.Answered, resp.Hubs = 1, uint32(hubs)
-	answers := make(chan *pb.VersionsInUseResponse, len(others))
+	resp := &pb.VersionsInUseResponse{Hubs: uint32(hubs)}
+	req = &pb.VersionsInUseRequest{Noted: req.Noted, Service: req.Service}
+	answers := make(chan *pb.VersionsInUseResponse, hubs)
+	ask := func(call func(context.Context) (*pb.VersionsInUseResponse, error)) {
+		// It goes on after a majority has answered, so that all hubs in reach note the versions.
+		ctx, cancel := context.WithTimeout(h.ctx, otherHubsTimeout)
+		defer cancel()
+		answer, err := call(ctx)
+		if err != nil {
+			// A hub out of reach doesn't count as one that has answered.
+			answer = nil
+		}
+		answers <- answer
+	}
+	go ask(func(ctx context.Context) (*pb.VersionsInUseResponse, error) { return h.answerVersionsInUse(ctx, req) })
 	for _, client := range others {
-		go func() {
-			// It goes on after a majority has answered, so that all hubs in reach note the versions.
-			ctx, cancel := context.WithTimeout(h.ctx, otherHubsTimeout)
-			defer cancel()
+		go ask(func(ctx context.Context) (*pb.VersionsInUseResponse, error) {
 			answer := &pb.VersionsInUseResponse{}
-			if client.Call(ctx, transport.MethodVersionsInUse, &pb.VersionsInUseRequest{Noted: req.Noted, Service: req.Service}, answer) != nil {
-				// A hub out of reach doesn't count as one that has answered.
-				answer = nil
-			}
-			answers <- answer
-		}()
+			return answer, client.Call(ctx, transport.MethodVersionsInUse, req, answer)
+		})
 	}
-	for range others {
-		if 2*resp.Answered > resp.Hubs {
-			return
-		}
+	for range 1 + len(others) {
 		select {
 		case answer := <-answers:
-			if answer != nil {
-				resp.Answered++
-				resp.Versions = append(resp.Versions, answer.Versions...)
+			if answer == nil {
+				continue
 			}
+			resp.Answered++
+			resp.Versions = append(resp.Versions, answer.Versions...)
 		case <-ctx.Done():
-			return
+			return resp
+		}
+		if 2*resp.Answered > resp.Hubs {
+			return resp
 		}
 	}
+	return resp
 }
 
 // NoteVersions tells the hubs of versions at which streams are about to begin, and reports whether
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -73,7 +73,9 @@
 	run          *policy.RunVersions
 	recordNumber int
 	versionsFrom string
-	firstID      string
+	// noteUntil is the time until which the request waits for versions to be noted by the hubs.
+	noteUntil time.Time
+	firstID   string
 	// changedAfter is the id of the last event before the weights changed in the middle of a
 	// run, and earlierWeights those before; empty if they have not. earlierWeights is empty
 	// also if they have changed more than once.
--- a/internal/forward/noted_versions.go
+++ b/internal/forward/noted_versions.go
@@ -102,9 +102,11 @@
 		// Its versions are recorded, or nobody takes it up.
 		return true
 	}
-	until := time.Now().Add(min(maxReportWait, x.remaining()/reportWaitDivisor))
+	if x.noteUntil.IsZero() {
+		x.noteUntil = time.Now().Add(min(maxReportWait, x.remaining()/reportWaitDivisor))
+	}
 	for !x.s.noteVersions(x.ctx, v) {
-		if fleet.IsProcessText(v.Software) || x.ctx.Err() != nil || time.Now().After(until) {
+		if fleet.IsProcessText(v.Software) || x.ctx.Err() != nil || time.Now().After(x.noteUntil) {
 			return false
 		}
 		select {
--- a/internal/streamlog/leaving.go
+++ b/internal/streamlog/leaving.go
@@ -6,18 +6,19 @@
 	pb "godwitward.example/godwitward/api/godwitward/v1"
 )
 
-// errQueueFull is the error of a record that a stalled disk leaves no room for.
-var errQueueFull = errors.Errorf("%d processes that leave wait for the disk", maxQueuedLeaving)
+// errQueueFull is the error of a write that a stalled disk leaves no room for.
+var errQueueFull = errors.Errorf("%d writes wait for the disk", maxAwaited)
 
-// leavingQueue holds the records of processes that leave until they are written.
-type leavingQueue struct {
-	records []*pb.UpstreamRecord
+// awaitedWrites is what somebody waits for who must not go on before it is on the disk.
+type awaitedWrites struct {
+	// leaving are records of processes that drain or have ended.
+	leaving []*pb.UpstreamRecord
 	// onWritten are called with the result of the write.
 	onWritten []func(error)
 }
 
-func (q *leavingQueue) written(err error) {
-	for _, f := range q.onWritten {
+func (w *awaitedWrites) written(err error) {
+	for _, f := range w.onWritten {
 		f(err)
 	}
 }
@@ -28,11 +29,25 @@
 func (l *Log) AppendLeaving(r *pb.UpstreamRecord, onWritten func(error)) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.leaving.records) >= maxQueuedLeaving {
+	return l.await([]*pb.UpstreamRecord{r}, onWritten)
+}
+
+// StoreHistory makes the log write a batch at once, with the versions in use at that time.
+// onWritten is called as by AppendLeaving.
+func (l *Log) StoreHistory(onWritten func(error)) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.historyChanged = true
+	return l.await(nil, onWritten)
+}
+
+// await queues an awaited write. The caller holds mu.
+func (l *Log) await(leaving []*pb.UpstreamRecord, onWritten func(error)) error {
+	if len(l.awaited.onWritten) >= maxAwaited {
 		return errQueueFull
 	}
-	l.leaving.records = append(l.leaving.records, r)
-	l.leaving.onWritten = append(l.leaving.onWritten, onWritten)
+	l.awaited.leaving = append(l.awaited.leaving, leaving...)
+	l.awaited.onWritten = append(l.awaited.onWritten, onWritten)
 	select {
 	case l.urgent <- struct{}{}:
 	default:
--- a/internal/streamlog/leaving_test.go
+++ b/internal/streamlog/leaving_test.go
@@ -60,11 +60,37 @@
 	require.NoError(t, leave(t, l, "b"))
 }
 
-// Guards against processes that wait for a stalled disk without bound.
-func TestQueueOfLeavingProcessesIsBounded(t *testing.T) {
+// Guards against writes that wait for a stalled disk without bound.
+func TestAwaitedWritesAreBounded(t *testing.T) {
 	l := &Log{}
-	for range maxQueuedLeaving {
+	for range maxAwaited {
 		require.NoError(t, l.AppendLeaving(&pb.UpstreamRecord{}, func(error) {}))
 	}
 	require.Error(t, l.AppendLeaving(&pb.UpstreamRecord{}, func(error) {}))
+	require.Error(t, l.StoreHistory(func(error) {}))
+}
+
+// Guards against versions in use that count as stored before they are on the disk.
+func TestHistoryIsOnTheDiskOnceItIsReported(t *testing.T) {
+	fs := &fullFS{}
+	dir := t.TempDir()
+	l, _ := open(t, dir, fs, nil)
+	defer l.Close()
+	l.SetHistory(func(b *pb.StreamVersionBatch) {
+		b.ServiceVersions, b.ObservedMs = []*pb.ServiceVersion{{Service: "s", Version: "v2"}}, 1
+	})
+	store := func() error {
+		result := make(chan error, 1)
+		require.NoError(t, l.StoreHistory(func(err error) { result <- err }))
+		return <-result
+	}
+	fs.full.Store(true)
+	require.Error(t, store())
+	fs.full.Store(false)
+	require.NoError(t, store())
+	second, stored, err := Open(Options{Dir: dir, FS: fs, Logger: discard})
+	require.NoError(t, err)
+	defer second.Close()
+	require.Len(t, stored.Services, 1)
+	require.Equal(t, "v2", stored.Services[0].Version)
 }
--- a/internal/streamlog/log.go
+++ b/internal/streamlog/log.go
@@ -20,8 +20,8 @@
 	flushInterval = 100 * time.Millisecond
 	// maxQueued limits the records that wait for a stalled disk. The oldest are dropped.
 	maxQueued = 16384
-	// maxQueuedLeaving limits the leaving processes that wait for it. Further ones are refused.
-	maxQueuedLeaving = 4096
+	// maxAwaited limits the writes that somebody waits for. Further ones are refused.
+	maxAwaited = 4096
 	// retention is how long a segment is kept after its last write: the time for which
 	// streams are remembered, and a margin for steps of the clock.
 	retention = 75 * time.Second
@@ -72,7 +72,7 @@
 	mu      sync.Mutex
 	queued  []*pb.StreamVersion
 	dropped int
-	leaving leavingQueue
+	awaited awaitedWrites
 	// addHistory adds to a batch what is stored with each one; nil if nothing is.
 	addHistory func(*pb.StreamVersionBatch)
 	// historyChanged is set when a batch is due although it may have no records.
@@ -189,10 +189,9 @@
 				stored.Routes = append(stored.Routes, r)
 			}
 		}
-		if b.ObservedMs == 0 {
-			continue
+		if b.ObservedMs > 0 {
+			stored.Observed = time.Duration(since+int64(b.ObservedMs)) * time.Millisecond
 		}
-		stored.Observed = time.Duration(since+int64(b.ObservedMs)) * time.Millisecond
 		for _, v := range b.ServiceVersions {
 			if age := since + int64(v.AgeMs); age < retention.Milliseconds() {
 				v.AgeMs = uint32(age)
@@ -245,18 +244,18 @@
 func (l *Log) flush() {
 	l.mu.Lock()
 	records, dropped, addHistory, historyChanged := l.queued, l.dropped, l.addHistory, l.historyChanged
-	leaving := l.leaving
-	l.queued, l.dropped, l.historyChanged, l.leaving = nil, 0, false, leavingQueue{}
+	awaited := l.awaited
+	l.queued, l.dropped, l.historyChanged, l.awaited = nil, 0, false, awaitedWrites{}
 	l.mu.Unlock()
 	if dropped > 0 {
 		l.opts.Logger.Warn().Str("event", "stream_versions.dropped").Int("records", dropped).Msg("")
 	}
 	records = slices.Concat(l.restored, records)
-	leavingRecords := slices.Concat(l.restoredLeaving, leaving.records)
-	if len(records)+len(leavingRecords) == 0 && !historyChanged {
+	leaving := slices.Concat(l.restoredLeaving, awaited.leaving)
+	if len(records)+len(leaving) == 0 && !historyChanged {
 		return
 	}
-	batch := &pb.StreamVersionBatch{StreamVersions: records, Leaving: leavingRecords}
+	batch := &pb.StreamVersionBatch{StreamVersions: records, Leaving: leaving}
 	if addHistory != nil {
 		addHistory(batch)
 	}
@@ -266,10 +265,10 @@
 	} else {
 		l.restored, l.restoredLeaving = nil, nil
 	}
-	leaving.written(err)
+	awaited.written(err)
 	// One line for each series of failures, which a full disk may make long.
 	if err != nil && !l.failed {
-		l.opts.Logger.Error().Str("event", "stream_versions.not_stored").Int("records", len(records)).Int("leaving", len(leavingRecords)).Err(err).Msg("")
+		l.opts.Logger.Error().Str("event", "stream_versions.not_stored").Int("records", len(records)).Int("leaving", len(leaving)).Err(err).Msg("")
 	}
 	l.failed = err != nil
 	l.removeExpired()
