--- a/internal/forward/decode_slot.go
+++ b/internal/forward/decode_slot.go
@@ -15,7 +15,7 @@
 func (x *exchange) decodeAvailable(decode *target) bool {
 	now := x.s.now()
 	slot := policy.DecodeSlot{
-		Gone: decode.replaced.Load(), Refuses: decode.refusesWork(now), LinkLost: decode.lost(now) != nil, Suspect: decode.suspect(now),
+		Gone: decode.replaced.Load(), Refuses: decode.refusesWork(now) || decode.reportsLeaving(), LinkLost: decode.lost(now) != nil, Suspect: decode.suspect(now),
 	}
 	decode.mu.Lock()
 	slot.Gone = slot.Gone || decode.removed
--- a/internal/forward/decode_slot_test.go
+++ b/internal/forward/decode_slot_test.go
@@ -31,6 +31,7 @@
 	for name, lose := range map[string]func(*exchange, *target){
 		"crashed":    func(_ *exchange, d *target) { d.replaced.Store(true) },
 		"leaving":    func(_ *exchange, d *target) { d.stated.Leaving = true },
+		"draining":   func(_ *exchange, d *target) { d.record.Phase = pb.UpstreamPhase_UPSTREAM_DRAINING },
 		"dark":       func(x *exchange, d *target) { d.recordFailure(x.s.now(), policy.FaultTimeout) },
 		"unreported": func(_ *exchange, d *target) { d.record.Silent = true },
 	} {
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -71,8 +71,8 @@
 		// A repeatable request for which no byte of a response has arrived is
 		// retried once, which counts against the retry budget. An upstream that states
 		// a limit gets one request for each permit, and one that leaves or pauses
-		// gets none.
-		if finalTry || t.limited() || t.refusesWork(x.s.now()) || !reused || x.callerGone() || !errors.Is(err, errConnLost) {
+		// gets none, also if it has told so while the request waited there.
+		if finalTry || t.limited() || t.refusesWork(x.s.now()) || t.reportsLeaving() || !reused || x.callerGone() || !errors.Is(err, errConnLost) {
 			return nil, &SendError{MaybeSent: true, Err: err}
 		}
 		next, ok := x.chargeEntry()
--- a/internal/forward/statements.go
+++ b/internal/forward/statements.go
@@ -92,6 +92,12 @@
 	return t.stated.Leaving || now < t.pausedUntil
 }
 
+// reportsLeaving reports whether the process has told the core that it drains or ends.
+func (t *target) reportsLeaving() bool {
+	phase := t.currentRecord().Phase
+	return phase == pb.UpstreamPhase_UPSTREAM_DRAINING || phase == pb.UpstreamPhase_UPSTREAM_GONE
+}
+
 // fromProcess reports whether a response shows that the upstream itself has sent it.
 func fromProcess(opts *SendOptions, resp *http.Response, info *ResponseInfo) bool {
 	return info.FromUpstream || info.NotRun || opts.Prefill && resp.StatusCode < 300
