feed, forward: notices are told by their phase, noted versions of processes expire

A record without an address was taken for a notice of leaving whatever it said. At 1,024 noted versions all were forgotten, those of reported versions too.

--- a/internal/feed/leaving.go
+++ b/internal/feed/leaving.go
@@ -9,7 +9,6 @@
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
 	"godwitward.example/godwitward/internal/fleet"
-	"godwitward.example/godwitward/internal/protocol"
 	"godwitward.example/godwitward/internal/transport"
 )
 
@@ -141,26 +140,6 @@
 	return errors.Wrapf(failure, "%d of %d core daemons have stored it", stored, hubs)
 }
 
-// otherHubs returns clients of the other hubs in reach that keep what a majority must know, and the
-// number of all such hubs, this one included. Hubs without an open session count as out of reach:
-// a dial that ends with the call would delay the next one. Those of earlier builds don't count.
-func (h *Hub) otherHubs() (inReach []*transport.Client, hubs int) {
-	hubs = 1
-	for _, address := range h.opts.Store.Members() {
-		if address == h.opts.Self {
-			continue
-		}
-		switch client := h.opts.Peers.Client(address); {
-		case client == nil || !client.Connected():
-			hubs++
-		case protocol.Of(client.Peer()).KeepsAtMajority():
-			hubs++
-			inReach = append(inReach, client)
-		}
-	}
-	return inReach, hubs
-}
-
 // storeLeavingAt has another hub store a record. It goes on when the caller has its majority, so
 // that all hubs in reach learn of the record.
 func (h *Hub) storeLeavingAt(client *transport.Client, r *pb.UpstreamRecord) error {
--- a/internal/fleet/notices.go
+++ b/internal/fleet/notices.go
@@ -24,7 +24,9 @@
 
 // IsNotice reports whether a record is a notice of leaving of a process that is not known. It
 // holds nothing but the id, the start and the age.
-func IsNotice(r *pb.UpstreamRecord) bool { return r.Address == "" }
+func IsNotice(r *pb.UpstreamRecord) bool {
+	return r.Phase == pb.UpstreamPhase_UPSTREAM_GONE && r.Address == ""
+}
 
 // SplitNotices returns the notices among records apart from the others.
 func SplitNotices(records []*pb.UpstreamRecord) (others, notices []*pb.UpstreamRecord) {
--- a/internal/forward/noted_versions.go
+++ b/internal/forward/noted_versions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"godwitward.example/godwitward/internal/fleet"
@@ -48,7 +49,8 @@
 	}
 	l := &s.streamVersions
 	l.mu.Lock()
-	n, now := l.notedVersion(v), s.now()
+	now := s.now()
+	n := l.notedVersion(v, now)
 	suffices := n.suffices(v, now)
 	if due := !n.noted || now-n.notedAt >= noteInterval; due && n.trying == nil && (n.triedAt == 0 || now-n.triedAt >= noteRetryInterval) {
 		n.trying = make(chan struct{})
@@ -85,16 +87,26 @@
 }
 
 // notedVersion returns what is known of versions. The caller holds mu.
-func (l *streamVersions) notedVersion(v policy.RunVersions) *notedVersion {
-	if l.noted == nil || len(l.noted) >= maxNoted {
-		l.noted = notedVersions{}
-	}
+func (l *streamVersions) notedVersion(v policy.RunVersions, now time.Duration) *notedVersion {
 	if l.noted[v] == nil {
+		if len(l.noted) >= maxNoted {
+			l.noted.forgetProcesses(now)
+		}
+		if l.noted == nil || len(l.noted) >= maxNoted {
+			l.noted = notedVersions{}
+		}
 		l.noted[v] = &notedVersion{}
 	}
 	return l.noted[v]
 }
 
+// forgetProcesses removes what stood for processes that had not reported.
+func (l notedVersions) forgetProcesses(now time.Duration) {
+	maps.DeleteFunc(l, func(v policy.RunVersions, n *notedVersion) bool {
+		return fleet.IsProcessText(v.Software) && !n.suffices(v, now)
+	})
+}
+
 // mayBeginAt reports whether the stream may begin at versions. If a process has reported them, it
 // waits for hubs that have just started.
 func (x *exchange) mayBeginAt(v policy.RunVersions) bool {
