feed: a daemon that has not joined the core is no majority

Its only known member is itself: it would have taken versions for noted, and answered which are in use, alone. Notices of leaving had it already.

--- a/internal/feed/gossip.go
+++ b/internal/feed/gossip.go
@@ -133,7 +133,8 @@
 }
 
 // otherHubs returns clients of the other hubs in reach that keep what a majority must know, and the
-// number of all such hubs, this one included. Hubs without an open session count as out of reach:
+// number of all such hubs, this one included; 0 if this daemon has not joined the core, so that it
+// does not know the others. Hubs without an open session count as out of reach:
 // a dial that ends with the call would delay the next one. Those of earlier builds don't count.
 func (h *Hub) otherHubs() (inReach []*transport.Client, hubs int) {
 	hubs = 1
@@ -149,5 +150,8 @@
 			inReach = append(inReach, client)
 		}
 	}
+	if hubs == 1 && !h.opts.Store.HasQuorum() {
+		return nil, 0
+	}
 	return inReach, hubs
 }
--- a/internal/feed/leaving.go
+++ b/internal/feed/leaving.go
@@ -99,7 +99,7 @@
 		return nil
 	}
 	others, hubs := h.otherHubs()
-	if hubs == 1 && !h.opts.Store.HasQuorum() {
+	if hubs == 0 {
 		return errNotMember
 	}
 	results := make(chan error, hubs)
--- a/internal/feed/versions_in_use.go
+++ b/internal/feed/versions_in_use.go
@@ -75,6 +75,9 @@
 func (h *Hub) askAllInUse(ctx context.Context, req *pb.VersionsInUseRequest) *pb.VersionsInUseResponse {
 	others, hubs := h.otherHubs()
 	resp := &pb.VersionsInUseResponse{Hubs: uint32(hubs)}
+	if hubs == 0 {
+		return resp
+	}
 	req = &pb.VersionsInUseRequest{Noted: req.Noted, Service: req.Service}
 	answers := make(chan *pb.VersionsInUseResponse, hubs)
 	ask := func(call func(context.Context) (*pb.VersionsInUseResponse, error)) {
--- a/internal/feed/versions_in_use_test.go
+++ b/internal/feed/versions_in_use_test.go
@@ -7,8 +7,10 @@
 	"github.com/stretchr/testify/require"
 
 	pb "godwitward.example/godwitward/api/godwitward/v1"
+	"godwitward.example/godwitward/internal/streamlog"
 	"godwitward.example/godwitward/internal/transport"
 	"godwitward.example/godwitward/policy"
+	"godwitward.example/godwitward/wal"
 )
 
 // Guards against a version that is taken for the only one of a service although a stream has begun
@@ -76,3 +78,22 @@
 	_, ok := old.VersionsInUse(within(t), "s")
 	require.True(t, ok)
 }
+
+// Guards against a daemon that has not joined the core, and knows no other one, which takes itself
+// for a majority.
+func TestDaemonsThatHaveNotJoinedAreNoMajority(t *testing.T) {
+	h := startHubsWith(t, 1, func(_ int, o *HubOptions) {
+		l, stored, err := streamlog.Open(streamlog.Options{Dir: t.TempDir(), FS: wal.OS{}, Logger: o.Logger})
+		require.NoError(t, err)
+		t.Cleanup(l.Close)
+		o.StreamLog, o.Stored = l, stored
+	})
+	s, _ := startSubscriber(t, h.members)
+	require.Eventually(t, func() bool { return s.Age() < time.Second }, 5*time.Second, 5*time.Millisecond)
+	v := policy.RunVersions{Service: "s", Software: "v2"}
+	require.True(t, s.NoteVersions(within(t), v), "control: the only member")
+	h.stores[0].set(1, false)
+	require.False(t, s.NoteVersions(within(t), v))
+	_, ok := s.VersionsInUse(within(t), "s")
+	require.False(t, ok)
+}
