forward: log given up runs and the upstream at work when an answer is cut off

Answers cut around a stop could not be told apart in the log: an answer that the entry ended while its engine worked, and one that waited for a place after its run had been ended for silence, have the same line. New lines run.given_up and answer.cut_off name the run, how long it was silent, and the times since SIGTERM and the last change of the configuration. No decision changes.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -87,6 +87,12 @@
 	// could not fetch.
 	lostHandleEngines map[*target]bool
 	lastTarget        *target
+	// working is the upstream that works on the request as far as the entry knows, and heardAt
+	// when the request was sent there or something last came from it. givenUp is the upstream
+	// whose run the entry has ended last although it may still work, at givenUpAt. Both are nil
+	// for none.
+	working, givenUp   *target
+	heardAt, givenUpAt time.Time
 	// lastBornMs is the start of the process that got the last request: the one that it has
 	// stated, otherwise that of its record.
 	lastBornMs int64
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -199,6 +199,12 @@
 	if x.cancelled() {
 		return sendOutcomeUnknown
 	}
+	result := x.classifySendError(t, err)
+	x.endRun(t, isTimeout(err) || errors.Is(err, errLinkLost))
+	return result
+}
+
+func (x *exchange) classifySendError(t *target, err error) sendResult {
 	var sendErr *SendError
 	notSent := errors.As(err, &sendErr) && !sendErr.MaybeSent
 	if pathFailed(err) {
@@ -271,6 +277,7 @@
 // response is incomplete.
 func (x *exchange) abort(reason string) {
 	x.outcome, x.reason = "cut_off", reason
+	x.logCutOff()
 	if x.needsLength() {
 		x.resetCaller()
 	}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -106,6 +106,9 @@
 	defer watch.Stop()
 	_ = c.SetDeadline(time.Now().Add(firstByteTimeout))
 	x.attemptSent(opts)
+	if !opts.Prefill {
+		x.working, x.heardAt = t, time.Now()
+	}
 	if err := c.writeRequest(x.outboundRequest(opts)); err != nil {
 		return fail(x.lostBeforeResponse(t, c, err))
 	}
@@ -129,6 +132,7 @@
 	res := &upstreamResponse{target: t, conn: c, resp: resp, info: info, stop: stop, sentAt: sentAt, expectedWeights: opts.Weights, notRun: statesNotRun(resp.StatusCode, &info, x.info.ID)}
 	if res.notRun {
 		x.attemptNotRun(opts)
+		x.endRun(t, false)
 	} else if !opts.Prefill {
 		// The result of a prefill shows by itself whether it is complete.
 		x.checkEnd(res)
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -76,6 +76,9 @@
 	shortages        shortages
 	inFlight         atomic.Int64
 	draining         atomic.Bool
+	// drainAt is when Drain was called and configAt when the configuration was last replaced,
+	// in nanoseconds since the start of the server; 0 for never.
+	drainAt, configAt atomic.Int64
 	refusing         atomic.Bool
 	// ended is cancelled when the requests in flight are to end.
 	ended       context.Context
@@ -151,6 +154,7 @@
 	s.endRoutes(old, c)
 	s.applyTenants(c)
 	s.config.Store(c)
+	s.configAt.Store(int64(s.now()))
 	return true
 }
 
@@ -203,7 +207,10 @@
 }
 
 // Drain makes Ready return false. Requests are still served.
-func (s *Server) Drain() { s.draining.Store(true) }
+func (s *Server) Drain() {
+	s.draining.Store(true)
+	s.drainAt.Store(int64(s.now()))
+}
 
 // Refuse makes the server answer every new request with 503. Those in progress go
 // on.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -314,12 +314,13 @@
 		_ = res.conn.SetReadDeadline(time.Now().Add(x.eventTimeout(st)))
 		ev, err := rd.next()
 		if err == io.EOF {
-			return x.endRun(run, st, flusher)
+			return x.endStreamRun(run, st, flusher)
 		}
 		if err != nil {
 			return x.handleStreamError(t, res, err)
 		}
 		watch.reset()
+		x.heardAt = time.Now()
 		if !x.admitEvent(run, &ev, st) {
 			res.close(false)
 			return sendOutcomeUnknown
@@ -340,9 +341,9 @@
 	}
 }
 
-// endRun ends the stream with its last run. One that fits nothing before it and has sent
+// endStreamRun ends the stream with its last run. One that fits nothing before it and has sent
 // nothing tells nothing about the stream.
-func (x *exchange) endRun(run *streamRun, st *streamState, flusher *http.ResponseController) sendResult {
+func (x *exchange) endStreamRun(run *streamRun, st *streamState, flusher *http.ResponseController) sendResult {
 	if run.first && x.run != nil && (run.mayBeReplaced() || run.versions != *x.run) {
 		run.res.close(false)
 		x.reason = "other_versions"
@@ -457,8 +458,10 @@
 func (x *exchange) handleStreamError(t *target, res *upstreamResponse, err error) sendResult {
 	err = res.conn.pathError(t, err)
 	res.close(false)
+	if x.cancelled() {
+		return sendOutcomeUnknown
+	}
 	switch {
-	case x.cancelled():
 	case pathFailed(err):
 		x.reason = pathReason(err)
 	case x.callerBlocked && !isTimeout(err), x.callerWaited >= unreadTime && x.remaining() <= 0:
@@ -474,5 +477,6 @@
 	if errors.Is(err, errEventTooLong) {
 		x.reason = "event_too_long"
 	}
+	x.endRun(t, isTimeout(err) || errors.Is(err, errLinkLost))
 	return sendOutcomeUnknown
 }
