--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -91,8 +91,9 @@
 	// direct connections only.
 	heardAt, waitsSince atomic.Int64
 	// movable is set while the entry waits on the connection for a request that can be sent
-	// again elsewhere, and lost once the connection was closed for that.
-	movable, lost atomic.Bool
+	// again elsewhere. moveAsked then receives a value if the link is judged down.
+	movable   atomic.Bool
+	moveAsked chan struct{}
 	// retireTime is how long the connection is used after its target is reached directly,
 	// if it is relayed.
 	retireTime time.Duration
@@ -127,13 +128,24 @@
 	return &conn{
 		Conn: c, number: connCount.Add(1), rd: bufio.NewReaderSize(limit, readBufferBytes), limit: limit,
 		expires: now.Add(defaultIdleTimeout), processAt: now, retireTime: rand.N(maxRetireTime),
+		moveAsked: make(chan struct{}, 1),
 	}
 }
 
-// lose closes the connection because its link is down.
-func (c *conn) lose() {
-	c.lost.Store(true)
-	_ = c.Close()
+// askMove asks that the request is moved that waits on the connection.
+func (c *conn) askMove() {
+	select {
+	case c.moveAsked <- struct{}{}:
+	default:
+	}
+}
+
+// forgetMove forgets what was asked for an earlier request.
+func (c *conn) forgetMove() {
+	select {
+	case <-c.moveAsked:
+	default:
+	}
 }
 
 // Close closes the connection.
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -158,3 +158,39 @@
 	_, err = e.rd.Discard(n)
 	return err
 }
+
+// readEvent is the result of reading an event.
+type readEvent struct {
+	ev  event
+	err error
+}
+
+// eventSource reads the events of a response in the background, each once the one before has
+// been taken.
+type eventSource struct {
+	waiting[readEvent]
+	ended chan struct{}
+}
+
+// newEventSource reads the events of a response until one can't be read or close is called.
+func newEventSource(res *upstreamResponse) *eventSource {
+	s := &eventSource{waiting[readEvent]{results: make(chan readEvent)}, make(chan struct{})}
+	rd := &eventReader{rd: bufio.NewReaderSize(res.resp.Body, readBufferBytes)}
+	go func() {
+		for {
+			ev, err := rd.next()
+			select {
+			case s.results <- readEvent{ev, err}:
+			case <-s.ended:
+				return
+			}
+			if err != nil {
+				return
+			}
+		}
+	}()
+	return s
+}
+
+// close ends the reading. A read in progress ends with the connection.
+func (s *eventSource) close() { close(s.ended) }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -93,6 +93,8 @@
 	// for none.
 	working, givenUp   *target
 	heardAt, givenUpAt time.Time
+	// moving is the silent run that the current attempt is to replace; nil for none.
+	moving *silentRun
 	// lastBornMs is the start of the process that got the last request: the one that it has
 	// stated, otherwise that of its record.
 	lastBornMs int64
@@ -398,14 +400,16 @@
 // callerGone reports whether the caller has disconnected.
 func (x *exchange) callerGone() bool { return x.r.Context().Err() != nil }
 
-// cancelled reports whether the request is to end without an upstream's response. It
-// then sets the reason.
+// cancelled reports whether the request, or the attempt to move it, is to end without an
+// upstream's response. It then sets the reason.
 func (x *exchange) cancelled() bool {
 	switch {
 	case x.callerGone():
 		x.reason = "caller_left"
 	case x.s.ended.Err() != nil:
 		x.reason = "entry_stopping"
+	case x.wentOn():
+		x.reason = reasonWentOn
 	default:
 		return false
 	}
--- a/internal/forward/link_recovery.go
+++ b/internal/forward/link_recovery.go
@@ -202,8 +202,8 @@
 	return t.linkState.downAt, wasDown
 }
 
-// moveSilentRequests ends the direct connections whose requests wait for a link that is
-// down and can be sent again. The requests go on at once.
+// moveSilentRequests asks that the requests are moved that wait for a link that is down and can
+// be sent again.
 func (t *target) moveSilentRequests(now time.Duration) {
 	t.mu.Lock()
 	var silent []*conn
@@ -215,7 +215,7 @@
 	}
 	t.mu.Unlock()
 	for _, c := range silent {
-		c.lose()
+		c.askMove()
 	}
 }
 
--- /dev/null
+++ b/internal/forward/move.go
@@ -0,0 +1,444 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"godwitward.example/godwitward/policy"
+)
+
+// A silent run may only be slow. It is given up once another one has been granted, was sent and
+// has not been rejected: the place, the retry and the prefill may all be refused while the
+// upstream of the silent run still works.
+
+const (
+	// handOverTime is how long the silent run stays open after the next one was sent, unless that
+	// one brings something before. Upstreams reject a request at once, and no two may work on one
+	// stream for longer than 400 ms.
+	handOverTime = 250 * time.Millisecond
+	// moveRetryInterval is the time from one attempt to move a silent run to the next.
+	moveRetryInterval = 500 * time.Millisecond
+)
+
+var (
+	// errMoved means that a run has ended because the request goes on at another upstream, or
+	// has been answered by it.
+	errMoved = errors.New("the request was moved to another upstream")
+	// errWentOn means that a request was not sent because the silent run before it goes on.
+	errWentOn = errors.New("the silent run goes on")
+)
+
+// reasonWentOn is the reason of an attempt that was not sent because the silent run goes on.
+const reasonWentOn = "went_on"
+
+// moveResult is the result of an attempt to move a silent run.
+type moveResult uint8
+
+const (
+	// moveKept: the silent run is still that of the request.
+	moveKept moveResult = iota
+	// moveDone: the silent run has ended, and the request goes on elsewhere or is answered.
+	moveDone
+	// moveLost: the silent run has ended, and no other one goes on.
+	moveLost
+)
+
+// mover tries to move a silent run. cause is errLinkLost or a timeout.
+type mover func(run *silentRun, cause error) moveResult
+
+// giveUpSilent is the mover of requests that cost the caller nothing when they end.
+func giveUpSilent(*silentRun, error) moveResult { return moveLost }
+
+// silentRun is a run that brings nothing while another one is looked for.
+type silentRun struct {
+	t *target
+	c *conn
+	// brings blocks until the run brings something or fails, and reports true, or until stop is
+	// closed.
+	brings func(stop <-chan struct{}) bool
+	// attempts counts the attempts to move the run.
+	attempts int
+
+	// The fields below are those of one attempt. ctx ends once the run has brought something.
+	ctx    context.Context
+	cancel context.CancelFunc
+	// unwatch ends the watch, which closes unwatched; nil once that is done.
+	unwatch, unwatched chan struct{}
+	// closing closes the connection, and then closed; nil until the next run is sent.
+	closing *time.Timer
+	closed  chan struct{}
+	// open tells, once decided is set, whether the run is still open after the attempt.
+	decided, open bool
+}
+
+// watch begins an attempt to move the run and looks whether it goes on meanwhile.
+func (r *silentRun) watch(ctx context.Context) {
+	r.attempts++
+	r.ctx, r.cancel = context.WithCancel(ctx)
+	r.unwatch, r.unwatched, r.closed = make(chan struct{}), make(chan struct{}), make(chan struct{})
+	r.closing, r.decided = nil, false
+	go func(stop, ended chan struct{}, cancel context.CancelFunc) {
+		if r.brings(stop) {
+			cancel()
+		}
+		close(ended)
+	}(r.unwatch, r.unwatched, r.cancel)
+}
+
+// endWatch ends the watch and reports whether the run has gone on.
+func (r *silentRun) endWatch() bool {
+	if r.unwatch != nil {
+		close(r.unwatch)
+		<-r.unwatched
+		r.unwatch = nil
+	}
+	return r.ctx.Err() != nil
+}
+
+// handOver reports whether the next run may be sent: the silent one has brought nothing. Its
+// connection is then closed soon. Further calls have no effect.
+func (r *silentRun) handOver() bool {
+	if r.closing != nil {
+		return true
+	}
+	if r.endWatch() {
+		return false
+	}
+	r.closing = time.AfterFunc(handOverTime, func() {
+		_ = r.c.Close()
+		close(r.closed)
+	})
+	return true
+}
+
+// keep ends the attempt to move the run and reports whether it is still open.
+func (r *silentRun) keep() bool {
+	if !r.decided {
+		r.endWatch()
+		r.cancel()
+		r.decided, r.open = true, r.closing == nil || r.closing.Stop()
+	}
+	return r.open
+}
+
+// end ends the run.
+func (r *silentRun) end() {
+	if r.keep() {
+		_ = r.c.Close()
+	}
+}
+
+// movingContext returns the context of what is done for the next attempt. It ends also when the
+// silent run goes on.
+func (x *exchange) movingContext() context.Context {
+	if x.moving != nil && x.moving.closing == nil {
+		return x.moving.ctx
+	}
+	return x.ctx
+}
+
+// wentOn reports whether the silent run goes on from which the request was to be moved.
+func (x *exchange) wentOn() bool {
+	return x.moving != nil && x.moving.closing == nil && x.moving.ctx.Err() != nil
+}
+
+// attemptState is what the exchange keeps of its latest attempt.
+type attemptState struct {
+	lastTarget, working *target
+	lastBornMs          int64
+	heardAt             time.Time
+	reason, placedBy    string
+	permitRetryAfter    time.Duration
+}
+
+func (x *exchange) attemptState() attemptState {
+	return attemptState{x.lastTarget, x.working, x.lastBornMs, x.heardAt, x.reason, x.placedBy, x.permitRetryAfter}
+}
+
+func (x *exchange) restoreAttempt(s attemptState) {
+	x.lastTarget, x.working, x.lastBornMs, x.heardAt = s.lastTarget, s.working, s.lastBornMs, s.heardAt
+	x.reason, x.placedBy, x.permitRetryAfter = s.reason, s.placedBy, s.permitRetryAfter
+}
+
+// beginMove begins an attempt to move a silent run. The first one records the silence.
+func (x *exchange) beginMove(from *silentRun, cause error) {
+	if from.attempts == 0 && isTimeout(cause) {
+		from.t.recordFailure(x.s.now(), policy.FaultTimeout)
+	}
+	from.watch(x.ctx)
+	x.moving = from
+}
+
+// endMove ends an attempt to move a silent run. reason is why the run was to be moved, and saved
+// its state.
+func (x *exchange) endMove(from *silentRun, outer *silentRun, result moveResult, saved attemptState, reason string) {
+	x.moving = outer
+	if result == moveKept {
+		from.keep()
+		if from.attempts == 1 {
+			x.logKept(from.t, reason, x.reason)
+		}
+		x.restoreAttempt(saved)
+		return
+	}
+	from.end()
+	next := x.attemptState()
+	x.working, x.heardAt, x.reason = saved.working, saved.heardAt, reason
+	x.endRun(from.t, true)
+	if result == moveDone {
+		x.working, x.heardAt = next.working, next.heardAt
+	}
+}
+
+// silenceReason returns the reason of a run that is moved, by the cause.
+func silenceReason(cause error, silent string) string {
+	if errors.Is(cause, errLinkLost) {
+		return reasonLinkLost
+	}
+	return silent
+}
+
+// startedRun is a run of a stream that was sent and not rejected, with its reservation.
+type startedRun struct {
+	p      *placement
+	res    *upstreamResponse
+	events *eventSource
+	// prefilled is set if the run has got a prefill result.
+	prefilled bool
+}
+
+// moveStream tries to move a stream from a silent run to another upstream. If that is done,
+// st.moved is the new run.
+func (x *exchange) moveStream(from *silentRun, st *streamState, cause error, reason string) moveResult {
+	if st.lastRun || st.unnumbered || st.rejections > maxRejections || x.timeIsUp() != "" || x.quarantined(st) {
+		return moveKept
+	}
+	saved, outer, prompt, tried := x.attemptState(), x.moving, st.prompt, x.tried[from.t]
+	x.beginMove(from, cause)
+	st.prompt, x.tried[from.t] = nil, true
+	st.countRun(x.route)
+	result := x.startElsewhere(from, st)
+	if result != moveDone {
+		x.endPrompt(st, false)
+	}
+	st.runs--
+	if result == moveKept {
+		st.prompt, x.tried[from.t] = prompt, tried
+		st.setLastRun(x.route)
+	}
+	x.endMove(from, outer, result, saved, reason)
+	return result
+}
+
+// startElsewhere starts a run in place of a silent one.
+func (x *exchange) startElsewhere(from *silentRun, st *streamState) moveResult {
+	st.attempts++
+	p, _ := x.placeRequest(st.attempts, st)
+	switch {
+	case p == nil:
+		x.reason = "no_upstream"
+		return moveKept
+	case x.wentOn(), p.decode == from.t && !from.t.linkDown():
+		x.reason = "no_upstream"
+		if x.wentOn() {
+			x.reason = reasonWentOn
+		}
+		p.release(OutcomeNotStarted, st)
+		return moveKept
+	}
+	run, result := x.startRun(p, st)
+	if result == 0 {
+		if result = x.awaitFirstEvent(run, from, st); result == 0 {
+			st.moved = run
+			return moveDone
+		}
+	}
+	switch {
+	case result == sendMoved:
+		st.runs++
+		return moveDone
+	case result == sendNotPaid:
+		x.reason = "repeat_budget"
+	case x.reason != reasonWentOn:
+		x.noteFailedAttempt(p, st, result)
+	}
+	if from.keep() {
+		return moveKept
+	}
+	return moveLost
+}
+
+// awaitFirstEvent waits until a run brings something or the silent run before it is closed. It
+// returns 0 unless the run fails before that.
+func (x *exchange) awaitFirstEvent(run *startedRun, from *silentRun, st *streamState) sendResult {
+	if !run.events.await(from.closed) {
+		return 0
+	}
+	first, t := run.events.arrived, run.p.decode
+	var result sendResult
+	switch {
+	case first.err != nil && first.err != io.EOF:
+		result = x.handleStreamError(t, run.res, first.err)
+	case first.err == nil && !follows(first.ev.id, st.lastEventID):
+		t.recordFailure(x.s.now(), policy.FaultError)
+		run.res.close(false)
+		x.reason = "event_out_of_order"
+		x.endRun(t, false)
+		result = sendOutcomeUnknown
+	default:
+		return 0
+	}
+	run.events.close()
+	x.countUnusedPrefill(run.prefilled)
+	x.endPlacement(run.p, st, nil, x.holdSilent(result))
+	return result
+}
+
+// moveCall tries to move a plain call from a silent upstream to another one. If that is done,
+// the caller has been answered.
+func (x *exchange) moveCall(from *silentRun, st *callState, cause error) moveResult {
+	if st.lastRun || st.rejections > maxRejections || x.timeIsUp() != "" {
+		return moveKept
+	}
+	saved, outer, tried := x.attemptState(), x.moving, x.tried[from.t]
+	x.beginMove(from, cause)
+	x.tried[from.t] = true
+	st.countRun(x.route)
+	result := x.callElsewhere(from, st)
+	st.runs--
+	if result == moveKept {
+		x.tried[from.t] = tried
+		st.setLastRun(x.route)
+	}
+	x.endMove(from, outer, result, saved, silenceReason(cause, reasonNoAnswer))
+	return result
+}
+
+// callElsewhere sends a plain call to another upstream than a silent one.
+func (x *exchange) callElsewhere(from *silentRun, st *callState) moveResult {
+	t := x.pickAdmitted()
+	if t == nil || t == from.t && !t.linkDown() {
+		x.reason = "no_upstream"
+		return moveKept
+	}
+	ch, ok := x.chargeRun(nil)
+	if !ok {
+		x.reason = "repeat_budget"
+		return moveKept
+	}
+	switch result := x.attemptCall(t, &ch, st); {
+	case result == sendDone:
+		return moveDone
+	case x.reason == reasonWentOn:
+	case result == sendOutcomeUnknown:
+		st.runs++
+	default:
+		st.rejections++
+	}
+	if from.keep() {
+		return moveKept
+	}
+	return moveLost
+}
+
+// headResult is the head of a response. begun is set if a byte of it has come.
+type headResult struct {
+	resp  *http.Response
+	info  ResponseInfo
+	err   error
+	begun bool
+}
+
+// awaitHead reads the head of a response. If it does not come within timeout, or the link of the
+// connection is judged down, move decides what becomes of the run; it is nil if the run is not
+// to be moved.
+func (x *exchange) awaitHead(c *conn, t *target, timeout time.Duration, move mover) headResult {
+	read := func() headResult {
+		if _, err := c.rd.Peek(1); err != nil {
+			return headResult{err: err}
+		}
+		resp, info, err := c.readResponse(x.s.opts.Protocol, x.r.Method, x.info.ID)
+		return headResult{resp, info, err, true}
+	}
+	if move == nil {
+		return read()
+	}
+	_ = c.SetDeadline(time.Now().Add(x.remaining() - deadlineMargin))
+	w := &waiting[headResult]{results: make(chan headResult, 1)}
+	go func() { w.results <- read() }()
+	r, err := w.nextOrMove(&silentRun{t: t, c: c, brings: w.await}, timeout, move)
+	if err != nil {
+		return headResult{err: err}
+	}
+	return r
+}
+
+// waiting is a result that comes from another goroutine.
+type waiting[T any] struct {
+	results chan T
+	// arrived is a result that await has taken; nil for none.
+	arrived *T
+}
+
+// nextOrMove returns the next result of a run. If none comes within timeout, or the link of the
+// run is judged down, move tries to move the run; if it is kept, move is called again later. The
+// error is errMoved if the run has been moved, and otherwise the cause for which it is lost.
+func (w *waiting[T]) nextOrMove(run *silentRun, timeout time.Duration, move mover) (result T, err error) {
+	if w.arrived != nil {
+		return w.take(), nil
+	}
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	moveAsked := run.c.moveAsked
+	for {
+		cause := error(os.ErrDeadlineExceeded)
+		select {
+		case result = <-w.results:
+			return result, nil
+		case <-moveAsked:
+			cause = errLinkLost
+		case <-timer.C:
+			if run.c.relayed == nil && run.t.linkDown() {
+				cause = errLinkLost
+			}
+		}
+		switch move(run, cause) {
+		case moveDone:
+			return result, errMoved
+		case moveLost:
+			return result, cause
+		}
+		if w.arrived != nil {
+			return w.take(), nil
+		}
+		// What asks meanwhile is answered by the timer.
+		moveAsked = nil
+		timer.Reset(moveRetryInterval)
+	}
+}
+
+// take returns the result that await has taken.
+func (w *waiting[T]) take() T {
+	result := *w.arrived
+	w.arrived = nil
+	return result
+}
+
+// await blocks until there is a result for next, and reports true, or until stop is closed.
+func (w *waiting[T]) await(stop <-chan struct{}) bool {
+	if w.arrived != nil {
+		return true
+	}
+	select {
+	case r := <-w.results:
+		w.arrived = &r
+		return true
+	case <-stop:
+		return false
+	}
+}
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -79,7 +79,7 @@
 	if x.service.Engine != nil && x.s.placer != nil {
 		askedAt := time.Now()
 		req := x.reserveRequest(attempt, work, st)
-		reservation, err := x.s.placer.Reserve(x.ctx, req)
+		reservation, err := x.s.placer.Reserve(x.movingContext(), req)
 		took := time.Since(askedAt)
 		x.queueTime += took
 		x.s.vars.placementWait.Record(took)
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -32,11 +32,29 @@
 	queueTimeoutFactor = 1.5
 )
 
+// callState is the progress of a plain call over all its attempts.
+type callState struct {
+	// work is the estimated work of the call.
+	work policy.Work
+	// runs counts the attempts that may have run, without the current one, and rejections those
+	// that have not.
+	runs, rejections int
+	// lastRun means that no retry follows if the current attempt may have run.
+	lastRun bool
+}
+
+// countRun counts the current attempt as one that may have run.
+func (st *callState) countRun(r *Route) {
+	st.runs++
+	st.setLastRun(r)
+}
+
+func (st *callState) setLastRun(r *Route) { st.lastRun = st.runs+1 >= r.MaxAttempts || !r.Repeatable() }
+
 // servePlain serves a request whose response is not a stream, with retries.
 func (x *exchange) servePlain() {
 	x.cost = x.s.callCosts.estimate(x.service.Name, x.route.Name, x.s.now())
-	work := policy.Work{Seconds: x.cost.Mean}
-	runs, rejections := 0, 0
+	st := &callState{work: policy.Work{Seconds: x.cost.Mean}}
 	// The caller has nothing of the response before all of it has arrived.
 	notBegun := &streamState{}
 	for {
@@ -66,24 +84,15 @@
 			x.giveUp("repeat_budget")
 			return
 		}
-		if runs+rejections == 0 {
+		if st.runs+st.rejections == 0 {
 			x.countTenantCall(t)
 		}
-		lastRun := runs+1 >= x.route.MaxAttempts || !x.route.Repeatable()
-		t.beginRequest(work)
-		sentAt := time.Now()
-		result := x.tryPlain(t, &ch, lastRun)
-		t.endRequest(work)
-		x.tried[t] = true
-		x.watchShortage(t)
-		switch result {
+		st.setLastRun(x.route)
+		switch x.attemptCall(t, &ch, st) {
 		case sendDone:
-			t.mu.Lock()
-			t.load.RecordLatency(float64(time.Since(sentAt)) / float64(nominalCallTime))
-			t.mu.Unlock()
 			return
 		case sendNotSent, sendRejected:
-			if rejections++; rejections > maxRejections {
+			if st.rejections++; st.rejections > maxRejections {
 				x.giveUp("rejected")
 				return
 			}
@@ -95,7 +104,7 @@
 			if x.connectionBroke() {
 				x.reportCrash(t)
 			}
-			if runs++; runs >= x.route.MaxAttempts || !x.route.Repeatable() || x.suspect(notBegun) {
+			if st.runs++; st.runs >= x.route.MaxAttempts || !x.route.Repeatable() || x.suspect(notBegun) {
 				x.giveUp("lost")
 				return
 			}
@@ -111,6 +120,22 @@
 	}
 }
 
+// attemptCall sends a plain call to one upstream, paid for by ch.
+func (x *exchange) attemptCall(t *target, ch *charge, st *callState) sendResult {
+	t.beginRequest(st.work)
+	sentAt := time.Now()
+	result := x.tryPlain(t, ch, st)
+	t.endRequest(st.work)
+	x.tried[t] = true
+	x.watchShortage(t)
+	if result == sendDone && x.lastTarget == t {
+		t.mu.Lock()
+		t.load.RecordLatency(float64(time.Since(sentAt)) / float64(nominalCallTime))
+		t.mu.Unlock()
+	}
+	return result
+}
+
 // nominalCallTime is the call duration that counts as a relative latency of 1.
 const nominalCallTime = 20 * time.Millisecond
 
@@ -128,19 +153,25 @@
 	sendOutcomeUnknown
 	// sendNotPaid: nothing was sent, because the retry budget is spent.
 	sendNotPaid
+	// sendMoved: the upstream was silent, and the stream goes on at another one.
+	sendMoved
 )
 
-// tryPlain sends the request to one upstream, paid for by ch. lastRun means that no retry follows if
-// this attempt may have run, so that an error response of the upstream is passed on.
-func (x *exchange) tryPlain(t *target, ch *charge, lastRun bool) sendResult {
-	timeout := x.remaining() - deadlineMargin
-	if !lastRun {
+// tryPlain sends the request to one upstream, paid for by ch. Unless a retry follows if this
+// attempt may have run, an error response of the upstream is passed on.
+func (x *exchange) tryPlain(t *target, ch *charge, st *callState) sendResult {
+	timeout, move := x.remaining()-deadlineMargin, mover(nil)
+	if !st.lastRun {
 		// A call that waits for a slot is not sent again sooner than it would be answered.
 		queueTimeout := time.Duration(queueTimeoutFactor * float64(x.expectedEnd))
 		timeout = min(timeout, max(minResponseTimeout, queueTimeout, time.Duration(responseTimeoutFactor*float64(x.route.LatencyTarget))))
+		move = func(run *silentRun, cause error) moveResult { return x.moveCall(run, st, cause) }
 	}
-	res, err := x.send(t, &SendOptions{Priority: -1, Movable: !lastRun}, ch, timeout)
-	if err != nil {
+	res, err := x.send(t, &SendOptions{Priority: -1}, ch, timeout, move)
+	switch {
+	case errors.Is(err, errMoved):
+		return sendDone
+	case err != nil:
 		return x.handleSendError(t, err)
 	}
 	if result := x.checkStatement(t, res); result != 0 {
@@ -172,7 +203,7 @@
 	}
 	if res.resp.StatusCode >= http.StatusInternalServerError {
 		t.recordFailure(x.s.now(), policy.FaultError)
-		if !lastRun && x.s.retryBudget(x.service.Name).remaining(x.s.now()) >= 1 {
+		if !st.lastRun && x.s.retryBudget(x.service.Name).remaining(x.s.now()) >= 1 {
 			res.close(whole)
 			x.reason = "upstream_error"
 			return sendOutcomeUnknown
@@ -194,16 +225,30 @@
 	return res.info.ContentEncoded || res.resp.StatusCode < 300 && !res.info.FromUpstream
 }
 
+// reasonNoAnswer is the reason of an attempt whose response has not begun in time.
+const reasonNoAnswer = "no_answer"
+
 // handleSendError records a failed send and classifies it.
 func (x *exchange) handleSendError(t *target, err error) sendResult {
 	if x.cancelled() {
-		return sendOutcomeUnknown
+		return x.cancelledResult(err)
 	}
 	result := x.classifySendError(t, err)
 	x.endRun(t, isTimeout(err) || errors.Is(err, errLinkLost))
 	return result
 }
 
+// cancelledResult classifies a send that failed because the request, or the attempt to move it,
+// has ended.
+func (x *exchange) cancelledResult(err error) sendResult {
+	var sendErr *SendError
+	if x.wentOn() && errors.As(err, &sendErr) && !sendErr.MaybeSent {
+		x.sends--
+		return sendNotSent
+	}
+	return sendOutcomeUnknown
+}
+
 func (x *exchange) classifySendError(t *target, err error) sendResult {
 	var sendErr *SendError
 	notSent := errors.As(err, &sendErr) && !sendErr.MaybeSent
@@ -230,7 +275,7 @@
 	x.reason = "connection_lost"
 	if isTimeout(err) {
 		fault = policy.FaultTimeout
-		x.reason = "no_answer"
+		x.reason = reasonNoAnswer
 	}
 	t.recordFailure(x.s.now(), fault)
 	x.s.links.silent(t, x.s.now())
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -52,7 +52,7 @@
 		t = x.pickPrefill(p.decode, x.lostHandleEngines, p.reservation == nil)
 	}
 	for len(tried) < maxPrefillAttempts {
-		if t == nil || tried[t] || x.callerGone() {
+		if t == nil || tried[t] || x.callerGone() || x.wentOn() {
 			return nil
 		}
 		// Each call is charged before it is made. Without a charge the decode engine
@@ -88,12 +88,11 @@
 	sends := x.sends
 	x.s.vars.prefills.Add(1)
 	opts := x.prefillOptions(lastEventID)
-	opts.Movable = true
-	res, err := x.send(t, opts, ch, min(x.remaining(), max(minPrefillTimeout, prefillTimeoutFactor*expected)))
+	res, err := x.send(t, opts, ch, min(x.remaining(), max(minPrefillTimeout, prefillTimeoutFactor*expected)), giveUpSilent)
 	x.sends = sends
 	if err != nil {
 		if x.handleSendError(t, err) == sendOutcomeUnknown {
-			x.wastePrefill(policy.PrefillFacts{EngineLost: true})
+			x.wastePrefill(policy.PrefillFacts{EngineLost: !x.wentOn()})
 		}
 		x.sends = sends
 		return nil
@@ -120,6 +119,9 @@
 	case err != nil:
 		ch.spend()
 		x.wastePrefill(policy.PrefillFacts{EngineLost: true})
+		if x.cancelled() {
+			return nil
+		}
 		if err = res.conn.pathError(t, err); pathFailed(err) {
 			x.reason = pathReason(err)
 			return nil
--- a/internal/forward/process.go
+++ b/internal/forward/process.go
@@ -60,7 +60,7 @@
 // askStart asks the process that accepted a connection for its start. A process that tells
 // none stays unknown. After an error the connection is of no use.
 func (x *exchange) askStart(t *target, c *conn, timeout time.Duration) error {
-	stop := context.AfterFunc(x.ctx, func() { _ = c.Close() })
+	stop := context.AfterFunc(x.movingContext(), func() { _ = c.Close() })
 	defer stop()
 	timeout = min(timeout, identifyTimeout, x.remaining())
 	watch := x.watchSilence(t, c, minStreamSilence)
@@ -97,7 +97,7 @@
 // timeout limits the wait for an answer of the process.
 func (x *exchange) connectFor(t *target, opts *SendOptions, ch charge, timeout time.Duration) (*conn, error) {
 	for {
-		c, err := t.connect(x.ctx, ch, x.info.ID)
+		c, err := t.connect(x.movingContext(), ch, x.info.ID)
 		if err != nil || !opts.Identify {
 			return c, err
 		}
@@ -132,11 +132,11 @@
 // another one that is opened later: only one process at a time listens at an address.
 func (x *exchange) connectBeside(t *target, told process, timeout time.Duration) (*conn, error) {
 	for range maxQuestions {
-		c, err := t.dial(x.ctx)
+		c, err := t.dial(x.movingContext())
 		if err != nil {
 			return nil, err
 		}
-		beside, err := t.dial(x.ctx)
+		beside, err := t.dial(x.movingContext())
 		if err != nil {
 			_ = c.Close()
 			return nil, err
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -51,9 +51,6 @@
 	// Weights is the version of the model's weights that the upstream must have; empty if
 	// any will do. An upstream with another one rejects the request.
 	Weights string
-	// Movable is set if the request may be sent to another upstream as well while it waits
-	// for a link that is down. It is not sent.
-	Movable bool
 	// Identify is set if the process that gets the request is to be known by its start. It is
 	// not sent.
 	Identify bool
--- a/internal/forward/run_log.go
+++ b/internal/forward/run_log.go
@@ -30,6 +30,13 @@
 	x.addPlanned(l).Msg("")
 }
 
+// logKept logs that a silent run was not moved. refused is why.
+func (x *exchange) logKept(t *target, reason, refused string) {
+	l := x.s.opts.Logger.Info().Str("event", "run.kept").Str("id", x.info.ID).Str("upstream", t.id).Str("reason", reason).
+		Str("refused", refused).Int64("silent_ms", millisSince(x.heardAt))
+	x.addPlanned(l).Msg("")
+}
+
 // addPlanned adds the time since the start of a stop and since the last change of the
 // configuration, -1 if there was none.
 func (x *exchange) addPlanned(l *log.Entry) *log.Entry {
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -43,10 +43,10 @@
 }
 
 // send sends the request to one upstream and reads the header of the response.
-// firstByteTimeout limits the time until the first byte of the response. It settles ch,
-// except for a prefill call that has been answered: only the answer tells whether that
-// one counts.
-func (x *exchange) send(t *target, opts *SendOptions, ch *charge, firstByteTimeout time.Duration) (*upstreamResponse, error) {
+// firstByteTimeout limits the time until the first byte of the response; if move is not nil, it
+// decides then what becomes of the run. send settles ch, except for a prefill call that has been
+// answered: only the answer tells whether that one counts.
+func (x *exchange) send(t *target, opts *SendOptions, ch *charge, firstByteTimeout time.Duration, move mover) (*upstreamResponse, error) {
 	x.sends++
 	x.lastTarget = t
 	opts.Instance = t.id
@@ -57,9 +57,14 @@
 			ch.giveBack()
 			return nil, &SendError{MaybeSent: maybeSent, Err: err}
 		}
+		if !opts.Prefill && x.moving != nil && !x.moving.handOver() {
+			t.putIdle(c)
+			ch.giveBack()
+			return nil, &SendError{MaybeSent: maybeSent, Err: errWentOn}
+		}
 		x.lastBornMs = cmp.Or(c.process.bornMs, t.bornMs)
 		reused := c.wasIdle
-		res, err := x.sendOnConn(c, t, opts, firstByteTimeout)
+		res, err := x.sendOnConn(c, t, opts, firstByteTimeout, move)
 		if err == nil {
 			if !opts.Prefill {
 				ch.spend()
@@ -89,10 +94,14 @@
 // response.
 var errConnLost = errors.New("connection lost before a response")
 
-func (x *exchange) sendOnConn(c *conn, t *target, opts *SendOptions, firstByteTimeout time.Duration) (*upstreamResponse, error) {
-	stop := context.AfterFunc(x.ctx, func() { _ = c.Close() })
+func (x *exchange) sendOnConn(c *conn, t *target, opts *SendOptions, firstByteTimeout time.Duration, move mover) (*upstreamResponse, error) {
+	stop := context.AfterFunc(x.movingContext(), func() { _ = c.Close() })
 	fail := func(err error) (*upstreamResponse, error) {
-		x.appendTrail(t, opts, c, "lost", nil, "")
+		outcome := "lost"
+		if errors.Is(err, errMoved) {
+			outcome = "moved"
+		}
+		x.appendTrail(t, opts, c, outcome, nil, "")
 		stop()
 		_ = c.Close()
 		return nil, err
@@ -101,7 +110,8 @@
 	sentAt := x.s.now()
 	t.countSend(sentAt)
 	c.waitsSince.Store(int64(sentAt))
-	c.movable.Store(opts.Movable)
+	c.forgetMove()
+	c.movable.Store(move != nil)
 	watch := x.watchSilence(t, c, x.silencePatience(opts))
 	defer watch.Stop()
 	_ = c.SetDeadline(time.Now().Add(firstByteTimeout))
@@ -112,17 +122,18 @@
 	if err := c.writeRequest(x.outboundRequest(opts)); err != nil {
 		return fail(x.lostBeforeResponse(t, c, err))
 	}
-	if _, err := c.rd.Peek(1); err != nil {
-		if isTimeout(err) || c.lost.Load() {
-			return fail(c.pathError(t, err))
-		}
-		return fail(x.lostBeforeResponse(t, c, err))
-	}
+	head := x.awaitHead(c, t, firstByteTimeout, move)
 	watch.Stop()
-	resp, info, err := c.readResponse(x.s.opts.Protocol, x.r.Method, x.info.ID)
-	if err != nil {
-		return fail(c.pathError(t, err))
+	switch {
+	case head.err == nil:
+	case errors.Is(head.err, errMoved), errors.Is(head.err, errLinkLost):
+		return fail(head.err)
+	case head.begun, isTimeout(head.err):
+		return fail(c.pathError(t, head.err))
+	default:
+		return fail(x.lostBeforeResponse(t, c, head.err))
 	}
+	resp, info := head.resp, head.info
 	t.recordLoad(info.Load, x.s.now())
 	if info.RequestID == x.info.ID && resp.StatusCode < 300 {
 		t.observeWeights(x.info.Model, info.Weights, x.s.now())
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -79,7 +79,7 @@
 	// drainAt is when Drain was called and configAt when the configuration was last replaced,
 	// in nanoseconds since the start of the server; 0 for never.
 	drainAt, configAt atomic.Int64
-	refusing         atomic.Bool
+	refusing          atomic.Bool
 	// ended is cancelled when the requests in flight are to end.
 	ended       context.Context
 	endRequests context.CancelFunc
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -27,16 +27,14 @@
 	longestSilence      = time.Second
 )
 
-// errLinkLost means that a connection was closed because its link is down, so that its
-// request can go on over another path. The upstream may have got the request.
+// errLinkLost means that a run has ended with its link, or was ended because its link is down.
+// The upstream may have got the request.
 var errLinkLost = errors.New("the link to the upstream is down")
 
 // pathError returns the error of a connection whose path failed, not its upstream, and any
 // other error as it is.
 func (c *conn) pathError(t *target, err error) error {
 	switch {
-	case c.lost.Load():
-		return errLinkLost
 	case c.relayed != nil && c.relayed.State() == relay.StateLost:
 		return relay.ErrLost
 	case c.relayed == nil && connFailed(err) && t.linkDown():
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bufio"
 	"io"
 	"net/http"
 	"time"
@@ -34,6 +33,9 @@
 // not read.
 const reasonCallerSlow = "caller_slow"
 
+// reasonStreamSilent is the reason of a stream whose next event has not come in time.
+const reasonStreamSilent = "stream_silent"
+
 // streamState is the progress of a stream over all its attempts.
 type streamState struct {
 	// lastEventID is the id of the last event that was relayed to the caller.
@@ -51,27 +53,42 @@
 	lastEventAt  time.Time
 	// prompt is the prefill result for the next attempt; nil if there is none.
 	prompt *prefilledPrompt
+	// attempts counts the placements. runs counts the attempts that may have run, without the
+	// current one, and rejections those that have not.
+	attempts, runs, rejections int
 	// lastRun means that no retry follows if the current attempt may have run.
 	lastRun bool
+	// moved is the run at which the stream goes on after sendMoved.
+	moved *startedRun
+}
+
+// countRun counts the current attempt as one that may have run.
+func (st *streamState) countRun(r *Route) {
+	st.runs++
+	st.setLastRun(r)
+}
+
+func (st *streamState) setLastRun(r *Route) {
+	st.lastRun = st.runs+1 >= r.MaxAttempts || !r.Repeatable()
 }
 
 // serveStream relays a stream of events. If an upstream fails, the stream is
 // resumed at another one if the route allows it.
 func (x *exchange) serveStream() {
 	st := &streamState{lastEventID: x.info.LastEventID}
-	runs, rejections := 0, 0
-	defer func() { x.endPrompt(st, rejections > 0) }()
+	defer func() { x.endPrompt(st, st.rejections > 0) }()
 	if x.service.Engine != nil {
 		x.s.addRequestSize(x.service.Name, x.info.PromptTokens, x.info.ExpectedOutputTokens)
 	}
-	for attempt := 1; ; attempt++ {
+	for {
 		if x.quarantined(st) {
 			x.refuseQuarantined(st)
 			return
 		}
-		st.lastRun = runs+1 >= x.route.MaxAttempts || !x.route.Repeatable()
+		st.setLastRun(x.route)
 		x.resolveRun()
-		p, refusal := x.placeRequest(attempt, st)
+		st.attempts++
+		p, refusal := x.placeRequest(st.attempts, st)
 		if x.callerGone() {
 			if p != nil {
 				p.release(OutcomeCancelled, st)
@@ -88,8 +105,14 @@
 			return
 		}
 		result := x.runPlacement(p, st)
+		for result == sendMoved {
+			run := st.moved
+			st.moved = nil
+			st.countRun(x.route)
+			p, result = run.p, x.relayRun(run, st)
+		}
 		if result == sendNotPaid {
-			if attempt == 1 && x.prefillRejected {
+			if st.attempts == 1 && x.prefillRejected {
 				// The rejected call was charged to the free run. The scheduler may have
 				// a retry left.
 				continue
@@ -97,35 +120,20 @@
 			x.endStream(st, "repeat_budget")
 			return
 		}
-		if result != sendRejected || st.prompt != nil || x.reason == reasonOtherWeights {
-			x.tried[p.decode] = true
-		}
-		switch result {
-		case sendDone:
+		if result == sendDone {
 			return
-		case sendNotSent, sendRejected:
-			x.keepUnexpired(st)
-			if rejections++; rejections > maxRejections {
-				x.endStream(st, "rejected")
-				return
-			}
-		case sendOutcomeUnknown:
-			x.dropPrompt(st, policy.PrefillFacts{EngineLost: true})
-			if x.callerGone() {
-				x.abortCancelled()
-				return
-			}
-			if x.brokeBeforeFirstEvent(st) {
-				x.reportCrash(p.decode)
-			}
-			if runs++; runs >= x.route.MaxAttempts || !x.route.Repeatable() || x.suspect(st) || st.unnumbered {
-				x.endStream(st, "lost")
-				return
-			}
 		}
-		if x.callerGone() {
+		x.noteFailedAttempt(p, st, result)
+		switch {
+		case result != sendOutcomeUnknown && st.rejections > maxRejections:
+			x.endStream(st, "rejected")
+			return
+		case x.callerGone():
 			x.abortCancelled()
 			return
+		case result == sendOutcomeUnknown && (st.runs >= x.route.MaxAttempts || !x.route.Repeatable() || x.suspect(st) || st.unnumbered):
+			x.endStream(st, "lost")
+			return
 		}
 		if reason := x.timeIsUp(); reason != "" {
 			x.endStream(st, reason)
@@ -134,18 +142,62 @@
 	}
 }
 
+// noteFailedAttempt records an attempt after which the stream may go on elsewhere.
+func (x *exchange) noteFailedAttempt(p *placement, st *streamState, result sendResult) {
+	if result != sendRejected || st.prompt != nil || x.reason == reasonOtherWeights {
+		x.tried[p.decode] = true
+	}
+	if result != sendOutcomeUnknown {
+		x.keepUnexpired(st)
+		st.rejections++
+		return
+	}
+	x.dropPrompt(st, policy.PrefillFacts{EngineLost: true})
+	if !x.callerGone() && x.brokeBeforeFirstEvent(st) {
+		x.reportCrash(p.decode)
+	}
+	st.runs++
+}
+
 // runPlacement runs prefill and decode on the engines of a placement, and releases
-// the reservation.
+// the reservation. After sendMoved, st.moved is the run at which the stream goes on.
 func (x *exchange) runPlacement(p *placement, st *streamState) sendResult {
+	run, result := x.startRun(p, st)
+	if result != 0 {
+		return result
+	}
+	return x.relayRun(run, st)
+}
+
+// startRun runs the prefill and sends the request to the decode engine of a placement. If the
+// response does not begin, the reservation is released and the result is not 0.
+func (x *exchange) startRun(p *placement, st *streamState) (*startedRun, sendResult) {
 	p.decode.beginRequest(p.work)
-	defer p.decode.endRequest(p.work)
+	ch, result := x.prepareRun(p, st)
+	if result != 0 {
+		p.decode.endRequest(p.work)
+		return nil, result
+	}
+	prompt := st.prompt
+	run, result := x.openStream(p, st, &ch)
+	if result != 0 {
+		x.endPlacement(p, st, prompt, result)
+		return nil, result
+	}
+	return run, 0
+}
+
+// prepareRun does what comes before the request is sent to the decode engine of a placement, and
+// returns the charge for it. If it is not to be sent, the reservation is released and the result
+// is not 0.
+func (x *exchange) prepareRun(p *placement, st *streamState) (charge, sendResult) {
 	if !x.canPayRun(p) {
 		p.release(OutcomeNotStarted, st)
-		return sendNotPaid
+		return charge{}, sendNotPaid
 	}
 	st.prompt = x.promptFor(p.decode, st.prompt)
 	if x.service.Engine != nil && !x.decodeAvailable(p.decode) {
-		return x.leaveDecode(p, st)
+		return charge{}, x.leaveDecode(p, st)
 	}
 	if st.prompt == nil {
 		p.reportProgress(StagePrefilling, 0, nil)
@@ -157,19 +209,47 @@
 		// Other engines may have crashed meanwhile.
 		if x.quarantined(st) {
 			p.release(OutcomeNotStarted, st)
-			return sendNotSent
+			return charge{}, sendNotSent
 		}
 		if st.prompt != nil && !x.decodeAvailable(p.decode) {
-			return x.leaveDecode(p, st)
+			return charge{}, x.leaveDecode(p, st)
 		}
 	}
 	ch, ok := x.chargeRun(p)
 	if !ok {
 		p.release(OutcomeNotStarted, st)
-		return sendNotPaid
+		return charge{}, sendNotPaid
+	}
+	return ch, 0
+}
+
+// relayRun relays a run, and releases its reservation.
+func (x *exchange) relayRun(run *startedRun, st *streamState) sendResult {
+	events := st.events
+	result := x.relayEvents(run, st)
+	if st.events == events && x.outcome != "answered" {
+		x.countUnusedPrefill(run.prefilled)
+	}
+	x.endPlacement(run.p, st, nil, result)
+	return result
+}
+
+// countUnusedPrefill counts the prefill of a run without an event.
+func (x *exchange) countUnusedPrefill(prefilled bool) {
+	if prefilled {
+		x.wastePrefill(policy.PrefillFacts{EngineLost: true})
+	}
+}
+
+// endPlacement releases the reservation of an attempt whose request was to be sent, with prompt
+// as the prefill result; nil for none.
+func (x *exchange) endPlacement(p *placement, st *streamState, prompt *prefilledPrompt, result sendResult) {
+	defer p.decode.endRequest(p.work)
+	if result == sendOutcomeUnknown && x.moving != nil && x.connectionBroke() {
+		// The silent run may go on at any time.
+		go x.s.releaseBroken(p, x.reason)
+		return
 	}
-	prompt := st.prompt
-	result := x.tryStream(p, st, &ch)
 	if result == sendOutcomeUnknown {
 		x.verifyBroken(p.decode)
 	}
@@ -186,7 +266,7 @@
 		}
 	case result == sendRejected:
 		outcome = OutcomeRejected
-	case (pathReasons[x.reason] || x.reason == reasonOtherProcess) && result == sendNotSent:
+	case (pathReasons[x.reason] || x.reason == reasonOtherProcess || x.reason == reasonWentOn) && result == sendNotSent:
 		outcome = OutcomeNotStarted
 	case pathReasons[x.reason], x.reason == reasonCallerSlow:
 		// The scheduler must not hold it against the engine.
@@ -195,7 +275,19 @@
 		outcome = OutcomeUnreachable
 	}
 	p.release(outcome, st)
-	return result
+}
+
+// releaseBroken releases the reservation of a run without an event whose connection broke, once
+// it is known whether the engine may be at fault.
+func (s *Server) releaseBroken(p *placement, reason string) {
+	outcome := OutcomeCancelled
+	if s.links.verify(p.decode) {
+		outcome = OutcomeDecodeFailed
+		if reason == reasonStreamBroke {
+			p.decode.outcomes.add(p.decode, true)
+		}
+	}
+	p.release(outcome, &streamState{})
 }
 
 // detectLostHandle reports whether a decode engine rejected a request because it
@@ -230,35 +322,59 @@
 	x.abort(reason + "_after_" + x.reason)
 }
 
-// tryStream sends the request to one upstream, paid for by ch, and relays its events.
-func (x *exchange) tryStream(p *placement, st *streamState, ch *charge) sendResult {
+// openStream sends the request to the decode engine of a placement, paid for by ch, and returns
+// its run if the response is one. Otherwise the result is not 0.
+func (x *exchange) openStream(p *placement, st *streamState, ch *charge) (*startedRun, sendResult) {
 	t := p.decode
-	timeout := x.remaining() - deadlineMargin
+	timeout, move := x.remaining()-deadlineMargin, mover(nil)
 	if !st.lastRun {
 		timeout = min(timeout, time.Duration(firstEventTimeoutFactor*float64(x.route.LatencyTarget)))
+		move = func(run *silentRun, cause error) moveResult {
+			return x.moveStream(run, st, cause, silenceReason(cause, reasonNoAnswer))
+		}
 	}
-	opts := &SendOptions{Priority: -1, LastEventID: st.lastEventID, Movable: !st.lastRun, Identify: true}
+	opts := &SendOptions{Priority: -1, LastEventID: st.lastEventID, Identify: true}
 	if st.prompt != nil {
 		opts.Source, opts.Weights = st.prompt.source, st.prompt.handle.Weights
 	}
 	if x.run != nil {
 		opts.Weights = x.run.Weights
 	}
-	res, err := x.send(t, opts, ch, timeout)
-	if err != nil {
-		return x.handleSendError(t, err)
+	res, err := x.send(t, opts, ch, timeout, move)
+	switch {
+	case errors.Is(err, errMoved):
+		x.dropPrompt(st, policy.PrefillFacts{EngineLost: true})
+		return nil, sendMoved
+	case err != nil:
+		return nil, x.holdSilent(x.handleSendError(t, err))
 	}
 	if result := x.checkStatement(t, res); result != 0 {
 		p.rejectionLoad = res.info.Load
-		return result
+		return nil, x.holdSilent(result)
 	}
-	prefilled, events := st.prompt != nil, st.events
+	prefilled := st.prompt != nil
 	st.prompt = nil
-	defer func() {
-		if prefilled && st.events == events && x.outcome != "answered" {
-			x.wastePrefill(policy.PrefillFacts{EngineLost: true})
+	if result := x.checkHead(t, res, st); result != 0 {
+		if result != sendDone {
+			x.countUnusedPrefill(prefilled)
 		}
-	}()
+		return nil, x.holdSilent(result)
+	}
+	p.reportProgress(StageDecoding, 0, res.info.Load)
+	return &startedRun{p: p, res: res, events: newEventSource(res), prefilled: prefilled}, 0
+}
+
+// holdSilent keeps the connection of the silent run from being closed after the one that was to
+// replace it has failed with a result, which it returns.
+func (x *exchange) holdSilent(result sendResult) sendResult {
+	if x.moving != nil {
+		x.moving.keep()
+	}
+	return result
+}
+
+// checkHead handles a response that is no stream of the upstream. It returns 0 for any other.
+func (x *exchange) checkHead(t *target, res *upstreamResponse, st *streamState) sendResult {
 	if res.resp.StatusCode >= 300 {
 		return x.handleErrorResponse(t, res, st)
 	}
@@ -266,21 +382,22 @@
 		res.close(false)
 		t.recordFailure(x.s.now(), policy.FaultError)
 		x.reason = "answer_spoiled"
+		x.endRun(t, false)
 		return sendOutcomeUnknown
 	}
-	p.reportProgress(StageDecoding, 0, res.info.Load)
-	return x.relayEvents(t, res, st)
+	return 0
 }
 
 // handleErrorResponse handles a response with a status of 300 or above. It is
-// passed on if no retry follows and no event has been relayed.
+// passed on if no retry follows, no event has been relayed and no other run goes on.
 func (x *exchange) handleErrorResponse(t *target, res *upstreamResponse, st *streamState) sendResult {
 	_ = res.conn.SetDeadline(time.Now().Add(x.remaining()))
 	body, whole, err := x.bufferResponse(res.resp)
 	t.recordFailure(x.s.now(), policy.FaultError)
-	if err != nil || st.headWritten || !st.lastRun {
+	if err != nil || st.headWritten || !st.lastRun || x.moving != nil {
 		res.close(err == nil && whole)
 		x.reason = "upstream_error"
+		x.endRun(t, false)
 		return sendOutcomeUnknown
 	}
 	x.relay(res, body, whole)
@@ -301,28 +418,45 @@
 }
 
 // relayEvents relays events to the caller as they arrive, each only when complete.
-func (x *exchange) relayEvents(t *target, res *upstreamResponse, st *streamState) sendResult {
+func (x *exchange) relayEvents(started *startedRun, st *streamState) sendResult {
+	t, res, source := started.p.decode, started.res, started.events
+	defer source.close()
 	flusher := http.NewResponseController(x.w)
 	x.callerBlocked, x.callerWaited = false, 0
-	rd := &eventReader{rd: bufio.NewReaderSize(res.resp.Body, readBufferBytes)}
 	run := &streamRun{t: t, res: res, versions: x.versionsOf(res), first: true}
 	run.numbers = x.s.newAttemptEvents(t, run.versions, st.lastEventID)
 	defer run.numbers.end()
 	watch := x.watchSilence(t, res.conn, x.eventPatience())
 	defer watch.Stop()
+	silent := &silentRun{t: t, c: res.conn, brings: source.await}
+	move := func(run *silentRun, cause error) moveResult {
+		return x.moveStream(run, st, cause, silenceReason(cause, reasonStreamSilent))
+	}
+	_ = res.conn.SetReadDeadline(x.deadline.Add(x.responseGrace()))
 	for {
-		_ = res.conn.SetReadDeadline(time.Now().Add(x.eventTimeout(st)))
-		ev, err := rd.next()
-		if err == io.EOF {
-			return x.endStreamRun(run, st, flusher)
+		silent.attempts = 0
+		read, err := source.nextOrMove(silent, x.eventTimeout(st), move)
+		ev := read.ev
+		if errors.Is(err, errMoved) {
+			_ = res.stop()
+			return sendMoved
 		}
 		if err != nil {
-			return x.handleStreamError(t, res, err)
+			// The reason is that of the silence.
+			_ = res.stop()
+			return sendOutcomeUnknown
+		}
+		if read.err == io.EOF {
+			return x.endStreamRun(run, st, flusher)
+		}
+		if read.err != nil {
+			return x.handleStreamError(t, res, read.err)
 		}
 		watch.reset()
 		x.heardAt = time.Now()
 		if !x.admitEvent(run, &ev, st) {
 			res.close(false)
+			x.endRun(t, false)
 			return sendOutcomeUnknown
 		}
 		if run.first && !ev.belongsToRun() {
@@ -429,8 +563,7 @@
 	x.w.WriteHeader(x.status)
 }
 
-// eventTimeout returns how long to wait for the next event before the attempt
-// counts as failed.
+// eventTimeout returns how long to wait for the next event before the stream is moved.
 func (x *exchange) eventTimeout(st *streamState) time.Duration {
 	remaining := x.remaining() + x.responseGrace()
 	if st.lastRun {
@@ -468,7 +601,7 @@
 		// A timeout at the deadline tells nothing either if the caller has used up the time.
 		x.reason = reasonCallerSlow
 	case isTimeout(err):
-		x.reason = "stream_silent"
+		x.reason = reasonStreamSilent
 		t.recordFailure(x.s.now(), policy.FaultTimeout)
 	default:
 		x.reason = reasonStreamBroke
