--- a/internal/forward/move.go
+++ b/internal/forward/move.go
@@ -230,6 +230,9 @@
 	if result == moveKept {
 		st.prompt, x.tried[from.t] = prompt, tried
 		st.setLastRun(x.route)
+	} else {
+		// The silent run has not begun if it still has its prompt.
+		x.countUnusedPrefill(prompt != nil)
 	}
 	x.endMove(from, outer, result, saved, reason)
 	return result
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -343,7 +343,6 @@
 	res, err := x.send(t, opts, ch, timeout, move)
 	switch {
 	case errors.Is(err, errMoved):
-		x.dropPrompt(st, policy.PrefillFacts{EngineLost: true})
 		return nil, sendMoved
 	case err != nil:
 		return nil, x.holdSilent(x.handleSendError(t, err))
