forward: refuse what has not been sent when a stopping entry refuses requests (LOST)

What callers saw: a request whose body ended after its entry had begun to refuse new requests, or that waited there for a place, its tenant's decision or a permit, was passed on to an upstream late in the stop. Its answer was cut off at the end of the grace period.

Cause: Server.Refuse was asked once, before the body was read and before any of these waits.

Why it works: a request takes one of two states, sent or stopped, by compare-and-swap: the first when a connection to an upstream is ready for it, the second when the server refuses. The second ends the context on which all waits depend, and the read of the body. Nothing is sent of a stopped request, so that 503 "stopping" is true, and another entry can serve it at once. Requests that were sent, or prefilled, go on.

--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -168,8 +168,8 @@
 		x.s.tenants.stats.refused(x.tenant, refusalOverLimit, over)
 		x.w.Header().Set("Retry-After", formatSeconds(max(shortestOverLimitRetryAfter, over.RetryAfter)))
 		x.respondError(http.StatusTooManyRequests, "tenant_over_limit")
-	case x.s.ended.Err() != nil:
-		x.refuse("stopping", stoppingRetryAfter)
+	case x.stopped():
+		x.refuse(reasonStopping, stoppingRetryAfter)
 	default:
 		x.s.tenants.stats.refused(x.tenant, refusalUndecided, err)
 		x.refuse("tenant_undecided", x.retryAfter())
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"runtime/debug"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,8 +21,11 @@
 	s *Server
 	w http.ResponseWriter
 	r *http.Request
-	// ctx ends when the caller has disconnected or the server ends its requests.
+	// ctx ends when the caller has disconnected, the server ends its requests, or it refuses
+	// those that have not been sent, see stopUnsent. cancel ends it.
 	ctx        context.Context
+	cancel     context.CancelFunc
+	progress   atomic.Int32
 	receivedAt time.Time
 	route      *Route
 	config     *Config
@@ -138,7 +142,8 @@
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	defer context.AfterFunc(s.ended, cancel)()
-	x := &exchange{s: s, w: w, r: r, ctx: ctx, receivedAt: time.Now(), tried: map[*target]bool{}, account: budget.FromContext(r.Context())}
+	x := &exchange{s: s, w: w, r: r, ctx: ctx, cancel: cancel, receivedAt: time.Now(), tried: map[*target]bool{}, account: budget.FromContext(r.Context())}
+	defer context.AfterFunc(s.refused, x.stopUnsent)()
 	defer x.finish()
 	defer x.recoverPanic()
 	if !x.accept() {
@@ -194,8 +199,8 @@
 func (x *exchange) accept() bool {
 	info, parseErr := x.s.opts.Protocol.ParseRequest(x.r.Header)
 	x.info = info
-	if x.s.refusing.Load() {
-		x.refuse("stopping", stoppingRetryAfter)
+	if x.s.refused.Err() != nil {
+		x.refuse(reasonStopping, stoppingRetryAfter)
 		return false
 	}
 	x.config = x.s.waitForConfig(x.ctx, min(maxConfigWait, info.Timeout/configWaitDivisor))
@@ -242,10 +247,6 @@
 	x.deadline = x.receivedAt.Add(timeout)
 }
 
-// stoppingRetryAfter is the Retry-After of a process that is about to exit. Another
-// entry can serve the request at once.
-const stoppingRetryAfter = 20 * time.Millisecond
-
 // headerSize returns the smallest size in bytes of the request line and the headers that the
 // caller can have sent: lines may end with a line feed alone and need no space after the colon.
 // Counting these would refuse a header of many short lines that is inside the limit.
@@ -304,11 +305,14 @@
 	// would take a timeout for a caller that has disconnected.
 	rc := http.NewResponseController(x.w)
 	hasDeadline := rc.SetReadDeadline(x.deadline) == nil
-	stopEnd := context.AfterFunc(x.s.ended, func() { _ = rc.SetReadDeadline(time.Now()) })
+	stopRefusal := context.AfterFunc(x.s.refused, func() { _ = rc.SetReadDeadline(time.Now()) })
 	done := x.account.ReceivesBody()
 	body, err := x.s.bodies.read(x.account, x.r.Body, x.r.ContentLength, limit)
 	done()
-	stopEnd()
+	if !stopRefusal() {
+		// The read deadline may be set later, which would look like a caller that disconnects.
+		x.stopUnsent()
+	}
 	if x.account.Ended() {
 		x.s.bodies.release(x.account, int64(cap(body)))
 		body, err = nil, errBodyMemory
@@ -327,8 +331,8 @@
 		x.refuse("body_memory", bodyMemoryRetryAfter)
 	case errors.Is(err, errBodyTooLarge):
 		x.respondError(http.StatusRequestEntityTooLarge, "body_too_large")
-	case x.s.ended.Err() != nil:
-		x.refuse("stopping", stoppingRetryAfter)
+	case x.stopped():
+		x.refuse(reasonStopping, stoppingRetryAfter)
 	case isTimeout(err):
 		x.respondError(http.StatusRequestTimeout, "body_too_slow")
 	default:
@@ -345,6 +349,10 @@
 const defaultBodyBytes = 4 << 20
 
 func (x *exchange) serve() {
+	if x.stopped() {
+		x.refuse(reasonStopping, stoppingRetryAfter)
+		return
+	}
 	if x.route.Kind == Stream && !x.pinStream() {
 		return
 	}
@@ -406,6 +414,8 @@
 		x.reason = "caller_left"
 	case x.s.ended.Err() != nil:
 		x.reason = "entry_stopping"
+	case x.stopped():
+		x.reason = reasonStopping
 	default:
 		return false
 	}
@@ -415,7 +425,7 @@
 // timeIsUp returns why no further attempt is made; empty if one may be made.
 func (x *exchange) timeIsUp() string {
 	switch {
-	case x.s.ended.Err() != nil:
+	case x.s.ended.Err() != nil, x.stopped():
 		return "cancelled"
 	case x.remaining() < deadlineMargin:
 		return "deadline"
--- a/internal/forward/not_run.go
+++ b/internal/forward/not_run.go
@@ -52,6 +52,11 @@
 // Otherwise it says nothing about whether it ran: 504 at the deadline, 502 before it.
 func (x *exchange) refuse(reason string, retryAfter time.Duration) {
 	if !x.mayHaveRun() {
+		if x.stopped() {
+			// Another entry does not need the time that the request would have waited here.
+			x.w.Header().Set("Connection", "close")
+			reason, retryAfter = reasonStopping, stoppingRetryAfter
+		}
 		x.w.Header().Set("Retry-After", formatSeconds(retryAfter))
 		x.respondError(http.StatusServiceUnavailable, reason)
 		return
--- a/internal/forward/permits.go
+++ b/internal/forward/permits.go
@@ -229,6 +229,10 @@
 	case <-x.ctx.Done():
 	case <-time.After(wait):
 	}
+	if x.stopped() {
+		x.permitRetryAfter = stoppingRetryAfter
+		return nil
+	}
 	return t
 }
 
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -83,6 +83,12 @@
 		took := time.Since(askedAt)
 		x.queueTime += took
 		x.s.vars.placementWait.Record(took)
+		if x.stopped() {
+			if err == nil {
+				reservation.Release(Result{Outcome: OutcomeNotStarted})
+			}
+			return nil, &Refusal{Reason: reasonStopping}
+		}
 		var refusal *Refusal
 		if errors.As(err, &refusal) && !st.headWritten {
 			return nil, refusal
--- a/internal/forward/process.go
+++ b/internal/forward/process.go
@@ -92,10 +92,20 @@
 // process. A process that is about to end closes each one.
 const maxQuestions = 3
 
-// connectFor returns a connection for a request. If opts ask for it, the process that accepted
+// connectFor returns a connection for a request that may be sent, see beginSend.
+func (x *exchange) connectFor(t *target, opts *SendOptions, ch charge, timeout time.Duration) (*conn, error) {
+	c, err := x.connectKnown(t, opts, ch, timeout)
+	if err == nil && !x.beginSend() {
+		_ = c.Close()
+		return nil, errStopping
+	}
+	return c, err
+}
+
+// connectKnown returns a connection for a request. If opts ask for it, the process that accepted
 // the connection is known, as far as it tells, and a stream that goes on may go on there.
 // timeout limits the wait for an answer of the process.
-func (x *exchange) connectFor(t *target, opts *SendOptions, ch charge, timeout time.Duration) (*conn, error) {
+func (x *exchange) connectKnown(t *target, opts *SendOptions, ch charge, timeout time.Duration) (*conn, error) {
 	for {
 		c, err := t.connect(x.ctx, ch, x.info.ID)
 		if err != nil || !opts.Identify {
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -79,7 +79,10 @@
 	// drainAt is when Drain was called and configAt when the configuration was last replaced,
 	// in nanoseconds since the start of the server; 0 for never.
 	drainAt, configAt atomic.Int64
-	refusing         atomic.Bool
+	// refused is cancelled when new requests, and those that have not been sent to an upstream,
+	// are to be refused.
+	refused context.Context
+	refuse  context.CancelFunc
 	// ended is cancelled when the requests in flight are to end.
 	ended       context.Context
 	endRequests context.CancelFunc
@@ -122,6 +125,7 @@
 	}
 	s.upstreams = newUpstreams(opts.Place, s.links)
 	s.links.now, s.links.upstreams, s.links.ask = s.now, s.upstreams, s.askStatus
+	s.refused, s.refuse = context.WithCancel(context.Background())
 	s.ended, s.endRequests = context.WithCancel(context.Background())
 	s.vars = newVars(s)
 	s.links.opened = s.vars.opened
@@ -212,9 +216,9 @@
 	s.drainAt.Store(int64(s.now()))
 }
 
-// Refuse makes the server answer every new request with 503. Those in progress go
-// on.
-func (s *Server) Refuse() { s.refusing.Store(true) }
+// Refuse makes the server answer every new request with 503, and those that have not been sent
+// to an upstream. The others go on.
+func (s *Server) Refuse() { s.refuse() }
 
 // EndRequests ends the requests in flight: each one that has no response yet gets an error
 // response at once, and a response that has begun is cut off. What follows is refused.
