--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -49,12 +49,20 @@
 	// balancerNoticeTime is how long the load balancer takes to detect that an
 	// entry is not ready: two checks 1 s apart, plus their response times.
 	balancerNoticeTime = 2800 * time.Millisecond
-	// shutdownMargin is how long before the end of the grace period the requests in
-	// flight are ended, and finalResponseTime how long their responses may take.
-	shutdownMargin    = 700 * time.Millisecond
-	finalResponseTime = 250 * time.Millisecond
+	// maxShutdownMargin and, in a short grace period, shutdownMarginShare of it are how long
+	// before its end the requests in flight are ended. The share is less than the last sixth,
+	// before which no answer may be ended.
+	maxShutdownMargin   = 700 * time.Millisecond
+	shutdownMarginShare = 1.0 / 8
+	// maxFinalResponseTime, and half of the margin, limit how long their responses may take.
+	maxFinalResponseTime = 250 * time.Millisecond
 )
 
+// shutdownMargin is how long before the end of a grace period the requests in flight are ended.
+func shutdownMargin(gracePeriod time.Duration) time.Duration {
+	return min(maxShutdownMargin, time.Duration(shutdownMarginShare*float64(gracePeriod)))
+}
+
 // OpenSettings opens the settings file and checks the settings that an entry
 // requires.
 func OpenSettings(l *finding.List, path string, logger *log.Logger) *platform.File {
@@ -250,13 +258,14 @@
 	stop()
 	// A request that came from now on might not end in time.
 	server.Refuse()
-	end := began.Add(gracePeriod - shutdownMargin)
+	margin := shutdownMargin(gracePeriod)
+	end := began.Add(gracePeriod - margin)
 	timer := time.AfterFunc(time.Until(end), func() {
 		logger.Warn().Str("event", "process.ends_requests").Int64("in_flight", server.InFlight()).Msg("")
 		server.EndRequests()
 	})
 	defer timer.Stop()
-	ctx, cancel := context.WithDeadline(context.Background(), end.Add(finalResponseTime))
+	ctx, cancel := context.WithDeadline(context.Background(), end.Add(min(maxFinalResponseTime, margin/2)))
 	defer cancel()
 	err := drainer.Shutdown(ctx, callers)
 	_ = ready.Close()
--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -139,7 +139,7 @@
 	require.NoError(t, err)
 	require.Equal(t, http.StatusServiceUnavailable, status(lateHeader), "it has arrived since")
 	require.NoError(t, <-stopped)
-	require.Less(t, time.Since(began), gracePeriod-shutdownMargin/2)
+	require.Less(t, time.Since(began), gracePeriod-shutdownMargin(gracePeriod)/2)
 	// The process exits.
 	_ = e.callers.Close()
 	require.Equal(t, http.StatusServiceUnavailable, status(arriving), "it has not been sent")
--- a/internal/edge/stop_unsent_test.go
+++ b/internal/edge/stop_unsent_test.go
@@ -20,7 +20,7 @@
 	"godwitward.example/godwitward/platform/standin"
 )
 
-// unsentGracePeriod lets an entry refuse requests after 1.5 s and end them after 2.3 s.
+// unsentGracePeriod lets an entry refuse requests after 1.5 s and end them after 2.6 s.
 const unsentGracePeriod = 3 * time.Second
 
 // stop stops the entry and returns the start of the stop, and the channel on which its end
@@ -97,7 +97,7 @@
 		requireStopping(t, c.rd, c.name)
 	}
 	require.NoError(t, <-stopped)
-	require.Less(t, time.Since(began), unsentGracePeriod-shutdownMargin, "nothing is left to wait for")
+	require.Less(t, time.Since(began), unsentGracePeriod-shutdownMargin(unsentGracePeriod), "nothing is left to wait for")
 	require.Empty(t, e.started)
 	require.Equal(t, "0", e.server.Vars().Get("body_bytes").String())
 }
