forward, policy: a link is judged down by several checks, not by one late answer

A link counted as down after one direct status check that was silent beside a relayed one that was answered, or one connection attempt that failed beside a relayed one. An upstream that answers late now and then, or one at a time, or that resets connections beyond its limit, and a lost SYN all look like that. The verdict forgets the target's health, closes idle connections and moves all silent requests at once.

policy.LinkChecks now decides: three failed direct attempts in a row, or six of which some wait for an answer, the first for 0.5 s (four, 0.3 s, for a connection), each beside a relayed one that reached the upstream. Direct attempts stay open, so that a late answer counts; the two paths take turns in being first; bytes on another direct connection show that a silent link carries them. Checks that were reset are "broken", no longer "silent". The status check's deadline covers the whole comparison. The wait before it is 100 ms instead of 250.

Failed before: TestLinksOfUpstreamsThatAnswerStatusChecksLateStayUp ("one at a time", "each in time of its own": 1 and 2 links judged down within 2.5 s), TestOneFailedConnectionLeavesTheLinkUp (both cases, one of which is a lost first packet).

--- a/internal/forward/link_recovery.go
+++ b/internal/forward/link_recovery.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"slices"
 	"strings"
 	"time"
@@ -64,13 +65,21 @@
 			t.moveSilentRequests(l.now())
 		}
 		pause = recoveryInterval
-		if t := down[next%len(down)]; l.attempt(t, l.openDirect, t.linkFailure() == policy.PathSilent) == policy.PathReached {
+		if t := down[next%len(down)]; l.reached(t) {
 			l.setUp(t)
 			pause = recoverySpacing
 		}
 	}
 }
 
+// reached reports whether a target is reached directly, in the way that failed before.
+func (l *links) reached(t *target) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	a := linkAttempt{links: l, target: t, open: l.openDirect, ask: t.linkFailure() != policy.PathFailed, keep: true}
+	return a.run(ctx) == policy.PathReached
+}
+
 // endRecovery lets a later call of startRecovery start a new goroutine. It reports false if a
 // link went down meanwhile, for which none was started.
 func (l *links) endRecovery() bool {
@@ -173,6 +182,24 @@
 	return t.linkState.judged, first
 }
 
+// beginRaceChecks reports whether the link is to be checked after a race between its paths. If so,
+// endRaceChecks is to be called.
+func (t *target) beginRaceChecks() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.linkState.raceChecked {
+		return false
+	}
+	t.linkState.raceChecked = true
+	return true
+}
+
+func (t *target) endRaceChecks() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.linkState.raceChecked = false
+}
+
 // setLinkDown marks the link as down, by an attempt that began at a time. It reports whether
 // it was up. What failed over the link tells nothing about the health of the upstream, so
 // that is forgotten, but a process that broke its connections before may have ended. Idle
--- a/internal/forward/links.go
+++ b/internal/forward/links.go
@@ -45,11 +45,16 @@
 	// lostTime is how long an upstream that nobody has reached gets no further attempts. It
 	// bounds the attempts, over both paths, while many upstreams are lost.
 	lostTime = 200 * time.Millisecond
-	// probeTimeout limits the connection and the answer of a probe, each.
+	// probeTimeout limits the attempts that find out whether a link is up again.
 	probeTimeout = 250 * time.Millisecond
-	// minRecheck is how long a silent direct attempt is made again at least, once a relayed
-	// one was answered.
-	minRecheck = 50 * time.Millisecond
+	// statusTimeout limits the answer to a status check. It is longer than a link is checked,
+	// so that a late answer counts.
+	statusTimeout = policy.MaxLinkChecks + 100*time.Millisecond
+	// silenceRecheck is how long an upstream may go on, once its response is overdue and a
+	// connection could be made, before its link is checked.
+	silenceRecheck = 100 * time.Millisecond
+	// verdictWait is how long a request whose connection broke waits for the verdict.
+	verdictWait = 200 * time.Millisecond
 	// probeSpacing is the shortest time between two probes of a target.
 	probeSpacing = time.Second
 	// parallelProbes limits the probes that find out which other links are down.
@@ -107,6 +112,8 @@
 	// there was none. judged is closed at the end of the latter.
 	probedAt, joinedAt time.Duration
 	judged             chan struct{}
+	// raceChecked is set while the link is checked after a race between its paths.
+	raceChecked bool
 }
 
 func newLinks(open DialFunc, logger *log.Logger) *links {
@@ -176,6 +183,7 @@
 	}
 	relayCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
+	relayBegan := l.now()
 	relayed := l.openLater(relayCtx, t, l.openRelayed)
 	var relayErr error
 	for directErr == nil || relayErr == nil {
@@ -189,7 +197,7 @@
 		case r := <-relayed:
 			if r.err == nil {
 				l.suspect()
-				go l.judgeRace(t, began, directErr, direct)
+				go l.judgeRace(t, began, relayBegan, directErr, direct)
 				return r.c, nil
 			}
 			relayErr, relayed = r.err, nil
@@ -209,22 +217,41 @@
 	return nil, relayErr
 }
 
-// judgeRace judges a link once the direct attempt has ended that was slower than the
-// relayed one, or has failed before it.
-func (l *links) judgeRace(t *target, began time.Duration, directErr error, direct <-chan openResult) {
-	result := policy.PathFailed
-	if directErr == nil {
-		switch r := <-direct; {
-		case r.err == nil:
-			t.putIdle(r.c)
-			result = policy.PathReached
-		case errors.Is(r.err, budget.ErrNoDescriptor):
-			result = policy.PathUnknown
-		}
-	} else if errors.Is(directErr, budget.ErrNoDescriptor) {
-		result = policy.PathUnknown
+// judgeRace judges a link whose direct attempt is slower than the relayed one, or has failed
+// before it.
+func (l *links) judgeRace(t *target, began, relayBegan time.Duration, directErr error, direct <-chan openResult) {
+	if errors.Is(directErr, budget.ErrNoDescriptor) {
+		return
+	}
+	first := policy.LinkCheck{Began: began, Relayed: policy.PathReached, RelayedEnded: true, RelayedTook: l.now() - relayBegan}
+	result := make(chan policy.PathResult, 1)
+	if directErr != nil {
+		first.Direct, first.DirectEnded = policy.PathFailed, true
+	} else {
+		go func() {
+			r := <-direct
+			if r.err == nil {
+				t.putIdle(r.c)
+				l.setUp(t)
+			}
+			result <- pathResult(r.err)
+		}()
+	}
+	if t.beginRaceChecks() {
+		defer t.endRaceChecks()
+		newLinkProbe(l, t, false).run(began, &first, result)
 	}
-	l.judge(t, began, result, policy.PathReached)
+}
+
+// pathResult returns the result of an attempt to connect.
+func pathResult(err error) policy.PathResult {
+	switch {
+	case err == nil:
+		return policy.PathReached
+	case errors.Is(err, relay.ErrNoHelper), errors.Is(err, budget.ErrNoDescriptor):
+		return policy.PathUnknown
+	}
+	return policy.PathFailed
 }
 
 // openLater opens a connection in the background. The result is received once.
@@ -355,7 +382,7 @@
 	}
 	select {
 	case <-judged:
-	case <-time.After(relayDelay):
+	case <-time.After(verdictWait):
 	}
 }
 
@@ -364,58 +391,11 @@
 func (l *links) stillSilent(t *target, since time.Duration) bool {
 	select {
 	case <-l.stop:
-	case <-time.After(probeTimeout):
+	case <-time.After(silenceRecheck):
 	}
 	return time.Duration(t.heardAt.Load()) < since && !t.linkDown()
 }
 
-// probe attempts both paths to a target at the same time and judges the link. since is when
-// the attempt began that failed before. With ask set a connection alone proves nothing: an
-// answer to a status check must come.
-func (l *links) probe(t *target, since time.Duration, ask bool) {
-	relayed := make(chan policy.PathResult, 1)
-	began := l.now()
-	var took time.Duration
-	go func() {
-		result := l.attempt(t, l.openRelayed, ask)
-		took = l.now() - began
-		relayed <- result
-	}()
-	direct := l.attempt(t, l.openDirect, ask)
-	relayedResult := <-relayed
-	if direct == policy.PathSilent && relayedResult == policy.PathReached {
-		// The upstream may have gone on after the direct attempt had ended.
-		again := make(chan policy.PathResult, 1)
-		go func() { again <- l.attempt(t, l.openDirect, ask) }()
-		select {
-		case direct = <-again:
-		case <-time.After(max(minRecheck, 2*took)):
-		}
-	}
-	l.judge(t, since, direct, relayedResult)
-}
-
-// attempt tries to reach a target on one path.
-func (l *links) attempt(t *target, open func(context.Context, *target) (*conn, error), ask bool) policy.PathResult {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	defer cancel()
-	c, err := open(ctx, t)
-	switch {
-	case errors.Is(err, relay.ErrNoHelper), errors.Is(err, budget.ErrNoDescriptor):
-		return policy.PathUnknown
-	case err != nil:
-		return policy.PathFailed
-	case !ask:
-		t.putIdle(c)
-		return policy.PathReached
-	}
-	defer c.Close()
-	if l.ask(t, c) {
-		return policy.PathReached
-	}
-	return policy.PathSilent
-}
-
 // judge applies the verdict on attempts that began at a time.
 func (l *links) judge(t *target, began time.Duration, direct, relayed policy.PathResult) {
 	switch policy.JudgeLink(direct, relayed) {
@@ -461,7 +441,7 @@
 		}
 		go func() {
 			defer func() { <-l.probes }()
-			l.probe(t, now, failure == policy.PathSilent)
+			l.probe(t, now, failure != policy.PathFailed)
 		}()
 	}
 }
--- a/internal/forward/links_test.go
+++ b/internal/forward/links_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -165,3 +166,26 @@
 		})
 	}
 }
+
+// Guards against a link that is judged down because one packet was lost: a first attempt to
+// connect that hangs or is refused, beside a relayed connection.
+func TestOneFailedConnectionLeavesTheLinkUp(t *testing.T) {
+	for name, fail := range map[string]func(context.Context) error{
+		"lost":    func(ctx context.Context) error { <-ctx.Done(); return ctx.Err() },
+		"refused": func(context.Context) error { return errors.New("refused") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			var dials atomic.Int32
+			s, targets := newLinksServer(t, 1, func(ctx context.Context, _ string) (net.Conn, error) {
+				if dials.Add(1) == 1 {
+					return nil, fail(ctx)
+				}
+				return pipeConn(t), nil
+			}, fakeRelay(func(context.Context, string) (RelayedConn, error) { return fakeRelayedConn{pipeConn(t)}, nil }))
+			c, err := targets[0].dial(context.Background())
+			require.NoError(t, err)
+			defer c.Close()
+			require.Never(t, func() bool { return s.links.countDown() > 0 }, 2*dialTimeout, time.Millisecond)
+		})
+	}
+}
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -159,8 +159,8 @@
 	if service == nil || service.StatusPath == "" {
 		return true
 	}
-	_ = c.SetDeadline(time.Now().Add(probeTimeout))
-	header := s.opts.Protocol.RequestHeader(http.Header{}, &SendOptions{Instance: t.id, RemainingTime: probeTimeout, Priority: -1})
+	_ = c.SetDeadline(time.Now().Add(statusTimeout))
+	header := s.opts.Protocol.RequestHeader(http.Header{}, &SendOptions{Instance: t.id, RemainingTime: statusTimeout, Priority: -1})
 	if err := c.writeRequest(&outboundRequest{method: http.MethodGet, uri: service.StatusPath, host: t.address, header: header}); err != nil {
 		return false
 	}
--- a/policy/link.go
+++ b/policy/link.go
@@ -11,17 +11,19 @@
 	// PathUnknown: no attempt was made, or it told nothing about the upstream, for example
 	// because no daemon relays.
 	PathUnknown PathResult = iota
-	// PathFailed: no connection could be made, or it broke before an answer.
+	// PathFailed: no connection could be made.
 	PathFailed
 	// PathSilent: a connection on which no answer came in time.
 	PathSilent
 	// PathReached: an answer or, where none was asked for, a connection.
 	PathReached
+	// PathBroken: a connection that broke before an answer.
+	PathBroken
 )
 
 // String returns the name of the result for the log.
 func (r PathResult) String() string {
-	return [...]string{"unknown", "failed", "silent", "reached"}[r]
+	return [...]string{"unknown", "failed", "silent", "reached", "broken"}[r]
 }
 
 // LinkVerdict tells whose fault it is that an upstream is not reached.
