core: relayed answers go on until the grace period ends

A core daemon that got SIGTERM waited 3 s for the connections that it relays, and then stopped its pools, hub and store and ended them: an answer that took longer ended with relay_lost on the entry, although the grace period had not ended. The wait now comes after the other steps of the stop, which relayed connections don't need, and lasts until 1 s before the end of the grace period. New connections are refused from the beginning of the stop, as before.

TestRelayedAnswersEndWithinTheGracePeriod failed before: a stream of 5 s was cut off after 3.00 s of a grace period of 8 s (30 of 50 events).

An entry isn't told that the daemon stops: it goes on to use the relayed connections that it keeps, and these keep the daemon until 1 s before the end of the grace period.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -257,7 +257,6 @@
 	if err := d.drainer.Shutdown(ctx, d.http); err != nil {
 		logger.Warn().Str("event", "process.calls_cut_off").Err(err).Msg("")
 	}
-	d.waitForRelayed(time.Since(began), logger)
 	d.stopPools()
 	d.hub.Stop()
 	if err := d.store.Stop(); err != nil {
@@ -267,5 +266,7 @@
 		d.streamLog.Close()
 	}
 	d.peers.Close()
+	// Relayed answers go on beside all of this.
+	d.waitForRelayed(time.Since(began), logger)
 	logger.Info().Str("event", "process.stopped").Msg("")
 }
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -23,9 +23,8 @@
 	relayedConnBytes = 64 << 10
 	// defaultMaxRelayed applies where the settings state no limits.
 	defaultMaxRelayed = 256
-	// relayWaitTime is how long a stop waits for relayed connections to end, and
-	// shutdownMargin what it leaves of the grace period.
-	relayWaitTime  = 3 * time.Second
+	// shutdownMargin is what a stop that waits for relayed connections leaves of the grace
+	// period.
 	shutdownMargin = time.Second
 )
 
@@ -49,10 +48,10 @@
 	return n
 }
 
-// waitForRelayed waits until the relayed connections have ended, for part of the grace
-// period, of which the stop has used some already.
+// waitForRelayed waits until the relayed connections have ended, for what is left of
+// the grace period, of which the stop has used some already.
 func (d *daemon) waitForRelayed(used time.Duration, logger *log.Logger) {
-	ctx, cancel := context.WithTimeout(context.Background(), min(relayWaitTime, d.gracePeriod-used-shutdownMargin))
+	ctx, cancel := context.WithTimeout(context.Background(), d.gracePeriod-used-shutdownMargin)
 	defer cancel()
 	if open := d.relay.Wait(ctx); open > 0 {
 		logger.Warn().Str("event", "relay.cut_off").Int("connections", open).Msg("")
