forward: faults of moving silent runs, found by a review

- A request to move that was made during an earlier silence moved a stream whose engine had gone on.
- A repeatable call was answered with the 500 of the next upstream while the silent one still worked, and an answer of the silent one that came while the next one had the call was thrown away: a call may run at both, so the silent run stays open until the next one has succeeded.
- The end of a prefill that was not needed any more counted as a broken link, so that its engine was probed and the event waited.
- Permits of limited upstreams were used for calls without a retry, the load of an upstream was counted for good after an aborted answer, and run.kept told the silence of the wrong run.

--- a/internal/forward/move.go
+++ b/internal/forward/move.go
@@ -15,12 +15,16 @@
 // A silent run may only be slow. It is given up once another one has been granted, was sent and
 // has not been rejected: the place, the retry and the prefill may all be refused while the
 // upstream of the silent run still works.
+//
+// What is done for the next run uses movingContext until that run is sent, so that it ends when
+// the silent one goes on. Of a stream, the silent run is closed streamOverlap later, whatever
+// becomes of the next one then.
 
 const (
-	// handOverTime is how long the silent run stays open after the next one was sent, unless that
-	// one brings something before. Upstreams reject a request at once, and no two may work on one
-	// stream for longer than 400 ms.
-	handOverTime = 250 * time.Millisecond
+	// streamOverlap is how long the silent run of a stream stays open after the next one was sent,
+	// unless that one brings something before. Upstreams reject a request at once, and no two may
+	// work on one stream for longer than 400 ms.
+	streamOverlap = 250 * time.Millisecond
 	// moveRetryInterval is the time from one attempt to move a silent run to the next.
 	moveRetryInterval = 500 * time.Millisecond
 )
@@ -61,6 +65,9 @@
 	// brings blocks until the run brings something or fails, and reports true, or until stop is
 	// closed.
 	brings func(stop <-chan struct{}) bool
+	// overlap is how long the run stays open after the next one was sent; 0 until that one has
+	// succeeded.
+	overlap time.Duration
 	// attempts counts the attempts to move the run.
 	attempts int
 
@@ -69,9 +76,11 @@
 	cancel context.CancelFunc
 	// unwatch ends the watch, which closes unwatched; nil once that is done.
 	unwatch, unwatched chan struct{}
-	// closing closes the connection, and then closed; nil until the next run is sent.
-	closing *time.Timer
-	closed  chan struct{}
+	// handedOver is set once the next run is sent. closing then closes the connection, and
+	// closed; it is nil without an overlap.
+	handedOver bool
+	closing    *time.Timer
+	closed     chan struct{}
 	// open tells, once decided is set, whether the run is still open after the attempt.
 	decided, open bool
 }
@@ -81,7 +90,7 @@
 	r.attempts++
 	r.ctx, r.cancel = context.WithCancel(ctx)
 	r.unwatch, r.unwatched, r.closed = make(chan struct{}), make(chan struct{}), make(chan struct{})
-	r.closing, r.decided = nil, false
+	r.handedOver, r.closing, r.decided = false, nil, false
 	go func(stop, ended chan struct{}, cancel context.CancelFunc) {
 		if r.brings(stop) {
 			cancel()
@@ -101,18 +110,21 @@
 }
 
 // handOver reports whether the next run may be sent: the silent one has brought nothing. Its
-// connection is then closed soon. Further calls have no effect.
+// connection is closed after the overlap. Further calls have no effect.
 func (r *silentRun) handOver() bool {
-	if r.closing != nil {
+	if r.handedOver {
 		return true
 	}
 	if r.endWatch() {
 		return false
 	}
-	r.closing = time.AfterFunc(handOverTime, func() {
-		_ = r.c.Close()
-		close(r.closed)
-	})
+	r.handedOver = true
+	if r.overlap > 0 {
+		r.closing = time.AfterFunc(r.overlap, func() {
+			_ = r.c.Close()
+			close(r.closed)
+		})
+	}
 	return true
 }
 
@@ -136,7 +148,7 @@
 // movingContext returns the context of what is done for the next attempt. It ends also when the
 // silent run goes on.
 func (x *exchange) movingContext() context.Context {
-	if x.moving != nil && x.moving.closing == nil {
+	if x.moving != nil && !x.moving.handedOver {
 		return x.moving.ctx
 	}
 	return x.ctx
@@ -144,7 +156,7 @@
 
 // wentOn reports whether the silent run goes on from which the request was to be moved.
 func (x *exchange) wentOn() bool {
-	return x.moving != nil && x.moving.closing == nil && x.moving.ctx.Err() != nil
+	return x.moving != nil && !x.moving.handedOver && x.moving.ctx.Err() != nil
 }
 
 // attemptState is what the exchange keeps of its latest attempt.
@@ -180,10 +192,11 @@
 	x.moving = outer
 	if result == moveKept {
 		from.keep()
+		refused := x.reason
+		x.restoreAttempt(saved)
 		if from.attempts == 1 {
-			x.logKept(from.t, reason, x.reason)
+			x.logKept(from.t, reason, refused)
 		}
-		x.restoreAttempt(saved)
 		return
 	}
 	from.end()
@@ -195,6 +208,14 @@
 	}
 }
 
+func (x *exchange) setTried(t *target, tried bool) {
+	if tried {
+		x.tried[t] = true
+		return
+	}
+	delete(x.tried, t)
+}
+
 // silenceReason returns the reason of a run that is moved, by the cause.
 func silenceReason(cause error, silent string) string {
 	if errors.Is(cause, errLinkLost) {
@@ -219,6 +240,7 @@
 		return moveKept
 	}
 	saved, outer, prompt, tried := x.attemptState(), x.moving, st.prompt, x.tried[from.t]
+	from.overlap = streamOverlap
 	x.beginMove(from, cause)
 	st.prompt, x.tried[from.t] = nil, true
 	st.countRun(x.route)
@@ -228,7 +250,8 @@
 	}
 	st.runs--
 	if result == moveKept {
-		st.prompt, x.tried[from.t] = prompt, tried
+		st.prompt = prompt
+		x.setTried(from.t, tried)
 		st.setLastRun(x.route)
 	} else {
 		// The silent run has not begun if it still has its prompt.
@@ -299,6 +322,7 @@
 	run.events.close()
 	x.countUnusedPrefill(run.prefilled)
 	x.endPlacement(run.p, st, nil, x.holdSilent(result))
+	t.endRequest(run.p.work)
 	return result
 }
 
@@ -315,7 +339,7 @@
 	result := x.callElsewhere(from, st)
 	st.runs--
 	if result == moveKept {
-		x.tried[from.t] = tried
+		x.setTried(from.t, tried)
 		st.setLastRun(x.route)
 	}
 	x.endMove(from, outer, result, saved, silenceReason(cause, reasonNoAnswer))
@@ -324,6 +348,10 @@
 
 // callElsewhere sends a plain call to another upstream than a silent one.
 func (x *exchange) callElsewhere(from *silentRun, st *callState) moveResult {
+	if x.s.retryBudget(x.service.Name).remaining(x.s.now()) < 1 {
+		x.reason = "repeat_budget"
+		return moveKept
+	}
 	t := x.pickAdmitted()
 	if t == nil || t == from.t && !t.linkDown() {
 		x.reason = "no_upstream"
@@ -397,6 +425,8 @@
 	}
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
+	// What was asked for an earlier silence is over.
+	run.c.forgetMove()
 	moveAsked := run.c.moveAsked
 	for {
 		cause := error(os.ErrDeadlineExceeded)
@@ -410,6 +440,12 @@
 				cause = errLinkLost
 			}
 		}
+		select {
+		case result = <-w.results:
+			// The process may have been paused.
+			return result, nil
+		default:
+		}
 		switch move(run, cause) {
 		case moveDone:
 			return result, errMoved
--- a/internal/forward/permits.go
+++ b/internal/forward/permits.go
@@ -220,7 +220,7 @@
 	if x.sends == 0 {
 		maxWait = min(x.route.LatencyTarget, x.remaining()/2)
 	}
-	t, wait, none := x.s.acquirePermit(x.ctx, targets, maxWait)
+	t, wait, none := x.s.acquirePermit(x.movingContext(), targets, maxWait)
 	if none != nil {
 		x.permitRetryAfter = none.RetryAfter
 		return nil
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -123,9 +123,9 @@
 // attemptCall sends a plain call to one upstream, paid for by ch.
 func (x *exchange) attemptCall(t *target, ch *charge, st *callState) sendResult {
 	t.beginRequest(st.work)
+	defer t.endRequest(st.work)
 	sentAt := time.Now()
 	result := x.tryPlain(t, ch, st)
-	t.endRequest(st.work)
 	x.tried[t] = true
 	x.watchShortage(t)
 	if result == sendDone && x.lastTarget == t {
@@ -203,7 +203,7 @@
 	}
 	if res.resp.StatusCode >= http.StatusInternalServerError {
 		t.recordFailure(x.s.now(), policy.FaultError)
-		if !st.lastRun && x.s.retryBudget(x.service.Name).remaining(x.s.now()) >= 1 {
+		if x.moving != nil && x.moving.keep() || !st.lastRun && x.s.retryBudget(x.service.Name).remaining(x.s.now()) >= 1 {
 			res.close(whole)
 			x.reason = "upstream_error"
 			return sendOutcomeUnknown
--- a/internal/forward/references.go
+++ b/internal/forward/references.go
@@ -136,7 +136,7 @@
 		return
 	}
 	x.s.untoldServices.use(x.service.Name, x.s.now())
-	ctx, cancel := context.WithTimeout(x.ctx, max(0, min(timeout, identifyTimeout, x.remaining())))
+	ctx, cancel := context.WithTimeout(x.movingContext(), max(0, min(timeout, identifyTimeout, x.remaining())))
 	defer cancel()
 	c.process.untold = x.s.processOf(ctx, t)
 }
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -61,7 +61,7 @@
 // unansweredError returns the error of a connection that broke before a response, like
 // pathError, after a look at its link.
 func (x *exchange) unansweredError(t *target, c *conn, err error) error {
-	if connFailed(err) && !isTimeout(err) && x.ctx.Err() == nil {
+	if connFailed(err) && !isTimeout(err) && x.movingContext().Err() == nil {
 		x.s.links.judgeUnanswered(t, c)
 	}
 	return c.pathError(t, err)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -171,20 +171,22 @@
 
 // startRun runs the prefill and sends the request to the decode engine of a placement. If the
 // response does not begin, the reservation is released and the result is not 0.
-func (x *exchange) startRun(p *placement, st *streamState) (*startedRun, sendResult) {
+func (x *exchange) startRun(p *placement, st *streamState) (run *startedRun, result sendResult) {
 	p.decode.beginRequest(p.work)
+	defer func() {
+		if run == nil {
+			p.decode.endRequest(p.work)
+		}
+	}()
 	ch, result := x.prepareRun(p, st)
 	if result != 0 {
-		p.decode.endRequest(p.work)
 		return nil, result
 	}
 	prompt := st.prompt
-	run, result := x.openStream(p, st, &ch)
-	if result != 0 {
+	if run, result = x.openStream(p, st, &ch); result != 0 {
 		x.endPlacement(p, st, prompt, result)
-		return nil, result
 	}
-	return run, 0
+	return run, result
 }
 
 // prepareRun does what comes before the request is sent to the decode engine of a placement, and
@@ -225,6 +227,7 @@
 
 // relayRun relays a run, and releases its reservation.
 func (x *exchange) relayRun(run *startedRun, st *streamState) sendResult {
+	defer run.p.decode.endRequest(run.p.work)
 	events := st.events
 	result := x.relayEvents(run, st)
 	if st.events == events && x.outcome != "answered" {
@@ -244,7 +247,6 @@
 // endPlacement releases the reservation of an attempt whose request was to be sent, with prompt
 // as the prefill result; nil for none.
 func (x *exchange) endPlacement(p *placement, st *streamState, prompt *prefilledPrompt, result sendResult) {
-	defer p.decode.endRequest(p.work)
 	if result == sendOutcomeUnknown && x.moving != nil && x.connectionBroke() {
 		// The silent run may go on at any time.
 		go x.s.releaseBroken(p, x.reason)
@@ -393,7 +395,7 @@
 	_ = res.conn.SetDeadline(time.Now().Add(x.remaining()))
 	body, whole, err := x.bufferResponse(res.resp)
 	t.recordFailure(x.s.now(), policy.FaultError)
-	if err != nil || st.headWritten || !st.lastRun || x.moving != nil {
+	if err != nil || st.headWritten || !st.lastRun || x.moving != nil && x.moving.keep() {
 		res.close(err == nil && whole)
 		x.reason = "upstream_error"
 		x.endRun(t, false)
