soak: runners that keep others waiting, and a check of LOST around planned work

The soak did not judge that rule, and its runners never paused for long or answered status checks late.

--- a/internal/soak/check_statement.go
+++ b/internal/soak/check_statement.go
@@ -206,6 +206,7 @@
 // requestArrived records a request that arrived at a runner.
 func (s *system) requestArrived(run standin.Run) {
 	s.check.requestArrived(run)
+	s.lostCheck.requestArrived(run)
 	if finding := s.statementCheck.arrived(run); finding != "" {
 		s.check.report("%s", finding)
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -20,14 +20,15 @@
 const stopTimeout = 8 * time.Second
 
 // inject executes one fault and returns when it is over. A graceful stop of an
-// entry, a reload, configuration changes and a runner's leave must not disturb
+// entry, a reload, configuration changes, a runner's leave and its silence must not disturb
 // the service, so they are not counted as faults.
 func (s *system) inject(ctx context.Context, f fault) {
 	defer s.coreFault(ctx, f)()
-	if f.kind != stopEntry && f.kind != reloadSettings && f.kind != changeConfig && f.kind != raceConfigChanges && f.kind != leaveRunner && f.kind != releaseEngines && f.kind != changeWeights {
+	if !slices.Contains(slices.Concat(plannedKinds, silenceKinds()), f.kind) {
 		s.check.faultStarted()
 		defer s.check.faultEnded()
 	}
+	defer s.lostCheck.faultStarted(f)()
 	defer s.cutCheck.disturbed(f, len(s.entries))()
 	defer s.statementCheck.interrupted(f, len(s.entries))()
 	entry := s.entries[f.target%len(s.entries)]
@@ -68,6 +69,7 @@
 			s.stopAndRestart(ctx, p, 0, func() {})
 		}
 	case reloadSettings:
+		s.lostCheck.signalled(&s.lostCheck.reloads, f.target%len(s.entries))
 		for _, p := range []*process{entry, core} {
 			if err := p.hangUp(); err != nil {
 				s.check.mu.Lock()
@@ -149,6 +151,7 @@
 // not exit or is ended by a signal.
 func (s *system) terminate(p *process) {
 	started := p.hasStarted()
+	s.lostCheck.signalled(&s.lostCheck.stops, slices.Index(s.entries, p))
 	p.signal(syscall.SIGTERM)
 	deadline := time.Now().Add(stopTimeout)
 	for i, next := range stopSignals {
@@ -225,6 +228,8 @@
 		s.idleThenRestart(ctx, f)
 	case lateReports:
 		s.delayReports(ctx, f)
+	case faultKind(standin.PauseStreams), faultKind(standin.LateStatus), faultKind(standin.SlowAnswers), faultKind(standin.MuteEngine):
+		s.injectSilence(ctx, f)
 	case preemptStreams, changeRole:
 		s.injectEngineFault(ctx, f)
 	case deadlyRequest:
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -59,11 +59,13 @@
 	defer func() { s.check.checkPlain(id, o) }()
 	reqCtx, cancel := context.WithTimeout(ctx, s.shape.callerTimeout)
 	defer cancel()
+	sent, reqCtx := s.watch(reqCtx, id, entry, s.shape.callerTimeout, false)
 	req, err := standin.NewRequest(reqCtx, entry, path, id, s.shape.callerTimeout)
 	if err != nil {
 		return
 	}
 	resp, err := client.Do(req)
+	defer func() { s.lostCheck.ended(reqCtx, sent, o, err) }()
 	if err != nil {
 		return
 	}
@@ -146,6 +148,7 @@
 	reqCtx, cancel := context.WithTimeout(ctx, s.shape.callerTimeout)
 	end := cancel
 	defer func() { end() }()
+	sent, reqCtx := s.watch(reqCtx, a.id, entry, s.shape.callerTimeout, true)
 	req, err := standin.NewRequest(reqCtx, entry, a.path, a.id, s.shape.callerTimeout)
 	if err != nil {
 		return o, nil
@@ -157,6 +160,7 @@
 		standin.SetTakeUp(req, a.stream, a.delivered)
 	}
 	resp, err := client.Do(req)
+	defer func() { s.lostCheck.ended(reqCtx, sent, o, err) }()
 	if err != nil {
 		return o, nil
 	}
@@ -167,6 +171,7 @@
 	o = outcome{status: resp.StatusCode, truncated: true, unstamped: !standin.IsStamped(resp)}
 	err = standin.ReadEvents(resp.Body, func(e standin.Event) bool {
 		events = append(events, e)
+		sent.heard()
 		o.left = a.leavesAfter > 0 && len(events) == a.leavesAfter
 		return !o.left
 	})
--- a/internal/soak/load_once.go
+++ b/internal/soak/load_once.go
@@ -7,9 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"net/http/httptrace"
 	"slices"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -86,8 +84,7 @@
 	timeout := cmp.Or(w.timeout, s.shape.callerTimeout)
 	reqCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	var connected atomic.Bool
-	reqCtx = httptrace.WithClientTrace(reqCtx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
+	sent, reqCtx := s.watch(reqCtx, id, entry, timeout, w.stream)
 	o = outcome{truncated: true}
 	var events []standin.Event
 	want := s.shape.drawEvents()
@@ -108,14 +105,16 @@
 		standin.SetEvents(req, want)
 	}
 	resp, err := client.Do(req)
+	defer func() { s.lostCheck.ended(reqCtx, sent, o, err) }()
 	if err != nil {
-		return o, !unread(err, connected.Load(), w.bodyBytes)
+		return o, !unread(err, sent.isConnected(), w.bodyBytes)
 	}
 	defer resp.Body.Close()
 	o = outcome{status: resp.StatusCode, unstamped: !standin.IsStamped(resp), truncated: true}
 	if w.stream {
 		err = standin.ReadEvents(resp.Body, func(e standin.Event) bool {
 			events = append(events, e)
+			sent.heard()
 			return true
 		})
 	} else {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -53,6 +53,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if slices.ContainsFunc(kinds, func(k faultKind) bool { return slices.Contains(silenceKinds(), k) }) {
+		sh.changeInterval *= rareChanges
+	}
 	check := newChecker()
 	check.longEvents = sh.longEvents
 	s, err := newSystem(opts, sh, check, slices.ContainsFunc(kinds, needsProcesses))
@@ -107,6 +110,9 @@
 	s.checkConfig(ctx)
 	check.checkLogs(opts.Dir, s.buildOfLog)
 	s.cutCheck.check(check, opts.Out)
+	if opts.Upgrade == nil {
+		s.lostCheck.check(check, opts.Out)
+	}
 	s.checkDeadlyRequests()
 	if opts.Upgrade != nil {
 		s.checkBuilds()
@@ -178,9 +184,12 @@
 
 // targetLocks returns the keys of the locks that serialise faults of one target, in the
 // order in which they are taken: one per entry, one for all core daemons, one for the
-// configuration, one for all runners, one for late reports and one for each kind of faulty answers.
+// configuration, one for all runners, one for late reports and one for each kind of faulty answers and of silence.
 func (s *system) targetLocks(f fault) []int {
-	const entryLock, coreLock, configLock, runnerLock, answersLock, lateReportsLock = 1000, 2000, 3000, 4000, 5000, 6000
+	const entryLock, coreLock, configLock, runnerLock, answersLock, lateReportsLock, silenceLock = 1000, 2000, 3000, 4000, 5000, 6000, 7000
+	if i := slices.Index(silenceKinds(), f.kind); i >= 0 {
+		return []int{silenceLock + i}
+	}
 	if i := slices.Index(wireFaultKinds(), f.kind); i >= 0 {
 		return []int{answersLock + i}
 	}
--- a/internal/soak/runner_process.go
+++ b/internal/soak/runner_process.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -24,7 +25,7 @@
 
 	mu sync.Mutex
 	// running holds the requests in progress. It is nil once the process has ended.
-	running map[string]bool
+	running map[string]standin.Run
 	// ended is closed when the process has ended and its events were read.
 	ended chan struct{}
 }
@@ -49,7 +50,7 @@
 	// The process has its own copy, which is the last one when it ends.
 	defer l.Close()
 	defer listener.Close()
-	p := &runnerProcess{cmd: exec.Command(program), running: map[string]bool{}, ended: make(chan struct{})}
+	p := &runnerProcess{cmd: exec.Command(program), running: map[string]standin.Run{}, ended: make(chan struct{})}
 	p.cmd.Env = append(os.Environ(), standin.ProcessVariable+"="+string(settings))
 	p.cmd.ExtraFiles = []*os.File{listener}
 	p.cmd.Stderr = os.Stderr
@@ -82,6 +83,10 @@
 		var e standin.ProcessEvent
 		if err := decoder.Decode(&e); err != nil {
 			p.mu.Lock()
+			for _, run := range p.running {
+				run.EndedAt, run.BrokeOff = time.Now(), true
+				s.lostCheck.runEnded(run)
+			}
 			p.running = nil
 			p.mu.Unlock()
 			return
@@ -92,9 +97,10 @@
 		case standin.RequestStarted:
 			s.check.requestRan(e.Run)
 			p.mu.Lock()
-			p.running[e.Run.ID] = true
+			p.running[e.Run.ID] = e.Run
 			p.mu.Unlock()
 		case standin.RequestEnded:
+			s.lostCheck.runEnded(e.Run)
 			p.mu.Lock()
 			delete(p.running, e.Run.ID)
 			p.mu.Unlock()
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -59,7 +59,7 @@
 	resetLinks, silentLinks, delayLinks, oneWayLink, reloadSettings, changeConfig, raceConfigChanges,
 }
 
-var namedFaultKinds = slices.Concat([]faultKind{killAll, releaseEngines, restartRunner, strayEvents, killRunner, changeWeights, preemptStreams, changeRole}, wireFaultKinds(), cutFaultKinds, lateReportKinds, statementKinds, []faultKind{deadlyRequest, idleRestart, loseCores})
+var namedFaultKinds = slices.Concat([]faultKind{killAll, releaseEngines, restartRunner, strayEvents, killRunner, changeWeights, preemptStreams, changeRole}, wireFaultKinds(), cutFaultKinds, lateReportKinds, statementKinds, []faultKind{deadlyRequest, idleRestart, loseCores}, silenceKinds())
 
 // wireFaultKinds are faults of the answers of all runners.
 func wireFaultKinds() []faultKind {
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -86,6 +86,7 @@
 	uncuttable map[Build]bool
 
 	cutCheck       cutCheck
+	lostCheck      lostCheck
 	statementCheck statementCheck
 	deadlyCheck    deadlyCheck
 	idle           idlePhase
@@ -222,6 +223,7 @@
 func (s *system) putConfig(ctx context.Context, first int) error {
 	version := int(s.lastVersion.Add(1))
 	c := s.shape.config(version)
+	defer s.lostCheck.changeSent()()
 	err := errors.New("no core daemon was asked")
 	for i := range coreCount {
 		putCtx, cancel := context.WithTimeout(ctx, time.Second)
@@ -280,7 +282,7 @@
 	e := st.engine
 	r := &standin.Runner{
 		ID: st.id, Version: st.version, Service: e.service, Stage: e.stage, ServiceTime: e.interval, Events: streamEvents, StartMs: st.startMs, Statements: s.opts.Statements.drawn(s.opts.Seed),
-		OnStart: s.check.requestRan, OnArrival: s.requestArrived, OnOtherCache: s.check.otherCacheUsed,
+		OnStart: s.check.requestRan, OnArrival: s.requestArrived, OnEnd: s.lostCheck.runEnded, OnOtherCache: s.check.otherCacheUsed,
 	}
 	r.SetWeights(e.weights)
 	runCtx, stop := context.WithCancel(ctx)
