--- a/internal/soak/check_lost_test.go
+++ b/internal/soak/check_lost_test.go
@@ -149,7 +149,7 @@
 	require.NoError(t, err)
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		_, _ = io.Copy(io.Discard, req.Body)
-		switch req.Header.Get("Godwitward-Request-Id") {
+		switch standin.IDOf(req) {
 		case "whole":
 			_, _ = io.WriteString(w, "answer whole")
 		case "part":
